--- /dev/null
+++ b/wigeonspan/common/__init__.py
@@ -0,0 +1,84 @@
+"""Types and helpers shared by all parts."""
+
+from wigeonspan.common._clock import Clock, ManualClock, SystemClock
+from wigeonspan.common._codec import (
+    PROTOCOL_VERSION,
+    VERSION_HEADER,
+    check_version,
+    decode,
+    encode,
+)
+from wigeonspan.common._errors import (
+    ANSWERS,
+    Answer,
+    ErrorBody,
+    ErrorDetail,
+    ErrorKind,
+    Ran,
+    WigeonspanError,
+)
+from wigeonspan.common._ids import (
+    AttemptId,
+    DomainName,
+    EngineId,
+    HostId,
+    LogIndex,
+    ModelName,
+    OperationId,
+    RequestId,
+    ServiceName,
+    TenantName,
+    Term,
+    Version,
+)
+from wigeonspan.common._logs import part_logger, set_up_logs
+from wigeonspan.common._metrics import (
+    Metrics,
+    MetricsSettings,
+    NoMetrics,
+    StatsdMetrics,
+    make_metrics,
+    metric_name,
+)
+from wigeonspan.common._settings import SettingsErrors, SettingsFault, load_settings
+
+__all__ = [
+    "ANSWERS",
+    "PROTOCOL_VERSION",
+    "VERSION_HEADER",
+    "Answer",
+    "AttemptId",
+    "Clock",
+    "DomainName",
+    "EngineId",
+    "ErrorBody",
+    "ErrorDetail",
+    "ErrorKind",
+    "HostId",
+    "LogIndex",
+    "ManualClock",
+    "Metrics",
+    "MetricsSettings",
+    "ModelName",
+    "NoMetrics",
+    "OperationId",
+    "Ran",
+    "RequestId",
+    "ServiceName",
+    "SettingsErrors",
+    "SettingsFault",
+    "StatsdMetrics",
+    "SystemClock",
+    "TenantName",
+    "Term",
+    "Version",
+    "WigeonspanError",
+    "check_version",
+    "decode",
+    "encode",
+    "load_settings",
+    "make_metrics",
+    "metric_name",
+    "part_logger",
+    "set_up_logs",
+]
--- /dev/null
+++ b/wigeonspan/common/_errors.py
@@ -0,0 +1,182 @@
+"""The closed list of error kinds and the answer that each one gives a caller."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+
+class ErrorKind(Enum):
+    """Every kind of error that the system reports to callers and operators."""
+
+    BAD_REQUEST = "bad_request"
+    UNSUPPORTED_MEDIA_TYPE = "unsupported_media_type"
+    TOO_LARGE = "too_large"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
+    KEY_REQUIRED = "key_required"
+    KEY_CONFLICT = "key_conflict"
+    CALL_IN_PROGRESS = "call_in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_TARGET = "no_target"
+    TARGET_FAILED = "target_failed"
+    SLOW_READER = "slow_reader"
+    LEASE_EXPIRED = "lease_expired"
+    DRAINING = "draining"
+    NOT_LEADER = "not_leader"
+    NO_QUORUM = "no_quorum"
+    STORAGE_FULL = "storage_full"
+    VERSION_CONFLICT = "version_conflict"
+    NOT_FOUND = "not_found"
+    INTERNAL = "internal"
+
+
+class Ran(Enum):
+    """Whether the refused request ran on a target."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class Answer(Struct, frozen=True):
+    """How an error kind is answered.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    ran : Ran
+        What the answer says about the request having run. A raiser may report a
+        weaker statement (``UNKNOWN``) but never a stronger one.
+    retry : bool
+        Whether sending the same request again can help.
+    retry_after_s : float
+        Seconds after which to send it again; 0 when ``retry`` is false.
+    """
+
+    status: int
+    ran: Ran
+    retry: bool = False
+    retry_after_s: float = 0.0
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, Ran.NO),
+    ErrorKind.UNSUPPORTED_MEDIA_TYPE: Answer(415, Ran.NO),
+    ErrorKind.TOO_LARGE: Answer(413, Ran.NO),
+    ErrorKind.UNKNOWN_MODEL: Answer(404, Ran.NO),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, Ran.NO),
+    ErrorKind.UNKNOWN_ROUTE: Answer(404, Ran.NO),
+    ErrorKind.KEY_REQUIRED: Answer(400, Ran.NO),
+    ErrorKind.KEY_CONFLICT: Answer(422, Ran.NO),
+    ErrorKind.CALL_IN_PROGRESS: Answer(409, Ran.UNKNOWN, True, 1.0),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, Ran.UNKNOWN),
+    ErrorKind.RATE_LIMITED: Answer(429, Ran.NO, True, 1.0),
+    ErrorKind.OVERLOADED: Answer(503, Ran.NO, True, 2.0),
+    ErrorKind.DEADLINE_TOO_SHORT: Answer(503, Ran.NO, True, 5.0),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.UNKNOWN, True, 1.0),
+    ErrorKind.NO_TARGET: Answer(503, Ran.NO, True, 2.0),
+    ErrorKind.TARGET_FAILED: Answer(502, Ran.UNKNOWN, True, 1.0),
+    ErrorKind.SLOW_READER: Answer(408, Ran.UNKNOWN, True, 1.0),
+    ErrorKind.LEASE_EXPIRED: Answer(503, Ran.NO, True, 1.0),
+    ErrorKind.DRAINING: Answer(503, Ran.NO, True, 0.1),
+    ErrorKind.NOT_LEADER: Answer(421, Ran.NO, True, 0.2),
+    ErrorKind.NO_QUORUM: Answer(503, Ran.UNKNOWN, True, 1.0),
+    ErrorKind.STORAGE_FULL: Answer(507, Ran.NO, True, 60.0),
+    ErrorKind.VERSION_CONFLICT: Answer(409, Ran.NO),
+    ErrorKind.NOT_FOUND: Answer(404, Ran.NO),
+    ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, True, 1.0),
+}
+
+
+class ErrorDetail(Struct, frozen=True):
+    """Body of an error answer.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Machine-readable kind.
+    message : str
+        One sentence for a person.
+    ran : Ran
+        Whether the request ran.
+    retry : bool
+        Whether sending the same request again can help.
+    retry_after_s : float
+        Seconds after which to send it again.
+    """
+
+    kind: ErrorKind
+    message: str
+    ran: Ran
+    retry: bool
+    retry_after_s: float
+
+
+class ErrorBody(Struct, frozen=True):
+    """Envelope of an error answer: ``{"error": {...}}``."""
+
+    error: ErrorDetail
+
+
+class WigeonspanError(Exception):
+    """Error of the closed list.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Kind of error.
+    message : str
+        One sentence for a person.
+    ran : Ran or None
+        Whether the request ran, when it is known better than the table says.
+    retry_after_s : float or None
+        Seconds after which to send the request again, when known.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        ran: Ran | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.ran = ran if ran is not None else self.answer.ran
+        self._retry_after_s = retry_after_s
+
+    @property
+    def answer(self) -> Answer:
+        """Row of the answer table for this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self.answer.status
+
+    @property
+    def body(self) -> ErrorBody:
+        """Body of the HTTP answer."""
+        answer = self.answer
+        after = self._retry_after_s
+        return ErrorBody(
+            ErrorDetail(
+                kind=self.kind,
+                message=self.message,
+                ran=self.ran,
+                retry=answer.retry,
+                retry_after_s=answer.retry_after_s if after is None else after,
+            )
+        )
+
+    def __str__(self) -> str:
+        return f"{self.kind.value}: {self.message}"
--- /dev/null
+++ b/wigeonspan/common/_ids.py
@@ -0,0 +1,39 @@
+"""Identifier types shared by all parts."""
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+"""Name of a host that runs a process of the system, for example ``entry-1``."""
+
+EngineId = NewType("EngineId", str)
+"""Name of an engine, unique in the deployment."""
+
+ServiceName = NewType("ServiceName", str)
+"""Name of a plain service or of a model service."""
+
+ModelName = NewType("ModelName", str)
+"""Name of a model as callers send it in the ``model`` field."""
+
+DomainName = NewType("DomainName", str)
+"""Name of a failure domain."""
+
+TenantName = NewType("TenantName", str)
+"""Name of a tenant, the unit of limits and fair shares."""
+
+RequestId = NewType("RequestId", str)
+"""Identifier of a caller's request; the same on each retry by the caller."""
+
+AttemptId = NewType("AttemptId", str)
+"""Identifier of one attempt to run a request on one target."""
+
+OperationId = NewType("OperationId", str)
+"""Identifier of an operator's change; the same when the operator sends it again."""
+
+LogIndex = NewType("LogIndex", int)
+"""Position of an entry in the replicated log; the first entry has index 1."""
+
+Term = NewType("Term", int)
+"""Election term of the replicated log."""
+
+Version = NewType("Version", int)
+"""Version of the configuration: the log index of its last change; 0 when empty."""
--- /dev/null
+++ b/wigeonspan/common/_settings.py
@@ -0,0 +1,148 @@
+"""Settings files: YAML, checked whole before any of it is used."""
+
+from pathlib import Path
+from typing import Any, TypeVar, get_args
+
+import msgspec
+import yaml
+
+T = TypeVar("T")
+
+
+class SettingsFault(Exception):
+    """One wrong value in a settings file.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file.
+    key : str
+        Dotted path of the key; empty for the whole file.
+    expected : str
+        What the key must hold.
+    found : str
+        What it holds.
+    """
+
+    def __init__(self, file: str, key: str, expected: str, found: str) -> None:
+        super().__init__(
+            f"{file}: {key or '(file)'}: expected {expected}, found {found}"
+        )
+        self.file = file
+        self.key = key
+        self.expected = expected
+        self.found = found
+
+
+class SettingsErrors(ExceptionGroup[SettingsFault]):
+    """All faults of one settings file."""
+
+    def derive(self, excs: Any) -> "SettingsErrors":
+        """Return a group of the same kind with other faults."""
+        return SettingsErrors(self.message, excs)
+
+    def __str__(self) -> str:
+        return "\n".join(str(fault) for fault in self.exceptions)
+
+
+def load_settings(path: str | Path, kind: type[T]) -> T:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        YAML file.
+    kind : type
+        msgspec struct that describes the settings.
+
+    Returns
+    -------
+    T
+        The settings.
+
+    Raises
+    ------
+    SettingsErrors
+        With every fault of the file, so that an operator corrects them in one go.
+    """
+    file = str(path)
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+        data = yaml.safe_load(text)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        fault = SettingsFault(file, "", "a readable YAML file", str(error))
+        raise SettingsErrors("settings are not valid", [fault]) from error
+    faults: list[SettingsFault] = []
+    value = _convert(file, "", data, kind, faults)
+    if faults:
+        raise SettingsErrors("settings are not valid", faults)
+    return value
+
+
+def _convert(
+    file: str, key: str, data: Any, kind: Any, faults: list[SettingsFault]
+) -> Any:
+    """Convert one value; append a fault for each part that does not fit."""
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        return _convert_struct(file, key, data, kind, faults)
+    item = _list_item(kind)
+    if item is not None and isinstance(data, list):
+        return [
+            _convert(file, f"{key}[{position}]", value, item, faults)
+            for position, value in enumerate(data)
+        ]
+    try:
+        return msgspec.convert(data, kind)
+    except msgspec.ValidationError as error:
+        faults.append(SettingsFault(file, key, str(error), _show(data)))
+        return None
+
+
+def _convert_struct(
+    file: str,
+    key: str,
+    data: Any,
+    kind: type[msgspec.Struct],
+    faults: list[SettingsFault],
+) -> Any:
+    if not isinstance(data, dict):
+        faults.append(SettingsFault(file, key, "a mapping", _show(data)))
+        return None
+    known = len(faults)
+    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    for name in data:
+        if name not in fields:
+            expected = "one of " + ", ".join(sorted(fields))
+            faults.append(
+                SettingsFault(file, _join(key, name), expected, "unknown key")
+            )
+    values = {}
+    for name, field in fields.items():
+        if name in data:
+            path = _join(key, name)
+            values[field.name] = _convert(file, path, data[name], field.type, faults)
+        elif field.required:
+            faults.append(SettingsFault(file, _join(key, name), "a value", "nothing"))
+    if len(faults) > known:
+        return None
+    try:
+        return kind(**values)
+    except ValueError as error:
+        faults.append(SettingsFault(file, key, str(error), _show(data)))
+        return None
+
+
+def _list_item(kind: Any) -> Any:
+    """Return the item type of a list type, or None."""
+    if getattr(kind, "__origin__", None) is list:
+        return get_args(kind)[0]
+    return None
+
+
+def _join(key: str, name: Any) -> str:
+    return f"{key}.{name}" if key else str(name)
+
+
+def _show(data: Any) -> str:
+    text = repr(data)
+    return text if len(text) <= 60 else text[:57] + "..."
--- /dev/null
+++ b/wigeonspan/engines/_messages.py
@@ -0,0 +1,196 @@
+"""Messages of the engine protocol."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from wigeonspan.catalog import PriorityClass, Role
+from wigeonspan.common import AttemptId, EngineId, ModelName
+
+
+class RunPhase(Enum):
+    """Part of a request that an engine runs."""
+
+    FULL = "full"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class Extension(Struct, frozen=True, omit_defaults=True):
+    """Object ``wigeonspan`` in a completion request to an engine.
+
+    Parameters
+    ----------
+    resume_position : int
+        Tokens that the caller already has; the first chunk has this position.
+    resume_text : str
+        Text of those tokens.
+    kv_handle : str
+        Handle of an imported KV cache; empty when there is none.
+    """
+
+    attempt: AttemptId
+    priority: PriorityClass
+    deadline_ms: int
+    resume_position: int = 0
+    resume_text: str = ""
+    kv_handle: str = ""
+    phase: RunPhase = RunPhase.FULL
+
+
+class ChunkExtension(Struct, frozen=True):
+    """Object ``wigeonspan`` in a streamed chunk: whose it is and its position."""
+
+    attempt: AttemptId
+    position: int
+
+
+class LoadReport(Struct, frozen=True):
+    """Answer of ``GET /wigeonspan/load``.
+
+    Parameters
+    ----------
+    incarnation : str
+        Random for each start of the engine.
+    age_s : float
+        Seconds since the values were measured.
+    queued_prefill_tokens : int
+        Prompt tokens that wait.
+    running : int
+        Requests in the batch.
+    batch_limit : int
+        Largest batch.
+    pieces_total, pieces_free : int
+        Pieces of KV memory.
+    prefill_tokens_per_s, decode_tokens_per_s : float
+        Rates of late; 0 when unknown.
+    """
+
+    engine: EngineId
+    incarnation: str
+    age_s: float
+    role: Role
+    queued_prefill_tokens: int
+    running: int
+    batch_limit: int
+    pieces_total: int
+    pieces_free: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+
+
+class CacheEvent(Struct, frozen=True):
+    """A prompt prefix entered or left the engine's cache.
+
+    Parameters
+    ----------
+    prefix : str
+        Hash of the prompt's first ``tokens`` tokens, in hexadecimal.
+    stored : bool
+        True when it was stored, false when it was evicted.
+    """
+
+    seq: int
+    prefix: str
+    tokens: int
+    stored: bool
+
+
+class CacheEvents(Struct, frozen=True):
+    """Answer of ``GET /wigeonspan/cache-events``; ``seq`` may skip numbers."""
+
+    incarnation: str
+    events: list[CacheEvent]
+
+
+class EngineState(Struct, frozen=True):
+    """Answer of ``GET /wigeonspan/state`` and of an order.
+
+    Parameters
+    ----------
+    busy_order : str
+        Identifier of the order that is being carried out; empty when there is none.
+    last_order : str
+        Identifier of the last order that was carried out whole.
+    urgent, batch : int
+        Requests that run or wait on the engine, from anybody.
+    """
+
+    engine: EngineId
+    incarnation: str
+    role: Role
+    model: ModelName | None
+    model_version: str | None
+    adapters: tuple[str, ...]
+    busy_order: str
+    last_order: str
+    urgent: int
+    batch: int
+
+
+class OrderAction(Enum):
+    """What an order asks for."""
+
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    CHANGE_ROLE = "change_role"
+    WITHDRAW = "withdraw"
+
+
+class OrderRequest(Struct, frozen=True, omit_defaults=True):
+    """Body of ``POST /wigeonspan/order``.
+
+    Parameters
+    ----------
+    fence : int or None
+        Fencing token; it only grows.
+    """
+
+    order_id: str
+    action: OrderAction
+    fence: int | None = None
+    model: ModelName | None = None
+    model_version: str | None = None
+    adapter: str | None = None
+    role: Role | None = None
+
+
+class CancelRequest(Struct, frozen=True):
+    """Body of ``POST /wigeonspan/cancel``."""
+
+    attempt: AttemptId
+
+
+class PriorityRequest(Struct, frozen=True):
+    """Body of ``POST /wigeonspan/priority``."""
+
+    attempt: AttemptId
+    priority: PriorityClass
+
+
+class KvExportRequest(Struct, frozen=True):
+    """Body of ``POST /wigeonspan/kv/export``."""
+
+    attempt: AttemptId
+
+
+class KvHandle(Struct, frozen=True):
+    """Answer of an export or import.
+
+    Parameters
+    ----------
+    handle : str
+        Name of the KV cache at the engine that answered.
+    tokens : int
+        Tokens that it covers.
+    """
+
+    handle: str
+    tokens: int
+
+
+class KvImportRequest(Struct, frozen=True):
+    """Body of ``POST /wigeonspan/kv/import``: fetch a KV cache from ``source``."""
+
+    source: str
+    handle: str
