--- a/wigeonspan/consensus/__init__.py
+++ b/wigeonspan/consensus/__init__.py
@@ -1,5 +1,58 @@
 """Replicated log."""
 
+from wigeonspan.consensus._core import RaftNode
+from wigeonspan.consensus._frames import (
+    StorageCorrupt,
+    StorageError,
+    StorageFailed,
+    StorageFull,
+)
 from wigeonspan.consensus._interface import ReplicatedLog, StateMachine
+from wigeonspan.consensus._messages import (
+    BootstrapMember,
+    Entry,
+    HardState,
+    Local,
+    LogRole,
+    Message,
+    Peer,
+    Persist,
+    Ready,
+    Snapshot,
+    SnapshotMeta,
+    Stored,
+)
+from wigeonspan.consensus._store import LogStore
 
-__all__ = ["ReplicatedLog", "StateMachine"]
+__all__ = [
+    "BootstrapMember",
+    "Entry",
+    "HardState",
+    "Local",
+    "LogRole",
+    "LogStore",
+    "LogTask",
+    "Message",
+    "Peer",
+    "Persist",
+    "RaftNode",
+    "Ready",
+    "ReplicatedLog",
+    "Snapshot",
+    "SnapshotMeta",
+    "StateMachine",
+    "StorageCorrupt",
+    "StorageError",
+    "StorageFailed",
+    "StorageFull",
+    "Stored",
+]
+
+
+def __getattr__(name: str) -> object:
+    # The task loads tornado and curl, which the cores' other drivers do not need.
+    if name == "LogTask":
+        from wigeonspan.consensus._task import LogTask
+
+        return LogTask
+    raise AttributeError(name)
--- /dev/null
+++ b/wigeonspan/consensus/_bootstrap.py
@@ -0,0 +1,86 @@
+"""First start of a group: the founder registers every first voter's disk identity.
+
+The founder is the first voter with the lowest name. It founds the group only when every
+first voter has answered that its disk belongs to no group. A wiped founder therefore
+cannot found a second group, because the others name the group that they belong to; a
+wiped voter has another disk identity than the registered one, so it stays a stranger.
+"""
+
+from wigeonspan.catalog import Member
+from wigeonspan.common import HostId, LogIndex, Term
+from wigeonspan.consensus._messages import (
+    Entry,
+    Found,
+    Hello,
+    HelloReply,
+    Message,
+    Peer,
+)
+from wigeonspan.consensus._state import NodeState
+from wigeonspan.consensus._timing import HEARTBEAT_S
+
+FIRST_TERM = Term(1)
+"""Term of the first entry; no leader has it."""
+
+
+def tick_bootstrap(state: NodeState, now: float) -> None:
+    """Ask for disk identities, found the group, or tell the others of it."""
+    if now < state.hello_at or not state.bootstrap:
+        return
+    if state.local.name != min(member.name for member in state.bootstrap):
+        return
+    if not state.hard.group:
+        _ask(state)
+        _found(state, now)
+    if state.hard.group and state.log.last_index == 1 and state.leader is None:
+        _tell(state)
+    state.hello_at = now + HEARTBEAT_S
+
+
+def on_hello(state: NodeState, message: Message) -> None:
+    """Answer with our disk identity and our group."""
+    state.send(message.source, HelloReply(state.hard.group))
+
+
+def on_hello_reply(
+    state: NodeState, message: Message, body: HelloReply, now: float
+) -> None:
+    """Note the disk identity of a first voter that belongs to no group."""
+    if state.hard.group or body.known_group:
+        return
+    state.identities[message.source.name] = message.source
+    _found(state, now)
+
+
+def on_found(state: NodeState, message: Message, body: Found) -> None:
+    """Join the group when it registered our disk identity."""
+    if not state.hard.group and any(state.is_self(m) for m in body.members):
+        state.set_hard(message.group, FIRST_TERM, HostId(""))
+        state.append([Entry(LogIndex(1), FIRST_TERM, members=body.members)])
+
+
+def _ask(state: NodeState) -> None:
+    for member in state.bootstrap:
+        if member.name != state.local.name and member.name not in state.identities:
+            state.send(Peer(member.name, member.address, ""), Hello())
+
+
+def _found(state: NodeState, now: float) -> None:
+    identities = {**state.identities, state.local.name: state.peer}
+    if any(member.name not in identities for member in state.bootstrap):
+        return
+    members = tuple(
+        Member(m.name, m.address, m.domain, identities[m.name].disk_id, True)
+        for m in state.bootstrap
+    )
+    group = f"{state.rng.getrandbits(128):032x}"
+    state.set_hard(group, FIRST_TERM, state.local.name)
+    state.append([Entry(LogIndex(1), FIRST_TERM, members=members)])
+    _tell(state)
+    state.election_at = now + (HEARTBEAT_S if len(members) > 1 else 0.0)
+
+
+def _tell(state: NodeState) -> None:
+    for member in state.others:
+        peer = Peer(member.name, member.address, member.disk_id)
+        state.send(peer, Found(state.log.members))
--- /dev/null
+++ b/wigeonspan/consensus/_core.py
@@ -0,0 +1,347 @@
+"""Raft without I/O: events and the time in, effects out.
+
+The protocol is that of Ongaro and Ousterhout, "In Search of an Understandable Consensus
+Algorithm" (2014), with pre-vote, check-quorum, a leader lease, learners and membership
+change of one member at a time from Ongaro's thesis.
+"""
+
+import random
+from collections.abc import Iterable
+
+from wigeonspan.catalog import Member
+from wigeonspan.common import ErrorKind, HostId, LogIndex, Term, WigeonspanError
+from wigeonspan.consensus import _bootstrap, _election, _replication
+from wigeonspan.consensus._membership import changed_members
+from wigeonspan.consensus._messages import (
+    Append,
+    AppendReply,
+    BootstrapMember,
+    Entry,
+    Found,
+    Hello,
+    HelloReply,
+    InstallSnapshot,
+    Local,
+    LogRole,
+    Message,
+    Peer,
+    Ready,
+    SnapshotMeta,
+    SnapshotReply,
+    Stored,
+    TimeoutNow,
+    Vote,
+    VoteReply,
+)
+from wigeonspan.consensus._state import NodeState
+from wigeonspan.consensus._timing import LEASE_S
+
+KEEP_ENTRIES = 500
+"""Entries before a snapshot that stay in memory, so that a follower which is a few
+seconds behind catches up without a snapshot."""
+
+
+class RaftNode:
+    """One member of the replicated log.
+
+    Parameters
+    ----------
+    local : Local
+        This host.
+    bootstrap : iterable of BootstrapMember
+        The first voters; used only while the disk belongs to no group.
+    stored : Stored
+        What the disk held.
+    rng : random.Random
+        Source of election timeouts and of the group's name.
+    now : float
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        local: Local,
+        bootstrap: Iterable[BootstrapMember],
+        stored: Stored,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self._state = NodeState(local, bootstrap, stored, rng, now)
+        if _election.restarts_alone(self._state):
+            self._state.election_at = now
+
+    @property
+    def role(self) -> LogRole:
+        """Role in the current term."""
+        return self._state.role
+
+    @property
+    def term(self) -> Term:
+        """Current term."""
+        return self._state.term
+
+    @property
+    def group(self) -> str:
+        """Identity of the group; empty while the disk belongs to none."""
+        return self._state.hard.group
+
+    @property
+    def leader(self) -> Peer | None:
+        """Leader of the current term, as far as is known."""
+        return self._state.leader
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Membership in force."""
+        return self._state.log.members
+
+    @property
+    def commit(self) -> LogIndex:
+        """Last index that is known to be committed."""
+        return self._state.commit
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Last index in the log, synced or not."""
+        return self._state.log.last_index
+
+    @property
+    def snapshot_index(self) -> LogIndex:
+        """Index that the last snapshot covers."""
+        return self._state.log.snapshot.index
+
+    @property
+    def leads(self) -> bool:
+        """Whether this member leads and has delivered an entry of its own term."""
+        state = self._state
+        return state.role is LogRole.LEADER and state.delivered >= state.first_own
+
+    @property
+    def lease_valid_until(self) -> float:
+        """Monotonic time until which no other member can lead; 0 when not leader."""
+        if self._state.role is not LogRole.LEADER:
+            return 0.0
+        return max(0.0, _replication.lease_base(self._state) + LEASE_S)
+
+    @property
+    def quorum_answered_at(self) -> float:
+        """When the last round was sent that a majority of voters answered."""
+        return _replication.lease_base(self._state)
+
+    def match_of(self, host: HostId) -> LogIndex:
+        """Return the last index that a member is known to hold, as the leader."""
+        progress = self._state.progress.get(host)
+        return LogIndex(0) if progress is None else progress.match
+
+    def handle(self, message: Message, now: float) -> Ready:
+        """Process a message from another member."""
+        self._state.now = now
+        if self._accepts(message):
+            self._dispatch(message, now)
+        return self._finish(now)
+
+    def tick(self, now: float) -> Ready:
+        """Process the passing of time."""
+        state = self._state
+        state.now = now
+        _bootstrap.tick_bootstrap(state, now)
+        if state.role is LogRole.LEADER:
+            if not _replication.tick_leader(state, now):
+                _election.become_follower(state, state.term, None, now)
+        elif now >= state.election_at:
+            _election.campaign(state, now, pre=True)
+        return self._finish(now)
+
+    def propose(self, command: bytes, now: float) -> tuple[Entry, Ready]:
+        """Append a command as leader.
+
+        Returns
+        -------
+        tuple of Entry and Ready
+            The entry, which is committed when it comes out of a ``Ready`` with the
+            same term, and the effects.
+
+        Raises
+        ------
+        WigeonspanError
+            ``NOT_LEADER``.
+        """
+        self._check_leader()
+        return self._append(command, None, now)
+
+    def change_member(
+        self, member: Member, present: bool, command: bytes, now: float
+    ) -> tuple[Entry, Ready]:
+        """Append a change of one member as leader.
+
+        Raises
+        ------
+        WigeonspanError
+            ``NOT_LEADER``, or ``VERSION_CONFLICT`` when the change is not allowed now.
+        """
+        self._check_leader()
+        state = self._state
+        if state.log.members_index > state.commit or not self.leads:
+            raise WigeonspanError(
+                ErrorKind.VERSION_CONFLICT,
+                "the last change of the membership is not committed yet",
+            )
+        members = changed_members(self.members, member, present)
+        if not any(m.voter and state.is_self(m) for m in members):
+            raise WigeonspanError(
+                ErrorKind.NOT_LEADER, "a leader hands over before it stops voting"
+            )
+        if member.voter and present and self.match_of(member.name) < state.commit:
+            raise WigeonspanError(
+                ErrorKind.VERSION_CONFLICT,
+                f"{member.name} does not hold the committed log yet",
+            )
+        return self._append(command, members, now)
+
+    def persisted(self, sequence: int, now: float) -> Ready:
+        """Process the report that writes up to a sequence are synced."""
+        state = self._state
+        state.now = now
+        state.synced_to(sequence)
+        if state.role is LogRole.LEADER:
+            _replication.advance_commit(state)
+            for member in state.others:
+                _replication.replicate(state, member, now)
+        else:
+            _replication.send_ack(state)
+        return self._finish(now)
+
+    def storage_full(self, now: float) -> tuple[LogIndex, Ready]:
+        """Forget entries that could not be written.
+
+        The caller has written the state, but none of the entries and snapshots that
+        are not yet reported as synced.
+
+        Returns
+        -------
+        tuple of LogIndex and Ready
+            The last index that stays, and the effects.
+        """
+        state = self._state
+        state.now = now
+        last = state.drop_unsynced()
+        if state.role is LogRole.LEADER and last < state.first_own:
+            _election.become_follower(state, state.term, None, now)
+        elif state.role is LogRole.LEADER:
+            _replication.track_members(state)
+        return last, self._finish(now)
+
+    def snapshot_meta(self, index: LogIndex, size: int) -> SnapshotMeta:
+        """Return the position of a snapshot at an applied index."""
+        log = self._state.log
+        return SnapshotMeta(
+            index, log.term_at(index) or Term(0), log.members_at(index), size
+        )
+
+    def compact(self, meta: SnapshotMeta) -> None:
+        """Drop entries that a synced snapshot covers."""
+        if meta.index > self.snapshot_index:
+            self._state.log.compact(meta, KEEP_ENTRIES)
+
+    def start_round(self, now: float) -> Ready:
+        """Send a heartbeat round at once, to confirm leadership."""
+        self._state.now = now
+        if self._state.role is LogRole.LEADER:
+            _replication.broadcast(self._state, now)
+        return self._finish(now)
+
+    def hand_over(self, now: float) -> Ready:
+        """Begin to hand leadership to the voter that is best caught up."""
+        self._state.now = now
+        if self._state.role is LogRole.LEADER:
+            _replication.start_handover(self._state, now)
+        return self._finish(now)
+
+    def _check_leader(self) -> None:
+        if self.role is not LogRole.LEADER or self._state.handover is not None:
+            raise WigeonspanError(ErrorKind.NOT_LEADER, "this host does not lead")
+
+    def _append(
+        self, command: bytes, members: tuple[Member, ...] | None, now: float
+    ) -> tuple[Entry, Ready]:
+        state = self._state
+        state.now = now
+        index = LogIndex(state.log.last_index + 1)
+        entry = Entry(index, state.term, command, members)
+        _replication.append_own(state, [entry])
+        return entry, self._finish(now)
+
+    def _finish(self, now: float) -> Ready:
+        state = self._state
+        if state.role is LogRole.LEADER and state.handover is not None:
+            member = _replication.handover_due(state)
+            if member is not None:
+                # The lease is given up for good in this term: the receiver may win
+                # an election at any time from here on.
+                _replication.send_timeout_now(state, member)
+                _election.become_follower(state, state.term, None, now)
+        return state.take_ready()
+
+    def _accepts(self, message: Message) -> bool:
+        state, body = self._state, message.body
+        if message.target.name != state.local.name:
+            return False
+        if isinstance(body, Hello):
+            return True
+        if message.target.disk_id != state.local.disk_id:
+            return False
+        if isinstance(body, HelloReply | Found):
+            return True
+        if message.group == state.hard.group:
+            return bool(message.group)
+        joins = isinstance(body, Append | InstallSnapshot)
+        return joins and not state.hard.group
+
+    def _dispatch(self, message: Message, now: float) -> None:
+        state, body = self._state, message.body
+        match body:
+            case Vote():
+                _election.on_vote(state, message, body, now)
+            case VoteReply():
+                _election.on_vote_reply(state, message, body, now)
+            case Append() | InstallSnapshot():
+                self._from_leader(message, body, now)
+            case AppendReply() | SnapshotReply():
+                self._from_follower(message, body, now)
+            case TimeoutNow():
+                if message.term == state.term and state.leader == message.source:
+                    _election.campaign(state, now, pre=False, forced=True)
+            case Hello():
+                _bootstrap.on_hello(state, message)
+            case HelloReply():
+                _bootstrap.on_hello_reply(state, message, body, now)
+            case Found():
+                _bootstrap.on_found(state, message, body)
+
+    def _from_leader(
+        self, message: Message, body: Append | InstallSnapshot, now: float
+    ) -> None:
+        state = self._state
+        if message.term < state.term:
+            state.send(message.source, AppendReply(False, LogIndex(0), body.round))
+            return
+        if not state.hard.group:
+            state.set_hard(message.group, message.term, HostId(""))
+        _election.become_follower(state, message.term, message.source, now)
+        state.heard_at = now
+        state.reset_election(now)
+        if isinstance(body, Append):
+            _replication.on_append(state, message, body, now)
+        else:
+            _replication.on_install(state, message, body, now)
+
+    def _from_follower(
+        self, message: Message, body: AppendReply | SnapshotReply, now: float
+    ) -> None:
+        state = self._state
+        if message.term > state.term:
+            _election.become_follower(state, message.term, None, now)
+        elif isinstance(body, AppendReply):
+            _replication.on_append_reply(state, message, body, now)
+        else:
+            _replication.on_snapshot_reply(state, message, body, now)
--- /dev/null
+++ b/wigeonspan/consensus/_timing.py
@@ -0,0 +1,35 @@
+"""Times and sizes of the replicated log."""
+
+HEARTBEAT_S = 0.25
+"""Seconds between heartbeat rounds; a quarter of the lease, so that one lost round
+does not end it."""
+
+LEASE_S = 1.0
+"""Seconds that a leader lease lasts, counted from the sending of a round."""
+
+VOTE_GUARD_S = 1.2
+"""Seconds after a leader's message, or after a restart, in which a member does not
+vote. With both clocks 1% off it must still exceed the lease: 1.2 * 0.99 > 1.0 * 1.01
+/ 0.99."""
+
+ELECTION_MIN_S = 1.2
+"""Shortest election timeout in seconds; not below the vote guard."""
+
+ELECTION_MAX_S = 2.0
+"""Longest election timeout in seconds; also the time after which a leader without a
+quorum steps down."""
+
+RESEND_S = 0.5
+"""Seconds after which unanswered entries are sent again."""
+
+HANDOVER_S = 1.0
+"""Seconds that a handover may wait for its target to catch up."""
+
+APPEND_ENTRIES = 256
+"""Largest number of entries in one message."""
+
+APPEND_BYTES = 1_000_000
+"""Size of commands at which a message is closed, in bytes."""
+
+CHUNK_BYTES = 256 * 1024
+"""Size of one snapshot chunk in bytes; base64 in JSON makes it a third larger."""
