--- a/wigeonspan/consensus/_bootstrap.py
+++ b/wigeonspan/consensus/_bootstrap.py
@@ -45,13 +45,26 @@
 def on_hello_reply(
     state: NodeState, message: Message, body: HelloReply, now: float
 ) -> None:
-    """Note the disk identity of a first voter that belongs to no group."""
-    if state.hard.group or body.known_group:
+    """Note the disk identity of a host that belongs to no group."""
+    if body.known_group:
+        return
+    if state.hard.group:
+        state.strangers[message.source.name] = message.source.disk_id
         return
     state.identities[message.source.name] = message.source
     _found(state, now)
 
 
+def answer_as_stranger(state: NodeState, message: Message) -> None:
+    """Tell a leader that expects another disk which one is here.
+
+    A wiped voter is otherwise just silent, and an operator could not see the identity
+    that it must be added with.
+    """
+    if not state.hard.group:
+        state.send(message.source, HelloReply(""))
+
+
 def on_found(state: NodeState, message: Message, body: Found) -> None:
     """Join the group when it registered our disk identity."""
     if not state.hard.group and any(state.is_self(m) for m in body.members):
--- a/wigeonspan/consensus/_core.py
+++ b/wigeonspan/consensus/_core.py
@@ -128,6 +128,13 @@
         """When the last round was sent that a majority of voters answered."""
         return _replication.lease_base(self._state)
 
+    @property
+    def strangers(self) -> dict[HostId, str]:
+        """Unregistered disk identities, by host, of hosts that answered this one."""
+        state = self._state
+        known = {member.disk_id for member in state.log.members}
+        return {h: d for h, d in state.strangers.items() if d not in known}
+
     def match_of(self, host: HostId) -> LogIndex:
         """Return the last index that a member is known to hold, as the leader."""
         progress = self._state.progress.get(host)
@@ -138,6 +145,9 @@
         self._state.now = now
         if self._accepts(message):
             self._dispatch(message, now)
+        elif isinstance(message.body, Append):
+            if message.target.name == self._state.local.name:
+                _bootstrap.answer_as_stranger(self._state, message)
         return self._finish(now)
 
     def tick(self, now: float) -> Ready:
--- /dev/null
+++ b/wigeonspan/consensus/_files.py
@@ -0,0 +1,55 @@
+"""Durable file operations over a disk, with errors told apart."""
+
+import contextlib
+import errno
+from collections.abc import Iterator
+
+from wigeonspan.consensus._disk import Disk
+from wigeonspan.consensus._frames import StorageFailed, StorageFull
+
+NEW_SUFFIX = ".new"
+"""Suffix of a file that is being written; such a file is removed at the next start."""
+
+_FULL = (errno.ENOSPC, errno.EDQUOT)
+
+
+@contextlib.contextmanager
+def failures(name: str) -> Iterator[None]:
+    """Turn errors of the operating system into storage errors."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno in _FULL:
+            raise StorageFull(f"{name}: no space left") from error
+        raise StorageFailed(f"{name}: {error}") from error
+
+
+def sync(disk: Disk, name: str | None) -> None:
+    """Sync a file, or the folder when there is no name.
+
+    Raises
+    ------
+    StorageFailed
+        On any error, also on a full disk: the kernel may have dropped the data, and a
+        later sync would not tell.
+    """
+    try:
+        if name is None:
+            disk.sync_folder()
+        else:
+            disk.sync(name)
+    except OSError as error:
+        raise StorageFailed(f"{name or 'folder'}: sync failed: {error}") from error
+
+
+def write_whole(disk: Disk, name: str, data: bytes) -> None:
+    """Create a file that is there whole, or not at all, after a crash."""
+    with failures(name):
+        try:
+            disk.create(name + NEW_SUFFIX, data)
+        except OSError as error:
+            disk.remove(name + NEW_SUFFIX)
+            raise error
+        sync(disk, name + NEW_SUFFIX)
+        disk.rename(name + NEW_SUFFIX, name)
+        sync(disk, None)
--- /dev/null
+++ b/wigeonspan/consensus/_log_file.py
@@ -0,0 +1,190 @@
+"""Write-ahead log: frames of entries in numbered files, of which the last counts.
+
+Each sync covers one frame, so a bad frame with a good one after it was synced once and
+is corruption, while a bad frame at the end is a torn write. A torn write and damage to
+the last frame look the same in the log itself. A note of the length that was synced
+last, which is itself not synced, tells them apart whenever it is there.
+"""
+
+import contextlib
+
+import msgspec
+from msgspec import Struct
+
+from wigeonspan.consensus._disk import Disk
+from wigeonspan.consensus._files import failures, sync, write_whole
+from wigeonspan.consensus._frames import (
+    HEADER_BYTES,
+    StorageCorrupt,
+    find_frame,
+    frame,
+    payload_at,
+    read_frames,
+)
+from wigeonspan.consensus._messages import Entry
+
+LOG_PREFIX = "log-"
+TAIL_FILE = "tail"
+
+TAIL_BYTES = 64
+"""Size of the note in bytes; it is overwritten in place."""
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class LogHeader(Struct, frozen=True):
+    """First frame of a log file."""
+
+    disk_id: str
+    number: int
+
+
+_decode_header = msgspec.msgpack.Decoder(LogHeader).decode
+_decode_entries = msgspec.msgpack.Decoder(list[Entry]).decode
+_decode_note = msgspec.msgpack.Decoder(tuple[int, int]).decode
+
+
+class LogFile:
+    """Log of one voter on disk.
+
+    Parameters
+    ----------
+    disk : Disk
+        Data folder.
+    disk_id : str
+        Identity that the files must carry.
+    """
+
+    def __init__(self, disk: Disk, disk_id: str) -> None:
+        self._disk = disk
+        self._disk_id = disk_id
+        self._number = 0
+        self._size = 0
+
+    @property
+    def name(self) -> str:
+        """Name of the file that counts."""
+        return f"{LOG_PREFIX}{self._number:016d}"
+
+    def open(self, names: list[str]) -> list[Entry]:
+        """Read the last of the log files and cut its torn tail.
+
+        Raises
+        ------
+        StorageCorrupt
+            When a record that was synced cannot be read.
+        """
+        self._number = max(int(name[len(LOG_PREFIX) :]) for name in names)
+        entries = self.read()
+        if self._size < len(self._disk.read(self.name)):
+            self._disk.truncate(self.name, self._size)
+            sync(self._disk, self.name)
+        return entries
+
+    def read(self) -> list[Entry]:
+        """Return the entries of the file that counts."""
+        data = self._disk.read(self.name)
+        entries: list[Entry] = []
+        end = 0
+        for offset, payload in read_frames(data):
+            try:
+                if offset == 0:
+                    self._check_header(_decode_header(payload))
+                else:
+                    entries = _replay(entries, _decode_entries(payload))
+            except (msgspec.DecodeError, ValueError) as error:
+                raise StorageCorrupt(self.name, offset, str(error)) from error
+            end = offset + HEADER_BYTES + len(payload)
+        self._check_end(data, end)
+        self._size = end
+        return entries
+
+    def append(self, entries: list[Entry]) -> None:
+        """Write and sync entries as one frame.
+
+        Raises
+        ------
+        StorageFull
+            When there is no space; the file is as it was.
+        StorageFailed
+            When the write or sync failed.
+        """
+        data = frame(_encode(entries))
+        with failures(self.name):
+            try:
+                self._disk.append(self.name, data)
+            except OSError as error:
+                self._disk.truncate(self.name, self._size)
+                raise error
+            sync(self._disk, self.name)
+        self._size += len(data)
+        self._note_synced()
+
+    def replace(self, entries: list[Entry]) -> None:
+        """Start a new log file that holds only these entries."""
+        old, number = self.name, self._number + 1
+        data = frame(_encode(LogHeader(self._disk_id, number)))
+        if entries:
+            data += frame(_encode(entries))
+        write_whole(self._disk, f"{LOG_PREFIX}{number:016d}", data)
+        self._number, self._size = number, len(data)
+        with failures(old):
+            self._disk.remove(old)
+
+    def _check_end(self, data: bytes, end: int) -> None:
+        """Refuse a bad frame, or a missing one, that was synced once."""
+        if end < len(data):
+            if end == 0:
+                raise StorageCorrupt(
+                    self.name, 0, "the first record fails its checksum"
+                )
+            following = find_frame(data, end + 1)
+            if following is not None:
+                reason = f"record fails its checksum, but a good one is at {following}"
+                raise StorageCorrupt(self.name, end, reason)
+        if end < self._synced_size():
+            raise StorageCorrupt(self.name, end, "a synced record is damaged")
+
+    def _check_header(self, header: LogHeader) -> None:
+        if header.disk_id != self._disk_id:
+            raise ValueError(f"the file belongs to disk {header.disk_id}")
+        if header.number != self._number:
+            raise ValueError(f"the file is log number {header.number}")
+
+    def _synced_size(self) -> int:
+        """Return the synced length of the log, as far as it is known."""
+        if TAIL_FILE not in self._disk.names():
+            return 0
+        payload = payload_at(self._disk.read(TAIL_FILE), 0)
+        if payload is None:
+            return 0
+        number, size = _decode_note(payload)
+        return size if number == self._number else 0
+
+    def _note_synced(self) -> None:
+        # The note is an aid only, so a full disk must not fail the append.
+        with contextlib.suppress(OSError):
+            note = frame(_encode((self._number, self._size)))
+            note = note.ljust(TAIL_BYTES, b"\0")
+            if TAIL_FILE in self._disk.names():
+                self._disk.write_at(TAIL_FILE, 0, note)
+            else:
+                self._disk.create(TAIL_FILE, note)
+
+
+def merge(first: list[Entry], second: list[Entry]) -> list[Entry]:
+    """Append entries; an entry replaces the one at its index and all that follow."""
+    if not first or not second:
+        return first + second
+    return [e for e in first if e.index < second[0].index] + second
+
+
+def _replay(entries: list[Entry], new: list[Entry]) -> list[Entry]:
+    if not entries:
+        return new
+    if new[0].index == entries[-1].index + 1:
+        entries.extend(new)
+        return entries
+    if not entries[0].index <= new[0].index <= entries[-1].index:
+        raise ValueError(f"entry {new[0].index} follows entry {entries[-1].index}")
+    return merge(entries, new)
--- a/wigeonspan/consensus/_state.py
+++ b/wigeonspan/consensus/_state.py
@@ -101,6 +101,7 @@
         self.handover: HostId | None = None
         self.handover_until = NEVER
         self.identities: dict[HostId, Peer] = {}
+        self.strangers: dict[HostId, str] = {}
         self.incoming: tuple[SnapshotMeta, bytearray] | None = None
         self.installing: SnapshotMeta | None = None
         self.ack: tuple[Peer, Term, LogIndex, int] | None = None
--- a/wigeonspan/consensus/_task.py
+++ b/wigeonspan/consensus/_task.py
@@ -24,6 +24,7 @@
 from wigeonspan.consensus._core import RaftNode
 from wigeonspan.consensus._disk import FolderDisk
 from wigeonspan.consensus._frames import StorageError, StorageFull
+from wigeonspan.consensus._http import RaftHandler
 from wigeonspan.consensus._interface import StateMachine
 from wigeonspan.consensus._messages import (
     BootstrapMember,
@@ -31,10 +32,8 @@
     Local,
     LogRole,
     Message,
-    MessageBatch,
     Persist,
     Ready,
-    Received,
     Snapshot,
     SnapshotMeta,
 )
@@ -113,7 +112,6 @@
         self._waiting = Waiting()
         self._writes: list[Persist] = []
         self._write_due = asyncio.Event()
-        self._stepped = asyncio.Condition()
         self._tasks: list[asyncio.Task[None]] = []
         self._failure: asyncio.Event = asyncio.Event()
         self._running = False
@@ -155,6 +153,11 @@
         """Random identity of this host's disk."""
         return self._store.disk_id
 
+    @property
+    def strangers(self) -> dict[HostId, str]:
+        """Disk identities of hosts that lost their registered disk, by host."""
+        return self._node.strangers
+
     @property
     def applied(self) -> LogIndex:
         """Index of the last entry that was applied here."""
@@ -404,17 +407,3 @@
     async def _on_disk(self, function: Any, *arguments: Any) -> Any:
         loop = asyncio.get_running_loop()
         return await loop.run_in_executor(self._executor, function, *arguments)
-
-
-class RaftHandler(JsonHandler):
-    """Takes consensus messages."""
-
-    def initialize(self, receive: Any) -> None:
-        """Note where messages go."""
-        self._receive = receive
-
-    def post(self) -> None:
-        """Hand the messages to the core."""
-        batch = self.read_message(MessageBatch)
-        self._receive(batch.messages)
-        self.send_message(Received(len(batch.messages)))
