--- /dev/null
+++ b/tests/consensus/fake_disk.py
@@ -0,0 +1,124 @@
+"""Disk in memory that loses unsynced data on a crash and can be made to fail."""
+
+import errno
+
+
+class _File:
+    def __init__(self):
+        self.synced = b""
+        self.data = b""
+        self.writes = []
+
+
+class FakeDisk:
+    """Files with the same operations as ``FolderDisk``.
+
+    ``space`` is the number of bytes that may still be added, ``failing`` the names
+    whose sync fails (``.`` is the folder).
+    """
+
+    def __init__(self):
+        self.files = {}
+        self.synced_names = {}
+        self.name_changes = []
+        self.space = None
+        self.failing = set()
+        self.sync_count = 0
+
+    def names(self):
+        return sorted(self.files)
+
+    def read(self, name):
+        return self._file(name).data
+
+    def read_part(self, name, offset, size):
+        return self._file(name).data[offset : offset + size]
+
+    def create(self, name, data):
+        self.files[name] = _File()
+        self._note_names()
+        self.write_at(name, 0, data)
+
+    def append(self, name, data):
+        self.write_at(name, len(self._file(name).data), data)
+
+    def write_at(self, name, offset, data):
+        file = self._file(name)
+        growth = max(0, offset + len(data) - len(file.data))
+        full = self.space is not None and growth > self.space
+        if full:
+            data = data[: len(data) - growth + self.space]
+        if self.space is not None:
+            self.space -= min(growth, self.space)
+        file.data = _written(file.data, offset, data)
+        file.writes.append((offset, data))
+        if full:
+            raise OSError(errno.ENOSPC, "no space left")
+
+    def truncate(self, name, size):
+        file = self._file(name)
+        if self.space is not None:
+            self.space += len(file.data) - size
+        file.data = file.data[:size]
+        file.writes.append((size, None))
+
+    def sync(self, name):
+        if name in self.failing:
+            raise OSError(errno.EIO, "input/output error")
+        file = self._file(name)
+        file.synced, file.writes = file.data, []
+        self.sync_count += 1
+
+    def sync_folder(self):
+        if "." in self.failing:
+            raise OSError(errno.EIO, "input/output error")
+        self.synced_names, self.name_changes = dict(self.files), []
+        self.sync_count += 1
+
+    def rename(self, old, new):
+        self.files[new] = self.files.pop(old)
+        self._note_names()
+
+    def remove(self, name):
+        if self.files.pop(name, None) is not None:
+            self._note_names()
+
+    def close(self):
+        pass
+
+    def flip(self, name, offset):
+        """Flip one bit of a synced file."""
+        file = self._file(name)
+        flipped = bytes([file.data[offset] ^ 1])
+        file.data = file.synced = _written(file.data, offset, flipped)
+
+    def crash(self, rng):
+        """Lose power: unsynced writes stay, are torn, or are lost, in any order."""
+        kept = rng.randint(0, len(self.name_changes))
+        names = self.name_changes[kept - 1] if kept else self.synced_names
+        self.files = dict(names)
+        self.synced_names, self.name_changes = dict(names), []
+        for file in set(self.files.values()):
+            data = file.synced
+            for offset, written in file.writes:
+                if rng.random() < 0.5:
+                    if written is None:
+                        data = data[:offset]
+                    else:
+                        kept = rng.randint(0, len(written))
+                        data = _written(data, offset, written[:kept])
+            file.synced = file.data = data
+            file.writes = []
+
+    def _file(self, name):
+        if name not in self.files:
+            raise FileNotFoundError(errno.ENOENT, name)
+        return self.files[name]
+
+    def _note_names(self):
+        self.name_changes.append(dict(self.files))
+
+
+def _written(old, offset, data):
+    old = old.ljust(offset, b"\0")
+    return old[:offset] + data + old[offset + len(data) :]
--- /dev/null
+++ b/tests/consensus/test_simulation.py
@@ -0,0 +1,208 @@
+"""Invariants of the replicated log under random faults, and named schedules."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from tests.consensus.simulation import Simulation
+
+HOSTS = st.sampled_from("abcde")
+
+
+class GroupUnderFaults(RuleBasedStateMachine):
+    """Any mix of faults keeps the invariants, which the simulation checks itself."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed):
+        self.sim = Simulation(seed)
+        self.sim.run(0.3)
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 3.0]))
+    def run(self, seconds):
+        self.sim.run(seconds)
+
+    @rule()
+    def elect(self):
+        self.sim.run(2.5)
+
+    @rule(count=st.integers(1, 8))
+    def propose(self, count):
+        for _ in range(count):
+            self.sim.propose()
+            self.sim.run(0.05)
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        repeat=st.sampled_from([0.0, 0.3]),
+        delay=st.sampled_from([0.005, 0.05, 0.4]),
+    )
+    def set_network(self, loss, repeat, delay):
+        self.sim.loss, self.sim.repeat, self.sim.delay = loss, repeat, delay
+
+    @rule(cut=st.sets(HOSTS, max_size=3))
+    def partition(self, cut):
+        self.sim.cut = cut
+
+    @rule()
+    def partition_leader(self):
+        leader = self.sim.leader()
+        self.sim.cut = {leader.name} if leader else set()
+
+    @rule(name=HOSTS)
+    def crash(self, name):
+        if self.sim.hosts[name].node is not None:
+            self.sim.hosts[name].crash()
+
+    @rule()
+    def crash_leader(self):
+        if self.sim.leader() is not None:
+            self.sim.leader().crash()
+
+    @rule()
+    def restart_all(self):
+        for host in self.sim.hosts.values():
+            if host.node is not None:
+                host.crash()
+            host.start()
+
+    @rule(name=HOSTS)
+    def start(self, name):
+        if self.sim.hosts[name].node is None:
+            self.sim.hosts[name].start()
+
+    @rule(name=HOSTS)
+    def freeze(self, name):
+        self.sim.hosts[name].frozen = not self.sim.hosts[name].frozen
+
+    @rule(name=HOSTS)
+    def slow_disk(self, name):
+        self.sim.hosts[name].slow_disk = not self.sim.hosts[name].slow_disk
+
+    @rule(name=HOSTS, space=st.sampled_from([None, 0, 100]))
+    def fill_disk(self, name, space):
+        self.sim.hosts[name].disk.space = space
+
+    @rule(name=HOSTS, voter=st.booleans(), present=st.booleans())
+    def change_member(self, name, voter, present):
+        self.sim.change(name, voter, present)
+
+    @rule(name=HOSTS)
+    def hand_over(self, name):
+        host = self.sim.hosts[name]
+        if host in self.sim.running():
+            host.step(host.node.hand_over(host.now()))
+
+    @precondition(lambda self: not any(h.wiped for h in self.sim.hosts.values()))
+    @rule(name=HOSTS)
+    def wipe(self, name):
+        self.sim.hosts[name].wipe()
+        self.sim.hosts[name].start()
+
+    @rule()
+    def heal(self):
+        self.sim.heal()
+
+    def teardown(self):
+        if not hasattr(self, "sim"):
+            return
+        self.sim.heal()
+        self.sim.run(5.0)
+        if self.sim.can_progress():
+            self.sim.check_progress()
+
+
+GroupUnderFaults.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=25
+)
+TestGroupUnderFaults = GroupUnderFaults.TestCase
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_second_loss_right_after_a_repair_loses_nothing(seed):
+    """A promoted voter without the whole log would let a second loss erase entries."""
+    sim = Simulation(seed)
+    sim.run_until(sim.leader)
+    for _ in range(30):
+        sim.propose()
+        sim.run(0.05)
+    first, second, third = sim.rng.sample("abc", 3)
+    sim.hosts[first].wipe()
+    sim.run(1.0)
+    sim.repair(first)
+    sim.hosts[second].wipe()
+    sim.check_progress()
+    assert sim.leader().name in (first, third)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_wiped_voter_stays_a_stranger(seed):
+    """A wiped voter must not vote, or two forgetful hosts could undo a commit."""
+    sim = Simulation(seed)
+    sim.run_until(sim.leader)
+    sim.propose()
+    sim.run(1.0)
+    last = max(sim.committed)
+    for name in "ab":
+        sim.hosts[name].wipe()
+        sim.hosts[name].start()
+    sim.run(20.0)
+    assert sim.leader() is None
+    assert max(sim.committed) == last
+    assert not any(sim.hosts[name].node.group for name in "ab")
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_wiped_founder_does_not_found_a_second_group(seed):
+    """A second bootstrap would start an empty group beside the old one."""
+    sim = Simulation(seed)
+    sim.run_until(sim.leader)
+    group = sim.leader().node.group
+    sim.hosts["a"].wipe()
+    sim.hosts["a"].start()
+    sim.run(10.0)
+    assert sim.hosts["a"].node.group == ""
+    sim.repair("a")
+    assert {h.node.group for h in sim.hosts.values()} <= {group, ""}
+    sim.check_progress()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_returning_host_does_not_disturb_the_leader(seed):
+    """A host that was cut off for long must not end a working leader's term."""
+    sim = Simulation(seed)
+    sim.run_until(sim.leader)
+    old = sim.leader()
+    sim.cut = {old.name}
+    sim.run(100.0)
+    leader = sim.leader()
+    assert leader is not old
+    term = leader.node.term
+    sim.cut = set()
+    for _ in range(20):
+        sim.propose()
+        sim.run(0.2)
+    assert (sim.leader(), sim.leader().node.term) == (leader, term)
+    sim.run(1.0)
+    assert old.applied == leader.applied
+    follower = next(h for h in sim.running() if h not in (leader, old))
+    sim.cut = {follower.name}
+    sim.run(100.0)
+    sim.cut = set()
+    sim.run(5.0)
+    assert (sim.leader(), sim.leader().node.term) == (leader, term)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_learner_far_behind_gets_a_snapshot_and_is_promoted(seed):
+    """A learner behind the compacted log must not block its promotion."""
+    sim = Simulation(seed)
+    sim.run_until(sim.leader)
+    for _ in range(60):
+        sim.propose()
+        sim.run(0.05)
+    sim.loss, sim.repeat, sim.delay = 0.2, 0.2, 0.05
+    sim.repair("d")
+    assert sim.hosts["d"].node.snapshot_index > 0
+    sim.heal()
+    sim.check_progress()
--- a/wigeonspan/consensus/_election.py
+++ b/wigeonspan/consensus/_election.py
@@ -10,7 +10,7 @@
     VoteReply,
 )
 from wigeonspan.consensus._replication import append_own, broadcast, lease_base
-from wigeonspan.consensus._state import NEVER, NodeState, Progress
+from wigeonspan.consensus._state import NEVER, NodeState
 from wigeonspan.consensus._timing import VOTE_GUARD_S
 
 
@@ -106,11 +106,10 @@
     state.led_since = now
     state.handover = None
     state.round_sent = {}
-    next_index = LogIndex(state.log.last_index + 1)
-    state.progress = {m.name: Progress(next_index) for m in state.others}
-    state.first_own = next_index
+    state.progress = {}
+    state.first_own = LogIndex(state.log.last_index + 1)
     # Entries of earlier terms count as committed only through one of this term.
-    append_own(state, [Entry(next_index, state.term)])
+    append_own(state, [Entry(state.first_own, state.term)])
     broadcast(state, now)
 
 
--- a/wigeonspan/consensus/_replication.py
+++ b/wigeonspan/consensus/_replication.py
@@ -31,12 +31,21 @@
 
 
 def track_members(state: NodeState) -> None:
-    """Keep one progress for each other member."""
-    names = {member.name for member in state.others}
-    for name in names - state.progress.keys():
-        state.progress[name] = Progress(LogIndex(state.log.last_index + 1))
-    for name in state.progress.keys() - names:
-        del state.progress[name]
+    """Keep one progress for each other member.
+
+    A member that comes back with another disk starts anew: what its lost disk held
+    must not count. A new member is sent the last entry, whose refusal tells what it
+    holds.
+    """
+    known, state.progress = state.progress, {}
+    last = state.log.last_index
+    for member in state.others:
+        progress = known.get(member.name)
+        if progress is None or progress.disk_id != member.disk_id:
+            progress = Progress(member.disk_id, last)
+        if progress.match < last:
+            progress.next = LogIndex(min(progress.next, last))
+        state.progress[member.name] = progress
 
 
 def broadcast(state: NodeState, now: float) -> None:
--- a/wigeonspan/consensus/_state.py
+++ b/wigeonspan/consensus/_state.py
@@ -32,9 +32,10 @@
 
 
 class Progress:
-    """What a leader knows of one other member."""
+    """What a leader knows of one other member, with one disk."""
 
-    def __init__(self, next_index: LogIndex) -> None:
+    def __init__(self, disk_id: str, next_index: LogIndex) -> None:
+        self.disk_id = disk_id
         self.match = LogIndex(0)
         self.next = next_index
         self.resend_at = NEVER
