--- a/wigeonspan/consensus/_disk.py
+++ b/wigeonspan/consensus/_disk.py
@@ -1,6 +1,7 @@
 """Files of one data folder, with explicit syncs."""
 
 import contextlib
+import fcntl
 import os
 from pathlib import Path
 from typing import Protocol
@@ -69,6 +70,11 @@
     ----------
     folder : str or Path
         Data folder; created when it is missing.
+
+    Raises
+    ------
+    OSError
+        When the folder cannot be used, or another process uses it.
     """
 
     def __init__(self, folder: str | Path) -> None:
@@ -77,6 +83,14 @@
         if not self._folder.is_dir():
             self._folder.mkdir(parents=True)
             _sync_path(self._folder.parent)
+        # Two processes on one folder would give two votes with one identity.
+        flags = os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC
+        self._lock = os.open(self._folder, flags)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self._lock)
+            raise OSError(error.errno, f"{folder} is in use") from error
 
     def names(self) -> list[str]:
         """Return the names of all files."""
@@ -140,6 +154,7 @@
         """Close all files."""
         for name in list(self._descriptors):
             self._close(name)
+        os.close(self._lock)
 
     def _descriptor(self, name: str) -> int:
         if name not in self._descriptors:
--- /dev/null
+++ b/wigeonspan/consensus/_driver.py
@@ -0,0 +1,245 @@
+"""Runs one core: carries out its effects on disk, network and state machine."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TypeVar
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from wigeonspan.common import Clock, ErrorKind, LogIndex, Term, part_logger
+from wigeonspan.consensus._core import RaftNode
+from wigeonspan.consensus._disk import FolderDisk
+from wigeonspan.consensus._files import failures
+from wigeonspan.consensus._frames import StorageError, StorageFull
+from wigeonspan.consensus._interface import StateMachine
+from wigeonspan.consensus._messages import (
+    BootstrapMember,
+    Entry,
+    Local,
+    LogRole,
+    Persist,
+    Ready,
+    Snapshot,
+    SnapshotMeta,
+)
+from wigeonspan.consensus._store import LogStore
+from wigeonspan.consensus._timing import CHUNK_BYTES
+from wigeonspan.consensus._transport import Transport
+from wigeonspan.consensus._waiting import Waiting
+
+T = TypeVar("T")
+
+TICK_S = 0.05
+"""Seconds between ticks; a fifth of the heartbeat."""
+
+SNAPSHOT_BYTES = 8_000_000
+"""Size of applied commands between snapshots, in bytes."""
+
+_log = part_logger("consensus")
+
+
+class Driver:
+    """Owner of a core, its data folder and its timers.
+
+    Disk work runs in one worker thread, in order, so that heartbeats go on meanwhile.
+    Effects that arrive during a write are written together with one sync.
+
+    Parameters
+    ----------
+    host : BootstrapMember
+        This host.
+    machine : StateMachine
+        State that commands change.
+    clock : Clock
+        Source of time.
+    client : CurlAsyncHTTPClient
+        Client for messages to other members.
+    snapshot_entries : int
+        Applied entries between snapshots.
+    """
+
+    def __init__(
+        self,
+        host: BootstrapMember,
+        machine: StateMachine,
+        clock: Clock,
+        client: CurlAsyncHTTPClient,
+        snapshot_entries: int,
+    ) -> None:
+        self.waiting = Waiting()
+        self.failed = asyncio.Event()
+        self.running = False
+        self.applied = LogIndex(0)
+        self.node: RaftNode
+        self._host = host
+        self._machine = machine
+        self._clock = clock
+        self._snapshot_entries = snapshot_entries
+        self._transport = Transport(client, clock, self._read_chunk)
+        self._executor = ThreadPoolExecutor(1, "consensus-disk")
+        self._writes: list[Persist] = []
+        self._write_due = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._applied_bytes = 0
+        self._seen = (Term(0), LogRole.FOLLOWER)
+        self._store: LogStore
+
+    @property
+    def started(self) -> bool:
+        """Whether the data folder was read, so that there is a core."""
+        return bool(self._tasks)
+
+    @property
+    def disk_id(self) -> str:
+        """Random identity of this host's disk."""
+        return self._store.disk_id
+
+    async def start(
+        self,
+        folder: str | Path,
+        bootstrap: Iterable[BootstrapMember],
+        rng: random.Random,
+    ) -> None:
+        """Read the data folder and begin to take part.
+
+        Raises
+        ------
+        StorageError
+            When the data folder cannot be used.
+        """
+        with failures(str(folder)):
+            disk = FolderDisk(folder)
+        self._store = LogStore(disk)
+        try:
+            stored = await self._on_disk(self._store.open)
+            snapshot = await self._on_disk(self._store.read_snapshot)
+        except StorageError:
+            disk.close()
+            raise
+        if snapshot is not None:
+            self._restore(snapshot)
+        host = self._host
+        local = Local(host.name, host.address, host.domain, self.disk_id)
+        self.node = RaftNode(local, bootstrap, stored, rng, self._clock.now())
+        self.running = True
+        self._tasks = [
+            asyncio.create_task(self._tick_loop()),
+            asyncio.create_task(self._write_loop()),
+        ]
+        _log.info("Voter {} starts with disk {}.", host.name, self.disk_id)
+
+    async def close(self) -> None:
+        """End all work; what was not written by now is lost."""
+        self._end("this host is stopping")
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._transport.close()
+        self._executor.shutdown(wait=True)
+        if self.started:
+            self._store.close()
+
+    def step(self, ready: Ready) -> None:
+        """Carry out the effects of one step of the core."""
+        if ready.persist is not None:
+            self._writes.append(ready.persist)
+            self._write_due.set()
+        if ready.send:
+            self._transport.send(ready.send)
+        try:
+            if ready.snapshot is not None:
+                self._restore(ready.snapshot)
+            for entry in ready.committed:
+                self._apply(entry)
+        except Exception as error:
+            # Another voter may have applied it, so going on could fork the state.
+            _log.opt(exception=error).error("A command could not be applied.")
+            self._fail(error)
+        if ready.committed:
+            self._write_due.set()
+        self._note_role()
+
+    async def _tick_loop(self) -> None:
+        while self.running:
+            self.step(self.node.tick(self._clock.now()))
+            self._transport.flush()
+            await asyncio.sleep(TICK_S)
+
+    async def _write_loop(self) -> None:
+        try:
+            while self.running:
+                await self._write_due.wait()
+                self._write_due.clear()
+                await self._write()
+                await self._save_snapshot()
+        except Exception as error:
+            self._fail(error)
+
+    async def _write(self) -> None:
+        batch, self._writes = self._writes, []
+        if not batch:
+            return
+        try:
+            await self._on_disk(lambda: self._store.save(batch))
+        except StorageFull as error:
+            _log.error("Proposals are refused: {}.", error)
+            self._writes = []
+            last, ready = self.node.storage_full(self._clock.now())
+            self.waiting.refuse_after(last, ErrorKind.STORAGE_FULL, str(error))
+            self.step(ready)
+        else:
+            now = self._clock.now()
+            self.step(self.node.persisted(batch[-1].sequence, now))
+
+    async def _save_snapshot(self) -> None:
+        entries = self.applied - self.node.snapshot_index
+        if entries < self._snapshot_entries and self._applied_bytes < SNAPSHOT_BYTES:
+            return
+        self._applied_bytes = 0
+        data = self._machine.snapshot()
+        meta = self.node.snapshot_meta(self.applied, len(data))
+        try:
+            await self._on_disk(self._machine.flush)
+            await self._on_disk(lambda: self._store.save_snapshot(Snapshot(meta, data)))
+        except StorageFull as error:
+            _log.error("A snapshot was not written: {}.", error)
+        else:
+            self.node.compact(meta)
+
+    def _apply(self, entry: Entry) -> None:
+        result = None
+        if entry.command:
+            result = self._machine.apply(entry.index, entry.command)
+        self.applied = entry.index
+        self._applied_bytes += len(entry.command)
+        self.waiting.resolve(entry, result)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self._machine.restore(snapshot.data)
+        self.applied = snapshot.meta.index
+        self.waiting.refuse_up_to(snapshot.meta.index)
+
+    def _note_role(self) -> None:
+        seen = (self.node.term, self.node.role)
+        if seen != self._seen:
+            self._seen = seen
+            _log.info("{} is {} in term {}.", self._host.name, seen[1].value, seen[0])
+
+    def _fail(self, error: Exception) -> None:
+        _log.critical("Voter {} ends: {}.", self._host.name, error)
+        self._end(f"the voter failed: {error}")
+        self.failed.set()
+
+    def _end(self, reason: str) -> None:
+        self.running = False
+        self.waiting.refuse_all(reason)
+
+    def _read_chunk(self, meta: SnapshotMeta, offset: int) -> bytes | None:
+        return self._store.read_chunk(meta, offset, CHUNK_BYTES)
+
+    async def _on_disk(self, function: Callable[[], T]) -> T:
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._executor, function)
--- a/wigeonspan/consensus/_log_file.py
+++ b/wigeonspan/consensus/_log_file.py
@@ -60,6 +60,7 @@
         self._disk_id = disk_id
         self._number = 0
         self._size = 0
+        self._noted = False
 
     @property
     def name(self) -> str:
@@ -166,10 +167,11 @@
         with contextlib.suppress(OSError):
             note = frame(_encode((self._number, self._size)))
             note = note.ljust(TAIL_BYTES, b"\0")
-            if TAIL_FILE in self._disk.names():
+            if self._noted:
                 self._disk.write_at(TAIL_FILE, 0, note)
             else:
                 self._disk.create(TAIL_FILE, note)
+                self._noted = True
 
 
 def merge(first: list[Entry], second: list[Entry]) -> list[Entry]:
--- a/wigeonspan/consensus/_replication.py
+++ b/wigeonspan/consensus/_replication.py
@@ -176,10 +176,13 @@
     member, progress = _answered(state, message, body.round)
     if member is None or progress is None or progress.snapshot is None:
         return
-    if body.index == progress.snapshot.index and body.received > progress.received:
-        progress.received = body.received
-        if body.received < progress.snapshot.size:
-            _send_chunk(state, member, progress, now)
+    if body.index != progress.snapshot.index:
+        return
+    advanced = body.received > progress.received
+    # A member that restarted has lost what it collected, so the offset may go back.
+    progress.received = body.received
+    if advanced and body.received < progress.snapshot.size:
+        _send_chunk(state, member, progress, now)
 
 
 def advance_commit(state: NodeState) -> None:
