--- a/wigeonspan/common/_errors.py
+++ b/wigeonspan/common/_errors.py
@@ -94,7 +94,7 @@
 }
 
 
-class ErrorDetail(Struct, frozen=True):
+class ErrorDetail(Struct, frozen=True, omit_defaults=True):
     """Body of an error answer.
 
     Parameters
@@ -109,6 +109,8 @@
         Whether sending the same request again can help.
     retry_after_s : float
         Seconds after which to send it again.
+    leader : str
+        Internal address of the leader, for ``NOT_LEADER`` when it is known.
     """
 
     kind: ErrorKind
@@ -116,6 +118,7 @@
     ran: Ran
     retry: bool
     retry_after_s: float
+    leader: str = ""
 
 
 class ErrorBody(Struct, frozen=True):
@@ -137,6 +140,8 @@
         Whether the request ran, when it is known better than the table says.
     retry_after_s : float or None
         Seconds after which to send the request again, when known.
+    leader : str
+        Internal address of the leader, for ``NOT_LEADER`` when it is known.
     """
 
     def __init__(
@@ -146,11 +151,13 @@
         *,
         ran: Ran | None = None,
         retry_after_s: float | None = None,
+        leader: str = "",
     ) -> None:
         super().__init__(message)
         self.kind = kind
         self.message = message
         self.ran = ran if ran is not None else self.answer.ran
+        self.leader = leader
         self._retry_after_s = retry_after_s
 
     @property
@@ -175,6 +182,7 @@
                 ran=self.ran,
                 retry=answer.retry,
                 retry_after_s=answer.retry_after_s if after is None else after,
+                leader=self.leader,
             )
         )
 
--- a/wigeonspan/distribution/__init__.py
+++ b/wigeonspan/distribution/__init__.py
@@ -1,5 +1,16 @@
-"""Configuration and routing leases for entries."""
+"""Configuration and routing leases for entries.
 
+The HTTP handler and the sync task are in ``wigeonspan.distribution.tasks``.
+"""
+
+from wigeonspan.distribution._configuration import Configuration, object_kind
+from wigeonspan.distribution._distributor import (
+    DRIFT,
+    ROUTING_LEASE_S,
+    ConfigurationSource,
+    Distributor,
+)
+from wigeonspan.distribution._follower import Follower
 from wigeonspan.distribution._messages import (
     DemandSample,
     EngineSample,
@@ -7,5 +18,20 @@
     SyncReply,
     SyncRequest,
 )
+from wigeonspan.distribution._samples import SampleWindow
 
-__all__ = ["DemandSample", "EngineSample", "InFlight", "SyncReply", "SyncRequest"]
+__all__ = [
+    "DRIFT",
+    "ROUTING_LEASE_S",
+    "Configuration",
+    "ConfigurationSource",
+    "DemandSample",
+    "Distributor",
+    "EngineSample",
+    "Follower",
+    "InFlight",
+    "SampleWindow",
+    "SyncReply",
+    "SyncRequest",
+    "object_kind",
+]
--- /dev/null
+++ b/wigeonspan/distribution/_follower.py
@@ -0,0 +1,110 @@
+"""Entry side of the configuration: ordered updates and the routing lease."""
+
+from wigeonspan.common import HostId, Term, Version
+from wigeonspan.distribution._configuration import Configuration
+from wigeonspan.distribution._messages import SyncReply
+
+
+class Follower:
+    """Configuration copy and routing lease of one entry process.
+
+    The version never decreases within an incarnation. The lease is counted from the
+    time at which the request was sent, so it ends on the entry before the leader
+    assumes that it has ended.
+
+    Parameters
+    ----------
+    entry : HostId
+        Name of this entry host.
+    incarnation : str
+        Random for each start of the process.
+    """
+
+    def __init__(self, entry: HostId, incarnation: str) -> None:
+        self._entry = entry
+        self._incarnation = incarnation
+        self._configuration = Configuration()
+        self._term = Term(0)
+        self._lease_until = 0.0
+        self._live_entries: tuple[HostId, ...] = ()
+        self._tenant_shares: dict[str, float] = {}
+
+    @property
+    def entry(self) -> HostId:
+        """Name of this entry host."""
+        return self._entry
+
+    @property
+    def incarnation(self) -> str:
+        """Identifier of this start of the process."""
+        return self._incarnation
+
+    @property
+    def configuration(self) -> Configuration:
+        """Newest configuration."""
+        return self._configuration
+
+    @property
+    def version(self) -> Version:
+        """Version of the newest configuration; 0 before the first snapshot."""
+        return self._configuration.version
+
+    @property
+    def term(self) -> Term:
+        """Newest term of a leader that answered."""
+        return self._term
+
+    @property
+    def lease_until(self) -> float:
+        """Monotonic time at which the routing lease ends; 0 before the first one."""
+        return self._lease_until
+
+    @property
+    def live_entries(self) -> tuple[HostId, ...]:
+        """Entries that hold a lease and do not drain, as the leader last said."""
+        return self._live_entries
+
+    def lease_valid(self, now: float) -> bool:
+        """Whether this entry may send work to targets."""
+        return now < self._lease_until
+
+    def tenant_share(self, tenant: str) -> float:
+        """Return the share of a tenant's limit that this entry may use, 0 to 1."""
+        equal = 1.0 / max(1, len(self._live_entries))
+        return self._tenant_shares.get(tenant, equal)
+
+    def accept(self, reply: SyncReply, sent_at: float) -> bool:
+        """Take a reply of the leader.
+
+        A reply of an earlier term or with an earlier version comes from a leader
+        that has been replaced; nothing of it is used, the lease included.
+
+        Parameters
+        ----------
+        reply : SyncReply
+            Reply to a request of this incarnation.
+        sent_at : float
+            Monotonic time at which the request was sent, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the reply was used.
+        """
+        if reply.term < self._term or reply.version < self.version:
+            return False
+        self._term = reply.term
+        self._take_configuration(reply)
+        self._lease_until = max(self._lease_until, sent_at + reply.lease_s)
+        self._live_entries = tuple(reply.live_entries)
+        self._tenant_shares = dict(reply.tenant_shares)
+        return True
+
+    def _take_configuration(self, reply: SyncReply) -> None:
+        if reply.version == self.version:
+            return
+        if reply.snapshot is not None:
+            self._configuration = Configuration(reply.version, reply.snapshot)
+            return
+        updates = sorted(reply.updates, key=lambda update: update.version)
+        self._configuration = self._configuration.updated(reply.version, updates)
--- a/wigeonspan/http/_helpers.py
+++ b/wigeonspan/http/_helpers.py
@@ -103,6 +103,7 @@
         detail.message,
         ran=detail.ran,
         retry_after_s=detail.retry_after_s,
+        leader=detail.leader,
     )
 
 
