--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,224 @@
+"""The stand-in engine keeps to its own protocol, or tests that use it prove nothing."""
+
+import asyncio
+import json
+
+import pytest
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+
+from standins.engine import (
+    EngineFaults,
+    EngineSettings,
+    OrderCrash,
+    StandinEngine,
+    answer_text,
+    prefix_hashes,
+)
+from wigeonspan.http import make_client
+
+FAST = EngineSettings(token_interval_s=0.0, decode_tokens_per_s=1e6, order_s=0.02)
+
+
+def with_engine(test, settings=FAST):
+    async def run():
+        engine = StandinEngine(settings)
+        engine.start()
+        try:
+            return await test(engine)
+        finally:
+            await engine.stop()
+
+    return asyncio.run(run())
+
+
+async def call(engine, path, body=None):
+    request = {} if body is None else {"method": "POST", "body": json.dumps(body)}
+    url = f"http://{engine.address}{path}"
+    try:
+        return await make_client(1).fetch(url, raise_error=False, **request)
+    except HTTPClientError as error:
+        return HTTPResponse(HTTPRequest(url), error.code)
+
+
+def completion(**extension):
+    fields = {"attempt": "a1", "priority": "desk", "deadline_ms": 1000, **extension}
+    return {
+        "model": "demo-model",
+        "prompt": "how old is plate 7",
+        "max_tokens": 6,
+        "stream": True,
+        "wigeonspan": fields,
+    }
+
+
+async def stream(engine, body):
+    """Return the data lines of a stream, without their prefix."""
+    lines = []
+    url = f"http://{engine.address}/v1/completions"
+    request = {"method": "POST", "body": json.dumps(body), "raise_error": False}
+    try:
+        await make_client(1).fetch(url, streaming_callback=lines.append, **request)
+    except HTTPClientError:
+        lines.append(b"data: CLOSED\n\n")
+    parts = b"".join(lines).split(b"\n\n")
+    return [part.removeprefix(b"data: ") for part in parts if part]
+
+
+def text_of(lines):
+    chunks = [json.loads(line) for line in lines if line.startswith(b"{")]
+    return "".join(chunk["choices"][0]["text"] for chunk in chunks)
+
+
+@pytest.mark.parametrize("start", [0, 4, 6])
+def test_stream_is_whole_from_any_position(start):
+    """Resume tests need the same text from every start."""
+    prompt = completion()["prompt"]
+
+    async def test(engine):
+        text = answer_text(prompt, start)
+        body = completion(resume_position=start, resume_text=text)
+        return await stream(engine, body)
+
+    lines = with_engine(test)
+    assert lines[-1] == b"[DONE]"
+    last = json.loads(lines[-2])
+    assert last["usage"]["completion_tokens"] == 6
+    assert [json.loads(x)["wigeonspan"]["position"] for x in lines[:-2]] == list(
+        range(start, 6)
+    )
+    assert text_of(lines) == answer_text(prompt, 6, start)
+
+
+@pytest.mark.parametrize(
+    ("faults", "tail", "positions"),
+    [
+        ({"die_after_tokens": 3, "dead_s": 9.0}, b"CLOSED", [0, 1, 2]),
+        ({"stop_before_end": True}, None, [0, 1, 2, 3, 4, 5]),
+        ({"skip_position": 2}, b"[DONE]", [0, 1, 3, 4, 5, 6]),
+        ({"repeat_position": 2}, b"[DONE]", [0, 1, 2, 2, 3, 4, 5, 6]),
+        ({"wrong_count": 1}, b"[DONE]", [0, 1, 2, 3, 4, 5, 6]),
+    ],
+)
+def test_stream_faults_do_what_they_say(faults, tail, positions):
+    """A switch without effect would let every test of that fault pass."""
+
+    async def test(engine):
+        engine.set_faults(EngineFaults(**faults))
+        return await stream(engine, completion())
+
+    lines = with_engine(test)
+    chunks = [json.loads(line) for line in lines if line.startswith(b"{")]
+    assert [chunk["wigeonspan"]["position"] for chunk in chunks] == positions
+    assert tail is None or lines[-1] == tail
+    if "wrong_count" in faults:
+        assert chunks[-1]["usage"]["completion_tokens"] == 7
+
+
+@pytest.mark.parametrize(
+    ("checks", "fences", "statuses"),
+    [(True, [5, 4, 6], [200, 409, 200]), (False, [5, 4, 6], [200, 200, 200])],
+)
+def test_fence_is_checked_only_when_set(checks, fences, statuses):
+    """Tests of late orders need both kinds of engine."""
+
+    async def test(engine):
+        answers = []
+        for fence in fences:
+            order = {"order_id": f"o{fence}", "fence": fence, "action": "change_role"}
+            answers.append(
+                await call(engine, "/wigeonspan/order", order | {"role": "decode"})
+            )
+        return [answer.code for answer in answers]
+
+    settings = EngineSettings(order_s=0.0, checks_fence=checks)
+    assert with_engine(test, settings) == statuses
+
+
+@pytest.mark.parametrize("crash", list(OrderCrash))
+def test_crash_in_an_order_loses_the_model(crash):
+    """Read-back tests need an engine that comes back empty."""
+
+    async def test(engine):
+        engine.set_faults(EngineFaults(crash_in_order=crash))
+        before = json.loads((await call(engine, "/wigeonspan/state")).body)
+        order = {"order_id": "o1", "action": "load_model", "model": "m"}
+        answer = await call(engine, "/wigeonspan/order", order)
+        after = json.loads((await call(engine, "/wigeonspan/state")).body)
+        return answer.code, before, after
+
+    code, before, after = with_engine(test)
+    assert code == 599
+    assert before["model"] == "demo-model" and after["model"] is None
+    assert before["incarnation"] != after["incarnation"]
+    assert after["busy_order"] == after["last_order"] == ""
+
+
+def test_order_cuts_running_requests():
+    """The barrier is only tested if an early order is seen to do harm."""
+
+    async def test(engine):
+        running = asyncio.create_task(
+            stream(engine, completion() | {"max_tokens": 999})
+        )
+        while not engine.batch.running:
+            await asyncio.sleep(0.001)
+        order = {"order_id": "o1", "action": "change_role", "role": "decode"}
+        await call(engine, "/wigeonspan/order", order)
+        return engine.cut_urgent, await running
+
+    cut, lines = with_engine(test, EngineSettings(order_s=0.0))
+    assert cut == 1 and lines[-1] == b"CLOSED"
+
+
+def test_cache_events_come_late_and_with_gaps():
+    """Prefix estimates are only tested if events are lost and delayed."""
+    prompt = " ".join(str(n) for n in range(64))
+
+    async def test(engine):
+        await stream(engine, completion() | {"prompt": prompt})
+        return json.loads((await call(engine, "/wigeonspan/cache-events")).body)
+
+    seen = with_engine(test, EngineSettings(event_gap_every=3))["events"]
+    hashes = prefix_hashes(prompt.split())
+    assert [(e["seq"], e["prefix"]) for e in seen] == [
+        (1, hashes[0][0]),
+        (2, hashes[1][0]),
+        (4, hashes[3][0]),
+    ]
+    assert with_engine(test, EngineSettings(event_lag_s=60.0))["events"] == []
+
+
+def test_kv_cache_moves_between_engines():
+    """Prefill and decode on two engines need a handle that both understand."""
+
+    async def test(engine):
+        other = StandinEngine(FAST)
+        other.start()
+        await stream(engine, completion(phase="prefill"))
+        export = await call(engine, "/wigeonspan/kv/export", {"attempt": "a1"})
+        handle = json.loads(export.body)["handle"]
+        body = {"source": engine.address, "handle": handle}
+        moved = json.loads((await call(other, "/wigeonspan/kv/import", body)).body)
+        lines = await stream(other, completion(phase="decode", kv_handle=handle))
+        await other.stop()
+        return moved, lines
+
+    moved, lines = with_engine(test)
+    assert moved["tokens"] == 5
+    assert text_of(lines) == answer_text(completion()["prompt"], 6)
+
+
+def test_cancel_ends_a_run():
+    """A cancelled attempt must free its place in the batch."""
+
+    async def test(engine):
+        running = asyncio.create_task(
+            stream(engine, completion() | {"max_tokens": 999})
+        )
+        while not engine.batch.running:
+            await asyncio.sleep(0.001)
+        await call(engine, "/wigeonspan/cancel", {"attempt": "a1"})
+        return await running, engine.batch.running
+
+    lines, running = with_engine(test, EngineSettings())
+    assert lines[-1] == b"CLOSED" and running == 0
