--- a/wigeonspan/distribution/_distributor.py
+++ b/wigeonspan/distribution/_distributor.py
@@ -191,6 +191,21 @@
         }
         return sorted(pending)
 
+    def entries_confirmed(self, version: Version) -> list[HostId]:
+        """Return entries whose newest process has confirmed a version, sorted."""
+        return sorted(
+            entry
+            for entry, incarnation in self._newest.items()
+            if self._processes[entry, incarnation].confirmed >= version
+        )
+
+    def entries_lost(self, version: Version, now: float) -> list[HostId]:
+        """Return entries that lost their leases before they confirmed, sorted."""
+        known = set(self.entries_confirmed(version))
+        return sorted(
+            set(self._newest) - known - set(self.entries_pending(version, now))
+        )
+
     def in_flight(self, engine: EngineId, now: float) -> InFlight:
         """Return the requests on an engine that the entries last reported."""
         urgent = batch = 0
--- a/wigeonspan/orders/__init__.py
+++ b/wigeonspan/orders/__init__.py
@@ -4,12 +4,18 @@
     CloseOrder,
     OpenedOrder,
     OpenOrder,
+    OrderOutcome,
     OrderResult,
+    OrderTableSnapshot,
 )
+from wigeonspan.orders._table import OrderTable
 
 __all__ = [
     "CloseOrder",
     "OpenOrder",
     "OpenedOrder",
+    "OrderOutcome",
     "OrderResult",
+    "OrderTable",
+    "OrderTableSnapshot",
 ]
--- a/wigeonspan/orders/_messages.py
+++ b/wigeonspan/orders/_messages.py
@@ -56,3 +56,27 @@
     request: OrderRequest
     reason: str
     opened_wall_ms: int
+
+
+class OrderOutcome(Struct, frozen=True):
+    """Result of applying a command to the order table.
+
+    Parameters
+    ----------
+    accepted : bool
+        Whether the order was opened or closed.
+    order : OpenedOrder or None
+        The order that is open on the engine afterwards, or that was closed.
+    message : str
+        Why it was not accepted; empty when it was.
+    """
+
+    accepted: bool
+    order: OpenedOrder | None = None
+    message: str = ""
+
+
+class OrderTableSnapshot(Struct, frozen=True):
+    """Whole state of the order table."""
+
+    opened: list[OpenedOrder]
