--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Launcher that runs a whole small deployment on this machine."""
