Add routing, admission and role planning cores

Entries and the leader need these decisions as classes without I/O, so that a driver outside the daemons can run them with its own clock and random numbers.

Router picks by expected completion from load reports, own work since the report and a prefix cache estimate; TargetHealth ejects failing and slow targets. Admission applies shared tenant limits, a weighted fair queue and refusal at once. Planner compares all assignments of roles by expected goodput; PlannerTask commits the decision before its role changes.

--- /dev/null
+++ b/tests/planning/test_task.py
@@ -0,0 +1,81 @@
+"""Tests of the planner's task against a log that commits at once."""
+
+import asyncio
+
+from tests.planning.test_planner import POLICY, fleet, overload
+from wigeonspan.catalog import SetEngineState
+from wigeonspan.common import ManualClock
+from wigeonspan.planning import PlannerTask
+from wigeonspan.record import NoteDecision
+
+
+class InstantLog:
+    """Replicated log that commits at once."""
+
+    def __init__(self):
+        self.is_leader = True
+        self.term = 1
+        self.commands = []
+
+    async def propose(self, command):
+        self.commands.append(command)
+        return len(self.commands), None
+
+
+class Samples:
+    """Steady demand."""
+
+    def covered_s(self, now, window_s):
+        return min(now, window_s)
+
+    def demand(self, now, window_s):
+        return overload(now)
+
+
+def run_steps(log, count, before_step=lambda number: None):
+    clock = ManualClock()
+    samples = Samples()
+    task = PlannerTask(
+        log, lambda: [*fleet(), POLICY], lambda: samples, lambda c: c, clock
+    )
+
+    async def steps():
+        for number in range(count):
+            before_step(number)
+            clock.advance(5.0)
+            await task.step()
+
+    asyncio.run(steps())
+
+
+def test_decision_is_committed_before_its_changes():
+    """A change without its reason in the record cannot be explained (I10)."""
+    log = InstantLog()
+    run_steps(log, 14)
+    kinds = [type(command) for command in log.commands]
+    assert kinds[0] is NoteDecision
+    assert SetEngineState in kinds
+    first = kinds.index(SetEngineState)
+    change = log.commands[first]
+    assert change.wanted_role is not None
+    assert f"engine/{change.engine}" in log.commands[0].subjects
+
+
+def test_nothing_is_proposed_without_leadership():
+    """A host that lost its lease must not decide (I3)."""
+    log = InstantLog()
+    log.is_leader = False
+    run_steps(log, 30)
+    assert log.commands == []
+
+
+def test_new_term_waits_a_minimum_stay():
+    """A new leader does not know when engines last changed and must not guess."""
+    log = InstantLog()
+
+    def new_term(number):
+        if number % 11 == 0:
+            log.term += 1
+
+    run_steps(log, 40, new_term)
+    assert log.commands == []
--- /dev/null
+++ b/wigeonspan/admission/__init__.py
@@ -0,0 +1,21 @@
+"""Admission: limits, fair queue and early refusal."""
+
+from wigeonspan.admission._core import Admission
+from wigeonspan.admission._messages import (
+    AdmissionSettings,
+    Admitted,
+    Queued,
+    Refused,
+    Ticket,
+    Verdict,
+)
+
+__all__ = [
+    "Admission",
+    "AdmissionSettings",
+    "Admitted",
+    "Queued",
+    "Refused",
+    "Ticket",
+    "Verdict",
+]
--- /dev/null
+++ b/wigeonspan/decisions/__init__.py
@@ -0,0 +1,56 @@
+"""Decision cores of the system, for drivers outside this repository.
+
+Each core is a state machine without I/O: its inputs are typed messages, the time in
+seconds and, where it needs chance, a seeded ``random.Random``. The daemons run the same
+classes. ``docs/decisions.md`` shows how to drive each of them.
+"""
+
+from wigeonspan.admission import (
+    Admission,
+    AdmissionSettings,
+    Admitted,
+    Queued,
+    Refused,
+    Ticket,
+)
+from wigeonspan.planning import (
+    Plan,
+    PlanInputs,
+    Planner,
+    PlanningSettings,
+    RoleChange,
+    ServiceDecision,
+)
+from wigeonspan.routing import (
+    AttemptEnd,
+    AttemptResult,
+    PromptPrefix,
+    Route,
+    Router,
+    RouteRequest,
+    RoutingSettings,
+    TargetHealth,
+)
+
+__all__ = [
+    "Admission",
+    "AdmissionSettings",
+    "Admitted",
+    "AttemptEnd",
+    "AttemptResult",
+    "Plan",
+    "PlanInputs",
+    "Planner",
+    "PlanningSettings",
+    "PromptPrefix",
+    "Queued",
+    "Refused",
+    "RoleChange",
+    "Route",
+    "RouteRequest",
+    "Router",
+    "RoutingSettings",
+    "ServiceDecision",
+    "TargetHealth",
+    "Ticket",
+]
--- /dev/null
+++ b/wigeonspan/planning/_core.py
@@ -0,0 +1,262 @@
+"""Assignment of roles to the engines of each service."""
+
+from wigeonspan.catalog import Engine, EnginePhase, Role
+from wigeonspan.common import DomainName, EngineId, ServiceName
+from wigeonspan.distribution import DemandSample
+from wigeonspan.planning._demand import DemandBook
+from wigeonspan.planning._goodput import Counts, Demand, Rates, expected_goodput
+from wigeonspan.planning._messages import (
+    Plan,
+    PlanInputs,
+    PlanningSettings,
+    RoleChange,
+    ServiceDecision,
+)
+
+GONE = frozenset(
+    {EnginePhase.FAILED, EnginePhase.LEAVING, EnginePhase.WITHDRAWN, EnginePhase.NEW}
+)
+"""Phases in which an engine cannot be counted on."""
+
+ALTERNATIVES_KEPT = 5
+"""Alternatives that a decision carries into the record."""
+
+
+class Planner:
+    """Plans the roles of all engines.
+
+    Parameters
+    ----------
+    settings : PlanningSettings
+        Rates and hysteresis.
+    """
+
+    def __init__(self, settings: PlanningSettings | None = None) -> None:
+        self._settings = settings or PlanningSettings()
+        self._demand = DemandBook()
+        self._roles: dict[EngineId, Role] = {}
+        self._changed_at: dict[EngineId, float] = {}
+
+    def note_demand(
+        self, samples: list[DemandSample], interval_s: float, now: float
+    ) -> None:
+        """Take the demand that entries saw.
+
+        Parameters
+        ----------
+        samples : list of DemandSample
+            Sums over all entries, by service and class.
+        interval_s : float
+            Time that they cover; call once for each interval.
+        now : float
+            Monotonic time in seconds.
+        """
+        self._demand.note(samples, interval_s, now)
+
+    def plan(self, inputs: PlanInputs, now: float) -> Plan:
+        """Decide the roles.
+
+        Parameters
+        ----------
+        inputs : PlanInputs
+            Engines and policy.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Plan
+            A decision for each service that has engines.
+        """
+        self._note_roles(inputs, now)
+        services = sorted({e.service for e in inputs.engines if e.service is not None})
+        return Plan(tuple(self._plan_service(name, inputs, now) for name in services))
+
+    def _note_roles(self, inputs: PlanInputs, now: float) -> None:
+        """Remember when each engine changed role."""
+        present = {engine.name for engine in inputs.engines}
+        for name in [n for n in self._roles if n not in present]:
+            del self._roles[name], self._changed_at[name]
+        for engine in inputs.engines:
+            if self._roles.get(engine.name) is not engine.wanted_role:
+                self._roles[engine.name] = engine.wanted_role
+                self._changed_at[engine.name] = now
+            known = inputs.changed_at.get(engine.name)
+            if known is not None:
+                self._changed_at[engine.name] = known
+
+    def _plan_service(
+        self, service: ServiceName, inputs: PlanInputs, now: float
+    ) -> ServiceDecision:
+        engines = [e for e in inputs.engines if e.service == service and _usable(e)]
+        demand = self._demand.of(service).expected(self._settings.out_s)
+        rates = self._rates()
+        current = count_roles(engines)
+        free = [e for e in engines if self._may_change(e, inputs, now)]
+        scored = sorted(
+            (
+                (self._value(c, current, demand, rates, inputs), c)
+                for c in _all(engines)
+            ),
+            key=lambda item: (-item[0], current.moves_to(item[1]), item[1]),
+        )
+        target = scored[0][1]
+        changes = self._changes(service, current, target, free, engines, inputs)
+        reason = self._reason(current, target, changes, demand)
+        return ServiceDecision(
+            service=service,
+            changes=tuple(changes),
+            summary=_summary(service, changes),
+            reason=reason,
+            inputs=_describe(current, demand, rates, len(free)),
+            alternatives=[
+                {"counts": list(counts), "value": round(value, 3)}
+                for value, counts in scored[:ALTERNATIVES_KEPT]
+            ],
+        )
+
+    def _rates(self) -> Rates:
+        s = self._settings
+        return Rates(
+            s.prefill_tokens_per_s * s.utilisation,
+            s.decode_tokens_per_s * s.utilisation,
+            s.mixed_efficiency,
+        )
+
+    def _value(
+        self,
+        counts: Counts,
+        current: Counts,
+        demand: Demand,
+        rates: Rates,
+        inputs: PlanInputs,
+    ) -> float:
+        """Return the useful answers within the horizon, less the cost of changes."""
+        horizon = self._settings.horizon_s
+        moves = current.moves_to(counts)
+        goodput = expected_goodput(counts, demand, rates)
+        engines = max(1, sum(current))
+        lost = self._settings.out_s * goodput / engines
+        price = inputs.policy.role_change_price
+        cost = moves * (lost + price) * (1 + self._settings.margin)
+        return goodput * horizon - cost
+
+    def _may_change(self, engine: Engine, inputs: PlanInputs, now: float) -> bool:
+        stayed = now - self._changed_at[engine.name]
+        return (
+            engine.pinned_role is None
+            and engine.phase is EnginePhase.SERVING
+            and not engine.drain
+            and engine.wanted_role is engine.role
+            and stayed >= inputs.policy.minimum_stay_s
+        )
+
+    def _changes(
+        self,
+        service: ServiceName,
+        current: Counts,
+        target: Counts,
+        free: list[Engine],
+        engines: list[Engine],
+        inputs: PlanInputs,
+    ) -> list[RoleChange]:
+        """Return the changes towards the target that the limits allow now."""
+        out = count_out(inputs.engines, service)
+        surplus = {r: a - b for r, a, b in zip(ROLES, current, target, strict=True)}
+        changes = []
+        for engine in sorted(free, key=lambda e: (self._changed_at[e.name], e.name)):
+            wanted = next((r for r in ROLES if surplus[r] < 0), None)
+            if wanted is None:
+                break
+            if surplus[engine.role] <= 0:
+                continue
+            if out.get(engine.domain, 0) >= inputs.policy.max_out_per_domain:
+                continue
+            surplus[engine.role] -= 1
+            surplus[wanted] += 1
+            out[engine.domain] = out.get(engine.domain, 0) + 1
+            reason = f"{service} is to have {_show(target)} instead of {_show(current)}"
+            changes.append(
+                RoleChange(
+                    engine.name, service, engine.version, engine.role, wanted, reason
+                )
+            )
+        return changes
+
+    def _reason(
+        self,
+        current: Counts,
+        target: Counts,
+        changes: list[RoleChange],
+        demand: Demand,
+    ) -> str:
+        if target == current:
+            return f"no assignment is worth a change from {_show(current)}"
+        verb = "changing" if changes else "waiting for a limit or stay before changing"
+        return f"{verb} from {_show(current)} to {_show(target)}"
+
+
+ROLES = (Role.PREFILL, Role.DECODE, Role.MIXED)
+"""Roles in the order of the fields of ``Counts``."""
+
+
+def count_roles(engines: list[Engine]) -> Counts:
+    """Return the number of engines by wanted role."""
+    return Counts(*(sum(e.wanted_role is role for e in engines) for role in ROLES))
+
+
+def count_out(engines: list[Engine], service: ServiceName) -> dict[DomainName, int]:
+    """Return the engines of a service that are out, by failure domain."""
+    out: dict[DomainName, int] = {}
+    for engine in engines:
+        if engine.service != service or engine.phase is EnginePhase.WITHDRAWN:
+            continue
+        if engine.phase is not EnginePhase.SERVING or engine.wanted_role != engine.role:
+            out[engine.domain] = out.get(engine.domain, 0) + 1
+    return out
+
+
+def _usable(engine: Engine) -> bool:
+    return engine.phase not in GONE and not engine.drain
+
+
+def _all(engines: list[Engine]) -> list[Counts]:
+    """Return every assignment that keeps the pinned roles."""
+    pinned = Counts(*(sum(e.pinned_role is role for e in engines) for role in ROLES))
+    total = len(engines)
+    return [
+        Counts(prefill, decode, total - prefill - decode)
+        for prefill in range(pinned.prefill, total + 1)
+        for decode in range(pinned.decode, total - prefill - pinned.mixed + 1)
+    ]
+
+
+def _show(counts: Counts) -> str:
+    names = ("prefill", "decode", "mixed")
+    parts = [f"{n} {name}" for n, name in zip(counts, names, strict=True) if n]
+    return ", ".join(parts) or "no engines"
+
+
+def _summary(service: ServiceName, changes: list[RoleChange]) -> str:
+    if not changes:
+        return f"{service}: no change"
+    moves = (f"{c.engine} {c.old.value} to {c.new.value}" for c in changes)
+    return f"{service}: " + "; ".join(moves)
+
+
+def _describe(
+    current: Counts, demand: Demand, rates: Rates, free: int
+) -> dict[str, object]:
+    def load(value: object) -> list[float]:
+        fields = ("requests", "prompt", "output")
+        return [round(getattr(value, name), 3) for name in fields]
+
+    return {
+        "engines": list(current),
+        "may_change": free,
+        "urgent_per_s": load(demand.urgent),
+        "batch_per_s": load(demand.batch),
+        "prefill_tokens_per_s": rates.prefill,
+        "decode_tokens_per_s": rates.decode,
+        "mixed_efficiency": rates.mixed_efficiency,
+    }
--- /dev/null
+++ b/wigeonspan/planning/_task.py
@@ -0,0 +1,143 @@
+"""Task that plans roles on the leader and commits what was decided."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from wigeonspan.catalog import CatalogObject, Engine, Policy, SetEngineState
+from wigeonspan.common import Clock, WigeonspanError, part_logger
+from wigeonspan.consensus import ReplicatedLog
+from wigeonspan.distribution import DemandSample
+from wigeonspan.planning._core import Planner
+from wigeonspan.planning._messages import (
+    PlanInputs,
+    PlanningSettings,
+    RoleChange,
+    ServiceDecision,
+)
+from wigeonspan.record import NoteDecision
+
+log = part_logger("planning")
+
+
+class DemandSource(Protocol):
+    """What the planner reads of the leader's samples (``SampleWindow``)."""
+
+    def covered_s(self, now: float, window_s: float) -> float:
+        """Return how much of a window has been sampled, in seconds."""
+        ...
+
+    def demand(self, now: float, window_s: float) -> list[DemandSample]:
+        """Return the demand of the last ``window_s`` seconds."""
+        ...
+
+
+class PlannerTask:
+    """Plans at a fixed interval while this host leads.
+
+    Parameters
+    ----------
+    replicated_log : ReplicatedLog
+        Where decisions are committed.
+    objects : callable
+        Returns the objects of the catalogue.
+    samples : callable
+        Returns the samples of the current leadership, or None when not leading.
+    encode_command : callable
+        Encodes a command for the replicated log.
+    clock : Clock
+        Source of time.
+    settings : PlanningSettings
+        Settings of the planner.
+    """
+
+    def __init__(
+        self,
+        replicated_log: ReplicatedLog,
+        objects: Callable[[], list[CatalogObject]],
+        samples: Callable[[], DemandSource | None],
+        encode_command: Callable[[SetEngineState | NoteDecision], bytes],
+        clock: Clock,
+        settings: PlanningSettings | None = None,
+    ) -> None:
+        self._log = replicated_log
+        self._objects = objects
+        self._samples = samples
+        self._encode = encode_command
+        self._clock = clock
+        self._settings = settings or PlanningSettings()
+        self._planner: Planner | None = None
+        self._term = -1
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            await asyncio.sleep(self._settings.interval_s)
+            try:
+                await self.step()
+            except WigeonspanError as error:
+                log.info("plan was not committed: {}", error)
+
+    async def step(self) -> int:
+        """Plan once, when leading.
+
+        Returns
+        -------
+        int
+            Number of role changes that were committed.
+        """
+        samples = self._samples()
+        if not self._log.is_leader or samples is None:
+            self._planner = None
+            return 0
+        planner = self._planner_of_term()
+        now = self._clock.now()
+        interval = samples.covered_s(now, self._settings.interval_s)
+        if interval > 0:
+            planner.note_demand(samples.demand(now, interval), interval, now)
+        plan = planner.plan(self._inputs(), now)
+        for decision in plan.decisions:
+            if decision.changes:
+                await self._commit(decision)
+        return len(plan.changes)
+
+    def _planner_of_term(self) -> Planner:
+        """Return the planner; a new term starts without demand from an older one."""
+        if self._planner is None or self._term != self._log.term:
+            self._planner = Planner(self._settings)
+            self._term = self._log.term
+        return self._planner
+
+    def _inputs(self) -> PlanInputs:
+        objects = self._objects()
+        policies = [o for o in objects if isinstance(o, Policy)]
+        engines = [o for o in objects if isinstance(o, Engine)]
+        return PlanInputs(engines, policies[0] if policies else Policy())
+
+    async def _commit(self, decision: ServiceDecision) -> None:
+        """Record the decision, then its changes; the record must hold the reason."""
+        wall_ms = self._clock.wall_ms()
+        subjects = tuple(f"engine/{c.engine}" for c in decision.changes)
+        note = NoteDecision(
+            part="planning",
+            subjects=(f"model_service/{decision.service}", *subjects),
+            summary=decision.summary,
+            inputs=decision.inputs,
+            alternatives=decision.alternatives,
+            reason=decision.reason,
+            wall_ms=wall_ms,
+        )
+        await self._log.propose(self._encode(note))
+        for change in decision.changes:
+            await self._log.propose(self._encode(_command(change, wall_ms)))
+        log.info("{}", decision.summary)
+
+
+def _command(change: RoleChange, wall_ms: int) -> SetEngineState:
+    return SetEngineState(
+        engine=change.engine,
+        expected_version=change.expected_version,
+        reason=change.reason,
+        wall_ms=wall_ms,
+        wanted_role=change.new,
+    )
--- /dev/null
+++ b/wigeonspan/routing/__init__.py
@@ -0,0 +1,23 @@
+"""Routing: which engine runs a request, and which targets are healthy."""
+
+from wigeonspan.routing._core import Router
+from wigeonspan.routing._health import TargetHealth
+from wigeonspan.routing._messages import (
+    AttemptEnd,
+    AttemptResult,
+    PromptPrefix,
+    Route,
+    RouteRequest,
+    RoutingSettings,
+)
+
+__all__ = [
+    "AttemptEnd",
+    "AttemptResult",
+    "PromptPrefix",
+    "Route",
+    "RouteRequest",
+    "Router",
+    "RoutingSettings",
+    "TargetHealth",
+]
--- /dev/null
+++ b/wigeonspan/routing/_core.py
@@ -0,0 +1,268 @@
+"""Choice of the engine that is expected to complete a request first."""
+
+import math
+from random import Random
+
+from wigeonspan.catalog import Engine, EnginePhase, Role
+from wigeonspan.common import AttemptId, EngineId, ServiceName
+from wigeonspan.distribution import EngineSample, InFlight
+from wigeonspan.engines import CacheEvents, LoadReport
+from wigeonspan.routing._health import TargetHealth
+from wigeonspan.routing._load import Attempt, EngineLoad
+from wigeonspan.routing._messages import (
+    AttemptEnd,
+    AttemptResult,
+    Route,
+    RouteRequest,
+    RoutingSettings,
+)
+from wigeonspan.routing._prefixes import PrefixEstimate
+
+
+class Router:
+    """Routes requests of one entry.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Seeded source of randomness.
+    settings : RoutingSettings
+        Settings of the choice.
+    """
+
+    def __init__(self, rng: Random, settings: RoutingSettings | None = None) -> None:
+        self._rng = rng
+        self._settings = settings or RoutingSettings()
+        self._engines: dict[EngineId, Engine] = {}
+        self._pools: dict[tuple[ServiceName, Role], list[EngineId]] = {}
+        self._loads: dict[EngineId, EngineLoad] = {}
+        self._prefixes: dict[EngineId, PrefixEstimate] = {}
+        self._attempts: dict[AttemptId, Attempt] = {}
+        self._others = 0
+        self.health: TargetHealth[EngineId] = TargetHealth(self._settings)
+
+    def update_engines(self, engines: list[Engine], now: float) -> None:
+        """Replace the engines with those of the configuration in force."""
+        self._engines = {engine.name: engine for engine in engines}
+        self._pools = {}
+        groups: dict[EngineId, str] = {}
+        for engine in engines:
+            if engine.phase is EnginePhase.SERVING and engine.service is not None:
+                key = (engine.service, engine.role)
+                self._pools.setdefault(key, []).append(engine.name)
+                groups[engine.name] = engine.service
+            if engine.name not in self._loads:
+                self._loads[engine.name] = EngineLoad(self._settings)
+                self._prefixes[engine.name] = PrefixEstimate(self._settings)
+        for name in [n for n in self._loads if n not in self._engines]:
+            if not self._loads[name].attempts:
+                del self._loads[name], self._prefixes[name]
+        self.health.update_targets(groups)
+
+    def update_live_entries(self, count: int) -> None:
+        """Set the number of entries, this one included, that share the engines."""
+        self._others = max(0, count - 1)
+
+    def note_load(self, report: LoadReport, now: float) -> None:
+        """Take a load report; one older than the last is ignored."""
+        load = self._loads.get(report.engine)
+        if load is not None and load.note_report(report, now):
+            self._prefixes[report.engine].note_incarnation(report.incarnation)
+
+    def note_cache_events(
+        self, engine: EngineId, events: CacheEvents, now: float
+    ) -> None:
+        """Take cache events of an engine."""
+        estimate = self._prefixes.get(engine)
+        if estimate is not None:
+            estimate.note_events(events, now)
+
+    def cache_events_after(self, engine: EngineId) -> int:
+        """Return the sequence number from which to ask for cache events."""
+        estimate = self._prefixes.get(engine)
+        return 0 if estimate is None else estimate.last_seq
+
+    def choose(self, request: RouteRequest, now: float) -> Route | None:
+        """Choose where to run a request.
+
+        Parameters
+        ----------
+        request : RouteRequest
+            The request.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Route or None
+            None when no engine may run it. The route may complete after the
+            deadline; the caller decides whether to refuse.
+        """
+        full = self._candidates(request, (Role.MIXED,))
+        decode = self._candidates(request, (Role.DECODE,))
+        prefill = self._candidates(request, (Role.PREFILL,))
+        routes = [self._full_route(request, name, now) for name in full]
+        if prefill and decode:
+            routes += self._split_routes(request, prefill, decode, now)
+        if not routes:
+            names = decode or prefill
+            routes = [self._full_route(request, name, now) for name in names]
+        return self._pick(routes) if routes else None
+
+    def started(
+        self,
+        attempt: AttemptId,
+        engine: EngineId,
+        request: RouteRequest,
+        now: float,
+        *,
+        prefill_only: bool = False,
+        prefilled: bool = False,
+    ) -> None:
+        """Note that an attempt was sent to an engine.
+
+        Parameters
+        ----------
+        attempt : AttemptId
+            Attempt, unique in the deployment.
+        engine : EngineId
+            Engine that it was sent to.
+        request : RouteRequest
+            The request.
+        now : float
+            Monotonic time in seconds.
+        prefill_only : bool
+            Whether the engine only runs the prompt.
+        prefilled : bool
+            Whether the engine has imported the prompt's KV cache.
+        """
+        load = self._loads.get(engine)
+        if load is None:
+            return
+        tokens = 0.0 if prefilled else self._uncached(request, engine, now)
+        record = Attempt(attempt, engine, request, tokens, now, prefill_only)
+        load.attempts[attempt] = self._attempts[attempt] = record
+        self._prefixes[engine].note_run(request.prefixes, now)
+
+    def progressed(self, attempt: AttemptId, tokens: int, now: float) -> None:
+        """Note that an attempt has produced ``tokens`` output tokens so far."""
+        record = self._attempts.get(attempt)
+        if record is not None:
+            self._loads[record.engine].note_progress(record, tokens, now)
+
+    def ended(self, attempt: AttemptId, end: AttemptEnd, now: float) -> None:
+        """Note the end of an attempt."""
+        record = self._attempts.pop(attempt, None)
+        if record is None:
+            return
+        self._loads[record.engine].note_end(record, now)
+        if end.result is AttemptResult.FAILED:
+            self.health.failed(record.engine, now)
+        elif end.result is AttemptResult.OK:
+            work = record.prompt_tokens / 100 + max(1, record.tokens)
+            elapsed = now - record.started_at
+            self.health.succeeded(record.engine, elapsed / work, now)
+
+    def probe_targets(self, now: float) -> list[EngineId]:
+        """Return ejected engines that are due for a probe."""
+        return self.health.probe_targets(now)
+
+    def probed(self, engine: EngineId, ok: bool, now: float) -> None:
+        """Note the result of a probe of an ejected engine."""
+        self.health.probed(engine, ok, now)
+
+    def in_flight(self) -> dict[EngineId, InFlight]:
+        """Return this entry's running attempts for each engine that has any."""
+        counts = {}
+        for name, load in self._loads.items():
+            if load.attempts:
+                urgent = sum(a.urgent for a in load.attempts.values())
+                counts[name] = InFlight(urgent, len(load.attempts) - urgent)
+        return counts
+
+    def take_samples(self) -> list[EngineSample]:
+        """Return the work of each engine since the last call."""
+        samples = (load.take_sample(name) for name, load in self._loads.items())
+        return [sample for sample in samples if sample is not None]
+
+    def _candidates(
+        self, request: RouteRequest, roles: tuple[Role, ...]
+    ) -> list[EngineId]:
+        names: list[EngineId] = []
+        for role in roles:
+            pool = self._pools.get((request.service, role), [])
+            if len(pool) > self._settings.sample:
+                pool = self._rng.sample(pool, self._settings.sample)
+            names += [name for name in pool if self._may_run(request, name)]
+        return names
+
+    def _may_run(self, request: RouteRequest, name: EngineId) -> bool:
+        engine = self._engines[name]
+        return (
+            name not in request.excluded
+            and not self.health.is_out(name)
+            and engine.model == request.model
+            and engine.model_version == request.model_version
+            and set(request.adapters) <= set(engine.adapters)
+        )
+
+    def _uncached(self, request: RouteRequest, name: EngineId, now: float) -> float:
+        cached = self._prefixes[name].expected_tokens(request.prefixes, now)
+        return max(0.0, request.prompt_tokens + request.resume_position - cached)
+
+    def _prefill_s(self, request: RouteRequest, name: EngineId, now: float) -> float:
+        load = self._loads[name]
+        backlog = load.prefill_backlog(now, self._others, 0.0)
+        return (backlog + self._uncached(request, name, now)) / load.prefill_rate
+
+    def _decode_s(self, request: RouteRequest, name: EngineId) -> float:
+        return request.output_tokens / self._loads[name].decode_rate
+
+    def _domain_s(self, request: RouteRequest, name: EngineId) -> float:
+        if request.domain in (None, self._engines[name].domain):
+            return 0.0
+        return self._settings.other_domain_s
+
+    def _full_route(self, request: RouteRequest, name: EngineId, now: float) -> Route:
+        load = self._loads[name]
+        first = self._prefill_s(request, name, now) + self._domain_s(request, name)
+        first += load.slot_wait_s(now, self._others, request.output_tokens)
+        completion = first + self._decode_s(request, name)
+        address = self._engines[name].address
+        return Route(name, address, None, "", first, completion)
+
+    def _split_routes(
+        self,
+        request: RouteRequest,
+        prefill: list[EngineId],
+        decode: list[EngineId],
+        now: float,
+    ) -> list[Route]:
+        """Pair the best prefill engine with each decode engine."""
+        times = {name: self._prefill_s(request, name, now) for name in prefill}
+        source = min(times, key=lambda name: (times[name], name))
+        rate = self._settings.kv_transfer_tokens_per_s
+        transfer = request.prompt_tokens / rate + self._domain_s(request, source)
+        routes = []
+        for name in decode:
+            load = self._loads[name]
+            wait = load.slot_wait_s(now, self._others, request.output_tokens)
+            first = times[source] + transfer + wait + self._domain_s(request, name)
+            routes.append(
+                Route(
+                    name,
+                    self._engines[name].address,
+                    source,
+                    self._engines[source].address,
+                    first,
+                    first + self._decode_s(request, name),
+                )
+            )
+        return routes
+
+    def _pick(self, routes: list[Route]) -> Route:
+        """Pick by chance, weighted steeply towards the earliest completion."""
+        best = min(route.completion_s for route in routes)
+        spread = max(self._settings.spread_s, 1e-6)
+        weights = [math.exp((best - r.completion_s) / spread) for r in routes]
+        return self._rng.choices(routes, weights)[0]
--- /dev/null
+++ b/wigeonspan/routing/_load.py
@@ -0,0 +1,178 @@
+"""Estimate of the work on one engine between and after its load reports."""
+
+from dataclasses import dataclass
+
+from wigeonspan.catalog import URGENT_CLASSES
+from wigeonspan.common import AttemptId, EngineId
+from wigeonspan.distribution import EngineSample
+from wigeonspan.engines import LoadReport
+from wigeonspan.routing._messages import RouteRequest, RoutingSettings
+
+RATE_WEIGHT = 0.2
+"""Weight of the newest observation in a mean rate; about ten observations count."""
+
+REPORT_KEEP_S = 5.0
+"""Seconds after which a load report says nothing: the queue it showed has changed."""
+
+SAME_CHOICE = 0.5
+"""Share of the other entries' unseen work that is assumed to go where ours went.
+
+Entries see the same reports, so their choices agree in part; the rest of their work is
+assumed to spread evenly.
+"""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt that runs on an engine for this entry.
+
+    Parameters
+    ----------
+    prompt_tokens : float
+        Tokens to prefill, without those expected in the prefix cache.
+    prefill_only : bool
+        Whether the engine only runs the prompt.
+    """
+
+    id: AttemptId
+    engine: EngineId
+    request: RouteRequest
+    prompt_tokens: float
+    started_at: float
+    prefill_only: bool = False
+    first_token_at: float | None = None
+    last_token_at: float = 0.0
+    tokens: int = 0
+
+    @property
+    def urgent(self) -> bool:
+        """Whether the attempt is of a class that is never cut."""
+        return self.request.priority in URGENT_CLASSES
+
+
+class EngineLoad:
+    """Expected queue and rates of one engine.
+
+    Parameters
+    ----------
+    settings : RoutingSettings
+        Rates that hold until something is known.
+    """
+
+    def __init__(self, settings: RoutingSettings) -> None:
+        self._settings = settings
+        self._report: LoadReport | None = None
+        self._measured_at = 0.0
+        self._prefill_rate = 0.0
+        self._decode_rate = 0.0
+        self._sample = [0, 0, 0.0, 0.0]
+        self.attempts: dict[AttemptId, Attempt] = {}
+
+    @property
+    def decode_rate(self) -> float:
+        """Output tokens per second of one request."""
+        return self._decode_rate or self._settings.default_decode_tokens_per_s
+
+    @property
+    def prefill_rate(self) -> float:
+        """Prompt tokens per second of the engine."""
+        return self._prefill_rate or self._settings.default_prefill_tokens_per_s
+
+    def note_report(self, report: LoadReport, now: float) -> bool:
+        """Take a load report; return False when it is older than the one known."""
+        measured_at = now - report.age_s
+        restarted = (
+            self._report is None or self._report.incarnation != report.incarnation
+        )
+        if not restarted and measured_at < self._measured_at:
+            return False
+        self._report = report
+        self._measured_at = measured_at
+        if report.prefill_tokens_per_s > 0:
+            self._prefill_rate = report.prefill_tokens_per_s
+        return True
+
+    def prefill_backlog(self, now: float, others: int, mean_own: float) -> float:
+        """Return the prompt tokens that wait on the engine.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        others : int
+            Other live entries.
+        mean_own : float
+            Mean over the engines of this entry's own tokens since the report.
+        """
+        waiting = sum(
+            a.prompt_tokens for a in self.attempts.values() if a.first_token_at is None
+        )
+        report = self._fresh_report(now)
+        if report is None:
+            alike = SAME_CHOICE * waiting + (1 - SAME_CHOICE) * mean_own
+            return waiting + others * alike
+        own = self.own_tokens_since_report()
+        unseen = own + others * (SAME_CHOICE * own + (1 - SAME_CHOICE) * mean_own)
+        elapsed = now - self._measured_at
+        backlog = report.queued_prefill_tokens + unseen - self.prefill_rate * elapsed
+        return max(backlog, waiting / 2)
+
+    def slot_wait_s(self, now: float, others: int, output_tokens: int) -> float:
+        """Return the seconds until the batch has a free place."""
+        report = self._fresh_report(now)
+        if report is None or report.batch_limit <= 0:
+            return 0.0
+        since = sum(a.started_at > self._measured_at for a in self.attempts.values())
+        excess = report.running + since * (1 + others * SAME_CHOICE) + 1
+        excess -= report.batch_limit
+        if excess <= 0:
+            return 0.0
+        return excess / report.batch_limit * output_tokens / self.decode_rate
+
+    def own_tokens_since_report(self) -> float:
+        """Return the prompt tokens that this entry sent since the report."""
+        return sum(
+            a.prompt_tokens
+            for a in self.attempts.values()
+            if a.started_at > self._measured_at
+        )
+
+    def note_progress(self, attempt: Attempt, tokens: int, now: float) -> None:
+        """Note that the answer has grown to ``tokens`` output tokens."""
+        if tokens <= attempt.tokens:
+            return
+        if attempt.first_token_at is None:
+            attempt.first_token_at = now
+        attempt.tokens = tokens
+        attempt.last_token_at = now
+
+    def note_end(self, attempt: Attempt, now: float) -> None:
+        """Remove an attempt and learn the rates that it saw."""
+        self.attempts.pop(attempt.id, None)
+        first = attempt.first_token_at
+        if attempt.prefill_only:
+            first = now
+        if first is None:
+            return
+        sample = self._sample
+        sample[0] += round(attempt.prompt_tokens)
+        sample[2] += first - attempt.started_at
+        sample[1] += max(0, attempt.tokens - 1)
+        sample[3] += max(0.0, attempt.last_token_at - first)
+        if attempt.tokens > 1 and attempt.last_token_at > first:
+            rate = (attempt.tokens - 1) / (attempt.last_token_at - first)
+            weight = RATE_WEIGHT if self._decode_rate else 1.0
+            self._decode_rate += weight * (rate - self._decode_rate)
+
+    def take_sample(self, engine: EngineId) -> EngineSample | None:
+        """Return the work since the last call, or None when there was none."""
+        prefill, decode, prefill_s, decode_s = self._sample
+        if not prefill and not decode:
+            return None
+        self._sample = [0, 0, 0.0, 0.0]
+        return EngineSample(engine, prefill, decode, prefill_s, decode_s)
+
+    def _fresh_report(self, now: float) -> LoadReport | None:
+        if self._report is None or now - self._measured_at > REPORT_KEEP_S:
+            return None
+        return self._report
