Weigh forecasts of the mix and learn engine rates in the planner

The planner followed a trend only, so a mix that swings back before a change pays would be chased. It now weighs the trend against the mixes of the last minutes by how well each forecast did. The router counts what other entries probably sent, bounds its comparison in a large fleet, and offers the number of requests that an entry should run at once.

--- a/tests/planning/test_task.py
+++ b/tests/planning/test_task.py
@@ -31,6 +31,9 @@
     def demand(self, now, window_s):
         return overload(now)
 
+    def engine_work(self, now, window_s):
+        return []
+
 
 def run_steps(log, count, before_step=lambda number: None):
     clock = ManualClock()
--- a/wigeonspan/planning/_core.py
+++ b/wigeonspan/planning/_core.py
@@ -2,9 +2,9 @@
 
 from wigeonspan.catalog import Engine, EnginePhase, Role
 from wigeonspan.common import DomainName, EngineId, ServiceName
-from wigeonspan.distribution import DemandSample
-from wigeonspan.planning._demand import DemandBook
-from wigeonspan.planning._goodput import Counts, Demand, Rates, expected_goodput
+from wigeonspan.distribution import DemandSample, EngineSample
+from wigeonspan.planning._demand import DemandBook, Scenario
+from wigeonspan.planning._goodput import Counts, Load, Rates, expected_goodput
 from wigeonspan.planning._messages import (
     Plan,
     PlanInputs,
@@ -12,6 +12,7 @@
     RoleChange,
     ServiceDecision,
 )
+from wigeonspan.planning._rates import RateBook
 
 GONE = frozenset(
     {EnginePhase.FAILED, EnginePhase.LEAVING, EnginePhase.WITHDRAWN, EnginePhase.NEW}
@@ -34,6 +35,8 @@
     def __init__(self, settings: PlanningSettings | None = None) -> None:
         self._settings = settings or PlanningSettings()
         self._demand = DemandBook()
+        self._rates: dict[ServiceName, RateBook] = {}
+        self._engines: dict[EngineId, Engine] = {}
         self._roles: dict[EngineId, Role] = {}
         self._changed_at: dict[EngineId, float] = {}
 
@@ -53,6 +56,21 @@
         """
         self._demand.note(samples, interval_s, now)
 
+    def note_engines(self, samples: list[EngineSample], interval_s: float) -> None:
+        """Take the work that entries saw engines do in an interval.
+
+        Parameters
+        ----------
+        samples : list of EngineSample
+            Sums over all entries, by engine.
+        interval_s : float
+            Time that they cover; call once for each interval.
+        """
+        services = {e.service for e in self._engines.values() if e.service is not None}
+        for service in services:
+            own = {n: e for n, e in self._engines.items() if e.service == service}
+            self._rate_book(service).note(own, samples, interval_s)
+
     def plan(self, inputs: PlanInputs, now: float) -> Plan:
         """Decide the roles.
 
@@ -74,8 +92,8 @@
 
     def _note_roles(self, inputs: PlanInputs, now: float) -> None:
         """Remember when each engine changed role."""
-        present = {engine.name for engine in inputs.engines}
-        for name in [n for n in self._roles if n not in present]:
+        self._engines = {engine.name: engine for engine in inputs.engines}
+        for name in [n for n in self._roles if n not in self._engines]:
             del self._roles[name], self._changed_at[name]
         for engine in inputs.engines:
             if self._roles.get(engine.name) is not engine.wanted_role:
@@ -88,58 +106,56 @@
     def _plan_service(
         self, service: ServiceName, inputs: PlanInputs, now: float
     ) -> ServiceDecision:
-        engines = [e for e in inputs.engines if e.service == service and _usable(e)]
-        demand = self._demand.of(service).expected(self._settings.out_s)
-        rates = self._rates()
+        engines = [e for e in inputs.engines if e.service == service and is_usable(e)]
+        scenarios = self._demand.of(service).scenarios(now)
+        rates = self._rate_book(service).rates
         current = count_roles(engines)
         free = [e for e in engines if self._may_change(e, inputs, now)]
         scored = sorted(
             (
-                (self._value(c, current, demand, rates, inputs), c)
-                for c in _all(engines)
+                (self._value(c, current, scenarios, rates, inputs), c)
+                for c in assignments(engines)
             ),
             key=lambda item: (-item[0], current.moves_to(item[1]), item[1]),
         )
         target = scored[0][1]
         changes = self._changes(service, current, target, free, engines, inputs)
-        reason = self._reason(current, target, changes, demand)
+        reason = _reason(current, target, changes)
         return ServiceDecision(
             service=service,
             changes=tuple(changes),
             summary=_summary(service, changes),
             reason=reason,
-            inputs=_describe(current, demand, rates, len(free)),
+            inputs=_describe(current, scenarios, rates, len(free)),
             alternatives=[
                 {"counts": list(counts), "value": round(value, 3)}
                 for value, counts in scored[:ALTERNATIVES_KEPT]
             ],
         )
 
-    def _rates(self) -> Rates:
-        s = self._settings
-        return Rates(
-            s.prefill_tokens_per_s * s.utilisation,
-            s.decode_tokens_per_s * s.utilisation,
-            s.mixed_efficiency,
-        )
+    def _rate_book(self, service: ServiceName) -> RateBook:
+        book = self._rates.get(service)
+        if book is None:
+            book = self._rates[service] = RateBook(self._settings)
+        return book
 
     def _value(
         self,
         counts: Counts,
         current: Counts,
-        demand: Demand,
+        scenarios: list[Scenario],
         rates: Rates,
         inputs: PlanInputs,
     ) -> float:
         """Return the useful answers within the horizon, less the cost of changes."""
-        horizon = self._settings.horizon_s
+        goodput = sum(
+            scenario.weight * expected_goodput(counts, scenario.demand, rates)
+            for scenario in scenarios
+        )
         moves = current.moves_to(counts)
-        goodput = expected_goodput(counts, demand, rates)
-        engines = max(1, sum(current))
-        lost = self._settings.out_s * goodput / engines
-        price = inputs.policy.role_change_price
-        cost = moves * (lost + price) * (1 + self._settings.margin)
-        return goodput * horizon - cost
+        lost = self._settings.out_s * goodput / max(1, sum(current))
+        cost = moves * (lost + inputs.policy.role_change_price)
+        return goodput * self._settings.horizon_s - cost * (1 + self._settings.margin)
 
     def _may_change(self, engine: Engine, inputs: PlanInputs, now: float) -> bool:
         stayed = now - self._changed_at[engine.name]
@@ -183,18 +199,6 @@
             )
         return changes
 
-    def _reason(
-        self,
-        current: Counts,
-        target: Counts,
-        changes: list[RoleChange],
-        demand: Demand,
-    ) -> str:
-        if target == current:
-            return f"no assignment is worth a change from {_show(current)}"
-        verb = "changing" if changes else "waiting for a limit or stay before changing"
-        return f"{verb} from {_show(current)} to {_show(target)}"
-
 
 ROLES = (Role.PREFILL, Role.DECODE, Role.MIXED)
 """Roles in the order of the fields of ``Counts``."""
@@ -216,11 +220,12 @@
     return out
 
 
-def _usable(engine: Engine) -> bool:
+def is_usable(engine: Engine) -> bool:
+    """Whether an engine serves now or will after a planned change."""
     return engine.phase not in GONE and not engine.drain
 
 
-def _all(engines: list[Engine]) -> list[Counts]:
+def assignments(engines: list[Engine]) -> list[Counts]:
     """Return every assignment that keeps the pinned roles."""
     pinned = Counts(*(sum(e.pinned_role is role for e in engines) for role in ROLES))
     total = len(engines)
@@ -244,19 +249,28 @@
     return f"{service}: " + "; ".join(moves)
 
 
+def _reason(current: Counts, target: Counts, changes: list[RoleChange]) -> str:
+    if target == current:
+        return f"no other assignment is worth a change from {_show(current)}"
+    verb = "changing" if changes else "waiting for a limit or minimum stay to change"
+    return f"{verb} from {_show(current)} to {_show(target)}"
+
+
 def _describe(
-    current: Counts, demand: Demand, rates: Rates, free: int
+    current: Counts, scenarios: list[Scenario], rates: Rates, free: int
 ) -> dict[str, object]:
-    def load(value: object) -> list[float]:
-        fields = ("requests", "prompt", "output")
-        return [round(getattr(value, name), 3) for name in fields]
+    def load(value: Load) -> list[float]:
+        return [round(x, 3) for x in (value.requests, value.prompt, value.output)]
 
+    forecast = scenarios[0]
     return {
         "engines": list(current),
         "may_change": free,
-        "urgent_per_s": load(demand.urgent),
-        "batch_per_s": load(demand.batch),
-        "prefill_tokens_per_s": rates.prefill,
-        "decode_tokens_per_s": rates.decode,
-        "mixed_efficiency": rates.mixed_efficiency,
+        "urgent_per_s": load(forecast.demand.urgent),
+        "batch_per_s": load(forecast.demand.batch),
+        "forecast_weight": round(forecast.weight, 3),
+        "past_mixes": len(scenarios) - 1,
+        "prefill_tokens_per_s": round(rates.prefill, 1),
+        "decode_tokens_per_s": round(rates.decode, 1),
+        "mixed_efficiency": round(rates.mixed_efficiency, 3),
     }
--- a/wigeonspan/planning/_task.py
+++ b/wigeonspan/planning/_task.py
@@ -5,10 +5,10 @@
 from typing import Protocol
 
 from wigeonspan.catalog import CatalogObject, Engine, Policy, SetEngineState
-from wigeonspan.common import Clock, WigeonspanError, part_logger
+from wigeonspan.common import Clock, EngineId, WigeonspanError, part_logger
 from wigeonspan.consensus import ReplicatedLog
-from wigeonspan.distribution import DemandSample
-from wigeonspan.planning._core import Planner
+from wigeonspan.distribution import DemandSample, EngineSample
+from wigeonspan.planning._core import Planner, is_usable
 from wigeonspan.planning._messages import (
     PlanInputs,
     PlanningSettings,
@@ -19,6 +19,9 @@
 
 log = part_logger("planning")
 
+CHECK_S = 1.0
+"""Time between two looks at the engines; a lost engine is planned for within it."""
+
 
 class DemandSource(Protocol):
     """What the planner reads of the leader's samples (``SampleWindow``)."""
@@ -31,6 +34,10 @@
         """Return the demand of the last ``window_s`` seconds."""
         ...
 
+    def engine_work(self, now: float, window_s: float) -> list[EngineSample]:
+        """Return the work of the last ``window_s`` seconds by engine."""
+        ...
+
 
 class PlannerTask:
     """Plans at a fixed interval while this host leads.
@@ -68,11 +75,15 @@
         self._settings = settings or PlanningSettings()
         self._planner: Planner | None = None
         self._term = -1
+        self._noted_at = clock.now()
+        self._usable: frozenset[EngineId] = frozenset()
 
     async def run(self) -> None:
-        """Plan until cancelled."""
+        """Plan until cancelled, and at once when an engine was lost."""
         while True:
-            await asyncio.sleep(self._settings.interval_s)
+            await asyncio.sleep(CHECK_S)
+            if not self._is_due():
+                continue
             try:
                 await self.step()
             except WigeonspanError as error:
@@ -92,20 +103,31 @@
             return 0
         planner = self._planner_of_term()
         now = self._clock.now()
-        interval = samples.covered_s(now, self._settings.interval_s)
+        interval = samples.covered_s(now, now - self._noted_at)
         if interval > 0:
             planner.note_demand(samples.demand(now, interval), interval, now)
-        plan = planner.plan(self._inputs(), now)
+            planner.note_engines(samples.engine_work(now, interval), interval)
+        self._noted_at = now
+        inputs = self._inputs()
+        self._usable = _usable_names(inputs)
+        plan = planner.plan(inputs, now)
         for decision in plan.decisions:
             if decision.changes:
                 await self._commit(decision)
         return len(plan.changes)
 
+    def _is_due(self) -> bool:
+        elapsed = self._clock.now() - self._noted_at
+        if elapsed >= self._settings.interval_s:
+            return True
+        return self._log.is_leader and _usable_names(self._inputs()) != self._usable
+
     def _planner_of_term(self) -> Planner:
         """Return the planner; a new term starts without demand from an older one."""
         if self._planner is None or self._term != self._log.term:
             self._planner = Planner(self._settings)
             self._term = self._log.term
+            self._noted_at = self._clock.now() - self._settings.interval_s
         return self._planner
 
     def _inputs(self) -> PlanInputs:
@@ -133,6 +155,10 @@
         log.info("{}", decision.summary)
 
 
+def _usable_names(inputs: PlanInputs) -> frozenset[EngineId]:
+    return frozenset(e.name for e in inputs.engines if is_usable(e))
+
+
 def _command(change: RoleChange, wall_ms: int) -> SetEngineState:
     return SetEngineState(
         engine=change.engine,
--- a/wigeonspan/routing/_core.py
+++ b/wigeonspan/routing/_core.py
@@ -2,8 +2,9 @@
 
 import math
 from random import Random
+from typing import NamedTuple
 
-from wigeonspan.catalog import Engine, EnginePhase, Role
+from wigeonspan.catalog import URGENT_CLASSES, Engine, EnginePhase, Role
 from wigeonspan.common import AttemptId, EngineId, ServiceName
 from wigeonspan.distribution import EngineSample, InFlight
 from wigeonspan.engines import CacheEvents, LoadReport
@@ -16,7 +17,7 @@
     RouteRequest,
     RoutingSettings,
 )
-from wigeonspan.routing._prefixes import PrefixEstimate
+from wigeonspan.routing._prefixes import HolderIndex, PrefixEstimate
 
 
 class Router:
@@ -37,6 +38,7 @@
         self._pools: dict[tuple[ServiceName, Role], list[EngineId]] = {}
         self._loads: dict[EngineId, EngineLoad] = {}
         self._prefixes: dict[EngineId, PrefixEstimate] = {}
+        self._holders = HolderIndex(self._settings.cache_prefixes)
         self._attempts: dict[AttemptId, Attempt] = {}
         self._others = 0
         self.health: TargetHealth[EngineId] = TargetHealth(self._settings)
@@ -98,16 +100,33 @@
             None when no engine may run it. The route may complete after the
             deadline; the caller decides whether to refuse.
         """
-        full = self._candidates(request, (Role.MIXED,))
-        decode = self._candidates(request, (Role.DECODE,))
-        prefill = self._candidates(request, (Role.PREFILL,))
-        routes = [self._full_route(request, name, now) for name in full]
+        routes = self.routes(request, now)
+        if not routes:
+            return None
+        return self._pick(routes, self._spread_s(request, routes))
+
+    def routes(self, request: RouteRequest, now: float) -> list[Route]:
+        """Return the routes that a choice compares, with their expected times."""
+        full = self._candidates(request, Role.MIXED)
+        decode = self._candidates(request, Role.DECODE)
+        prefill = self._candidates(request, Role.PREFILL)
+        estimate = self._estimate(request, full + decode + prefill, now)
+        routes = [self._full_route(estimate, name) for name in full]
         if prefill and decode:
-            routes += self._split_routes(request, prefill, decode, now)
+            routes += self._split_routes(estimate, prefill, decode)
         if not routes:
-            names = decode or prefill
-            routes = [self._full_route(request, name, now) for name in names]
-        return self._pick(routes) if routes else None
+            routes = [self._full_route(estimate, name) for name in decode or prefill]
+        return routes
+
+    def slots(self, service: ServiceName) -> int:
+        """Return how many requests of a service this entry should run at once."""
+        places = sum(
+            self._loads[name].batch_limit
+            for role in (Role.MIXED, Role.DECODE)
+            for name in self._pools.get((service, role), [])
+        )
+        share = places * self._settings.slot_factor / (self._others + 1)
+        return max(1, math.ceil(share))
 
     def started(
         self,
@@ -143,6 +162,7 @@
         record = Attempt(attempt, engine, request, tokens, now, prefill_only)
         load.attempts[attempt] = self._attempts[attempt] = record
         self._prefixes[engine].note_run(request.prefixes, now)
+        self._holders.note_run(request.prefixes, engine)
 
     def progressed(self, attempt: AttemptId, tokens: int, now: float) -> None:
         """Note that an attempt has produced ``tokens`` output tokens so far."""
@@ -185,16 +205,26 @@
         samples = (load.take_sample(name) for name, load in self._loads.items())
         return [sample for sample in samples if sample is not None]
 
-    def _candidates(
-        self, request: RouteRequest, roles: tuple[Role, ...]
-    ) -> list[EngineId]:
-        names: list[EngineId] = []
-        for role in roles:
-            pool = self._pools.get((request.service, role), [])
-            if len(pool) > self._settings.sample:
-                pool = self._rng.sample(pool, self._settings.sample)
-            names += [name for name in pool if self._may_run(request, name)]
-        return names
+    def _candidates(self, request: RouteRequest, role: Role) -> list[EngineId]:
+        """Return a bounded sample of the engines of a role that may run a request."""
+        pool = self._pools.get((request.service, role), [])
+        if len(pool) > self._settings.sample:
+            sampled = self._rng.sample(pool, self._settings.sample)
+            held = self._holders.engines(request.prefixes)
+            pool = sampled + [n for n in held if self._is_in(n, request, role, sampled)]
+        return [name for name in pool if self._may_run(request, name)]
+
+    def _is_in(
+        self, name: EngineId, request: RouteRequest, role: Role, sampled: list[EngineId]
+    ) -> bool:
+        engine = self._engines.get(name)
+        return (
+            engine is not None
+            and engine.phase is EnginePhase.SERVING
+            and engine.service == request.service
+            and engine.role is role
+            and name not in sampled
+        )
 
     def _may_run(self, request: RouteRequest, name: EngineId) -> bool:
         engine = self._engines[name]
@@ -210,59 +240,99 @@
         cached = self._prefixes[name].expected_tokens(request.prefixes, now)
         return max(0.0, request.prompt_tokens + request.resume_position - cached)
 
-    def _prefill_s(self, request: RouteRequest, name: EngineId, now: float) -> float:
+    def _estimate(
+        self, request: RouteRequest, names: list[EngineId], now: float
+    ) -> "_Estimate":
+        """Sum up what this entry has on the engines that are compared."""
+        loads = [self._loads[name] for name in names]
+        own = sum(load.own_tokens_since_report() for load in loads)
+        share = 1.0
+        if request.priority in URGENT_CLASSES:
+            waiting = [a for load in loads for a in load.waiting()]
+            total = sum(a.prompt_tokens for a in waiting)
+            urgent = sum(a.prompt_tokens for a in waiting if a.urgent)
+            share = (urgent + request.prompt_tokens) / (total + request.prompt_tokens)
+        return _Estimate(request, now, own / max(1, len(loads)), share)
+
+    def _prefill_s(self, estimate: "_Estimate", name: EngineId) -> float:
         load = self._loads[name]
-        backlog = load.prefill_backlog(now, self._others, 0.0)
-        return (backlog + self._uncached(request, name, now)) / load.prefill_rate
+        backlog = load.prefill_backlog(estimate.now, self._others, estimate.mean_own)
+        backlog *= estimate.queue_share
+        tokens = backlog + self._uncached(estimate.request, name, estimate.now)
+        return tokens / load.prefill_rate
 
     def _decode_s(self, request: RouteRequest, name: EngineId) -> float:
         return request.output_tokens / self._loads[name].decode_rate
 
+    def _slot_wait_s(self, estimate: "_Estimate", name: EngineId) -> float:
+        output = estimate.request.output_tokens
+        return self._loads[name].slot_wait_s(estimate.now, self._others, output)
+
     def _domain_s(self, request: RouteRequest, name: EngineId) -> float:
         if request.domain in (None, self._engines[name].domain):
             return 0.0
         return self._settings.other_domain_s
 
-    def _full_route(self, request: RouteRequest, name: EngineId, now: float) -> Route:
-        load = self._loads[name]
-        first = self._prefill_s(request, name, now) + self._domain_s(request, name)
-        first += load.slot_wait_s(now, self._others, request.output_tokens)
+    def _full_route(self, estimate: "_Estimate", name: EngineId) -> Route:
+        request = estimate.request
+        first = self._prefill_s(estimate, name) + self._domain_s(request, name)
+        first += self._slot_wait_s(estimate, name)
         completion = first + self._decode_s(request, name)
         address = self._engines[name].address
         return Route(name, address, None, "", first, completion)
 
     def _split_routes(
-        self,
-        request: RouteRequest,
-        prefill: list[EngineId],
-        decode: list[EngineId],
-        now: float,
+        self, estimate: "_Estimate", prefill: list[EngineId], decode: list[EngineId]
     ) -> list[Route]:
-        """Pair the best prefill engine with each decode engine."""
-        times = {name: self._prefill_s(request, name, now) for name in prefill}
-        source = min(times, key=lambda name: (times[name], name))
+        """Pair each decode engine with a prefill engine picked for it."""
+        request = estimate.request
+        times = [self._prefill_s(estimate, name) for name in prefill]
+        spread = max(self._settings.spread_s, 1e-6)
+        weights = [math.exp(max(-700.0, (min(times) - t) / spread)) for t in times]
         rate = self._settings.kv_transfer_tokens_per_s
-        transfer = request.prompt_tokens / rate + self._domain_s(request, source)
         routes = []
         for name in decode:
-            load = self._loads[name]
-            wait = load.slot_wait_s(now, self._others, request.output_tokens)
-            first = times[source] + transfer + wait + self._domain_s(request, name)
+            index = self._rng.choices(range(len(prefill)), weights)[0]
+            source = prefill[index]
+            first = times[index] + request.prompt_tokens / rate
+            first += self._domain_s(request, source) + self._domain_s(request, name)
+            first += self._slot_wait_s(estimate, name)
+            address = self._engines[name].address
+            source_address = self._engines[source].address
+            completion = first + self._decode_s(request, name)
             routes.append(
-                Route(
-                    name,
-                    self._engines[name].address,
-                    source,
-                    self._engines[source].address,
-                    first,
-                    first + self._decode_s(request, name),
-                )
+                Route(name, address, source, source_address, first, completion)
             )
         return routes
 
-    def _pick(self, routes: list[Route]) -> Route:
+    def _spread_s(self, request: RouteRequest, routes: list[Route]) -> float:
+        """Return the difference of times within which routes count as equal."""
+        return max(self._settings.spread_s, 1e-6)
+
+    def _pick(self, routes: list[Route], spread_s: float) -> Route:
         """Pick by chance, weighted steeply towards the earliest completion."""
         best = min(route.completion_s for route in routes)
-        spread = max(self._settings.spread_s, 1e-6)
-        weights = [math.exp((best - r.completion_s) / spread) for r in routes]
+        weights = [
+            math.exp(max(-700.0, (best - route.completion_s) / spread_s))
+            for route in routes
+        ]
         return self._rng.choices(routes, weights)[0]
+
+
+class _Estimate(NamedTuple):
+    """What the estimates of one choice share.
+
+    Parameters
+    ----------
+    mean_own : float
+        Mean of this entry's prompt tokens since the report, over the engines compared.
+    queue_share : float
+        Part of the queues that runs before the request. Engines run urgent requests
+        first; reports do not tell the classes apart, so this entry's own waiting
+        requests stand for all.
+    """
+
+    request: RouteRequest
+    now: float
+    mean_own: float
+    queue_share: float
--- a/wigeonspan/routing/_load.py
+++ b/wigeonspan/routing/_load.py
@@ -73,6 +73,12 @@
         """Output tokens per second of one request."""
         return self._decode_rate or self._settings.default_decode_tokens_per_s
 
+    @property
+    def batch_limit(self) -> int:
+        """Largest batch; a default when the engine has not reported it."""
+        known = self._report is not None and self._report.batch_limit
+        return known or self._settings.default_batch_limit
+
     @property
     def prefill_rate(self) -> float:
         """Prompt tokens per second of the engine."""
@@ -92,7 +98,9 @@
             self._prefill_rate = report.prefill_tokens_per_s
         return True
 
-    def prefill_backlog(self, now: float, others: int, mean_own: float) -> float:
+    def prefill_backlog(
+        self, now: float, others: int = 0, mean_own: float = 0.0
+    ) -> float:
         """Return the prompt tokens that wait on the engine.
 
         Parameters
@@ -104,9 +112,7 @@
         mean_own : float
             Mean over the engines of this entry's own tokens since the report.
         """
-        waiting = sum(
-            a.prompt_tokens for a in self.attempts.values() if a.first_token_at is None
-        )
+        waiting = sum(a.prompt_tokens for a in self.waiting())
         report = self._fresh_report(now)
         if report is None:
             alike = SAME_CHOICE * waiting + (1 - SAME_CHOICE) * mean_own
@@ -129,6 +135,10 @@
             return 0.0
         return excess / report.batch_limit * output_tokens / self.decode_rate
 
+    def waiting(self) -> list[Attempt]:
+        """Return this entry's attempts without a first token."""
+        return [a for a in self.attempts.values() if a.first_token_at is None]
+
     def own_tokens_since_report(self) -> float:
         """Return the prompt tokens that this entry sent since the report."""
         return sum(
--- a/wigeonspan/routing/_messages.py
+++ b/wigeonspan/routing/_messages.py
@@ -25,6 +25,11 @@
     default_prefill_tokens_per_s, default_decode_tokens_per_s : float
         Rates of an engine that has reported none. The decode rate is that of one
         request.
+    default_batch_limit : int
+        Batch of an engine that has reported none.
+    slot_factor : float
+        Requests that entries together run at once, as a multiple of the engines'
+        batch places; above 1 so that engines never wait for an entry.
     failures_to_eject : int
         Consecutive failures that eject an engine.
     outlier_factor : float
@@ -48,6 +53,8 @@
     kv_transfer_tokens_per_s: float = 200_000.0
     default_prefill_tokens_per_s: float = 5_000.0
     default_decode_tokens_per_s: float = 30.0
+    default_batch_limit: int = 16
+    slot_factor: float = 1.25
     failures_to_eject: int = 3
     outlier_factor: float = 4.0
     outlier_answers: int = 8
--- a/wigeonspan/routing/_prefixes.py
+++ b/wigeonspan/routing/_prefixes.py
@@ -2,9 +2,16 @@
 
 from collections import OrderedDict
 
+from wigeonspan.common import EngineId
 from wigeonspan.engines import CacheEvents
 from wigeonspan.routing._messages import PromptPrefix, RoutingSettings
 
+HOLDERS_KEPT = 4
+"""Engines remembered for a prefix; more would only add to the cost of a choice."""
+
+PREFIXES_INDEXED = 8
+"""Longest prefixes of a prompt that are indexed, to bound the cost of a request."""
+
 
 class PrefixEstimate:
     """Prefixes that one engine probably holds.
@@ -91,3 +98,39 @@
         self._confirmed.move_to_end(prefix)
         while len(self._confirmed) > self._settings.cache_prefixes:
             self._confirmed.popitem(last=False)
+
+
+class HolderIndex:
+    """Engines that lately ran a prompt prefix.
+
+    A large fleet is sampled, so the engine that holds a prefix would seldom be among
+    those compared; the index adds it.
+
+    Parameters
+    ----------
+    capacity : int
+        Prefixes remembered.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._engines: OrderedDict[str, list[EngineId]] = OrderedDict()
+
+    def note_run(self, prefixes: tuple[PromptPrefix, ...], engine: EngineId) -> None:
+        """Note that an engine ran a prompt with these prefixes."""
+        for prefix in prefixes[-PREFIXES_INDEXED:]:
+            engines = self._engines.setdefault(prefix.prefix, [])
+            if engine in engines:
+                engines.remove(engine)
+            engines.insert(0, engine)
+            del engines[HOLDERS_KEPT:]
+            self._engines.move_to_end(prefix.prefix)
+        while len(self._engines) > self._capacity:
+            self._engines.popitem(last=False)
+
+    def engines(self, prefixes: tuple[PromptPrefix, ...]) -> list[EngineId]:
+        """Return engines that ran the longest known of these prefixes."""
+        for prefix in reversed(prefixes[-PREFIXES_INDEXED:]):
+            if prefix.prefix in self._engines:
+                return self._engines[prefix.prefix]
+        return []
