--- /dev/null
+++ b/tests/calls/test_book.py
@@ -0,0 +1,104 @@
+"""Tests of the replicated call book."""
+
+import pytest
+
+from wigeonspan.calls import (
+    MAX_STORED_BODY_BYTES,
+    OVERDUE_MARGIN_MS,
+    RETENTION_MS,
+    CallBook,
+    CallOutcome,
+    CallState,
+    CloseCall,
+    ExpireCalls,
+    OpenCall,
+    OpenReply,
+    OpenResult,
+)
+
+ANSWER = CallOutcome(201, "application/json", b"{}")
+
+
+def open_call(nonce, body="a", wall_ms=0, key="k"):
+    return OpenCall("archive", "loans", key, body, "entry-1", nonce, 1000, wall_ms)
+
+
+def close_call(nonce, state, wall_ms=0, outcome=None, key="k"):
+    return CloseCall("archive", "loans", key, nonce, state, outcome, wall_ms)
+
+
+DONE = close_call("n1", CallState.DONE, outcome=ANSWER)
+NOT_RUN = close_call("n1", CallState.NOT_RUN)
+UNKNOWN = close_call("n1", CallState.UNKNOWN)
+OVERDUE = 1000 + OVERDUE_MARGIN_MS + 1
+
+
+@pytest.mark.parametrize(
+    ("history", "command", "expected"),
+    [
+        ([], open_call("n1"), OpenResult.GRANTED),
+        ([open_call("n1")], open_call("n2"), OpenResult.IN_PROGRESS),
+        ([open_call("n1")], open_call("n1"), OpenResult.GRANTED),
+        ([open_call("n1")], open_call("n2", body="b"), OpenResult.CONFLICT),
+        ([open_call("n1"), DONE], open_call("n2"), OpenResult.DONE),
+        ([open_call("n1"), DONE], open_call("n1"), OpenResult.DONE),
+        ([open_call("n1"), UNKNOWN], open_call("n2"), OpenResult.UNKNOWN),
+        ([open_call("n1"), NOT_RUN], open_call("n2"), OpenResult.GRANTED),
+        ([open_call("n1"), NOT_RUN], open_call("n1"), OpenResult.IN_PROGRESS),
+        ([open_call("n1")], open_call("n2", wall_ms=OVERDUE), OpenResult.UNKNOWN),
+        (
+            [open_call("n1"), DONE],
+            open_call("n2", wall_ms=RETENTION_MS + 1),
+            OpenResult.GRANTED,
+        ),
+    ],
+)
+def test_open_is_granted_only_when_nothing_can_have_run(history, command, expected):
+    """A booking was recorded twice when a key was granted to two requests."""
+    book = CallBook()
+    for index, earlier in enumerate(history):
+        book.apply(index + 1, earlier)
+    assert book.apply(len(history) + 1, command).result is expected
+
+
+@pytest.mark.parametrize(
+    ("history", "command", "expected"),
+    [
+        ([open_call("n1")], DONE, CallState.DONE),
+        ([open_call("n1")], close_call("n2", CallState.NOT_RUN), CallState.OPEN),
+        ([open_call("n1"), DONE], NOT_RUN, CallState.DONE),
+        ([open_call("n1"), NOT_RUN], DONE, CallState.NOT_RUN),
+        ([open_call("n1"), ExpireCalls(OVERDUE)], DONE, CallState.DONE),
+        ([open_call("n1")], close_call("n1", CallState.DONE), CallState.UNKNOWN),
+        ([], DONE, CallState.UNKNOWN),
+    ],
+)
+def test_only_the_owner_closes_a_call(history, command, expected):
+    """A second entry could free a key whose call was still running."""
+    book = CallBook()
+    for index, earlier in enumerate(history):
+        book.apply(index + 1, earlier)
+    assert book.apply(len(history) + 1, command).state is expected
+
+
+def test_large_answer_keeps_its_status_only():
+    """Unbounded answers would fill every snapshot."""
+    book = CallBook()
+    book.apply(1, open_call("n1"))
+    large = CallOutcome(200, "text/plain", b"x" * (MAX_STORED_BODY_BYTES + 1))
+    book.apply(2, close_call("n1", CallState.DONE, outcome=large))
+    expected = CallOutcome(200, "text/plain", b"", status_only=True)
+    assert book.apply(3, open_call("n2")) == OpenReply(OpenResult.DONE, expected)
+
+
+def test_expiry_marks_overdue_calls_and_drops_old_keys():
+    """Keys of dead entries would stay in progress for ever."""
+    book = CallBook()
+    book.apply(1, open_call("n1"))
+    assert not book.needs_expiry(OVERDUE - 1)
+    assert book.needs_expiry(OVERDUE)
+    assert book.apply(2, ExpireCalls(OVERDUE)) == 1
+    assert book.get("archive", "loans", "k").state is CallState.UNKNOWN
+    assert not book.needs_expiry(OVERDUE + RETENTION_MS)
+    assert book.apply(3, ExpireCalls(OVERDUE + RETENTION_MS + 1)) == 1
+    assert book.size == 0
--- a/wigeonspan/calls/_messages.py
+++ b/wigeonspan/calls/_messages.py
@@ -17,11 +17,18 @@
 
 
 class CallOutcome(Struct, frozen=True):
-    """Answer of a plain service, as it is given again for the same key."""
+    """Answer of a plain service, as it is given again for the same key.
+
+    Parameters
+    ----------
+    status_only : bool
+        Whether the body was too large to be kept; ``body`` is empty then.
+    """
 
     status: int
     content_type: str
     body: bytes
+    status_only: bool = False
 
 
 class OpenCall(Struct, frozen=True, tag="open_call"):
@@ -88,3 +95,37 @@
     """Answer to :class:`CloseCall`: the state that the key has now."""
 
     state: CallState
+
+
+class KeptCall(Struct, frozen=True):
+    """What the replicated state holds of one idempotency key.
+
+    Parameters
+    ----------
+    nonce : str
+        Nonce of the request that opened the call last.
+    ended_ms : int
+        Wall-clock time in milliseconds at which the call left ``OPEN``; 0 before.
+    """
+
+    tenant: TenantName
+    service: ServiceName
+    key: str
+    body_hash: str
+    entry: HostId
+    nonce: str
+    deadline_ms: int
+    state: CallState
+    ended_ms: int = 0
+    outcome: CallOutcome | None = None
+
+
+class CallBookSnapshot(Struct, frozen=True):
+    """Whole state of the call book; ended calls are in the order of their end."""
+
+    wall_ms: int
+    calls: list[KeptCall]
+
+
+CallCommand = OpenCall | CloseCall | ExpireCalls
+"""Any command that the call book applies."""
--- /dev/null
+++ b/wigeonspan/entryd/_settings.py
@@ -0,0 +1,93 @@
+"""Settings of an entry daemon."""
+
+from msgspec import Struct
+
+from wigeonspan.common import DomainName, HostId, MetricsSettings
+
+
+class RelaySettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of the relay between callers and targets.
+
+    Parameters
+    ----------
+    progress_timeout_s : float
+        Longest time without a token before an attempt counts as silent.
+    connect_timeout_s : float
+        Longest time to connect to a target; within a deployment it takes
+        milliseconds.
+    keep_alive_s : float
+        Time between keep-alive comments to a caller while there is no token.
+    buffer_bytes : int
+        Largest number of bytes that wait for a slow reader.
+    slow_reader_s : float
+        Longest time that a reader may take nothing before its request ends.
+    max_body_bytes : int
+        Largest request body.
+    max_answer_bytes : int
+        Largest answer of a plain service.
+    max_streams : int
+        Largest number of attempts at once.
+    retry_ratio : float
+        Retries allowed per first attempt, so that a fault does not multiply load.
+    """
+
+    progress_timeout_s: float = 5.0
+    connect_timeout_s: float = 1.0
+    keep_alive_s: float = 1.0
+    buffer_bytes: int = 65_536
+    slow_reader_s: float = 30.0
+    max_body_bytes: int = 8_388_608
+    max_answer_bytes: int = 16_777_216
+    max_streams: int = 4_096
+    retry_ratio: float = 0.2
+
+    def __post_init__(self) -> None:
+        if min(self.progress_timeout_s, self.connect_timeout_s) <= 0:
+            raise ValueError("timeouts must be above 0")
+        if min(self.keep_alive_s, self.slow_reader_s) <= 0:
+            raise ValueError("times must be above 0")
+        if min(self.buffer_bytes, self.max_body_bytes, self.max_streams) <= 0:
+            raise ValueError("sizes must be above 0")
+
+
+class EntrySettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one entry daemon.
+
+    Parameters
+    ----------
+    host : HostId
+        Name of this host in the configuration.
+    domain : DomainName
+        Failure domain of this host.
+    address : str
+        ``IP:PORT`` that callers connect to; port 0 takes a free one.
+    control : list of str
+        ``IP:PORT`` of the internal interface of each control daemon.
+    """
+
+    host: HostId
+    domain: DomainName
+    address: str
+    control: list[str]
+    log_level: str = "INFO"
+    metrics: MetricsSettings = MetricsSettings()
+    relay: RelaySettings = RelaySettings()
+
+    def __post_init__(self) -> None:
+        split_address(self.address)
+        for address in self.control:
+            split_address(address)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:PORT``.
+
+    Raises
+    ------
+    ValueError
+        When the text is not of this form.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{address!r} is not of the form IP:PORT")
+    return host, int(port)
