Add the catalogue, the operators' service and the control daemon's wiring

Operators' changes apply per object version; the first answer to an operation id is kept. The command line resends a change with the same operation id until a control host gives a final answer.

--- a/wigeonspan/catalog/__init__.py
+++ b/wigeonspan/catalog/__init__.py
@@ -1,12 +1,19 @@
 """Replicated configuration: objects, operators' changes and how they apply."""
 
+from wigeonspan.catalog._core import (
+    Catalog,
+    object_key,
+    object_kinds,
+)
 from wigeonspan.catalog._messages import (
     URGENT_CLASSES,
     Adapter,
     AddLearner,
     ApplyChange,
     CatalogObject,
+    CatalogSnapshot,
     Change,
+    ChangeNote,
     ChangeOutcome,
     DrainEngine,
     DrainEntry,
@@ -30,17 +37,23 @@
     RemoveObject,
     Role,
     SetEngineState,
+    SetMembers,
+    StoredOperation,
     Tenant,
     WithdrawEngine,
 )
+from wigeonspan.catalog._validation import check_address, check_form
 
 __all__ = [
     "URGENT_CLASSES",
     "Adapter",
     "AddLearner",
     "ApplyChange",
+    "Catalog",
     "CatalogObject",
+    "CatalogSnapshot",
     "Change",
+    "ChangeNote",
     "ChangeOutcome",
     "DrainEngine",
     "DrainEntry",
@@ -64,6 +77,12 @@
     "RemoveObject",
     "Role",
     "SetEngineState",
+    "SetMembers",
+    "StoredOperation",
     "Tenant",
     "WithdrawEngine",
+    "check_address",
+    "check_form",
+    "object_key",
+    "object_kinds",
 ]
--- a/wigeonspan/catalog/_messages.py
+++ b/wigeonspan/catalog/_messages.py
@@ -174,7 +174,13 @@
 
 
 class Member(Struct, frozen=True, tag="member"):
-    """Member of the control group; ``address`` is its internal HTTP address."""
+    """Member of the control group; ``address`` is its internal HTTP address.
+
+    Parameters
+    ----------
+    operators_address : str
+        Address of its gRPC service; empty when it is not known.
+    """
 
     name: HostId
     address: str
@@ -182,6 +188,7 @@
     disk_id: str
     voter: bool
     version: Version = Version(0)
+    operators_address: str = ""
 
 
 class Policy(Struct, frozen=True, tag="policy"):
@@ -285,12 +292,16 @@
 
 
 class AddLearner(Struct, frozen=True, tag="add_learner"):
-    """Add a control host that catches up and does not vote."""
+    """Add a control host that catches up and does not vote.
+
+    A host that lost its disk is added again with its new disk identity.
+    """
 
     name: HostId
     address: str
     domain: DomainName
     disk_id: str
+    operators_address: str = ""
 
 
 class PromoteLearner(Struct, frozen=True, tag="promote_learner"):
@@ -357,6 +368,16 @@
     adapters: tuple[str, ...] | None = None
 
 
+class SetMembers(Struct, frozen=True, tag="set_members"):
+    """Command: make the member objects equal to the members of the log.
+
+    The first members are never added by an operator; the first leader registers them.
+    """
+
+    members: tuple[Member, ...]
+    wall_ms: int
+
+
 class OutcomeKind(Enum):
     """What became of a change."""
 
@@ -382,3 +403,32 @@
     version: Version
     message: str
     winner: str = ""
+
+
+class ChangeNote(Struct, frozen=True):
+    """Who changed an object last; shown to the operator who lost a race."""
+
+    kind: str
+    name: str
+    version: Version
+    actor: str
+    reason: str
+    wall_ms: int
+    removed: bool = False
+
+
+class StoredOperation(Struct, frozen=True):
+    """Operation id with the change that used it first and the answer to it."""
+
+    op_id: OperationId
+    fingerprint: str
+    outcome: ChangeOutcome
+
+
+class CatalogSnapshot(Struct, frozen=True):
+    """Whole state of the catalogue."""
+
+    version: Version
+    objects: list[CatalogObject]
+    notes: list[ChangeNote]
+    operations: list[StoredOperation]
--- /dev/null
+++ b/wigeonspan/controld/main.py
@@ -0,0 +1,52 @@
+"""Entry point of ``wigeonspan-controld``."""
+
+import asyncio
+import sys
+
+from wigeonspan.common import SettingsErrors, load_settings, set_up_logs
+from wigeonspan.common.cli import run_commands, take_text
+from wigeonspan.controld._settings import ControlSettings
+
+
+class Controld:
+    """Control daemon of a wigeonspan deployment."""
+
+    @take_text
+    def run(self, settings: str) -> None:
+        """Run the daemon until SIGTERM.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the settings file.
+        """
+        from wigeonspan.controld._daemon import run_daemon
+
+        loaded = load_settings(settings, ControlSettings)
+        set_up_logs(loaded.log_level)
+        asyncio.run(run_daemon(loaded))
+
+    @take_text
+    def check(self, settings: str) -> None:
+        """Check a settings file and print every fault of it.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the settings file.
+        """
+        load_settings(settings, ControlSettings)
+        print(f"{settings}: good")
+
+
+def main() -> None:
+    """Run one command; exit with 2 when the settings are not valid."""
+    try:
+        run_commands(Controld, "wigeonspan-controld")
+    except SettingsErrors as errors:
+        print(errors, file=sys.stderr)
+        raise SystemExit(2) from None
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wigeonspan/operators/_service.py
@@ -0,0 +1,168 @@
+"""Operators' service: the server side of ``proto/wigeonspan.proto``."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import grpc
+
+from wigeonspan.catalog import ApplyChange, Change, check_form, object_kinds
+from wigeonspan.common import ErrorKind, Version, WigeonspanError, part_logger
+from wigeonspan.operators._backend import ControlBackend, RecordQuery
+from wigeonspan.operators._convert import from_message, to_message
+from wigeonspan.operators._status import error_metadata, status_code
+from wigeonspan.operators.generated import wigeonspan_pb2 as pb
+from wigeonspan.operators.generated import wigeonspan_pb2_grpc as pb_grpc
+
+MAX_REQUEST_BYTES = 1_048_576
+"""Largest request; one change is one log entry."""
+
+STOP_GRACE_S = 5.0
+"""Time that calls in progress get to end when the server stops."""
+
+_log = part_logger("operators")
+
+
+class OperatorService(pb_grpc.OperatorsServicer):
+    """Answers operators' calls from the control daemon's state.
+
+    Parameters
+    ----------
+    backend : ControlBackend
+        Control daemon.
+    """
+
+    def __init__(self, backend: ControlBackend) -> None:
+        self._backend = backend
+
+    async def Apply(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Commit a change."""
+        return await self._answer(context, lambda: self._apply(request))
+
+    async def Get(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Return one object."""
+        return await self._answer(context, lambda: self._get(request))
+
+    async def List(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Return the objects of a kind."""
+        return await self._answer(context, lambda: self._list(request))
+
+    async def InForce(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Say on which entries a version is in force."""
+        return await self._answer(context, lambda: self._in_force(request))
+
+    async def QueryRecord(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Search the record."""
+        return await self._answer(context, lambda: self._query(request))
+
+    async def Status(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Describe this host."""
+        return await self._answer(context, self._status)
+
+    async def _answer(self, context: Any, act: Callable[[], Awaitable[Any]]) -> Any:
+        """Run a call; end it with a status when it fails."""
+        try:
+            return await act()
+        except WigeonspanError as error:
+            failure = error
+        except Exception:
+            _log.exception("Operator call failed.")
+            failure = WigeonspanError(
+                ErrorKind.INTERNAL, "the call failed inside the control daemon"
+            )
+        context.set_trailing_metadata(error_metadata(failure, self._leader(failure)))
+        await context.abort(status_code(failure.kind), failure.message)
+
+    def _leader(self, error: WigeonspanError) -> str:
+        if error.kind is not ErrorKind.NOT_LEADER:
+            return ""
+        return self._backend.status().leader_address
+
+    async def _apply(self, request: Any) -> Any:
+        command = ApplyChange(
+            op_id=request.op_id,
+            operator=request.operator,
+            reason=request.reason,
+            base_version=Version(request.base_version),
+            change=from_message(request.change, Change),
+            wall_ms=self._backend.wall_ms(),
+        )
+        fault = check_form(command)
+        if fault is not None:
+            raise WigeonspanError(ErrorKind.BAD_REQUEST, fault)
+        return to_message(await self._backend.apply(command), pb.ApplyReply)
+
+    async def _get(self, request: Any) -> Any:
+        _check_kind(request.kind, allow_all=False)
+        value, version = await self._backend.get(request.kind, request.name)
+        if value is None:
+            raise WigeonspanError(
+                ErrorKind.NOT_FOUND, f"{request.kind}/{request.name} does not exist"
+            )
+        return pb.GetReply(object=to_message(value, pb.CatalogObject), version=version)
+
+    async def _list(self, request: Any) -> Any:
+        _check_kind(request.kind, allow_all=True)
+        values, version = await self._backend.objects(request.kind)
+        objects = [to_message(value, pb.CatalogObject) for value in values]
+        return pb.ListReply(objects=objects, version=version)
+
+    async def _in_force(self, request: Any) -> Any:
+        if request.version < 0:
+            raise WigeonspanError(ErrorKind.BAD_REQUEST, "version is negative")
+        report = await self._backend.in_force(Version(request.version))
+        return to_message(report, pb.InForceReply)
+
+    async def _query(self, request: Any) -> Any:
+        query = from_message(request, RecordQuery)
+        lines, truncated = await self._backend.query_record(query)
+        entries = [to_message(line, pb.RecordEntry) for line in lines]
+        return pb.QueryRecordReply(entries=entries, truncated=truncated)
+
+    async def _status(self) -> Any:
+        return to_message(self._backend.status(), pb.StatusReply)
+
+
+class OperatorServer:
+    """gRPC server on one address.
+
+    Parameters
+    ----------
+    backend : ControlBackend
+        Control daemon.
+    address : str
+        ``IP:port`` to listen on; port 0 takes a free port.
+    """
+
+    def __init__(self, backend: ControlBackend, address: str) -> None:
+        options = [
+            ("grpc.max_receive_message_length", MAX_REQUEST_BYTES),
+            # Without this, two daemons on one port share its connections silently.
+            ("grpc.so_reuseport", 0),
+        ]
+        self._server = grpc.aio.server(options=options)
+        pb_grpc.add_OperatorsServicer_to_server(OperatorService(backend), self._server)
+        host = address.rpartition(":")[0]
+        self._port = self._server.add_insecure_port(address)
+        self._address = f"{host}:{self._port}"
+
+    @property
+    def address(self) -> str:
+        """Address that the server listens on."""
+        return self._address
+
+    async def start(self) -> None:
+        """Begin to answer calls."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Refuse new calls and let those in progress end."""
+        await self._server.stop(STOP_GRACE_S)
+
+
+def _check_kind(kind: str, allow_all: bool) -> None:
+    kinds = object_kinds()
+    if kind in kinds or (allow_all and not kind):
+        return
+    raise WigeonspanError(
+        ErrorKind.BAD_REQUEST, f"kind {kind!r} is not one of {', '.join(kinds)}"
+    )
--- /dev/null
+++ b/wigeonspan/operators/_session.py
@@ -0,0 +1,115 @@
+"""Calls of the operators' service with the system's own types."""
+
+import uuid
+
+from wigeonspan.catalog import (
+    CatalogObject,
+    Change,
+    ChangeOutcome,
+)
+from wigeonspan.common import ErrorKind, Version, WigeonspanError
+from wigeonspan.operators._backend import (
+    ControlStatus,
+    InForceReport,
+    RecordLine,
+    RecordQuery,
+)
+from wigeonspan.operators._client import OperatorClient, Unreachable
+from wigeonspan.operators._convert import from_message, to_message
+from wigeonspan.operators.generated import wigeonspan_pb2 as pb
+
+
+class Session:
+    """Operators' calls of one person.
+
+    Parameters
+    ----------
+    client : OperatorClient
+        Client to use.
+    operator : str
+        Who makes the changes.
+    """
+
+    def __init__(self, client: OperatorClient, operator: str) -> None:
+        self._client = client
+        self._operator = operator
+
+    def apply(
+        self,
+        change: Change,
+        base_version: Version,
+        reason: str,
+        op_id: str = "",
+    ) -> ChangeOutcome:
+        """Make a change.
+
+        Parameters
+        ----------
+        change : Change
+            What to change.
+        base_version : Version
+            Version of the object that the change is based on; 0 to create it.
+        reason : str
+            Why, for the record.
+        op_id : str
+            Operation id; a fresh one when empty.
+
+        Returns
+        -------
+        ChangeOutcome
+            What became of it.
+
+        Raises
+        ------
+        Unreachable
+            With the operation id, when the outcome is unknown.
+        """
+        request = pb.ApplyRequest(
+            op_id=op_id or uuid.uuid4().hex,
+            operator=self._operator,
+            reason=reason,
+            base_version=base_version,
+            change=to_message(change, pb.Change),
+        )
+        try:
+            reply = self._client.call("Apply", request)
+        except Unreachable as error:
+            raise Unreachable(error.message, request.op_id) from None
+        return from_message(reply, ChangeOutcome)
+
+    def get(self, kind: str, name: str) -> CatalogObject | None:
+        """Return an object, or None when it does not exist."""
+        try:
+            reply = self._client.call("Get", pb.GetRequest(kind=kind, name=name))
+        except WigeonspanError as error:
+            if error.kind is ErrorKind.NOT_FOUND:
+                return None
+            raise
+        return from_message(reply.object, CatalogObject)
+
+    def version_of(self, kind: str, name: str) -> Version:
+        """Return the version of an object; 0 when it does not exist."""
+        value = self.get(kind, name)
+        return value.version if value is not None else Version(0)
+
+    def objects(self, kind: str = "") -> list[CatalogObject]:
+        """Return the objects of a kind, or of all kinds."""
+        reply = self._client.call("List", pb.ListRequest(kind=kind))
+        return [from_message(value, CatalogObject) for value in reply.objects]
+
+    def in_force(self, version: Version = Version(0)) -> InForceReport:
+        """Return on which entries a version is in force; 0 asks for the newest."""
+        reply = self._client.call("InForce", pb.InForceRequest(version=version))
+        return from_message(reply, InForceReport)
+
+    def record(self, query: RecordQuery) -> tuple[list[RecordLine], bool]:
+        """Return entries of the record, and whether older ones were left out."""
+        request = to_message(query, pb.QueryRecordRequest)
+        reply = self._client.call("QueryRecord", request)
+        lines = [from_message(entry, RecordLine) for entry in reply.entries]
+        return lines, reply.truncated
+
+    def status(self) -> ControlStatus:
+        """Return the status of the host that answers first."""
+        reply = self._client.call("Status", pb.StatusRequest())
+        return from_message(reply, ControlStatus)
--- /dev/null
+++ b/wigeonspan/operators/main.py
@@ -0,0 +1,51 @@
+"""Entry point of ``wigeonspan-ctl``."""
+
+import sys
+
+import msgspec
+
+from wigeonspan.common import WigeonspanError
+from wigeonspan.common.cli import run_commands
+from wigeonspan.operators._client import Unreachable
+from wigeonspan.operators._ctl import REFUSED, UNKNOWN, USAGE, Ctl
+from wigeonspan.operators._fields import UsageError
+
+
+def main() -> None:
+    """Run one command and exit with its code."""
+    as_json = any(arg in ("--output=json", "json") for arg in sys.argv)
+    try:
+        run_commands(Ctl, "wigeonspan-ctl")
+    except UsageError as error:
+        _fail(USAGE, "usage", str(error), as_json)
+    except WigeonspanError as error:
+        _fail(REFUSED, error.kind.value, error.message, as_json)
+    except Unreachable as error:
+        _fail(UNKNOWN, "unreachable", _explain(error), as_json, error.op_id)
+    except KeyboardInterrupt:
+        _fail(UNKNOWN, "interrupted", "interrupted; the outcome is unknown", as_json)
+
+
+def _explain(error: Unreachable) -> str:
+    text = f"no control host answered in time; last: {error.message}"
+    if not error.op_id:
+        return text
+    return (
+        f"{text}\nThe change may or may not have happened. "
+        f"Run the command again with --op-id={error.op_id}"
+    )
+
+
+def _fail(code: int, kind: str, message: str, as_json: bool, op_id: str = "") -> None:
+    """Print an error to standard error and exit."""
+    if as_json:
+        detail = {"kind": kind, "message": message, "op_id": op_id}
+        message = msgspec.json.encode({"error": detail}).decode("utf-8")
+    else:
+        message = f"{kind}: {message}"
+    print(message, file=sys.stderr)
+    raise SystemExit(code)
+
+
+if __name__ == "__main__":
+    main()
--- a/wigeonspan/record/__init__.py
+++ b/wigeonspan/record/__init__.py
@@ -6,10 +6,12 @@
     RecordEntry,
     RecordKind,
 )
+from wigeonspan.record._time import parse_time
 
 __all__ = [
     "NoteAuthority",
     "NoteDecision",
     "RecordEntry",
     "RecordKind",
+    "parse_time",
 ]
--- /dev/null
+++ b/wigeonspan/record/_time.py
@@ -0,0 +1,40 @@
+"""Days and times as operators and auditors write them."""
+
+import re
+from datetime import UTC, datetime, timedelta
+
+_DAY = re.compile(r"\d{4}-\d{2}-\d{2}")
+
+
+def parse_time(text: str, end: bool = False) -> int:
+    """Convert a day or time to wall-clock milliseconds.
+
+    Parameters
+    ----------
+    text : str
+        ISO 8601, for example ``2026-12-03`` or ``2026-12-03T04:10``; UTC unless it
+        names another offset.
+    end : bool
+        Whether a day means its last millisecond rather than its first.
+
+    Returns
+    -------
+    int
+        Milliseconds since 1970-01-01 UTC.
+
+    Raises
+    ------
+    ValueError
+        When the text is not a day or time.
+    """
+    try:
+        at = datetime.fromisoformat(text)
+    except ValueError:
+        raise ValueError(
+            f"{text!r} is not a day or time such as 2026-12-03 or 2026-12-03T04:10"
+        ) from None
+    if at.tzinfo is None:
+        at = at.replace(tzinfo=UTC)
+    if end and _DAY.fullmatch(text):
+        at += timedelta(days=1) - timedelta(milliseconds=1)
+    return round(at.timestamp() * 1000)
