--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -13,7 +13,7 @@
 from wigeonspan.calls import CloseCall, OpenCall
 from wigeonspan.catalog import Member
 from wigeonspan.common import Clock, SystemClock, part_logger
-from wigeonspan.consensus import ReplicatedLog
+from wigeonspan.consensus import BootstrapMember, LogTask, ReplicatedLog
 from wigeonspan.controld._backend import Backend
 from wigeonspan.controld._duties import (
     Duty,
@@ -81,6 +81,10 @@
         self._duties_task = asyncio.create_task(self._duties.run())
         _log.info("Host {} serves on {}.", self._settings.host, self._settings.address)
 
+    async def wait_failed(self) -> None:
+        """Return when this host can no longer vote because its disk failed."""
+        await self._log.wait_failed()
+
     async def stop(self) -> None:
         """Hand over and stop; calls in progress end first."""
         _log.info("Host {} stops.", self._settings.host)
@@ -102,27 +106,18 @@
     clock: Clock,
     rng: random.Random,
     client: Any,
-) -> Any:
+) -> LogTask:
     """Return the replicated log of this host."""
-    from wigeonspan.consensus.tasks import LogTask
-
-    bootstrap = [
-        Member(
-            name=member.host,
-            address=member.address,
-            domain=member.domain,
-            disk_id="",
-            voter=True,
-            operators_address=member.operators,
-        )
+    first = [
+        BootstrapMember(member.host, member.address, member.domain)
         for member in settings.members
     ]
     return LogTask(
         settings.host,
         settings.address,
         settings.domain,
-        bootstrap,
-        Path(settings.data_folder),
+        first,
+        Path(settings.data_folder) / "log",
         state,
         clock,
         rng,
@@ -195,5 +190,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
     await daemon.start()
+    failed = asyncio.create_task(daemon.wait_failed())
+    failed.add_done_callback(lambda _: stop.set())
     await stop.wait()
     await daemon.stop()
+    if failed.done():
+        raise SystemExit(1)
+    failed.cancel()
