--- /dev/null
+++ b/wigeonspan/orders/_task.py
@@ -0,0 +1,143 @@
+"""Task that owns the order keeper on the leader."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from wigeonspan.common import Clock, Term, WigeonspanError, encode, part_logger
+from wigeonspan.consensus import ReplicatedLog
+from wigeonspan.distribution import Distributor
+from wigeonspan.orders._effects import Commit, Effect, ReadState, SendOrder, SendResult
+from wigeonspan.orders._guard import Guard
+from wigeonspan.orders._keeper import OrderKeeper
+from wigeonspan.orders._sender import OrderSender
+from wigeonspan.orders._table import OrderTable
+from wigeonspan.orders._view import CatalogReader, StateView
+from wigeonspan.orders._wanted import describe_order
+
+STEP_S = 0.1
+"""Longest time between two looks at the fleet; results are looked at when they come."""
+
+_log = part_logger("orders")
+
+
+class OrdersTask:
+    """Runs an order keeper for each term in which this host leads.
+
+    Parameters
+    ----------
+    log : ReplicatedLog
+        Log to commit through; it gives the authority to send.
+    catalog : CatalogReader
+        Replicated configuration.
+    table : OrderTable
+        Replicated table of open orders.
+    distributor : callable
+        Returns the distributor of the current term, or None when not leading.
+    clock : Clock
+        Source of time; the one by which the log counts its lease.
+    """
+
+    def __init__(
+        self,
+        log: ReplicatedLog,
+        catalog: CatalogReader,
+        table: OrderTable,
+        distributor: Callable[[], Distributor | None],
+        clock: Clock,
+    ) -> None:
+        self._replicated = log
+        self._catalog = catalog
+        self._table = table
+        self._distributor = distributor
+        self._clock = clock
+        self._sender = OrderSender(Guard(clock, lambda: log.lease_valid_until))
+        self._keeper: OrderKeeper | None = None
+        self._term = Term(0)
+        self._running: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        try:
+            while True:
+                self._step()
+                await self._pause()
+        finally:
+            self._stop()
+
+    def _step(self) -> None:
+        distributor = self._distributor()
+        now = self._clock.now()
+        if (
+            distributor is None
+            or not self._replicated.is_leader
+            or now >= self._replicated.lease_valid_until
+            or distributor.term != self._replicated.term
+        ):
+            self._stop()
+            return
+        if self._keeper is None or self._term != distributor.term:
+            self._stop()
+            view = StateView(self._catalog, self._table, distributor)
+            self._keeper = OrderKeeper(view, now)
+            self._term = distributor.term
+        for effect in self._keeper.step(now, self._clock.wall_ms()):
+            self._spawn(self._keeper, effect)
+
+    def _stop(self) -> None:
+        """Drop the keeper and everything that it had asked for."""
+        self._keeper = None
+        for task in self._running:
+            task.cancel()
+
+    def _spawn(self, keeper: OrderKeeper, effect: Effect) -> None:
+        task = asyncio.create_task(self._carry_out(keeper, effect))
+        self._running.add(task)
+        task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._running.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # A new keeper knows nothing of the step, so it reads everything back.
+            _log.opt(exception=task.exception()).error("Order step failed.")
+            self._keeper = None
+        self._wake.set()
+
+    async def _carry_out(self, keeper: OrderKeeper, effect: Effect) -> None:
+        if isinstance(effect, ReadState):
+            state = await self._sender.read_state(effect.address)
+            keeper.on_read(effect.engine, state, self._clock.now())
+        elif isinstance(effect, SendOrder):
+            await self._send(keeper, effect)
+        else:
+            result = await self._commit(effect)
+            order = keeper.on_committed(effect, result, self._clock.now())
+            if order is not None:
+                await self._send(keeper, order)
+
+    async def _commit(self, commit: Commit) -> Any:
+        try:
+            _, result = await self._replicated.propose(encode(commit.command))
+        except WigeonspanError as error:
+            _log.warning("{}: commit failed: {}.", commit.engine, error)
+            return None
+        return result
+
+    async def _send(self, keeper: OrderKeeper, order: SendOrder) -> None:
+        request = order.request
+        words = describe_order(request)
+        _log.info("{}: order {}: {}.", order.engine, request.order_id, words)
+        sent = await self._sender.send(order.address, request)
+        if sent.result is not SendResult.ANSWERED:
+            result = sent.result.value
+            _log.warning("{}: {}: {}.", request.order_id, result, sent.message)
+        keeper.on_sent(order.engine, sent, self._clock.now())
+
+    async def _pause(self) -> None:
+        try:
+            await asyncio.wait_for(self._wake.wait(), STEP_S)
+        except TimeoutError:
+            return
+        finally:
+            self._wake.clear()
