--- /dev/null
+++ b/tests/hostlist/test_hostlist.py
@@ -0,0 +1,73 @@
+"""Hosts on the leaving list take their engines out of service for good."""
+
+import asyncio
+
+import pytest
+
+from standins.hostlist import Host, StandinHostList
+from standins.hostlist import HostState as StandinState
+from wigeonspan.catalog import Catalog, Engine, EnginePhase, SetEngineState
+from wigeonspan.common import ManualClock, decode
+from wigeonspan.hostlist import HostState, ListedHost, leave_commands
+from wigeonspan.hostlist.tasks import HostListTask
+from wigeonspan.http import make_client
+
+LEAVING, LIVE = HostState.LEAVING, HostState.LIVE
+
+
+@pytest.mark.parametrize(
+    ("address", "state", "phase", "leaves"),
+    [
+        ("10.0.0.7", LEAVING, EnginePhase.SERVING, True),
+        ("10.0.0.7:8000", LEAVING, EnginePhase.ORDERED, True),
+        ("10.0.0.7:8001", LEAVING, EnginePhase.SERVING, False),
+        ("10.0.0.70", LEAVING, EnginePhase.SERVING, False),
+        ("10.0.0.7", LIVE, EnginePhase.SERVING, False),
+        ("10.0.0.7", LIVE, EnginePhase.LEAVING, False),
+        ("10.0.0.7", LEAVING, EnginePhase.LEAVING, False),
+        ("10.0.0.7", LEAVING, EnginePhase.WITHDRAWN, False),
+    ],
+)
+def test_only_engines_on_leaving_hosts_leave(address, state, phase, leaves):
+    """A prefix match of addresses would withdraw engines of other hosts."""
+    engine = Engine("e", "10.0.0.7:8000", "d", phase=phase, version=5)
+    commands = leave_commands([ListedHost("h", address, state)], [engine], 0)
+    assert [c.phase for c in commands] == [EnginePhase.LEAVING] * leaves
+
+
+class LocalLog:
+    """Log of one host that applies at once."""
+
+    is_leader = True
+
+    def __init__(self, catalog):
+        self._catalog, self._index = catalog, 100
+
+    async def propose(self, command):
+        self._index += 1
+        message = decode(command, SetEngineState)
+        return self._index, self._catalog.apply(self._index, message)
+
+
+def test_list_that_lags_or_takes_back_changes_nothing():
+    """A list that shows a leaving host as live again must not bring it back."""
+    catalog = Catalog()
+    engine = Engine("e", "127.0.0.1:1", "d", phase=EnginePhase.SERVING, version=5)
+    catalog._objects["engine", "e"] = engine
+    phases = []
+
+    async def run():
+        hosts = StandinHostList()
+        hosts.start()
+        url = f"http://{hosts.address}/hosts"
+        client, log = make_client(1), LocalLog(catalog)
+        task = HostListTask(url, 1.0, log, catalog, client, ManualClock())
+        for state in (StandinState.LIVE, StandinState.LEAVING, StandinState.LIVE):
+            hosts.replace([Host("h", "127.0.0.1", state)])
+            await task.poll_once()
+            phases.append(catalog.engine("e").phase)
+        await hosts.stop()
+        assert await task.poll_once() == 0
+
+    asyncio.run(run())
+    assert phases == [EnginePhase.SERVING, EnginePhase.LEAVING, EnginePhase.LEAVING]
--- /dev/null
+++ b/tests/orders/test_keeper.py
@@ -0,0 +1,214 @@
+"""Fault tables of the order keeper; the simulated engines check the invariants."""
+
+import itertools
+
+import pytest
+
+from tests.orders.world import LATEST_S, World
+from wigeonspan.catalog import EnginePhase, ModelService, Role
+from wigeonspan.orders import OpenOrder, SendOrder
+
+LAST_STEP = 13
+
+
+def changed(world):
+    """Start a world that serves, then ask for another role and version."""
+    world.run_until(world.is_settled)
+    world.effects = 0
+    world.pin("e0", Role.DECODE)
+    world.put(ModelService("s", "m", "2"))
+
+
+def settle(world):
+    world.run_until(lambda: world.is_settled(Role.DECODE, "2"))
+
+
+def kill(verdict):
+    def fault(world, effect):
+        world.lose_leader()
+        return verdict
+
+    return fault
+
+
+def freeze_leader(world, effect):
+    """It thaws at the end of its lease and writes then; its bytes live 2 s more."""
+    world.lose_leader(after_s=1.2)
+    if isinstance(effect, SendOrder):
+        engine = world.engines["e0"]
+        world.late.append((world.now + 1.0 + LATEST_S, engine, effect.request))
+    return "freeze"
+
+
+def lose_lease(world, effect):
+    """The same host leads again, in a new term, before anyone else."""
+    world.lose_leader(after_s=1.2)
+    return "late"
+
+
+def crash(world, effect):
+    world.engines["e0"].restart()
+
+
+def crash_in_order(world, effect):
+    world.engines["e0"].crash_in_order = True
+
+
+def silence(world, effect):
+    world.silent_until = world.now + 14.0
+
+
+def cut_entry_off(world, effect):
+    world.entries[0].cut_off_until = world.now + 20.0
+
+
+def freeze_entry(world, effect):
+    world.entries[0].frozen_until = world.now + 20.0
+
+
+FAULTS = {
+    "killed before": kill("skip"),
+    "killed after": kill("lose"),
+    "killed, order late": kill("late"),
+    "leader frozen": freeze_leader,
+    "lease lost": lose_lease,
+    "result lost": lambda world, effect: "lose",
+    "order late": lambda world, effect: "late",
+    "not sent": lambda world, effect: "skip",
+    "engine restarts": crash,
+    "engine restarts in order": crash_in_order,
+    "engine silent": silence,
+    "entry cut off": cut_entry_off,
+    "entry frozen": freeze_entry,
+}
+
+
+def world_with_faults(steps, **more):
+    """Return a world in which each named fault hits one numbered effect."""
+    armed = []
+
+    def fault(world, effect, number):
+        if not armed:
+            return None
+        verdict = None
+        for name, step in steps:
+            if number == step:
+                verdict = FAULTS[name](world, effect) or verdict
+        return verdict
+
+    world = World(fault=fault, **more)
+    changed(world)
+    armed.append(True)
+    return world
+
+
+def test_change_without_faults_takes_the_documented_phases():
+    """An engine that skipped a phase would cut requests that entries still send."""
+    world = World()
+    changed(world)
+    world.phases.clear()
+    settle(world)
+    assert world.phases == [
+        EnginePhase.CLOSING,
+        EnginePhase.DRAINED,
+        EnginePhase.ORDERED,
+        EnginePhase.SERVING,
+    ]
+    assert world.effects == LAST_STEP
+    assert world.engines["e0"].cut == 0
+
+
+@pytest.mark.parametrize("checks_fence", [True, False])
+@pytest.mark.parametrize("step", range(1, LAST_STEP + 1))
+@pytest.mark.parametrize("name", FAULTS)
+def test_one_fault_at_every_step(name, step, checks_fence):
+    """A change must end as wanted, and never break an invariant on the way."""
+    world = world_with_faults([(name, step)], checks_fence=checks_fence)
+    settle(world)
+
+
+PAIRS = [
+    pair
+    for pair in itertools.combinations(FAULTS, 2)
+    if any("killed" in name or "lea" in name for name in pair)
+]
+
+
+@pytest.mark.parametrize("pair", PAIRS)
+def test_two_faults_together(pair):
+    """The platform promises to survive faults two at a time."""
+    for first, gap in itertools.product(range(1, LAST_STEP, 3), (1, 2, 5)):
+        world = world_with_faults(
+            [(pair[0], first), (pair[1], first + gap)], seed=first * gap
+        )
+        settle(world)
+
+
+def test_drained_engine_stays_out_until_it_is_wanted():
+    """An operator's drain was once undone as soon as the engine was empty."""
+    world = World()
+    world.run_until(world.is_settled)
+    world.drain("e0", True)
+    world.run_until(lambda: world.is_settled(phase=EnginePhase.DRAINED))
+    world.run(10.0)
+    assert world.is_settled(phase=EnginePhase.DRAINED)
+    assert not world.engines["e0"].received
+    world.drain("e0", False)
+    world.run_until(world.is_settled)
+
+
+def test_long_urgent_request_is_waited_for():
+    """A planned change must never time out a desk question."""
+    world = World()
+    world.run_until(world.is_settled)
+    world.engines["e0"].urgent["somebody", 1] = world.now + 300.0
+    world.pin("e0", Role.DECODE)
+    world.run(299.0)
+    assert not world.engines["e0"].received
+    world.run_until(lambda: world.is_settled(Role.DECODE))
+
+
+def test_engines_change_one_after_the_other():
+    """A new version must not take all engines of a domain out at once."""
+    world = World(engines=3)
+    world.run_until(world.is_settled)
+    world.put(ModelService("s", "m", "2"))
+    most = 0
+
+    def settled():
+        nonlocal most
+        phases = [e.phase for e in world.catalog.objects("engine")]
+        most = max(most, sum(phase is not EnginePhase.SERVING for phase in phases))
+        return world.is_settled(label="2")
+
+    world.run_until(settled)
+    assert most == 1
+
+
+def test_loads_keep_to_the_rate_of_the_weight_store():
+    """Loads that start together would share the store and all be late."""
+    starts = []
+
+    def note(world, effect, number):
+        if isinstance(effect, SendOrder):
+            starts.append(world.now)
+
+    world = World(engines=3, fault=note)
+    for engine in world.engines.values():
+        engine.model = engine.model_version = None
+    policy = world.catalog.policy
+    world.put(type(policy)(weight_store_bytes_per_s=1e9 / 8, version=policy.version))
+    world.run_until(world.is_settled)
+    gaps = [b - a for a, b in itertools.pairwise(starts)]
+    assert len(gaps) == 2 and min(gaps) >= 8.0 - 1e-6
+
+
+def test_open_order_of_an_earlier_leader_is_not_sent_again():
+    """A repeated order could run twice on an engine that ignores fences."""
+    world = world_with_faults([("killed, order late", LAST_STEP - 3)])
+    settle(world)
+    sent = [e.request.order_id for _, e, _ in world.trace if isinstance(e, SendOrder)]
+    opened = [
+        e for _, e, _ in world.trace if isinstance(getattr(e, "command", 0), OpenOrder)
+    ]
+    assert len(sent) == len(set(sent)) <= len(opened)
--- /dev/null
+++ b/tests/orders/world.py
@@ -0,0 +1,336 @@
+"""Simulated deployment around the order keeper, with a manual clock and faults.
+
+Engines check the invariants whenever an order arrives, so every test checks them.
+"""
+
+import random
+
+from wigeonspan.catalog import (
+    ApplyChange,
+    Catalog,
+    DrainEngine,
+    Engine,
+    EnginePhase,
+    ModelService,
+    ModelVersion,
+    OutcomeKind,
+    PinRole,
+    Policy,
+    PutObject,
+    Role,
+    SetEngineState,
+)
+from wigeonspan.distribution import Distributor, Follower, InFlight, SyncRequest
+from wigeonspan.engines import EngineState, OrderAction
+from wigeonspan.orders import (
+    Commit,
+    OrderKeeper,
+    OrderTable,
+    ReadState,
+    SendResult,
+    Sent,
+    StateView,
+)
+
+TICK_S = 0.05
+ELECTION_S = 2.5
+ORDER_S = 1.0
+LATEST_S = 1.95
+
+
+class SimEngine:
+    def __init__(self, world, name, checks_fence):
+        self.world, self.name, self.checks_fence = world, name, checks_fence
+        self.urgent, self.highest, self.restarts = {}, 0, 0
+        self.cut, self.crash_in_order, self.received = 0, False, []
+        self.restart(model="m")
+
+    def restart(self, model=None):
+        self.cut += len(self.urgent)
+        self.urgent = {}
+        self.restarts += 1
+        self.role, self.model = Role.MIXED, model
+        self.model_version = "1" if model else None
+        self.adapters, self.busy, self.last, self.busy_until = (), None, "", 0.0
+
+    @property
+    def reachable(self):
+        return self.world.now >= self.world.silent_until
+
+    def state(self):
+        busy = self.busy.order_id if self.busy else ""
+        return EngineState(
+            self.name,
+            str(self.restarts),
+            self.role,
+            self.model,
+            self.model_version,
+            self.adapters,
+            busy,
+            self.last,
+            len(self.urgent),
+            0,
+        )
+
+    def receive(self, order):
+        world = self.world
+        assert not self.urgent, f"order {order.order_id} cuts an urgent request"
+        senders = [e.name for e in world.entries if e.may_send(self.name)]
+        assert not senders, f"{senders} may still send when {order.order_id} arrives"
+        assert self.busy is None, "two conflicting orders at once"
+        assert order.fence > max(self.received, default=0), "an old order arrives late"
+        self.received.append(order.fence)
+        if self.checks_fence and order.fence < self.highest:
+            return "stale_fence"
+        self.highest = order.fence
+        self.busy, self.busy_until = order, world.now + ORDER_S
+        return ""
+
+    def tick(self):
+        now = self.world.now
+        self.urgent = {r: end for r, end in self.urgent.items() if end > now}
+        if self.busy is None or now < self.busy_until - ORDER_S / 2:
+            return
+        if self.crash_in_order:
+            self.crash_in_order = False
+            self.restart()
+        elif now >= self.busy_until:
+            order, self.busy, self.last = self.busy, None, self.busy.order_id
+            if order.action is OrderAction.LOAD_MODEL:
+                self.model, self.model_version = order.model, order.model_version
+                self.adapters = ()
+            elif order.action is OrderAction.LOAD_ADAPTER:
+                self.adapters = (*self.adapters, order.adapter)
+            elif order.action is OrderAction.CHANGE_ROLE:
+                self.role = order.role
+
+
+class SimEntry:
+    def __init__(self, world, name):
+        self.world, self.name, self.number = world, name, 0
+        self.follower, self.in_transit = Follower(name, "a"), []
+        self.cut_off_until = self.frozen_until = self.next_sync = 0.0
+
+    def may_send(self, engine):
+        follower = self.follower
+        value = follower.configuration.engine(engine)
+        serving = value is not None and value.phase is EnginePhase.SERVING
+        return serving and follower.lease_valid(self.world.now)
+
+    def tick(self):
+        world, now = self.world, self.world.now
+        for _, engine, request, end in [x for x in self.in_transit if x[0] <= now]:
+            assert engine.busy is None, "a request reaches an engine in an order"
+            engine.urgent[request] = end
+        self.in_transit = [x for x in self.in_transit if x[0] > now]
+        if now < self.frozen_until:
+            return
+        for engine in world.engines.values():
+            busy = len(self.requests(engine)) >= 2
+            if not busy and self.may_send(engine.name) and world.rng.random() < 0.05:
+                self.number += 1
+                arrival = now + world.rng.choice([0.0, 0.3, 0.6])
+                end = arrival + world.rng.uniform(0.1, 1.5)
+                request = (self.name, self.number)
+                self.in_transit.append((arrival, engine, request, end))
+        if now >= self.next_sync and now >= self.cut_off_until:
+            self.sync(now)
+
+    def requests(self, engine):
+        arrived = [r for r in engine.urgent if r[0] == self.name]
+        return arrived + [x for x in self.in_transit if x[1] is engine]
+
+    def sync(self, now):
+        world = self.world
+        self.next_sync = now + 0.5
+        if world.keeper is None:
+            return
+        running = {
+            engine.name: InFlight(len(self.requests(engine)), 0)
+            for engine in world.engines.values()
+        }
+        request = SyncRequest(
+            self.name,
+            "a",
+            "",
+            "d",
+            self.follower.version,
+            False,
+            0.5,
+            running,
+            [],
+            [],
+            {},
+        )
+        version = self.follower.version
+        self.follower.accept(world.distributor.sync(request, now), now)
+        if version != self.follower.version:
+            self.next_sync = now + TICK_S
+
+
+class World:
+    """Leader, entries and engines.
+
+    ``fault`` is called as ``fault(world, effect, number)`` before each effect, and may
+    return one of ``skip`` (not carried out), ``lose`` (carried out, result lost) and
+    ``late`` (an order arrives as late as it can, its result is lost).
+    """
+
+    def __init__(self, seed=0, engines=1, checks_fence=False, fault=None):
+        self.now, self.index, self.term, self.effects = 0.0, 0, 0, 0
+        self.rng = random.Random(seed)
+        self.fault = fault or (lambda *_: None)
+        self.catalog, self.table = Catalog(), OrderTable()
+        self.fences, self.late, self.trace, self.phases = {}, [], [], []
+        self.waiting, self.silent_until = [], 0.0
+        self.leads_from, self.keeper = 0.0, None
+        self.entries = [SimEntry(self, f"entry-{n}") for n in range(2)]
+        self.engines = {
+            f"e{n}": SimEngine(self, f"e{n}", checks_fence) for n in range(engines)
+        }
+        self.put(Policy(max_out_per_domain=1))
+        self.put(ModelVersion("m", "1", 10**9))
+        self.put(ModelVersion("m", "2", 10**9))
+        self.put(ModelService("s", "m", "1"))
+        for name in self.engines:
+            address = f"127.0.0.1:{1 + len(self.engines) + int(name[1:])}"
+            self.put(Engine(name, address, "d", checks_fence, "s"))
+
+    def put(self, value):
+        present = self.catalog.get(value.__struct_config__.tag, value.name)
+        self.change(PutObject(value), present)
+
+    def change(self, change, present):
+        base = present.version if present else 0
+        self.index += 1
+        command = ApplyChange(f"op{self.index}", "o", "r", base, change, 0)
+        outcome = self.catalog.apply(self.index, command)
+        assert outcome.kind is OutcomeKind.ACCEPTED, outcome
+
+    def pin(self, name, role):
+        self.change(PinRole(name, role), self.catalog.engine(name))
+
+    def drain(self, name, drain):
+        self.change(DrainEngine(name, drain), self.catalog.engine(name))
+
+    def lose_leader(self, after_s=ELECTION_S):
+        self.keeper = None
+        self.leads_from = self.now + after_s
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.tick()
+
+    def run_until(self, condition, limit_s=120.0):
+        end = self.now + limit_s
+        while not condition():
+            assert self.now < end, (self.trace[-8:], self.catalog.objects("engine"))
+            self.tick()
+
+    def tick(self):
+        self.now += TICK_S
+        if self.keeper is None and self.now >= self.leads_from:
+            self.term += 1
+            self.distributor = Distributor(self.catalog, self.term, self.now)
+            view = StateView(self.catalog, self.table, self.distributor)
+            self.keeper = OrderKeeper(view, self.now)
+        for _, engine, order in [x for x in self.late if x[0] <= self.now]:
+            engine.receive(order)
+        self.late = [x for x in self.late if x[0] > self.now]
+        for engine in self.engines.values():
+            engine.tick()
+        for entry in self.entries:
+            entry.tick()
+        self.answer_orders()
+        if self.keeper is not None:
+            for effect in self.keeper.step(self.now, 0):
+                self.carry_out(effect)
+
+    def answer_orders(self):
+        for engine, order, keeper in list(self.waiting):
+            done = engine.last == order.order_id
+            lost = not engine.reachable or (
+                engine.busy is None or engine.busy.order_id != order.order_id
+            )
+            if (done or lost) and keeper is self.keeper:
+                answered = done and engine.reachable
+                sent = (
+                    Sent(SendResult.ANSWERED, engine.state())
+                    if answered
+                    else Sent(SendResult.UNKNOWN, None, "connection closed")
+                )
+                keeper.on_sent(engine.name, sent, self.now)
+            if done or lost or keeper is not self.keeper:
+                self.waiting.remove((engine, order, keeper))
+
+    def carry_out(self, effect):
+        keeper = self.keeper
+        if keeper is None:
+            return
+        self.effects += 1
+        verdict = self.fault(self, effect, self.effects)
+        self.trace.append((round(self.now, 2), effect, verdict))
+        engine = self.engines[effect.engine]
+        if isinstance(effect, Commit):
+            result = (
+                None if verdict in ("skip", "freeze") else self.apply(effect.command)
+            )
+            if self.keeper is not keeper:
+                return
+            result = None if verdict in ("skip", "lose", "late") else result
+            order = keeper.on_committed(effect, result, self.now)
+            if order is not None:
+                self.carry_out(order)
+        elif isinstance(effect, ReadState):
+            if self.keeper is keeper:
+                lost = verdict is not None or not engine.reachable
+                keeper.on_read(
+                    effect.engine, None if lost else engine.state(), self.now
+                )
+        else:
+            self.send(engine, effect.request, verdict, keeper)
+
+    def send(self, engine, order, verdict, keeper):
+        if verdict == "freeze":
+            return
+        if verdict == "skip":
+            if self.keeper is keeper:
+                sent = Sent(SendResult.NOT_SENT, None, "the lease is too short")
+                keeper.on_sent(engine.name, sent, self.now)
+        elif verdict == "late":
+            self.late.append((self.now + LATEST_S, engine, order))
+            if self.keeper is keeper:
+                sent = Sent(SendResult.UNKNOWN, None, "timed out")
+                keeper.on_sent(engine.name, sent, self.now)
+        else:
+            if engine.reachable:
+                refusal = engine.receive(order)
+                if refusal:
+                    sent = Sent(SendResult.REFUSED, None, refusal)
+                    keeper.on_sent(engine.name, sent, self.now)
+                    return
+            if verdict == "lose" and self.keeper is keeper:
+                keeper.on_sent(engine.name, Sent(SendResult.UNKNOWN), self.now)
+            else:
+                self.waiting.append((engine, order, keeper))
+
+    def apply(self, command):
+        self.index += 1
+        if isinstance(command, SetEngineState):
+            self.phases.append(command.phase)
+            return self.catalog.apply(self.index, command)
+        outcome = self.table.apply(self.index, command)
+        if outcome.accepted and outcome.order.request.fence == self.index:
+            name = command.engine
+            assert self.index > self.fences.get(name, 0), "a fence did not grow"
+            self.fences[name] = self.index
+        return outcome
+
+    def is_settled(self, role=Role.MIXED, label="1", phase=EnginePhase.SERVING):
+        for name, engine in self.engines.items():
+            known = self.catalog.engine(name)
+            holds = (engine.role, engine.model_version) == (role, label)
+            if not holds or known.phase is not phase or known.role is not role:
+                return False
+        return not self.table.opened
--- a/wigeonspan/orders/_keeper.py
+++ b/wigeonspan/orders/_keeper.py
@@ -4,7 +4,7 @@
 
 from wigeonspan.catalog import Engine, EnginePhase, SetEngineState
 from wigeonspan.common import EngineId
-from wigeonspan.engines import EngineState, OrderAction, OrderRequest
+from wigeonspan.engines import EngineState, OrderAction
 from wigeonspan.orders._effects import (
     Commit,
     Effect,
@@ -22,7 +22,7 @@
     OrderResult,
 )
 from wigeonspan.orders._pacing import LoadPacer
-from wigeonspan.orders._rules import DELIVERY_BOUND_S, Moment, Slots, choose
+from wigeonspan.orders._rules import DELIVERY_BOUND_S, Moment, Slots, choose, count_load
 from wigeonspan.orders._track import COMMIT_RETRY_S, EngineTrack
 
 LEADER_LEASE_S = 1.0
@@ -56,7 +56,7 @@
         wait_s = LEADER_LEASE_S * (1.0 + DRIFT) + DELIVERY_BOUND_S
         for name, order in view.opened().items():
             self._track(name).uncertain_until = now + wait_s
-            self._count_load(order.request, now)
+            count_load(order.request, view, self._pacer, now)
 
     def step(self, now: float, wall_ms: int) -> list[Effect]:
         """Return what to do next for each engine that waits for nothing.
@@ -108,7 +108,7 @@
         if result is None:
             track.not_before = now + COMMIT_RETRY_S
         elif isinstance(command, OpenOrder):
-            return self._order_opened(track, result, now)
+            return self._order_opened(track, result)
         elif isinstance(command, CloseOrder) and result.accepted:
             self._order_closed(track, command, result.order, now)
         elif isinstance(command, SetEngineState):
@@ -146,7 +146,7 @@
             track.begin_read(now)
 
     def _order_opened(
-        self, track: EngineTrack, result: OrderOutcome, now: float
+        self, track: EngineTrack, result: OrderOutcome
     ) -> SendOrder | None:
         order = result.order
         if not result.accepted or order is None:
@@ -155,7 +155,6 @@
         track.busy = True
         track.sent = None
         track.uncertain_until = None
-        self._count_load(order.request, now)
         return SendOrder(engine.name, engine.address, order.request)
 
     def _order_closed(
@@ -179,10 +178,3 @@
         if command.phase is EnginePhase.FAILED:
             track.order_failed = ""
             track.forget_state()
-
-    def _count_load(self, request: OrderRequest, now: float) -> None:
-        if request.action is not OrderAction.LOAD_MODEL:
-            return
-        size = self._view.weight_bytes(str(request.model), str(request.model_version))
-        rate = self._view.policy().weight_store_bytes_per_s
-        self._pacer.start(size, rate, now)
--- a/wigeonspan/orders/_rules.py
+++ b/wigeonspan/orders/_rules.py
@@ -186,9 +186,21 @@
     if engine.phase is not EnginePhase.ORDERED:
         reason = f"about to {describe_order(order)}"
         return _set(engine, EnginePhase.ORDERED, reason, at, state)
+    # Counted before the commit, or engines that are ready together would all start.
+    count_load(order, at.view, at.pacer, at.now)
     return _open(engine, order, describe_order(order), at)
 
 
+def count_load(
+    request: OrderRequest, view: FleetView, pacer: LoadPacer, now: float
+) -> None:
+    """Count an order against the rate of the weight store, if it loads a model."""
+    if request.action is not OrderAction.LOAD_MODEL:
+        return
+    size = view.weight_bytes(str(request.model), str(request.model_version))
+    pacer.start(size, view.policy().weight_store_bytes_per_s, now)
+
+
 def _next_order(engine: Engine, held: Held, at: Moment) -> OrderRequest | None:
     service = at.view.service(engine.service) if engine.service else None
     return next_order(engine, service, held)
