--- /dev/null
+++ b/wigeonspan/engines/_client.py
@@ -0,0 +1,291 @@
+"""Client of the engine protocol."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Protocol, TypeVar
+
+from wigeonspan.common import (
+    AttemptId,
+    ErrorKind,
+    WigeonspanError,
+    decode,
+    encode,
+)
+from wigeonspan.engines._connections import Exchange, ExchangeEnd, TargetConnections
+from wigeonspan.engines._frames import END_MARKER, FrameError, parse_frame
+from wigeonspan.engines._messages import (
+    CacheEvents,
+    CancelRequest,
+    EngineState,
+    Extension,
+    KvExportRequest,
+    KvHandle,
+    KvImportRequest,
+    LoadReport,
+    PriorityRequest,
+)
+from wigeonspan.http import JSON_TYPE
+from wigeonspan.streams import (
+    SseDecoder,
+    SseError,
+    SseEvent,
+    StreamFault,
+    TokenFrame,
+)
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 1.0
+"""Longest time of a short call to an engine, such as a load report."""
+
+KV_TIMEOUT_S = 5.0
+"""Longest time of a KV cache transfer; recomputing the prompt is the alternative."""
+
+COMPLETIONS_PATH = "/v1/completions"
+
+_REFUSALS = frozenset({404, 409, 429, 503})
+"""Statuses with which an engine declines work that it has not started."""
+
+_JSON_HEADERS = {"Content-Type": JSON_TYPE}
+
+
+class StreamListener(Protocol):
+    """What takes the events of one attempt."""
+
+    def on_frame(self, frame: TokenFrame) -> None:
+        """Take a chunk."""
+        ...
+
+    def on_comment(self) -> None:
+        """Take a keep-alive comment."""
+        ...
+
+    def on_end_marker(self) -> None:
+        """Take the end marker."""
+        ...
+
+    def on_ended(self, fault: StreamFault, status: int, message: str) -> None:
+        """Take the end of the connection, or input that cannot be decoded."""
+        ...
+
+
+class EngineStream:
+    """One attempt on an engine: decodes its answer for a listener.
+
+    Parameters
+    ----------
+    connections : TargetConnections
+        Connections to use.
+    address : str
+        ``IP:PORT`` of the engine.
+    body : bytes
+        Request body.
+    listener : StreamListener
+        Takes the events; it is called from the event loop, never after ``close``.
+    """
+
+    def __init__(
+        self,
+        connections: TargetConnections,
+        address: str,
+        body: bytes,
+        listener: StreamListener,
+    ) -> None:
+        self._listener: StreamListener | None = listener
+        self._decoder = SseDecoder()
+        self._status = 0
+        self._refusal = b""
+        self._exchange: Exchange = connections.open(
+            address,
+            "POST",
+            COMPLETIONS_PATH,
+            headers=_JSON_HEADERS,
+            body=body,
+            on_data=self._on_data,
+        )
+        self._exchange.ended.add_done_callback(self._on_ended)
+
+    def close(self) -> None:
+        """Close the connection; the listener hears nothing more."""
+        self._listener = None
+        self._exchange.close()
+
+    def release(self) -> None:
+        """Stop listening and let the answer end, so that the connection is kept."""
+        self._listener = None
+
+    def _on_data(self, data: bytes) -> None:
+        if self._listener is None:
+            return
+        if not self._status:
+            self._status = self._exchange.status
+        if self._status != 200:
+            self._refusal = (self._refusal + data)[:2_000]
+            return
+        try:
+            for item in self._decoder.feed(data):
+                self._on_item(item)
+        except (SseError, FrameError) as error:
+            self._end(StreamFault.GARBAGE, str(error))
+
+    def _on_item(self, item: Any) -> None:
+        listener = self._listener
+        if listener is None:
+            return
+        if not isinstance(item, SseEvent):
+            listener.on_comment()
+        elif item.data == END_MARKER:
+            listener.on_end_marker()
+        elif item.event == "error":
+            self._end(StreamFault.SERVER_ERROR, item.data[:200].decode(errors="replace"))
+        else:
+            listener.on_frame(parse_frame(item.data))
+
+    def _on_ended(self, future: "asyncio.Future[ExchangeEnd]") -> None:
+        if self._listener is None or future.cancelled():
+            return
+        end = future.result()
+        self._status = self._status or end.status
+        if self._status not in (0, 200):
+            text = (self._refusal or end.body).decode(errors="replace")
+            self._end(_status_fault(self._status), text)
+        elif end.sent_nothing:
+            self._end(StreamFault.UNREACHABLE, end.message)
+        else:
+            self._end(StreamFault.TRUNCATED, end.message)
+
+    def _end(self, fault: StreamFault, message: str) -> None:
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.on_ended(fault, self._status, message)
+
+
+class EngineClient:
+    """Calls of the engine protocol.
+
+    Parameters
+    ----------
+    connections : TargetConnections
+        Connections to use.
+    """
+
+    def __init__(self, connections: TargetConnections) -> None:
+        self._connections = connections
+
+    def stream(
+        self,
+        address: str,
+        fields: dict[str, Any],
+        extension: Extension,
+        listener: StreamListener,
+    ) -> EngineStream:
+        """Start an attempt.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT`` of the engine.
+        fields : dict
+            Completion request in the OpenAI form, without ``stream``.
+        extension : Extension
+            Attempt, priority, deadline and resume point.
+        listener : StreamListener
+            Takes the events.
+        """
+        body = encode({**fields, "stream": True, "wigeonspan": extension})
+        return EngineStream(self._connections, address, body, listener)
+
+    def distrust(self, address: str) -> None:
+        """Stop using the idle connections to an engine."""
+        self._connections.distrust(address)
+
+    async def load(self, address: str) -> LoadReport:
+        """Return the engine's load report."""
+        return await self._call(address, "GET", "/wigeonspan/load", LoadReport)
+
+    async def cache_events(self, address: str, after: int) -> CacheEvents:
+        """Return the cache events after a sequence number."""
+        path = f"/wigeonspan/cache-events?after={after}"
+        return await self._call(address, "GET", path, CacheEvents)
+
+    async def state(self, address: str) -> EngineState:
+        """Return the engine's state."""
+        return await self._call(address, "GET", "/wigeonspan/state", EngineState)
+
+    async def cancel(self, address: str, attempt: AttemptId) -> None:
+        """Cancel an attempt; one that is unknown or over is no error."""
+        await self._post(address, "/wigeonspan/cancel", CancelRequest(attempt))
+
+    async def set_priority(self, address: str, request: PriorityRequest) -> None:
+        """Change the priority of an attempt."""
+        await self._post(address, "/wigeonspan/priority", request)
+
+    async def export_kv(self, address: str, attempt: AttemptId) -> KvHandle:
+        """Make the KV cache of an attempt available to other engines."""
+        body = encode(KvExportRequest(attempt))
+        return await self._call(
+            address, "POST", "/wigeonspan/kv/export", KvHandle, body, KV_TIMEOUT_S
+        )
+
+    async def import_kv(self, address: str, request: KvImportRequest) -> KvHandle:
+        """Let an engine fetch a KV cache from another one."""
+        body = encode(request)
+        return await self._call(
+            address, "POST", "/wigeonspan/kv/import", KvHandle, body, KV_TIMEOUT_S
+        )
+
+    async def _post(self, address: str, path: str, message: Any) -> None:
+        await self._fetch(address, "POST", path, encode(message), CALL_TIMEOUT_S)
+
+    async def _call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        reply: Callable[..., T],
+        body: bytes | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> T:
+        end = await self._fetch(address, method, path, body, timeout_s)
+        if end.status != 200:
+            message = end.message or f"status {end.status}"
+            raise WigeonspanError(
+                ErrorKind.TARGET_FAILED, f"{address}{path}: {message}"
+            )
+        try:
+            return decode(end.body, reply)
+        except WigeonspanError as error:
+            raise WigeonspanError(
+                ErrorKind.TARGET_FAILED, f"{address}{path}: {error.message}"
+            ) from error
+
+    async def _fetch(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_s: float,
+    ) -> ExchangeEnd:
+        exchange = self._connections.open(
+            address,
+            method,
+            path,
+            headers=_JSON_HEADERS if body is not None else None,
+            body=body,
+            timeout_s=timeout_s,
+        )
+        try:
+            end = await exchange.ended
+        except asyncio.CancelledError:
+            exchange.close()
+            raise
+        if end.timed_out:
+            self._connections.distrust(address)
+        return end
+
+
+def _status_fault(status: int) -> StreamFault:
+    if status in _REFUSALS or 400 <= status < 500:
+        return StreamFault.REFUSED
+    return StreamFault.SERVER_ERROR
--- /dev/null
+++ b/wigeonspan/engines/_connections.py
@@ -0,0 +1,233 @@
+"""HTTP exchanges with targets that can be closed midway."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+import pycurl
+from msgspec import Struct
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPRequest, HTTPResponse
+
+from wigeonspan.common import Clock
+from wigeonspan.http import use_fresh_connection
+
+MAX_IDLE_S = 10
+"""Seconds that an idle connection stays usable. It bounds how long a target must be
+given fresh connections after one of its connections went silent."""
+
+_NEVER_CONNECTED = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
+
+OnData = Callable[[bytes], None]
+
+
+class ExchangeEnd(Struct, frozen=True):
+    """How an exchange ended.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status; 0 when there was no complete answer.
+    body : bytes
+        Body, unless it was passed on in pieces.
+    sent_nothing : bool
+        Whether it is certain that no byte of the request left: the connection was
+        never established.
+    timed_out : bool
+        Whether the time ran out.
+    message : str
+        What failed; empty when the answer is complete.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    headers: Mapping[str, str]
+    sent_nothing: bool = False
+    timed_out: bool = False
+    message: str = ""
+
+
+class AbortableClient(CurlAsyncHTTPClient):
+    """Curl client whose running transfers can be ended."""
+
+    def abort(self, curl: pycurl.Curl) -> None:
+        """End a transfer and close its connection.
+
+        Removing a handle in the middle of a transfer makes curl close the connection
+        instead of keeping it for reuse.
+        """
+        if getattr(curl, "info", None) is not None:
+            self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "closed by this side")
+
+
+class Exchange:
+    """One request to a target and its answer.
+
+    Parameters
+    ----------
+    client : AbortableClient
+        Client that runs it.
+    request : HTTPRequest
+        The request; every option that curl needs must be set.
+    fresh : bool
+        Whether the connection must be new and must not be used again.
+    """
+
+    def __init__(
+        self, client: AbortableClient, request: HTTPRequest, fresh: bool
+    ) -> None:
+        self._client = client
+        self._fresh = fresh
+        self._curl: pycurl.Curl | None = None
+        self._closed = False
+        self.ended: asyncio.Future[ExchangeEnd] = asyncio.Future()
+        request.prepare_curl_callback = self._prepare
+        client.fetch_impl(request, self._on_response)
+
+    @property
+    def status(self) -> int:
+        """HTTP status once the head of the answer has come, else 0."""
+        if self._curl is None:
+            return 0
+        return int(self._curl.getinfo(pycurl.RESPONSE_CODE))
+
+    def close(self) -> None:
+        """Close the connection unless the exchange has ended."""
+        self._closed = True
+        if self._curl is not None:
+            self._client.abort(self._curl)
+
+    def _prepare(self, curl: pycurl.Curl) -> None:
+        if self._closed:
+            raise ConnectionAbortedError("closed by this side")
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
+        if self._fresh:
+            use_fresh_connection(curl)
+        self._curl = curl
+
+    def _on_response(self, response: HTTPResponse) -> None:
+        self._curl = None
+        if not self.ended.done():
+            self.ended.set_result(self._end_of(response))
+
+    def _end_of(self, response: HTTPResponse) -> ExchangeEnd:
+        error = response.error
+        if response.code != 599:
+            headers = response.headers
+            content_type = headers.get("Content-Type", "")
+            return ExchangeEnd(response.code, content_type, response.body, headers)
+        errno = error.errno if isinstance(error, CurlError) else None
+        timed_out = errno == pycurl.E_OPERATION_TIMEDOUT
+        unconnected = timed_out and response.time_info.get("connect") == 0
+        # On a reused connection the connect time is 0 as well, so a timeout proves
+        # nothing there. An error without a number comes from the set-up of the
+        # request, before curl has it.
+        sent_nothing = errno is None or errno in _NEVER_CONNECTED
+        sent_nothing = sent_nothing or (self._fresh and unconnected)
+        return ExchangeEnd(
+            0, "", b"", {}, sent_nothing, timed_out, str(error or "no answer")
+        )
+
+
+class TargetConnections:
+    """Pooled connections to targets.
+
+    Parameters
+    ----------
+    max_exchanges : int
+        Largest number of exchanges at once; more of them wait.
+    max_answer_bytes : int
+        Largest body of an answer.
+    connect_timeout_s : float
+        Longest time to connect.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        max_exchanges: int,
+        max_answer_bytes: int,
+        connect_timeout_s: float,
+        clock: Clock,
+    ) -> None:
+        self._client = AbortableClient(
+            force_instance=True,
+            max_clients=max_exchanges,
+            max_body_size=max_answer_bytes,
+        )
+        self._connect_timeout_s = connect_timeout_s
+        self._clock = clock
+        self._fresh_until: dict[str, float] = {}
+
+    def open(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+        timeout_s: float = 0.0,
+        on_data: OnData | None = None,
+        fresh: bool = False,
+    ) -> Exchange:
+        """Start an exchange.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT`` of the target.
+        method, path : str
+            Request line; the path includes the query.
+        headers : mapping
+            Request headers.
+        body : bytes or None
+            Request body.
+        timeout_s : float
+            Longest time for the whole exchange; 0 for no bound.
+        on_data : callable or None
+            Takes the pieces of the body as they come.
+        fresh : bool
+            Use a new connection and close it afterwards.
+        """
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            headers=dict(headers or {}),
+            body=body,
+            connect_timeout=self._connect_timeout_s,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            max_redirects=0,
+            decompress_response=False,
+            validate_cert=True,
+            allow_nonstandard_methods=True,
+            allow_ipv6=True,
+            user_agent="wigeonspan",
+            streaming_callback=on_data,
+        )
+        return Exchange(self._client, request, fresh or self._is_distrusted(address))
+
+    def distrust(self, address: str) -> None:
+        """Stop using the idle connections to a target.
+
+        When one connection went silent, others that took the same way may be dead as
+        well. New connections are used until the old ones are past their idle age.
+        """
+        self._fresh_until[address] = self._clock.now() + MAX_IDLE_S + 1
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def _is_distrusted(self, address: str) -> bool:
+        until = self._fresh_until.get(address)
+        if until is None:
+            return False
+        if self._clock.now() >= until:
+            del self._fresh_until[address]
+            return False
+        return True
--- /dev/null
+++ b/wigeonspan/engines/_poller.py
@@ -0,0 +1,151 @@
+"""Pollers of load reports, cache events and ejected engines."""
+
+import asyncio
+import random
+from typing import Protocol
+
+from msgspec import Struct
+
+from wigeonspan.catalog import Engine
+from wigeonspan.common import Clock, EngineId, WigeonspanError, part_logger
+from wigeonspan.engines._client import EngineClient
+from wigeonspan.engines._messages import CacheEvents, LoadReport
+
+_log = part_logger("engines")
+
+
+class PollSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """How often engines are polled.
+
+    Parameters
+    ----------
+    interval_s : float
+        Shortest time between two polls of one engine.
+    max_polls_per_s : float
+        Bound over all engines; a larger fleet is polled less often instead of
+        costing the entry more.
+    """
+
+    interval_s: float = 0.5
+    max_polls_per_s: float = 100.0
+
+
+class PollSink(Protocol):
+    """What takes the reports, for example the router."""
+
+    def note_load(self, report: LoadReport, now: float) -> None:
+        """Take a load report."""
+        ...
+
+    def note_cache_events(
+        self, engine: EngineId, events: CacheEvents, now: float
+    ) -> None:
+        """Take cache events."""
+        ...
+
+    def cache_events_after(self, engine: EngineId) -> int:
+        """Return the sequence number from which to ask for cache events."""
+        ...
+
+    def probe_targets(self, now: float) -> list[EngineId]:
+        """Return ejected engines that are due for a probe."""
+        ...
+
+    def probed(self, engine: EngineId, ok: bool, now: float) -> None:
+        """Take the result of a probe."""
+        ...
+
+
+class EnginePoller:
+    """Polls the engines in turn.
+
+    Parameters
+    ----------
+    client : EngineClient
+        Client to use.
+    sink : PollSink
+        Takes what was polled.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of jitter, so that entries do not poll in step.
+    settings : PollSettings
+        Pace of the polls.
+    """
+
+    def __init__(
+        self,
+        client: EngineClient,
+        sink: PollSink,
+        clock: Clock,
+        rng: random.Random,
+        settings: PollSettings | None = None,
+    ) -> None:
+        self._client = client
+        self._sink = sink
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings or PollSettings()
+        self._addresses: dict[EngineId, str] = {}
+        self._tasks: dict[EngineId, asyncio.Task[None]] = {}
+
+    def update_engines(self, engines: list[Engine]) -> None:
+        """Replace the engines that are polled."""
+        self._addresses = {engine.name: engine.address for engine in engines}
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        try:
+            while True:
+                await self._round()
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    async def poll(self, engine: EngineId, address: str) -> None:
+        """Ask one engine for its load and its cache events."""
+        try:
+            report = await self._client.load(address)
+            if report.engine != engine:
+                _log.warning("Address {} answers as {}.", address, report.engine)
+                return
+            self._sink.note_load(report, self._clock.now())
+            after = self._sink.cache_events_after(engine)
+            events = await self._client.cache_events(address, after)
+            self._sink.note_cache_events(engine, events, self._clock.now())
+        except WigeonspanError as error:
+            _log.debug("Engine {} was not polled: {}.", engine, error)
+
+    async def probe(self, engine: EngineId, address: str) -> None:
+        """Ask an ejected engine for its state and tell the sink the result."""
+        try:
+            state = await self._client.state(address)
+            ok = state.engine == engine
+        except WigeonspanError:
+            ok = False
+        self._sink.probed(engine, ok, self._clock.now())
+
+    async def _round(self) -> None:
+        """Start one poll of each engine, spread over the interval."""
+        engines = list(self._addresses.items())
+        for engine in self._sink.probe_targets(self._clock.now()):
+            if engine in self._addresses:
+                self._start(engine, self.probe(engine, self._addresses[engine]))
+        interval_s = max(
+            self._settings.interval_s, len(engines) / self._settings.max_polls_per_s
+        )
+        interval_s *= self._rng.uniform(0.9, 1.1)
+        if not engines:
+            await asyncio.sleep(interval_s)
+        for engine, address in engines:
+            self._start(engine, self.poll(engine, address))
+            await asyncio.sleep(interval_s / len(engines))
+
+    def _start(self, engine: EngineId, work: "asyncio.Coroutine") -> None:
+        if engine in self._tasks:
+            # The last poll still waits; a second one would add load to a slow engine.
+            work.close()
+            return
+        task = asyncio.create_task(work)
+        self._tasks[engine] = task
+        task.add_done_callback(lambda _: self._tasks.pop(engine, None))
--- a/wigeonspan/http/_helpers.py
+++ b/wigeonspan/http/_helpers.py
@@ -4,9 +4,8 @@
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPError, HTTPRequest
 from tornado.httputil import HTTPHeaders
-from tornado.simple_httpclient import HTTPTimeoutError
 from tornado.web import RequestHandler
 
 from wigeonspan.common._codec import (
@@ -91,13 +90,17 @@
     )
     try:
         response = await client.fetch(request, raise_error=False)
-    except (OSError, HTTPTimeoutError) as error:
+    except (OSError, HTTPError) as error:
+        # curl's own failures are raised even when error statuses are not.
         raise WigeonspanError(ErrorKind.NO_QUORUM, f"{url}: {error}") from error
-    if response.code == 200:
-        return decode(response.body, reply)
-    if response.code == 599:
-        raise WigeonspanError(ErrorKind.NO_QUORUM, f"{url}: {response.error}")
-    detail = decode(response.body, ErrorBody).error
+    try:
+        if response.code == 200:
+            return decode(response.body, reply)
+        detail = decode(response.body, ErrorBody).error
+    except WigeonspanError as error:
+        # An answer that cannot be read says nothing about what was done.
+        message = f"{url}: status {response.code}, {error.message}"
+        raise WigeonspanError(ErrorKind.NO_QUORUM, message) from error
     raise WigeonspanError(
         detail.kind,
         detail.message,
--- /dev/null
+++ b/wigeonspan/streams/__init__.py
@@ -0,0 +1,33 @@
+"""Relayed streams: decoding, attempts, positions, completeness and resume."""
+
+from wigeonspan.streams._messages import (
+    ResumePoint,
+    Step,
+    StreamFault,
+    StreamLimits,
+    Token,
+    TokenFrame,
+)
+from wigeonspan.streams._sse import (
+    MAX_EVENT_BYTES,
+    SseComment,
+    SseDecoder,
+    SseError,
+    SseEvent,
+)
+from wigeonspan.streams._tracker import StreamTracker
+
+__all__ = [
+    "MAX_EVENT_BYTES",
+    "ResumePoint",
+    "SseComment",
+    "SseDecoder",
+    "SseError",
+    "SseEvent",
+    "Step",
+    "StreamFault",
+    "StreamLimits",
+    "StreamTracker",
+    "Token",
+    "TokenFrame",
+]
