Write the hash-chained record from the replicated state

Entries wait in memory until they are written out and are synced before the log is truncated, so a full disk never fails the application of a committed command.

--- a/wigeonspan/catalog/_core.py
+++ b/wigeonspan/catalog/_core.py
@@ -145,6 +145,11 @@
             return self._set_members(Version(index), command)
         return self._apply_change(Version(index), command)
 
+    def is_resent(self, command: ApplyChange) -> bool:
+        """Whether this change by this operator was already answered."""
+        stored = self._operations.get(command.op_id)
+        return stored is not None and stored.fingerprint == _fingerprint(command)
+
     def preview(self, command: ApplyChange) -> ChangeOutcome | None:
         """Return the answer that a change has or would get without being accepted.
 
--- a/wigeonspan/controld/_backend.py
+++ b/wigeonspan/controld/_backend.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from wigeonspan.catalog import (
     AddLearner,
     ApplyChange,
-    Catalog,
     CatalogObject,
     ChangeOutcome,
     EntryHost,
@@ -18,6 +19,7 @@
 from wigeonspan.common import Clock, ErrorKind, HostId, Version, WigeonspanError, encode
 from wigeonspan.consensus import ReplicatedLog
 from wigeonspan.controld._access import LeaderAccess
+from wigeonspan.controld._state import ControlState
 from wigeonspan.distribution import Distributor
 from wigeonspan.operators import (
     ControlStatus,
@@ -25,6 +27,10 @@
     RecordLine,
     RecordQuery,
 )
+from wigeonspan.record import RecordEntry, RecordFault, RecordFilter
+
+DEFAULT_LIMIT = 100
+"""Entries of the record that a search returns when it names no limit."""
 
 
 class Backend:
@@ -36,8 +42,8 @@
         This host.
     log : ReplicatedLog
         Log to commit to.
-    catalog : Catalog
-        Applied configuration.
+    state : ControlState
+        Applied state.
     distributor : callable
         Returns the distributor of the current term, or None.
     operators : mapping of HostId to str
@@ -50,14 +56,15 @@
         self,
         host: HostId,
         log: ReplicatedLog,
-        catalog: Catalog,
+        state: ControlState,
         distributor: Callable[[], Distributor | None],
         operators: Mapping[HostId, str],
         clock: Clock,
     ) -> None:
         self._host = host
         self._log = log
-        self._catalog = catalog
+        self._catalog = state.catalog
+        self._record = state.record
         self._distributor = distributor
         self._operators = operators
         self._clock = clock
@@ -106,7 +113,22 @@
     async def query_record(self, query: RecordQuery) -> tuple[list[RecordLine], bool]:
         """Return matching entries, and whether older ones were left out."""
         await self._access.confirm_read()
-        return [], False
+        wanted = RecordFilter(
+            since_ms=query.since_ms,
+            until_ms=query.until_ms,
+            subjects=query.subjects,
+            actor=query.actor,
+            kind=query.kind,
+            limit=query.limit or DEFAULT_LIMIT,
+        )
+        try:
+            found = await asyncio.to_thread(self._record.find, wanted)
+        except RecordFault as fault:
+            raise WigeonspanError(
+                ErrorKind.INTERNAL, f"the record of {self._host} is damaged: {fault}"
+            ) from fault
+        entries, truncated = found
+        return [_line(entry) for entry in entries], truncated
 
     def status(self) -> ControlStatus:
         """Describe this host."""
@@ -119,12 +141,16 @@
             leader_address=self._operators_address(leader),
             term=self._log.term,
             version=self._catalog.version,
-            members=list(self._log.members),
-            record_seq=0,
-            record_hash="",
+            members=[self._described(member) for member in self._log.members],
+            record_seq=self._record.head.seq,
+            record_hash=self._record.head.hash,
             disk_id=str(getattr(self._log, "disk_id", "")),
         )
 
+    def _described(self, member: Member) -> Member:
+        address = self._operators_address(member)
+        return msgspec.structs.replace(member, operators_address=address)
+
     def _operators_address(self, member: Member | None) -> str:
         if member is None:
             return ""
@@ -196,3 +222,18 @@
             operators_address=known.operators_address,
         )
         return member, voter
+
+
+def _line(entry: RecordEntry) -> RecordLine:
+    return RecordLine(
+        seq=entry.seq,
+        index=entry.index,
+        wall_ms=entry.wall_ms,
+        kind=entry.kind.value,
+        actor=entry.actor,
+        subjects=entry.subjects,
+        summary=entry.summary,
+        detail_json=encode(entry.detail).decode("utf-8"),
+        previous=entry.previous,
+        hash=entry.hash,
+    )
--- a/wigeonspan/controld/_commands.py
+++ b/wigeonspan/controld/_commands.py
@@ -9,8 +9,8 @@
     SetEngineState,
     SetMembers,
 )
-from wigeonspan.orders import CloseOrder, OpenOrder
-from wigeonspan.record import NoteAuthority, NoteDecision
+from wigeonspan.orders import CloseOrder, OpenOrder, OrderTableSnapshot
+from wigeonspan.record import NoteAuthority, NoteDecision, RecordHead
 
 CatalogCommand = ApplyChange | SetEngineState | SetMembers
 """Commands of the catalogue."""
@@ -37,3 +37,5 @@
     format: int
     catalog: CatalogSnapshot
     calls: CallBookSnapshot
+    orders: OrderTableSnapshot
+    record: RecordHead
--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -32,6 +32,7 @@
 from wigeonspan.distribution.tasks import SYNC_PATH, SyncHandler
 from wigeonspan.http import make_client
 from wigeonspan.operators.service import OperatorServer
+from wigeonspan.record.tasks import RECORD_PATH, RecordHandler, keep_record
 
 MAX_CLIENTS = 64
 """Requests to other control hosts at once; a group has a handful of members."""
@@ -58,7 +59,7 @@
         self._settings = settings
         self._clock = clock
         self._client = make_client(MAX_CLIENTS)
-        self._state = ControlState()
+        self._state = ControlState(Path(settings.data_folder) / "record")
         self._log = build_log(settings, self._state, clock, rng, self._client)
         self._duties = build_duties(settings, self._log, self._state, clock)
         self._backend = build_backend(
@@ -66,11 +67,11 @@
         )
         self._http = HTTPServer(
             build_routes(
-                self._log, lambda: self._duties.distributor, clock, self._log.handlers()
+                self._log, self._state, lambda: self._duties.distributor, clock
             )
         )
         self._operators = OperatorServer(self._backend, settings.operators)
-        self._duties_task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Listen, join the group and begin to serve."""
@@ -78,7 +79,11 @@
         self._http.listen(int(port), host.strip("[]"))
         await self._log.start()
         await self._operators.start()
-        self._duties_task = asyncio.create_task(self._duties.run())
+        record = keep_record(self._state.record, self._client, self._other_addresses)
+        self._tasks = [
+            asyncio.create_task(self._duties.run()),
+            asyncio.create_task(record),
+        ]
         _log.info("Host {} serves on {}.", self._settings.host, self._settings.address)
 
     async def wait_failed(self) -> None:
@@ -89,9 +94,9 @@
         """Hand over and stop; calls in progress end first."""
         _log.info("Host {} stops.", self._settings.host)
         await self._operators.stop()
-        if self._duties_task is not None:
-            self._duties_task.cancel()
-            await asyncio.gather(self._duties_task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         # The log hands leadership over through the HTTP server, so that stops last.
         await self._log.stop()
         self._http.stop()
@@ -99,6 +104,13 @@
         self._client.close()
         _log.info("Host {} has stopped.", self._settings.host)
 
+    def _other_addresses(self) -> list[str]:
+        """Return the other members' addresses, the leader's first."""
+        leader = self._log.leader
+        others = [m for m in self._log.members if m.name != self._settings.host]
+        others.sort(key=lambda m: leader is None or m.name != leader.name)
+        return [member.address for member in others]
+
 
 def build_log(
     settings: ControlSettings,
@@ -155,14 +167,14 @@
 ) -> Backend:
     """Return the operators' view of this host."""
     operators = {member.host: member.operators for member in settings.members}
-    return Backend(settings.host, log, state.catalog, distributor, operators, clock)
+    return Backend(settings.host, log, state, distributor, operators, clock)
 
 
 def build_routes(
-    log: ReplicatedLog,
+    log: LogTask,
+    state: ControlState,
     distributor: Callable[[], Distributor | None],
     clock: Clock,
-    log_routes: list[Any],
 ) -> Application:
     """Return the internal HTTP routes."""
     sync = {"log": log, "distributor": distributor, "clock": clock}
@@ -172,8 +184,9 @@
         (SYNC_PATH, SyncHandler, sync),
         (OPEN_CALL_PATH, CallHandler, opened),
         (CLOSE_CALL_PATH, CallHandler, closed),
+        (RECORD_PATH, RecordHandler, {"book": state.record}),
     ]
-    return Application([*log_routes, *routes], log_function=lambda handler: None)
+    return Application([*log.handlers(), *routes], log_function=lambda handler: None)
 
 
 async def run_daemon(settings: ControlSettings) -> None:
--- /dev/null
+++ b/wigeonspan/controld/_recording.py
@@ -0,0 +1,274 @@
+"""What the record tells of each command."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from wigeonspan.calls import CloseCall, CloseReply, OpenCall, OpenReply
+from wigeonspan.catalog import (
+    AddLearner,
+    ApplyChange,
+    Catalog,
+    Change,
+    ChangeOutcome,
+    DrainEngine,
+    DrainEntry,
+    Engine,
+    OutcomeKind,
+    PinRole,
+    PromoteLearner,
+    PutObject,
+    RemoveMember,
+    RemoveObject,
+    SetEngineState,
+    SetMembers,
+    WithdrawEngine,
+    object_key,
+)
+from wigeonspan.orders import CloseOrder, OpenOrder, OrderOutcome
+from wigeonspan.record import Draft, NoteAuthority, NoteDecision, RecordKind
+
+
+def make_draft(command: Any, result: Any, catalog: Catalog) -> Draft | None:
+    """Return the record entry of a command that has applied.
+
+    Parameters
+    ----------
+    command : Command
+        Command of the log.
+    result : Any
+        Its result.
+    catalog : Catalog
+        Configuration after the command.
+
+    Returns
+    -------
+    Draft or None
+        None for a command that is not recorded.
+    """
+    maker = _MAKERS.get(type(command))
+    return maker(command, result, catalog) if maker is not None else None
+
+
+def _change(command: ApplyChange, outcome: ChangeOutcome, catalog: Catalog) -> Draft:
+    kind, name = changed_key(command.change)
+    detail = _plain(command)
+    detail["outcome"] = _plain(outcome)
+    if outcome.kind is OutcomeKind.ACCEPTED:
+        detail["after"] = _after(catalog, kind, name)
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.CHANGE,
+        actor=command.operator,
+        subjects=_subjects(catalog, kind, name),
+        summary=(
+            f"{describe_change(command.change)}, because {command.reason!r}: "
+            f"{outcome.kind.value}, {outcome.message}"
+        ),
+        detail=detail,
+    )
+
+
+def _engine(command: SetEngineState, outcome: ChangeOutcome, catalog: Catalog) -> Draft:
+    detail = _plain(command)
+    detail["outcome"] = _plain(outcome)
+    if outcome.kind is OutcomeKind.ACCEPTED:
+        detail["after"] = _after(catalog, "engine", command.engine)
+    names = ("phase", "role", "wanted_role", "model", "model_version", "adapters")
+    told = [f"{n} {detail[n]}" for n in names if detail.get(n) is not None]
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.ENGINE,
+        actor="control",
+        subjects=_subjects(catalog, "engine", command.engine),
+        summary=(
+            f"set engine/{command.engine} to {', '.join(told) or 'nothing new'}, "
+            f"because {command.reason!r}: {outcome.kind.value}"
+        ),
+        detail=detail,
+    )
+
+
+def _members(command: SetMembers, outcome: ChangeOutcome, catalog: Catalog) -> Draft:
+    names = [member.name for member in command.members]
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.CHANGE,
+        actor="control",
+        subjects=tuple(f"member/{name}" for name in names),
+        summary=f"registered the members {', '.join(names)}",
+        detail=_plain(command),
+    )
+
+
+def _open_order(command: OpenOrder, result: OrderOutcome, catalog: Catalog) -> Draft:
+    request = command.request
+    order = result.order
+    opened = result.accepted and order is not None
+    state = f"opened as {order.request.order_id}" if opened else result.message
+    parts = (request.role, request.model, request.model_version, request.adapter)
+    wanted = [getattr(part, "value", part) for part in parts if part is not None]
+    detail = _plain(command)
+    detail["accepted"] = result.accepted
+    detail["order"] = _plain(order)
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.ORDER,
+        actor="control",
+        subjects=_subjects(catalog, "engine", command.engine),
+        summary=(
+            f"order {' '.join([request.action.value, *wanted])} to "
+            f"engine/{command.engine}, because {command.reason!r}: {state}"
+        ),
+        detail=detail,
+    )
+
+
+def _close_order(command: CloseOrder, result: OrderOutcome, catalog: Catalog) -> Draft:
+    state = "closed" if result.accepted else f"not closed, {result.message}"
+    detail = _plain(command)
+    detail["accepted"] = result.accepted
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.ORDER,
+        actor="control",
+        subjects=_subjects(catalog, "engine", command.engine),
+        summary=(
+            f"order {command.order_id} {state}: {command.result.value} by "
+            f"{command.evidence}"
+        ),
+        detail=detail,
+    )
+
+
+def _decision(command: NoteDecision, result: Any, catalog: Catalog) -> Draft:
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.DECISION,
+        actor=command.part,
+        subjects=command.subjects,
+        summary=command.summary,
+        detail=_plain(command),
+    )
+
+
+def _authority(command: NoteAuthority, result: Any, catalog: Catalog) -> Draft:
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.AUTHORITY,
+        actor=command.host,
+        subjects=(f"member/{command.host}",),
+        summary=command.summary,
+        detail=_plain(command),
+    )
+
+
+def _open_call(command: OpenCall, reply: OpenReply, catalog: Catalog) -> Draft:
+    detail = _plain(command)
+    detail["result"] = reply.result.value
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.CALL,
+        actor=command.entry,
+        subjects=_call_subjects(command),
+        summary=(
+            f"call with key {command.key!r} to {command.service} asked for by "
+            f"{command.entry}: {reply.result.value}"
+        ),
+        detail=detail,
+    )
+
+
+def _close_call(command: CloseCall, reply: CloseReply, catalog: Catalog) -> Draft:
+    # The answer's body belongs to the tenant and stays out of the record.
+    detail = _plain(msgspec.structs.replace(command, outcome=None))
+    if command.outcome is not None:
+        detail["status"] = command.outcome.status
+    detail["result"] = reply.state.value
+    return Draft(
+        wall_ms=command.wall_ms,
+        kind=RecordKind.CALL,
+        actor="control",
+        subjects=_call_subjects(command),
+        summary=(
+            f"call with key {command.key!r} to {command.service} closed as "
+            f"{command.state.value}: {reply.state.value}"
+        ),
+        detail=detail,
+    )
+
+
+_MAKERS: dict[type, Callable[[Any, Any, Catalog], Draft]] = {
+    ApplyChange: _change,
+    SetEngineState: _engine,
+    SetMembers: _members,
+    OpenOrder: _open_order,
+    CloseOrder: _close_order,
+    NoteDecision: _decision,
+    NoteAuthority: _authority,
+    OpenCall: _open_call,
+    CloseCall: _close_call,
+}
+
+
+def changed_key(change: Change) -> tuple[str, str]:
+    """Return kind and name of the object that a change concerns."""
+    match change:
+        case PutObject():
+            return object_key(change.value)
+        case RemoveObject():
+            return change.kind, change.name
+        case PinRole() | DrainEngine() | WithdrawEngine():
+            return "engine", change.engine
+        case DrainEntry():
+            return "entry_host", change.entry
+        case AddLearner() | PromoteLearner() | RemoveMember():
+            return "member", change.name
+
+
+def describe_change(change: Change) -> str:
+    """Return a change as a phrase."""
+    target = "/".join(changed_key(change))
+    match change:
+        case PutObject():
+            return f"put {target}"
+        case RemoveObject() | RemoveMember():
+            return f"remove {target}"
+        case PinRole():
+            if change.role is None:
+                return f"unpin the role of {target}"
+            return f"pin the role of {target} to {change.role.value}"
+        case DrainEngine() | DrainEntry():
+            return f"{'drain' if change.drain else 'undrain'} {target}"
+        case WithdrawEngine():
+            return f"withdraw {target}"
+        case AddLearner():
+            return f"add {target} as a learner"
+        case PromoteLearner():
+            return f"promote {target} to a voter"
+
+
+def _subjects(catalog: Catalog, kind: str, name: str) -> tuple[str, ...]:
+    """Name the object, and the service of an engine."""
+    value = catalog.get(kind, name)
+    own = f"{kind}/{name}"
+    if isinstance(value, Engine) and value.service is not None:
+        return (own, f"model_service/{value.service}")
+    return (own,)
+
+
+def _call_subjects(command: OpenCall | CloseCall) -> tuple[str, ...]:
+    return (
+        f"plain_service/{command.service}",
+        f"tenant/{command.tenant}",
+        f"call/{command.service}/{command.key}",
+    )
+
+
+def _after(catalog: Catalog, kind: str, name: str) -> Any:
+    return _plain(catalog.get(kind, name))
+
+
+def _plain(value: Any) -> Any:
+    return msgspec.to_builtins(value)
--- a/wigeonspan/controld/_state.py
+++ b/wigeonspan/controld/_state.py
@@ -1,23 +1,26 @@
 """Replicated state of the control group, composed of the parts of all slices."""
 
+import errno
+from pathlib import Path
 from typing import Any
 
 from wigeonspan.calls import CallBook
-from wigeonspan.catalog import Catalog
-from wigeonspan.common import (
-    ErrorKind,
-    LogIndex,
-    WigeonspanError,
-    decode,
-    encode,
-)
+from wigeonspan.catalog import ApplyChange, Catalog, RemoveObject
+from wigeonspan.common import ErrorKind, LogIndex, WigeonspanError, decode, encode
+from wigeonspan.consensus import StorageFailed, StorageFull
 from wigeonspan.controld._commands import (
     SNAPSHOT_FORMAT,
     CallCommand,
     CatalogCommand,
     Command,
     ControlSnapshot,
+    OrderCommand,
 )
+from wigeonspan.controld._recording import make_draft
+from wigeonspan.orders import OpenOrder, OrderOutcome, OrderTable
+from wigeonspan.record import RecordBook
+
+_FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
 class ControlState:
@@ -25,11 +28,18 @@
 
     Applying raises on a command that cannot be decoded: a host that skipped it would
     differ from the others from then on.
+
+    Parameters
+    ----------
+    record_folder : Path
+        Folder of the record files.
     """
 
-    def __init__(self) -> None:
-        self._catalog = Catalog()
+    def __init__(self, record_folder: Path) -> None:
+        self._orders = OrderTable()
+        self._catalog = Catalog(guard=self._guard)
         self._calls = CallBook()
+        self._record = RecordBook(record_folder)
 
     @property
     def catalog(self) -> Catalog:
@@ -41,14 +51,25 @@
         """At-most-once calls."""
         return self._calls
 
+    @property
+    def orders(self) -> OrderTable:
+        """Open orders."""
+        return self._orders
+
+    @property
+    def record(self) -> RecordBook:
+        """Record of this host."""
+        return self._record
+
     def apply(self, index: LogIndex, command: bytes) -> Any:
-        """Apply a committed command and return its result."""
+        """Apply a committed command, record it and return its result."""
         message: Any = decode(command, Command)
-        if isinstance(message, CatalogCommand):
-            return self._catalog.apply(index, message)
-        if isinstance(message, CallCommand):
-            return self._calls.apply(index, message)
-        return None
+        resent = isinstance(message, ApplyChange) and self._catalog.is_resent(message)
+        result = self._apply(index, message)
+        draft = None if resent else make_draft(message, result, self._catalog)
+        if draft is not None:
+            self._record.append(index, draft)
+        return result
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
@@ -57,6 +78,8 @@
                 format=SNAPSHOT_FORMAT,
                 catalog=self._catalog.snapshot(),
                 calls=self._calls.snapshot(),
+                orders=self._orders.snapshot(),
+                record=self._record.snapshot(),
             )
         )
 
@@ -76,6 +99,44 @@
             )
         self._catalog.restore(snapshot.catalog)
         self._calls.restore(snapshot.calls)
+        self._orders.restore(snapshot.orders)
+        self._record.restore(snapshot.record)
 
     def flush(self) -> None:
-        """Sync files that were written while commands applied."""
+        """Sync the record.
+
+        Raises
+        ------
+        StorageFull
+            When there is no space; the log then keeps what it has.
+        StorageFailed
+            When the disk failed; the host then ends.
+        """
+        try:
+            self._record.flush()
+        except OSError as error:
+            kind = StorageFull if error.errno in _FULL else StorageFailed
+            raise kind(f"record: {error}") from error
+
+    def _apply(self, index: LogIndex, message: Any) -> Any:
+        if isinstance(message, CatalogCommand):
+            return self._catalog.apply(index, message)
+        if isinstance(message, CallCommand):
+            return self._calls.apply(index, message)
+        if isinstance(message, OrderCommand):
+            return self._apply_order(index, message)
+        return None
+
+    def _apply_order(self, index: LogIndex, message: OrderCommand) -> OrderOutcome:
+        if isinstance(message, OpenOrder):
+            if self._catalog.engine(message.engine) is None:
+                return OrderOutcome(False, None, f"no engine {message.engine}")
+        return self._orders.apply(index, message)
+
+    def _guard(self, command: ApplyChange) -> str | None:
+        """Refuse to remove an engine that may still carry out an order."""
+        change = command.change
+        if isinstance(change, RemoveObject) and change.kind == "engine":
+            if change.name in self._orders.opened:
+                return "an order to it is open"
+        return None
--- a/wigeonspan/engines/_client.py
+++ b/wigeonspan/engines/_client.py
@@ -137,7 +137,9 @@
         elif item.data == END_MARKER:
             listener.on_end_marker()
         elif item.event == "error":
-            self._end(StreamFault.SERVER_ERROR, item.data[:200].decode(errors="replace"))
+            self._end(
+                StreamFault.SERVER_ERROR, item.data[:200].decode(errors="replace")
+            )
         else:
             listener.on_frame(parse_frame(item.data))
 
--- a/wigeonspan/record/__init__.py
+++ b/wigeonspan/record/__init__.py
@@ -1,17 +1,43 @@
-"""Hash-chained record of decisions."""
+"""Hash-chained record of decisions.
 
+The HTTP handler and the task are in ``wigeonspan.record.tasks``.
+"""
+
+from wigeonspan.record._book import RecordBook
+from wigeonspan.record._errors import RecordFault
+from wigeonspan.record._explain import explain
 from wigeonspan.record._messages import (
+    Draft,
+    FetchRecord,
+    Gap,
     NoteAuthority,
     NoteDecision,
+    RecordChunk,
     RecordEntry,
+    RecordFilter,
+    RecordHead,
     RecordKind,
 )
+from wigeonspan.record._query import find_entries
 from wigeonspan.record._time import parse_time
+from wigeonspan.record._verify import Verification, verify
 
 __all__ = [
+    "Draft",
+    "FetchRecord",
+    "Gap",
     "NoteAuthority",
     "NoteDecision",
+    "RecordBook",
+    "RecordChunk",
     "RecordEntry",
+    "RecordFault",
+    "RecordFilter",
+    "RecordHead",
     "RecordKind",
+    "Verification",
+    "explain",
+    "find_entries",
     "parse_time",
+    "verify",
 ]
