--- a/wigeonspan/catalog/_changes.py
+++ b/wigeonspan/catalog/_changes.py
@@ -7,15 +7,9 @@
 
 from wigeonspan.catalog._messages import (
     AddLearner,
-    CatalogObject,
     Change,
     DrainEngine,
     DrainEntry,
-    Engine,
-    EnginePhase,
-    EntryHost,
-    EntryState,
-    Member,
     PinRole,
     PromoteLearner,
     PutObject,
@@ -23,6 +17,14 @@
     RemoveObject,
     WithdrawEngine,
 )
+from wigeonspan.catalog._objects import (
+    CatalogObject,
+    Engine,
+    EnginePhase,
+    EntryHost,
+    EntryState,
+    Member,
+)
 from wigeonspan.catalog._validation import (
     Key,
     Objects,
@@ -136,7 +138,12 @@
 
 
 def _drain_engine(change: DrainEngine, objects: Objects) -> Edit | Refusal:
-    return _edit_engine(change.engine, objects, {"drain": change.drain})
+    edit = _edit_engine(change.engine, objects, {"drain": change.drain})
+    if isinstance(edit, Edit) and not change.drain:
+        present = objects[edit.key]
+        if isinstance(present, Engine) and present.phase is EnginePhase.LEAVING:
+            return Edit(edit.key, edit.value, "it is leaving and cannot come back")
+    return edit
 
 
 def _withdraw_engine(change: WithdrawEngine, objects: Objects) -> Edit | Refusal:
--- a/wigeonspan/catalog/_core.py
+++ b/wigeonspan/catalog/_core.py
@@ -11,21 +11,23 @@
 from wigeonspan.catalog._changes import Edit, Refusal, make_edit
 from wigeonspan.catalog._messages import (
     ApplyChange,
-    CatalogObject,
     CatalogSnapshot,
     ChangeNote,
     ChangeOutcome,
-    Engine,
-    EnginePhase,
-    Member,
     ObjectUpdate,
     OutcomeKind,
-    Policy,
     PutObject,
     SetEngineState,
     SetMembers,
     StoredOperation,
 )
+from wigeonspan.catalog._objects import (
+    CatalogObject,
+    Engine,
+    EnginePhase,
+    Member,
+    Policy,
+)
 from wigeonspan.catalog._validation import Key, check_form
 from wigeonspan.common import EngineId, LogIndex, Version, encode
 
@@ -222,15 +224,26 @@
             if command.base_version and edit.key in self._notes:
                 return self._conflict(edit.key, Version(0), command.base_version)
             return self._invalid(f"{_show(edit.key)} does not exist")
-        present = self._objects.get(edit.key)
-        present_version = present.version if present is not None else Version(0)
-        if present_version != command.base_version:
-            return self._conflict(edit.key, present_version, command.base_version)
+        if not self._matches_base(edit.key, command.base_version):
+            present = self._objects.get(edit.key)
+            version = present.version if present is not None else Version(0)
+            return self._conflict(edit.key, version, command.base_version)
         fault = edit.fault or (self._guard(command) if self._guard else None)
         if fault is not None:
             return self._invalid(f"{_show(edit.key)}: {fault}")
         return edit
 
+    def _matches_base(self, key: Key, base: Version) -> bool:
+        """Whether no operator has changed the object after the base version.
+
+        Steps of the system on an engine do not count: they change its state and not
+        what operators want of it, and they are too frequent to race against.
+        """
+        present = self._objects.get(key)
+        if present is None:
+            return base == 0
+        return self._notes[key].version <= base <= present.version
+
     def _decide(self, index: Version, command: ApplyChange) -> ChangeOutcome:
         edit = self._check(command)
         if isinstance(edit, ChangeOutcome):
@@ -266,7 +279,7 @@
             if (value := getattr(command, name)) is not None
         }
         edit = Edit(key, msgspec.structs.replace(engine, **changed))
-        self._store(index, edit, ActorNote("control", command.reason, command.wall_ms))
+        self._store(index, edit, None)
         return ChangeOutcome(
             OutcomeKind.ACCEPTED, index, f"{_show(key)} is changed in version {index}"
         )
@@ -285,8 +298,11 @@
                 self._store(index, Edit(key, value), note)
         return ChangeOutcome(OutcomeKind.ACCEPTED, self._version, "members are set")
 
-    def _store(self, index: Version, edit: Edit, note: "ActorNote") -> None:
-        """Put or remove one object as the step ``index``."""
+    def _store(self, index: Version, edit: Edit, note: "ActorNote | None") -> None:
+        """Put or remove one object as the step ``index``.
+
+        A step without a note is one of the system on an existing object.
+        """
         value = edit.value
         if value is None:
             self._objects.pop(edit.key, None)
@@ -294,12 +310,11 @@
             value = msgspec.structs.replace(value, version=index)
             self._objects[edit.key] = value
         kind, name = edit.key
-        # A new note goes to the end, so that the oldest removals are dropped first.
-        self._notes.pop(edit.key, None)
-        self._notes[edit.key] = ChangeNote(
-            kind, name, index, note.actor, note.reason, note.wall_ms, value is None
-        )
-        self._drop_old_notes()
+        if note is not None:
+            self._notes[edit.key] = ChangeNote(
+                kind, name, index, note.actor, note.reason, note.wall_ms, value is None
+            )
+            self._drop_old_notes()
         self._version = index
         self._updates.append(ObjectUpdate(index, kind, name, value))
         while len(self._updates) > UPDATES_KEPT:
--- a/wigeonspan/catalog/_validation.py
+++ b/wigeonspan/catalog/_validation.py
@@ -6,9 +6,11 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from wigeonspan.catalog._messages import (
-    Adapter,
     AddLearner,
     ApplyChange,
+)
+from wigeonspan.catalog._objects import (
+    Adapter,
     CatalogObject,
     Engine,
     EnginePhase,
--- a/wigeonspan/controld/_backend.py
+++ b/wigeonspan/controld/_backend.py
@@ -1,9 +1,10 @@
 """Operators' calls on the control daemon's state."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import msgspec
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from wigeonspan.catalog import (
     AddLearner,
@@ -28,6 +29,7 @@
     RecordQuery,
 )
 from wigeonspan.record import RecordEntry, RecordFault, RecordFilter
+from wigeonspan.record.tasks import fetch_chunk
 
 DEFAULT_LIMIT = 100
 """Entries of the record that a search returns when it names no limit."""
@@ -46,10 +48,12 @@
         Applied state.
     distributor : callable
         Returns the distributor of the current term, or None.
-    operators : mapping of HostId to str
-        Operators' addresses of the first voters, from the settings.
+    operators : callable
+        Returns the operators' address of a member; empty when it is not known.
     clock : Clock
         Source of time.
+    client : CurlAsyncHTTPClient
+        Client for questions to other members.
     """
 
     def __init__(
@@ -58,8 +62,9 @@
         log: ReplicatedLog,
         state: ControlState,
         distributor: Callable[[], Distributor | None],
-        operators: Mapping[HostId, str],
+        operators: Callable[[Member], str],
         clock: Clock,
+        client: CurlAsyncHTTPClient,
     ) -> None:
         self._host = host
         self._log = log
@@ -68,6 +73,7 @@
         self._distributor = distributor
         self._operators = operators
         self._clock = clock
+        self._client = client
         self._access = LeaderAccess(log, clock)
         self._member_change = asyncio.Lock()
 
@@ -138,7 +144,7 @@
             is_leader=self._log.is_leader,
             lease_valid=self._access.lease_valid,
             leader=leader.name if leader is not None else "",
-            leader_address=self._operators_address(leader),
+            leader_address=self._operators(leader) if leader is not None else "",
             term=self._log.term,
             version=self._catalog.version,
             members=[self._described(member) for member in self._log.members],
@@ -148,16 +154,9 @@
         )
 
     def _described(self, member: Member) -> Member:
-        address = self._operators_address(member)
-        return msgspec.structs.replace(member, operators_address=address)
-
-    def _operators_address(self, member: Member | None) -> str:
-        if member is None:
-            return ""
-        known = self._catalog.get("member", member.name)
-        if isinstance(known, Member) and known.operators_address:
-            return known.operators_address
-        return member.operators_address or self._operators.get(member.name, "")
+        return msgspec.structs.replace(
+            member, operators_address=self._operators(member)
+        )
 
     def _report(self, distributor: Distributor, version: Version) -> InForceReport:
         now = self._clock.now()
@@ -186,17 +185,30 @@
             return preview
         change = command.change
         member, present = self._changed_member(change)
-        if isinstance(change, PromoteLearner) and not self._log.is_caught_up(
-            change.name
-        ):
-            return ChangeOutcome(
-                OutcomeKind.INVALID,
-                self._catalog.version,
-                f"member/{change.name} has not caught up yet",
-            )
+        if isinstance(change, PromoteLearner):
+            fault = await self._learner_fault(member)
+            if fault is not None:
+                message = f"member/{member.name} {fault}"
+                version = self._catalog.version
+                return ChangeOutcome(OutcomeKind.INVALID, version, message)
         _, outcome = await self._log.change_member(member, present, encode(command))
         return outcome
 
+    async def _learner_fault(self, member: Member) -> str | None:
+        """Return why a learner may not vote yet, or None.
+
+        A voter without the whole record would be counted as a copy of it.
+        """
+        if not self._log.is_caught_up(member.name):
+            return "has not caught up with the log yet"
+        try:
+            answer = await fetch_chunk(self._client, member.address, 1, 0)
+        except WigeonspanError as error:
+            return f"does not say what it holds of the record: {error.message}"
+        if not answer.complete:
+            return "does not hold the whole record yet"
+        return None
+
     def _changed_member(
         self, change: AddLearner | PromoteLearner | RemoveMember
     ) -> tuple[Member, bool]:
--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -1,42 +1,31 @@
-"""Wiring of the control daemon."""
+"""The control daemon as a whole."""
 
 import asyncio
 import random
 import signal
-from collections.abc import Callable
-from pathlib import Path
-from typing import Any
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
-from wigeonspan.calls import CloseCall, OpenCall
-from wigeonspan.catalog import Member
 from wigeonspan.common import Clock, SystemClock, part_logger
-from wigeonspan.consensus import BootstrapMember, LogTask, ReplicatedLog
-from wigeonspan.controld._backend import Backend
-from wigeonspan.controld._duties import (
-    Duty,
-    LeaderDuties,
-    expire_calls,
-    register_members,
-)
-from wigeonspan.controld._handlers import (
-    CLOSE_CALL_PATH,
-    OPEN_CALL_PATH,
-    CallHandler,
+from wigeonspan.controld._build import (
+    build_backend,
+    build_duties,
+    build_log,
+    build_routes,
+    build_state,
 )
 from wigeonspan.controld._settings import ControlSettings
-from wigeonspan.controld._state import ControlState
 from wigeonspan.distribution import Distributor
-from wigeonspan.distribution.tasks import SYNC_PATH, SyncHandler
 from wigeonspan.http import make_client
 from wigeonspan.operators.service import OperatorServer
-from wigeonspan.record.tasks import RECORD_PATH, RecordHandler, keep_record
+from wigeonspan.record.tasks import keep_record
 
 MAX_CLIENTS = 64
 """Requests to other control hosts at once; a group has a handful of members."""
 
+FAILURE_INTERVAL_S = 0.2
+"""Time between two looks for a failure that ends this host."""
+
 _log = part_logger("control")
 
 
@@ -57,20 +46,13 @@
         self, settings: ControlSettings, clock: Clock, rng: random.Random
     ) -> None:
         self._settings = settings
-        self._clock = clock
-        self._client = make_client(MAX_CLIENTS)
-        self._state = ControlState(Path(settings.data_folder) / "record")
-        self._log = build_log(settings, self._state, clock, rng, self._client)
-        self._duties = build_duties(settings, self._log, self._state, clock)
-        self._backend = build_backend(
-            settings, self._log, self._state, lambda: self._duties.distributor, clock
-        )
-        self._http = HTTPServer(
-            build_routes(
-                self._log, self._state, lambda: self._duties.distributor, clock
-            )
-        )
-        self._operators = OperatorServer(self._backend, settings.operators)
+        self._client = client = make_client(MAX_CLIENTS)
+        self._state = state = build_state(settings)
+        self._log = log = build_log(settings, state, clock, rng, client)
+        self._duties = build_duties(settings, log, state, clock, client)
+        self._http = HTTPServer(build_routes(log, state, self._distributor, clock))
+        backend = build_backend(settings, log, state, self._distributor, clock, client)
+        self._operators = OperatorServer(backend, settings.operators)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -87,8 +69,18 @@
         _log.info("Host {} serves on {}.", self._settings.host, self._settings.address)
 
     async def wait_failed(self) -> None:
-        """Return when this host can no longer vote because its disk failed."""
-        await self._log.wait_failed()
+        """Return when this host cannot go on, because of its disk or its state."""
+        disk = asyncio.create_task(self._log.wait_failed())
+        try:
+            while not disk.done() and not any(task.done() for task in self._tasks):
+                if self._state.failure is not None:
+                    _log.critical(
+                        "A command cannot be applied: {}.", self._state.failure
+                    )
+                    return
+                await asyncio.sleep(FAILURE_INTERVAL_S)
+        finally:
+            disk.cancel()
 
     async def stop(self) -> None:
         """Hand over and stop; calls in progress end first."""
@@ -104,6 +96,9 @@
         self._client.close()
         _log.info("Host {} has stopped.", self._settings.host)
 
+    def _distributor(self) -> Distributor | None:
+        return self._duties.distributor
+
     def _other_addresses(self) -> list[str]:
         """Return the other members' addresses, the leader's first."""
         leader = self._log.leader
@@ -112,83 +107,6 @@
         return [member.address for member in others]
 
 
-def build_log(
-    settings: ControlSettings,
-    state: ControlState,
-    clock: Clock,
-    rng: random.Random,
-    client: Any,
-) -> LogTask:
-    """Return the replicated log of this host."""
-    first = [
-        BootstrapMember(member.host, member.address, member.domain)
-        for member in settings.members
-    ]
-    return LogTask(
-        settings.host,
-        settings.address,
-        settings.domain,
-        first,
-        Path(settings.data_folder) / "log",
-        state,
-        clock,
-        rng,
-        client,
-    )
-
-
-def build_duties(
-    settings: ControlSettings, log: ReplicatedLog, state: ControlState, clock: Clock
-) -> LeaderDuties:
-    """Return the duties of a leader."""
-    operators = {member.host: member.operators for member in settings.members}
-
-    def operators_address(member: Member) -> str:
-        known = state.catalog.get("member", member.name)
-        if isinstance(known, Member) and known.operators_address:
-            return known.operators_address
-        return member.operators_address or operators.get(member.name, "")
-
-    def duties(distributor: Distributor) -> dict[str, Duty]:
-        return {
-            "members": register_members(log, state.catalog, operators_address, clock),
-            "calls": expire_calls(log, state.calls, clock),
-        }
-
-    return LeaderDuties(log, state.catalog, clock, duties)
-
-
-def build_backend(
-    settings: ControlSettings,
-    log: ReplicatedLog,
-    state: ControlState,
-    distributor: Callable[[], Distributor | None],
-    clock: Clock,
-) -> Backend:
-    """Return the operators' view of this host."""
-    operators = {member.host: member.operators for member in settings.members}
-    return Backend(settings.host, log, state, distributor, operators, clock)
-
-
-def build_routes(
-    log: LogTask,
-    state: ControlState,
-    distributor: Callable[[], Distributor | None],
-    clock: Clock,
-) -> Application:
-    """Return the internal HTTP routes."""
-    sync = {"log": log, "distributor": distributor, "clock": clock}
-    opened = {"kind": OpenCall, "log": log, "clock": clock}
-    closed = {"kind": CloseCall, "log": log, "clock": clock}
-    routes = [
-        (SYNC_PATH, SyncHandler, sync),
-        (OPEN_CALL_PATH, CallHandler, opened),
-        (CLOSE_CALL_PATH, CallHandler, closed),
-        (RECORD_PATH, RecordHandler, {"book": state.record}),
-    ]
-    return Application([*log.handlers(), *routes], log_function=lambda handler: None)
-
-
 async def run_daemon(settings: ControlSettings) -> None:
     """Run a control host until it is told to stop."""
     daemon = Daemon(settings, SystemClock(), random.Random())
@@ -206,7 +124,8 @@
     failed = asyncio.create_task(daemon.wait_failed())
     failed.add_done_callback(lambda _: stop.set())
     await stop.wait()
+    has_failed = failed.done()
+    failed.cancel()
     await daemon.stop()
-    if failed.done():
+    if has_failed:
         raise SystemExit(1)
-    failed.cancel()
--- a/wigeonspan/controld/_duties.py
+++ b/wigeonspan/controld/_duties.py
@@ -6,9 +6,10 @@
 
 from wigeonspan.calls import CallBook, ExpireCalls
 from wigeonspan.catalog import Catalog, Member, SetMembers
-from wigeonspan.common import Clock, Term, WigeonspanError, encode, part_logger
+from wigeonspan.common import Clock, HostId, Term, WigeonspanError, encode, part_logger
 from wigeonspan.consensus import ReplicatedLog
 from wigeonspan.distribution import Distributor
+from wigeonspan.record import NoteAuthority
 
 WATCH_INTERVAL_S = 0.05
 """Time between two looks at the leadership; small against the lease of 1 s."""
@@ -118,6 +119,26 @@
     return run
 
 
+def note_authority(log: ReplicatedLog, host: HostId, clock: Clock) -> Duty:
+    """Return the duty that records that this host has begun to lead."""
+
+    async def run() -> None:
+        while True:
+            term = log.term
+            summary = f"{host} leads in term {term}"
+            note = NoteAuthority(host, term, summary, clock.wall_ms())
+            try:
+                await log.propose(encode(note))
+                return
+            except WigeonspanError as error:
+                # An unknown outcome may record the same fact twice, which misleads no
+                # one; leaving it out would.
+                _log.info("Authority is not recorded yet: {}.", error)
+            await asyncio.sleep(RETRY_S)
+
+    return run
+
+
 def expire_calls(log: ReplicatedLog, calls: CallBook, clock: Clock) -> Duty:
     """Return the duty that ends overdue calls and drops old keys."""
 
--- a/wigeonspan/controld/_state.py
+++ b/wigeonspan/controld/_state.py
@@ -26,8 +26,9 @@
 class ControlState:
     """State machine of the replicated log.
 
-    Applying raises on a command that cannot be decoded: a host that skipped it would
-    differ from the others from then on.
+    A command that cannot be applied, because it cannot be decoded or the record on
+    disk contradicts it, is noted as the :attr:`failure` and raised. The host must then
+    end: if it went on without the command, it would differ from the others.
 
     Parameters
     ----------
@@ -40,6 +41,7 @@
         self._catalog = Catalog(guard=self._guard)
         self._calls = CallBook()
         self._record = RecordBook(record_folder)
+        self._failure: Exception | None = None
 
     @property
     def catalog(self) -> Catalog:
@@ -61,8 +63,20 @@
         """Record of this host."""
         return self._record
 
+    @property
+    def failure(self) -> Exception | None:
+        """Why a command could not be applied; None as long as all is well."""
+        return self._failure
+
     def apply(self, index: LogIndex, command: bytes) -> Any:
         """Apply a committed command, record it and return its result."""
+        try:
+            return self._apply_recorded(index, command)
+        except Exception as error:
+            self._failure = error
+            raise
+
+    def _apply_recorded(self, index: LogIndex, command: bytes) -> Any:
         message: Any = decode(command, Command)
         resent = isinstance(message, ApplyChange) and self._catalog.is_resent(message)
         result = self._apply(index, message)
--- a/wigeonspan/controld/main.py
+++ b/wigeonspan/controld/main.py
@@ -5,7 +5,9 @@
 
 from wigeonspan.common import SettingsErrors, load_settings, set_up_logs
 from wigeonspan.common.cli import run_commands, take_text
+from wigeonspan.consensus import StorageError
 from wigeonspan.controld._settings import ControlSettings
+from wigeonspan.record import RecordFault
 
 
 class Controld:
@@ -40,12 +42,18 @@
 
 
 def main() -> None:
-    """Run one command; exit with 2 when the settings are not valid."""
+    """Run one command.
+
+    Exit codes: 0 stopped or valid, 1 the daemon cannot run, 2 wrong usage or settings.
+    """
     try:
         run_commands(Controld, "wigeonspan-controld")
     except SettingsErrors as errors:
         print(errors, file=sys.stderr)
         raise SystemExit(2) from None
+    except (OSError, StorageError, RecordFault) as error:
+        print(f"the daemon cannot run: {error}", file=sys.stderr)
+        raise SystemExit(1) from None
 
 
 if __name__ == "__main__":
--- a/wigeonspan/operators/_service.py
+++ b/wigeonspan/operators/_service.py
@@ -142,7 +142,10 @@
         self._server = grpc.aio.server(options=options)
         pb_grpc.add_OperatorsServicer_to_server(OperatorService(backend), self._server)
         host = address.rpartition(":")[0]
-        self._port = self._server.add_insecure_port(address)
+        try:
+            self._port = self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise OSError(f"cannot listen on {address} for operators") from error
         self._address = f"{host}:{self._port}"
 
     @property
