--- a/wigeonspan/controld/_backend.py
+++ b/wigeonspan/controld/_backend.py
@@ -1,12 +1,14 @@
 """Operators' calls on the control daemon's state."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
+
+import msgspec
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from wigeonspan.catalog import (
     AddLearner,
     ApplyChange,
-    Catalog,
     CatalogObject,
     ChangeOutcome,
     EntryHost,
@@ -18,6 +20,7 @@
 from wigeonspan.common import Clock, ErrorKind, HostId, Version, WigeonspanError, encode
 from wigeonspan.consensus import ReplicatedLog
 from wigeonspan.controld._access import LeaderAccess
+from wigeonspan.controld._state import ControlState
 from wigeonspan.distribution import Distributor
 from wigeonspan.operators import (
     ControlStatus,
@@ -25,6 +28,11 @@
     RecordLine,
     RecordQuery,
 )
+from wigeonspan.record import RecordEntry, RecordFault, RecordFilter
+from wigeonspan.record.tasks import fetch_chunk
+
+DEFAULT_LIMIT = 100
+"""Entries of the record that a search returns when it names no limit."""
 
 
 class Backend:
@@ -36,31 +44,36 @@
         This host.
     log : ReplicatedLog
         Log to commit to.
-    catalog : Catalog
-        Applied configuration.
+    state : ControlState
+        Applied state.
     distributor : callable
         Returns the distributor of the current term, or None.
-    operators : mapping of HostId to str
-        Operators' addresses of the first voters, from the settings.
+    operators : callable
+        Returns the operators' address of a member; empty when it is not known.
     clock : Clock
         Source of time.
+    client : CurlAsyncHTTPClient
+        Client for questions to other members.
     """
 
     def __init__(
         self,
         host: HostId,
         log: ReplicatedLog,
-        catalog: Catalog,
+        state: ControlState,
         distributor: Callable[[], Distributor | None],
-        operators: Mapping[HostId, str],
+        operators: Callable[[Member], str],
         clock: Clock,
+        client: CurlAsyncHTTPClient,
     ) -> None:
         self._host = host
         self._log = log
-        self._catalog = catalog
+        self._catalog = state.catalog
+        self._record = state.record
         self._distributor = distributor
         self._operators = operators
         self._clock = clock
+        self._client = client
         self._access = LeaderAccess(log, clock)
         self._member_change = asyncio.Lock()
 
@@ -106,7 +119,22 @@
     async def query_record(self, query: RecordQuery) -> tuple[list[RecordLine], bool]:
         """Return matching entries, and whether older ones were left out."""
         await self._access.confirm_read()
-        return [], False
+        wanted = RecordFilter(
+            since_ms=query.since_ms,
+            until_ms=query.until_ms,
+            subjects=query.subjects,
+            actor=query.actor,
+            kind=query.kind,
+            limit=query.limit or DEFAULT_LIMIT,
+        )
+        try:
+            found = await asyncio.to_thread(self._record.find, wanted)
+        except RecordFault as fault:
+            raise WigeonspanError(
+                ErrorKind.INTERNAL, f"the record of {self._host} is damaged: {fault}"
+            ) from fault
+        entries, truncated = found
+        return [_line(entry) for entry in entries], truncated
 
     def status(self) -> ControlStatus:
         """Describe this host."""
@@ -116,22 +144,19 @@
             is_leader=self._log.is_leader,
             lease_valid=self._access.lease_valid,
             leader=leader.name if leader is not None else "",
-            leader_address=self._operators_address(leader),
+            leader_address=self._operators(leader) if leader is not None else "",
             term=self._log.term,
             version=self._catalog.version,
-            members=list(self._log.members),
-            record_seq=0,
-            record_hash="",
+            members=[self._described(member) for member in self._log.members],
+            record_seq=self._record.head.seq,
+            record_hash=self._record.head.hash,
             disk_id=str(getattr(self._log, "disk_id", "")),
         )
 
-    def _operators_address(self, member: Member | None) -> str:
-        if member is None:
-            return ""
-        known = self._catalog.get("member", member.name)
-        if isinstance(known, Member) and known.operators_address:
-            return known.operators_address
-        return member.operators_address or self._operators.get(member.name, "")
+    def _described(self, member: Member) -> Member:
+        return msgspec.structs.replace(
+            member, operators_address=self._operators(member)
+        )
 
     def _report(self, distributor: Distributor, version: Version) -> InForceReport:
         now = self._clock.now()
@@ -160,17 +185,30 @@
             return preview
         change = command.change
         member, present = self._changed_member(change)
-        if isinstance(change, PromoteLearner) and not self._log.is_caught_up(
-            change.name
-        ):
-            return ChangeOutcome(
-                OutcomeKind.INVALID,
-                self._catalog.version,
-                f"member/{change.name} has not caught up yet",
-            )
+        if isinstance(change, PromoteLearner):
+            fault = await self._learner_fault(member)
+            if fault is not None:
+                message = f"member/{member.name} {fault}"
+                version = self._catalog.version
+                return ChangeOutcome(OutcomeKind.INVALID, version, message)
         _, outcome = await self._log.change_member(member, present, encode(command))
         return outcome
 
+    async def _learner_fault(self, member: Member) -> str | None:
+        """Return why a learner may not vote yet, or None.
+
+        A voter without the whole record would be counted as a copy of it.
+        """
+        if not self._log.is_caught_up(member.name):
+            return "has not caught up with the log yet"
+        try:
+            answer = await fetch_chunk(self._client, member.address, 1, 0)
+        except WigeonspanError as error:
+            return f"does not say what it holds of the record: {error.message}"
+        if not answer.complete:
+            return "does not hold the whole record yet"
+        return None
+
     def _changed_member(
         self, change: AddLearner | PromoteLearner | RemoveMember
     ) -> tuple[Member, bool]:
@@ -196,3 +234,18 @@
             operators_address=known.operators_address,
         )
         return member, voter
+
+
+def _line(entry: RecordEntry) -> RecordLine:
+    return RecordLine(
+        seq=entry.seq,
+        index=entry.index,
+        wall_ms=entry.wall_ms,
+        kind=entry.kind.value,
+        actor=entry.actor,
+        subjects=entry.subjects,
+        summary=entry.summary,
+        detail_json=encode(entry.detail).decode("utf-8"),
+        previous=entry.previous,
+        hash=entry.hash,
+    )
