--- /dev/null
+++ b/bench/engine_model.py
@@ -0,0 +1,218 @@
+"""Small model of an engine with continuous batching, for the decision benchmarks.
+
+Prompts run one after the other, urgent ones first. Output tokens of the batch share the
+engine's output rate. An engine that does both at once reaches a part of its rates. KV
+memory is counted in pieces, and the longest unused prompt prefixes leave the cache.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from wigeonspan.catalog import URGENT_CLASSES, PriorityClass, Role
+from wigeonspan.common import AttemptId, EngineId
+from wigeonspan.engines import CacheEvent, LoadReport
+from wigeonspan.routing import PromptPrefix
+
+PIECE_TOKENS = 32
+"""Tokens in one piece of KV memory."""
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """Capabilities of an engine.
+
+    Parameters
+    ----------
+    prefill_rate, decode_rate : float
+        Prompt and output tokens per second of an engine that does nothing else.
+    run_rate : float
+        Largest number of output tokens per second of one request.
+    mixed_efficiency : float
+        Part of the rates that is reached while both kinds of work are done.
+    """
+
+    prefill_rate: float = 6_000.0
+    decode_rate: float = 900.0
+    run_rate: float = 30.0
+    mixed_efficiency: float = 0.7
+    batch_limit: int = 32
+    pieces: int = 4_000
+    cached_prefixes: int = 20
+
+
+@dataclass(slots=True)
+class Run:
+    """One attempt on the engine."""
+
+    attempt: AttemptId
+    priority: PriorityClass
+    prompt_tokens: int
+    output_tokens: float
+    prefixes: tuple[PromptPrefix, ...]
+    prefill_only: bool = False
+    prefilled: bool = False
+    to_prefill: float = -1.0
+    produced: float = 0.0
+    first_token_at: float | None = None
+
+    @property
+    def urgent(self) -> bool:
+        """Whether a planned change must not cut it."""
+        return self.priority in URGENT_CLASSES
+
+    @property
+    def pieces(self) -> int:
+        """Pieces of KV memory that it needs in the end."""
+        return -(-int(self.prompt_tokens + self.output_tokens) // PIECE_TOKENS)
+
+
+class ModelEngine:
+    """State of one engine."""
+
+    def __init__(self, name: EngineId, role: Role, spec: EngineSpec) -> None:
+        self.name = name
+        self.role = role
+        self.incarnation = "1"
+        self.events: list[tuple[float, CacheEvent]] = []
+        self._spec = spec
+        self._waiting: list[Run] = []
+        self._prefilling: Run | None = None
+        self._decoding: list[Run] = []
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._seq = 0
+
+    @property
+    def runs(self) -> list[Run]:
+        """All runs."""
+        first = [self._prefilling] if self._prefilling else []
+        return first + self._decoding + self._waiting
+
+    def add(self, run: Run) -> None:
+        """Queue a run behind those of its class."""
+        self._waiting.append(run)
+        self._waiting.sort(key=lambda r: not r.urgent)
+
+    def remove(self, attempt: AttemptId) -> None:
+        """Drop a run."""
+        self._waiting = [r for r in self._waiting if r.attempt != attempt]
+        self._decoding = [r for r in self._decoding if r.attempt != attempt]
+        if self._prefilling is not None and self._prefilling.attempt == attempt:
+            self._prefilling = None
+
+    def clear(self) -> None:
+        """Drop all runs and the cache, as a restart does."""
+        self._waiting, self._decoding, self._prefilling = [], [], None
+        self._cache.clear()
+        self.incarnation += "+"
+
+    def report(self, now: float) -> LoadReport:
+        """Return the load as it is now."""
+        first = [self._prefilling] if self._prefilling else []
+        queued = sum(r.to_prefill for r in first)
+        queued += sum(r.prompt_tokens for r in self._waiting if not r.prefilled)
+        return LoadReport(
+            engine=self.name,
+            incarnation=self.incarnation,
+            age_s=0.0,
+            role=self.role,
+            queued_prefill_tokens=int(queued),
+            running=len(self._decoding) + len(first),
+            batch_limit=self._spec.batch_limit,
+            pieces_total=self._spec.pieces,
+            pieces_free=self._spec.pieces - self._pieces_used(),
+            prefill_tokens_per_s=self._spec.prefill_rate * self._efficiency(),
+            decode_tokens_per_s=self._output_rate() * len(self._decoding),
+        )
+
+    def step(self, now: float, dt: float) -> list[Run]:
+        """Work for ``dt`` seconds; return the runs that are complete."""
+        self._admit(now)
+        rate = self._output_rate()
+        budget = self._prefill_share() * self._spec.prefill_rate * dt
+        done = self._decode(now, dt, rate)
+        while self._prefilling is not None and budget > 0:
+            run = self._prefilling
+            spent = min(budget, run.to_prefill)
+            run.to_prefill -= spent
+            budget -= spent
+            if run.to_prefill > 0:
+                break
+            self._end_prefill(run, now, done)
+            self._admit(now)
+        return done
+
+    def _admit(self, now: float) -> None:
+        """Move waiting runs to the batch while there are places and memory."""
+        while self._waiting and self._prefilling is None:
+            run = self._waiting[0]
+            full = len(self._decoding) >= self._spec.batch_limit
+            free = self._spec.pieces - self._pieces_used()
+            if (full and not run.prefill_only) or run.pieces > free:
+                return
+            self._waiting.pop(0)
+            if run.prefilled:
+                self._decoding.append(run)
+                continue
+            run.to_prefill = float(run.prompt_tokens - self._cached(run))
+            self._prefilling = run
+
+    def _end_prefill(self, run: Run, now: float, done: list[Run]) -> None:
+        self._prefilling = None
+        run.prefilled = True
+        for prefix in run.prefixes:
+            self._store(prefix, now)
+        (done if run.prefill_only else self._decoding).append(run)
+
+    def _decode(self, now: float, dt: float, rate: float) -> list[Run]:
+        done = []
+        for run in self._decoding:
+            run.produced += rate * dt
+            if run.first_token_at is None:
+                run.first_token_at = now
+            if run.produced >= run.output_tokens:
+                done.append(run)
+        if done:
+            self._decoding = [r for r in self._decoding if r.produced < r.output_tokens]
+        return done
+
+    def _output_share(self) -> float:
+        """Return the part of the time that output gets."""
+        if not self._decoding:
+            return 0.0
+        wanted = len(self._decoding) * self._spec.run_rate / self._spec.decode_rate
+        return min(1.0 if self._prefilling is None else 0.5, wanted)
+
+    def _efficiency(self) -> float:
+        both = self._prefilling is not None and self._decoding
+        return self._spec.mixed_efficiency if both else 1.0
+
+    def _output_rate(self) -> float:
+        if not self._decoding:
+            return 0.0
+        rate = self._output_share() * self._spec.decode_rate / len(self._decoding)
+        return min(self._spec.run_rate, rate) * self._efficiency()
+
+    def _prefill_share(self) -> float:
+        return (1.0 - self._output_share()) * self._efficiency()
+
+    def _pieces_used(self) -> int:
+        first = [self._prefilling] if self._prefilling else []
+        return sum(run.pieces for run in first + self._decoding)
+
+    def _cached(self, run: Run) -> int:
+        held = [p.tokens for p in run.prefixes if p.prefix in self._cache]
+        return max(held, default=0)
+
+    def _store(self, prefix: PromptPrefix, now: float) -> None:
+        if prefix.prefix not in self._cache:
+            self._cache[prefix.prefix] = None
+            self._note(prefix.prefix, prefix.tokens, True, now)
+        self._cache.move_to_end(prefix.prefix)
+        while len(self._cache) > self._spec.cached_prefixes:
+            name, _ = self._cache.popitem(last=False)
+            self._note(name, 0, False, now)
+
+    def _note(self, prefix: str, tokens: int, stored: bool, now: float) -> None:
+        self._seq += 1
+        self.events.append((now, CacheEvent(self._seq, prefix, tokens, stored)))
+        del self.events[:-200]
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,316 @@
+"""Decision modules under test, and the baselines that they are compared with."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from bench.workload import Deployment, Shape
+from wigeonspan.catalog import Engine, Policy, Role
+from wigeonspan.common import EngineId
+from wigeonspan.distribution import DemandSample, EngineSample
+from wigeonspan.engines import LoadReport
+from wigeonspan.planning import (
+    Counts,
+    Demand,
+    Load,
+    PlanInputs,
+    Planner,
+    PlanningSettings,
+    Rates,
+    assignments,
+    expected_goodput,
+)
+from wigeonspan.routing import Route, Router, RouteRequest
+
+ROLES = (Role.PREFILL, Role.DECODE, Role.MIXED)
+
+Changes = list[tuple[EngineId, Role]]
+
+
+class RoundRobinRouter(Router):
+    """Baseline: engines in turn."""
+
+    def __init__(self, rng: Random) -> None:
+        super().__init__(rng)
+        self._turn = rng.randrange(100)
+
+    def choose(self, request: RouteRequest, now: float) -> Route | None:
+        """Return the next engine's route."""
+        routes = self.routes(request, now)
+        self._turn += 1
+        return routes[self._turn % len(routes)] if routes else None
+
+
+class LeastLoadRouter(Router):
+    """Baseline: the engine with the least load in the reports."""
+
+    def __init__(self, rng: Random) -> None:
+        super().__init__(rng)
+        self._reports: dict[EngineId, LoadReport] = {}
+
+    def note_load(self, report: LoadReport, now: float) -> None:
+        """Keep the report as it is."""
+        super().note_load(report, now)
+        self._reports[report.engine] = report
+
+    def choose(self, request: RouteRequest, now: float) -> Route | None:
+        """Return the route whose engine reports the fewest requests and tokens."""
+        routes = self.routes(request, now)
+        return min(routes, key=self._load) if routes else None
+
+    def _load(self, route: Route) -> float:
+        load = 0.0
+        for name in (route.engine, route.prefill_engine):
+            if name in self._reports:
+                report = self._reports[name]
+                load += report.running / report.batch_limit
+                load += report.queued_prefill_tokens / 6_000
+        return load
+
+
+class RolePlanner:
+    """Base of the role planners; this one changes nothing."""
+
+    def __init__(self, deployment: Deployment, shape: Shape) -> None:
+        self.deployment = deployment
+        self.shape = shape
+
+    def first_roles(self) -> list[Role]:
+        """Return the roles at the start."""
+        return [Role.MIXED] * self.deployment.engines
+
+    def plan(
+        self,
+        engines: list[Engine],
+        demand: list[DemandSample],
+        work: list[EngineSample],
+        now: float,
+    ) -> Changes:
+        """Return role changes."""
+        return []
+
+
+class StaticSplit(RolePlanner):
+    """Baseline: the best fixed assignment for the mean of the coming load."""
+
+    def first_roles(self) -> list[Role]:
+        """Return the assignment with the most expected goodput over the whole run."""
+        rates = true_rates(self.deployment)
+        demands = [
+            true_demand(self.deployment, self.shape, t) for t in range(0, 600, 5)
+        ]
+        best = max(
+            assignments(self.deployment.engines),
+            key=lambda c: sum(expected_goodput(c, d, rates) for d in demands),
+        )
+        return roles_of(best)
+
+
+class Planned(RolePlanner):
+    """The planner of the system, with the deployment's policy."""
+
+    def __init__(self, deployment: Deployment, shape: Shape) -> None:
+        super().__init__(deployment, shape)
+        spec = deployment.spec
+        self._planner = Planner(
+            PlanningSettings(
+                prefill_tokens_per_s=spec.prefill_rate,
+                decode_tokens_per_s=spec.decode_rate,
+                mixed_efficiency=spec.mixed_efficiency,
+            )
+        )
+        self._noted_at = 0.0
+
+    def plan(
+        self,
+        engines: list[Engine],
+        demand: list[DemandSample],
+        work: list[EngineSample],
+        now: float,
+    ) -> Changes:
+        """Return the planner's changes."""
+        interval = now - self._noted_at
+        self._noted_at = now
+        self._planner.note_demand(demand, interval, now)
+        self._planner.note_engines(work, interval)
+        known = {e.name: -1e9 for e in engines} if now < 10 else {}
+        inputs = PlanInputs(engines, self.deployment.policy, known)
+        return [(c.engine, c.new) for c in self._planner.plan(inputs, now).changes]
+
+
+class Greedy(RolePlanner):
+    """Baseline: the best assignment for the demand just seen, whatever it costs."""
+
+    def plan(
+        self,
+        engines: list[Engine],
+        demand: list[DemandSample],
+        work: list[EngineSample],
+        now: float,
+    ) -> Changes:
+        """Return the changes towards the best assignment for the last interval."""
+        seen = seen_demand(demand, self.deployment)
+        rates = true_rates(self.deployment)
+        usable = [e for e in engines if e.phase.value not in ("failed", "withdrawn")]
+        current = count(usable)
+        target = max(
+            assignments(len(usable)),
+            key=lambda c: (expected_goodput(c, seen, rates), -current.moves_to(c)),
+        )
+        return limited_changes(usable, current, target, self.deployment.policy)
+
+
+class Oracle(RolePlanner):
+    """Bound: knows the coming mix and plans all role changes ahead.
+
+    Dynamic programming over steps of 10 s picks the assignments with the most expected
+    goodput, a change costing the engine's time out of service.
+    """
+
+    step_s = 10.0
+
+    def __init__(self, deployment: Deployment, shape: Shape) -> None:
+        super().__init__(deployment, shape)
+        self._rates = true_rates(deployment)
+        self._path: list[Counts] = []
+
+    def first_roles(self) -> list[Role]:
+        """Return the first assignment of the path."""
+        self._path = self._best_path(None, 0, self.deployment.engines)
+        return roles_of(self._path[0])
+
+    def plan(
+        self,
+        engines: list[Engine],
+        demand: list[DemandSample],
+        work: list[EngineSample],
+        now: float,
+    ) -> Changes:
+        """Return the changes towards the assignment one step ahead."""
+        usable = [e for e in engines if e.phase.value not in ("failed", "withdrawn")]
+        current = count(usable)
+        index = min(int((now + self.step_s) / self.step_s), 59)
+        if sum(self._path[index]) != len(usable):
+            rest = self._best_path(current, index, len(usable))
+            self._path[index:] = rest
+        target = self._path[index]
+        return limited_changes(usable, current, target, self.deployment.policy)
+
+    def _best_path(self, start: Counts | None, first: int, total: int) -> list[Counts]:
+        states = assignments(total)
+        best = {s: 0.0 if start is None else -self._cost(start, s) for s in states}
+        back: list[dict[Counts, Counts]] = []
+        for index in range(first, 60):
+            now = (index + 0.5) * self.step_s
+            demand = true_demand(self.deployment, self.shape, now)
+            gain = {s: expected_goodput(s, demand, self._rates) for s in states}
+            at = {s: best[s] + gain[s] * self.step_s for s in states}
+            step = {}
+            for s in states:
+                step[s] = max(states, key=lambda p: at[p] - self._cost(p, s))
+            best = {s: at[step[s]] - self._cost(step[s], s) for s in states}
+            back.append(step)
+        state = max(states, key=lambda s: best[s])
+        path = []
+        for step in reversed(back):
+            state = step[state]
+            path.append(state)
+        return path[::-1]
+
+    def _cost(self, a: Counts, b: Counts) -> float:
+        moves = a.moves_to(b)
+        if moves > len(self.deployment.domains):
+            return 1e9
+        return moves * 12.0
+
+
+@dataclass(frozen=True)
+class Contender:
+    """Routing and role planning under one name."""
+
+    name: str
+    router: Callable[[Random], Router]
+    planner: Callable[[Deployment, Shape], RolePlanner]
+    perfect_reports: bool = False
+
+
+CONTENDERS = (
+    Contender("wigeonspan", Router, Planned),
+    Contender("static, round robin", RoundRobinRouter, RolePlanner),
+    Contender("static, least load", LeastLoadRouter, RolePlanner),
+    Contender("static split, least load", LeastLoadRouter, StaticSplit),
+    Contender("greedy", Router, Greedy),
+    Contender("oracle", Router, Oracle, perfect_reports=True),
+)
+
+
+def true_rates(deployment: Deployment) -> Rates:
+    """Return the engines' rates, less a tenth against queues."""
+    spec = deployment.spec
+    return Rates(0.9 * spec.prefill_rate, 0.9 * spec.decode_rate, spec.mixed_efficiency)
+
+
+def true_demand(deployment: Deployment, shape: Shape, now: float) -> Demand:
+    """Return the expected demand at a time."""
+    urgent, batch = Load(), Load()
+    for kind, part in zip(deployment.kinds, shape.mix(now), strict=True):
+        rate = part * deployment.engines / kind.work_s(deployment.spec)
+        load = Load(rate, rate * kind.prompt_tokens, rate * kind.output_tokens)
+        if kind.priority.value == "batch":
+            batch = batch.plus(load)
+        else:
+            urgent = urgent.plus(load)
+    return Demand(urgent, batch)
+
+
+def seen_demand(samples: list[DemandSample], deployment: Deployment) -> Demand:
+    """Return the demand of the last interval of 5 s as it was seen."""
+    urgent, batch = Load(), Load()
+    lengths = {k.priority: k.output_tokens for k in deployment.kinds}
+    for sample in samples:
+        rate = sample.arrivals / 5.0
+        length = lengths[sample.priority]
+        ended = sample.finished + sample.late
+        if ended:
+            length = sample.output_tokens / ended
+        load = Load(rate, sample.prompt_tokens / 5.0, rate * length)
+        if sample.priority.value == "batch":
+            batch = batch.plus(load)
+        else:
+            urgent = urgent.plus(load)
+    return Demand(urgent, batch)
+
+
+def count(engines: list[Engine]) -> Counts:
+    """Return the engines by wanted role."""
+    return Counts(*(sum(e.wanted_role is r for e in engines) for r in ROLES))
+
+
+def roles_of(counts: Counts) -> list[Role]:
+    """Return a list with the counted roles."""
+    return [r for r, n in zip(ROLES, counts, strict=True) for _ in range(n)]
+
+
+def limited_changes(
+    engines: list[Engine], current: Counts, target: Counts, policy: Policy
+) -> Changes:
+    """Return the changes towards a target that the limit on engines out allows."""
+    surplus = {r: a - b for r, a, b in zip(ROLES, current, target, strict=True)}
+    out: dict[str, int] = {}
+    for e in engines:
+        if e.phase.value != "serving":
+            out[e.domain] = out.get(e.domain, 0) + 1
+    changes: Changes = []
+    for e in engines:
+        wanted = next((r for r in ROLES if surplus[r] < 0), None)
+        if wanted is None:
+            break
+        if e.phase.value != "serving" or surplus[e.role] <= 0:
+            continue
+        if out.get(e.domain, 0) >= policy.max_out_per_domain:
+            continue
+        surplus[e.role] -= 1
+        surplus[wanted] += 1
+        out[e.domain] = out.get(e.domain, 0) + 1
+        changes.append((e.name, wanted))
+    return changes
--- a/wigeonspan/admission/_core.py
+++ b/wigeonspan/admission/_core.py
@@ -26,6 +26,11 @@
 """Weight of the newest request in the ratio of actual to expected time; it moves over
 about twenty requests, so that one slow answer refuses nobody."""
 
+MIN_RATIO = 0.8
+MAX_RATIO = 1.5
+"""Bounds of that ratio. With a bound of 4, one congested engine made an entry refuse
+requests that would have been in time, and without answers the ratio never fell."""
+
 MIN_RETRY_S = 0.1
 """Shortest retry time, so that a refused caller does not come back in a busy loop."""
 
@@ -310,7 +315,7 @@
 
     def _learn(self, service: _Service, ticket: Ticket, elapsed: float) -> None:
         if ticket.expected_s > 0:
-            ratio = min(4.0, max(0.25, elapsed / ticket.expected_s))
+            ratio = min(MAX_RATIO, max(MIN_RATIO, elapsed / ticket.expected_s))
             service.ratio += RATIO_WEIGHT * (ratio - service.ratio)
         weight = RATIO_WEIGHT if service.mean_run_s else 1.0
         service.mean_run_s += weight * (elapsed - service.mean_run_s)
--- a/wigeonspan/planning/__init__.py
+++ b/wigeonspan/planning/__init__.py
@@ -1,6 +1,14 @@
 """Role planning: which engines prefill, decode or do both."""
 
 from wigeonspan.planning._core import Planner
+from wigeonspan.planning._goodput import (
+    Counts,
+    Demand,
+    Load,
+    Rates,
+    assignments,
+    expected_goodput,
+)
 from wigeonspan.planning._messages import (
     Plan,
     PlanInputs,
@@ -11,12 +19,18 @@
 from wigeonspan.planning._task import DemandSource, PlannerTask
 
 __all__ = [
+    "Counts",
+    "Demand",
     "DemandSource",
+    "Load",
     "Plan",
     "PlanInputs",
     "Planner",
     "PlannerTask",
     "PlanningSettings",
+    "Rates",
     "RoleChange",
     "ServiceDecision",
+    "assignments",
+    "expected_goodput",
 ]
--- a/wigeonspan/planning/_core.py
+++ b/wigeonspan/planning/_core.py
@@ -4,7 +4,13 @@
 from wigeonspan.common import DomainName, EngineId, ServiceName
 from wigeonspan.distribution import DemandSample, EngineSample
 from wigeonspan.planning._demand import DemandBook, Scenario
-from wigeonspan.planning._goodput import Counts, Load, Rates, expected_goodput
+from wigeonspan.planning._goodput import (
+    Counts,
+    Load,
+    Rates,
+    assignments,
+    expected_goodput,
+)
 from wigeonspan.planning._messages import (
     Plan,
     PlanInputs,
@@ -114,7 +120,7 @@
         scored = sorted(
             (
                 (self._value(c, current, scenarios, rates, inputs), c)
-                for c in assignments(engines)
+                for c in assignments(len(engines), _pinned(engines))
             ),
             key=lambda item: (-item[0], current.moves_to(item[1]), item[1]),
         )
@@ -225,15 +231,8 @@
     return engine.phase not in GONE and not engine.drain
 
 
-def assignments(engines: list[Engine]) -> list[Counts]:
-    """Return every assignment that keeps the pinned roles."""
-    pinned = Counts(*(sum(e.pinned_role is role for e in engines) for role in ROLES))
-    total = len(engines)
-    return [
-        Counts(prefill, decode, total - prefill - decode)
-        for prefill in range(pinned.prefill, total + 1)
-        for decode in range(pinned.decode, total - prefill - pinned.mixed + 1)
-    ]
+def _pinned(engines: list[Engine]) -> Counts:
+    return Counts(*(sum(e.pinned_role is role for e in engines) for role in ROLES))
 
 
 def _show(counts: Counts) -> str:
--- a/wigeonspan/planning/_goodput.py
+++ b/wigeonspan/planning/_goodput.py
@@ -50,6 +50,18 @@
     mixed_efficiency: float
 
 
+NO_ENGINES = Counts(0, 0, 0)
+
+
+def assignments(total: int, pinned: Counts = NO_ENGINES) -> list[Counts]:
+    """Return every assignment of a number of engines that keeps the pinned roles."""
+    return [
+        Counts(prefill, decode, total - prefill - decode)
+        for prefill in range(pinned.prefill, total + 1)
+        for decode in range(pinned.decode, total - prefill - pinned.mixed + 1)
+    ]
+
+
 def served_share(counts: Counts, load: Load, rates: Rates) -> float:
     """Return the part of a load that an assignment can serve, possibly above 1.
 
--- a/wigeonspan/routing/_core.py
+++ b/wigeonspan/routing/_core.py
@@ -9,7 +9,7 @@
 from wigeonspan.distribution import EngineSample, InFlight
 from wigeonspan.engines import CacheEvents, LoadReport
 from wigeonspan.routing._health import TargetHealth
-from wigeonspan.routing._load import Attempt, EngineLoad
+from wigeonspan.routing._load import Attempt, EngineLoad, Unseen
 from wigeonspan.routing._messages import (
     AttemptEnd,
     AttemptResult,
@@ -18,6 +18,11 @@
     RoutingSettings,
 )
 from wigeonspan.routing._prefixes import HolderIndex, PrefixEstimate
+from wigeonspan.routing._rates import SentRate
+
+PREFILL_PLACES = 8
+"""Requests counted as running at once on a prefill engine; it runs one prompt after the
+other, and a few that wait keep it busy between two reports."""
 
 
 class Router:
@@ -40,6 +45,7 @@
         self._prefixes: dict[EngineId, PrefixEstimate] = {}
         self._holders = HolderIndex(self._settings.cache_prefixes)
         self._attempts: dict[AttemptId, Attempt] = {}
+        self._sent: dict[ServiceName, SentRate] = {}
         self._others = 0
         self.health: TargetHealth[EngineId] = TargetHealth(self._settings)
 
@@ -121,8 +127,8 @@
     def slots(self, service: ServiceName) -> int:
         """Return how many requests of a service this entry should run at once."""
         places = sum(
-            self._loads[name].batch_limit
-            for role in (Role.MIXED, Role.DECODE)
+            PREFILL_PLACES if role is Role.PREFILL else self._loads[name].batch_limit
+            for role in Role
             for name in self._pools.get((service, role), [])
         )
         share = places * self._settings.slot_factor / (self._others + 1)
@@ -135,7 +141,7 @@
         request: RouteRequest,
         now: float,
         *,
-        prefill_only: bool = False,
+        decode_engine: EngineId | None = None,
         prefilled: bool = False,
     ) -> None:
         """Note that an attempt was sent to an engine.
@@ -150,8 +156,8 @@
             The request.
         now : float
             Monotonic time in seconds.
-        prefill_only : bool
-            Whether the engine only runs the prompt.
+        decode_engine : EngineId or None
+            Engine that continues, when this one only runs the prompt.
         prefilled : bool
             Whether the engine has imported the prompt's KV cache.
         """
@@ -159,8 +165,12 @@
         if load is None:
             return
         tokens = 0.0 if prefilled else self._uncached(request, engine, now)
-        record = Attempt(attempt, engine, request, tokens, now, prefill_only)
+        if not prefilled:
+            self._sent.setdefault(request.service, SentRate()).note(tokens, now)
+        record = Attempt(attempt, engine, request, tokens, now, decode_engine)
         load.attempts[attempt] = self._attempts[attempt] = record
+        if decode_engine in self._loads:
+            self._loads[decode_engine].reserved.add(attempt)
         self._prefixes[engine].note_run(request.prefixes, now)
         self._holders.note_run(request.prefixes, engine)
 
@@ -176,12 +186,12 @@
         if record is None:
             return
         self._loads[record.engine].note_end(record, now)
+        if record.decode_engine in self._loads:
+            self._loads[record.decode_engine].reserved.discard(attempt)
         if end.result is AttemptResult.FAILED:
             self.health.failed(record.engine, now)
         elif end.result is AttemptResult.OK:
-            work = record.prompt_tokens / 100 + max(1, record.tokens)
-            elapsed = now - record.started_at
-            self.health.succeeded(record.engine, elapsed / work, now)
+            self.health.succeeded(record.engine, record.token_interval_s, now)
 
     def probe_targets(self, now: float) -> list[EngineId]:
         """Return ejected engines that are due for a probe."""
@@ -245,18 +255,23 @@
     ) -> "_Estimate":
         """Sum up what this entry has on the engines that are compared."""
         loads = [self._loads[name] for name in names]
-        own = sum(load.own_tokens_since_report() for load in loads)
         share = 1.0
         if request.priority in URGENT_CLASSES:
             waiting = [a for load in loads for a in load.waiting()]
             total = sum(a.prompt_tokens for a in waiting)
             urgent = sum(a.prompt_tokens for a in waiting if a.urgent)
             share = (urgent + request.prompt_tokens) / (total + request.prompt_tokens)
-        return _Estimate(request, now, own / max(1, len(loads)), share)
+        engines = self._engine_count(request.service)
+        sent = self._sent.setdefault(request.service, SentRate())
+        others = sent.for_others(self._others, engines, now)
+        return _Estimate(request, now, others, share)
+
+    def _engine_count(self, service: ServiceName) -> int:
+        return sum(len(self._pools.get((service, role), ())) for role in Role)
 
     def _prefill_s(self, estimate: "_Estimate", name: EngineId) -> float:
         load = self._loads[name]
-        backlog = load.prefill_backlog(estimate.now, self._others, estimate.mean_own)
+        backlog = load.prefill_backlog(estimate.now, estimate.others)
         backlog *= estimate.queue_share
         tokens = backlog + self._uncached(estimate.request, name, estimate.now)
         return tokens / load.prefill_rate
@@ -266,7 +281,7 @@
 
     def _slot_wait_s(self, estimate: "_Estimate", name: EngineId) -> float:
         output = estimate.request.output_tokens
-        return self._loads[name].slot_wait_s(estimate.now, self._others, output)
+        return self._loads[name].slot_wait_s(estimate.now, estimate.others, output)
 
     def _domain_s(self, request: RouteRequest, name: EngineId) -> float:
         if request.domain in (None, self._engines[name].domain):
@@ -324,8 +339,8 @@
 
     Parameters
     ----------
-    mean_own : float
-        Mean of this entry's prompt tokens since the report, over the engines compared.
+    others : Unseen
+        What other entries send to each engine.
     queue_share : float
         Part of the queues that runs before the request. Engines run urgent requests
         first; reports do not tell the classes apart, so this entry's own waiting
@@ -334,5 +349,5 @@
 
     request: RouteRequest
     now: float
-    mean_own: float
+    others: Unseen
     queue_share: float
--- a/wigeonspan/routing/_health.py
+++ b/wigeonspan/routing/_health.py
@@ -70,16 +70,16 @@
         condition = self._conditions.get(target)
         return condition is not None and condition.out_until is not None
 
-    def succeeded(self, target: Target, latency: float, now: float) -> None:
+    def succeeded(self, target: Target, latency: float | None, now: float) -> None:
         """Note a whole answer.
 
         Parameters
         ----------
         target : Target
             Target that answered.
-        latency : float
-            Seconds, in a unit that is comparable between peers, for example for each
-            unit of work.
+        latency : float or None
+            Seconds, in a unit that is comparable between peers and independent of
+            their queues, for example between tokens; None when it is not known.
         now : float
             Monotonic time in seconds.
         """
@@ -87,6 +87,8 @@
         if condition is None:
             return
         condition.failures = 0
+        if latency is None:
+            return
         condition.answers += 1
         weight = max(LATENCY_WEIGHT, 1 / condition.answers)
         condition.latency += weight * (latency - condition.latency)
--- a/wigeonspan/routing/_load.py
+++ b/wigeonspan/routing/_load.py
@@ -1,6 +1,7 @@
 """Estimate of the work on one engine between and after its load reports."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from wigeonspan.catalog import URGENT_CLASSES
 from wigeonspan.common import AttemptId, EngineId
@@ -11,15 +12,19 @@
 RATE_WEIGHT = 0.2
 """Weight of the newest observation in a mean rate; about ten observations count."""
 
+MIN_TOKENS = 8
+"""Tokens from which the time between them says something about the engine."""
+
 REPORT_KEEP_S = 5.0
 """Seconds after which a load report says nothing: the queue it showed has changed."""
 
-SAME_CHOICE = 0.5
-"""Share of the other entries' unseen work that is assumed to go where ours went.
 
-Entries see the same reports, so their choices agree in part; the rest of their work is
-assumed to spread evenly.
-"""
+class Unseen(NamedTuple):
+    """Mean rate of the work that other entries send to one engine."""
+
+    prompt_tokens_per_s: float = 0.0
+    requests_per_s: float = 0.0
+    entries: int = 0
 
 
 @dataclass(slots=True)
@@ -30,8 +35,8 @@
     ----------
     prompt_tokens : float
         Tokens to prefill, without those expected in the prefix cache.
-    prefill_only : bool
-        Whether the engine only runs the prompt.
+    decode_engine : EngineId or None
+        Engine that continues, when this one only runs the prompt.
     """
 
     id: AttemptId
@@ -39,7 +44,7 @@
     request: RouteRequest
     prompt_tokens: float
     started_at: float
-    prefill_only: bool = False
+    decode_engine: EngineId | None = None
     first_token_at: float | None = None
     last_token_at: float = 0.0
     tokens: int = 0
@@ -49,6 +54,13 @@
         """Whether the attempt is of a class that is never cut."""
         return self.request.priority in URGENT_CLASSES
 
+    @property
+    def token_interval_s(self) -> float | None:
+        """Mean time between tokens, or None when there are too few to tell."""
+        if self.first_token_at is None or self.tokens < MIN_TOKENS:
+            return None
+        return (self.last_token_at - self.first_token_at) / (self.tokens - 1)
+
 
 class EngineLoad:
     """Expected queue and rates of one engine.
@@ -67,6 +79,7 @@
         self._decode_rate = 0.0
         self._sample = [0, 0, 0.0, 0.0]
         self.attempts: dict[AttemptId, Attempt] = {}
+        self.reserved: set[AttemptId] = set()
 
     @property
     def decode_rate(self) -> float:
@@ -98,42 +111,49 @@
             self._prefill_rate = report.prefill_tokens_per_s
         return True
 
-    def prefill_backlog(
-        self, now: float, others: int = 0, mean_own: float = 0.0
-    ) -> float:
+    def prefill_backlog(self, now: float, others: Unseen) -> float:
         """Return the prompt tokens that wait on the engine.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        others : int
-            Other live entries.
-        mean_own : float
-            Mean over the engines of this entry's own tokens since the report.
+        others : Unseen
+            Rate of the work that other entries send to the engine.
         """
         waiting = sum(a.prompt_tokens for a in self.waiting())
         report = self._fresh_report(now)
         if report is None:
-            alike = SAME_CHOICE * waiting + (1 - SAME_CHOICE) * mean_own
-            return waiting + others * alike
-        own = self.own_tokens_since_report()
-        unseen = own + others * (SAME_CHOICE * own + (1 - SAME_CHOICE) * mean_own)
+            return waiting + others.prompt_tokens_per_s * REPORT_KEEP_S
         elapsed = now - self._measured_at
-        backlog = report.queued_prefill_tokens + unseen - self.prefill_rate * elapsed
-        return max(backlog, waiting / 2)
+        unseen = self.own_tokens_since_report()
+        unseen += (others.prompt_tokens_per_s - self.prefill_rate) * elapsed
+        return max(report.queued_prefill_tokens + unseen, waiting / 2)
+
+    def slot_wait_s(self, now: float, others: Unseen, output_tokens: int) -> float:
+        """Return the seconds until the batch has a free place.
 
-    def slot_wait_s(self, now: float, others: int, output_tokens: int) -> float:
-        """Return the seconds until the batch has a free place."""
+        A report does not tell how many requests wait for a place once the batch is
+        full, nor how many are being prefilled elsewhere for this engine; then the other
+        entries are assumed to have as many as this one.
+        """
         report = self._fresh_report(now)
         if report is None or report.batch_limit <= 0:
             return 0.0
-        since = sum(a.started_at > self._measured_at for a in self.attempts.values())
-        excess = report.running + since * (1 + others * SAME_CHOICE) + 1
-        excess -= report.batch_limit
+        elapsed = now - self._measured_at
+        unseen = sum(a.started_at > self._measured_at for a in self.attempts.values())
+        mean_run_s = output_tokens / self.decode_rate
+        unseen += others.requests_per_s * elapsed
+        ended = report.running * min(1.0, elapsed / max(mean_run_s, 1e-3))
+        expected = report.running + unseen - ended
+        if report.running >= report.batch_limit:
+            waiting = len(self.waiting()) * (1 + others.entries)
+            expected = max(expected, report.running + waiting)
+        excess = expected + len(self.reserved) * (1 + others.entries)
+        excess += 1 - report.batch_limit
         if excess <= 0:
             return 0.0
-        return excess / report.batch_limit * output_tokens / self.decode_rate
+        return excess / report.batch_limit * mean_run_s
 
     def waiting(self) -> list[Attempt]:
         """Return this entry's attempts without a first token."""
@@ -160,7 +180,7 @@
         """Remove an attempt and learn the rates that it saw."""
         self.attempts.pop(attempt.id, None)
         first = attempt.first_token_at
-        if attempt.prefill_only:
+        if attempt.decode_engine is not None:
             first = now
         if first is None:
             return
