--- /dev/null
+++ b/wigeonspan/controld/_daemon.py
@@ -0,0 +1,131 @@
+"""The control daemon as a whole."""
+
+import asyncio
+import random
+import signal
+
+from tornado.httpserver import HTTPServer
+
+from wigeonspan.common import Clock, SystemClock, part_logger
+from wigeonspan.controld._build import (
+    build_backend,
+    build_duties,
+    build_log,
+    build_routes,
+    build_state,
+)
+from wigeonspan.controld._settings import ControlSettings
+from wigeonspan.distribution import Distributor
+from wigeonspan.http import make_client
+from wigeonspan.operators.service import OperatorServer
+from wigeonspan.record.tasks import keep_record
+
+MAX_CLIENTS = 64
+"""Requests to other control hosts at once; a group has a handful of members."""
+
+FAILURE_INTERVAL_S = 0.2
+"""Time between two looks for a failure that ends this host."""
+
+_log = part_logger("control")
+
+
+class Daemon:
+    """One control host: its log, state, routes and duties.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of this host.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of randomness for election timeouts.
+    """
+
+    def __init__(
+        self, settings: ControlSettings, clock: Clock, rng: random.Random
+    ) -> None:
+        self._settings = settings
+        self._client = client = make_client(MAX_CLIENTS)
+        self._state = state = build_state(settings)
+        self._log = log = build_log(settings, state, clock, rng, client)
+        self._duties = build_duties(settings, log, state, clock, client)
+        self._http = HTTPServer(build_routes(log, state, self._distributor, clock))
+        backend = build_backend(settings, log, state, self._distributor, clock, client)
+        self._operators = OperatorServer(backend, settings.operators)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen, join the group and begin to serve."""
+        host, _, port = self._settings.address.rpartition(":")
+        self._http.listen(int(port), host.strip("[]"))
+        await self._log.start()
+        await self._operators.start()
+        record = keep_record(self._state.record, self._client, self._other_addresses)
+        self._tasks = [
+            asyncio.create_task(self._duties.run()),
+            asyncio.create_task(record),
+        ]
+        _log.info("Host {} serves on {}.", self._settings.host, self._settings.address)
+
+    async def wait_failed(self) -> None:
+        """Return when this host cannot go on, because of its disk or its state."""
+        disk = asyncio.create_task(self._log.wait_failed())
+        try:
+            while not disk.done() and not any(task.done() for task in self._tasks):
+                if self._state.failure is not None:
+                    _log.critical(
+                        "A command cannot be applied: {}.", self._state.failure
+                    )
+                    return
+                await asyncio.sleep(FAILURE_INTERVAL_S)
+        finally:
+            disk.cancel()
+
+    async def stop(self) -> None:
+        """Hand over and stop; calls in progress end first."""
+        _log.info("Host {} stops.", self._settings.host)
+        await self._operators.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # The log hands leadership over through the HTTP server, so that stops last.
+        await self._log.stop()
+        self._http.stop()
+        await self._http.close_all_connections()
+        self._client.close()
+        _log.info("Host {} has stopped.", self._settings.host)
+
+    def _distributor(self) -> Distributor | None:
+        return self._duties.distributor
+
+    def _other_addresses(self) -> list[str]:
+        """Return the other members' addresses, the leader's first."""
+        leader = self._log.leader
+        others = [m for m in self._log.members if m.name != self._settings.host]
+        others.sort(key=lambda m: leader is None or m.name != leader.name)
+        return [member.address for member in others]
+
+
+async def run_daemon(settings: ControlSettings) -> None:
+    """Run a control host until it is told to stop."""
+    daemon = Daemon(settings, SystemClock(), random.Random())
+    stop = asyncio.Event()
+
+    def on_signal() -> None:
+        if stop.is_set():
+            _log.info("Already stopping; calls in progress end first.")
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    await daemon.start()
+    failed = asyncio.create_task(daemon.wait_failed())
+    failed.add_done_callback(lambda _: stop.set())
+    await stop.wait()
+    has_failed = failed.done()
+    failed.cancel()
+    await daemon.stop()
+    if has_failed:
+        raise SystemExit(1)
