--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -127,6 +127,7 @@
         }
         self.in_flight = []
         self.cut = set()
+        self.blocked = set()
         self.loss = self.repeat = 0.0
         self.delay = 0.01
         self.committed = {}
@@ -184,7 +185,9 @@
                 self.check_leaders()
 
     def is_cut(self, one, other):
-        return (one in self.cut) != (other in self.cut)
+        """Whether hosts are partitioned, or their link is blocked in this direction."""
+        apart = (one in self.cut) != (other in self.cut)
+        return apart or (one, other) in self.blocked
 
     def running(self):
         return [h for h in self.hosts.values() if h.node is not None and not h.frozen]
@@ -265,7 +268,7 @@
 
     def heal(self):
         """End all faults and start every host that is down."""
-        self.cut = set()
+        self.cut, self.blocked = set(), set()
         self.loss = self.repeat = 0.0
         self.delay = 0.01
         for host in self.hosts.values():
--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
-from tests.consensus.simulation import Simulation
+from tests.consensus.simulation import STEP_S, Simulation
 
 HOSTS = st.sampled_from("abcde")
 
@@ -44,6 +44,10 @@
     def partition(self, cut):
         self.sim.cut = cut
 
+    @rule(sender=HOSTS, receiver=HOSTS)
+    def block(self, sender, receiver):
+        self.sim.blocked ^= {(sender, receiver)}
+
     @rule()
     def partition_leader(self):
         leader = self.sim.leader()
@@ -193,6 +197,84 @@
     assert (sim.leader(), sim.leader().node.term) == (leader, term)
 
 
+def begin(seed):
+    """Return a simulation with its leader and the two other voters."""
+    sim = Simulation(seed)
+    sim.run_until(sim.leader)
+    leader = sim.leader()
+    others = [sim.hosts[name] for name in "abc" if name != leader.name]
+    return sim, leader, *others
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("both_ways", [True, False])
+def test_voter_cut_off_from_the_leader_alone_does_not_depose_it(seed, both_ways):
+    """A voter that reaches the others, but hears no leader, must get no vote."""
+    sim, leader, _, apart = begin(seed)
+    term = leader.node.term
+    sim.blocked = {(leader.name, apart.name)}
+    if both_ways:
+        sim.blocked.add((apart.name, leader.name))
+    sim.run(30.0)
+    assert (sim.leader(), leader.node.term) == (leader, term)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_restarted_voter_does_not_vote_within_the_lease(seed):
+    """A restarted voter forgot that it answered the leader, whose lease goes on."""
+    sim, _, _, _ = begin(seed)
+    for _ in range(10):
+        sim.heal()
+        sim.run(1.0)
+        sim.run_until(sim.leader)
+        leader = sim.leader()
+        near, apart = (h for h in sim.running() if h.name in "abc" and h is not leader)
+        sim.blocked = {(leader.name, apart.name), (apart.name, leader.name)}
+        sim.run(3.0)
+        near.crash()
+        near.start()
+        sim.run(3.0)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_old_lease_ends_before_a_new_leader_has_one(seed):
+    """A cut-off leader on a slow clock must lose its lease before the next one wins."""
+    sim, _, _, _ = begin(seed)
+    sim.delay = 0.002
+    for _ in range(15):
+        sim.run_until(sim.leader)
+        sim.cut = {sim.leader().name}
+        sim.run(3.0)
+        sim.cut = set()
+        sim.run(0.5)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_handover_gives_up_the_lease_first(seed):
+    """A leader that hands over must not keep a lease beside its successor's."""
+    sim, _, _, _ = begin(seed)
+    for _ in range(10):
+        sim.run_until(sim.leader)
+        leader = sim.leader()
+        leader.step(leader.node.hand_over(leader.now()))
+        sim.run_until(lambda leader=leader: sim.leader() not in (None, leader), 1.0)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_snapshot_transfer_survives_a_restart_of_the_receiver(seed):
+    """A receiver that lost half a snapshot must not wait for its end forever."""
+    sim, leader, follower, _ = begin(seed)
+    follower.crash()
+    for _ in range(600):
+        sim.propose()
+        sim.run(STEP_S)
+    follower.start()
+    sim.run_until(lambda: follower.node._state.incoming is not None)
+    follower.crash()
+    follower.start()
+    sim.check_progress()
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_learner_far_behind_gets_a_snapshot_and_is_promoted(seed):
     """A learner behind the compacted log must not block its promotion."""
