Hold published leases across step-down and handover; keep a full disk consistent

A leader that stepped down could vote at once although its published lease still ran; a handover now waits for the lease to end. The store has fault tables for torn tails, flipped bits, failed syncs, full disks and power loss at any operation.

--- /dev/null
+++ b/tests/consensus/test_store.py
@@ -0,0 +1,288 @@
+"""Data folder under torn writes, damage, failed syncs, full disks and power loss."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.consensus.fake_disk import FakeDisk, PowerLoss
+from wigeonspan.consensus import (
+    Entry,
+    HardState,
+    LogStore,
+    Persist,
+    Snapshot,
+    SnapshotMeta,
+    StorageCorrupt,
+    StorageFailed,
+    StorageFull,
+)
+from wigeonspan.consensus._disk import FolderDisk
+
+STATE = HardState("group", 3, "a")
+LOG = "log-0000000000000001"
+
+
+def entries(first, last, term=1):
+    return [Entry(i, term, f"command {i}".encode()) for i in range(first, last + 1)]
+
+
+def persist(*items, state=None, snapshot=None):
+    return Persist(1, state, snapshot, list(items))
+
+
+def snapshot(index, term=1, data=b"state"):
+    return Snapshot(SnapshotMeta(index, term, (), len(data)), data)
+
+
+def filled():
+    """Return a disk with three synced frames of entries, and its store."""
+    disk = FakeDisk()
+    store = LogStore(disk, lambda: "disk-1")
+    store.open()
+    store.save([persist(*entries(1, 3), state=STATE)])
+    store.save([persist(*entries(4, 4))])
+    store.save([persist(*entries(5, 8))])
+    return disk, store
+
+
+def reopened(disk):
+    store = LogStore(disk, lambda: "disk-2")
+    return store, store.open()
+
+
+def test_identity_state_and_entries_survive():
+    """A restarted voter must know its identity, vote and entries."""
+    disk, store = filled()
+    store.save([persist(*entries(6, 7, term=2)), persist(*entries(8, 8, term=2))])
+    store, stored = reopened(disk)
+    assert store.disk_id == "disk-1"
+    assert stored.state == STATE
+    assert stored.entries == entries(1, 5) + entries(6, 8, term=2)
+
+
+def test_torn_tail_is_cut_at_every_length():
+    """A frame that a crash cut short must not stop the voter or lose older ones."""
+    disk, store = filled()
+    before = len(disk.read(LOG))
+    store.save([persist(*entries(9, 12))])
+    whole = disk.read(LOG)
+    for size in range(before, len(whole)):
+        torn, _ = filled()
+        torn.append(LOG, whole[before:size])
+        torn.sync(LOG)
+        store, stored = reopened(torn)
+        assert stored.entries == entries(1, 8)
+        assert len(torn.read(LOG)) == before
+        store.save([persist(*entries(9, 9))])
+        assert reopened(torn)[1].entries == entries(1, 9)
+
+
+def test_each_flipped_bit_of_the_log_is_refused_with_file_and_offset():
+    """Damage to a synced record must not be taken for a torn tail and dropped."""
+    size = len(filled()[0].read(LOG))
+    for offset in range(size):
+        disk, _ = filled()
+        disk.flip(LOG, offset)
+        with pytest.raises(StorageCorrupt) as caught:
+            reopened(disk)
+        assert caught.value.file == LOG
+        assert caught.value.offset <= offset
+        assert f"{LOG}: offset {caught.value.offset}:" in str(caught.value)
+
+
+def test_flip_before_a_good_record_is_refused_without_the_tail_note():
+    """The note of the synced length is not synced, so it can be missing."""
+    disk, store = filled()
+    last = len(disk.read(LOG))
+    store.save([persist(*entries(9, 9))])
+    for offset in range(last):
+        disk, store = filled()
+        store.save([persist(*entries(9, 9))])
+        disk.remove("tail")
+        disk.flip(LOG, offset)
+        with pytest.raises(StorageCorrupt):
+            reopened(disk)
+
+
+def test_flipped_bit_of_the_voter_file_loses_no_vote():
+    """A damaged vote that fell back to an older one would allow a second vote."""
+    for offset in range(filled()[0].read("voter").__len__()):
+        disk, _ = filled()
+        disk.flip("voter", offset)
+        store, stored = reopened(disk)
+        assert (store.disk_id, stored.state) == ("disk-1", STATE)
+
+
+def test_flipped_bit_of_the_snapshot_is_refused():
+    """A damaged snapshot must not be restored."""
+    disk, store = filled()
+    store.save_snapshot(snapshot(6))
+    name = "snapshot-0000000000000006"
+    for offset in range(len(disk.read(name))):
+        disk.flip(name, offset)
+        with pytest.raises(StorageCorrupt, match=name):
+            reopened(disk)
+        disk.flip(name, offset)
+    assert reopened(disk)[1].entries == entries(7, 8)
+
+
+@pytest.mark.parametrize("missing", ["voter", LOG])
+def test_missing_file_is_refused(missing):
+    """A folder that lost a file must not start as a new voter or with an empty log."""
+    disk, _ = filled()
+    disk.remove(missing)
+    with pytest.raises(StorageCorrupt, match="missing"):
+        reopened(disk)
+
+
+def test_file_of_another_disk_is_refused():
+    """A log copied from another voter must not be mixed with this one's votes."""
+    disk, other = filled()[0], FakeDisk()
+    LogStore(other, lambda: "disk-2").open()
+    disk.create(LOG, other.read(LOG))
+    disk.remove("tail")
+    with pytest.raises(StorageCorrupt, match="belongs to disk disk-2"):
+        reopened(disk)
+
+
+@pytest.mark.parametrize(
+    ("name", "write"),
+    [
+        (LOG, lambda store: store.save([persist(*entries(9, 9))])),
+        ("voter", lambda store: store.save([persist(state=HardState("group", 4))])),
+        (
+            "snapshot-0000000000000006.new",
+            lambda store: store.save_snapshot(snapshot(6)),
+        ),
+        (".", lambda store: store.save_snapshot(snapshot(6))),
+    ],
+)
+def test_failed_sync_is_reported(name, write):
+    """After a failed sync a voter that went on could acknowledge lost data."""
+    disk, store = filled()
+    disk.failing.add(name)
+    with pytest.raises(StorageFailed, match="sync failed"):
+        write(store)
+
+
+@pytest.mark.parametrize("space", [0, 1, 20, 60])
+def test_full_disk_keeps_what_is_there(space):
+    """A partial frame on a full disk must not damage what follows once there is space.
+
+    The state needs no new space, so that a full voter can still vote.
+    """
+    disk, store = filled()
+    disk.space = space
+    newer = HardState("group", 9, "b")
+    with pytest.raises(StorageFull):
+        store.save([persist(*entries(9, 20), state=newer)])
+    with pytest.raises(StorageFull):
+        store.save_snapshot(snapshot(6, data=b"s" * 100))
+    assert reopened(disk)[1].entries == entries(1, 8)
+    disk.space = None
+    store.save([persist(*entries(9, 9))])
+    store.save_snapshot(snapshot(6))
+    stored = reopened(disk)[1]
+    assert (stored.state, stored.entries) == (newer, entries(7, 9))
+
+
+@pytest.mark.parametrize(
+    ("index", "term", "kept"),
+    [(6, 1, entries(7, 8)), (6, 2, []), (8, 1, []), (30, 4, [])],
+)
+def test_installed_snapshot_keeps_only_entries_of_its_branch(index, term, kept):
+    """Entries after a conflicting position are of an abandoned branch."""
+    disk, store = filled()
+    store.save([persist(snapshot=snapshot(index, term))])
+    store, stored = reopened(disk)
+    assert (stored.snapshot.index, stored.entries) == (index, kept)
+    last = kept[-1].index if kept else index
+    store.save([persist(*entries(last + 1, last + 2, term))])
+    assert reopened(disk)[1].entries == kept + entries(last + 1, last + 2, term)
+
+
+@given(
+    seed=st.integers(0, 2**32),
+    steps=st.lists(st.sampled_from(["state", "append", "replace", "snapshot"])),
+    operations=st.integers(0, 60),
+)
+@settings(derandomize=True, deadline=None, max_examples=1500)
+def test_power_loss_at_any_operation_loses_nothing_acknowledged(
+    seed, steps, operations
+):
+    """A missing sync of a file or the folder loses what was acknowledged."""
+    rng = random.Random(seed)
+    disk = FakeDisk()
+    disk.operations_left = operations
+    held, state, term, floor = [], HardState(), 1, 0
+    pending = None
+    try:
+        store = LogStore(disk, lambda: "disk-1")
+        store.open()
+        for step in steps:
+            pending = None
+            term += 1
+            last = held[-1].index if held else floor
+            if step == "state":
+                pending = HardState("group", term, "a")
+                store.save([persist(state=pending)])
+                state = pending
+            elif step == "snapshot":
+                if last > floor:
+                    at = rng.choice(held)
+                    store.save_snapshot(snapshot(at.index, at.term))
+                    floor = at.index
+                    held = [e for e in held if e.index > floor]
+            else:
+                first = last + 1
+                if step == "replace" and held:
+                    first = rng.choice(held).index
+                new = entries(first, first + rng.randint(0, 3), term)
+                pending = new
+                store.save([persist(*new)])
+                held = [e for e in held if e.index < first] + new
+    except PowerLoss:
+        pass
+    disk.crash(rng)
+    stored = reopened(disk)[1]
+    assert stored.state in (state, pending)
+    base = stored.snapshot.index if stored.snapshot else 0
+    assert base >= floor
+    found = stored.entries
+    if isinstance(pending, list) and pending[0] in found:
+        held = [e for e in held if e.index < pending[0].index] + pending
+    assert found == [e for e in held if e.index > base]
+
+
+def test_folder_behaves_like_the_disk_of_the_tests(tmp_path):
+    """Tests on a disk in memory say nothing if a real folder behaves otherwise."""
+
+    def use(disk):
+        store = LogStore(disk, lambda: "disk-1")
+        store.open()
+        store.save([persist(*entries(1, 9), state=STATE)])
+        store.save_snapshot(snapshot(5))
+        store.save([persist(*entries(8, 12, term=2))])
+        disk.truncate(store._log.name, len(disk.read(store._log.name)) - 1)
+        disk.remove("tail")
+        chunk = store.read_chunk(store.snapshot, 2, 100)
+        store.close()
+        return chunk
+
+    real, fake = FolderDisk(tmp_path / "data"), FakeDisk()
+    assert use(real) == use(fake) == b"ate"
+    real = FolderDisk(tmp_path / "data")
+    assert real.names() == fake.names()
+    assert [real.read(n) for n in real.names()] == [fake.read(n) for n in fake.names()]
+    assert reopened(real)[1] == reopened(fake)[1]
+
+
+def test_folder_is_refused_to_a_second_process(tmp_path):
+    """Two processes on one folder would vote twice with one identity."""
+    first = FolderDisk(tmp_path)
+    with pytest.raises(OSError, match="is in use"):
+        FolderDisk(tmp_path)
+    first.close()
+    FolderDisk(tmp_path).close()
--- a/wigeonspan/consensus/_core.py
+++ b/wigeonspan/consensus/_core.py
@@ -34,7 +34,6 @@
     VoteReply,
 )
 from wigeonspan.consensus._state import NodeState
-from wigeonspan.consensus._timing import LEASE_S
 
 KEEP_ENTRIES = 500
 """Entries before a snapshot that stay in memory, so that a follower which is a few
@@ -121,7 +120,7 @@
         """Monotonic time until which no other member can lead; 0 when not leader."""
         if self._state.role is not LogRole.LEADER:
             return 0.0
-        return max(0.0, _replication.lease_base(self._state) + LEASE_S)
+        return max(0.0, _replication.lease_end(self._state))
 
     @property
     def quorum_answered_at(self) -> float:
@@ -286,8 +285,8 @@
         if state.role is LogRole.LEADER and state.handover is not None:
             member = _replication.handover_due(state)
             if member is not None:
-                # The lease is given up for good in this term: the receiver may win
-                # an election at any time from here on.
+                # The receiver may win an election at any time from here on, so the
+                # lease must not come back in this term.
                 _replication.send_timeout_now(state, member)
                 _election.become_follower(state, state.term, None, now)
         return state.take_ready()
--- a/wigeonspan/consensus/_election.py
+++ b/wigeonspan/consensus/_election.py
@@ -18,6 +18,9 @@
     state: NodeState, term: Term, leader: Peer | None, now: float
 ) -> None:
     """Follow a leader, or wait for one, in a term that is not below ours."""
+    if state.role is LogRole.LEADER:
+        # The lease may have been published, so it holds after stepping down.
+        state.heard_at = max(state.heard_at, lease_base(state))
     if term > state.term:
         state.set_hard(state.hard.group, term, HostId(""))
     if state.role is not LogRole.FOLLOWER:
--- a/wigeonspan/consensus/_replication.py
+++ b/wigeonspan/consensus/_replication.py
@@ -20,6 +20,7 @@
     ELECTION_MAX_S,
     HANDOVER_S,
     HEARTBEAT_S,
+    LEASE_S,
     RESEND_S,
 )
 
@@ -196,17 +197,31 @@
             state.commit = reached
 
 
+def lease_end(state: NodeState) -> float:
+    """Return when the leader's lease ends; a handover does not prolong it."""
+    if state.handover is not None:
+        return state.handover_lease
+    return lease_base(state) + LEASE_S
+
+
 def start_handover(state: NodeState, now: float) -> None:
-    """Choose the voter that takes over, and wait until it holds the whole log."""
+    """Choose the voter that takes over.
+
+    It is told once it holds the whole log and the lease has ended: until then no other
+    host may lead, because the end of the lease may have been published.
+    """
     voters = [m for m in state.voters if not state.is_self(m)]
-    if voters:
+    if voters and state.handover is None:
         best = max(voters, key=lambda m: state.progress[m.name].match)
+        state.handover_lease = lease_end(state)
         state.handover = best.name
         state.handover_until = now + HANDOVER_S
 
 
 def handover_due(state: NodeState) -> Member | None:
     """Return the member that can take over now."""
+    if state.now < state.handover_lease:
+        return None
     for member in state.voters:
         if member.name == state.handover:
             match = state.progress[member.name].match
--- a/wigeonspan/consensus/_state.py
+++ b/wigeonspan/consensus/_state.py
@@ -101,6 +101,7 @@
         self.first_own = LogIndex(0)
         self.handover: HostId | None = None
         self.handover_until = NEVER
+        self.handover_lease = NEVER
         self.identities: dict[HostId, Peer] = {}
         self.strangers: dict[HostId, str] = {}
         self.incoming: tuple[SnapshotMeta, bytearray] | None = None
@@ -194,6 +195,8 @@
         self._entries, self._snapshot, self.installing = [], None, None
         self._pending = []
         self.log.truncate_after(self.synced)
+        # Entries that were dropped must be accepted again, committed or not.
+        self.commit = LogIndex(min(self.commit, self.synced))
         return self.synced
 
     def synced_to(self, sequence: int) -> None:
--- a/wigeonspan/consensus/_timing.py
+++ b/wigeonspan/consensus/_timing.py
@@ -22,8 +22,8 @@
 RESEND_S = 0.5
 """Seconds after which unanswered entries are sent again."""
 
-HANDOVER_S = 1.0
-"""Seconds that a handover may wait for its target to catch up."""
+HANDOVER_S = 2.0
+"""Seconds that a handover may wait for the lease to end and its target to catch up."""
 
 APPEND_ENTRIES = 256
 """Largest number of entries in one message."""
