--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -72,6 +72,14 @@
 
     async def stop(self):
         await self.log.stop()
+        await self._close_server()
+
+    async def kill(self):
+        """End without handing leadership over."""
+        await self.log._driver.close()
+        await self._close_server()
+
+    async def _close_server(self):
         self.server.stop()
         await self.server.close_all_connections()
         self.client.close()
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -1,10 +1,33 @@
 """Voters over loopback sockets and real folders."""
 
 import asyncio
+import errno
+import shutil
 
 import pytest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
 
-from tests.consensus.cluster import leader_of, start_group, until
+from tests.consensus.cluster import Host, leader_of, start_group, until
+from wigeonspan.catalog import Member
+from wigeonspan.common import ErrorKind, SystemClock, WigeonspanError, decode, encode
+from wigeonspan.consensus import StorageCorrupt
+from wigeonspan.consensus._disk import FolderDisk
+from wigeonspan.consensus._messages import (
+    Append,
+    Message,
+    MessageBatch,
+    Peer,
+    Received,
+)
+from wigeonspan.consensus._transport import RAFT_PATH, Transport
+from wigeonspan.http import make_client
+
+
+async def stop_all(hosts):
+    for host in hosts:
+        await host.stop()
 
 
 @pytest.mark.parametrize("names", [["a"], ["a", "b", "c"]])
@@ -20,14 +43,206 @@
         assert [result for _, result in results] == list(range(1, 51))
         for host in hosts:
             await until(lambda host=host: len(host.machine.words) == 50)
-        for host in hosts:
-            await host.stop()
+        await stop_all(hosts)
         for host in hosts:
             await host.start([])
         leader = await leader_of(hosts)
         await leader.log.confirm_leadership()
         assert leader.machine.words == [f"w{i}" for i in range(50)]
-        for host in hosts:
-            await host.stop()
+        await stop_all(hosts)
+
+    asyncio.run(run())
+
+
+def test_restart_after_thousands_of_entries_uses_the_snapshot(tmp_path):
+    """A restart that replays the whole log takes longer with each change."""
+
+    async def run():
+        (host,) = await start_group(tmp_path, ["a"], snapshot_entries=100)
+        await leader_of([host])
+        for first in range(0, 3000, 60):
+            words = (f"w{i}".encode() for i in range(first, first + 60))
+            await asyncio.gather(*(host.log.propose(word) for word in words))
+        await host.stop()
+        await host.start([])
+        # The last snapshot is at most one interval and one group of proposals old.
+        assert host.log.applied >= 3000 - 100 - 60
+        await leader_of([host])
+        assert host.machine.words == [f"w{i}" for i in range(3000)]
+        await host.stop()
+
+    asyncio.run(run())
+
+
+def test_proposals_during_leadership_changes_are_answered_truly(tmp_path):
+    """A proposal refused as not run must not be committed, nor an accepted one lost."""
+    accepted, refused, unknown = set(), set(), set()
+
+    async def propose_forever(hosts, done):
+        count = 0
+        while not done.is_set():
+            count += 1
+            word = f"w{count}"
+            running = [h for h in hosts if h.log.term and h.log._driver.running]
+            host = running[count % len(running)]
+            try:
+                await host.log.propose(word.encode())
+                accepted.add(word)
+            except WigeonspanError as error:
+                kind = unknown if error.kind is ErrorKind.NO_QUORUM else refused
+                kind.add(word)
+            await asyncio.sleep(0.003)
+
+    async def run():
+        hosts = await start_group(tmp_path, ["a", "b", "c"])
+        await leader_of(hosts)
+        done = asyncio.Event()
+        tasks = [asyncio.create_task(propose_forever(hosts, done)) for _ in range(1)]
+        for end in (Host.stop, Host.kill):
+            leader = await leader_of(hosts)
+            await end(leader)
+            await leader_of([h for h in hosts if h is not leader])
+            await asyncio.sleep(0.5)
+            await leader.start([])
+        done.set()
+        await asyncio.gather(*tasks)
+        leader = await leader_of(hosts)
+        await leader.log.propose(b"last")
+        words = leader.machine.words
+        assert len(words) == len(set(words))
+        assert accepted <= set(words)
+        assert not refused & set(words)
+        assert accepted and refused
+        await stop_all(hosts)
+
+    asyncio.run(run())
+
+
+def test_wiped_voter_is_seen_added_as_a_learner_and_promoted(tmp_path):
+    """An operator must see a lost disk and be able to bring its host back."""
+
+    async def run():
+        hosts = await start_group(tmp_path, ["a", "b", "c"], snapshot_entries=20)
+        leader = await leader_of(hosts)
+        for i in range(50):
+            await leader.log.propose(b"x" * 10_000 + str(i).encode())
+        lost = next(h for h in hosts if h is not leader)
+        await lost.kill()
+        shutil.rmtree(lost.folder)
+        await lost.start([])
+        await until(lambda: lost.name in leader.log.strangers)
+        disk = leader.log.strangers[lost.name]
+        assert disk == lost.log.disk_id
+
+        def member(voter):
+            return Member(lost.name, lost.member.address, "szeged", disk, voter)
+
+        with pytest.raises(WigeonspanError, match="learner with this disk"):
+            await leader.log.change_member(member(True), True, b"too early")
+        await leader.log.change_member(member(False), True, b"learner")
+        await until(lambda: leader.log.is_caught_up(lost.name))
+        await leader.log.change_member(member(True), True, b"promoted")
+        await until(lambda: lost.machine.words == leader.machine.words)
+        assert leader.machine.words[-1] == "promoted"
+        assert leader.log.strangers == {}
+        await stop_all(hosts)
+
+    asyncio.run(run())
+
+
+def test_failed_sync_ends_the_voter(tmp_path, monkeypatch):
+    """A voter whose sync failed must not acknowledge anything any more."""
+
+    def fail(disk, name):
+        raise OSError(errno.EIO, "input/output error")
+
+    async def run():
+        (host,) = await start_group(tmp_path, ["a"])
+        await leader_of([host])
+        monkeypatch.setattr(FolderDisk, "sync", fail)
+        with pytest.raises(WigeonspanError, match="sync failed"):
+            await host.log.propose(b"lost")
+        await host.log.wait_failed()
+        with pytest.raises(WigeonspanError, match="not running"):
+            await host.log.propose(b"refused")
+        assert not host.log.is_leader
+        await host.stop()
+
+    asyncio.run(run())
+
+
+def test_full_disk_refuses_proposals_only_while_it_is_full(tmp_path, monkeypatch):
+    """A full disk must refuse changes truly and take them again later."""
+
+    def refuse(disk, name, data):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    async def run():
+        (host,) = await start_group(tmp_path, ["a"])
+        await leader_of([host])
+        await host.log.propose(b"before")
+        with monkeypatch.context() as patch:
+            patch.setattr(FolderDisk, "append", refuse)
+            with pytest.raises(WigeonspanError) as caught:
+                await host.log.propose(b"refused")
+            assert caught.value.kind is ErrorKind.STORAGE_FULL
+        await host.log.propose(b"after")
+        await host.stop()
+        await host.start([])
+        await leader_of([host])
+        assert host.machine.words == ["before", "after"]
+        await host.stop()
+
+    asyncio.run(run())
+
+
+def test_damaged_folder_is_refused_at_the_start(tmp_path):
+    """A voter on a damaged log must not start, and must free the folder."""
+
+    async def run():
+        (host,) = await start_group(tmp_path, ["a"])
+        await leader_of([host])
+        await host.stop()
+        path = next(host.folder.glob("log-*"))
+        path.write_bytes(b"\1" + path.read_bytes()[1:])
+        for _ in range(2):
+            with pytest.raises(StorageCorrupt, match=f"{path.name}: offset 0"):
+                await host.start([])
+
+    asyncio.run(run())
+
+
+def test_silent_requests_do_not_hold_up_later_messages():
+    """Heartbeats behind a connection that went silent once ended the lease."""
+
+    class Silent(RequestHandler):
+        seen, rounds = 0, set()
+
+        async def post(self):
+            batch = decode(self.request.body, MessageBatch)
+            Silent.rounds |= {m.body.round for m in batch.messages}
+            Silent.seen += 1
+            if Silent.seen <= 2:
+                await asyncio.Event().wait()
+            self.finish(encode(Received(1)))
+
+    async def run():
+        sockets = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(Application([(RAFT_PATH, Silent)]))
+        server.add_sockets(sockets)
+        client = make_client(16)
+        transport = Transport(client, SystemClock(), lambda meta, offset: None)
+        here = Peer("a", "127.0.0.1:1", "1")
+        there = Peer("b", f"127.0.0.1:{sockets[0].getsockname()[1]}", "2")
+        for number in range(8):
+            body = Append(0, 0, [], 0, number)
+            transport.send([Message("g", here, there, 1, body)])
+            await asyncio.sleep(0.15)
+            transport.flush()
+        await until(lambda: set(range(8)) == Silent.rounds)
+        assert len(transport._tasks) <= 2
+        await transport.close()
+        client.close()
+        server.stop()
 
     asyncio.run(run())
