--- a/wigeonspan/consensus/_driver.py
+++ b/wigeonspan/consensus/_driver.py
@@ -13,7 +13,7 @@
 from wigeonspan.consensus._core import RaftNode
 from wigeonspan.consensus._disk import FolderDisk
 from wigeonspan.consensus._files import failures
-from wigeonspan.consensus._frames import StorageError, StorageFull
+from wigeonspan.consensus._frames import StorageFull
 from wigeonspan.consensus._interface import StateMachine
 from wigeonspan.consensus._messages import (
     BootstrapMember,
@@ -25,6 +25,7 @@
     Snapshot,
     SnapshotMeta,
 )
+from wigeonspan.consensus._state import NEVER
 from wigeonspan.consensus._store import LogStore
 from wigeonspan.consensus._timing import CHUNK_BYTES
 from wigeonspan.consensus._transport import Transport
@@ -35,6 +36,9 @@
 TICK_S = 0.05
 """Seconds between ticks; a fifth of the heartbeat."""
 
+SNAPSHOT_RETRY_S = 10.0
+"""Seconds between attempts to write a snapshot on a full disk."""
+
 SNAPSHOT_BYTES = 8_000_000
 """Size of applied commands between snapshots, in bytes."""
 
@@ -84,6 +88,7 @@
         self._write_due = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._applied_bytes = 0
+        self._snapshot_at = NEVER
         self._seen = (Term(0), LogRole.FOLLOWER)
         self._store: LogStore
 
@@ -116,11 +121,11 @@
         try:
             stored = await self._on_disk(self._store.open)
             snapshot = await self._on_disk(self._store.read_snapshot)
-        except StorageError:
+            if snapshot is not None:
+                self._restore(snapshot)
+        except BaseException:
             disk.close()
             raise
-        if snapshot is not None:
-            self._restore(snapshot)
         host = self._host
         local = Local(host.name, host.address, host.domain, self.disk_id)
         self.node = RaftNode(local, bootstrap, stored, rng, self._clock.now())
@@ -198,6 +203,9 @@
         entries = self.applied - self.node.snapshot_index
         if entries < self._snapshot_entries and self._applied_bytes < SNAPSHOT_BYTES:
             return
+        if self._clock.now() < self._snapshot_at:
+            return
+        self._snapshot_at = self._clock.now() + SNAPSHOT_RETRY_S
         self._applied_bytes = 0
         data = self._machine.snapshot()
         meta = self.node.snapshot_meta(self.applied, len(data))
@@ -207,6 +215,7 @@
         except StorageFull as error:
             _log.error("A snapshot was not written: {}.", error)
         else:
+            self._snapshot_at = NEVER
             self.node.compact(meta)
 
     def _apply(self, entry: Entry) -> None:
