--- /dev/null
+++ b/tests/consensus/test_core.py
@@ -0,0 +1,333 @@
+"""Rules of the core, each on one voter and hand-made messages."""
+
+import random
+
+import pytest
+from msgspec import structs
+
+from wigeonspan.catalog import Member
+from wigeonspan.common import ErrorKind, WigeonspanError
+from wigeonspan.consensus import (
+    BootstrapMember,
+    Entry,
+    HardState,
+    Local,
+    LogRole,
+    Message,
+    Peer,
+    RaftNode,
+    Stored,
+)
+from wigeonspan.consensus._messages import (
+    Append,
+    AppendReply,
+    Hello,
+    HelloReply,
+    InstallSnapshot,
+    SnapshotMeta,
+    TimeoutNow,
+    Vote,
+    VoteReply,
+)
+from wigeonspan.consensus._timing import LEASE_S, VOTE_GUARD_S
+
+START = 100.0
+AWAKE = START + VOTE_GUARD_S
+
+
+def member(name, voter=True, disk=None):
+    return Member(name, name, "szeged", disk or f"disk-{name}", voter)
+
+
+MEMBERS = tuple(member(name) for name in "abc")
+FIRST = Entry(1, 1, members=MEMBERS)
+
+
+def node(state=None, entries=(FIRST,)):
+    """Return voter ``a`` after a restart, in a group of three."""
+    stored = Stored(state or HardState("group", 1, ""), None, list(entries))
+    local = Local("a", "a", "szeged", "disk-a")
+    return RaftNode(local, [], stored, random.Random(1), START)
+
+
+def message(body, source="b", term=1, **fields):
+    peer = Peer(source, source, f"disk-{source}")
+    plain = Message("group", peer, Peer("a", "a", "disk-a"), term, body)
+    return structs.replace(plain, **fields)
+
+
+def bodies(ready):
+    return [m.body for m in ready.send]
+
+
+def settle(core, ready, now):
+    """Report all writes as synced; return the messages on the way."""
+    sent = list(ready.send)
+    while ready.persist is not None:
+        ready = core.persisted(ready.persist.sequence, now)
+        sent += ready.send
+    return sent
+
+
+def lead(core, now):
+    """Make a voter leader with the vote of ``b``; return the time."""
+    while core.role is LogRole.FOLLOWER:
+        now += 0.05
+        ready = core.tick(now)
+    settle(core, ready, now)
+    ready = core.handle(message(VoteReply(True, True), term=core.term + 1), now)
+    settle(core, ready, now)
+    ready = core.handle(message(VoteReply(False, True), term=core.term), now)
+    assert core.role is LogRole.LEADER
+    settle(core, ready, now)
+    return now
+
+
+def answer(core, now, match, source="b"):
+    reply = AppendReply(True, match, core._state.round)
+    return core.handle(message(reply, source, core.term), now)
+
+
+def test_vote_is_sent_only_after_it_is_synced():
+    """A vote that is sent and then forgotten in a crash allows a second one."""
+    core = node()
+    ready = core.handle(message(Vote(False, 1, 1), term=2), AWAKE)
+    assert ready.send == []
+    assert ready.persist.state == HardState("group", 2, "b")
+    ready = core.persisted(ready.persist.sequence, AWAKE)
+    assert bodies(ready) == [VoteReply(False, True)]
+
+
+def test_candidate_asks_only_after_its_own_vote_is_synced():
+    """A candidate that forgets its own vote could vote for another in its term."""
+    core = node()
+    now = START
+    while core.role is LogRole.FOLLOWER:
+        now += 0.05
+        core.tick(now)
+    ready = core.handle(message(VoteReply(True, True), term=2), now)
+    assert (core.role, ready.send) == (LogRole.CANDIDATE, [])
+    ready = core.persisted(ready.persist.sequence, now)
+    assert [body.pre for body in bodies(ready)] == [False, False]
+
+
+@pytest.mark.parametrize(
+    ("state", "vote", "term", "now", "granted"),
+    [
+        (HardState("group", 1, ""), Vote(False, 1, 1), 2, AWAKE, True),
+        (HardState("group", 2, "b"), Vote(False, 1, 1), 2, AWAKE, True),
+        (HardState("group", 2, "c"), Vote(False, 1, 1), 2, AWAKE, False),
+        (HardState("group", 3, ""), Vote(False, 1, 1), 2, AWAKE, False),
+        (HardState("group", 1, ""), Vote(False, 0, 0), 2, AWAKE, False),
+        (HardState("group", 1, ""), Vote(True, 1, 1), 2, AWAKE, True),
+        (HardState("group", 1, ""), Vote(False, 1, 1), 2, AWAKE - 0.1, None),
+        (HardState("group", 1, ""), Vote(True, 1, 1), 2, AWAKE - 0.1, None),
+        (HardState("group", 1, ""), Vote(False, 1, 1, True), 2, START, True),
+    ],
+)
+def test_vote_rules(state, vote, term, now, granted):
+    """Two votes in a term, or one within a lease, would allow two leaders."""
+    core = node(state)
+    sent = settle(core, core.handle(message(vote, term=term), now), now)
+    replies = [m.body.granted for m in sent]
+    assert replies == ([] if granted is None else [granted])
+
+
+def test_follower_acknowledges_only_what_is_synced():
+    """An entry that counts before it is synced is lost in a crash of two voters."""
+    core = node()
+    body = Append(1, 1, [Entry(2, 1, b"x")], 0, 7)
+    ready = core.handle(message(body), START)
+    assert bodies(ready) == [AppendReply(True, 1, 7)]
+    ready = core.persisted(ready.persist.sequence, START)
+    assert bodies(ready) == [AppendReply(True, 2, 7)]
+
+
+def test_leader_sends_only_what_it_has_synced():
+    """An entry refused for lack of space must not have reached another voter."""
+    core = node()
+    now = lead(core, START)
+    settle(core, answer(core, now, 2), now)
+    _, ready = core.propose(b"x", now)
+    assert ready.send == []
+    last, ready = core.storage_full(now)
+    assert (last, core.last_index) == (2, 2)
+    sent = [b for b in bodies(core.tick(now + 1)) if isinstance(b, Append)]
+    assert all(entry.index <= 2 for body in sent for entry in body.entries)
+
+
+def test_entries_of_an_earlier_term_commit_only_with_one_of_the_leaders():
+    """Figure 8 of the Raft paper: such an entry can still be replaced."""
+    core = node(HardState("group", 4, ""), [FIRST, Entry(2, 2, b"old")])
+    now = lead(core, START)
+    ready = answer(core, now, 2)
+    assert (core.commit, core.leads) == (0, False)
+    ready = answer(core, now, 3)
+    assert (core.commit, core.leads) == (3, True)
+    assert [e.index for e in ready.committed] == [1, 2, 3]
+
+
+def test_lease_counts_from_the_sending_of_an_answered_round():
+    """A lease from the time of the answer would outlast the voters' promise."""
+    core = node()
+    sent_at = lead(core, START)
+    assert core.lease_valid_until < sent_at
+    answer(core, sent_at + 0.2, 2)
+    assert core.lease_valid_until == pytest.approx(sent_at + LEASE_S)
+
+
+@pytest.mark.parametrize("disk", ["disk-b", "wiped"])
+def test_answers_of_an_unregistered_disk_do_not_count(disk):
+    """A wiped voter must renew no lease and commit nothing."""
+    core = node()
+    now = lead(core, START)
+    source = Peer("b", "b", disk)
+    reply = message(AppendReply(True, 2, core._state.round), term=core.term)
+    core.handle(structs.replace(reply, source=source), now)
+    counted = disk == "disk-b"
+    assert (core.commit == 2) == counted
+    assert (core.lease_valid_until > now) == counted
+
+
+def test_leader_that_steps_down_keeps_its_published_lease():
+    """A leader that voted at once would let another lead within its own lease."""
+    core = node()
+    now = lead(core, START)
+    answer(core, now, 2)
+    published = core.lease_valid_until
+    vote = message(Vote(False, 9, 9), "c", term=core.term + 1)
+    assert core.handle(vote, now + 0.1).persist is None
+    rejected = message(AppendReply(False, 0, 1), "c", term=core.term + 1)
+    settle(core, core.handle(rejected, now + 0.1), now)
+    assert core.role is LogRole.FOLLOWER
+    vote = message(Vote(False, 9, 9), "c", term=core.term + 1)
+    assert core.handle(vote, published - 0.01).persist is None
+
+
+def test_leader_with_a_quorum_ignores_votes():
+    """A host that misses heartbeats must not depose a leader that works."""
+    core = node()
+    now = lead(core, START)
+    answer(core, now, 2)
+    for pre in (True, False):
+        vote = message(Vote(pre, 9, 9), "c", term=core.term + 1)
+        assert core.handle(vote, now + 0.1).send == []
+    assert core.role is LogRole.LEADER
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"group": "other"},
+        {"group": ""},
+        {"target": Peer("a", "a", "disk-lost")},
+        {"target": Peer("c", "c", "disk-a")},
+    ],
+)
+@pytest.mark.parametrize(
+    "body", [Vote(False, 9, 9), Append(0, 0, [FIRST], 1, 1), TimeoutNow()]
+)
+def test_messages_for_another_disk_or_group_are_ignored(fields, body):
+    """A stranger, or a second group, must have no effect."""
+    core = node()
+    ready = core.handle(message(body, term=5, **fields), AWAKE)
+    assert (ready.persist, ready.send, core.term) == (None, [], 1)
+
+
+@pytest.mark.parametrize(
+    ("body", "answers"),
+    [
+        (Vote(False, 9, 9), []),
+        (Vote(True, 9, 9), []),
+        (VoteReply(False, True), []),
+        (TimeoutNow(), []),
+        (Hello(), [HelloReply("")]),
+    ],
+)
+def test_disk_without_a_group_takes_no_part(body, answers):
+    """A wiped voter must not vote, but its new identity must be known."""
+    core = node(HardState(), [])
+    ready = core.handle(message(body, term=5), AWAKE)
+    assert (ready.persist, bodies(ready), core.term) == (None, answers, 0)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        Append(0, 0, [FIRST], 1, 1),
+        InstallSnapshot(SnapshotMeta(9, 4, MEMBERS, 0), 0, 1),
+    ],
+)
+def test_disk_without_a_group_joins_a_leader_that_knows_it(body):
+    """A learner joins by the first message for its own disk identity."""
+    core = node(HardState(), [])
+    ready = core.handle(message(body, term=5), AWAKE)
+    assert ready.persist.state == HardState("group", 5, "")
+    settle(core, ready, AWAKE)
+    assert core.members == MEMBERS
+
+
+@pytest.mark.parametrize("known", ["group", ""])
+def test_founder_needs_every_first_voter_without_a_group(known):
+    """A wiped founder must not found a second group beside the first."""
+    first = [BootstrapMember(name, name, "szeged") for name in "abc"]
+    local = Local("a", "a", "szeged", "disk-a")
+    stored = Stored(HardState(), None, [])
+    core = RaftNode(local, first, stored, random.Random(1), START)
+    assert bodies(core.tick(START)) == [Hello(), Hello()]
+    core.handle(message(HelloReply(""), "b", group=""), START)
+    assert core.group == ""
+    core.handle(message(HelloReply(known), "c", group=known), START)
+    assert (core.group != "") == (known == "")
+
+
+@pytest.mark.parametrize(
+    ("changed", "present", "kind"),
+    [
+        (member("d", voter=False), True, None),
+        (member("b"), False, None),
+        (member("b", voter=False, disk="new"), True, None),
+        (member("d"), True, ErrorKind.VERSION_CONFLICT),
+        (member("b", disk="new"), True, ErrorKind.VERSION_CONFLICT),
+        (
+            Member("d", "d", "szeged", "", False),
+            True,
+            ErrorKind.VERSION_CONFLICT,
+        ),
+        (member("d"), False, ErrorKind.NOT_FOUND),
+        (member("a"), False, ErrorKind.NOT_LEADER),
+        (member("a", voter=False), True, ErrorKind.NOT_LEADER),
+    ],
+)
+def test_one_member_changes_at_a_time_and_learns_first(changed, present, kind):
+    """Two changes at once, or a voter without the log, could lose a commit."""
+    core = node()
+    now = lead(core, START)
+    with pytest.raises(WigeonspanError) as caught:
+        core.change_member(changed, present, b"", now)
+    early = (ErrorKind.VERSION_CONFLICT, ErrorKind.NOT_FOUND)
+    assert caught.value.kind in early
+    answer(core, now, 2)
+    if kind is None:
+        settle(core, core.change_member(changed, present, b"", now)[1], now)
+        with pytest.raises(WigeonspanError, match="is not committed yet"):
+            core.change_member(member("e", voter=False), True, b"", now)
+    else:
+        with pytest.raises(WigeonspanError) as caught:
+            core.change_member(changed, present, b"", now)
+        assert caught.value.kind is kind
+
+
+def test_learner_is_promoted_only_when_it_holds_the_committed_log():
+    """A voter without the log would make a quorum that lacks a committed entry."""
+    core = node()
+    now = lead(core, START)
+    answer(core, now, 2)
+    learner = member("d", voter=False)
+    settle(core, core.change_member(learner, True, b"", now)[1], now)
+    answer(core, now, 3)
+    with pytest.raises(WigeonspanError, match="does not hold"):
+        core.change_member(member("d"), True, b"", now)
+    answer(core, now, 3, source="d")
+    core.change_member(member("d"), True, b"", now)
+    assert member("d") in core.members
