--- a/wigeonspan/entryd/_attempt.py
+++ b/wigeonspan/entryd/_attempt.py
@@ -63,6 +63,7 @@
     address: str
     phase: RunPhase
     kv_handle: str = ""
+    decode_engine: EngineId | None = None
 
 
 class _Listener:
@@ -168,6 +169,7 @@
             route.prefill_engine,
             route.prefill_address,
             RunPhase.PREFILL,
+            decode_engine=route.engine,
         )
         start = ResumePoint(self._tracker.position, self._tracker.text)
         tracker = StreamTracker(self._parts.limits, start)
@@ -200,7 +202,7 @@
             stage.engine,
             request,
             now,
-            prefill_only=stage.phase is RunPhase.PREFILL,
+            decode_engine=stage.decode_engine,
             prefilled=bool(stage.kv_handle),
         )
         result = AttemptResult.CANCELLED
