Share the launcher of real processes between demo, tests and measurements

Two request handlers kept the replicated log in an attribute that tornado uses for its access log, so each answer ended in a logged TypeError; they use another name now.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from demo._caller import Stream, get_json, release_loan
-from demo._processes import DemoError, Fleet, run_ctl
 from demo._settings import MODEL, PLAIN, DemoSettings
 from standins.engine import answer_text
+from testbed import Fleet, StepFailed, run_ctl
 
 READY_TIMEOUT_S = 20.0
 """Longest wait for the deployment to answer; an election takes about 2.5 s."""
@@ -29,7 +29,7 @@
         try:
             with Fleet(Path(name)) as fleet:
                 _run(fleet, DemoSettings(Path(name)))
-        except (DemoError, OSError, http.client.HTTPException) as error:
+        except (StepFailed, OSError, http.client.HTTPException) as error:
             print(f"FAILED: {error}", file=sys.stderr)
             return 1
         except KeyboardInterrupt:
@@ -129,10 +129,10 @@
     first = release_loan(settings.entries[0], "loan-1907-44", "1907-44")
     second = release_loan(settings.entries[1], "loan-1907-44", "1907-44")
     if first != second or first[0] != 201:
-        raise DemoError(f"the stored answer differs: {first}, then {second}")
+        raise StepFailed(f"the stored answer differs: {first}, then {second}")
     executions = sum(get_json(plain, "/standin/executions").values())
     if executions != 1:
-        raise DemoError(f"the loan release ran {executions} times")
+        raise StepFailed(f"the loan release ran {executions} times")
     _say("Released one loan twice with the same key, through both entries.")
     _tell(f"It ran once; both answers are {first[1]}")
 
@@ -146,7 +146,7 @@
     _check_whole(stream, prompt, count)
     code = fleet.wait("entry-1", DRAIN_TIMEOUT_S)
     if code != 0:
-        raise DemoError(f"entry-1 ended with exit code {code}")
+        raise StepFailed(f"entry-1 ended with exit code {code}")
     _say("Stopped entry-1 with SIGTERM in the middle of a stream of 150 tokens.")
     _tell("The stream ended whole; entry-1 ended with exit code 0.")
 
@@ -156,7 +156,7 @@
         settings.operators, "", "", "record", "--subject=engine/engine-2"
     ).splitlines()
     if not any("load_model" in line for line in lines):
-        raise DemoError("the record does not hold the order that loaded engine-2")
+        raise StepFailed("the record does not hold the order that loaded engine-2")
     _say("The record explains what happened to engine-2:")
     for line in lines:
         _tell(line)
@@ -164,7 +164,7 @@
 
 def _check_whole(stream: Stream, prompt: str, count: int) -> None:
     if not stream.is_whole or stream.text != answer_text(prompt, count):
-        raise DemoError(f"the stream is not whole: {stream.text!r}")
+        raise StepFailed(f"the stream is not whole: {stream.text!r}")
 
 
 def _wait(fleet: Fleet, what: str, probe: Callable[[], Any]) -> Any:
@@ -175,12 +175,12 @@
         fleet.check_all()
         try:
             found = probe()
-        except (DemoError, OSError, http.client.HTTPException) as error:
+        except (StepFailed, OSError, http.client.HTTPException) as error:
             found, failure = None, f" ({error})"
         if found is not None:
             return found
         time.sleep(0.2)
-    raise DemoError(f"waited {READY_TIMEOUT_S:.0f} s for {what}{failure}")
+    raise StepFailed(f"waited {READY_TIMEOUT_S:.0f} s for {what}{failure}")
 
 
 def _say(text: str) -> None:
--- a/demo/_caller.py
+++ b/demo/_caller.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from demo._processes import DemoError
 from demo._settings import MODEL, PLAIN
+from testbed import StepFailed
 
 TIMEOUT_S = 30.0
 """Longest silence of a connection before the demo gives up."""
@@ -43,7 +43,7 @@
         self._connection.request("POST", "/v1/completions", json.dumps(body), headers)
         self._response = self._connection.getresponse()
         if self._response.status != 200:
-            raise DemoError(f"{address}: {self._response.read().decode()}")
+            raise StepFailed(f"{address}: {self._response.read().decode()}")
 
     def tokens(self) -> Iterator[str]:
         """Yield the tokens as they arrive."""
@@ -56,7 +56,7 @@
                 break
             chunk = json.loads(data)
             if "error" in chunk:
-                raise DemoError(f"the stream failed: {chunk['error']}")
+                raise StepFailed(f"the stream failed: {chunk['error']}")
             text = chunk["choices"][0]["text"]
             self.text += text
             yield text
@@ -79,7 +79,7 @@
     """Return the JSON answer of a GET, or raise."""
     status, body = _call(address, "GET", path, None, {})
     if status != 200:
-        raise DemoError(f"{address}{path}: status {status}: {body}")
+        raise StepFailed(f"{address}{path}: status {status}: {body}")
     return json.loads(body)
 
 
--- a/demo/_settings.py
+++ b/demo/_settings.py
@@ -5,7 +5,7 @@
 
 import yaml
 
-from demo._processes import free_ports
+from testbed import free_ports
 
 DOMAINS = ("ipoh-utara", "ipoh-selatan", "batu-gajah")
 """Failure domains of the deployment that the demo is modelled on."""
--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,18 @@
+"""Start a deployment of real processes on loopback, for demo, tests and measurements.
+
+The testbed is not part of the system: a daemon starts no process.
+"""
+
+from testbed._deployment import MODEL, PLAIN, Deployment, Shape
+from testbed._processes import Fleet, StepFailed, free_ports, run_ctl
+
+__all__ = [
+    "MODEL",
+    "PLAIN",
+    "Deployment",
+    "Fleet",
+    "Shape",
+    "StepFailed",
+    "free_ports",
+    "run_ctl",
+]
--- a/demo/_processes.py
+++ b/testbed/_processes.py
@@ -1,6 +1,7 @@
-"""Processes that the launcher starts and ends."""
+"""Child processes of a deployment on loopback."""
 
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -12,8 +13,8 @@
 because callers keep directory answers for 5 s."""
 
 
-class DemoError(Exception):
-    """A step of the demo did not go as it should."""
+class StepFailed(Exception):
+    """A step did not go as it should."""
 
 
 class Fleet:
@@ -44,19 +45,20 @@
         for name in list(self._processes):
             code = self.wait(name, END_TIMEOUT_S)
             if code != 0:
-                raise DemoError(f"{name} ended with exit code {code}")
+                raise StepFailed(f"{name} ended with exit code {code}")
 
     def start(self, name: str, module: str, *args: str) -> None:
         """Start ``python -m module`` with its output in a log file."""
         command = [sys.executable, "-m", module, *args]
-        with open(self.log(name), "wb") as log:
+        with open(self.log(name), "ab") as log:
             self._processes[name] = subprocess.Popen(
                 command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
 
-    def start_standin(self, name: str, module: str, *args: str) -> str:
+    def start_standin(self, name: str, module: str, *args: str, port: int = 0) -> str:
         """Start a stand-in and return the address that it prints."""
-        self.start(name, module, "--port=0", *args)
+        self.log(name).unlink(missing_ok=True)
+        self.start(name, module, f"--port={port}", *args)
         deadline = time.monotonic() + 10.0
         while time.monotonic() < deadline:
             first_line = self.log(name).read_text().partition("\n")
@@ -64,7 +66,7 @@
                 return f"127.0.0.1:{first_line[0]}"
             self.check(name)
             time.sleep(0.02)
-        raise DemoError(f"{name} did not print its port")
+        raise StepFailed(f"{name} did not print its port")
 
     def log(self, name: str) -> Path:
         """Return the log file of a process."""
@@ -75,7 +77,7 @@
         code = self._processes[name].poll()
         if code is not None:
             tail = "\n".join(self.log(name).read_text().splitlines()[-15:])
-            raise DemoError(f"{name} ended with exit code {code}:\n{tail}")
+            raise StepFailed(f"{name} ended with exit code {code}:\n{tail}")
 
     def check_all(self) -> None:
         """Raise when any process has ended."""
@@ -86,6 +88,29 @@
         """Send SIGTERM to a process."""
         self._processes[name].terminate()
 
+    def kill(self, name: str) -> None:
+        """End a process with SIGKILL and wait for its end."""
+        process = self._processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process with SIGSTOP; its connections stay open."""
+        self._processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a stopped process run on."""
+        self._processes[name].send_signal(signal.SIGCONT)
+
+    def is_running(self, name: str) -> bool:
+        """Whether a process was started and has not ended."""
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._processes[name].pid
+
     def wait(self, name: str, timeout_s: float) -> int:
         """Wait for a process to end and return its exit code."""
         try:
@@ -93,7 +118,7 @@
             del self._processes[name]
             return code
         except subprocess.TimeoutExpired:
-            raise DemoError(f"{name} did not end in {timeout_s:.0f} s") from None
+            raise StepFailed(f"{name} did not end in {timeout_s:.0f} s") from None
 
 
 def free_ports(count: int) -> list[int]:
@@ -121,5 +146,5 @@
         command, capture_output=True, text=True, timeout=30, env=dict(os.environ)
     )
     if done.returncode != 0:
-        raise DemoError(f"wigeonspan-ctl {' '.join(args)}: {done.stdout}{done.stderr}")
+        raise StepFailed(f"wigeonspan-ctl {' '.join(args)}: {done.stdout}{done.stderr}")
     return done.stdout
--- a/wigeonspan/controld/_handlers.py
+++ b/wigeonspan/controld/_handlers.py
@@ -36,14 +36,14 @@
             Source of time.
         """
         self._kind = kind
-        self._log = log
+        self._replicated = log
         self._clock = clock
 
     async def post(self) -> None:
         """Commit the command and answer with its result."""
         command: OpenCall | CloseCall = self.read_message(self._kind)
-        LeaderAccess(self._log, self._clock).check_leader()
+        LeaderAccess(self._replicated, self._clock).check_leader()
         # All times in the replicated state come from the leader's clock.
         stamped = msgspec.structs.replace(command, wall_ms=self._clock.wall_ms())
-        _, reply = await self._log.propose(encode(stamped))
+        _, reply = await self._replicated.propose(encode(stamped))
         self.send_message(reply)
--- a/wigeonspan/distribution/_handler.py
+++ b/wigeonspan/distribution/_handler.py
@@ -32,7 +32,7 @@
         clock : Clock
             Source of time.
         """
-        self._log = log
+        self._replicated = log
         self._distributor = distributor
         self._clock = clock
 
@@ -43,15 +43,15 @@
         now = self._clock.now()
         if (
             distributor is None
-            or not self._log.is_leader
-            or now >= self._log.lease_valid_until
-            or distributor.term != self._log.term
+            or not self._replicated.is_leader
+            or now >= self._replicated.lease_valid_until
+            or distributor.term != self._replicated.term
         ):
             raise self._not_leader()
         self.send_message(distributor.sync(request, now))
 
     def _not_leader(self) -> WigeonspanError:
-        leader = None if self._log.is_leader else self._log.leader
+        leader = None if self._replicated.is_leader else self._replicated.leader
         address = leader.address if leader is not None else ""
         return WigeonspanError(
             ErrorKind.NOT_LEADER,
