Test the record under damage, restarts and full disks

Found and corrected: an empty file after a crash stopped the start; entries of a gap were stored before entries that waited in memory, so the gap never closed; only the last file may be unsynced now; a failed sync is final.

--- /dev/null
+++ b/tests/record/test_book.py
@@ -0,0 +1,268 @@
+import errno
+import os
+import random
+import shutil
+import tempfile
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonspan.record import (
+    Draft,
+    RecordBook,
+    RecordFault,
+    RecordFilter,
+    RecordHead,
+    RecordKind,
+    find_entries,
+    verify,
+)
+
+SEGMENT_BYTES = 1_500
+
+
+def draft(number):
+    return Draft(
+        wall_ms=1_000 * number,
+        kind=RecordKind.CHANGE if number % 2 else RecordKind.ENGINE,
+        actor="ana" if number % 3 else "bo",
+        subjects=(f"engine/e{number % 4}",),
+        summary=f"change {number} é",
+        detail={"b": number, "a": [0.1, None, {"z": True, "c": "ü"}]},
+    )
+
+
+def fill(book, first, last):
+    return [book.append(n, draft(n)) for n in range(first, last + 1)]
+
+
+def make_record(folder, count):
+    book = RecordBook(folder, SEGMENT_BYTES)
+    entries = fill(book, 1, count)
+    book.flush()
+    return entries
+
+
+def paths(folder):
+    return sorted(Path(folder).glob("record-*.jsonl"))
+
+
+@pytest.fixture(scope="module")
+def whole(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("whole")
+    make_record(folder, 30)
+    assert len(paths(folder)) > 3
+    return folder
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(place=st.floats(0, 1, exclude_max=True), bit=st.integers(0, 7))
+def test_verify_finds_any_flipped_bit(whole, place, bit):
+    """A changed past must show, wherever the change is."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name) / "copy"
+        shutil.copytree(whole, folder)
+        files = paths(folder)
+        offset = int(place * sum(path.stat().st_size for path in files))
+        while offset >= files[0].stat().st_size:
+            offset -= files.pop(0).stat().st_size
+        path = files[0]
+        data = bytearray(path.read_bytes())
+        data[offset] ^= 1 << bit
+        path.write_bytes(data)
+        assert verify(folder).faults
+
+
+@pytest.mark.parametrize("which", [0, 1, -1])
+def test_verify_finds_a_missing_file_or_entry(whole, tmp_path, which):
+    """Removing a day from the record must show; its end needs a noted hash."""
+    folder = tmp_path / "copy"
+    shutil.copytree(whole, folder)
+    good = verify(folder)
+    assert (good.entries, good.faults) == (30, [])
+    paths(folder)[which].unlink()
+    assert verify(folder, good.head.seq, good.head.hash).faults
+    assert bool(verify(folder).faults) == (which != -1)
+
+
+def test_verify_of_an_empty_folder_is_a_fault(tmp_path):
+    """An auditor who names the wrong folder must not be told that all is good."""
+    assert verify(tmp_path).faults
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(
+    synced=st.integers(0, 20),
+    written=st.integers(0, 20),
+    snapshot=st.integers(0, 40),
+    torn=st.integers(0, 400),
+    more=st.integers(0, 10),
+)
+def test_entries_are_exactly_once_after_a_restart(
+    synced, written, snapshot, torn, more
+):
+    """Commands apply again after a restart; their entries were once written twice."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        book = RecordBook(folder, SEGMENT_BYTES)
+        expected = fill(book, 1, synced)
+        book.flush()
+        size = {path: path.stat().st_size for path in paths(folder)}
+        expected += fill(book, synced + 1, synced + written)
+        book.write_out()
+        if paths(folder):
+            # Only what was not synced may be lost.
+            last = paths(folder)[-1]
+            keep = max(size.get(last, 0), last.stat().st_size - torn)
+            os.truncate(last, keep)
+        at = min(snapshot, synced)
+        head = expected[at - 1] if at else None
+        again = RecordBook(folder, SEGMENT_BYTES)
+        if head is not None:
+            again.restore(RecordHead(head.seq, head.hash, head.wall_ms))
+        total = synced + written + more
+        expected[at:] = fill(again, at + 1, total)
+        again.flush()
+        found, _ = find_entries(paths(folder), RecordFilter(limit=1_000))
+        assert found == expected
+        result = verify(folder)
+        if total:
+            assert (result.entries, result.faults) == (total, [])
+        assert again.gap() is None
+
+
+def test_replay_of_another_history_is_refused(tmp_path):
+    """Files of another group must not be continued as if they were ours."""
+    make_record(tmp_path, 10)
+    other = RecordBook(tmp_path, SEGMENT_BYTES)
+    with pytest.raises(RecordFault, match="another entry than the log"):
+        other.append(7, draft(5))
+    with pytest.raises(RecordFault, match="another entry than the log"):
+        RecordBook(tmp_path).restore(RecordHead(3, "0" * 64, 0))
+
+
+@settings(derandomize=True, deadline=None, max_examples=40)
+@given(
+    held=st.integers(0, 12),
+    snapshot=st.integers(1, 25),
+    after=st.integers(0, 8),
+    seed=st.integers(0, 99),
+)
+def test_gap_is_filled_from_another_member(held, snapshot, after, seed):
+    """A voter whose state came from a snapshot lacked all entries before it."""
+    rng = random.Random(seed)
+    with tempfile.TemporaryDirectory() as name:
+        source = RecordBook(Path(name) / "source", SEGMENT_BYTES)
+        entries = fill(source, 1, 40)
+        source.flush()
+        folder = Path(name) / "learner"
+        book = RecordBook(folder, SEGMENT_BYTES)
+        fill(book, 1, held)
+        if rng.random() < 0.5:
+            book.flush()
+        at = entries[max(held, snapshot) - 1]
+        book.restore(RecordHead(at.seq, at.hash, at.wall_ms))
+        fill(book, at.seq + 1, at.seq + after)
+        while (gap := book.gap()) is not None:
+            last = min(gap.last, gap.first + rng.randrange(4))
+            book.fill(gap, source.chunk(gap.first, last).lines)
+            if rng.random() < 0.3:
+                fill(book, book.head.seq + 1, book.head.seq + 1)
+        book.flush()
+        again = RecordBook(folder, SEGMENT_BYTES)
+        again.restore(book.head)
+        assert again.gap() is None
+        result = verify(folder)
+        assert (result.entries, result.faults) == (book.head.seq, [])
+
+
+@pytest.mark.parametrize("fault", ["first", "text", "end"])
+def test_entries_that_do_not_fit_a_gap_are_refused(tmp_path, fault):
+    """A member with a changed record must not spread it to others."""
+    source = RecordBook(tmp_path / "source")
+    entries = fill(source, 1, 10)
+    source.flush()
+    book = RecordBook(tmp_path / "learner")
+    at = entries[5]
+    book.restore(RecordHead(at.seq, "0" * 64 if fault == "end" else at.hash, 0))
+    lines = source.chunk(1, 10).lines
+    if fault == "first":
+        lines = lines[1:]
+    if fault == "text":
+        lines[2] = lines[2].replace("change 3", "change 4")
+    with pytest.raises(RecordFault):
+        book.fill(book.gap(), lines)
+    assert book.gap().first == 1
+
+
+def test_full_disk_loses_no_entry(tmp_path, monkeypatch):
+    """Entries of committed commands were lost when the disk was full for a while."""
+    book = RecordBook(tmp_path, SEGMENT_BYTES)
+    fill(book, 1, 5)
+    book.flush()
+    real = os.pwrite
+
+    def full(fd, data, offset):
+        written = real(fd, data[: len(data) // 2], offset)
+        if written:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return written
+
+    monkeypatch.setattr(os, "pwrite", full)
+    fill(book, 6, 300)
+    with pytest.raises(OSError, match="No space"):
+        book.flush()
+    monkeypatch.setattr(os, "pwrite", real)
+    assert verify(tmp_path).entries == 5
+    book.flush()
+    result = verify(tmp_path)
+    assert (result.entries, result.faults) == (300, [])
+
+
+def test_failed_sync_stays_failed(tmp_path, monkeypatch):
+    """A sync after a failed one reports success for data that the kernel dropped."""
+    book = RecordBook(tmp_path)
+    fill(book, 1, 3)
+    real = os.fsync
+
+    def fail(fd):
+        raise OSError(errno.EIO, "Input/output error")
+
+    monkeypatch.setattr(os, "fsync", fail)
+    with pytest.raises(OSError, match="Input/output"):
+        book.flush()
+    monkeypatch.setattr(os, "fsync", real)
+    with pytest.raises(OSError, match="Input/output"):
+        book.flush()
+    assert book.failure is not None
+
+
+def test_time_in_the_record_never_goes_back(tmp_path):
+    """A new leader's slower clock once hid entries from a search by time."""
+    book = RecordBook(tmp_path)
+    first = book.append(1, draft(9))
+    second = book.append(2, draft(3))
+    assert second.wall_ms == first.wall_ms
+
+
+@pytest.mark.parametrize(
+    ("query", "expected"),
+    [
+        (RecordFilter(since_ms=28_000), [28, 29, 30]),
+        (RecordFilter(until_ms=2_000), [1, 2]),
+        (RecordFilter(since_ms=14_000, until_ms=16_000), [14, 15, 16]),
+        (RecordFilter(subjects=("engine/e1",), until_ms=9_999), [1, 5, 9]),
+        (RecordFilter(subjects=("engine/e1", "engine/e2"), until_ms=5_000), [1, 2, 5]),
+        (RecordFilter(actor="bo", since_ms=24_500), [27, 30]),
+        (RecordFilter(kind="engine", since_ms=25_000), [26, 28, 30]),
+        (RecordFilter(limit=2), [29, 30]),
+        (RecordFilter(subjects=("engine/e9",)), []),
+    ],
+)
+def test_find_returns_matching_entries(whole, query, expected):
+    """A search that skipped a file by its times lost entries at its edges."""
+    entries, truncated = find_entries(paths(whole), query)
+    assert [entry.seq for entry in entries] == expected
+    assert truncated == (query.limit == 2)
--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -74,9 +74,7 @@
         try:
             while not disk.done() and not any(task.done() for task in self._tasks):
                 if self._state.failure is not None:
-                    _log.critical(
-                        "A command cannot be applied: {}.", self._state.failure
-                    )
+                    _log.critical("The state failed: {}.", self._state.failure)
                     return
                 await asyncio.sleep(FAILURE_INTERVAL_S)
         finally:
@@ -91,6 +89,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         # The log hands leadership over through the HTTP server, so that stops last.
         await self._log.stop()
+        try:
+            await asyncio.to_thread(self._state.record.flush)
+        except OSError as error:
+            _log.error("The end of the record is only in the log: {}.", error)
         self._http.stop()
         await self._http.close_all_connections()
         self._client.close()
--- a/wigeonspan/controld/_state.py
+++ b/wigeonspan/controld/_state.py
@@ -65,8 +65,8 @@
 
     @property
     def failure(self) -> Exception | None:
-        """Why a command could not be applied; None as long as all is well."""
-        return self._failure
+        """Why this host must end; None as long as all is well."""
+        return self._failure or self._record.failure
 
     def apply(self, index: LogIndex, command: bytes) -> Any:
         """Apply a committed command, record it and return its result."""
--- a/wigeonspan/record/_book.py
+++ b/wigeonspan/record/_book.py
@@ -45,6 +45,11 @@
         """End of the record as the commands that applied here made it."""
         return self._head
 
+    @property
+    def failure(self) -> OSError | None:
+        """Why a sync failed; the host must end then. None as long as all is well."""
+        return self._store.failure
+
     def append(self, index: LogIndex, draft: Draft) -> RecordEntry:
         """Add the entry of a command.
 
--- a/wigeonspan/record/_segments.py
+++ b/wigeonspan/record/_segments.py
@@ -67,10 +67,16 @@
         self._pending: list[RecordEntry] = []
         self._pending_bytes = 0
         self._dirty: set[Path] = set()
+        self._failure: OSError | None = None
         self._hashes: tuple[Path | None, dict[int, str]] = (None, {})
         folder.mkdir(parents=True, exist_ok=True)
         self._segments = self._open_all()
 
+    @property
+    def failure(self) -> OSError | None:
+        """Why a sync failed; None as long as all is well."""
+        return self._failure
+
     @property
     def paths(self) -> list[Path]:
         """Files in order."""
@@ -114,6 +120,8 @@
         OSError
             When they cannot be written; nothing is kept then.
         """
+        # Waiting entries may come before the gap; files are kept in order.
+        self.write_out()
         path = self._path(entries[0].seq)
         data = b"".join(encode_line(entry) for entry in entries)
         part = path.with_suffix(".part")
@@ -149,17 +157,7 @@
             When the disk refuses.
         """
         self.write_out()
-        with self._lock:
-            dirty, self._dirty = self._dirty, set()
-        try:
-            for path in sorted(dirty):
-                _sync_path(path)
-            if dirty:
-                self._sync_folder()
-        except OSError:
-            with self._lock:
-                self._dirty |= dirty
-            raise
+        self._sync_dirty()
 
     def hash_of(self, seq: int) -> str | None:
         """Return the hash of a held entry, or None when it is not held."""
@@ -207,6 +205,25 @@
                 first += 1
         return found
 
+    def _sync_dirty(self) -> None:
+        """Sync the files that changed, or end for good.
+
+        After a failed sync the kernel may drop what it could not write and report
+        success the next time, so nothing is trusted until the files are read again.
+        """
+        if self._failure is not None:
+            raise self._failure
+        with self._lock:
+            dirty, self._dirty = self._dirty, set()
+        try:
+            for path in sorted(dirty):
+                _sync_path(path)
+            if dirty:
+                self._sync_folder()
+        except OSError as error:
+            self._failure = error
+            raise
+
     def _segment_of(self, seq: int) -> Segment | None:
         for segment in reversed(self._segments):
             if segment.first <= seq:
@@ -218,6 +235,9 @@
         segment = self._segments[-1] if self._segments else None
         follows = segment is not None and segment.head.seq + 1 == self._pending[0].seq
         if segment is None or not follows or segment.size >= self._segment_bytes:
+            # Only the last file may hold unsynced entries: only its end is repaired
+            # after a power loss.
+            self._sync_dirty()
             segment = self._new_segment(self._pending[0])
         room = self._segment_bytes - segment.size
         batch: list[bytes] = []
@@ -312,6 +332,9 @@
     entries come again from the log, or from another member if a snapshot covers them.
     """
     data = path.read_bytes()
+    if not data:
+        path.unlink()
+        return
     good = 0
     while good < len(data):
         end = data.find(b"\n", good)
