--- a/tests/catalog/test_core.py
+++ b/tests/catalog/test_core.py
@@ -109,11 +109,16 @@
     assert catalog.engine("e1").pinned_role is Role.PREFILL
 
 
-def test_change_of_a_removed_object_is_a_conflict_with_the_removal():
+@pytest.mark.parametrize("restored", [False, True])
+def test_change_of_a_removed_object_is_a_conflict_with_the_removal(restored):
     """An operator with an old view was told that the object never existed."""
     catalog = Catalog()
     catalog.apply(1, change(1, PutObject(Tenant("t"))))
     catalog.apply(2, change(2, RemoveObject("tenant", "t"), 1))
+    if restored:
+        snapshot = catalog.snapshot()
+        catalog = Catalog()
+        catalog.restore(snapshot)
     outcome = catalog.apply(3, change(3, RemoveObject("tenant", "t"), 1))
     assert outcome.kind is OutcomeKind.CONFLICT
     assert "removed it" in outcome.winner
--- a/wigeonspan/controld/_backend.py
+++ b/wigeonspan/controld/_backend.py
@@ -160,20 +160,25 @@
 
     def _report(self, distributor: Distributor, version: Version) -> InForceReport:
         now = self._clock.now()
-        live = set(distributor.live_entries(now))
-        pending = set(distributor.entries_pending(version, now))
-        if now < distributor.known_from:
-            # Entries may still hold leases of an earlier leader.
-            pending |= live
-        hosts = {v.name for v in self._catalog.objects() if isinstance(v, EntryHost)}
+        confirmed = distributor.entries_confirmed(version)
+        pending = distributor.entries_pending(version, now)
+        lost = distributor.entries_lost(version, now)
+        silent = self._entry_hosts() - {*confirmed, *pending, *lost}
+        # A new leader does not know which of the silent entries still hold a lease of
+        # an earlier one.
+        maybe = silent if now < distributor.known_from else set()
         return InForceReport(
             in_force=distributor.in_force(version, now),
             version=version,
-            confirmed=sorted(live - pending),
-            pending=sorted(pending),
-            lease_ended=sorted(hosts - live - pending),
+            confirmed=confirmed,
+            pending=sorted({*pending, *maybe}),
+            lease_ended=sorted({*lost, *silent} - maybe),
         )
 
+    def _entry_hosts(self) -> set[HostId]:
+        hosts = self._catalog.objects("entry_host")
+        return {host.name for host in hosts if isinstance(host, EntryHost)}
+
     async def _apply_member(self, command: ApplyChange) -> ChangeOutcome:
         """Change the group, unless the catalogue would refuse the change.
 
--- a/wigeonspan/controld/_build.py
+++ b/wigeonspan/controld/_build.py
@@ -28,6 +28,7 @@
 from wigeonspan.controld._state import ControlState
 from wigeonspan.distribution import Distributor
 from wigeonspan.distribution.tasks import SYNC_PATH, SyncHandler
+from wigeonspan.hostlist.tasks import HostListTask
 from wigeonspan.orders.tasks import OrdersTask
 from wigeonspan.planning import PlannerTask
 from wigeonspan.record.tasks import RECORD_PATH, RecordHandler
@@ -96,6 +97,15 @@
             "orders": orders.run,
             "planning": planner.run,
         }
+        if settings.host_list:
+            named["host list"] = HostListTask(
+                settings.host_list,
+                settings.host_list_interval_s,
+                log,
+                state.catalog,
+                client,
+                clock,
+            ).run
         return named
 
     return LeaderDuties(log, state.catalog, clock, duties)
