Prove the entry's stream and call guarantees under faults

Fault tables run the daemon against the stand-ins: refusals, 5xx, death before and within a stream, a missing end, wrong counts, skipped, repeated and crossed positions, garbage, frozen engines, silent connections, slow and vanished readers, bad input.

Faults that the tests found, now corrected: - a finish chunk without text passed when its count was too high by one - an answer above 64 KiB that is not streamed paused for a reader that it has not (test_whole_completion_carries_usage[2000]) - idle connections that died failed a request on the only engine; a silent reused connection is no longer blamed on the engine, and the request goes on over new ones - the expected length of an unknown answer was max_tokens, which refused requests that end in time

--- /dev/null
+++ b/tests/calls/test_runner.py
@@ -0,0 +1,236 @@
+"""Tests of the entry side of calls: one execution whatever is killed."""
+
+import asyncio
+
+import pytest
+
+from wigeonspan.calls import CallBook, CallOutcome, CallState, ExpireCalls
+from wigeonspan.calls.tasks import CallRunner, Intent, SendResult, Sent
+from wigeonspan.common import ErrorKind, ManualClock, Ran, WigeonspanError
+
+OUTCOME = CallOutcome(201, "application/json", b"{}")
+
+
+class Killed(BaseException):
+    """The entry process ends here."""
+
+
+class Deployment:
+    """A call book, a service that counts executions, and entries that may be killed."""
+
+    def __init__(self, kill_at=""):
+        self.book = CallBook()
+        self.clock = ManualClock(100.0, 1_000_000)
+        self.executions = 0
+        self.kill_at = kill_at
+        self.lease = True
+        self.unreachable = ""
+
+    def reach(self, step):
+        if step == self.kill_at:
+            self.kill_at = ""
+            raise Killed
+
+    async def post(self, path, message, reply, deadline):
+        name = path.rsplit("/", 1)[1]
+        self.reach(f"before {name}")
+        await asyncio.sleep(0)
+        if self.unreachable == f"before {name}":
+            raise WigeonspanError(ErrorKind.NO_QUORUM, "no answer")
+        result = self.book.apply(1, message)
+        if self.unreachable == f"after {name}":
+            raise WigeonspanError(ErrorKind.NO_QUORUM, "no answer")
+        await asyncio.sleep(0)
+        self.reach(f"after {name}")
+        return result
+
+    async def send(self):
+        self.reach("before execution")
+        await asyncio.sleep(0)
+        self.executions += 1
+        self.reach("after execution")
+        return Sent(SendResult.ANSWERED, OUTCOME)
+
+    def runner(self, entry="entry-1"):
+        return CallRunner(entry, self.post, lambda: self.lease, self.clock)
+
+    def intent(self, body="a"):
+        return Intent("archive", "loans", "k", body, self.clock.now() + 5)
+
+    def expire(self):
+        self.clock.advance(60)
+        self.book.apply(1, ExpireCalls(self.clock.wall_ms()))
+
+
+STEPS = {
+    "before open": (0, "done"),
+    "after open": (0, "outcome_unknown"),
+    "before execution": (0, "outcome_unknown"),
+    "after execution": (1, "outcome_unknown"),
+    "before close": (1, "outcome_unknown"),
+    "after close": (1, "done"),
+}
+
+
+async def _run(deployment, entry="entry-1", body="a", send=None):
+    """Run a call and return what its caller hears."""
+    runner = deployment.runner(entry)
+    try:
+        await runner.run(deployment.intent(body), send or deployment.send)
+    except WigeonspanError as error:
+        return error.kind.value
+    finally:
+        await runner.wait_closed()
+    return "done"
+
+
+async def _run_killed(deployment):
+    """Run a call on an entry that is killed; its closing task dies with it."""
+    runner = deployment.runner()
+    try:
+        await runner.run(deployment.intent(), deployment.send)
+        await asyncio.sleep(0)
+    except Killed:
+        return
+    finally:
+        for task in list(runner._closing):
+            task.cancel()
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_killed_entry_never_causes_a_second_execution(step):
+    """A booking ran again after its entry was killed between execution and outcome."""
+    executed, answer = STEPS[step]
+
+    async def work():
+        deployment = Deployment(kill_at=step)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        killed = asyncio.create_task(_run_killed(deployment))
+        await asyncio.wait({killed})
+        at_kill = deployment.executions
+        at_once = await _run(deployment, "entry-2")
+        deployment.expire()
+        later = await _run(deployment, "entry-2")
+        return at_kill, at_once, later, deployment.executions
+
+    at_kill, at_once, later, executions = asyncio.run(work())
+    assert at_kill == executed
+    assert executions <= 1
+    assert at_once in ("done", "call_in_progress")
+    assert later == answer
+
+
+@pytest.mark.parametrize("entries", [2, 5])
+def test_same_key_in_parallel_runs_once(entries):
+    """Two entries ran the same booking because each held its own intent."""
+
+    async def work():
+        deployment = Deployment()
+        runs = [_run(deployment, f"entry-{i}") for i in range(entries)]
+        answers = await asyncio.gather(*runs)
+        return answers, deployment.executions
+
+    answers, executions = asyncio.run(work())
+    assert executions == 1
+    assert sorted(answers).count("done") >= 1
+    assert set(answers) <= {"done", "call_in_progress"}
+
+
+def test_same_key_with_another_body_is_refused():
+    """The answer of one booking was given for another one."""
+
+    async def work():
+        deployment = Deployment()
+        return [await _run(deployment, body=b) for b in ("a", "b", "a")], deployment
+
+    answers, deployment = asyncio.run(work())
+    assert answers == ["done", "key_conflict", "done"]
+    assert deployment.executions == 1
+
+
+def _sender(results):
+    """Return a send function that yields the given results in order."""
+    left = list(results)
+
+    async def send():
+        result = left.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    return send
+
+
+NOTHING = Sent(SendResult.NOTHING_SENT, message="refused")
+NO_TARGET = WigeonspanError(ErrorKind.NO_TARGET, "no target")
+
+
+@pytest.mark.parametrize(
+    ("results", "answer", "state"),
+    [
+        ([Sent(SendResult.ANSWERED, OUTCOME)], "done", CallState.DONE),
+        ([NOTHING, Sent(SendResult.ANSWERED, OUTCOME)], "done", CallState.DONE),
+        ([NOTHING, NO_TARGET], "no_target", CallState.NOT_RUN),
+        ([Sent(SendResult.UNKNOWN)], "outcome_unknown", CallState.UNKNOWN),
+    ],
+)
+def test_outcome_is_closed_as_what_is_known(results, answer, state):
+    """A call that may have run was closed as not run, and its key used again."""
+
+    async def work():
+        deployment = Deployment()
+        heard = await _run(deployment, send=_sender(results))
+        return heard, deployment.book.get("archive", "loans", "k").state
+
+    assert asyncio.run(work()) == (answer, state)
+
+
+def test_grant_without_a_lease_is_not_executed():
+    """A call ran on an entry whose lease had ended while the intent was committed."""
+
+    async def work():
+        deployment = Deployment()
+        deployment.lease = False
+        first = await _run(deployment)
+        deployment.lease = True
+        return first, await _run(deployment), deployment.executions
+
+    assert asyncio.run(work()) == ("lease_expired", "done", 1)
+
+
+@pytest.mark.parametrize(
+    ("unreachable", "heard", "executions"),
+    [
+        ("before open", "no_quorum", 0),
+        ("after open", "no_quorum", 0),
+        ("before close", "done", 1),
+        ("after close", "done", 1),
+    ],
+)
+def test_lost_leader_never_causes_a_second_execution(unreachable, heard, executions):
+    """An intent whose answer was lost was executed although another one held it."""
+
+    async def work():
+        deployment = Deployment()
+        deployment.unreachable = unreachable
+        first = await _run(deployment)
+        deployment.unreachable = ""
+        second = await _run(deployment, "entry-2")
+        return first, second, deployment.executions
+
+    first, second, ran = asyncio.run(work())
+    assert first == heard and ran <= 1
+    assert second in ("done", "call_in_progress")
+
+
+def test_refusal_says_not_run_only_when_no_byte_left():
+    """A refusal named a call as not run that a service had executed."""
+
+    async def work():
+        runner = Deployment().runner()
+        with pytest.raises(WigeonspanError) as caught:
+            await runner.run(Deployment().intent(), _sender([Sent(SendResult.UNKNOWN)]))
+        return caught.value.ran
+
+    assert asyncio.run(work()) is Ran.UNKNOWN
--- a/tests/entryd/harness.py
+++ b/tests/entryd/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections import Counter
 
 from msgspec import structs
 from tornado.curl_httpclient import CurlError
@@ -19,7 +20,7 @@
     PlainService,
     PlainTarget,
 )
-from wigeonspan.common import SystemClock
+from wigeonspan.common import NoMetrics, SystemClock
 from wigeonspan.distribution import SyncReply
 from wigeonspan.entryd import EntrySettings, RelaySettings
 from wigeonspan.entryd._daemon import EntryDaemon
@@ -51,6 +52,20 @@
         return self.apply(ExpireCalls(wall_ms))
 
 
+class RecordedMetrics(NoMetrics):
+    """Sink that keeps the names."""
+
+    def __init__(self):
+        self.counts = Counter()
+        self.timings = Counter()
+
+    def count(self, name, amount=1):
+        self.counts[name] += amount
+
+    def timing(self, name, seconds):
+        self.timings[name] += 1
+
+
 class World:
     """Engines, plain services, call book and one entry daemon.
 
@@ -63,8 +78,9 @@
         ]
         self.plain = [StandinPlain() for _ in range(plain)]
         self.control = LocalControl()
+        self.metrics = RecordedMetrics()
         self.daemon = EntryDaemon(
-            settings, SystemClock(), random.Random(7), self.control.post
+            settings, SystemClock(), random.Random(7), self.control.post, self.metrics
         )
         self.client = make_client(64)
 
@@ -140,7 +156,7 @@
 
 def run(work):
     """Run a coroutine function in a new event loop."""
-    return asyncio.run(asyncio.wait_for(work(), 60))
+    return asyncio.run(asyncio.wait_for(work(), 20))
 
 
 def events_of(response):
--- /dev/null
+++ b/tests/entryd/test_bad_input.py
@@ -0,0 +1,240 @@
+"""Bad input: one error of the closed list each, and the daemon serves on."""
+
+import asyncio
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import structs
+
+from standins._text import answer_text
+from tests.entryd.harness import FAST, SETTINGS, World, error_of, run, text_of
+from wigeonspan.catalog import PlainService
+from wigeonspan.common import ErrorKind, WigeonspanError
+from wigeonspan.entryd._requests import (
+    check_path,
+    is_non_idempotent,
+    parse_completion,
+    parse_headers,
+    parse_key,
+)
+
+LIMIT = 100_000
+SMALL = structs.replace(SETTINGS, relay=structs.replace(FAST, max_body_bytes=LIMIT))
+
+GOOD = {"model": "note", "prompt": "a b", "max_tokens": 4, "stream": True}
+
+BODIES = [
+    (b"", "bad_request"),
+    (b"{", "bad_request"),
+    (b"[]", "bad_request"),
+    (b"\xff\xfe", "bad_request"),
+    (b'{"model": "note"}', "bad_request"),
+    ({**GOOD, "model": "other"}, "unknown_model"),
+    ({**GOOD, "model": 7}, "bad_request"),
+    ({**GOOD, "prompt": ["a"]}, "bad_request"),
+    ({**GOOD, "prompt": ""}, "bad_request"),
+    ({**GOOD, "max_tokens": 0}, "bad_request"),
+    ({**GOOD, "max_tokens": 10**12}, "bad_request"),
+    ({**GOOD, "max_tokens": "4"}, "bad_request"),
+    ({**GOOD, "n": 2}, "bad_request"),
+    ({**GOOD, "logprobs": 3}, "bad_request"),
+    ({**GOOD, "wigeonspan": {"attempt": "x"}}, "bad_request"),
+    ({**GOOD, "prompt": "x" * LIMIT}, "too_large"),
+]
+
+HEADERS = [
+    ({"Content-Type": "text/plain"}, "unsupported_media_type"),
+    ({"X-Deadline-Ms": "0"}, "bad_request"),
+    ({"X-Deadline-Ms": "-5"}, "bad_request"),
+    ({"X-Deadline-Ms": "1.5"}, "bad_request"),
+    ({"X-Deadline-Ms": "soon"}, "bad_request"),
+    ({"X-Deadline-Ms": "9" * 40}, "bad_request"),
+    ({"X-Deadline-Ms": "5, 6"}, "bad_request"),
+    ({"X-Priority-Class": "urgent"}, "bad_request"),
+    ({"X-Tenant": "a b"}, "bad_request"),
+    ({"X-Tenant": "../../etc"}, "bad_request"),
+    ({"X-Tenant": "t" * 200}, "bad_request"),
+    ({"X-Request-Id": 'a"b'}, "bad_request"),
+    ({"X-Request-Id": "\u00e9"}, "bad_request"),
+    ({"X-Deadline-Ms": "1"}, "deadline_too_short"),
+]
+
+CALLS = [
+    ("GET", "/v1/services/other/x", {}, "unknown_service"),
+    ("GET", "/v1/services/dispatch", {}, "unknown_route"),
+    ("GET", "/v1/nothing", {}, "unknown_route"),
+    ("PUT", "/v1/completions", {}, "bad_request"),
+    ("TRACE", "/v1/services/dispatch/sheets/a", {}, "bad_request"),
+    ("POST", "/v1/services/dispatch/bookings", {}, "key_required"),
+    ("POST", "/v1/services/dispatch/BOOKINGS", {}, "key_required"),
+    ("POST", "/v1/services/dispatch/%62ookings", {}, "key_required"),
+    ("POST", "/v1/services/dispatch//bookings", {}, "bad_request"),
+    ("POST", "/v1/services/dispatch/sheets%2f..%2fbookings", {}, "bad_request"),
+    ("POST", "/v1/services/dispatch/%ff", {}, "bad_request"),
+    (
+        "POST",
+        "/v1/services/dispatch/bookings",
+        {"Idempotency-Key": "k" * 256},
+        "bad_request",
+    ),
+    (
+        "POST",
+        "/v1/services/dispatch/bookings",
+        {"Idempotency-Key": "a b"},
+        "bad_request",
+    ),
+]
+
+
+async def _errors(requests):
+    """Send requests, then a good one; return the errors."""
+    async with World(settings=SMALL) as world:
+        errors = []
+        for path, body, method, headers in requests:
+            response = await world.fetch(path, body, method, **headers)
+            errors.append(error_of(response))
+        assert text_of(await world.complete()) == answer_text("plate 7 is", 8)
+        assert world.daemon.entry.in_flight == 0
+        return errors
+
+
+def _check(requests, kinds):
+    errors = run(lambda: _errors(requests))
+    assert [e["kind"] for e in errors] == kinds
+    assert all(e["ran"] == "no" for e in errors)
+
+
+def test_bad_bodies_get_one_error_each():
+    """A malformed body ended the handler with an internal error."""
+    json_type = {"Content-Type": "application/json"}
+    requests = [("/v1/completions", body, "POST", json_type) for body, _ in BODIES]
+    _check(requests, [kind for _, kind in BODIES])
+
+
+def test_bad_headers_get_one_error_each():
+    """A hostile header value reached logs, metrics or engines."""
+    requests = [("/v1/completions", dict(GOOD), "POST", h) for h, _ in HEADERS]
+    _check(requests, [kind for _, kind in HEADERS])
+
+
+def test_bad_calls_get_one_error_each():
+    """A disguised path passed a non-idempotent call without its key."""
+    requests = [
+        (path, "x" if method in ("POST", "PUT") else None, method, headers)
+        for method, path, headers, _ in CALLS
+    ]
+    _check(requests, [kind for *_, kind in CALLS])
+
+
+@pytest.mark.parametrize(
+    "path", ["sheets/../bookings", "sheets/%2e%2e/bookings", "./bookings", "%2562ook"]
+)
+def test_disguised_paths_are_refused(path):
+    """The HTTP client of the other tests resolves dot segments itself."""
+    with pytest.raises(WigeonspanError):
+        check_path(path)
+
+
+RAW = [
+    (b"GARBAGE\r\n\r\n", None),
+    (b"POST /v1/completions HTTP/1.1\r\nHost: e\r\nContent-Length: 9\r\n\r\n{", None),
+    (b"POST /v1/completions HTTP/1.1\r\nHost: e\r\nContent-Length: x\r\n\r\n", None),
+    (b"GET /v1/directory HTTP/1.1\r\nHost: e\r\nX-A: " + b"a" * 70_000, None),
+    (
+        b"POST /v1/completions HTTP/1.1\r\nHost: e\r\nTransfer-Encoding: chunked\r\n"
+        b"Content-Type: application/json\r\n\r\n"
+        + b"".join(b"4000\r\n" + b"x" * 0x4000 + b"\r\n" for _ in range(8)),
+        "too_large",
+    ),
+]
+
+
+@pytest.mark.parametrize(("data", "kind"), RAW, ids=range(len(RAW)))
+def test_broken_http_does_not_end_the_daemon(data, kind):
+    """An oversized or truncated request left a handler behind."""
+
+    async def work():
+        async with World(settings=SMALL) as world:
+            host, port = world.daemon.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            if kind is None:
+                writer.write_eof()
+            try:
+                answer = await reader.read()
+            except ConnectionResetError:
+                answer = b""
+            writer.close()
+            whole = text_of(await world.complete())
+            while world.daemon.entry.in_flight:
+                await asyncio.sleep(0.01)
+            return answer, whole
+
+    answer, whole = run(work)
+    assert whole == answer_text("plate 7 is", 8)
+    if kind is not None:
+        assert json.loads(answer.split(b"\r\n\r\n", 1)[1])["error"]["kind"] == kind
+
+
+FUZZ = settings(derandomize=True, deadline=None, max_examples=300)
+
+
+@FUZZ
+@given(
+    st.one_of(
+        st.binary(max_size=200),
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+            lambda inner: (
+                st.lists(inner, max_size=4)
+                | st.dictionaries(
+                    st.sampled_from(
+                        ["model", "prompt", "max_tokens", "stream", "n", "stop"]
+                    ),
+                    inner,
+                )
+            ),
+            max_leaves=8,
+        ).map(lambda value: json.dumps(value).encode()),
+    )
+)
+def test_parser_of_bodies_raises_only_errors_of_the_list(body):
+    """An unexpected type in a body raised an error that has no answer."""
+    try:
+        request = parse_completion(body)
+    except WigeonspanError as error:
+        assert error.kind is ErrorKind.BAD_REQUEST
+    else:
+        assert request.prompt and request.max_tokens >= 1
+
+
+NAMES = ["X-Tenant", "X-Request-Id", "X-Deadline-Ms", "X-Priority-Class"]
+
+
+@FUZZ
+@given(st.dictionaries(st.sampled_from(NAMES), st.text(max_size=30)), st.text())
+def test_parser_of_headers_raises_only_errors_of_the_list(headers, key):
+    """A header value raised an error that has no answer."""
+    for parse, value in ((parse_headers, headers), (parse_key, key)):
+        try:
+            parse(value)
+        except WigeonspanError as error:
+            assert error.kind is ErrorKind.BAD_REQUEST
+
+
+@FUZZ
+@given(st.text(alphabet="/.%25eEfFcC\\aB?;:\x00bookings", max_size=30))
+def test_checked_path_is_read_in_one_way_only(path):
+    """A path that a service reads as another one passed the check of its call."""
+    service = PlainService("dispatch", (), ("POST /bookings",))
+    try:
+        checked = check_path(path)
+    except WigeonspanError as error:
+        assert error.kind is ErrorKind.BAD_REQUEST
+        return
+    assert "%" not in checked and "\\" not in checked and "//" not in checked
+    assert not {".", ".."} & set(checked.split("/"))
+    if checked.lower().startswith("/bookings"):
+        assert is_non_idempotent(service, "POST", checked)
--- a/tests/entryd/test_drain.py
+++ b/tests/entryd/test_drain.py
@@ -21,13 +21,16 @@
             for _ in range(signals):
                 world.daemon.request_stop()
             stopped = asyncio.create_task(world.daemon.entry.wait_drained())
-            response = await stream
+            await asyncio.wait({stream, stopped}, return_when=asyncio.FIRST_COMPLETED)
+            early = stopped.done()
             if signals > 1:
                 await stopped
             stopped.cancel()
-            return response
+            return await stream, early
 
-    assert text_of(run(work)) == answer_text("plate 7 is", 60)
+    response, early = run(work)
+    assert not early
+    assert text_of(response) == answer_text("plate 7 is", 60)
 
 
 def test_draining_entry_serves_but_is_not_named():
--- a/tests/entryd/test_serving.py
+++ b/tests/entryd/test_serving.py
@@ -2,7 +2,10 @@
 
 import json
 
+import pytest
+
 from standins._text import answer_text
+from standins.engine import EngineSettings
 from tests.entryd.harness import World, error_of, run, text_of
 
 
@@ -18,16 +21,18 @@
     assert text_of(response) == answer_text("plate 7 is", 12)
 
 
-def test_whole_completion_carries_usage():
-    """An answer that is not streamed goes through the same relay."""
+@pytest.mark.parametrize("tokens", [1, 5, 2000])
+def test_whole_completion_carries_usage(tokens):
+    """A long answer that is not streamed waited for a reader that it has not."""
 
     async def work():
-        async with World() as world:
-            return await world.complete(max_tokens=5, stream=False)
+        engine = EngineSettings(token_interval_s=0.0, decode_tokens_per_s=50_000.0)
+        async with World(engine=engine) as world:
+            return await world.complete(max_tokens=tokens, stream=False)
 
     answer = json.loads(run(work).body)
-    assert answer["choices"][0]["text"] == answer_text("plate 7 is", 5)
-    assert answer["usage"]["completion_tokens"] == 5
+    assert answer["choices"][0]["text"] == answer_text("plate 7 is", tokens)
+    assert answer["usage"]["completion_tokens"] == tokens
 
 
 def test_plain_calls_run_and_stored_answers_are_given_again():
--- /dev/null
+++ b/tests/streams/test_tracker.py
@@ -0,0 +1,240 @@
+"""Tests of the stream tracker: no token is lost, repeated or crossed."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonspan.streams import (
+    ResumePoint,
+    StreamFault,
+    StreamLimits,
+    StreamTracker,
+    TokenFrame,
+)
+
+LIMITS = StreamLimits(progress_timeout_s=5, silence_timeout_s=2, buffer_bytes=100)
+
+
+def token(attempt, position, text="x", size=1):
+    return TokenFrame(attempt, position, text, size=size)
+
+
+def last(attempt, position, count, text=""):
+    return TokenFrame(attempt, position, text, "stop", count)
+
+
+def feed(tracker, frames, source="a", now=0.0):
+    """Feed frames and return the last step."""
+    step = None
+    for frame in frames:
+        step = tracker.on_frame(frame, source, now)
+    return step
+
+
+@pytest.mark.parametrize(
+    ("frames", "fault"),
+    [
+        ([token("a", 1)], StreamFault.POSITION),
+        ([token("a", 0), token("a", 0)], StreamFault.POSITION),
+        ([token("a", 0), token("a", 2)], StreamFault.POSITION),
+        ([token("a", 0), last("a", 1, 2)], StreamFault.COUNT),
+        ([token("a", 0), last("a", 1, 0)], StreamFault.COUNT),
+        ([token("a", 0), last("a", 1, None)], StreamFault.COUNT),
+        ([last("a", 0, 0), token("a", 0)], StreamFault.POSITION),
+        ([last("a", 0, 1, "x")], None),
+        ([token("a", 0), token("b", 9), token("a", 1)], None),
+    ],
+)
+def test_frames_out_of_place_end_the_attempt(frames, fault):
+    """A chunk with a wrong position or count became part of an answer."""
+    tracker = StreamTracker(LIMITS)
+    tracker.begin("a", 0.0)
+    assert feed(tracker, frames).fault is fault
+    assert (tracker.active is None) == (fault is not None)
+
+
+def test_frames_of_an_abandoned_attempt_are_dropped():
+    """A late answer was mixed into the answer of the attempt that replaced it."""
+    tracker = StreamTracker(LIMITS)
+    tracker.begin("a", 0.0)
+    feed(tracker, [token("a", 0, "one ")])
+    assert tracker.begin("b", 0.0) == ResumePoint(1, "one ")
+    assert feed(tracker, [token("a", 1, "late ")]).token is None
+    assert tracker.on_ended("a", StreamFault.TRUNCATED).fault is None
+    assert not tracker.on_end_marker("a", 0.0).whole
+    assert feed(tracker, [token("b", 1, "two")], source="b").token is not None
+    assert tracker.text == "one two"
+
+
+@pytest.mark.parametrize(
+    ("frames", "whole"),
+    [([], False), ([token("a", 0)], False), ([token("a", 0), last("a", 1, 1)], True)],
+)
+def test_answer_is_whole_only_with_end_marker_and_count(frames, whole):
+    """A truncated answer was given as a whole one."""
+    tracker = StreamTracker(LIMITS)
+    tracker.begin("a", 0.0)
+    feed(tracker, frames)
+    assert not tracker.whole
+    step = tracker.on_end_marker("a", 0.0)
+    assert (step.whole, tracker.whole) == (whole, whole)
+    assert (step.fault is StreamFault.TRUNCATED) != whole
+
+
+@pytest.mark.parametrize(
+    ("events", "now", "fault"),
+    [
+        ([], 4.9, None),
+        ([], 5.0, StreamFault.SILENT),
+        (["comment@1"], 2.9, None),
+        (["comment@1"], 3.0, StreamFault.SILENT),
+        (["comment@1", "comment@2", "comment@3", "comment@4"], 5.0, "stalled"),
+        (["comment@4", "token@4.5"], 6.4, None),
+        (["comment@4", "token@4.5"], 6.5, StreamFault.SILENT),
+        (["token@1", "comment@2", "comment@4", "comment@5.5"], 6.0, "stalled"),
+    ],
+)
+def test_timers_tell_silence_from_missing_progress(events, now, fault):
+    """Keep-alive comments of a stuck engine counted as progress."""
+    tracker = StreamTracker(LIMITS)
+    tracker.begin("a", 0.0)
+    for event in events:
+        kind, at = event.split("@")
+        if kind == "comment":
+            tracker.on_comment("a", float(at))
+        else:
+            tracker.on_frame(token("a", tracker.position), "a", float(at))
+    assert tracker.next_check >= now or fault
+    expected = StreamFault.STALLED if fault == "stalled" else fault
+    assert tracker.check(now).fault is expected
+
+
+def test_first_token_may_take_its_expected_time():
+    """A long prompt was taken for a silent engine."""
+    tracker = StreamTracker(LIMITS)
+    tracker.begin("a", 0.0, first_token_s=30.0)
+    assert tracker.check(34.9).fault is None
+    assert tracker.check(35.0).fault is StreamFault.SILENT
+
+
+def test_full_buffer_pauses_until_half_is_read():
+    """A slow reader caused one attempt for each token it took."""
+    tracker = StreamTracker(LIMITS)
+    tracker.begin("a", 0.0)
+    assert not feed(tracker, [token("a", 0, size=60)]).pause
+    step = feed(tracker, [token("a", 1, size=60)])
+    assert step.pause and step.token is not None
+    assert tracker.paused and tracker.active is None
+    tracker.reader_took(60)
+    assert not tracker.may_resume
+    tracker.reader_took(20)
+    assert tracker.may_resume
+    assert tracker.begin("b", 1.0).position == 2
+
+
+ANSWER = [f"t{i} " for i in range(6)]
+
+ACTION = st.one_of(
+    st.just(("begin",)),
+    st.tuples(st.just("serve"), st.integers(0, 5), st.integers(1, 4)),
+    st.tuples(st.just("frame"), st.integers(0, 5), st.integers(0, 7)),
+    st.tuples(st.just("crossed"), st.integers(0, 5), st.integers(0, 5)),
+    st.tuples(st.just("finish"), st.integers(0, 5), st.integers(0, 7)),
+    st.tuples(st.just("end"), st.integers(0, 5)),
+    st.tuples(st.just("close"), st.integers(0, 5)),
+    st.tuples(st.just("read"), st.integers(1, 60)),
+    st.tuples(st.just("wait"), st.floats(0, 6)),
+)
+
+
+class Harness:
+    """Applies actions to a tracker as engines, timers and a reader would."""
+
+    def __init__(self):
+        self.tracker = StreamTracker(StreamLimits(5, 2, 40))
+        self.now = 0.0
+        self.attempts = []
+        self.delivered = []
+        self.unread = 0
+        self.position_of = {}
+
+    def apply(self, action):
+        kind, *values = action
+        if kind == "begin":
+            self._begin()
+        elif kind == "read":
+            size = min(values[0], self.unread)
+            self.unread -= size
+            self.tracker.reader_took(size)
+        elif kind == "wait":
+            self.now += values[0]
+            self.tracker.check(self.now)
+        elif self.attempts:
+            attempt = self.attempts[values[0] % len(self.attempts)]
+            getattr(self, f"_{kind}")(attempt, *values[1:])
+
+    def _begin(self):
+        tracker = self.tracker
+        if tracker.whole or (tracker.paused and not tracker.may_resume):
+            return
+        attempt = f"a{len(self.attempts)}"
+        point = tracker.begin(attempt, self.now)
+        assert point.text == "".join(ANSWER[: point.position])
+        self.attempts.append(attempt)
+        self.position_of[attempt] = point.position
+
+    def _serve(self, attempt, count):
+        """Send the next tokens that a correct engine would send."""
+        for _ in range(count):
+            position = self.position_of[attempt]
+            if position >= len(ANSWER):
+                return self._finish(attempt, len(ANSWER))
+            self.position_of[attempt] += 1
+            self._frame(attempt, position)
+        return None
+
+    def _frame(self, attempt, position):
+        text = ANSWER[position] if position < len(ANSWER) else "beyond "
+        self._feed(TokenFrame(attempt, position, text, size=10), attempt)
+
+    def _crossed(self, attempt, position):
+        other = TokenFrame("another request", position, "crossed ", size=10)
+        self._feed(other, attempt)
+
+    def _feed(self, frame, source):
+        step = self.tracker.on_frame(frame, source, self.now)
+        if step.token is not None:
+            self.delivered.append(step.token)
+            self.unread += step.token.size
+
+    def _finish(self, attempt, count):
+        # An engine that counts wrongly never names a shorter answer than the text
+        # it sent; the tracker must refuse every other count.
+        if count < len(ANSWER) and count == self.tracker.position:
+            return
+        frame = TokenFrame(attempt, self.tracker.position, "", "stop", count)
+        self._feed(frame, attempt)
+
+    def _end(self, attempt):
+        self.tracker.on_end_marker(attempt, self.now)
+
+    def _close(self, attempt):
+        self.tracker.on_ended(attempt, StreamFault.TRUNCATED)
+
+
+@settings(derandomize=True, deadline=None, max_examples=600)
+@given(st.lists(ACTION, max_size=40))
+def test_no_interleaving_loses_repeats_or_crosses_a_token(actions):
+    """Frames of several attempts arrive late, crossed, twice or not at all."""
+    harness = Harness()
+    for action in actions:
+        harness.apply(action)
+        tokens = harness.delivered
+        assert [t.position for t in tokens] == list(range(len(tokens)))
+        beyond = [t.text for t in tokens[len(ANSWER) :]]
+        assert set(beyond) <= {"beyond "}
+        assert [t.text for t in tokens[: len(ANSWER)]] == ANSWER[: len(tokens)]
+        assert harness.tracker.text == "".join(t.text for t in tokens)
+        assert harness.tracker.buffered_bytes == harness.unread <= 40 + 10
+        if harness.tracker.whole:
+            assert len(tokens) >= len(ANSWER)
--- a/wigeonspan/engines/_client.py
+++ b/wigeonspan/engines/_client.py
@@ -82,6 +82,8 @@
         Request body.
     listener : StreamListener
         Takes the events; it is called from the event loop, never after ``close``.
+    fresh : bool
+        Whether to use a new connection.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         address: str,
         body: bytes,
         listener: StreamListener,
+        fresh: bool = False,
     ) -> None:
         self._listener: StreamListener | None = listener
         self._decoder = SseDecoder()
@@ -102,9 +105,15 @@
             headers=_JSON_HEADERS,
             body=body,
             on_data=self._on_data,
+            fresh=fresh,
         )
         self._exchange.ended.add_done_callback(self._on_ended)
 
+    @property
+    def reused(self) -> bool:
+        """Whether it runs on a connection that was open before."""
+        return self._exchange.reused
+
     def close(self) -> None:
         """Close the connection; the listener hears nothing more."""
         self._listener = None
@@ -181,6 +190,7 @@
         fields: dict[str, Any],
         extension: Extension,
         listener: StreamListener,
+        fresh: bool = False,
     ) -> EngineStream:
         """Start an attempt.
 
@@ -194,9 +204,11 @@
             Attempt, priority, deadline and resume point.
         listener : StreamListener
             Takes the events.
+        fresh : bool
+            Whether to use a new connection.
         """
         body = encode({**fields, "stream": True, "wigeonspan": extension})
-        return EngineStream(self._connections, address, body, listener)
+        return EngineStream(self._connections, address, body, listener, fresh)
 
     def distrust(self, address: str) -> None:
         """Stop using the idle connections to an engine."""
--- a/wigeonspan/engines/_connections.py
+++ b/wigeonspan/engines/_connections.py
@@ -1,6 +1,8 @@
 """HTTP exchanges with targets that can be closed midway."""
 
 import asyncio
+import os
+import socket
 from collections.abc import Callable, Mapping
 
 import pycurl
@@ -16,6 +18,10 @@
 """Seconds that an idle connection stays usable. It bounds how long a target must be
 given fresh connections after one of its connections went silent."""
 
+ACK_TIMEOUT_MS = 2_000
+"""Milliseconds that sent bytes may stay unacknowledged. The kernel ends a connection
+that something on the way has lost track of, long before a progress timer would."""
+
 _NEVER_CONNECTED = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
 OnData = Callable[[bytes], None]
@@ -48,6 +54,14 @@
     message: str = ""
 
 
+def _set_ack_timeout(descriptor: int, purpose: int) -> int:
+    with socket.socket(fileno=os.dup(descriptor)) as connection:
+        connection.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS
+        )
+    return pycurl.SOCKOPT_OK
+
+
 class AbortableClient(CurlAsyncHTTPClient):
     """Curl client whose running transfers can be ended."""
 
@@ -85,6 +99,13 @@
         request.prepare_curl_callback = self._prepare
         client.fetch_impl(request, self._on_response)
 
+    @property
+    def reused(self) -> bool:
+        """Whether it runs on a connection that was open before."""
+        if self._curl is None:
+            return False
+        return int(self._curl.getinfo(pycurl.NUM_CONNECTS)) == 0
+
     @property
     def status(self) -> int:
         """HTTP status once the head of the answer has come, else 0."""
@@ -104,6 +125,7 @@
         curl.setopt(pycurl.NOPROXY, "*")
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, _set_ack_timeout)
         if self._fresh:
             use_fresh_connection(curl)
         self._curl = curl
--- a/wigeonspan/entryd/_attempt.py
+++ b/wigeonspan/entryd/_attempt.py
@@ -48,11 +48,15 @@
         HTTP status of the engine, 0 when there was none.
     message : str
         What the engine or the connection reported.
+    stale_connection : bool
+        Whether nothing came over a connection that was open before. The connection
+        may have died while it was idle, which says nothing about the engine.
     """
 
     step: Step
     status: int = 0
     message: str = ""
+    stale_connection: bool = False
 
 
 class _Stage(Struct, frozen=True):
@@ -136,6 +140,7 @@
         self._job = job
         self._tracker = tracker
         self._on_token = on_token
+        self._fresh = False
 
     async def run(self, route: Route, request: RouteRequest) -> AttemptOutcome | None:
         """Run until the attempt ends.
@@ -209,10 +214,11 @@
             engine_fields(self._job.body, self._job.model),
             self._extension(stage, point, now),
             listener,
+            self._fresh,
         )
         outcome = None
         try:
-            outcome = await self._watch(listener, tracker)
+            outcome = await self._watch(listener, tracker, stream)
             result = _result(outcome)
         finally:
             tracker.abandon(stage.attempt)
@@ -236,7 +242,7 @@
         )
 
     async def _watch(
-        self, listener: _Listener, tracker: StreamTracker
+        self, listener: _Listener, tracker: StreamTracker, stream: EngineStream
     ) -> AttemptOutcome | None:
         """Wait for the end of the attempt, its timers, or the deadline."""
         clock = self._parts.clock
@@ -251,7 +257,10 @@
                 return None
             step = tracker.check(now)
             if step.fault is not None:
-                return AttemptOutcome(step, 0, "no token came in time")
+                stale = step.fault is StreamFault.SILENT and stream.reused
+                # Other idle connections may be dead as well.
+                self._fresh |= stale
+                return AttemptOutcome(step, 0, "no token came in time", stale)
 
     def _end_stream(
         self, stage: _Stage, stream: EngineStream, outcome: AttemptOutcome | None
@@ -270,6 +279,6 @@
 
 
 def _result(outcome: AttemptOutcome | None) -> AttemptResult:
-    if outcome is None or outcome.step.pause:
+    if outcome is None or outcome.step.pause or outcome.stale_connection:
         return AttemptResult.CANCELLED
     return AttemptResult.OK if outcome.step.whole else AttemptResult.FAILED
--- a/wigeonspan/entryd/_completions.py
+++ b/wigeonspan/entryd/_completions.py
@@ -64,8 +64,12 @@
         job = self.entry.make_job(headers, body)
         self.set_header("X-Request-Id", job.request)
         buffer = TokenBuffer()
-        on_token = buffer.put if body.stream else _ignore
-        relay = self.entry.make_relay(job, on_token)
+
+        def take(token: Token) -> None:
+            # A whole answer is collected by the tracker; nothing waits for a reader.
+            relay.reader_took(token.size)
+
+        relay = self.entry.make_relay(job, buffer.put if body.stream else take)
         task = asyncio.create_task(self.entry.complete(job, relay))
         self._task = task
         task.add_done_callback(buffer.wake)
@@ -145,10 +149,6 @@
             raise StreamClosedError from None
 
 
-def _ignore(token: Token) -> None:
-    """Drop a token; a whole answer is taken from the tracker."""
-
-
 def _usage(job: CompletionJob, relay: CompletionRelay) -> dict[str, int]:
     completion_tokens = relay.tracker.position
     return {
--- a/wigeonspan/entryd/_daemon.py
+++ b/wigeonspan/entryd/_daemon.py
@@ -13,7 +13,7 @@
 from tornado.web import Application
 
 from wigeonspan.calls.tasks import ControlLink, ControlPost
-from wigeonspan.common import Clock, make_metrics, part_logger
+from wigeonspan.common import Clock, Metrics, make_metrics, part_logger
 from wigeonspan.distribution import Follower
 from wigeonspan.distribution.tasks import SyncTask
 from wigeonspan.entryd._completions import CompletionHandler
@@ -73,6 +73,8 @@
         Source of randomness.
     post : ControlPost or None
         Sends messages to the leader in another way than over HTTP.
+    metrics : Metrics or None
+        Sink of metrics other than that of the settings.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         clock: Clock,
         rng: random.Random,
         post: ControlPost | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -91,9 +94,13 @@
         link = ControlLink(
             self._client, settings.control, self._leader_address, clock, rng
         )
-        metrics = make_metrics(settings.metrics)
         self.entry = Entry(
-            settings, self.follower, post or link.post, clock, rng, metrics
+            settings,
+            self.follower,
+            post or link.post,
+            clock,
+            rng,
+            metrics or make_metrics(settings.metrics),
         )
         self._server: HTTPServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
--- a/wigeonspan/entryd/_demand.py
+++ b/wigeonspan/entryd/_demand.py
@@ -10,6 +10,10 @@
 """Weight of the newest answer in the expected length; it follows a change of the mix
 within some tens of answers."""
 
+UNKNOWN_OUTPUT_TOKENS = 256.0
+"""Expected output before any answer was seen. Callers often leave a high limit, and
+taking it for the expected length would refuse requests that end in time."""
+
 
 @dataclass(slots=True)
 class _Sums:
@@ -76,7 +80,7 @@
         self, service: ServiceName, priority: PriorityClass, max_tokens: int
     ) -> int:
         """Return the output tokens that are expected of a request."""
-        length = self._lengths.get((service, priority), float(max_tokens))
+        length = self._lengths.get((service, priority), UNKNOWN_OUTPUT_TOKENS)
         return max(1, min(max_tokens, round(length)))
 
     def take(self) -> list[DemandSample]:
--- a/wigeonspan/entryd/_relay.py
+++ b/wigeonspan/entryd/_relay.py
@@ -128,6 +128,9 @@
             route = self._parts.router.choose(self._request(frozenset(same)), now)
         if route is None:
             raise self._given_up(ErrorKind.NO_TARGET, "no engine can run the request")
+        if now + route.first_token_s >= self._job.deadline:
+            # No further token can come in time; the caller hears of it now.
+            raise self._too_late()
         return route
 
     def _after_fault(
@@ -146,7 +149,8 @@
         )
         self._parts.metrics.count(f"attempt_faults.{fault.value}")
         self._may_have_run |= fault not in _NOT_RUN
-        self._tried.setdefault(route.engine, set()).add(fault)
+        if not outcome.stale_connection:
+            self._tried.setdefault(route.engine, set()).add(fault)
         if outcome.status in _FAULTY_REQUEST and not self._tracker.position:
             raise WigeonspanError(
                 ErrorKind.BAD_REQUEST, f"the engine refused: {outcome.message[:200]}"
--- a/wigeonspan/entryd/_services.py
+++ b/wigeonspan/entryd/_services.py
@@ -1,7 +1,5 @@
 """``ANY /v1/services/{service}/{path}``: calls to plain services."""
 
-import asyncio
-
 from wigeonspan.calls import CallOutcome
 from wigeonspan.calls.tasks import Intent, hash_call
 from wigeonspan.common import ErrorKind, WigeonspanError
@@ -77,11 +75,11 @@
             body_hash=hash_call(call.method, call.path, call.body or b""),
             deadline=call.deadline,
         )
-        run = asyncio.create_task(
-            self.entry.run_call(intent, lambda: self.entry.plain.send_once(call))
+        # It goes on when the caller closes its connection: a call that is cut between
+        # its execution and its outcome would leave the key unknown.
+        outcome, stored = await self.entry.run_call(
+            intent, lambda: self.entry.plain.send_once(call)
         )
-        # A caller that goes away must not end the call between execution and outcome.
-        outcome, stored = await asyncio.shield(run)
         self._answer_outcome(outcome, stored)
 
     def _answer(self, end: ExchangeEnd) -> None:
--- a/wigeonspan/http/_helpers.py
+++ b/wigeonspan/http/_helpers.py
@@ -3,10 +3,10 @@
 from typing import Any, TypeVar
 
 import pycurl
+from tornado import web
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
 from tornado.httputil import HTTPHeaders
-from tornado.web import RequestHandler
 
 from wigeonspan.common._codec import (
     PROTOCOL_VERSION,
@@ -110,7 +110,7 @@
     )
 
 
-class JsonHandler(RequestHandler):
+class JsonHandler(web.RequestHandler):
     """Base of the HTTP handlers: errors of the closed list become JSON answers."""
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
@@ -144,6 +144,8 @@
         """Log only errors that are faults of this process."""
         if isinstance(value, WigeonspanError) and value.kind is not ErrorKind.INTERNAL:
             return
+        if isinstance(value, web.HTTPError) and value.status_code < 500:
+            return
         _log.opt(exception=(typ, value, tb)).error("Handler failed.")
 
 
--- a/wigeonspan/streams/_tracker.py
+++ b/wigeonspan/streams/_tracker.py
@@ -194,8 +194,9 @@
         self._buffered -= size
 
     def _on_finish(self, frame: TokenFrame, now: float) -> Step:
-        # The last chunk may carry the last token, which can have an empty text.
-        carries = frame.text != "" or frame.completion_tokens == frame.position + 1
+        # The last chunk carries a token only when it has text; an empty one would
+        # hide a count that is too high by one.
+        carries = frame.text != ""
         if frame.completion_tokens != frame.position + carries:
             return self._fault(StreamFault.COUNT)
         step = self._accept(frame, now, may_pause=False) if carries else NOTHING
