--- a/testbed/__init__.py
+++ b/testbed/__init__.py
@@ -3,6 +3,7 @@
 The testbed is not part of the system: a daemon starts no process.
 """
 
+from testbed._caller import Stream, release_loan
 from testbed._deployment import MODEL, PLAIN, Deployment, Shape
 from testbed._processes import Fleet, StepFailed, free_ports, run_ctl
 
@@ -13,6 +14,8 @@
     "Fleet",
     "Shape",
     "StepFailed",
+    "Stream",
     "free_ports",
+    "release_loan",
     "run_ctl",
 ]
--- a/demo/_caller.py
+++ b/testbed/_caller.py
@@ -1,15 +1,15 @@
-"""A caller of the demo deployment, with blocking connections."""
+"""A caller of a deployment, with blocking connections."""
 
 import http.client
 import json
 from collections.abc import Iterator
-from typing import Any
 
-from demo._settings import MODEL, PLAIN
-from testbed import StepFailed
+from standins.engine import answer_text
+from testbed._deployment import MODEL, PLAIN
+from testbed._processes import StepFailed
 
 TIMEOUT_S = 30.0
-"""Longest silence of a connection before the demo gives up."""
+"""Longest silence of a connection before the caller gives up."""
 
 
 class Stream:
@@ -23,9 +23,13 @@
         Prompt.
     max_tokens : int
         Length of the answer.
+    priority : str
+        Priority class.
     """
 
-    def __init__(self, address: str, prompt: str, max_tokens: int) -> None:
+    def __init__(
+        self, address: str, prompt: str, max_tokens: int, priority: str = "desk"
+    ) -> None:
         body = {
             "model": MODEL,
             "prompt": prompt,
@@ -34,11 +38,12 @@
         }
         self.text = ""
         self.is_whole = False
+        self._expected = answer_text(prompt, max_tokens)
         self._connection = _connect(address)
         headers = {
             "Content-Type": "application/json",
             "X-Tenant": "archive",
-            "X-Priority-Class": "desk",
+            "X-Priority-Class": priority,
         }
         self._connection.request("POST", "/v1/completions", json.dumps(body), headers)
         self._response = self._connection.getresponse()
@@ -62,6 +67,17 @@
             yield text
         self._connection.close()
 
+    def read_whole(self) -> None:
+        """Read to the end and check that the answer is whole."""
+        for _ in self.tokens():
+            pass
+        self.check_whole()
+
+    def check_whole(self) -> None:
+        """Raise unless the whole answer was received."""
+        if not self.is_whole or self.text != self._expected:
+            raise StepFailed(f"the stream is not whole: {self.text!r}")
+
 
 def release_loan(address: str, key: str, plate: str) -> tuple[int, str]:
     """Call the plain service through an entry; return status and body."""
@@ -75,14 +91,6 @@
     return _call(address, "POST", path, body, headers)
 
 
-def get_json(address: str, path: str) -> Any:
-    """Return the JSON answer of a GET, or raise."""
-    status, body = _call(address, "GET", path, None, {})
-    if status != 200:
-        raise StepFailed(f"{address}{path}: status {status}: {body}")
-    return json.loads(body)
-
-
 def _call(
     address: str, method: str, path: str, body: str | None, headers: dict[str, str]
 ) -> tuple[int, str]:
--- a/testbed/_deployment.py
+++ b/testbed/_deployment.py
@@ -3,7 +3,7 @@
 import http.client
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from pathlib import Path
 from typing import Any
 
@@ -37,7 +37,7 @@
     controls: int = 3
     entries: int = 2
     engines: int = 2
-    engine_options: tuple[str, ...] = ("--token_interval_s=0.02",)
+    engine_options: tuple[str, ...] = ("--token_interval_s=0.02", "--order_s=0.5")
 
 
 class Deployment:
@@ -68,13 +68,38 @@
 
     def start(self) -> None:
         """Start all processes, apply the configuration and wait until it serves."""
-        self._start_targets()
+        self.start_targets()
+        self.start_daemons()
+        self.configure()
+        self.wait_serving()
+
+    def start_targets(self, empty: Collection[int] = ()) -> None:
+        """Start the engines and the plain service.
+
+        Parameters
+        ----------
+        empty : collection of int
+            Numbers of the engines that hold no model yet, from 0.
+        """
+        for number in range(self.shape.engines):
+            model = "" if number in empty else MODEL
+            self.engines.append(self.start_engine(number, model=model))
+        self.plain = self.fleet.start_standin(PLAIN, "standins.plain")
+
+    def start_daemons(self) -> None:
+        """Start the control and entry daemons and wait for a leader."""
         for number in range(self.shape.controls):
             self.start_control(number)
         for number in range(self.shape.entries):
             self.start_entry(number)
         self.wait("a leader", self.leader)
+
+    def configure(self) -> None:
+        """Apply the configuration with the operators' command line."""
         self.ctl("apply-file", str(self._write("objects", self._objects())))
+
+    def wait_serving(self) -> None:
+        """Wait until every engine serves and the directory names every entry."""
         self.wait("all engines to serve", self._all_serve)
         self.wait("the directory to name all entries", self._all_listed)
 
@@ -105,10 +130,13 @@
         """Run the operators' command line for a change."""
         return run_ctl(",".join(self.operators), "testbed", reason, *args)
 
+    def show(self, *args: str) -> str:
+        """Run the operators' command line for a query and return what it prints."""
+        return run_ctl(",".join(self.operators), "", "", *args)
+
     def query(self, *args: str) -> Any:
         """Run the operators' command line for a query and return its JSON."""
-        args = (*args, "--output=json")
-        return json.loads(run_ctl(",".join(self.operators), "", "", *args))
+        return json.loads(self.show(*args, "--output=json"))
 
     def leader(self) -> str | None:
         """Return the name of the leading control host, if one answers."""
@@ -150,10 +178,6 @@
             raise StepFailed(f"{address}{path}: {response.status} {body.decode()}")
         return json.loads(body)
 
-    def _start_targets(self) -> None:
-        self.engines = [self.start_engine(n) for n in range(self.shape.engines)]
-        self.plain = self.fleet.start_standin(PLAIN, "standins.plain")
-
     def _all_serve(self) -> bool:
         listed = self.query("list", "engine")
         phases = [each["phase"] for each in listed]
