Test kills, freezes, lost disks and drains with real processes

The first run showed entries that had not confirmed the configuration yet refuse with no_target, so the testbed waits until the version is in force on all entries.

--- a/testbed/_deployment.py
+++ b/testbed/_deployment.py
@@ -102,6 +102,9 @@
         """Wait until every engine serves and the directory names every entry."""
         self.wait("all engines to serve", self._all_serve)
         self.wait("the directory to name all entries", self._all_listed)
+        version = max(each["version"] for each in self.status().values())
+        # The command fails while an entry has not confirmed the version.
+        self.wait("all entries", lambda: self.show("in-force", str(version)))
 
     def start_control(self, number: int) -> None:
         """Start a control daemon, or start it again on its data folder."""
@@ -138,10 +141,17 @@
         """Run the operators' command line for a query and return its JSON."""
         return json.loads(self.show(*args, "--output=json"))
 
+    def status(self) -> dict[str, Any]:
+        """Return what each control daemon that answers says, by operators' address."""
+        answers = self.query("status")
+        # The entry of a daemon that does not answer is a text that says why.
+        return {a: each for a, each in answers.items() if isinstance(each, dict)}
+
     def leader(self) -> str | None:
         """Return the name of the leading control host, if one answers."""
-        answers = [each for each in self.query("status").values() if each]
-        leaders = [each["host"] for each in answers if each.get("lease_valid")]
+        leaders = [
+            each["host"] for each in self.status().values() if each["lease_valid"]
+        ]
         return leaders[0] if leaders else None
 
     def wait(
@@ -178,6 +188,18 @@
             raise StepFailed(f"{address}{path}: {response.status} {body.decode()}")
         return json.loads(body)
 
+    def set_fault(self, address: str, fault: dict[str, Any]) -> None:
+        """Set the faults of a stand-in; an empty mapping clears them."""
+        host, _, port = address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=5.0)
+        try:
+            connection.request("POST", "/standin/fault", json.dumps(fault))
+            status = connection.getresponse().status
+        finally:
+            connection.close()
+        if status != 200:
+            raise StepFailed(f"{address}: the fault was refused with status {status}")
+
     def _all_serve(self) -> bool:
         listed = self.query("list", "engine")
         phases = [each["phase"] for each in listed]
--- /dev/null
+++ b/tests/processes/test_control.py
@@ -0,0 +1,133 @@
+"""Control daemons that are killed, frozen and wiped."""
+
+import shutil
+
+import pytest
+
+from testbed import StepFailed, Stream
+
+OPERATION = "--op-id=operation-1"
+TENANT = ("put", "tenant", "press", "--weight=2.0")
+
+
+def tenant(deployment):
+    return deployment.query("get", "tenant/press")
+
+
+def kill_leader(deployment):
+    leader = deployment.wait("a leader", deployment.leader)
+    deployment.fleet.kill(leader)
+    return leader
+
+
+def number_of(host):
+    return int(host.rpartition("-")[2]) - 1
+
+
+def wait_other_leader(deployment, old):
+    def other():
+        leader = deployment.leader()
+        return leader if leader != old else None
+
+    return deployment.wait("another leader", other)
+
+
+@pytest.mark.timeout(240)
+def test_change_survives_its_leader(deployment):
+    """An accepted change must not be lost or made again when the leader is killed."""
+    first = deployment.ctl(*TENANT, OPERATION)
+    old = kill_leader(deployment)
+    wait_other_leader(deployment, old)
+    again = deployment.ctl(*TENANT, OPERATION)
+    assert again == first
+    assert tenant(deployment)["weight"] == 2.0
+    deployment.start_control(number_of(old))
+
+
+@pytest.mark.timeout(240)
+def test_frozen_leader_changes_nothing_afterwards(deployment):
+    """A leader that was frozen past its lease must not serve its old state."""
+    old = deployment.wait("a leader", deployment.leader)
+    deployment.fleet.freeze(old)
+    wait_other_leader(deployment, old)
+    deployment.ctl(*TENANT, OPERATION)
+    deployment.fleet.thaw(old)
+    assert tenant(deployment)["weight"] == 2.0
+    address = deployment.operators[number_of(old)]
+
+    def knows():
+        answer = deployment.status().get(address)
+        return answer and not answer["is_leader"] and answer["leader"]
+
+    assert deployment.wait("the old leader to follow", knows) != old
+
+
+@pytest.mark.timeout(300)
+def test_second_loss_after_a_repair_loses_nothing(deployment, tmp_path):
+    """A repaired voter must count only once it holds what was acknowledged."""
+    deployment.ctl(*TENANT, OPERATION)
+    leader = deployment.wait("a leader", deployment.leader)
+    followers = [n for n in range(3) if n != number_of(leader)]
+    first, second = followers
+    for lost in (first, second):
+        replace_disk(deployment, tmp_path, lost)
+    assert tenant(deployment)["weight"] == 2.0
+    deployment.ctl("put", "tenant", "press", "--weight=3.0")
+    assert tenant(deployment)["weight"] == 3.0
+
+
+def replace_disk(deployment, folder, number):
+    """Kill a voter, wipe its disk, and bring it back as a new member."""
+    name = f"control-{number + 1}"
+    deployment.fleet.kill(name)
+    shutil.rmtree(folder / f"data-{name}")
+    deployment.start_control(number)
+    address = deployment.operators[number]
+
+    def disk():
+        status = deployment.status().get(address)
+        return status and status.get("disk_id")
+
+    disk_id = deployment.wait("the new disk identity", disk)
+    member = deployment.query("get", f"member/{name}")
+    assert disk_id != member["disk_id"]
+    deployment.ctl("remove-member", name)
+    deployment.ctl(
+        "add-learner",
+        name,
+        f"--address={member['address']}",
+        f"--domain={member['domain']}",
+        f"--disk-id={disk_id}",
+    )
+
+    def promoted():
+        try:
+            return deployment.ctl("promote-learner", name)
+        except StepFailed as error:
+            if "caught up" in str(error) or "does not hold" in str(error):
+                return None
+            raise AssertionError(str(error)) from error
+
+    deployment.wait("the learner to catch up", promoted)
+
+
+@pytest.mark.timeout(240)
+def test_entries_refuse_truthfully_without_control(deployment):
+    """An entry must not route on a configuration that may be old."""
+    names = [f"control-{n + 1}" for n in range(3)]
+    for name in names:
+        deployment.fleet.freeze(name)
+    address = deployment.entries[0]
+
+    def refused():
+        try:
+            Stream(address, "short question", 2).read_whole()
+        except StepFailed as error:
+            return str(error)
+        return None
+
+    answer = deployment.wait("a refusal", refused)
+    assert '"lease_expired"' in answer and '"ran":"no"' in answer
+    for name in names:
+        deployment.fleet.thaw(name)
+    deployment.wait("answers again", lambda: refused() is None)
--- /dev/null
+++ b/tests/processes/test_requests.py
@@ -0,0 +1,91 @@
+"""Requests through real processes that are killed and drained."""
+
+import threading
+
+import pytest
+
+from testbed import Stream, release_loan
+
+
+def phase(deployment, engine):
+    return deployment.query("get", f"engine/{engine}")["phase"]
+
+
+@pytest.mark.timeout(240)
+@pytest.mark.parametrize("engine", ["engine-1", "engine-2"])
+def test_killed_engine_costs_no_token(deployment, engine):
+    """A stream must go on elsewhere, without a lost or repeated token."""
+    streams = [Stream(deployment.entries[n % 2], f"question {n}", 60) for n in range(6)]
+    for stream in streams:
+        next(stream.tokens())
+    deployment.fleet.kill(engine)
+    for stream in streams:
+        stream.read_whole()
+
+
+@pytest.mark.timeout(240)
+def test_drained_engine_cuts_no_urgent_stream(deployment):
+    """A planned change must wait for desk and quote streams."""
+    streams = [
+        Stream(deployment.entries[n % 2], f"question {n}", 150, "desk")
+        for n in range(4)
+    ]
+    for stream in streams:
+        next(stream.tokens())
+    deployment.ctl("drain-engine", "engine-1")
+    for stream in streams:
+        stream.read_whole()
+    deployment.wait("the drain", lambda: phase(deployment, "engine-1") == "drained")
+    Stream(deployment.entries[0], "another question", 3).read_whole()
+
+
+@pytest.mark.timeout(240)
+def test_loan_released_through_both_entries_runs_once(deployment):
+    """The same key in parallel through two entries must run one call."""
+    answers = []
+
+    def release(address):
+        answers.append(release_loan(address, "key-1", "1907-44"))
+
+    threads = [
+        threading.Thread(target=release, args=(deployment.entries[n % 2],))
+        for n in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert {status for status, _ in answers} <= {201, 409}
+    assert any(status == 201 for status, _ in answers)
+    counts = deployment.get_json(deployment.plain, "/standin/executions")
+    assert sum(counts.values()) == 1
+
+
+@pytest.mark.timeout(240)
+def test_killed_entry_ends_its_calls_as_unknown(deployment):
+    """A call whose entry died between intent and answer must never run again."""
+    deployment.set_fault(deployment.plain, {"slow_s": 3.0})
+
+    def release():
+        try:
+            release_loan(deployment.entries[0], "key-2", "1907-45")
+        except OSError:
+            pass
+
+    thread = threading.Thread(target=release)
+    thread.start()
+    arrived = "/standin/executions"
+    deployment.wait(
+        "the call to be open",
+        lambda: release_loan(deployment.entries[1], "key-2", "1907-45")[0] == 409,
+    )
+    deployment.fleet.kill("entry-1")
+    thread.join()
+
+    def unknown():
+        status, body = release_loan(deployment.entries[1], "key-2", "1907-45")
+        return status == 502 and "outcome_unknown" in body
+
+    deployment.wait("the outcome to be unknown", unknown, timeout_s=40.0)
+    counts = deployment.get_json(deployment.plain, arrived)
+    assert sum(counts.values()) <= 1
