--- a/wigeonspan/engines/__init__.py
+++ b/wigeonspan/engines/__init__.py
@@ -16,8 +16,16 @@
     PriorityRequest,
     RunPhase,
 )
+from wigeonspan.engines._prefixes import (
+    MAX_PREFIXES,
+    PIECE_TOKENS,
+    count_tokens,
+    prefix_hashes,
+)
 
 __all__ = [
+    "MAX_PREFIXES",
+    "PIECE_TOKENS",
     "CacheEvent",
     "CacheEvents",
     "CancelRequest",
@@ -32,4 +40,6 @@
     "OrderRequest",
     "PriorityRequest",
     "RunPhase",
+    "count_tokens",
+    "prefix_hashes",
 ]
--- a/wigeonspan/entryd/_entry.py
+++ b/wigeonspan/entryd/_entry.py
@@ -29,7 +29,7 @@
 from wigeonspan.directory import DirectoryAnswer, Drain, list_entries
 from wigeonspan.distribution import ROUTING_LEASE_S, Configuration, Follower
 from wigeonspan.distribution.tasks import Observations
-from wigeonspan.engines._prefixes import count_tokens, prefix_hashes
+from wigeonspan.engines import count_tokens, prefix_hashes
 from wigeonspan.engines.tasks import EngineClient, EnginePoller, TargetConnections
 from wigeonspan.entryd._budget import RetryBudget
 from wigeonspan.entryd._gate import AdmissionGate
--- a/wigeonspan/entryd/_gate.py
+++ b/wigeonspan/entryd/_gate.py
@@ -50,17 +50,21 @@
 
     def poll(self) -> None:
         """Pass on the verdicts that have become known."""
-        for verdict in self._admission.poll(self._clock.now()):
-            future = self._waiting.pop(verdict.request, None)
-            if future is None or future.done():
-                # The caller went away while it waited.
-                self._admission.finished(verdict.request, self._clock.now())
-            elif isinstance(verdict, Refused):
-                future.set_exception(_error(verdict))
-            else:
-                future.set_result(None)
+        while verdicts := self._admission.poll(self._clock.now()):
+            for verdict in verdicts:
+                self._pass_on(verdict)
         self._set_timer()
 
+    def _pass_on(self, verdict: Admitted | Refused) -> None:
+        future = self._waiting.pop(verdict.request, None)
+        if future is None or future.done():
+            # The caller went away while it waited.
+            self._admission.finished(verdict.request, self._clock.now())
+        elif isinstance(verdict, Refused):
+            future.set_exception(_error(verdict))
+        else:
+            future.set_result(None)
+
     async def _wait(self, verdict: Queued) -> None:
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting[verdict.request] = future
--- a/wigeonspan/entryd/main.py
+++ b/wigeonspan/entryd/main.py
@@ -57,10 +57,11 @@
 
 async def _serve(settings: EntrySettings) -> None:
     daemon = EntryDaemon(settings, SystemClock(), random.Random())
-    daemon.start()
     loop = asyncio.get_running_loop()
+    # Before the daemon listens: a signal that came in between would end it at once.
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.request_stop)
+    daemon.start()
     await daemon.serve()
 
 
