--- /dev/null
+++ b/tests/operators/serving.py
@@ -0,0 +1,67 @@
+"""Operators' service over a log of one process, in a thread of its own."""
+
+import asyncio
+import threading
+from contextlib import contextmanager
+
+from tests.controld.local_log import LocalLog
+from wigeonspan.catalog import Member
+from wigeonspan.common import SystemClock, Term
+from wigeonspan.controld._backend import Backend
+from wigeonspan.controld._state import ControlState
+from wigeonspan.distribution import Distributor
+from wigeonspan.operators.service import OperatorServer
+
+LEADER = Member("control-2", "127.0.0.1:2", "b", "d2", True)
+
+
+class Service:
+    """One control host as operators see it."""
+
+    def __init__(self, folder):
+        self.clock = SystemClock()
+        self.state = ControlState(folder)
+        self.log = LocalLog(self.state, self.clock)
+        began = self.clock.now() - 60.0
+        self.distributor = Distributor(self.state.catalog, Term(1), began)
+        self.operators = {}
+        self.address = ""
+
+    def backend(self):
+        return Backend(
+            "control-1",
+            self.log,
+            self.state,
+            lambda: self.distributor,
+            lambda member: self.operators.get(member.name, ""),
+            self.clock,
+            None,
+        )
+
+    async def serve(self, ready, stop):
+        server = OperatorServer(self.backend(), "127.0.0.1:0")
+        await server.start()
+        self.address = server.address
+        ready.set()
+        await stop.wait()
+        await server.stop()
+
+
+@contextmanager
+def serving(folder):
+    """Serve until the block ends."""
+    service = Service(folder)
+    ready = threading.Event()
+    loop = asyncio.new_event_loop()
+    stop = asyncio.Event()
+    thread = threading.Thread(
+        target=loop.run_until_complete, args=(service.serve(ready, stop),)
+    )
+    thread.start()
+    assert ready.wait(10)
+    try:
+        yield service
+    finally:
+        loop.call_soon_threadsafe(stop.set)
+        thread.join()
+        loop.close()
--- /dev/null
+++ b/tests/operators/test_service.py
@@ -0,0 +1,190 @@
+import grpc
+import pytest
+
+from tests.operators.serving import LEADER, serving
+from wigeonspan.common import ErrorBody, ErrorKind, Ran, decode
+from wigeonspan.operators._status import ERROR_KEY, LEADER_KEY
+from wigeonspan.operators.generated import wigeonspan_pb2 as pb
+from wigeonspan.operators.generated import wigeonspan_pb2_grpc as pb_grpc
+
+
+@pytest.fixture
+def service(tmp_path):
+    with serving(tmp_path) as running:
+        with grpc.insecure_channel(running.address) as channel:
+            running.stub = pb_grpc.OperatorsStub(channel)
+            yield running
+
+
+def tenant(name="archive", **fields):
+    value = pb.CatalogObject(tenant=pb.Tenant(name=name, **fields))
+    return pb.Change(put_object=pb.PutObject(value=value))
+
+
+def apply_request(**fields):
+    given = {"op_id": "op1", "operator": "ana", "reason": "why", "change": tenant()}
+    return pb.ApplyRequest(**{**given, **fields})
+
+
+def failure(call, request):
+    """Return the status and the error that a call ends with."""
+    with pytest.raises(grpc.RpcError) as caught:
+        call(request, timeout=10)
+    metadata = dict(caught.value.trailing_metadata())
+    return caught.value, decode(metadata[ERROR_KEY].encode(), ErrorBody).error, metadata
+
+
+def test_apply_keeps_defaults_and_unset_fields(service):
+    """A field that was not set once arrived as zero: a limit of nothing."""
+    request = apply_request(change=tenant(weight=2.5))
+    reply = service.stub.Apply(request)
+    assert (reply.kind, reply.version) == (pb.OUTCOME_KIND_ACCEPTED, 1)
+    got = service.stub.Get(pb.GetRequest(kind="tenant", name="archive")).object
+    assert (got.tenant.weight, got.tenant.rate_per_s) == (2.5, 100.0)
+    assert got.tenant.version == 1
+
+
+def test_resend_gets_the_first_answer_and_changes_nothing(service):
+    """A change was made twice when its first answer was lost."""
+    first = service.stub.Apply(apply_request())
+    again = service.stub.Apply(apply_request(base_version=7, reason="another"))
+    assert again == first
+    listed = service.stub.List(pb.ListRequest())
+    assert (len(listed.objects), listed.version) == (1, 1)
+    entries = service.stub.QueryRecord(pb.QueryRecordRequest()).entries
+    assert [entry.summary.startswith("put tenant") for entry in entries] == [True]
+
+
+def test_conflict_names_the_winner(service):
+    """The loser of a race could not see what it lost to."""
+    service.stub.Apply(apply_request())
+    reply = service.stub.Apply(apply_request(op_id="op2", operator="bo"))
+    assert (reply.kind, reply.version) == (pb.OUTCOME_KIND_CONFLICT, 1)
+    assert reply.winner.startswith("ana changed it at ")
+
+
+def test_same_operation_id_of_two_operators_is_refused(service):
+    """Two operators with equal operation ids both believed that they had succeeded."""
+    service.stub.Apply(apply_request())
+    reply = service.stub.Apply(apply_request(operator="bo"))
+    assert reply.kind == pb.OUTCOME_KIND_INVALID
+    assert "was used for another change" in reply.message
+
+
+BAD_REQUESTS = [
+    ("Apply", apply_request(op_id=""), "operation id is empty"),
+    ("Apply", apply_request(op_id="a b"), "operation id 'a b' has characters"),
+    ("Apply", apply_request(operator=""), "operator is empty"),
+    ("Apply", apply_request(reason=" "), "reason is empty"),
+    ("Apply", apply_request(reason="x" * 9999), "reason is longer than 2000"),
+    ("Apply", apply_request(reason="a\x00b"), "reason has characters that cannot"),
+    ("Apply", apply_request(base_version=-1), "base version -1 is negative"),
+    ("Apply", apply_request(change=None), "Change is empty"),
+    (
+        "Apply",
+        apply_request(change=pb.Change(put_object=pb.PutObject())),
+        "missing required field `value`",
+    ),
+    (
+        "Apply",
+        apply_request(change=pb.Change(pin_role=pb.PinRole(engine="e", role=77))),
+        "Invalid enum value '77'",
+    ),
+    (
+        "Apply",
+        apply_request(change=pb.Change(drain_engine=pb.DrainEngine(engine="e"))),
+        "missing required field `drain`",
+    ),
+    ("Get", pb.GetRequest(kind="cow", name="x"), "kind 'cow' is not one of adapter"),
+    ("Get", pb.GetRequest(), "kind '' is not one of"),
+    ("List", pb.ListRequest(kind="cow"), "kind 'cow' is not one of"),
+    ("InForce", pb.InForceRequest(version=-4), "version is negative"),
+    ("InForce", pb.InForceRequest(version=99), "version 99 is after the newest, 0"),
+]
+
+
+@pytest.mark.parametrize(("method", "request_", "message"), BAD_REQUESTS)
+def test_bad_input_gets_one_clear_error(service, method, request_, message):
+    """Bad input once ended a call with an internal error or reached the log."""
+    error, detail, _ = failure(getattr(service.stub, method), request_)
+    assert error.code() is grpc.StatusCode.INVALID_ARGUMENT
+    assert detail.kind is ErrorKind.BAD_REQUEST
+    assert message in detail.message
+    assert service.log.commands == []
+
+
+def test_unknown_object_is_not_found(service):
+    """A script could not tell a missing object from a failed call."""
+    error, detail, _ = failure(
+        service.stub.Get, pb.GetRequest(kind="tenant", name="nö")
+    )
+    assert error.code() is grpc.StatusCode.NOT_FOUND
+    assert detail.message == "tenant/nö does not exist"
+
+
+@pytest.mark.parametrize(
+    ("method", "request_"),
+    [
+        ("Apply", apply_request()),
+        ("Get", pb.GetRequest(kind="tenant", name="a")),
+        ("List", pb.ListRequest()),
+        ("InForce", pb.InForceRequest()),
+        ("QueryRecord", pb.QueryRecordRequest()),
+    ],
+)
+def test_host_that_does_not_lead_names_the_leader(service, method, request_):
+    """A former leader once served reads from state that its lease did not cover."""
+    service.log.is_leader = False
+    service.log.leader = LEADER
+    service.operators["control-2"] = "127.0.0.1:22"
+    _, detail, metadata = failure(getattr(service.stub, method), request_)
+    assert (detail.kind, detail.ran) == (ErrorKind.NOT_LEADER, Ran.NO)
+    assert metadata[LEADER_KEY] == "127.0.0.1:22"
+    assert detail.leader == LEADER.address
+    status = service.stub.Status(pb.StatusRequest())
+    assert (status.is_leader, status.leader) == (False, "control-2")
+
+
+@pytest.mark.parametrize(
+    ("method", "request_"),
+    [
+        ("Get", pb.GetRequest(kind="tenant", name="a")),
+        ("List", pb.ListRequest()),
+        ("InForce", pb.InForceRequest()),
+        ("QueryRecord", pb.QueryRecordRequest()),
+    ],
+)
+def test_leader_without_a_valid_lease_answers_no_read(service, method, request_):
+    """A leader that was frozen past its lease must not answer from old state."""
+    service.log.lease_s = -0.001
+    error, detail, _ = failure(getattr(service.stub, method), request_)
+    assert error.code() is grpc.StatusCode.UNAVAILABLE
+    assert detail.kind is ErrorKind.LEASE_EXPIRED
+
+
+def test_lost_answer_is_unknown_and_the_resend_tells(service):
+    """A change whose answer was lost must not be reported as refused."""
+    service.log.lose_answers = 1
+    _, detail, _ = failure(service.stub.Apply, apply_request())
+    assert (detail.kind, detail.ran) == (ErrorKind.NO_QUORUM, Ran.UNKNOWN)
+    assert service.stub.Apply(apply_request()).version == 1
+
+
+def test_every_change_of_the_schema_is_taken(service):
+    """A change that the schema names but the service cannot read would be lost."""
+    fields = pb.Change.DESCRIPTOR.oneofs_by_name["kind"].fields
+    for number, field in enumerate(fields):
+        change = pb.Change()
+        inner = getattr(change, field.name)
+        inner.SetInParent()
+        for part in inner.DESCRIPTOR.fields:
+            if part.message_type is not None:
+                getattr(inner, part.name).CopyFrom(tenant().put_object.value)
+            elif part.type == part.TYPE_STRING:
+                setattr(inner, part.name, "tenant" if part.name == "kind" else "x")
+            elif part.type == part.TYPE_BOOL:
+                setattr(inner, part.name, True)
+        reply = service.stub.Apply(apply_request(op_id=f"op{number}", change=change))
+        accepted = field.name == "put_object"
+        wanted = pb.OUTCOME_KIND_ACCEPTED if accepted else pb.OUTCOME_KIND_INVALID
+        assert reply.kind == wanted, (field.name, reply)
--- a/wigeonspan/catalog/_messages.py
+++ b/wigeonspan/catalog/_messages.py
@@ -59,7 +59,7 @@
     """Fix the role of an engine; None gives it back to the planner."""
 
     engine: EngineId
-    role: Role | None
+    role: Role | None = None
 
 
 class DrainEngine(Struct, frozen=True, tag="drain_engine"):
