--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -25,13 +25,29 @@
 
 SERVICE = ServiceName("model")
 MODEL = ModelName("model")
+
 ENTRIES = 8
+"""Entry hosts of either deployment."""
+
 STEP_S = 0.1
+"""Step of the clock; a tenth of the shortest time that a decision depends on."""
+
 SYNC_S = 0.5
 PLAN_S = 5.0
+"""Times between syncs and between plans, as in the daemons."""
+
 OUT_S = 8.0
+"""Time for which a role change takes a drained engine out of service."""
+
 KV_TOKENS_PER_S = 200_000.0
+"""Rate of a KV transfer between engines."""
+
 SAMPLE_LOSS = 0.1
+"""Part of the engine samples that never reaches the planner."""
+
+WARM_UP_S = 60.0
+"""Requests that arrive earlier are not counted: at the start, the dynamic contenders
+have the roles of no particular mix."""
 
 
 @dataclass
@@ -148,7 +164,7 @@
             self._work_engines(now)
             self._move(now)
         for job in [*self._jobs.values(), *self._orphans]:
-            self.result.cut[job.arrival.kind.name] += 1
+            self._count(self.result.cut, job.arrival)
         return self.result
 
     def _open(self) -> bool:
@@ -301,7 +317,7 @@
             prefixes=arrival.prefixes,
             domain=entry.domain,
         )
-        self.result.arrived[kind.name] += 1
+        self._count(self.result.arrived, arrival)
         sums = self._demand[kind.priority]
         sums[0] += 1
         sums[1] += arrival.prompt_tokens
@@ -328,9 +344,14 @@
         else:
             entry.waiting[name] = job
 
+    @staticmethod
+    def _count(counts: dict[str, int], arrival: Arrival) -> None:
+        if arrival.at >= WARM_UP_S:
+            counts[arrival.kind.name] += 1
+
     def _refuse(self, job: Job) -> None:
         kind = job.arrival.kind
-        self.result.refused[kind.name] += 1
+        self._count(self.result.refused, job.arrival)
         self._demand[kind.priority][5] += 1
 
     def _start(self, job: Job, route: Route, now: float) -> None:
@@ -420,10 +441,10 @@
         sums = self._demand[kind.priority]
         sums[2] += arrival.output_tokens
         if now <= job.request.deadline:
-            self.result.on_time[kind.name] += 1
+            self._count(self.result.on_time, arrival)
             sums[3] += 1
         else:
-            self.result.late[kind.name] += 1
+            self._count(self.result.late, arrival)
             sums[4] += 1
         job.entry.admission.finished(RequestId(str(arrival.number)), now)
 
--- a/wigeonspan/planning/_rates.py
+++ b/wigeonspan/planning/_rates.py
@@ -24,6 +24,10 @@
 """Parts of the known rate between which nothing is learnt: lost samples and cached
 prefixes make engines look slower than they are."""
 
+SLOW_TIMES = 3
+"""Sums in a row that must be slow before a rate falls; an engine that returns from a
+change is busy at first and has ended little."""
+
 MIN_FACTOR = 0.25
 MAX_FACTOR = 4.0
 """Bounds of a learnt rate as multiples of the setting; beyond them samples were lost
@@ -59,6 +63,7 @@
         self._efficiency = settings.mixed_efficiency
         self._work = {role: _Work() for role in Role}
         self._elapsed = 0.0
+        self._slow = {role: 0 for role in Role}
 
     @property
     def rates(self) -> Rates:
@@ -95,22 +100,26 @@
             busy = prefill.waiting_s / prefill.engine_s >= BUSY
             seen = prefill.prefill / prefill.engine_s
             base = settings.prefill_tokens_per_s
-            self._prefill = _learn(self._prefill, seen, busy, base)
+            self._prefill = self._learn(Role.PREFILL, self._prefill, seen, busy, base)
         if decode.engine_s:
             seen = decode.decode / decode.engine_s
             base = settings.decode_tokens_per_s
-            self._decode = _learn(self._decode, seen, False, base)
+            self._decode = self._learn(Role.DECODE, self._decode, seen, False, base)
         mixed = self._work[Role.MIXED]
         if mixed.engine_s and mixed.prefill and mixed.decode:
             busy = mixed.waiting_s / mixed.engine_s >= BUSY
             seen = mixed.prefill / self._prefill + mixed.decode / self._decode
+            seen /= mixed.engine_s
             base = settings.mixed_efficiency
-            learnt = _learn(self._efficiency, seen / mixed.engine_s, busy, base)
+            learnt = self._learn(Role.MIXED, self._efficiency, seen, busy, base)
             self._efficiency = min(1.0, learnt)
 
-
-def _learn(rate: float, seen: float, busy: bool, base: float) -> float:
-    """Return a rate moved towards what was seen, when that says anything."""
-    if seen > FAST * rate or (busy and seen < SLOW * rate):
-        rate += WEIGHT * (seen - rate)
-    return min(MAX_FACTOR * base, max(MIN_FACTOR * base, rate))
+    def _learn(
+        self, role: Role, rate: float, seen: float, busy: bool, base: float
+    ) -> float:
+        """Return a rate moved towards what was seen, when that says anything."""
+        slow = busy and seen < SLOW * rate
+        self._slow[role] = self._slow[role] + 1 if slow else 0
+        if seen > FAST * rate or self._slow[role] >= SLOW_TIMES:
+            rate += WEIGHT * (seen - rate)
+        return min(MAX_FACTOR * base, max(MIN_FACTOR * base, rate))
