--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -105,6 +105,16 @@
         self._cache.clear()
         self.incarnation += "+"
 
+    def events_after(self, seq: int, until: float) -> list[CacheEvent]:
+        """Return the cache events after a number that happened by a time."""
+        found = []
+        for at, event in reversed(self.events):
+            if event.seq <= seq:
+                break
+            if at <= until:
+                found.append(event)
+        return found[::-1]
+
     def report(self, now: float) -> LoadReport:
         """Return the load as it is now."""
         first = [self._prefilling] if self._prefilling else []
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -227,11 +227,7 @@
 
     def _share_events(self, entry: Entry, model: ModelEngine, now: float) -> None:
         after = entry.router.cache_events_after(model.name)
-        events = [
-            e
-            for at, e in model.events
-            if e.seq > after and at <= now - 1.0 and e.seq % 10
-        ]
+        events = [e for e in model.events_after(after, now - 1.0) if e.seq % 10]
         if events:
             batch = CacheEvents(model.incarnation, events)
             entry.router.note_cache_events(model.name, batch, now)
--- a/tests/planning/test_planner.py
+++ b/tests/planning/test_planner.py
@@ -113,6 +113,20 @@
     assert all(len(set(domains)) == len(domains) for domains in by_time.values())
 
 
+@pytest.mark.parametrize(
+    "phase", [EnginePhase.FAILED, EnginePhase.LEAVING, EnginePhase.WITHDRAWN]
+)
+def test_lost_engines_do_not_block_changes(phase):
+    """Lost engines once used up the limit on engines out, so nothing was replanned."""
+    engines = [
+        Engine(**{**_fields(e), "phase": phase if number < 3 else e.phase})
+        for number, e in enumerate(fleet())
+    ]
+    made, _ = run(Planner(SETTINGS), engines, overload, 300.0)
+    assert made
+    assert not {change.engine for _, change in made} & {"e0", "e1", "e2"}
+
+
 def test_decision_explains_itself():
     """The auditor needs inputs, alternatives and the reason of each change."""
     planner = Planner(SETTINGS)
--- a/wigeonspan/planning/_core.py
+++ b/wigeonspan/planning/_core.py
@@ -220,12 +220,17 @@
 
 
 def count_out(engines: list[Engine], service: ServiceName) -> dict[DomainName, int]:
-    """Return the engines of a service that are out, by failure domain."""
+    """Return the engines of a service out for a planned change, by failure domain.
+
+    Failed and leaving engines do not count: two lost engines once stopped every change
+    in their domains, when the rest needed new roles most.
+    """
     out: dict[DomainName, int] = {}
     for engine in engines:
-        if engine.service != service or engine.phase is EnginePhase.WITHDRAWN:
+        if engine.service != service or engine.phase in GONE:
             continue
-        if engine.phase is not EnginePhase.SERVING or engine.wanted_role != engine.role:
+        changing = engine.wanted_role is not engine.role
+        if changing or engine.phase is not EnginePhase.SERVING:
             out[engine.domain] = out.get(engine.domain, 0) + 1
     return out
 
