--- a/wigeonspan/http/_helpers.py
+++ b/wigeonspan/http/_helpers.py
@@ -3,11 +3,10 @@
 from typing import Any, TypeVar
 
 import pycurl
+from tornado import web
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPError, HTTPRequest
 from tornado.httputil import HTTPHeaders
-from tornado.simple_httpclient import HTTPTimeoutError
-from tornado.web import RequestHandler
 
 from wigeonspan.common._codec import (
     PROTOCOL_VERSION,
@@ -91,13 +90,17 @@
     )
     try:
         response = await client.fetch(request, raise_error=False)
-    except (OSError, HTTPTimeoutError) as error:
+    except (OSError, HTTPError) as error:
+        # curl's own failures are raised even when error statuses are not.
         raise WigeonspanError(ErrorKind.NO_QUORUM, f"{url}: {error}") from error
-    if response.code == 200:
-        return decode(response.body, reply)
-    if response.code == 599:
-        raise WigeonspanError(ErrorKind.NO_QUORUM, f"{url}: {response.error}")
-    detail = decode(response.body, ErrorBody).error
+    try:
+        if response.code == 200:
+            return decode(response.body, reply)
+        detail = decode(response.body, ErrorBody).error
+    except WigeonspanError as error:
+        # An answer that cannot be read says nothing about what was done.
+        message = f"{url}: status {response.code}, {error.message}"
+        raise WigeonspanError(ErrorKind.NO_QUORUM, message) from error
     raise WigeonspanError(
         detail.kind,
         detail.message,
@@ -107,7 +110,7 @@
     )
 
 
-class JsonHandler(RequestHandler):
+class JsonHandler(web.RequestHandler):
     """Base of the HTTP handlers: errors of the closed list become JSON answers."""
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
@@ -141,6 +144,8 @@
         """Log only errors that are faults of this process."""
         if isinstance(value, WigeonspanError) and value.kind is not ErrorKind.INTERNAL:
             return
+        if isinstance(value, web.HTTPError) and value.status_code < 500:
+            return
         _log.opt(exception=(typ, value, tb)).error("Handler failed.")
 
 
