--- a/wigeonspan/planning/_core.py
+++ b/wigeonspan/planning/_core.py
@@ -8,7 +8,7 @@
     Counts,
     Load,
     Rates,
-    assignments,
+    best_assignments,
     expected_goodput,
 )
 from wigeonspan.planning._messages import (
@@ -119,12 +119,11 @@
         free = [e for e in engines if self._may_change(e, inputs, now)]
         if self._demand.of(service).known_s(now) < self._settings.warm_up_s:
             free = []
-        scored = sorted(
-            (
-                (self._value(c, current, scenarios, rates, inputs), c)
-                for c in assignments(len(engines), _pinned(engines))
-            ),
-            key=lambda item: (-item[0], current.moves_to(item[1]), item[1]),
+        scored = best_assignments(
+            len(engines),
+            _pinned(engines),
+            current,
+            lambda counts: self._value(counts, current, scenarios, rates, inputs),
         )
         target = scored[0][1]
         changes = self._changes(service, current, target, free, engines, inputs)
--- a/wigeonspan/planning/_goodput.py
+++ b/wigeonspan/planning/_goodput.py
@@ -1,8 +1,13 @@
 """Expected goodput of an assignment of roles under a demand."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
+GRID = 12
+"""Steps into which a large service is divided for the first search; services of up to
+23 engines are searched whole."""
+
 BURSTS = ((1.0, 0.4), (1.15, 0.3), (1.35, 0.2), (1.6, 0.1))
 """Load over a few seconds as a multiple of its mean, and how often it is that high.
 Without it, every assignment that just carries the mean looks equally good."""
@@ -66,23 +71,46 @@
     ]
 
 
+def best_assignments(
+    total: int, pinned: Counts, current: Counts, value: Callable[[Counts], float]
+) -> list[tuple[float, Counts]]:
+    """Return assignments with their value, best first.
+
+    Small services are searched whole. In large ones a coarse grid is searched, and then
+    the surroundings of the best found, in ever smaller steps; the value is concave
+    enough along the grid that the error stays within a few engines of hundreds.
+
+    Parameters
+    ----------
+    total : int
+        Number of engines.
+    pinned, current : Counts
+        Roles that must stay, and the roles now.
+    value : callable
+        Value of an assignment.
+    """
+    step = max(1, total // GRID)
+    free = total - sum(pinned)
+    grid = assignments(free // step)
+    tried = {_on_grid(c, step, total, pinned) for c in grid} | {current}
+    scored = {counts: value(counts) for counts in tried}
+    while step > 1:
+        step //= 2
+        best = max(scored, key=lambda c: (scored[c], c))
+        near = _neighbours(best, step, pinned)
+        scored.update({c: value(c) for c in near if c not in scored})
+    order = sorted(scored, key=lambda c: (-scored[c], current.moves_to(c), c))
+    return [(scored[counts], counts) for counts in order]
+
+
 def served_share(counts: Counts, load: Load, rates: Rates) -> float:
     """Return the part of a load that an assignment can serve, possibly above 1.
 
     Prefill and decode engines do one kind of work; mixed engines divide their time
     between both at a reduced rate, in the proportion that serves most.
     """
-    prompt = load.prompt / rates.prefill
-    output = load.output / rates.decode
-    if prompt + output <= 0:
-        return float("inf")
-    mixed = rates.mixed_efficiency * counts.mixed
-    share = (counts.prefill + counts.decode + mixed) / (prompt + output)
-    if share * prompt < counts.prefill:
-        return (counts.decode + mixed) / output if output else float("inf")
-    if share * output < counts.decode:
-        return (counts.prefill + mixed) / prompt if prompt else float("inf")
-    return share
+    limits = zip(_capacity(counts, rates), _use(load, rates), strict=True)
+    return min((room / use for room, use in limits if use > 0), default=float("inf"))
 
 
 def expected_goodput(counts: Counts, demand: Demand, rates: Rates) -> float:
@@ -101,14 +129,43 @@
 
 def _batch_share(counts: Counts, demand: Demand, rates: Rates) -> float:
     """Return the part of batch that fits beside all urgent work."""
-    low, high = 0.0, 1.0
-    if served_share(counts, demand.urgent.plus(demand.batch), rates) >= 1.0:
-        return 1.0
-    for _ in range(12):
-        middle = (low + high) / 2
-        load = demand.urgent.plus(demand.batch, middle)
-        if served_share(counts, load, rates) >= 1.0:
-            low = middle
-        else:
-            high = middle
-    return low
+    share = 1.0
+    room = _capacity(counts, rates)
+    urgent, batch = _use(demand.urgent, rates), _use(demand.batch, rates)
+    for limit, used, wanted in zip(room, urgent, batch, strict=True):
+        if wanted > 0:
+            share = min(share, (limit - used) / wanted)
+    return max(0.0, share)
+
+
+def _capacity(counts: Counts, rates: Rates) -> tuple[float, float, float]:
+    """Return the engines that can prefill, that can decode, and all."""
+    mixed = rates.mixed_efficiency * counts.mixed
+    both = counts.prefill + counts.decode + mixed
+    return counts.prefill + mixed, counts.decode + mixed, both
+
+
+def _use(load: Load, rates: Rates) -> tuple[float, float, float]:
+    """Return the engines that a load takes for prefill, for decode, and in all."""
+    prompt = load.prompt / rates.prefill
+    output = load.output / rates.decode
+    return prompt, output, prompt + output
+
+
+def _on_grid(counts: Counts, step: int, total: int, pinned: Counts) -> Counts:
+    prefill = pinned.prefill + counts.prefill * step
+    decode = pinned.decode + counts.decode * step
+    return Counts(prefill, decode, total - prefill - decode)
+
+
+def _neighbours(counts: Counts, step: int, pinned: Counts) -> list[Counts]:
+    """Return the assignments that differ by a step from one role to another."""
+    found = []
+    for source in range(3):
+        for target in range(3):
+            moved = list(counts)
+            moved[source] -= step
+            moved[target] += step
+            if source != target and moved[source] >= pinned[source]:
+                found.append(Counts(*moved))
+    return found
--- a/wigeonspan/routing/_core.py
+++ b/wigeonspan/routing/_core.py
@@ -213,7 +213,8 @@
         if not prefilled:
             self._sent_rate(request.service).note(tokens, now)
         record = Attempt(attempt, engine, request, tokens, now, decode_engine)
-        load.attempts[attempt] = self._attempts[attempt] = record
+        self._attempts[attempt] = record
+        load.note_start(record)
         if decode_engine in self._loads:
             self._loads[decode_engine].reserved.add(attempt)
         self._prefixes[engine].note_run(request.prefixes, now)
@@ -310,9 +311,8 @@
         loads = [self._loads[name] for name in names]
         share = 1.0
         if request.priority in URGENT_CLASSES:
-            waiting = [a for load in loads for a in load.waiting()]
-            total = sum(a.prompt_tokens for a in waiting)
-            urgent = sum(a.prompt_tokens for a in waiting if a.urgent)
+            total = sum(load.waiting_tokens for load in loads)
+            urgent = sum(load.urgent_waiting_tokens for load in loads)
             share = (urgent + request.prompt_tokens) / (total + request.prompt_tokens)
         engines = self._engine_count(request.service)
         sent = self._sent_rate(request.service)
--- a/wigeonspan/routing/_load.py
+++ b/wigeonspan/routing/_load.py
@@ -78,12 +78,18 @@
     def __init__(self, settings: RoutingSettings) -> None:
         self._settings = settings
         self._report: LoadReport | None = None
-        self._measured_at = 0.0
+        self._measured_at = -1.0
         self._prefill_rate = 0.0
         self._decode_rate = 0.0
         self._sample = [0, 0, 0.0, 0.0]
         self.attempts: dict[AttemptId, Attempt] = {}
         self.reserved: set[AttemptId] = set()
+        self.waiting_tokens = 0.0
+        self.urgent_waiting_tokens = 0.0
+        self._waiting = 0
+        self._waiting_prefilled = 0
+        self._started_since = 0
+        self._tokens_since = 0.0
 
     @property
     def decode_rate(self) -> float:
@@ -111,6 +117,9 @@
             return False
         self._report = report
         self._measured_at = measured_at
+        since = [a for a in self.attempts.values() if a.started_at > measured_at]
+        self._started_since = len(since)
+        self._tokens_since = sum(a.prompt_tokens for a in since)
         if report.prefill_tokens_per_s > 0:
             self._prefill_rate = report.prefill_tokens_per_s
         return True
@@ -125,14 +134,13 @@
         others : Unseen
             Rate of the work that other entries send to the engine.
         """
-        waiting = sum(a.prompt_tokens for a in self.waiting())
         report = self._fresh_report(now)
         if report is None:
-            return waiting + others.prompt_tokens_per_s * REPORT_KEEP_S
+            return self.waiting_tokens + others.prompt_tokens_per_s * REPORT_KEEP_S
         elapsed = now - self._measured_at
-        unseen = self.own_tokens_since_report()
+        unseen = self._tokens_since
         unseen += (others.prompt_tokens_per_s - self.prefill_rate) * elapsed
-        return max(report.queued_prefill_tokens + unseen, waiting / 2)
+        return max(report.queued_prefill_tokens + unseen, self.waiting_tokens / 2)
 
     def slot_wait_s(self, now: float, others: Unseen, output_tokens: int) -> float:
         """Return the seconds until the batch has a free place.
@@ -145,13 +153,12 @@
         if report is None or report.batch_limit <= 0:
             return 0.0
         elapsed = now - self._measured_at
-        unseen = sum(a.started_at > self._measured_at for a in self.attempts.values())
         mean_run_s = output_tokens / self.decode_rate
-        unseen += others.requests_per_s * elapsed
+        unseen = self._started_since + others.requests_per_s * elapsed
         ended = report.running * min(1.0, elapsed / max(mean_run_s, 1e-3))
         expected = report.running + unseen - ended
         full = report.running >= FULL_PART * report.batch_limit
-        waiting = sum(full or a.prompt_tokens == 0 for a in self.waiting())
+        waiting = self._waiting if full else self._waiting_prefilled
         waiting += len(self.reserved)
         expected = max(expected, report.running + waiting * (1 + others.entries))
         excess = expected + 1 - report.batch_limit
@@ -159,23 +166,19 @@
             return 0.0
         return excess / report.batch_limit * mean_run_s
 
-    def waiting(self) -> list[Attempt]:
-        """Return this entry's attempts without a first token."""
-        return [a for a in self.attempts.values() if a.first_token_at is None]
-
-    def own_tokens_since_report(self) -> float:
-        """Return the prompt tokens that this entry sent since the report."""
-        return sum(
-            a.prompt_tokens
-            for a in self.attempts.values()
-            if a.started_at > self._measured_at
-        )
+    def note_start(self, attempt: Attempt) -> None:
+        """Add an attempt."""
+        self.attempts[attempt.id] = attempt
+        self._count_waiting(attempt, 1)
+        self._started_since += 1
+        self._tokens_since += attempt.prompt_tokens
 
     def note_progress(self, attempt: Attempt, tokens: int, now: float) -> None:
         """Note that the answer has grown to ``tokens`` output tokens."""
         if tokens <= attempt.tokens:
             return
         if attempt.first_token_at is None:
+            self._count_waiting(attempt, -1)
             attempt.first_token_at = now
         attempt.tokens = tokens
         attempt.last_token_at = now
@@ -183,6 +186,11 @@
     def note_end(self, attempt: Attempt, now: float) -> None:
         """Remove an attempt and learn the rates that it saw."""
         self.attempts.pop(attempt.id, None)
+        if attempt.first_token_at is None:
+            self._count_waiting(attempt, -1)
+        if attempt.started_at > self._measured_at:
+            self._started_since -= 1
+            self._tokens_since -= attempt.prompt_tokens
         first = attempt.first_token_at
         if attempt.decode_engine is not None:
             first = now
@@ -206,6 +214,17 @@
         self._sample = [0, 0, 0.0, 0.0]
         return EngineSample(engine, prefill, decode, prefill_s, decode_s)
 
+    def _count_waiting(self, attempt: Attempt, sign: int) -> None:
+        """Keep the sums over the attempts without a first token.
+
+        They are kept, since a choice reads them for each engine that it compares.
+        """
+        self._waiting += sign
+        self._waiting_prefilled += sign * (attempt.prompt_tokens == 0)
+        self.waiting_tokens += sign * attempt.prompt_tokens
+        if attempt.urgent:
+            self.urgent_waiting_tokens += sign * attempt.prompt_tokens
+
     def _fresh_report(self, now: float) -> LoadReport | None:
         if self._report is None or now - self._measured_at > REPORT_KEEP_S:
             return None
