--- a/testbed/_deployment.py
+++ b/testbed/_deployment.py
@@ -3,7 +3,7 @@
 import http.client
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from pathlib import Path
 from typing import Any
 
@@ -37,7 +37,7 @@
     controls: int = 3
     entries: int = 2
     engines: int = 2
-    engine_options: tuple[str, ...] = ("--token_interval_s=0.02",)
+    engine_options: tuple[str, ...] = ("--token_interval_s=0.02", "--order_s=0.5")
 
 
 class Deployment:
@@ -68,15 +68,43 @@
 
     def start(self) -> None:
         """Start all processes, apply the configuration and wait until it serves."""
-        self._start_targets()
+        self.start_targets()
+        self.start_daemons()
+        self.configure()
+        self.wait_serving()
+
+    def start_targets(self, empty: Collection[int] = ()) -> None:
+        """Start the engines and the plain service.
+
+        Parameters
+        ----------
+        empty : collection of int
+            Numbers of the engines that hold no model yet, from 0.
+        """
+        for number in range(self.shape.engines):
+            model = "" if number in empty else MODEL
+            self.engines.append(self.start_engine(number, model=model))
+        self.plain = self.fleet.start_standin(PLAIN, "standins.plain")
+
+    def start_daemons(self) -> None:
+        """Start the control and entry daemons and wait for a leader."""
         for number in range(self.shape.controls):
             self.start_control(number)
         for number in range(self.shape.entries):
             self.start_entry(number)
         self.wait("a leader", self.leader)
+
+    def configure(self) -> None:
+        """Apply the configuration with the operators' command line."""
         self.ctl("apply-file", str(self._write("objects", self._objects())))
+
+    def wait_serving(self) -> None:
+        """Wait until every engine serves and the directory names every entry."""
         self.wait("all engines to serve", self._all_serve)
         self.wait("the directory to name all entries", self._all_listed)
+        version = max(each["version"] for each in self.status().values())
+        # The command fails while an entry has not confirmed the version.
+        self.wait("all entries", lambda: self.show("in-force", str(version)))
 
     def start_control(self, number: int) -> None:
         """Start a control daemon, or start it again on its data folder."""
@@ -105,15 +133,25 @@
         """Run the operators' command line for a change."""
         return run_ctl(",".join(self.operators), "testbed", reason, *args)
 
+    def show(self, *args: str) -> str:
+        """Run the operators' command line for a query and return what it prints."""
+        return run_ctl(",".join(self.operators), "", "", *args)
+
     def query(self, *args: str) -> Any:
         """Run the operators' command line for a query and return its JSON."""
-        args = (*args, "--output=json")
-        return json.loads(run_ctl(",".join(self.operators), "", "", *args))
+        return json.loads(self.show(*args, "--output=json"))
+
+    def status(self) -> dict[str, Any]:
+        """Return what each control daemon that answers says, by operators' address."""
+        answers = self.query("status")
+        # The entry of a daemon that does not answer is a text that says why.
+        return {a: each for a, each in answers.items() if isinstance(each, dict)}
 
     def leader(self) -> str | None:
         """Return the name of the leading control host, if one answers."""
-        answers = [each for each in self.query("status").values() if each]
-        leaders = [each["host"] for each in answers if each.get("lease_valid")]
+        leaders = [
+            each["host"] for each in self.status().values() if each["lease_valid"]
+        ]
         return leaders[0] if leaders else None
 
     def wait(
@@ -150,9 +188,17 @@
             raise StepFailed(f"{address}{path}: {response.status} {body.decode()}")
         return json.loads(body)
 
-    def _start_targets(self) -> None:
-        self.engines = [self.start_engine(n) for n in range(self.shape.engines)]
-        self.plain = self.fleet.start_standin(PLAIN, "standins.plain")
+    def set_fault(self, address: str, fault: dict[str, Any]) -> None:
+        """Set the faults of a stand-in; an empty mapping clears them."""
+        host, _, port = address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=5.0)
+        try:
+            connection.request("POST", "/standin/fault", json.dumps(fault))
+            status = connection.getresponse().status
+        finally:
+            connection.close()
+        if status != 200:
+            raise StepFailed(f"{address}: the fault was refused with status {status}")
 
     def _all_serve(self) -> bool:
         listed = self.query("list", "engine")
