Found a group only among hosts whose settings agree on the first voters

Two founders with different settings could each have founded a group of a majority. With the check of the hello, or of the found message, taken out, test_host_joins_only_the_first_voters_of_its_own_settings fails for the settings 'ab', 'abcd' and ''.

--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -21,6 +21,7 @@
 from wigeonspan.consensus._messages import (
     Append,
     AppendReply,
+    Found,
     Hello,
     HelloReply,
     InstallSnapshot,
@@ -241,7 +242,8 @@
         (Vote(True, 9, 9), []),
         (VoteReply(False, True), []),
         (TimeoutNow(), []),
-        (Hello(), [HelloReply("")]),
+        (Hello(()), [HelloReply("")]),
+        (Hello(("a", "b")), []),
     ],
 )
 def test_disk_without_a_group_takes_no_part(body, answers):
@@ -274,13 +276,29 @@
     local = Local("a", "a", "szeged", "disk-a")
     stored = Stored(HardState(), None, [])
     core = RaftNode(local, first, stored, random.Random(1), START)
-    assert bodies(core.tick(START)) == [Hello(), Hello()]
+    assert bodies(core.tick(START)) == [Hello(("a", "b", "c"))] * 2
     core.handle(message(HelloReply(""), "b", group=""), START)
     assert core.group == ""
     core.handle(message(HelloReply(known), "c", group=known), START)
     assert (core.group != "") == (known == "")
 
 
+@pytest.mark.parametrize(
+    ("first", "joins"), [("abc", True), ("ab", False), ("abcd", False), ("", False)]
+)
+def test_host_joins_only_the_first_voters_of_its_own_settings(first, joins):
+    """Two founders with different settings could each found a group of a majority."""
+    settings = [BootstrapMember(name, name, "szeged") for name in first]
+    local = Local("a", "a", "szeged", "disk-a")
+    stored = Stored(HardState(), None, [])
+    core = RaftNode(local, settings, stored, random.Random(1), START)
+    found = message(Found(MEMBERS), "c", group="group")
+    ready = core.handle(message(Hello(("a", "b", "c")), "c", group=""), START)
+    assert bool(ready.send) == joins
+    core.handle(found, START)
+    assert core.members == (MEMBERS if joins else ())
+
+
 @pytest.mark.parametrize(
     ("changed", "present", "kind"),
     [
--- a/wigeonspan/consensus/_bootstrap.py
+++ b/wigeonspan/consensus/_bootstrap.py
@@ -27,7 +27,7 @@
     """Ask for disk identities, found the group, or tell the others of it."""
     if now < state.hello_at or not state.bootstrap:
         return
-    if state.local.name != min(member.name for member in state.bootstrap):
+    if state.local.name != _names(state)[0]:
         return
     if not state.hard.group:
         _ask(state)
@@ -37,9 +37,14 @@
     state.hello_at = now + HEARTBEAT_S
 
 
-def on_hello(state: NodeState, message: Message) -> None:
-    """Answer with our disk identity and our group."""
-    state.send(message.source, HelloReply(state.hard.group))
+def on_hello(state: NodeState, message: Message, body: Hello) -> None:
+    """Answer with our disk identity and our group.
+
+    A host whose settings name other first voters does not answer, because two founders
+    with different settings could each get a majority.
+    """
+    if state.hard.group or body.names == _names(state):
+        state.send(message.source, HelloReply(state.hard.group))
 
 
 def on_hello_reply(
@@ -67,15 +72,23 @@
 
 def on_found(state: NodeState, message: Message, body: Found) -> None:
     """Join the group when it registered our disk identity."""
-    if not state.hard.group and any(state.is_self(m) for m in body.members):
+    names = tuple(member.name for member in body.members)
+    if state.hard.group or names != _names(state):
+        return
+    if any(state.is_self(member) for member in body.members):
         state.set_hard(message.group, FIRST_TERM, HostId(""))
         state.append([Entry(LogIndex(1), FIRST_TERM, members=body.members)])
 
 
+def _names(state: NodeState) -> tuple[HostId, ...]:
+    return tuple(sorted(member.name for member in state.bootstrap))
+
+
 def _ask(state: NodeState) -> None:
     for member in state.bootstrap:
         if member.name != state.local.name and member.name not in state.identities:
-            state.send(Peer(member.name, member.address, ""), Hello())
+            peer = Peer(member.name, member.address, "")
+            state.send(peer, Hello(_names(state)))
 
 
 def _found(state: NodeState, now: float) -> None:
@@ -84,7 +97,7 @@
         return
     members = tuple(
         Member(m.name, m.address, m.domain, identities[m.name].disk_id, True)
-        for m in state.bootstrap
+        for m in sorted(state.bootstrap, key=lambda m: m.name)
     )
     group = f"{state.rng.getrandbits(128):032x}"
     state.set_hard(group, FIRST_TERM, state.local.name)
--- a/wigeonspan/consensus/_core.py
+++ b/wigeonspan/consensus/_core.py
@@ -321,7 +321,7 @@
                 if message.term == state.term and state.leader == message.source:
                     _election.campaign(state, now, pre=False, forced=True)
             case Hello():
-                _bootstrap.on_hello(state, message)
+                _bootstrap.on_hello(state, message, body)
             case HelloReply():
                 _bootstrap.on_hello_reply(state, message, body, now)
             case Found():
--- a/wigeonspan/consensus/_messages.py
+++ b/wigeonspan/consensus/_messages.py
@@ -165,7 +165,15 @@
 
 
 class Hello(Struct, frozen=True, tag="hello"):
-    """The founder of a group asks a first voter for its disk identity."""
+    """The founder of a group asks a first voter for its disk identity.
+
+    Parameters
+    ----------
+    names : tuple of HostId
+        All first voters, as the founder's settings name them, in order.
+    """
+
+    names: tuple[HostId, ...]
 
 
 class HelloReply(Struct, frozen=True, tag="hello_reply"):
