Make the process tests independent of load on the machine

Two of nine failed in one run of the whole suite beside other load. The ports were taken from the range of outgoing connections, so one could be taken before its daemon started; and the probe of the open call could itself be granted the key and run the call. Ports now come from below that range, and the test waits until the call has arrived.

--- a/standins/plain.py
+++ b/standins/plain.py
@@ -64,6 +64,7 @@
                 ("/(loans|bookings)", NonIdempotentHandler, context),
                 ("/sheets/([^/]+)", SheetHandler, context),
                 ("/standin/executions", ExecutionsHandler, context),
+                ("/standin/arrivals", ArrivalsHandler, context),
                 ("/standin/fault", FaultHandler, context),
             ],
             log_function=lambda handler: None,
@@ -158,6 +159,14 @@
         self.answer(200, dict(self.service.executions))
 
 
+class ArrivalsHandler(PlainHandler):
+    """Count of requests that arrived, carried out or not, for tests."""
+
+    def get(self) -> None:
+        """Answer with the count."""
+        self.answer(200, {"arrivals": self.service.arrivals})
+
+
 class FaultHandler(PlainHandler):
     """Sets the fault switches."""
 
--- a/testbed/_deployment.py
+++ b/testbed/_deployment.py
@@ -164,6 +164,7 @@
         deadline = time.monotonic() + timeout_s
         failure = ""
         while time.monotonic() < deadline:
+            self.fleet.check_all()
             try:
                 found = probe()
                 failure = ""
--- a/testbed/_processes.py
+++ b/testbed/_processes.py
@@ -1,6 +1,7 @@
 """Child processes of a deployment on loopback."""
 
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -121,18 +122,28 @@
             raise StepFailed(f"{name} did not end in {timeout_s:.0f} s") from None
 
 
+PORTS = range(12_000, 32_000)
+"""Ports of daemons that name each other in their settings, below those that Linux
+gives to outgoing connections (32768 and up): one of these could take a port between
+its choice and the daemon's start."""
+
+
 def free_ports(count: int) -> list[int]:
     """Return free ports on 127.0.0.1.
 
     The control daemons name each other in their settings, so their ports must be
     known before they start.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = secrets.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -74,11 +74,11 @@
 
     thread = threading.Thread(target=release)
     thread.start()
-    arrived = "/standin/executions"
     deployment.wait(
-        "the call to be open",
-        lambda: release_loan(deployment.entries[1], "key-2", "1907-45")[0] == 409,
+        "the call to arrive",
+        lambda: deployment.get_json(deployment.plain, "/standin/arrivals")["arrivals"],
     )
+    assert release_loan(deployment.entries[1], "key-2", "1907-45")[0] == 409
     deployment.fleet.kill("entry-1")
     thread.join()
 
@@ -87,5 +87,5 @@
         return status == 502 and "outcome_unknown" in body
 
     deployment.wait("the outcome to be unknown", unknown, timeout_s=40.0)
-    counts = deployment.get_json(deployment.plain, arrived)
+    counts = deployment.get_json(deployment.plain, "/standin/executions")
     assert sum(counts.values()) <= 1
