--- /dev/null
+++ b/tests/controld/processes.py
@@ -0,0 +1,117 @@
+"""Control daemons as processes of their own."""
+
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import yaml
+
+from wigeonspan.operators._client import OperatorClient, Unreachable
+from wigeonspan.operators._session import Session
+
+ROOT = Path(__file__).resolve().parents[2]
+READY_S = 20.0
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Group:
+    """Control daemons of one group; all end with the block."""
+
+    def __init__(self, folder, count):
+        self.folder = folder
+        self.processes = {}
+        self.hosts = {}
+        names = [f"control-{n}" for n in range(1, count + 1)]
+        self.members = [self.describe(name) for name in names]
+
+    def __enter__(self):
+        for name in list(self.hosts):
+            self.start(name)
+        return self
+
+    def __exit__(self, *caught):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    def describe(self, name):
+        self.hosts[name] = {
+            "host": name,
+            "domain": f"domain-{name}",
+            "address": free_address(),
+            "operators": free_address(),
+        }
+        return self.hosts[name]
+
+    def data(self, name):
+        return self.folder / name
+
+    def start(self, name):
+        first = self.members if self.hosts[name] in self.members else []
+        settings = {
+            **self.hosts[name],
+            "data_folder": str(self.data(name)),
+            "members": first,
+        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        command = [sys.executable, "-m", "wigeonspan.controld.main", "run", str(path)]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(command, cwd=ROOT, stderr=log)
+
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def terminate(self, name):
+        self.processes[name].send_signal(signal.SIGTERM)
+        return self.processes[name].wait(READY_S)
+
+    def session(self, *names, timeout_s=READY_S):
+        addresses = [self.hosts[name]["operators"] for name in names or self.hosts]
+        return Session(OperatorClient(addresses, timeout_s), "ana")
+
+    def status(self, name):
+        """Return the status of a host; None when it does not answer."""
+        try:
+            return self.session(name, timeout_s=1.0).status()
+        except Unreachable:
+            return None
+
+    def wait(self, what, probe):
+        """Return the first result of a probe that is not None."""
+        deadline = time.monotonic() + READY_S
+        while time.monotonic() < deadline:
+            result = probe()
+            if result is not None:
+                return result
+            time.sleep(0.1)
+        raise AssertionError(f"{what} did not happen; logs are in {self.folder}")
+
+    def leader(self):
+        """Return the name of the leader once there is one."""
+
+        def probe():
+            statuses = [self.status(name) for name in self.hosts]
+            leaders = [s.host for s in statuses if s is not None and s.lease_valid]
+            return leaders[0] if leaders else None
+
+        return self.wait("an election", probe)
+
+    def wait_equal_records(self, names):
+        """Return the head that all hosts have once it is one."""
+
+        def probe():
+            statuses = [self.status(name) for name in names]
+            heads = {s and (s.record_seq, s.record_hash) for s in statuses}
+            return heads.pop() if len(heads) == 1 and None not in heads else None
+
+        return self.wait("an equal record", probe)
