--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -127,10 +127,12 @@
         }
         self.in_flight = []
         self.cut = set()
+        self.blocked = set()
         self.loss = self.repeat = 0.0
         self.delay = 0.01
         self.committed = {}
         self.leaders = {}
+        self.leases = {}
         self.count = 0
         for host in self.hosts.values():
             host.start()
@@ -184,7 +186,9 @@
                 self.check_leaders()
 
     def is_cut(self, one, other):
-        return (one in self.cut) != (other in self.cut)
+        """Whether hosts are partitioned, or their link is blocked in this direction."""
+        apart = (one in self.cut) != (other in self.cut)
+        return apart or (one, other) in self.blocked
 
     def running(self):
         return [h for h in self.hosts.values() if h.node is not None and not h.frozen]
@@ -252,20 +256,22 @@
             assert (known.term, known.command) == (term, command)
 
     def check_leaders(self):
-        leased = []
         for host in self.hosts.values():
             node = host.node
             if node is None or node.role is not LogRole.LEADER:
                 continue
-            known = self.leaders.setdefault(node.term, host.store.disk_id)
-            assert known == host.store.disk_id, "two leaders in one term"
-            if node.lease_valid_until > host.now():
-                leased.append(host.name)
-        assert len(leased) <= 1, f"two valid leases: {leased}"
+            disk = host.store.disk_id
+            known = self.leaders.setdefault(node.term, disk)
+            assert known == disk, "two leaders in one term"
+            end = (node.lease_valid_until - host.offset) / host.drift
+            self.leases[disk] = max(self.leases.get(disk, 0.0), end)
+        # A published lease holds even when its owner steps down or crashes.
+        valid = [disk for disk, end in self.leases.items() if end > self.time]
+        assert len(valid) <= 1, f"{len(valid)} valid leases"
 
     def heal(self):
         """End all faults and start every host that is down."""
-        self.cut = set()
+        self.cut, self.blocked = set(), set()
         self.loss = self.repeat = 0.0
         self.delay = 0.01
         for host in self.hosts.values():
--- a/wigeonspan/planning/_core.py
+++ b/wigeonspan/planning/_core.py
@@ -8,7 +8,7 @@
     Counts,
     Load,
     Rates,
-    assignments,
+    best_assignments,
     expected_goodput,
 )
 from wigeonspan.planning._messages import (
@@ -117,12 +117,13 @@
         rates = self._rate_book(service).rates
         current = count_roles(engines)
         free = [e for e in engines if self._may_change(e, inputs, now)]
-        scored = sorted(
-            (
-                (self._value(c, current, scenarios, rates, inputs), c)
-                for c in assignments(len(engines), _pinned(engines))
-            ),
-            key=lambda item: (-item[0], current.moves_to(item[1]), item[1]),
+        if self._demand.of(service).known_s(now) < self._settings.warm_up_s:
+            free = []
+        scored = best_assignments(
+            len(engines),
+            _pinned(engines),
+            current,
+            lambda counts: self._value(counts, current, scenarios, rates, inputs),
         )
         target = scored[0][1]
         changes = self._changes(service, current, target, free, engines, inputs)
@@ -161,7 +162,9 @@
         moves = current.moves_to(counts)
         lost = self._settings.out_s * goodput / max(1, sum(current))
         cost = moves * (lost + inputs.policy.role_change_price)
-        return goodput * self._settings.horizon_s - cost * (1 + self._settings.margin)
+        horizon = self._settings.horizon_s
+        doubt = moves * self._settings.least_gain * goodput * horizon
+        return goodput * horizon - cost * (1 + self._settings.margin) - doubt
 
     def _may_change(self, engine: Engine, inputs: PlanInputs, now: float) -> bool:
         stayed = now - self._changed_at[engine.name]
@@ -216,12 +219,17 @@
 
 
 def count_out(engines: list[Engine], service: ServiceName) -> dict[DomainName, int]:
-    """Return the engines of a service that are out, by failure domain."""
+    """Return the engines of a service out for a planned change, by failure domain.
+
+    Failed and leaving engines do not count: two lost engines once stopped every change
+    in their domains, when the rest needed new roles most.
+    """
     out: dict[DomainName, int] = {}
     for engine in engines:
-        if engine.service != service or engine.phase is EnginePhase.WITHDRAWN:
+        if engine.service != service or engine.phase in GONE:
             continue
-        if engine.phase is not EnginePhase.SERVING or engine.wanted_role != engine.role:
+        changing = engine.wanted_role is not engine.role
+        if changing or engine.phase is not EnginePhase.SERVING:
             out[engine.domain] = out.get(engine.domain, 0) + 1
     return out
 
