--- a/wigeonspan/controld/_recording.py
+++ b/wigeonspan/controld/_recording.py
@@ -76,7 +76,7 @@
     if outcome.kind is OutcomeKind.ACCEPTED:
         detail["after"] = _after(catalog, "engine", command.engine)
     names = ("phase", "role", "wanted_role", "model", "model_version", "adapters")
-    told = [f"{n} {detail[n]}" for n in names if detail.get(n) is not None]
+    told = [f"{name} {_text(detail[name])}" for name in names if detail[name]]
     return Draft(
         wall_ms=command.wall_ms,
         kind=RecordKind.ENGINE,
@@ -272,3 +272,7 @@
 
 def _plain(value: Any) -> Any:
     return msgspec.to_builtins(value)
+
+
+def _text(value: Any) -> str:
+    return value if isinstance(value, str) else ", ".join(value)
