--- a/tests/controld/test_state.py
+++ b/tests/controld/test_state.py
@@ -99,7 +99,12 @@
     with tempfile.TemporaryDirectory() as name:
         plain = ControlState(Path(name) / "plain")
         other = ControlState(Path(name) / "other")
-        for index, command in enumerate(commands, start=1):
+        engines = [Engine(f"e{n}", f"10.0.0.1:{n}", "d") for n in (1, 2)]
+        puts = [
+            ApplyChange(f"put-{e.name}", "ana", "why", 0, PutObject(e), 1)
+            for e in engines
+        ]
+        for index, command in enumerate([*puts, *commands], start=1):
             data = encode(command)
             assert encode(plain.apply(index, data)) == encode(other.apply(index, data))
             if index == cut:
--- a/wigeonspan/record/_explain.py
+++ b/wigeonspan/record/_explain.py
@@ -43,7 +43,8 @@
 
 def _state(subject: str, at_ms: int, own: list[RecordEntry]) -> str:
     """Describe the object as the last change left it."""
-    known = [entry for entry in own if "after" in entry.detail]
+    # The first subject is the object that changed; the others are concerned by it.
+    known = [e for e in own if "after" in e.detail and e.subjects[0] == subject]
     if not known:
         return f"At {show_time(at_ms)} the state of {subject} is not in the record."
     entry = known[-1]
@@ -67,7 +68,8 @@
 
 
 def _fields(after: dict[str, Any]) -> str:
-    told = {k: v for k, v in after.items() if k not in ("type", "name", "version")}
+    hidden = ("type", "name", "version")
+    told = {k: v for k, v in after.items() if k not in hidden and v not in (None, [])}
     return ", ".join(f"{key} {value}" for key, value in told.items())
 
 
