Wait for tokens and slow readers without a task for each write

asyncio.wait_for creates a task for each call in Python 3.11; a future with a timer and one watch for each stream replace it. Kept because a slow reader is still closed (test_reader_that_takes_nothing_is_cut_off) and the number of tasks falls.

--- a/wigeonspan/entryd/_completions.py
+++ b/wigeonspan/entryd/_completions.py
@@ -27,25 +27,29 @@
 
     def __init__(self) -> None:
         self._tokens: list[Token] = []
-        self._changed = asyncio.Event()
+        self._waiter: asyncio.Future[None] | None = None
 
     def put(self, token: Token) -> None:
         """Add a token."""
         self._tokens.append(token)
-        self._changed.set()
+        self.wake()
 
     def wake(self, *_: Any) -> None:
         """Let the reader look again."""
-        self._changed.set()
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
     async def take(self, timeout_s: float) -> list[Token]:
         """Return the tokens that wait, after at most ``timeout_s`` seconds."""
         if not self._tokens:
+            # A future and a timer: ``wait_for`` would create a task for each token.
+            loop = asyncio.get_running_loop()
+            self._waiter = loop.create_future()
+            timer = loop.call_later(timeout_s, self.wake)
             try:
-                await asyncio.wait_for(self._changed.wait(), timeout_s)
-            except TimeoutError:
-                return []
-        self._changed.clear()
+                await self._waiter
+            finally:
+                timer.cancel()
         tokens, self._tokens = self._tokens, []
         return tokens
 
@@ -54,6 +58,8 @@
     """Runs completions."""
 
     _task: "asyncio.Task[None] | None" = None
+    _sending_since: float | None = None
+    _watch: asyncio.TimerHandle | None = None
 
     async def post(self) -> None:
         """Answer whole or as a stream of server-sent events."""
@@ -84,6 +90,8 @@
         finally:
             task.cancel()
             self._task = None
+            if self._watch is not None:
+                self._watch.cancel()
 
     def on_connection_close(self) -> None:
         """Cancel the attempt of a caller that went away."""
@@ -105,6 +113,7 @@
         buffer: TokenBuffer,
     ) -> None:
         prefix = _chunk_prefix(job)
+        self._watch_reader()
         keep_alive_s = self.entry.settings.relay.keep_alive_s
         while True:
             tokens = await buffer.take(keep_alive_s)
@@ -137,16 +146,25 @@
             self.set_header("Cache-Control", "no-store")
         self.write(block)
         written = self.flush()
-        if written.done():
-            written.result()
-            return
-        try:
-            await asyncio.wait_for(written, self.entry.settings.relay.slow_reader_s)
-        except TimeoutError:
+        if not written.done():
+            self._sending_since = self.entry.clock.now()
+        await written
+        self._sending_since = None
+
+    def _watch_reader(self) -> None:
+        """Close the connection of a reader that takes nothing for too long.
+
+        One timer for each stream costs less than a timeout for each write.
+        """
+        limit_s = self.entry.settings.relay.slow_reader_s
+        since = self._sending_since
+        if since is not None and self.entry.clock.now() - since >= limit_s:
             # An error event could not be delivered either.
             self.entry.metrics.count(f"errors.{ErrorKind.SLOW_READER.value}")
             self.request.connection.stream.close()  # type: ignore[union-attr]
-            raise StreamClosedError from None
+            return
+        loop = asyncio.get_running_loop()
+        self._watch = loop.call_later(limit_s / 4, self._watch_reader)
 
 
 def _usage(job: CompletionJob, relay: CompletionRelay) -> dict[str, int]:
