Wait for requests in transit from lost entries; test guard, sender and task

A request that an entry sent at the end of its lease could reach the engine during an order: the barrier now adds the life of unsent bytes (2 s) after a lease that ended without confirmation.

--- /dev/null
+++ b/tests/orders/test_guard.py
@@ -0,0 +1,131 @@
+"""A process that is frozen past its lease ends before it writes an order."""
+
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from wigeonspan.common import ManualClock
+from wigeonspan.orders.tasks import Guard, LeaseLost
+
+
+@contextlib.contextmanager
+def sender(listener, lease_s, extended):
+    address = "{}:{}".format(*listener.getsockname())
+    command = [sys.executable, "-m", "tests.orders.guarded_sender", address]
+    command += [str(lease_s), "extended" if extended else "fixed"]
+    process = subprocess.Popen(
+        command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    )
+    try:
+        assert process.stdout.readline() == "armed\n"
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+
+
+def go_on(process):
+    process.stdin.write("\n")
+    process.stdin.flush()
+
+
+def bytes_received(listener):
+    """Return all that a connection brought until it was closed."""
+    listener.settimeout(1.0)
+    try:
+        connection, _ = listener.accept()
+    except TimeoutError:
+        return b""
+    with connection:
+        connection.settimeout(3.0)
+        data = connection.recv(65536)
+        with contextlib.suppress(OSError):
+            connection.sendall(b"HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}")
+        return data
+
+
+@pytest.mark.parametrize(("frozen_s", "ends_by_alarm"), [(4.5, True), (0.0, False)])
+def test_process_frozen_past_its_lease_ends_before_it_writes(frozen_s, ends_by_alarm):
+    """A check of the lease alone lets a freeze between check and write through."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        with sender(listener, lease_s=4.0, extended=False) as process:
+            process.send_signal(signal.SIGSTOP)
+            go_on(process)
+            time.sleep(frozen_s)
+            process.send_signal(signal.SIGCONT)
+            data = bytes_received(listener)
+            result, code = process.stdout.readline(), process.wait(20)
+    assert result == ("" if ends_by_alarm else "refused disarmed\n")
+    assert code == (-signal.SIGALRM if ends_by_alarm else 0)
+    assert data.startswith(b"POST /wigeonspan/order") is not ends_by_alarm
+    assert ends_by_alarm is not bool(data)
+
+
+@pytest.mark.parametrize("extended", [True, False])
+def test_slow_connection_does_not_end_the_process(extended):
+    """A healthy leader must not be ended because an engine is slow to connect."""
+    with socket.socket() as listener, contextlib.ExitStack() as stack:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(4):
+            # Fills the backlog, so that the kernel drops further connections.
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        with sender(listener, lease_s=0.8, extended=extended) as process:
+            go_on(process)
+            result = process.stdout.readline()
+            assert process.wait(20) == 0
+    assert result in ("unknown disarmed\n", "not_sent disarmed\n")
+
+
+class JumpingClock(ManualClock):
+    """Clock on which a freeze follows each look at the time."""
+
+    def __init__(self, jump_s):
+        super().__init__(now=100.0)
+        self._jump_s = jump_s
+
+    def now(self):
+        now = super().now()
+        self.advance(self._jump_s)
+        return now
+
+
+@pytest.mark.parametrize(
+    ("lease_until", "jump_s", "lost"),
+    [(101.0, 0.0, False), (100.25, 0.0, True), (0.0, 0.0, True), (101.0, 0.6, True)],
+)
+def test_guard_refuses_a_lease_that_is_too_short(lease_until, jump_s, lost):
+    """A freeze between reading the clock and arming would move the timer's end."""
+    guard = Guard(JumpingClock(jump_s), lambda: lease_until)
+    try:
+        if lost:
+            with pytest.raises(LeaseLost):
+                guard.enter()
+        else:
+            guard.enter()
+        assert guard.is_armed is not lost
+        timer_s, _ = signal.getitimer(signal.ITIMER_REAL)
+        assert (timer_s > 0) is not lost
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0.0)
+
+
+def test_timer_ends_with_the_last_order():
+    """An order that is still being sent must keep the timer armed."""
+    guard = Guard(ManualClock(100.0), lambda: 150.0)
+    try:
+        guard.enter()
+        guard.enter()
+        guard.leave()
+        assert signal.getitimer(signal.ITIMER_REAL)[0] > 0
+        guard.leave()
+        assert signal.getitimer(signal.ITIMER_REAL)[0] == 0
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0.0)
--- a/tests/orders/test_keeper.py
+++ b/tests/orders/test_keeper.py
@@ -6,7 +6,9 @@
 
 from tests.orders.world import LATEST_S, World
 from wigeonspan.catalog import EnginePhase, ModelService, Role
+from wigeonspan.engines import EngineState, OrderAction, OrderRequest
 from wigeonspan.orders import OpenOrder, SendOrder
+from wigeonspan.orders._track import EngineTrack
 
 LAST_STEP = 13
 
@@ -129,7 +131,7 @@
 
 PAIRS = [
     pair
-    for pair in itertools.combinations(FAULTS, 2)
+    for pair in itertools.permutations(FAULTS, 2)
     if any("killed" in name or "lea" in name for name in pair)
 ]
 
@@ -212,3 +214,56 @@
         e for _, e, _ in world.trace if isinstance(getattr(e, "command", 0), OpenOrder)
     ]
     assert len(sent) == len(set(sent)) <= len(opened)
+
+
+def test_last_request_of_a_lost_entry_may_still_arrive():
+    """An order sent at the end of a lease once met a request that was in transit."""
+    world = World(rate=0.0)
+    world.run_until(world.is_settled)
+    world.run(1.0)
+    lost, engine = world.entries[0], world.engines["e0"]
+    lost.cut_off_until = world.now + 60.0
+    world.pin("e0", Role.DECODE)
+    world.run(lost.follower.lease_until - world.now - 0.1)
+    assert lost.may_send("e0")
+    request = (world.now + 0.6, engine, ("entry-0", 1), world.now + 9.0)
+    lost.in_transit.append(request)
+    world.run_until(lambda: world.is_settled(Role.DECODE))
+    assert engine.cut == 0
+
+
+def test_order_of_somebody_else_is_waited_for():
+    """An engine that is busy with an unknown order must not get a second one."""
+    world = World()
+    engine = world.engines["e0"]
+    engine.model = None
+    engine.busy = OrderRequest("foreign", OrderAction.WITHDRAW)
+    engine.busy_until = 20.0
+    world.run(19.0)
+    assert not engine.received
+    world.run_until(world.is_settled)
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "clear_at", "busy", "urgent", "batch", "now", "drained"),
+    [
+        (1.0, 2.0, "", 0, 0, 2.0, False),
+        (2.0, 2.0, "", 0, 0, 2.1, True),
+        (2.0, 2.0, "x", 0, 0, 2.1, False),
+        (2.0, 2.0, "", 1, 0, 2.1, False),
+        (2.0, 2.0, "", 0, 1, 2.1, False),
+        (4.5, 2.0, "", 0, 1, 4.6, True),
+        (2.0, 2.0, "", 0, 0, 3.1, False),
+        (2.0, None, "", 0, 0, 2.1, False),
+    ],
+)
+def test_only_a_fresh_read_after_the_entries_were_clear_counts(
+    sent_at, clear_at, busy, urgent, batch, now, drained
+):
+    """A request may reach the engine between an early read and the order."""
+    track = EngineTrack()
+    track.note_clear(clear_at is not None, clear_at or 0.0)
+    track.begin_read(sent_at)
+    state = EngineState("e", "1", Role.MIXED, "m", "1", (), busy, "", urgent, batch)
+    track.end_read(state, sent_at)
+    assert (track.drained_state(now) is not None) is drained
--- /dev/null
+++ b/tests/orders/test_keeper_properties.py
@@ -0,0 +1,56 @@
+"""Random changes, traffic and faults around the order keeper.
+
+The simulated engines and the state machine check on every order that no urgent request
+runs, that no entry with a lease may still send, that the order is the only one, is open
+and has the highest fence, and that orders are closed by the truth.
+"""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.orders.test_keeper import FAULTS
+from tests.orders.world import World
+from wigeonspan.catalog import EnginePhase, ModelService, Role
+
+ACTIONS = {
+    "prefill": lambda world: world.pin("e0", Role.PREFILL),
+    "decode": lambda world: world.pin("e0", Role.DECODE),
+    "version 1": lambda world: world.put(ModelService("s", "m", "1")),
+    "version 2": lambda world: world.put(ModelService("s", "m", "2")),
+    "drain": lambda world: world.drain("e0", True),
+    "undrain": lambda world: world.drain("e0", False),
+}
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(sorted(ACTIONS)),
+        st.floats(0.0, 8.0),
+        st.one_of(st.none(), st.sampled_from(sorted(FAULTS))),
+        st.integers(1, 12),
+    ),
+    max_size=10,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(STEPS, st.integers(0, 10**6), st.sampled_from([0.003, 0.02, 0.2]), st.booleans())
+def test_no_order_ever_conflicts_or_cuts(steps, seed, rate, checks_fence):
+    """Combinations that no table names must keep the invariants and settle."""
+    armed = {}
+
+    def fault(world, effect, number):
+        name = armed.pop(number, None)
+        return FAULTS[name](world, effect) if name else None
+
+    world = World(seed=seed, rate=rate, fault=fault, checks_fence=checks_fence)
+    world.run(6.0)
+    for action, pause_s, name, gap in steps:
+        ACTIONS[action](world)
+        if name:
+            armed[world.effects + gap] = name
+        world.run(pause_s)
+    armed.clear()
+    ACTIONS["undrain"](world)
+    ACTIONS["decode"](world)
+    ACTIONS["version 2"](world)
+    world.run_until(lambda: world.is_settled(Role.DECODE, "2"), limit_s=300.0)
+    assert world.catalog.engine("e0").phase is EnginePhase.SERVING
--- a/tests/orders/world.py
+++ b/tests/orders/world.py
@@ -23,8 +23,10 @@
 from wigeonspan.distribution import Distributor, Follower, InFlight, SyncRequest
 from wigeonspan.engines import EngineState, OrderAction
 from wigeonspan.orders import (
+    CloseOrder,
     Commit,
     OrderKeeper,
+    OrderResult,
     OrderTable,
     ReadState,
     SendResult,
@@ -41,7 +43,7 @@
 class SimEngine:
     def __init__(self, world, name, checks_fence):
         self.world, self.name, self.checks_fence = world, name, checks_fence
-        self.urgent, self.highest, self.restarts = {}, 0, 0
+        self.urgent, self.highest, self.restarts, self.applied = {}, 0, 0, {}
         self.cut, self.crash_in_order, self.received = 0, False, []
         self.restart(model="m")
 
@@ -78,6 +80,9 @@
         senders = [e.name for e in world.entries if e.may_send(self.name)]
         assert not senders, f"{senders} may still send when {order.order_id} arrives"
         assert self.busy is None, "two conflicting orders at once"
+        opened = world.table.opened.get(self.name)
+        is_open = opened is not None and opened.request == order
+        assert is_open, "an order arrives after it was closed"
         assert order.fence > max(self.received, default=0), "an old order arrives late"
         self.received.append(order.fence)
         if self.checks_fence and order.fence < self.highest:
@@ -96,6 +101,7 @@
             self.restart()
         elif now >= self.busy_until:
             order, self.busy, self.last = self.busy, None, self.busy.order_id
+            self.applied[order.order_id] = self.restarts
             if order.action is OrderAction.LOAD_MODEL:
                 self.model, self.model_version = order.model, order.model_version
                 self.adapters = ()
@@ -127,7 +133,11 @@
             return
         for engine in world.engines.values():
             busy = len(self.requests(engine)) >= 2
-            if not busy and self.may_send(engine.name) and world.rng.random() < 0.05:
+            if (
+                not busy
+                and self.may_send(engine.name)
+                and world.rng.random() < world.rate
+            ):
                 self.number += 1
                 arrival = now + world.rng.choice([0.0, 0.3, 0.6])
                 end = arrival + world.rng.uniform(0.1, 1.5)
@@ -176,9 +186,9 @@
     ``late`` (an order arrives as late as it can, its result is lost).
     """
 
-    def __init__(self, seed=0, engines=1, checks_fence=False, fault=None):
+    def __init__(self, seed=0, engines=1, checks_fence=False, fault=None, rate=0.05):
         self.now, self.index, self.term, self.effects = 0.0, 0, 0, 0
-        self.rng = random.Random(seed)
+        self.rng, self.rate = random.Random(seed), rate
         self.fault = fault or (lambda *_: None)
         self.catalog, self.table = Catalog(), OrderTable()
         self.fences, self.late, self.trace, self.phases = {}, [], [], []
@@ -320,6 +330,8 @@
         if isinstance(command, SetEngineState):
             self.phases.append(command.phase)
             return self.catalog.apply(self.index, command)
+        if isinstance(command, CloseOrder):
+            self.check_close(command)
         outcome = self.table.apply(self.index, command)
         if outcome.accepted and outcome.order.request.fence == self.index:
             name = command.engine
@@ -327,6 +339,13 @@
             self.fences[name] = self.index
         return outcome
 
+    def check_close(self, command):
+        engine = self.engines[command.engine]
+        if command.result is OrderResult.APPLIED:
+            assert command.order_id in engine.applied, "closed as applied, but was not"
+        elif engine.applied.get(command.order_id) == engine.restarts:
+            raise AssertionError("closed as not applied, but was applied")
+
     def is_settled(self, role=Role.MIXED, label="1", phase=EnginePhase.SERVING):
         for name, engine in self.engines.items():
             known = self.catalog.engine(name)
--- a/wigeonspan/distribution/_distributor.py
+++ b/wigeonspan/distribution/_distributor.py
@@ -17,6 +17,9 @@
 FORGET_S = 60.0
 """Time after the end of its lease at which an entry process is forgotten."""
 
+KEPT_GRANT_S = 10.0
+"""Time for which an ended lease is remembered, for askers with a margin."""
+
 EQUAL_PART = 0.25
 """Part of a tenant's limit that is spread evenly whatever the demand.
 
@@ -62,8 +65,8 @@
         self.grants.append((version, end))
 
     def drop_ended(self, now: float) -> None:
-        """Forget leases that have ended, but for the last one."""
-        while len(self.grants) > 1 and self.grants[0][1] <= now:
+        """Forget leases that ended long ago, but for the last one."""
+        while len(self.grants) > 1 and self.grants[0][1] + KEPT_GRANT_S <= now:
             self.grants.popleft()
 
     def may_use_older(self, version: Version, now: float) -> bool:
@@ -176,7 +179,8 @@
         version : Version
             Version of a committed change.
         now : float
-            Monotonic time in seconds.
+            Monotonic time in seconds. An earlier time (at most 10 s) asks that
+            leases ended by then; confirmations count whenever they came.
         """
         if now < self._known_from or self._source.version < version:
             return False
--- a/wigeonspan/orders/_keeper.py
+++ b/wigeonspan/orders/_keeper.py
@@ -31,6 +31,13 @@
 DRIFT = 0.01
 """Largest relative difference between the rates of two hosts' clocks."""
 
+TRANSIT_S = 2.0
+"""Time after the end of an entry's lease in which its last request may still arrive.
+
+An entry that confirmed counts its requests in transit as in flight; one that lost its
+lease without a word does not. Unsent bytes of its connections live this long.
+"""
+
 
 class OrderKeeper:
     """Drives the phases of all engines on the leader; one instance serves one term.
@@ -135,7 +142,7 @@
         since = track.out_since
         clear = (
             since is not None
-            and self._view.in_force(since, now)
+            and self._view.in_force(since, now - TRANSIT_S)
             and self._view.in_flight(engine.name, now).urgent == 0
         )
         track.note_clear(clear, now)
