--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,21 @@
+"""Start a deployment of real processes on loopback, for demo, tests and measurements.
+
+The testbed is not part of the system: a daemon starts no process.
+"""
+
+from testbed._caller import Stream, release_loan
+from testbed._deployment import MODEL, PLAIN, Deployment, Shape
+from testbed._processes import Fleet, StepFailed, free_ports, run_ctl
+
+__all__ = [
+    "MODEL",
+    "PLAIN",
+    "Deployment",
+    "Fleet",
+    "Shape",
+    "StepFailed",
+    "Stream",
+    "free_ports",
+    "release_loan",
+    "run_ctl",
+]
--- a/wigeonspan/consensus/_replication.py
+++ b/wigeonspan/consensus/_replication.py
@@ -20,6 +20,7 @@
     ELECTION_MAX_S,
     HANDOVER_S,
     HEARTBEAT_S,
+    LEASE_S,
     RESEND_S,
 )
 
@@ -31,12 +32,21 @@
 
 
 def track_members(state: NodeState) -> None:
-    """Keep one progress for each other member."""
-    names = {member.name for member in state.others}
-    for name in names - state.progress.keys():
-        state.progress[name] = Progress(LogIndex(state.log.last_index + 1))
-    for name in state.progress.keys() - names:
-        del state.progress[name]
+    """Keep one progress for each other member.
+
+    A member that comes back with another disk starts anew: what its lost disk held
+    must not count. A new member is sent the last entry, whose refusal tells what it
+    holds.
+    """
+    known, state.progress = state.progress, {}
+    last = state.log.last_index
+    for member in state.others:
+        progress = known.get(member.name)
+        if progress is None or progress.disk_id != member.disk_id:
+            progress = Progress(member.disk_id, last)
+        if progress.match < last:
+            progress.next = LogIndex(min(progress.next, last))
+        state.progress[member.name] = progress
 
 
 def broadcast(state: NodeState, now: float) -> None:
@@ -167,10 +177,13 @@
     member, progress = _answered(state, message, body.round)
     if member is None or progress is None or progress.snapshot is None:
         return
-    if body.index == progress.snapshot.index and body.received > progress.received:
-        progress.received = body.received
-        if body.received < progress.snapshot.size:
-            _send_chunk(state, member, progress, now)
+    if body.index != progress.snapshot.index:
+        return
+    advanced = body.received > progress.received
+    # A member that restarted has lost what it collected, so the offset may go back.
+    progress.received = body.received
+    if advanced and body.received < progress.snapshot.size:
+        _send_chunk(state, member, progress, now)
 
 
 def advance_commit(state: NodeState) -> None:
@@ -184,17 +197,31 @@
             state.commit = reached
 
 
+def lease_end(state: NodeState) -> float:
+    """Return when the leader's lease ends; a handover does not prolong it."""
+    if state.handover is not None:
+        return state.handover_lease
+    return lease_base(state) + LEASE_S
+
+
 def start_handover(state: NodeState, now: float) -> None:
-    """Choose the voter that takes over, and wait until it holds the whole log."""
+    """Choose the voter that takes over.
+
+    It is told once it holds the whole log and the lease has ended: until then no other
+    host may lead, because the end of the lease may have been published.
+    """
     voters = [m for m in state.voters if not state.is_self(m)]
-    if voters:
+    if voters and state.handover is None:
         best = max(voters, key=lambda m: state.progress[m.name].match)
+        state.handover_lease = lease_end(state)
         state.handover = best.name
         state.handover_until = now + HANDOVER_S
 
 
 def handover_due(state: NodeState) -> Member | None:
     """Return the member that can take over now."""
+    if state.now < state.handover_lease:
+        return None
     for member in state.voters:
         if member.name == state.handover:
             match = state.progress[member.name].match
--- a/wigeonspan/consensus/_state.py
+++ b/wigeonspan/consensus/_state.py
@@ -32,9 +32,10 @@
 
 
 class Progress:
-    """What a leader knows of one other member."""
+    """What a leader knows of one other member, with one disk."""
 
-    def __init__(self, next_index: LogIndex) -> None:
+    def __init__(self, disk_id: str, next_index: LogIndex) -> None:
+        self.disk_id = disk_id
         self.match = LogIndex(0)
         self.next = next_index
         self.resend_at = NEVER
@@ -100,6 +101,7 @@
         self.first_own = LogIndex(0)
         self.handover: HostId | None = None
         self.handover_until = NEVER
+        self.handover_lease = NEVER
         self.identities: dict[HostId, Peer] = {}
         self.strangers: dict[HostId, str] = {}
         self.incoming: tuple[SnapshotMeta, bytearray] | None = None
@@ -193,6 +195,8 @@
         self._entries, self._snapshot, self.installing = [], None, None
         self._pending = []
         self.log.truncate_after(self.synced)
+        # Entries that were dropped must be accepted again, committed or not.
+        self.commit = LogIndex(min(self.commit, self.synced))
         return self.synced
 
     def synced_to(self, sequence: int) -> None:
--- a/wigeonspan/routing/_core.py
+++ b/wigeonspan/routing/_core.py
@@ -9,7 +9,7 @@
 from wigeonspan.distribution import EngineSample, InFlight
 from wigeonspan.engines import CacheEvents, LoadReport
 from wigeonspan.routing._health import TargetHealth
-from wigeonspan.routing._load import Attempt, EngineLoad
+from wigeonspan.routing._load import Attempt, EngineLoad, Unseen
 from wigeonspan.routing._messages import (
     AttemptEnd,
     AttemptResult,
@@ -18,6 +18,35 @@
     RoutingSettings,
 )
 from wigeonspan.routing._prefixes import HolderIndex, PrefixEstimate
+from wigeonspan.routing._rates import SentRate
+
+PREFILL_PLACES = 8
+"""Requests counted as running at once on a prefill engine; it runs one prompt after the
+other, and a few that wait keep it busy between two reports."""
+
+SLOT_GAIN = 0.3
+MIN_SLOT_FACTOR = 0.85
+MAX_SLOT_FACTOR = 1.1
+"""How fast the slots follow the queues. Reports lag by about the time between two
+steps, and a request stays for several, so a full correction would swing."""
+
+
+def _prefill_wait(load: EngineLoad, now: float, others: Unseen) -> float:
+    return load.prefill_backlog(now, others) / load.prefill_rate
+
+
+def _slot_wait(load: EngineLoad, now: float, others: Unseen) -> float:
+    return load.slot_wait_s(now, others, TYPICAL_OUTPUT_TOKENS)
+
+
+TYPICAL_OUTPUT_TOKENS = 100
+"""Answer length for which the wait for a batch place is judged."""
+
+WAITS = (
+    ((Role.MIXED, Role.PREFILL), _prefill_wait),
+    ((Role.MIXED, Role.DECODE), _slot_wait),
+)
+"""Waits of a request, and the roles on which they occur."""
 
 
 class Router:
@@ -40,6 +69,8 @@
         self._prefixes: dict[EngineId, PrefixEstimate] = {}
         self._holders = HolderIndex(self._settings.cache_prefixes)
         self._attempts: dict[AttemptId, Attempt] = {}
+        self._sent: dict[ServiceName, SentRate] = {}
+        self._slots: dict[ServiceName, float] = {}
         self._others = 0
         self.health: TargetHealth[EngineId] = TargetHealth(self._settings)
 
@@ -118,15 +149,35 @@
             routes = [self._full_route(estimate, name) for name in decode or prefill]
         return routes
 
-    def slots(self, service: ServiceName) -> int:
-        """Return how many requests of a service this entry should run at once."""
+    def slots(self, service: ServiceName, now: float) -> int:
+        """Return how many requests of a service this entry should run at once.
+
+        The number follows the queues on the engines, so call this after each round of
+        load reports, about twice a second.
+        """
         places = sum(
-            self._loads[name].batch_limit
-            for role in (Role.MIXED, Role.DECODE)
+            PREFILL_PLACES if role is Role.PREFILL else self._loads[name].batch_limit
+            for role in Role
             for name in self._pools.get((service, role), [])
         )
-        share = places * self._settings.slot_factor / (self._others + 1)
-        return max(1, math.ceil(share))
+        ceiling = max(1.0, places * self._settings.slot_factor / (self._others + 1))
+        wait = self._mean_wait_s(service, now)
+        factor = (self._settings.target_wait_s / max(wait, 1e-3)) ** SLOT_GAIN
+        factor = min(MAX_SLOT_FACTOR, max(MIN_SLOT_FACTOR, factor))
+        slots = self._slots.get(service, ceiling) * factor
+        self._slots[service] = min(ceiling, max(1.0, slots))
+        return math.ceil(self._slots[service])
+
+    def _mean_wait_s(self, service: ServiceName, now: float) -> float:
+        """Return the mean wait for prefill and for a batch place on the engines."""
+        engines = self._engine_count(service)
+        others = self._sent_rate(service).for_others(self._others, engines, now)
+        total = 0.0
+        for roles, kind in WAITS:
+            names = [n for r in roles for n in self._sampled(service, r)]
+            waits = [kind(self._loads[name], now, others) for name in names]
+            total += sum(waits) / max(1, len(waits))
+        return total
 
     def started(
         self,
@@ -135,7 +186,7 @@
         request: RouteRequest,
         now: float,
         *,
-        prefill_only: bool = False,
+        decode_engine: EngineId | None = None,
         prefilled: bool = False,
     ) -> None:
         """Note that an attempt was sent to an engine.
@@ -150,8 +201,8 @@
             The request.
         now : float
             Monotonic time in seconds.
-        prefill_only : bool
-            Whether the engine only runs the prompt.
+        decode_engine : EngineId or None
+            Engine that continues, when this one only runs the prompt.
         prefilled : bool
             Whether the engine has imported the prompt's KV cache.
         """
@@ -159,8 +210,13 @@
         if load is None:
             return
         tokens = 0.0 if prefilled else self._uncached(request, engine, now)
-        record = Attempt(attempt, engine, request, tokens, now, prefill_only)
-        load.attempts[attempt] = self._attempts[attempt] = record
+        if not prefilled:
+            self._sent_rate(request.service).note(tokens, now)
+        record = Attempt(attempt, engine, request, tokens, now, decode_engine)
+        self._attempts[attempt] = record
+        load.note_start(record)
+        if decode_engine in self._loads:
+            self._loads[decode_engine].reserved.add(attempt)
         self._prefixes[engine].note_run(request.prefixes, now)
         self._holders.note_run(request.prefixes, engine)
 
@@ -176,12 +232,12 @@
         if record is None:
             return
         self._loads[record.engine].note_end(record, now)
+        if record.decode_engine in self._loads:
+            self._loads[record.decode_engine].reserved.discard(attempt)
         if end.result is AttemptResult.FAILED:
             self.health.failed(record.engine, now)
         elif end.result is AttemptResult.OK:
-            work = record.prompt_tokens / 100 + max(1, record.tokens)
-            elapsed = now - record.started_at
-            self.health.succeeded(record.engine, elapsed / work, now)
+            self.health.succeeded(record.engine, record.token_interval_s, now)
 
     def probe_targets(self, now: float) -> list[EngineId]:
         """Return ejected engines that are due for a probe."""
@@ -207,13 +263,21 @@
 
     def _candidates(self, request: RouteRequest, role: Role) -> list[EngineId]:
         """Return a bounded sample of the engines of a role that may run a request."""
-        pool = self._pools.get((request.service, role), [])
-        if len(pool) > self._settings.sample:
-            sampled = self._rng.sample(pool, self._settings.sample)
+        pool = self._sampled(request.service, role)
+        if len(pool) < len(self._pools.get((request.service, role), ())):
             held = self._holders.engines(request.prefixes)
-            pool = sampled + [n for n in held if self._is_in(n, request, role, sampled)]
+            pool = pool + [n for n in held if self._is_in(n, request, role, pool)]
         return [name for name in pool if self._may_run(request, name)]
 
+    def _sampled(self, service: ServiceName, role: Role) -> list[EngineId]:
+        pool = self._pools.get((service, role), [])
+        if len(pool) <= self._settings.sample:
+            return pool
+        return self._rng.sample(pool, self._settings.sample)
+
+    def _sent_rate(self, service: ServiceName) -> SentRate:
+        return self._sent.setdefault(service, SentRate())
+
     def _is_in(
         self, name: EngineId, request: RouteRequest, role: Role, sampled: list[EngineId]
     ) -> bool:
@@ -245,18 +309,22 @@
     ) -> "_Estimate":
         """Sum up what this entry has on the engines that are compared."""
         loads = [self._loads[name] for name in names]
-        own = sum(load.own_tokens_since_report() for load in loads)
         share = 1.0
         if request.priority in URGENT_CLASSES:
-            waiting = [a for load in loads for a in load.waiting()]
-            total = sum(a.prompt_tokens for a in waiting)
-            urgent = sum(a.prompt_tokens for a in waiting if a.urgent)
+            total = sum(load.waiting_tokens for load in loads)
+            urgent = sum(load.urgent_waiting_tokens for load in loads)
             share = (urgent + request.prompt_tokens) / (total + request.prompt_tokens)
-        return _Estimate(request, now, own / max(1, len(loads)), share)
+        engines = self._engine_count(request.service)
+        sent = self._sent_rate(request.service)
+        others = sent.for_others(self._others, engines, now)
+        return _Estimate(request, now, others, share)
+
+    def _engine_count(self, service: ServiceName) -> int:
+        return sum(len(self._pools.get((service, role), ())) for role in Role)
 
     def _prefill_s(self, estimate: "_Estimate", name: EngineId) -> float:
         load = self._loads[name]
-        backlog = load.prefill_backlog(estimate.now, self._others, estimate.mean_own)
+        backlog = load.prefill_backlog(estimate.now, estimate.others)
         backlog *= estimate.queue_share
         tokens = backlog + self._uncached(estimate.request, name, estimate.now)
         return tokens / load.prefill_rate
@@ -266,7 +334,7 @@
 
     def _slot_wait_s(self, estimate: "_Estimate", name: EngineId) -> float:
         output = estimate.request.output_tokens
-        return self._loads[name].slot_wait_s(estimate.now, self._others, output)
+        return self._loads[name].slot_wait_s(estimate.now, estimate.others, output)
 
     def _domain_s(self, request: RouteRequest, name: EngineId) -> float:
         if request.domain in (None, self._engines[name].domain):
@@ -279,7 +347,17 @@
         first += self._slot_wait_s(estimate, name)
         completion = first + self._decode_s(request, name)
         address = self._engines[name].address
-        return Route(name, address, None, "", first, completion)
+        work = self._work_s(estimate, name, name)
+        return Route(name, address, None, "", first, completion, work)
+
+    def _work_s(
+        self, estimate: "_Estimate", prefill: EngineId, decode: EngineId
+    ) -> float:
+        request, load = estimate.request, self._loads[decode]
+        prompt = self._uncached(request, prefill, estimate.now)
+        prompt_s = prompt / self._loads[prefill].prefill_rate
+        output_rate = load.decode_rate * load.batch_limit
+        return prompt_s + request.output_tokens / output_rate
 
     def _split_routes(
         self, estimate: "_Estimate", prefill: list[EngineId], decode: list[EngineId]
@@ -300,8 +378,9 @@
             address = self._engines[name].address
             source_address = self._engines[source].address
             completion = first + self._decode_s(request, name)
+            work = self._work_s(estimate, source, name)
             routes.append(
-                Route(name, address, source, source_address, first, completion)
+                Route(name, address, source, source_address, first, completion, work)
             )
         return routes
 
@@ -324,8 +403,8 @@
 
     Parameters
     ----------
-    mean_own : float
-        Mean of this entry's prompt tokens since the report, over the engines compared.
+    others : Unseen
+        What other entries send to each engine.
     queue_share : float
         Part of the queues that runs before the request. Engines run urgent requests
         first; reports do not tell the classes apart, so this entry's own waiting
@@ -334,5 +413,5 @@
 
     request: RouteRequest
     now: float
-    mean_own: float
+    others: Unseen
     queue_share: float
