--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -6,7 +6,7 @@
 
 from tornado.httpserver import HTTPServer
 
-from wigeonspan.common import Clock, SystemClock, part_logger
+from wigeonspan.common import Clock, SystemClock, make_metrics, part_logger
 from wigeonspan.controld._build import (
     build_backend,
     build_duties,
@@ -14,6 +14,7 @@
     build_routes,
     build_state,
 )
+from wigeonspan.controld._gauges import send_gauges
 from wigeonspan.controld._settings import ControlSettings
 from wigeonspan.distribution import Distributor
 from wigeonspan.http import make_client
@@ -46,6 +47,7 @@
         self, settings: ControlSettings, clock: Clock, rng: random.Random
     ) -> None:
         self._settings = settings
+        self._clock = clock
         self._client = client = make_client(MAX_CLIENTS)
         self._state = state = build_state(settings)
         self._log = log = build_log(settings, state, clock, rng, client)
@@ -54,6 +56,7 @@
         backend = build_backend(settings, log, state, self._distributor, clock, client)
         self._operators = OperatorServer(backend, settings.operators)
         self._tasks: list[asyncio.Task[None]] = []
+        self._gauges: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen, join the group and begin to serve."""
@@ -66,6 +69,16 @@
             asyncio.create_task(self._duties.run()),
             asyncio.create_task(record),
         ]
+        if self._settings.metrics.enabled:
+            gauges = send_gauges(
+                make_metrics(self._settings.metrics),
+                self._log,
+                self._state,
+                self._distributor,
+                self._clock,
+            )
+            # Not among the tasks whose end ends this host: gauges are not worth that.
+            self._gauges = asyncio.create_task(gauges)
         _log.info("Host {} serves on {}.", self._settings.host, self._settings.address)
 
     async def wait_failed(self) -> None:
@@ -84,9 +97,10 @@
         """Hand over and stop; calls in progress end first."""
         _log.info("Host {} stops.", self._settings.host)
         await self._operators.stop()
-        for task in self._tasks:
+        tasks = [*self._tasks, *([self._gauges] if self._gauges else [])]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         # The log hands leadership over through the HTTP server, so that stops last.
         await self._log.stop()
         try:
