--- a/wigeonspan/operators/_session.py
+++ b/wigeonspan/operators/_session.py
@@ -113,3 +113,18 @@
         """Return the status of the host that answers first."""
         reply = self._client.call("Status", pb.StatusRequest())
         return from_message(reply, ControlStatus)
+
+
+def make_session(addresses: list[str], operator: str, timeout_s: float) -> Session:
+    """Return a session over the operators' addresses of the control hosts.
+
+    Parameters
+    ----------
+    addresses : list of str
+        Addresses as ``IP:port``.
+    operator : str
+        Who makes the changes.
+    timeout_s : float
+        Longest time for one call with its retries, in seconds.
+    """
+    return Session(OperatorClient(addresses, timeout_s), operator)
