--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -142,6 +142,10 @@
     path.write_text(OBJECTS.replace("domain: a", "domain: b"))
     assert ctl("apply-file", str(path), *CHANGE)[1].count("accepted") == 1
     assert "domain: b" in ctl("get", "engine/e1")[1]
+    path.write_text(OBJECTS.replace("domain: a", "domain: b, pinned_role: prefill"))
+    assert ctl("apply-file", str(path), *CHANGE)[1].count("accepted") == 1
+    assert ctl("apply-file", str(path), *CHANGE)[1] == "nothing to change\n"
+    assert "pinned_role: prefill" in ctl("get", "engine/e1")[1]
 
 
 @pytest.mark.parametrize(
@@ -151,6 +155,12 @@
         ("[1, {kind: cow}]", 2, "item 2: kind 'cow' is not one of"),
         ("[{kind: tenant, name: t, wait: 1}]", 2, "tenant has no field wait"),
         ("[{kind: tenant, name: t, weight: x}]", 2, "Expected `float`, got `str`"),
+        ("[{kind: engine, pinned_role: cook}]", 2, "missing required field `name`"),
+        (
+            OBJECTS.replace("domain: a", "domain: a, pinned_role: cook"),
+            2,
+            "Invalid enum value 'cook'",
+        ),
         ("[{kind: engine, name: e, phase: new}]", 2, "engine fields phase are state"),
         ("[", 2, "objects.yaml"),
         (OBJECTS.replace("v1}", "v2}", 1), 1, "granite@v1 does not exist"),
--- a/wigeonspan/operators/_ctl.py
+++ b/wigeonspan/operators/_ctl.py
@@ -10,6 +10,7 @@
     ChangeOutcome,
     DrainEngine,
     DrainEntry,
+    Engine,
     OutcomeKind,
     PinRole,
     PromoteLearner,
@@ -221,19 +222,17 @@
         Parameters
         ----------
         file : str
-            List of mappings, each with kind and the fields of that kind.
+            List of mappings, each with kind and the fields of that kind. An engine
+            may have pinned_role.
         """
         if self._op_id or self._base_version:
             raise UsageError("apply-file takes neither --op-id nor --base-version")
         values = load_objects(file)
         session = self._session(change=True)
-        outcomes = []
+        outcomes: Any = []
         for value in values:
-            present = session.get(*object_key(value))
-            if present is not None and put_fields(present) == put_fields(value):
-                continue
-            outcomes.append(self._apply(session, PutObject(value), present))
-            if outcomes[-1].kind is not OutcomeKind.ACCEPTED:
+            outcomes += self._put_from_file(session, value)
+            if outcomes and outcomes[-1].kind is not OutcomeKind.ACCEPTED:
                 break
         text = "\n".join(show_outcome(each) for each in outcomes)
         self._print(outcomes, text or "nothing to change")
@@ -318,6 +317,19 @@
         if all(isinstance(status, str) for status in statuses.values()):
             raise SystemExit(UNKNOWN)
 
+    def _put_from_file(self, session: Session, value: CatalogObject) -> Any:
+        """Put an object that differs and pin the role that it names."""
+        key = object_key(value)
+        present = session.get(*key)
+        if present is None or put_fields(present) != put_fields(value):
+            yield self._apply(session, PutObject(value), present)
+            present = session.get(*key)
+        if not (isinstance(value, Engine) and isinstance(present, Engine)):
+            return
+        if value.pinned_role not in (None, present.pinned_role):
+            change = PinRole(value.name, value.pinned_role)
+            yield self._apply(session, change, present)
+
     def _status_of(self, address: str) -> ControlStatus | str:
         client = OperatorClient([address], min(self._timeout(), 3.0))
         try:
--- a/wigeonspan/operators/_fields.py
+++ b/wigeonspan/operators/_fields.py
@@ -5,7 +5,7 @@
 import msgspec
 import yaml
 
-from wigeonspan.catalog import CatalogObject, Engine, ModelVersion, object_kinds
+from wigeonspan.catalog import CatalogObject, Engine, ModelVersion, Role, object_kinds
 from wigeonspan.common import Version
 
 _BY_KIND = {str(k.__struct_config__.tag): k for k in CatalogObject.__args__}
@@ -123,7 +123,8 @@
     Parameters
     ----------
     path : str
-        File. Each item has ``kind`` and the fields of that kind.
+        File. Each item has ``kind`` and the fields of that kind; an engine may have
+        ``pinned_role``.
 
     Returns
     -------
@@ -175,7 +176,15 @@
             f"{kind} has no field {', '.join(unknown)}; "
             f"fields: {', '.join(_settable(kind))}"
         )
-    return merge_object(kind, str(data.get("name", "")), None, data)
+    pinned = data.pop("pinned_role", None) if kind == "engine" else None
+    value = merge_object(kind, str(data.get("name", "")), None, data)
+    if pinned is None:
+        return value
+    try:
+        role = msgspec.convert(pinned, Role)
+    except msgspec.ValidationError as error:
+        raise UsageError(f"pinned_role: {error}") from None
+    return msgspec.structs.replace(value, pinned_role=role)
 
 
 def _named(kind: str, name: str) -> dict[str, Any]:
