--- a/tests/controld/test_group.py
+++ b/tests/controld/test_group.py
@@ -1,4 +1,5 @@
 import shutil
+import signal
 from functools import partial
 
 import pytest
@@ -68,6 +69,8 @@
         group.start(old)
         seq, _ = group.wait_equal_records(group.hosts)
         for name in group.hosts:
+            # A second SIGTERM must not cut the stop short.
+            group.processes[name].send_signal(signal.SIGTERM)
             assert group.terminate(name) == 0
             result = verify(group.data(name) / "record")
             assert (result.head.seq, result.faults) == (seq, [])
--- a/tests/operators/serving.py
+++ b/tests/operators/serving.py
@@ -6,7 +6,7 @@
 
 from tests.controld.local_log import LocalLog
 from wigeonspan.catalog import Member
-from wigeonspan.common import SystemClock, Term
+from wigeonspan.common import NoMetrics, SystemClock, Term
 from wigeonspan.controld._backend import Backend
 from wigeonspan.controld._state import ControlState
 from wigeonspan.distribution import Distributor
@@ -36,6 +36,7 @@
             lambda member: self.operators.get(member.name, ""),
             self.clock,
             None,
+            NoMetrics(),
         )
 
     async def serve(self, ready, stop):
--- a/tests/operators/test_service.py
+++ b/tests/operators/test_service.py
@@ -2,7 +2,8 @@
 import pytest
 
 from tests.operators.serving import LEADER, serving
-from wigeonspan.common import ErrorBody, ErrorKind, Ran, decode
+from wigeonspan.common import ErrorBody, ErrorKind, Ran, Term, decode
+from wigeonspan.distribution import Distributor, SyncRequest
 from wigeonspan.operators._status import ERROR_KEY, LEADER_KEY
 from wigeonspan.operators.generated import wigeonspan_pb2 as pb
 from wigeonspan.operators.generated import wigeonspan_pb2_grpc as pb_grpc
@@ -162,6 +163,51 @@
     assert detail.kind is ErrorKind.LEASE_EXPIRED
 
 
+def sync(service, version):
+    """Let an entry sync as its daemon would."""
+    request = SyncRequest(
+        entry="entry-1",
+        incarnation="i",
+        address="10.0.0.2:80",
+        domain="a",
+        version=version,
+        draining=False,
+        interval_s=0.5,
+        in_flight={},
+        demand=[],
+        engines=[],
+        tenant_rates={},
+    )
+    service.distributor.sync(request, service.clock.now())
+
+
+def in_force(service, version=0):
+    reply = service.stub.InForce(pb.InForceRequest(version=version))
+    lists = (reply.confirmed, reply.pending, reply.lease_ended)
+    return reply.in_force, *(list(names) for names in lists)
+
+
+def test_in_force_names_the_entries(service):
+    """An operator took a change for in force while an entry still routed without it."""
+    service.stub.Apply(apply_request())
+    sync(service, 1)
+    assert in_force(service) == (True, ["entry-1"], [], [])
+    service.stub.Apply(apply_request(op_id="op2", change=tenant("firm")))
+    assert in_force(service) == (False, [], ["entry-1"], [])
+    assert in_force(service, 1) == (True, ["entry-1"], [], [])
+    sync(service, 2)
+    sync(service, 2)
+    assert in_force(service)[1] == ["entry-1"]
+    entry = pb.EntryHost(name="entry-2", address="10.0.0.3:80", domain="a")
+    value = pb.CatalogObject(entry_host=entry)
+    change = pb.Change(put_object=pb.PutObject(value=value))
+    service.stub.Apply(apply_request(op_id="op3", change=change))
+    assert in_force(service, 1)[3] == ["entry-2"]
+    now = service.clock.now()
+    service.distributor = Distributor(service.state.catalog, Term(2), now)
+    assert in_force(service) == (False, [], ["entry-2"], [])
+
+
 def test_lost_answer_is_unknown_and_the_resend_tells(service):
     """A change whose answer was lost must not be reported as refused."""
     service.log.lose_answers = 1
--- a/wigeonspan/controld/_backend.py
+++ b/wigeonspan/controld/_backend.py
@@ -17,7 +17,16 @@
     PromoteLearner,
     RemoveMember,
 )
-from wigeonspan.common import Clock, ErrorKind, HostId, Version, WigeonspanError, encode
+from wigeonspan.common import (
+    Clock,
+    ErrorKind,
+    HostId,
+    Metrics,
+    Version,
+    WigeonspanError,
+    encode,
+    metric_name,
+)
 from wigeonspan.consensus import ReplicatedLog
 from wigeonspan.controld._access import LeaderAccess
 from wigeonspan.controld._state import ControlState
@@ -54,6 +63,8 @@
         Source of time.
     client : CurlAsyncHTTPClient
         Client for questions to other members.
+    metrics : Metrics
+        Sink of the latency and the outcomes of changes.
     """
 
     def __init__(
@@ -65,6 +76,7 @@
         operators: Callable[[Member], str],
         clock: Clock,
         client: CurlAsyncHTTPClient,
+        metrics: Metrics,
     ) -> None:
         self._host = host
         self._log = log
@@ -74,6 +86,7 @@
         self._operators = operators
         self._clock = clock
         self._client = client
+        self._metrics = metrics
         self._access = LeaderAccess(log, clock)
         self._member_change = asyncio.Lock()
 
@@ -84,10 +97,14 @@
     async def apply(self, command: ApplyChange) -> ChangeOutcome:
         """Commit a change and return its outcome."""
         self._access.check_leader()
+        begun = self._clock.now()
         if isinstance(command.change, AddLearner | PromoteLearner | RemoveMember):
             async with self._member_change:
-                return await self._apply_member(command)
-        _, outcome = await self._log.propose(encode(command))
+                outcome = await self._apply_member(command)
+        else:
+            _, outcome = await self._log.propose(encode(command))
+        self._metrics.timing("change", self._clock.now() - begun)
+        self._metrics.count(metric_name("change", outcome.kind.value))
         return outcome
 
     async def objects(self, kind: str) -> tuple[list[CatalogObject], Version]:
--- a/wigeonspan/controld/_build.py
+++ b/wigeonspan/controld/_build.py
@@ -9,7 +9,7 @@
 
 from wigeonspan.calls import CloseCall, OpenCall
 from wigeonspan.catalog import Member
-from wigeonspan.common import Clock, encode
+from wigeonspan.common import Clock, Metrics, encode
 from wigeonspan.consensus import BootstrapMember, LogTask
 from wigeonspan.controld._backend import Backend
 from wigeonspan.controld._duties import (
@@ -79,6 +79,7 @@
     state: ControlState,
     clock: Clock,
     client: CurlAsyncHTTPClient,
+    metrics: Metrics,
 ) -> LeaderDuties:
     """Return the duties of a leader."""
     address = operators_addresses(settings, state)
@@ -108,7 +109,7 @@
             ).run
         return named
 
-    return LeaderDuties(log, state.catalog, clock, duties)
+    return LeaderDuties(log, state.catalog, clock, duties, metrics)
 
 
 def build_backend(
@@ -118,10 +119,13 @@
     distributor: DistributorSource,
     clock: Clock,
     client: CurlAsyncHTTPClient,
+    metrics: Metrics,
 ) -> Backend:
     """Return the operators' view of this host."""
     address = operators_addresses(settings, state)
-    return Backend(settings.host, log, state, distributor, address, clock, client)
+    return Backend(
+        settings.host, log, state, distributor, address, clock, client, metrics
+    )
 
 
 def build_routes(
--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -6,7 +6,7 @@
 
 from tornado.httpserver import HTTPServer
 
-from wigeonspan.common import Clock, SystemClock, part_logger
+from wigeonspan.common import Clock, SystemClock, make_metrics, part_logger
 from wigeonspan.controld._build import (
     build_backend,
     build_duties,
@@ -49,9 +49,12 @@
         self._client = client = make_client(MAX_CLIENTS)
         self._state = state = build_state(settings)
         self._log = log = build_log(settings, state, clock, rng, client)
-        self._duties = build_duties(settings, log, state, clock, client)
+        metrics = make_metrics(settings.metrics)
+        self._duties = build_duties(settings, log, state, clock, client, metrics)
         self._http = HTTPServer(build_routes(log, state, self._distributor, clock))
-        backend = build_backend(settings, log, state, self._distributor, clock, client)
+        backend = build_backend(
+            settings, log, state, self._distributor, clock, client, metrics
+        )
         self._operators = OperatorServer(backend, settings.operators)
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/wigeonspan/controld/_duties.py
+++ b/wigeonspan/controld/_duties.py
@@ -6,7 +6,15 @@
 
 from wigeonspan.calls import CallBook, ExpireCalls
 from wigeonspan.catalog import Catalog, Member, SetMembers
-from wigeonspan.common import Clock, HostId, Term, WigeonspanError, encode, part_logger
+from wigeonspan.common import (
+    Clock,
+    HostId,
+    Metrics,
+    Term,
+    WigeonspanError,
+    encode,
+    part_logger,
+)
 from wigeonspan.consensus import ReplicatedLog
 from wigeonspan.distribution import Distributor
 from wigeonspan.record import NoteAuthority
@@ -39,6 +47,8 @@
         Source of time.
     duties : callable
         Returns the duties of a new term, given its distributor.
+    metrics : Metrics
+        Sink of the gauge that shows whether this host leads.
     """
 
     def __init__(
@@ -47,11 +57,13 @@
         catalog: Catalog,
         clock: Clock,
         duties: Callable[[Distributor], dict[str, Duty]],
+        metrics: Metrics,
     ) -> None:
         self._log = log
         self._catalog = catalog
         self._clock = clock
         self._duties = duties
+        self._metrics = metrics
         self._distributor: Distributor | None = None
         self._running: list[asyncio.Task[None]] = []
 
@@ -83,6 +95,7 @@
 
     def _begin_term(self, term: Term) -> None:
         _log.info("Leading in term {}.", term)
+        self._metrics.gauge("leads", 1)
         self._distributor = Distributor(self._catalog, term, self._clock.now())
         duties = self._duties(self._distributor)
         self._running = [
@@ -93,6 +106,7 @@
         if self._distributor is None:
             return
         _log.info("No longer leading in term {}.", self._distributor.term)
+        self._metrics.gauge("leads", 0)
         self._distributor = None
         running, self._running = self._running, []
         for task in running:
