--- /dev/null
+++ b/tests/operators/test_docs.py
@@ -0,0 +1,31 @@
+from pathlib import Path
+
+import msgspec
+
+from wigeonspan.catalog import CatalogObject
+from wigeonspan.operators._fields import _BY_KIND
+from wigeonspan.operators.generated import wigeonspan_pb2 as pb
+
+PAGE = Path(__file__).resolve().parents[2] / "docs" / "operators.md"
+
+
+def test_page_lists_every_default():
+    """Operators relied on a default that the code no longer had."""
+    rows = [line for line in PAGE.read_text().splitlines() if line.startswith("| `")]
+    wanted = []
+    for kind, struct in _BY_KIND.items():
+        for field in msgspec.structs.fields(struct):
+            default = b"" if field.required else msgspec.json.encode(field.default)
+            shown = f"`{default.decode()}`" if default else ""
+            if field.name != "version":
+                wanted.append(f"| `{kind}` | `{field.name}` | {shown} |")
+    assert [row for row in rows if row.count("|") == 4 and row in wanted] == wanted
+
+
+def test_schema_has_the_fields_of_every_object():
+    """A field that the schema lacks is lost between operator and configuration."""
+    for struct in CatalogObject.__args__:
+        tag = str(struct.__struct_config__.tag)
+        message = pb.CatalogObject.DESCRIPTOR.fields_by_name[tag].message_type
+        names = {field.name for field in msgspec.structs.fields(struct)}
+        assert set(message.fields_by_name) == names, tag
