Ask for lease and phase again before each stage, and test the retry rules

A decode engine could receive work after a long prefill although the entry had confirmed that it closes; a plain target that had left could receive a retry; a fault inside the relay ended a stream without an error event; streams above the limit of the target client waited in it.

test_relay.py drives the relay with a scripted engine client.

--- /dev/null
+++ b/tests/entryd/test_relay.py
@@ -0,0 +1,223 @@
+"""Tests of the retry rules, with an engine client that answers from a script."""
+
+import asyncio
+import random
+
+import pytest
+from msgspec import structs
+
+from tests.entryd.harness import RecordedMetrics
+from wigeonspan.catalog import Engine, EnginePhase, ModelService, PriorityClass
+from wigeonspan.common import SystemClock, WigeonspanError
+from wigeonspan.entryd._budget import MAX_SAVED_RETRIES, RetryBudget
+from wigeonspan.entryd._job import CompletionJob, RelayParts
+from wigeonspan.entryd._relay import MAX_FRUITLESS_ATTEMPTS, CompletionRelay
+from wigeonspan.entryd._requests import CompletionBody
+from wigeonspan.routing import Router
+from wigeonspan.streams import StreamFault, StreamLimits, TokenFrame
+
+ANSWER = ["a ", "b ", "c "]
+
+
+class ScriptedEngines:
+    """Engine client whose attempts deliver some tokens and then end with a fault."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.addresses = []
+
+    def stream(self, address, fields, extension, listener, fresh=False):
+        self.addresses.append(address)
+        count, fault = self.script.pop(0) if self.script else (len(ANSWER), None)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._answer, extension, listener, count, fault)
+        return ScriptedStream()
+
+    def _answer(self, extension, listener, count, fault):
+        attempt, start = extension.attempt, extension.resume_position
+        for position in range(start, min(start + count, len(ANSWER))):
+            listener.on_frame(TokenFrame(attempt, position, ANSWER[position], size=1))
+        if fault is not None:
+            listener.on_ended(fault, 0, "script")
+            return
+        end = TokenFrame(attempt, len(ANSWER), "", "stop", len(ANSWER))
+        listener.on_frame(end)
+        listener.on_end_marker()
+
+    def cancel_later(self, address, attempt):
+        pass
+
+    def distrust(self, address):
+        pass
+
+
+class ScriptedStream:
+    """Stream without a connection."""
+
+    reused = False
+
+    def close(self):
+        pass
+
+    def release(self):
+        pass
+
+
+def make_relay(script, engines=3, saved=None, lease=lambda: True, deadline_s=30.0):
+    """Return a relay, its engines and its budget."""
+    clock = SystemClock()
+    router = Router(random.Random(1))
+    router.update_engines(
+        [
+            Engine(
+                name=f"e{i}",
+                address=f"e{i}",
+                domain="szeged",
+                service="note",
+                phase=EnginePhase.SERVING,
+                model="m",
+                model_version="1",
+            )
+            for i in range(engines)
+        ],
+        clock.now(),
+    )
+    client = ScriptedEngines(script)
+    budget = RetryBudget(0.0)
+    if saved is not None:
+        budget._saved = float(saved)
+    parts = RelayParts(
+        router=router,
+        engines=client,
+        clock=clock,
+        budget=budget,
+        limits=StreamLimits(),
+        has_lease=lease,
+        may_use=lambda engine: True,
+        domain="szeged",
+        attempt_prefix="test",
+        metrics=RecordedMetrics(),
+    )
+    now = clock.now()
+    job = CompletionJob(
+        request="r",
+        ticket="r",
+        tenant="default",
+        priority=PriorityClass.DESK,
+        service=ModelService("note", "m", "1"),
+        body=CompletionBody("note", "p", max_tokens=3),
+        arrived=now,
+        deadline=now + deadline_s,
+        prompt_tokens=1,
+        prefixes=(),
+        expected_output=3,
+    )
+    return CompletionRelay(parts, job), client, budget
+
+
+def run_relay(*args, **options):
+    """Run a relay; return its text or error kind, and the engines it used."""
+
+    async def work():
+        relay, client, budget = make_relay(*args, **options)
+        try:
+            await relay.run()
+        except WigeonspanError as error:
+            return error.kind.value, client.addresses, budget
+        return relay.tracker.text, client.addresses, budget
+
+    return asyncio.run(asyncio.wait_for(work(), 10))
+
+
+LOST, SILENT, BUSY = StreamFault.TRUNCATED, StreamFault.SILENT, StreamFault.REFUSED
+GONE = StreamFault.UNREACHABLE
+
+WHOLE = "".join(ANSWER)
+
+
+@pytest.mark.parametrize(
+    ("script", "engines", "heard", "attempts"),
+    [
+        ([], 1, WHOLE, 1),
+        ([(1, LOST)], 2, WHOLE, 2),
+        ([(0, LOST), (0, LOST)], 3, WHOLE, 3),
+        ([(0, LOST), (0, LOST), (0, LOST)], 3, "target_failed", 3),
+        ([(0, GONE), (0, GONE), (0, GONE)], 3, "no_target", 3),
+        ([(0, BUSY), (0, GONE), (0, BUSY), (0, GONE)], 2, "no_target", 4),
+        # Another cause: the engine that failed first may be tried again.
+        ([(0, LOST), (0, SILENT)], 2, WHOLE, 3),
+        ([(0, LOST), (0, SILENT), (0, SILENT)], 2, "target_failed", 3),
+        ([(0, BUSY)], 1, "no_target", 1),
+        ([(1, LOST), (1, LOST)], 2, "target_failed", 2),
+        ([(1, LOST), (1, SILENT), (0, LOST)], 3, WHOLE, 4),
+    ],
+)
+def test_no_engine_is_tried_twice_for_the_same_cause(script, engines, heard, attempts):
+    """A request went back to the engine that had just failed it in the same way."""
+    text, used, _ = run_relay(script, engines)
+    assert (text, len(used)) == (heard, attempts)
+
+
+def test_attempts_without_progress_are_bounded():
+    """A request that no engine can run visited the whole fleet."""
+    script = [(0, LOST)] * 20
+    heard, used, _ = run_relay(script, engines=20)
+    assert (heard, len(used)) == ("target_failed", MAX_FRUITLESS_ATTEMPTS)
+
+
+@pytest.mark.parametrize(
+    ("script", "saved", "heard", "left"),
+    [
+        ([(0, BUSY)], 0, "no_target", 0),
+        ([(0, BUSY)], 1, WHOLE, 0),
+        ([(0, LOST), (0, LOST)], 1, "target_failed", 0),
+        # The caller has a part of the answer: the rest is not charged.
+        ([(1, LOST), (1, LOST)], 0, WHOLE, 0),
+    ],
+)
+def test_retries_are_taken_from_the_budget(script, saved, heard, left):
+    """Every request of a failing service was sent several times."""
+    text, _, budget = run_relay(script, saved=saved)
+    assert (text, budget.saved) == (heard, left)
+
+
+def test_budget_is_earned_by_first_attempts():
+    """A quiet hour saved up retries for a storm."""
+    budget = RetryBudget(0.5)
+    while budget.spend():
+        pass
+    budget.earn()
+    assert not budget.spend()
+    budget.earn()
+    assert budget.spend() and not budget.spend()
+    for _ in range(1000):
+        budget.earn()
+    assert budget.saved == MAX_SAVED_RETRIES
+
+
+def test_lease_is_checked_before_each_attempt():
+    """An entry whose lease had ended sent a request to a second engine."""
+    leases = iter([True, True, False, False])
+    heard, used, _ = run_relay([(0, LOST)], lease=lambda: next(leases))
+    assert (heard, len(used)) == ("lease_expired", 1)
+
+
+def test_retry_that_cannot_end_in_time_is_not_made():
+    """A request that could not succeed any more was held until its deadline."""
+
+    async def work():
+        relay, client, _ = make_relay([(0, LOST)], deadline_s=0.5)
+        router = relay._parts.router
+        choose = router.choose
+        router.choose = lambda request, now: (
+            structs.replace(route, first_token_s=9.0 * bool(request.excluded))
+            if (route := choose(request, now))
+            else None
+        )
+        with pytest.raises(WigeonspanError) as caught:
+            await relay.run()
+        return caught.value, len(client.addresses)
+
+    error, attempts = asyncio.run(work())
+    assert (error.kind.value, attempts) == ("deadline_exceeded", 1)
+    assert error.body.error.retry_after_s > 0
--- a/tests/entryd/test_routes.py
+++ b/tests/entryd/test_routes.py
@@ -8,8 +8,9 @@
 
 from standins._text import answer_text
 from standins.engine import EngineFaults, EngineSettings
-from tests.entryd.harness import World, error_of, run, text_of
-from wigeonspan.catalog import Role, Tenant
+from standins.plain import PlainFaults
+from tests.entryd.harness import FAST, SETTINGS, World, error_of, run, text_of
+from wigeonspan.catalog import EnginePhase, Role, Tenant
 
 PROMPT = " ".join(f"word{i}" for i in range(400))
 
@@ -185,3 +186,84 @@
     last = [x for x in response.body.decode().splitlines() if x.startswith("data: ")]
     assert json.loads(last[-1][6:])["error"]["kind"] == "target_failed"
     assert others == 0
+
+
+def test_engine_that_closes_during_the_prefill_gets_no_work():
+    """A decode engine received work after the entry had confirmed that it closes."""
+
+    async def work():
+        slow = EngineSettings(prefill_tokens_per_s=1000.0)
+        async with World(engines=2, engine=slow) as world:
+            await _split_world(world)
+            answer = asyncio.create_task(world.complete(PROMPT, 6))
+            while not world.engines[0].batch.running:
+                await asyncio.sleep(0.01)
+            objects = [
+                structs.replace(o, phase=EnginePhase.CLOSING)
+                if getattr(o, "name", "") == "e1"
+                else o
+                for o in world.objects()
+            ]
+            world.sync(objects, version=3)
+            return await answer, world.engines[1].completions
+
+    response, completions = run(work)
+    assert completions == 0
+    # The other engine runs the request alone.
+    assert text_of(response) == answer_text(PROMPT, 6)
+
+
+def test_plain_target_that_left_gets_no_retry():
+    """A call that began earlier was sent to a target that had been removed."""
+
+    async def work():
+        async with World(plain=2) as world:
+            for plain in world.plain:
+                plain.set_faults(PlainFaults(slow_s=0.3, close_before=False))
+            path = "/v1/services/dispatch/sheets/a"
+            answer = asyncio.create_task(world.fetch(path, X_Deadline_Ms="1500"))
+            while not any(p.arrivals for p in world.plain):
+                await asyncio.sleep(0.01)
+            first = 0 if world.plain[0].arrivals else 1
+            service = next(o for o in world.objects() if o.name == "dispatch")
+            kept = (service.targets[first],)
+            world.sync([structs.replace(service, targets=kept)], version=2)
+            await world.plain[first].stop()
+            await answer
+            return world.plain[1 - first].arrivals
+
+    assert run(work) == 0
+
+
+def test_fault_inside_the_relay_ends_the_stream_with_an_error_event():
+    """A stream that failed inside the entry ended without a word."""
+
+    async def work():
+        async with World(engine=EngineSettings(token_interval_s=0.02)) as world:
+            answer = asyncio.create_task(world.complete(max_tokens=30))
+            while not world.engines[0].batch.running:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            parts = world.daemon.entry._parts
+            parts.router.choose = None
+            world.engines[0].crash()
+            return await answer
+
+    events = [x for x in run(work).body.decode().split("\n\n") if x]
+    assert events[-1].startswith("event: error")
+    assert json.loads(events[-1].split("data: ")[1])["error"]["kind"] == "internal"
+
+
+def test_streams_are_bounded():
+    """Streams above the limit of the target client waited without an answer."""
+
+    async def work():
+        settings = structs.replace(SETTINGS, relay=structs.replace(FAST, max_streams=2))
+        engine = EngineSettings(token_interval_s=0.02)
+        async with World(settings=settings, engine=engine) as world:
+            return await asyncio.gather(
+                *(world.complete(max_tokens=20) for _ in range(3))
+            )
+
+    codes = sorted(r.code for r in run(work))
+    assert codes == [200, 200, 503]
--- a/wigeonspan/entryd/_attempt.py
+++ b/wigeonspan/entryd/_attempt.py
@@ -199,6 +199,10 @@
     ) -> AttemptOutcome | None:
         """Run one stage on one engine."""
         parts = self._parts
+        if not parts.has_lease() or not parts.may_use(stage.engine):
+            # Both can end while a prompt runs on the prefill engine.
+            step = Step(fault=StreamFault.REFUSED)
+            return AttemptOutcome(step, 0, "the engine takes no new work")
         now = parts.clock.now()
         point = tracker.begin(stage.attempt, now, FIRST_TOKEN_FACTOR * first_token_s)
         listener = _Listener(stage.attempt, tracker, parts.clock.now, self._on_token)
--- a/wigeonspan/entryd/_completions.py
+++ b/wigeonspan/entryd/_completions.py
@@ -6,7 +6,7 @@
 
 from tornado.iostream import StreamClosedError
 
-from wigeonspan.common import ErrorKind, WigeonspanError, encode
+from wigeonspan.common import ErrorKind, WigeonspanError, encode, part_logger
 from wigeonspan.entryd._http import EntryHandler
 from wigeonspan.entryd._job import CompletionJob
 from wigeonspan.entryd._relay import CompletionRelay
@@ -14,6 +14,8 @@
 from wigeonspan.http import check_json
 from wigeonspan.streams import Token
 
+_log = part_logger("relay")
+
 KEEP_ALIVE = b": keep-alive\n\n"
 
 END_MARKER = b"data: [DONE]\n\n"
@@ -129,14 +131,15 @@
     async def _end(
         self, job: CompletionJob, relay: CompletionRelay, task: "asyncio.Task[None]"
     ) -> None:
-        try:
+        error = None if task.cancelled() else task.exception()
+        if error is None:
+            # The result of a cancelled task raises: its caller has gone.
             task.result()
-        except WigeonspanError as error:
-            if not self._headers_written:
-                raise
-            await self._send(_error_event(error))
-        else:
             await self._send(_last_chunk(job, relay) + END_MARKER)
+        elif not self._headers_written:
+            raise error
+        else:
+            await self._send(_error_event(_as_known(error)))
         self.finish()
 
     async def _send(self, block: bytes) -> None:
@@ -208,5 +211,12 @@
     return b"data: " + encode(chunk) + b"\n\n"
 
 
+def _as_known(error: BaseException) -> WigeonspanError:
+    if isinstance(error, WigeonspanError):
+        return error
+    _log.opt(exception=error).error("Relay failed.")
+    return WigeonspanError(ErrorKind.INTERNAL, "the request failed inside the system")
+
+
 def _error_event(error: WigeonspanError) -> bytes:
     return b"event: error\ndata: " + encode(error.body) + b"\n\n"
--- a/wigeonspan/entryd/_entry.py
+++ b/wigeonspan/entryd/_entry.py
@@ -10,6 +10,7 @@
 from wigeonspan.calls.tasks import CallRunner, ControlPost, Intent, Send
 from wigeonspan.catalog import (
     Engine,
+    EnginePhase,
     EntryHost,
     ModelService,
     PlainService,
@@ -18,6 +19,7 @@
 from wigeonspan.common import (
     Clock,
     DomainName,
+    EngineId,
     ErrorKind,
     Metrics,
     RequestId,
@@ -42,6 +44,10 @@
 from wigeonspan.routing import PromptPrefix, Router
 from wigeonspan.streams import StreamLimits, Token
 
+SHORT_EXCHANGES = 512
+"""Exchanges with targets besides streams, so that reports, cancels and plain calls do
+not wait behind streams."""
+
 _log = part_logger("entry")
 
 
@@ -78,6 +84,7 @@
         self.clock = clock
         self.metrics = metrics
         self.in_flight = 0
+        self._streams = 0
         self._follower = follower
         self._rng = rng
         self._drain: Drain | None = None
@@ -85,7 +92,10 @@
         self._observed_at = clock.now()
         self._version = -1
         self._connections = TargetConnections(
-            relay.max_streams, relay.max_answer_bytes, relay.connect_timeout_s, clock
+            relay.max_streams + SHORT_EXCHANGES,
+            relay.max_answer_bytes,
+            relay.connect_timeout_s,
+            clock,
         )
         engines = EngineClient(self._connections)
         router = Router(random.Random(rng.random()))
@@ -100,7 +110,8 @@
                 silence_timeout_s=relay.progress_timeout_s,
                 buffer_bytes=relay.buffer_bytes,
             ),
-            may_send=self.has_lease,
+            has_lease=self.has_lease,
+            may_use=self.may_use,
             domain=settings.domain,
             attempt_prefix=f"{settings.host}-{uuid.uuid4().hex[:12]}",
             metrics=metrics,
@@ -126,6 +137,11 @@
         """Whether this entry may send work to targets."""
         return self._follower.lease_valid(self.clock.now())
 
+    def may_use(self, name: EngineId) -> bool:
+        """Whether an engine takes new work in the newest configuration."""
+        engine = self.configuration.engine(name)
+        return engine is not None and engine.phase is EnginePhase.SERVING
+
     def check_serving(self) -> None:
         """Raise when new requests are refused.
 
@@ -222,9 +238,15 @@
                 ErrorKind.NO_TARGET, f"no engine serves {job.service.name} now"
             )
         await self._gate.enter(job.admission_ticket(route.completion_s))
+        self._streams += 1
         try:
+            if self._streams > self.settings.relay.max_streams:
+                raise WigeonspanError(
+                    ErrorKind.OVERLOADED, "this entry has too many streams"
+                )
             await relay.run()
         finally:
+            self._streams -= 1
             self._gate.leave(job.ticket)
 
     async def run_call(self, intent: Intent, send: Send) -> tuple[CallOutcome, bool]:
--- a/wigeonspan/entryd/_job.py
+++ b/wigeonspan/entryd/_job.py
@@ -118,8 +118,11 @@
 
     Parameters
     ----------
-    may_send : callable
+    has_lease : callable
         Whether this entry holds a routing lease now.
+    may_use : callable
+        Whether an engine takes new work in the newest configuration. An attempt asks
+        again after each wait, since the entry confirms a version as soon as it has it.
     attempt_prefix : str
         Unique for each start of each entry.
     """
@@ -129,7 +132,8 @@
     clock: Clock
     budget: RetryBudget
     limits: StreamLimits
-    may_send: Callable[[], bool]
+    has_lease: Callable[[], bool]
+    may_use: Callable[[EngineId], bool]
     domain: DomainName
     attempt_prefix: str
     metrics: Metrics
--- a/wigeonspan/entryd/_plain.py
+++ b/wigeonspan/entryd/_plain.py
@@ -124,11 +124,13 @@
         self._rng = rng
         self._domain = domain
         self._budget = budget
+        self._targets: set[_Target] = set()
         self._health: TargetHealth[_Target] = TargetHealth(RoutingSettings())
 
     def update_services(self, services: list[PlainService]) -> None:
         """Replace the services with those of the configuration in force."""
         groups = {(s.name, t.address): str(s.name) for s in services for t in s.targets}
+        self._targets = set(groups)
         self._health.update_targets(groups)
 
     async def call(self, call: PlainCall) -> ExchangeEnd:
@@ -224,12 +226,21 @@
         return self._budget.spend()
 
     def _choose(self, call: PlainCall) -> PlainTarget | None:
-        """Choose a target, if possible a healthy one in this failure domain."""
+        """Choose a target, if possible a healthy one in this failure domain.
+
+        The call keeps the service of its arrival, but a target that has left since
+        must not receive new work.
+        """
         for target in self._health.probe_targets(self._clock.now()):
             # The next call is the probe; one failure ejects the target again.
             self._health.probed(target, True, self._clock.now())
-        targets = [t for t in call.service.targets if t.address not in call.tried]
         name = call.service.name
+        targets = [
+            target
+            for target in call.service.targets
+            if target.address not in call.tried
+            and (name, target.address) in self._targets
+        ]
         healthy = [t for t in targets if not self._health.is_out((name, t.address))]
         near = [t for t in healthy if t.domain == self._domain]
         candidates = near or healthy or targets
--- a/wigeonspan/entryd/_relay.py
+++ b/wigeonspan/entryd/_relay.py
@@ -114,7 +114,7 @@
 
     def _choose(self, fault: StreamFault | None) -> Route:
         """Choose an engine; one that failed is used again only for another cause."""
-        if not self._parts.may_send():
+        if not self._parts.has_lease():
             raise self._given_up(
                 ErrorKind.LEASE_EXPIRED, "this entry has no routing lease"
             )
