--- a/wigeonspan/planning/_core.py
+++ b/wigeonspan/planning/_core.py
@@ -1,5 +1,7 @@
 """Assignment of roles to the engines of each service."""
 
+from collections.abc import Callable
+
 from wigeonspan.catalog import Engine, EnginePhase, Role
 from wigeonspan.common import DomainName, EngineId, ServiceName
 from wigeonspan.distribution import DemandSample, EngineSample
@@ -9,7 +11,9 @@
     Load,
     Rates,
     best_assignments,
-    expected_goodput,
+    capacity_of,
+    goodput,
+    needs_of,
 )
 from wigeonspan.planning._messages import (
     Plan,
@@ -123,7 +127,7 @@
             len(engines),
             _pinned(engines),
             current,
-            lambda counts: self._value(counts, current, scenarios, rates, inputs),
+            self._value(current, scenarios, rates, inputs),
         )
         target = scored[0][1]
         changes = self._changes(service, current, target, free, engines, inputs)
@@ -148,23 +152,32 @@
 
     def _value(
         self,
-        counts: Counts,
         current: Counts,
         scenarios: list[Scenario],
         rates: Rates,
         inputs: PlanInputs,
-    ) -> float:
-        """Return the useful answers within the horizon, less the cost of changes."""
-        goodput = sum(
-            scenario.weight * expected_goodput(counts, scenario.demand, rates)
-            for scenario in scenarios
-        )
-        moves = current.moves_to(counts)
-        lost = self._settings.out_s * goodput / max(1, sum(current))
-        cost = moves * (lost + inputs.policy.role_change_price)
-        horizon = self._settings.horizon_s
-        doubt = moves * self._settings.least_gain * goodput * horizon
-        return goodput * horizon - cost * (1 + self._settings.margin) - doubt
+    ) -> Callable[[Counts], float]:
+        """Return a function that values an assignment.
+
+        The value is the number of useful answers within the horizon, less the cost of
+        the changes that lead to it.
+        """
+        settings = self._settings
+        weighted = [(s.weight, needs_of(s.demand, rates)) for s in scenarios]
+        price = inputs.policy.role_change_price
+        out_part = settings.out_s / max(1, sum(current))
+
+        def value(counts: Counts) -> float:
+            capacity = capacity_of(counts, rates)
+            served = sum(
+                weight * goodput(capacity, needs) for weight, needs in weighted
+            )
+            gained = served * settings.horizon_s
+            cost = (served * out_part + price) * (1 + settings.margin)
+            doubt = settings.least_gain * gained
+            return gained - current.moves_to(counts) * (cost + doubt)
+
+        return value
 
     def _may_change(self, engine: Engine, inputs: PlanInputs, now: float) -> bool:
         stayed = now - self._changed_at[engine.name]
--- a/wigeonspan/planning/_goodput.py
+++ b/wigeonspan/planning/_goodput.py
@@ -103,46 +103,62 @@
     return [(scored[counts], counts) for counts in order]
 
 
-def served_share(counts: Counts, load: Load, rates: Rates) -> float:
-    """Return the part of a load that an assignment can serve, possibly above 1.
+class Needs(NamedTuple):
+    """Demand in engines: for prefill, for decode, and in all.
+
+    It is worked out once for a demand, since a plan values many assignments by it.
+    """
+
+    urgent_requests: float
+    urgent: tuple[float, float, float]
+    batch_requests: float
+    batch: tuple[float, float, float]
+
+
+def needs_of(demand: Demand, rates: Rates) -> Needs:
+    """Return the engines that a demand takes."""
+    urgent, batch = demand.urgent, demand.batch
+    return Needs(
+        urgent.requests, _use(urgent, rates), batch.requests, _use(batch, rates)
+    )
+
+
+def capacity_of(counts: Counts, rates: Rates) -> tuple[float, float, float]:
+    """Return the engines that can prefill, that can decode, and all.
 
     Prefill and decode engines do one kind of work; mixed engines divide their time
     between both at a reduced rate, in the proportion that serves most.
     """
-    limits = zip(_capacity(counts, rates), _use(load, rates), strict=True)
-    return min((room / use for room, use in limits if use > 0), default=float("inf"))
+    mixed = rates.mixed_efficiency * counts.mixed
+    both = counts.prefill + counts.decode + mixed
+    return counts.prefill + mixed, counts.decode + mixed, both
 
 
-def expected_goodput(counts: Counts, demand: Demand, rates: Rates) -> float:
+def goodput(capacity: tuple[float, float, float], needs: Needs) -> float:
     """Return the requests per second that are served, urgent ones first.
 
     Urgent requests do not wait for a burst to pass, so their part that is served in
     each burst counts. Batch requests do, so the mean load counts for them.
     """
-    share = served_share(counts, demand.urgent, rates)
-    urgent = sum(weight * min(1.0, share / burst) for burst, weight in BURSTS)
-    served = urgent * demand.urgent.requests
-    if share < 1.0 or demand.batch.requests <= 0:
+    share = BURSTS[-1][0]
+    for room, used in zip(capacity, needs.urgent, strict=True):
+        if used * share > room:
+            share = room / used
+    served = needs.urgent_requests
+    if share < BURSTS[-1][0]:
+        served *= sum(weight * min(1.0, share / burst) for burst, weight in BURSTS)
+    if share < 1.0 or needs.batch_requests <= 0:
         return served
-    return served + _batch_share(counts, demand, rates) * demand.batch.requests
-
-
-def _batch_share(counts: Counts, demand: Demand, rates: Rates) -> float:
-    """Return the part of batch that fits beside all urgent work."""
-    share = 1.0
-    room = _capacity(counts, rates)
-    urgent, batch = _use(demand.urgent, rates), _use(demand.batch, rates)
-    for limit, used, wanted in zip(room, urgent, batch, strict=True):
-        if wanted > 0:
-            share = min(share, (limit - used) / wanted)
-    return max(0.0, share)
+    part = 1.0
+    for room, used, wanted in zip(capacity, needs.urgent, needs.batch, strict=True):
+        if wanted * part > room - used:
+            part = (room - used) / wanted
+    return served + max(0.0, part) * needs.batch_requests
 
 
-def _capacity(counts: Counts, rates: Rates) -> tuple[float, float, float]:
-    """Return the engines that can prefill, that can decode, and all."""
-    mixed = rates.mixed_efficiency * counts.mixed
-    both = counts.prefill + counts.decode + mixed
-    return counts.prefill + mixed, counts.decode + mixed, both
+def expected_goodput(counts: Counts, demand: Demand, rates: Rates) -> float:
+    """Return the goodput of an assignment under a demand."""
+    return goodput(capacity_of(counts, rates), needs_of(demand, rates))
 
 
 def _use(load: Load, rates: Rates) -> tuple[float, float, float]:
