Pair mixed engines with prefill and decode engines; leave room for batch

Cause: with no prefill engine, a decode engine got no work at all, while the planner's model counted it; and batch was planned at its mean, so queues grew.

--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -147,6 +147,22 @@
     assert 0 < route.first_token_s < route.completion_s
 
 
+@pytest.mark.parametrize("roles", ["pm", "md"])
+def test_mixed_engines_pair_with_either_role(roles):
+    """An engine with one role was idle when no engine had the other role."""
+    names = {"p": Role.PREFILL, "d": Role.DECODE, "m": Role.MIXED}
+    engines = [engine(f"e{n}", names[c]) for n, c in enumerate(roles)]
+    made = router(*engines)
+    for e in engines:
+        queued = 0 if e.role is not Role.MIXED else 2_000
+        made.note_load(report(e.name, queued=queued, running=8), 1.0)
+    routes = made.routes(request(), 1.0)
+    assert ("e0", "e1") in {(r.prefill_engine, r.engine) for r in routes}
+    assert (None, "e1" if roles == "pm" else "e0") in {
+        (r.prefill_engine, r.engine) for r in routes
+    }
+
+
 def test_single_role_left_still_serves():
     """When all prefill engines are gone, requests run whole on decode engines."""
     route = router(engine("e2", Role.DECODE)).choose(request(), 0.0)
--- a/wigeonspan/planning/_goodput.py
+++ b/wigeonspan/planning/_goodput.py
@@ -13,6 +13,11 @@
 Without it, every assignment that just carries the mean looks equally good."""
 
 
+BATCH_HEADROOM = 1.2
+"""Room for batch as a multiple of its mean load. With none, an assignment that just
+carried the mean was kept while the queues grew."""
+
+
 class Counts(NamedTuple):
     """Engines of a service by role."""
 
@@ -138,7 +143,7 @@
     """Return the requests per second that are served, urgent ones first.
 
     Urgent requests do not wait for a burst to pass, so their part that is served in
-    each burst counts. Batch requests do, so the mean load counts for them.
+    each burst counts. Batch requests do, so little more than their mean load counts.
     """
     share = BURSTS[-1][0]
     for room, used in zip(capacity, needs.urgent, strict=True):
@@ -151,6 +156,7 @@
         return served
     part = 1.0
     for room, used, wanted in zip(capacity, needs.urgent, needs.batch, strict=True):
+        wanted *= BATCH_HEADROOM
         if wanted * part > room - used:
             part = (room - used) / wanted
     return served + max(0.0, part) * needs.batch_requests
--- a/wigeonspan/routing/_core.py
+++ b/wigeonspan/routing/_core.py
@@ -143,8 +143,8 @@
         prefill = self._candidates(request, Role.PREFILL)
         estimate = self._estimate(request, full + decode + prefill, now)
         routes = [self._full_route(estimate, name) for name in full]
-        if prefill and decode:
-            routes += self._split_routes(estimate, prefill, decode)
+        routes += self._split_routes(estimate, prefill, full)
+        routes += self._split_routes(estimate, prefill + full, decode)
         if not routes:
             routes = [self._full_route(estimate, name) for name in decode or prefill]
         return routes
@@ -362,7 +362,13 @@
     def _split_routes(
         self, estimate: "_Estimate", prefill: list[EngineId], decode: list[EngineId]
     ) -> list[Route]:
-        """Pair each decode engine with a prefill engine picked for it."""
+        """Pair each decode engine with a prefill engine picked for it.
+
+        Mixed engines take part on either side: without that, a decode engine is idle
+        as long as no engine has the prefill role.
+        """
+        if not prefill or not decode:
+            return []
         request = estimate.request
         times = [self._prefill_s(estimate, name) for name in prefill]
         spread = max(self._settings.spread_s, 1e-6)
