--- a/wigeonspan/decisions/__init__.py
+++ b/wigeonspan/decisions/__init__.py
@@ -13,6 +13,11 @@
     Refused,
     Ticket,
 )
+from wigeonspan.calls import CallBook
+from wigeonspan.catalog import Catalog
+from wigeonspan.consensus import RaftNode
+from wigeonspan.distribution import Distributor, Follower, SampleWindow
+from wigeonspan.orders import OrderKeeper, OrderTable
 from wigeonspan.planning import (
     Plan,
     PlanInputs,
@@ -31,6 +36,7 @@
     RoutingSettings,
     TargetHealth,
 )
+from wigeonspan.streams import SseDecoder, StreamTracker
 
 __all__ = [
     "Admission",
@@ -38,19 +44,29 @@
     "Admitted",
     "AttemptEnd",
     "AttemptResult",
+    "CallBook",
+    "Catalog",
+    "Distributor",
+    "Follower",
+    "OrderKeeper",
+    "OrderTable",
     "Plan",
     "PlanInputs",
     "Planner",
     "PlanningSettings",
     "PromptPrefix",
     "Queued",
+    "RaftNode",
     "Refused",
     "RoleChange",
     "Route",
     "RouteRequest",
     "Router",
     "RoutingSettings",
+    "SampleWindow",
     "ServiceDecision",
+    "SseDecoder",
+    "StreamTracker",
     "TargetHealth",
     "Ticket",
 ]
--- a/wigeonspan/routing/_core.py
+++ b/wigeonspan/routing/_core.py
@@ -2,14 +2,14 @@
 
 import math
 from random import Random
-from typing import NamedTuple
 
 from wigeonspan.catalog import URGENT_CLASSES, Engine, EnginePhase, Role
 from wigeonspan.common import AttemptId, EngineId, ServiceName
 from wigeonspan.distribution import EngineSample, InFlight
 from wigeonspan.engines import CacheEvents, LoadReport
+from wigeonspan.routing._estimate import WAITS, Estimate
 from wigeonspan.routing._health import TargetHealth
-from wigeonspan.routing._load import Attempt, EngineLoad, Unseen
+from wigeonspan.routing._load import Attempt, EngineLoad
 from wigeonspan.routing._messages import (
     AttemptEnd,
     AttemptResult,
@@ -24,6 +24,10 @@
 """Requests counted as running at once on a prefill engine; it runs one prompt after the
 other, and a few that wait keep it busy between two reports."""
 
+LONE_SPREAD_S = 0.05
+"""Largest spread of choices of a lone entry, whose own work in flight is all there is;
+only the error of its estimates remains."""
+
 SLOT_GAIN = 0.3
 MIN_SLOT_FACTOR = 0.85
 MAX_SLOT_FACTOR = 1.1
@@ -31,24 +35,6 @@
 steps, and a request stays for several, so a full correction would swing."""
 
 
-def _prefill_wait(load: EngineLoad, now: float, others: Unseen) -> float:
-    return load.prefill_backlog(now, others) / load.prefill_rate
-
-
-def _slot_wait(load: EngineLoad, now: float, others: Unseen) -> float:
-    return load.slot_wait_s(now, others, TYPICAL_OUTPUT_TOKENS)
-
-
-TYPICAL_OUTPUT_TOKENS = 100
-"""Answer length for which the wait for a batch place is judged."""
-
-WAITS = (
-    ((Role.MIXED, Role.PREFILL), _prefill_wait),
-    ((Role.MIXED, Role.DECODE), _slot_wait),
-)
-"""Waits of a request, and the roles on which they occur."""
-
-
 class Router:
     """Routes requests of one entry.
 
@@ -134,7 +120,7 @@
         routes = self.routes(request, now)
         if not routes:
             return None
-        return self._pick(routes, self._spread_s(request, routes))
+        return self._pick(routes, self._spread_s)
 
     def routes(self, request: RouteRequest, now: float) -> list[Route]:
         """Return the routes that a choice compares, with their expected times."""
@@ -306,7 +292,7 @@
 
     def _estimate(
         self, request: RouteRequest, names: list[EngineId], now: float
-    ) -> "_Estimate":
+    ) -> Estimate:
         """Sum up what this entry has on the engines that are compared."""
         loads = [self._loads[name] for name in names]
         share = 1.0
@@ -317,12 +303,12 @@
         engines = self._engine_count(request.service)
         sent = self._sent_rate(request.service)
         others = sent.for_others(self._others, engines, now)
-        return _Estimate(request, now, others, share)
+        return Estimate(request, now, others, share)
 
     def _engine_count(self, service: ServiceName) -> int:
         return sum(len(self._pools.get((service, role), ())) for role in Role)
 
-    def _prefill_s(self, estimate: "_Estimate", name: EngineId) -> float:
+    def _prefill_s(self, estimate: Estimate, name: EngineId) -> float:
         load = self._loads[name]
         backlog = load.prefill_backlog(estimate.now, estimate.others)
         backlog *= estimate.queue_share
@@ -332,7 +318,7 @@
     def _decode_s(self, request: RouteRequest, name: EngineId) -> float:
         return request.output_tokens / self._loads[name].decode_rate
 
-    def _slot_wait_s(self, estimate: "_Estimate", name: EngineId) -> float:
+    def _slot_wait_s(self, estimate: Estimate, name: EngineId) -> float:
         output = estimate.request.output_tokens
         return self._loads[name].slot_wait_s(estimate.now, estimate.others, output)
 
@@ -341,7 +327,7 @@
             return 0.0
         return self._settings.other_domain_s
 
-    def _full_route(self, estimate: "_Estimate", name: EngineId) -> Route:
+    def _full_route(self, estimate: Estimate, name: EngineId) -> Route:
         request = estimate.request
         first = self._prefill_s(estimate, name) + self._domain_s(request, name)
         first += self._slot_wait_s(estimate, name)
@@ -350,9 +336,7 @@
         work = self._work_s(estimate, name, name)
         return Route(name, address, None, "", first, completion, work)
 
-    def _work_s(
-        self, estimate: "_Estimate", prefill: EngineId, decode: EngineId
-    ) -> float:
+    def _work_s(self, estimate: Estimate, prefill: EngineId, decode: EngineId) -> float:
         request, load = estimate.request, self._loads[decode]
         prompt = self._uncached(request, prefill, estimate.now)
         prompt_s = prompt / self._loads[prefill].prefill_rate
@@ -360,7 +344,7 @@
         return prompt_s + request.output_tokens / output_rate
 
     def _split_routes(
-        self, estimate: "_Estimate", prefill: list[EngineId], decode: list[EngineId]
+        self, estimate: Estimate, prefill: list[EngineId], decode: list[EngineId]
     ) -> list[Route]:
         """Pair each decode engine with a prefill engine picked for it.
 
@@ -371,7 +355,7 @@
             return []
         request = estimate.request
         times = [self._prefill_s(estimate, name) for name in prefill]
-        spread = max(self._settings.spread_s, 1e-6)
+        spread = self._spread_s
         weights = [math.exp(max(-700.0, (min(times) - t) / spread)) for t in times]
         rate = self._settings.kv_transfer_tokens_per_s
         routes = []
@@ -390,9 +374,13 @@
             )
         return routes
 
-    def _spread_s(self, request: RouteRequest, routes: list[Route]) -> float:
-        """Return the difference of times within which routes count as equal."""
-        return max(self._settings.spread_s, 1e-6)
+    @property
+    def _spread_s(self) -> float:
+        """Difference of times within which engines count as equal."""
+        spread = self._settings.spread_s
+        if not self._others:
+            spread = min(spread, LONE_SPREAD_S)
+        return max(spread, 1e-6)
 
     def _pick(self, routes: list[Route], spread_s: float) -> Route:
         """Pick by chance, weighted steeply towards the earliest completion."""
@@ -402,22 +390,3 @@
             for route in routes
         ]
         return self._rng.choices(routes, weights)[0]
-
-
-class _Estimate(NamedTuple):
-    """What the estimates of one choice share.
-
-    Parameters
-    ----------
-    others : Unseen
-        What other entries send to each engine.
-    queue_share : float
-        Part of the queues that runs before the request. Engines run urgent requests
-        first; reports do not tell the classes apart, so this entry's own waiting
-        requests stand for all.
-    """
-
-    request: RouteRequest
-    now: float
-    others: Unseen
-    queue_share: float
--- a/wigeonspan/routing/_messages.py
+++ b/wigeonspan/routing/_messages.py
@@ -51,14 +51,14 @@
     """
 
     sample: int = 12
-    spread_s: float = 0.05
+    spread_s: float = 0.2
     other_domain_s: float = 0.002
     kv_transfer_tokens_per_s: float = 200_000.0
     default_prefill_tokens_per_s: float = 5_000.0
     default_decode_tokens_per_s: float = 30.0
     default_batch_limit: int = 16
     slot_factor: float = 1.25
-    target_wait_s: float = 1.0
+    target_wait_s: float = 1.5
     failures_to_eject: int = 3
     outlier_factor: float = 4.0
     outlier_answers: int = 8
