--- a/tests/controld/test_group.py
+++ b/tests/controld/test_group.py
@@ -1,4 +1,5 @@
 import shutil
+import signal
 from functools import partial
 
 import pytest
@@ -14,14 +15,14 @@
     Tenant,
 )
 from wigeonspan.common import Version, WigeonspanError
-from wigeonspan.record import RecordFilter, find_entries, verify
+from wigeonspan.record import RecordFilter, find_entries, record_files, verify
 
 NEW = Version(0)
 
 
 def entries(group, name):
-    paths = sorted((group.data(name) / "record").glob("record-*.jsonl"))
-    return find_entries(paths, RecordFilter(limit=10_000))[0]
+    files = record_files(group.data(name) / "record")
+    return find_entries(files, RecordFilter(limit=10_000))[0]
 
 
 def promote(group, name):
@@ -68,6 +69,8 @@
         group.start(old)
         seq, _ = group.wait_equal_records(group.hosts)
         for name in group.hosts:
+            # A second SIGTERM must not cut the stop short.
+            group.processes[name].send_signal(signal.SIGTERM)
             assert group.terminate(name) == 0
             result = verify(group.data(name) / "record")
             assert (result.head.seq, result.faults) == (seq, [])
