--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -26,6 +26,7 @@
     HelloReply,
     InstallSnapshot,
     SnapshotMeta,
+    SnapshotReply,
     TimeoutNow,
     Vote,
     VoteReply,
@@ -149,6 +150,20 @@
     assert bodies(ready) == [AppendReply(True, 2, 7)]
 
 
+def test_snapshot_counts_only_after_it_is_synced():
+    """A snapshot that is acknowledged and then lost takes committed entries along."""
+    core = node()
+    meta = SnapshotMeta(9, 1, MEMBERS, 4)
+    core.handle(message(InstallSnapshot(meta, 0, 1, b"st")), START)
+    ready = core.handle(message(InstallSnapshot(meta, 2, 1, b"at")), START)
+    assert bodies(ready) == [SnapshotReply(9, 4, 1)]
+    assert (core.commit, core.last_index, ready.snapshot) == (0, 1, None)
+    assert ready.persist.snapshot.data == b"stat"
+    ready = core.persisted(ready.persist.sequence, START)
+    assert bodies(ready) == [AppendReply(True, 9, 1)]
+    assert (core.commit, core.last_index, ready.snapshot.data) == (9, 9, b"stat")
+
+
 def test_leader_sends_only_what_it_has_synced():
     """An entry refused for lack of space must not have reached another voter."""
     core = node()
