--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -1,22 +1,29 @@
 """Rules of the core, each on one voter and hand-made messages."""
 
-import random
-
 import pytest
 from msgspec import structs
 
+from tests.consensus.one_voter import (
+    AWAKE,
+    FIRST,
+    MEMBERS,
+    START,
+    answer,
+    bodies,
+    campaign,
+    lead,
+    member,
+    message,
+    node,
+    settle,
+)
 from wigeonspan.catalog import Member
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.consensus import (
-    BootstrapMember,
     Entry,
     HardState,
-    Local,
     LogRole,
-    Message,
     Peer,
-    RaftNode,
-    Stored,
 )
 from wigeonspan.consensus._messages import (
     Append,
@@ -38,62 +45,6 @@
     VOTE_GUARD_S,
 )
 
-START = 100.0
-AWAKE = START + VOTE_GUARD_S
-
-
-def member(name, voter=True, disk=None):
-    return Member(name, name, "szeged", disk or f"disk-{name}", voter)
-
-
-MEMBERS = tuple(member(name) for name in "abc")
-FIRST = Entry(1, 1, members=MEMBERS)
-
-
-def node(state=None, entries=(FIRST,)):
-    """Return voter ``a`` after a restart, in a group of three."""
-    stored = Stored(state or HardState("group", 1, ""), None, list(entries))
-    local = Local("a", "a", "szeged", "disk-a")
-    return RaftNode(local, [], stored, random.Random(1), START)
-
-
-def message(body, source="b", term=1, **fields):
-    peer = Peer(source, source, f"disk-{source}")
-    plain = Message("group", peer, Peer("a", "a", "disk-a"), term, body)
-    return structs.replace(plain, **fields)
-
-
-def bodies(ready):
-    return [m.body for m in ready.send]
-
-
-def settle(core, ready, now):
-    """Report all writes as synced; return the messages on the way."""
-    sent = list(ready.send)
-    while ready.persist is not None:
-        ready = core.persisted(ready.persist.sequence, now)
-        sent += ready.send
-    return sent
-
-
-def lead(core, now):
-    """Make a voter leader with the vote of ``b``; return the time."""
-    while core.role is LogRole.FOLLOWER:
-        now += 0.05
-        ready = core.tick(now)
-    settle(core, ready, now)
-    ready = core.handle(message(VoteReply(True, True), term=core.term + 1), now)
-    settle(core, ready, now)
-    ready = core.handle(message(VoteReply(False, True), term=core.term), now)
-    assert core.role is LogRole.LEADER
-    settle(core, ready, now)
-    return now
-
-
-def answer(core, now, match, source="b"):
-    reply = AppendReply(True, match, core._state.round)
-    return core.handle(message(reply, source, core.term), now)
-
 
 def test_vote_is_sent_only_after_it_is_synced():
     """A vote that is sent and then forgotten in a crash allows a second one."""
@@ -108,10 +59,7 @@
 def test_candidate_asks_only_after_its_own_vote_is_synced():
     """A candidate that forgets its own vote could vote for another in its term."""
     core = node()
-    now = START
-    while core.role is LogRole.FOLLOWER:
-        now += 0.05
-        core.tick(now)
+    now, _ = campaign(core, START)
     ready = core.handle(message(VoteReply(True, True), term=2), now)
     assert (core.role, ready.send) == (LogRole.CANDIDATE, [])
     ready = core.persisted(ready.persist.sequence, now)
@@ -242,10 +190,7 @@
 def test_votes_of_an_unregistered_disk_do_not_count(disk):
     """A stranger's vote could elect a leader that lacks a committed entry."""
     core = node()
-    now = START
-    while core.role is LogRole.FOLLOWER:
-        now += 0.05
-        core.tick(now)
+    now, _ = campaign(core, START)
     reply = message(VoteReply(True, True), term=2)
     core.handle(structs.replace(reply, source=Peer("b", "b", disk)), now)
     assert (core.role is LogRole.CANDIDATE) == (disk == "disk-b")
@@ -329,10 +274,7 @@
 @pytest.mark.parametrize("known", ["group", ""])
 def test_founder_needs_every_first_voter_without_a_group(known):
     """A wiped founder must not found a second group beside the first."""
-    first = [BootstrapMember(name, name, "szeged") for name in "abc"]
-    local = Local("a", "a", "szeged", "disk-a")
-    stored = Stored(HardState(), None, [])
-    core = RaftNode(local, first, stored, random.Random(1), START)
+    core = node(HardState(), [], "abc")
     assert bodies(core.tick(START)) == [Hello(("a", "b", "c"))] * 2
     core.handle(message(HelloReply(""), "b", group=""), START)
     assert core.group == ""
@@ -345,10 +287,7 @@
 )
 def test_host_joins_only_the_first_voters_of_its_own_settings(first, joins):
     """Two founders with different settings could each found a group of a majority."""
-    settings = [BootstrapMember(name, name, "szeged") for name in first]
-    local = Local("a", "a", "szeged", "disk-a")
-    stored = Stored(HardState(), None, [])
-    core = RaftNode(local, settings, stored, random.Random(1), START)
+    core = node(HardState(), [], first)
     found = message(Found(MEMBERS), "c", group="group")
     ready = core.handle(message(Hello(("a", "b", "c")), "c", group=""), START)
     assert bool(ready.send) == joins
