Step down when the leader's disk hangs

Heartbeats do not need the disk, so a leader whose write never returned stayed leader and committed nothing. With the check taken out, test_leader_whose_disk_hangs_steps_down finds it still leading after 3 s.

--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -39,6 +39,7 @@
     VoteReply,
 )
 from wigeonspan.consensus._timing import (
+    DISK_STALL_S,
     ELECTION_MAX_S,
     ELECTION_MIN_S,
     LEASE_S,
@@ -207,6 +208,18 @@
     assert core.role is LogRole.FOLLOWER
 
 
+def test_leader_whose_disk_hangs_steps_down():
+    """Heartbeats go on without the disk, so the others would wait for it forever."""
+    core = node()
+    now = lead(core, START)
+    answer(core, now, 2)
+    core.propose(b"x", now)
+    for step in range(1, 40):
+        core.tick(now + step / 10)
+        answer(core, now + step / 10, 2)
+        assert (core.role is LogRole.LEADER) == (step / 10 <= DISK_STALL_S)
+
+
 def test_leader_with_a_quorum_ignores_votes():
     """A host that misses heartbeats must not depose a leader that works."""
     core = node()
--- a/wigeonspan/consensus/_replication.py
+++ b/wigeonspan/consensus/_replication.py
@@ -90,9 +90,14 @@
 
 
 def tick_leader(state: NodeState, now: float) -> bool:
-    """Send what is due; return False when the leader has lost its quorum."""
+    """Send what is due; return False when the leader must step down.
+
+    It does so without a quorum, or when its disk hangs and another voter can lead.
+    """
     if max(lease_base(state), state.led_since) < now - ELECTION_MAX_S:
         return False
+    if state.disk_stalled and len(state.voters) > 1:
+        return False
     if now >= state.handover_until:
         state.handover = None
     if now >= state.heartbeat_at:
--- a/wigeonspan/consensus/_state.py
+++ b/wigeonspan/consensus/_state.py
@@ -22,6 +22,7 @@
     Stored,
 )
 from wigeonspan.consensus._timing import (
+    DISK_STALL_S,
     ELECTION_MAX_S,
     ELECTION_MIN_S,
     VOTE_GUARD_S,
@@ -47,8 +48,9 @@
 class Pending:
     """A write that was ordered and not yet reported as synced."""
 
-    def __init__(self, persist: Persist) -> None:
+    def __init__(self, persist: Persist, now: float) -> None:
         self.persist = persist
+        self.ordered_at = now
         self.last = persist.entries[-1].index if persist.entries else LogIndex(0)
 
 
@@ -148,6 +150,13 @@
         """Whether a member is this host with this disk."""
         return (member.name, member.disk_id) == (self.local.name, self.local.disk_id)
 
+    @property
+    def disk_stalled(self) -> bool:
+        """Whether a write has been waiting for too long."""
+        if not self._pending:
+            return False
+        return self.now - self._pending[0].ordered_at > DISK_STALL_S
+
     def registered(self, peer: Peer) -> Member | None:
         """Return the member with this name and disk identity."""
         for member in self.log.members:
@@ -229,7 +238,7 @@
             return None
         self._sequence += 1
         persist = Persist(self._sequence, state, self._snapshot, self._entries)
-        self._pending.append(Pending(persist))
+        self._pending.append(Pending(persist, self.now))
         self._entries, self._snapshot = [], None
         return persist
 
--- a/wigeonspan/consensus/_timing.py
+++ b/wigeonspan/consensus/_timing.py
@@ -25,6 +25,10 @@
 HANDOVER_S = 2.0
 """Seconds that a handover may wait for the lease to end and its target to catch up."""
 
+DISK_STALL_S = 3.0
+"""Seconds that a leader waits for a write before it steps down. Heartbeats do not need
+the disk, so without this a leader whose disk hangs would stay and commit nothing."""
+
 APPEND_ENTRIES = 256
 """Largest number of entries in one message."""
 
