--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -51,7 +51,7 @@
         self._client = client = make_client(MAX_CLIENTS)
         self._state = state = build_state(settings)
         self._log = log = build_log(settings, state, clock, rng, client)
-        metrics = make_metrics(settings.metrics)
+        self._metrics = metrics = make_metrics(settings.metrics)
         self._duties = build_duties(settings, log, state, clock, client, metrics)
         self._http = HTTPServer(build_routes(log, state, self._distributor, clock))
         backend = build_backend(
@@ -74,7 +74,7 @@
         ]
         if self._settings.metrics.enabled:
             gauges = send_gauges(
-                make_metrics(self._settings.metrics),
+                self._metrics,
                 self._log,
                 self._state,
                 self._distributor,
