Give up intents without a quorum early, and prove unestablished connections

A non-idempotent call waited for a quorum until its deadline; it now hears no_quorum after at most 5 s, which covers one election. The free key after a connection that was never accepted has a test of its own: a listener whose backlog is full.

--- a/tests/calls/test_runner.py
+++ b/tests/calls/test_runner.py
@@ -234,3 +234,26 @@
         return caught.value.ran
 
     assert asyncio.run(work()) is Ran.UNKNOWN
+
+
+def test_intent_is_given_up_long_before_the_deadline():
+    """A caller without a quorum was held until its deadline."""
+
+    async def work():
+        deployment = Deployment()
+        deadlines = []
+
+        async def post(path, message, reply, deadline):
+            deadlines.append(deadline - deployment.clock.now())
+            raise WigeonspanError(ErrorKind.NO_QUORUM, "no leader")
+
+        runner = CallRunner("entry-1", post, lambda: True, deployment.clock)
+        intent = Intent("archive", "loans", "k", "a", deployment.clock.now() + 600)
+        with pytest.raises(WigeonspanError) as caught:
+            await runner.run(intent, deployment.send)
+        await runner.wait_closed()
+        return caught.value, deadlines[0], deployment.executions
+
+    error, waited_s, executions = asyncio.run(work())
+    assert (error.kind, executions) == (ErrorKind.NO_QUORUM, 0)
+    assert waited_s <= 10 and error.body.error.retry_after_s > 0
--- a/tests/entryd/test_calls.py
+++ b/tests/entryd/test_calls.py
@@ -1,11 +1,15 @@
 """Tests of non-idempotent calls over real connections."""
 
 import asyncio
+import socket
 
 import pytest
+from msgspec import structs
 
 from standins.plain import PlainFaults
 from tests.entryd.harness import World, error_of, run
+from wigeonspan.calls import CallState
+from wigeonspan.catalog import PlainTarget
 
 PATH = "/v1/services/dispatch/bookings"
 
@@ -60,6 +64,34 @@
     assert (error["kind"], error["ran"], code) == ("no_target", "no", 201)
 
 
+def test_connection_that_was_never_established_is_closed_as_not_run():
+    """A key was lost although the target had not even accepted the connection."""
+
+    async def work():
+        async with World() as world:
+            full = socket.socket()
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            address = full.getsockname()
+            # Connections beyond the backlog stay without an answer.
+            fillers = [socket.socket() for _ in range(4)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(address)
+            service = next(o for o in world.objects() if o.name == "dispatch")
+            target = PlainTarget(f"127.0.0.1:{address[1]}", "szeged")
+            world.sync([structs.replace(service, targets=(target,))], version=2)
+            response = await world.fetch(PATH, "stall 4", Idempotency_Key="k1")
+            kept = world.control.book.get("default", "dispatch", "k1")
+            for each in (full, *fillers):
+                each.close()
+            return error_of(response), kept.state
+
+    error, state = run(work)
+    assert (error["kind"], error["ran"]) == ("no_target", "no")
+    assert state is CallState.NOT_RUN
+
+
 def test_caller_that_goes_away_does_not_end_its_call():
     """A call was cancelled between its execution and its outcome."""
 
--- a/wigeonspan/calls/_runner.py
+++ b/wigeonspan/calls/_runner.py
@@ -35,6 +35,10 @@
 OPEN_PATH = "/internal/v1/calls/open"
 CLOSE_PATH = "/internal/v1/calls/close"
 
+OPEN_WAIT_S = 5.0
+"""Longest wait for an intent, however far the deadline is: an election takes about
+2.5 s, and a caller should hear soon that there is no quorum."""
+
 CLOSE_WAIT_S = 2.0
 """Longest time that an answer waits for its outcome to be committed. A caller that
 repeats the key after its answer then finds the outcome, except during an election."""
@@ -168,7 +172,9 @@
             await asyncio.wait(self._closing)
 
     async def _open(self, intent: Intent, nonce: str) -> OpenReply:
-        remaining_s = max(0.0, intent.deadline - self._clock.now())
+        now = self._clock.now()
+        remaining_s = max(0.0, intent.deadline - now)
+        give_up_at = min(intent.deadline, now + OPEN_WAIT_S)
         message = OpenCall(
             tenant=intent.tenant,
             service=intent.service,
@@ -179,7 +185,7 @@
             deadline_ms=self._clock.wall_ms() + round(remaining_s * 1000),
         )
         try:
-            return await self._post(OPEN_PATH, message, OpenReply, intent.deadline)
+            return await self._post(OPEN_PATH, message, OpenReply, give_up_at)
         except WigeonspanError as error:
             if error.ran is not Ran.NO:
                 # The intent may be committed. Nothing was sent, so the key is freed
