Tell the router of tokens as they come, and take slots and work from it

Progress was reported only when an attempt ended, so samples counted the whole answer as prefill and the router learned no decode rate. test_router_sees_the_first_token... fails with the report taken out. Slots and the cost of a ticket now come from Router.slots and Route.work_s; the entry's own estimate is gone.

With the rates learned, a router prefers the engine that has answered over one that has not, so 20 requests in a row never met a fault set on a fixed engine. The fault tables now set the fault on the engine that answered the first request, and still require that the fault was met.

--- a/tests/entryd/test_connections.py
+++ b/tests/entryd/test_connections.py
@@ -208,9 +208,12 @@
 
     async def work():
         async with World(engines=2) as world:
-            world.engines[0].set_faults(EngineFaults(frozen=True))
-            responses = [await world.complete() for _ in range(6)]
-            world.engines[0].set_faults(EngineFaults())
+            responses = [await world.complete()]
+            used = max(world.engines, key=lambda engine: engine.completions)
+            used.set_faults(EngineFaults(frozen=True))
+            responses += [await world.complete() for _ in range(6)]
+            used.set_faults(EngineFaults())
+            assert world.metrics.counts["attempt_faults.silent"]
             return responses
 
     for response in run(work):
--- a/tests/entryd/test_faults.py
+++ b/tests/entryd/test_faults.py
@@ -32,6 +32,12 @@
 ]
 
 
+async def _used_engine(world):
+    """Return the engine that answered a request; routing prefers it from then on."""
+    assert text_of(await world.complete(PROMPT, 8)) == answer_text(PROMPT, 8)
+    return max(world.engines, key=lambda engine: engine.completions)
+
+
 async def _until_fault(world, kind):
     """Send requests until one has met the fault; each must be whole."""
     for _ in range(20):
@@ -48,9 +54,10 @@
 
     async def work():
         async with World(engines=2) as world:
-            world.engines[0].set_faults(faults)
+            engine = await _used_engine(world)
+            engine.set_faults(faults)
             met = await _until_fault(world, kind)
-            world.engines[0].set_faults(EngineFaults())
+            engine.set_faults(EngineFaults())
             return met
 
     assert run(work)
@@ -63,10 +70,11 @@
 
     async def work():
         async with World(engines=2) as world:
+            engine = await _used_engine(world)
             if stop == "dead":
-                world.engines[0].dead_until = world.engines[0].now + 60
+                engine.dead_until = engine.now + 60
             else:
-                await world.engines[0].stop()
+                await engine.stop()
             return await _until_fault(world, kind)
 
     assert run(work)
--- a/tests/entryd/test_routes.py
+++ b/tests/entryd/test_routes.py
@@ -159,6 +159,20 @@
     assert set(observed.tenant_rates) == {"archive", "default"}
 
 
+def test_router_sees_the_first_token_when_it_comes():
+    """Samples counted the whole answer as prefill, and rates were learned wrongly."""
+
+    async def work():
+        engine = EngineSettings(token_interval_s=0.01, prefill_tokens_per_s=10_000.0)
+        async with World(engine=engine) as world:
+            await world.complete(PROMPT, 40)
+            return world.daemon.entry.observe().engines
+
+    (sample,) = run(work)
+    assert sample.decode_tokens >= 39
+    assert sample.decode_s > sample.prefill_s > 0
+
+
 def test_request_keeps_the_service_of_its_arrival():
     """A request was resumed on another model version than it had started on."""
 
--- a/wigeonspan/entryd/_attempt.py
+++ b/wigeonspan/entryd/_attempt.py
@@ -205,7 +205,14 @@
             return AttemptOutcome(step, 0, "the engine takes no new work")
         now = parts.clock.now()
         point = tracker.begin(stage.attempt, now, FIRST_TOKEN_FACTOR * first_token_s)
-        listener = _Listener(stage.attempt, tracker, parts.clock.now, self._on_token)
+
+        def on_token(token: Token) -> None:
+            # The router learns rates from the times of the first and the last token.
+            tokens = token.position + 1 - point.position
+            parts.router.progressed(stage.attempt, tokens, parts.clock.now())
+            self._on_token(token)
+
+        listener = _Listener(stage.attempt, tracker, parts.clock.now, on_token)
         parts.router.started(
             stage.attempt,
             stage.engine,
@@ -229,11 +236,7 @@
         finally:
             tracker.abandon(stage.attempt)
             self._end_stream(stage, stream, outcome)
-            now = parts.clock.now()
-            parts.router.progressed(
-                stage.attempt, tracker.position - point.position, now
-            )
-            parts.router.ended(stage.attempt, AttemptEnd(result), now)
+            parts.router.ended(stage.attempt, AttemptEnd(result), parts.clock.now())
         return outcome
 
     def _extension(self, stage: _Stage, point: ResumePoint, now: float) -> Extension:
--- a/wigeonspan/entryd/_entry.py
+++ b/wigeonspan/entryd/_entry.py
@@ -38,7 +38,6 @@
 from wigeonspan.entryd._job import CompletionJob, RelayParts
 from wigeonspan.entryd._plain import PlainRelay
 from wigeonspan.entryd._relay import CompletionRelay
-from wigeonspan.entryd._reports import EngineReports
 from wigeonspan.entryd._requests import DEFAULT_TENANT, CallerHeaders, CompletionBody
 from wigeonspan.entryd._settings import EntrySettings
 from wigeonspan.routing import PromptPrefix, Router
@@ -116,8 +115,7 @@
             attempt_prefix=f"{settings.host}-{uuid.uuid4().hex[:12]}",
             metrics=metrics,
         )
-        self._reports = EngineReports(router)
-        self.poller = EnginePoller(engines, self._reports, clock, rng)
+        self.poller = EnginePoller(engines, router, clock, rng)
         self._admission = Admission()
         self._gate = AdmissionGate(self._admission, clock)
         self.plain = PlainRelay(self._connections, clock, rng, settings.domain, budget)
@@ -237,7 +235,7 @@
             raise WigeonspanError(
                 ErrorKind.NO_TARGET, f"no engine serves {job.service.name} now"
             )
-        await self._gate.enter(job.admission_ticket(route.completion_s))
+        await self._gate.enter(job.admission_ticket(route))
         self._streams += 1
         try:
             if self._streams > self.settings.relay.max_streams:
@@ -327,8 +325,9 @@
             tenants.append(Tenant(DEFAULT_TENANT))
         shares = {t.name: self._follower.tenant_share(t.name) for t in tenants}
         self._admission.update_tenants(tenants, shares, live, now)
-        for name, slots in self._reports.slots(engines, live).items():
-            self._admission.update_slots(name, slots)
+        for service in configuration.all(ModelService):
+            slots = self._parts.router.slots(service.name, now)
+            self._admission.update_slots(service.name, slots)
         self._gate.poll()
 
     def start_drain(self) -> None:
--- a/wigeonspan/entryd/_job.py
+++ b/wigeonspan/entryd/_job.py
@@ -22,7 +22,7 @@
 from wigeonspan.entryd._budget import RetryBudget
 from wigeonspan.entryd._demand import Demand
 from wigeonspan.entryd._requests import CompletionBody
-from wigeonspan.routing import PromptPrefix, Router, RouteRequest
+from wigeonspan.routing import PromptPrefix, Route, Router, RouteRequest
 from wigeonspan.streams import StreamLimits
 
 
@@ -89,13 +89,13 @@
             domain=domain,
         )
 
-    def admission_ticket(self, expected_s: float) -> Ticket:
+    def admission_ticket(self, route: Route) -> Ticket:
         """Return the ticket for admission.
 
         Parameters
         ----------
-        expected_s : float
-            Expected seconds from start to end.
+        route : Route
+            Route that the request would take now.
         """
         return Ticket(
             request=self.ticket,
@@ -103,8 +103,8 @@
             service=self.service.name,
             priority=self.priority,
             deadline=self.deadline,
-            expected_s=expected_s,
-            cost=float(self.prompt_tokens + self.expected_output),
+            expected_s=route.completion_s,
+            cost=route.work_s,
         )
 
     def metric(self, name: str) -> str:
