Move batch streams off an engine that closes

A planned change cuts batch requests that still run when it is ordered. The cut counted as a failure of the engine, which was then ejected although it had only changed. The relay now ends such an attempt without a fault as soon as the configuration says so, if another engine can continue; desk and quote streams stay.

--- a/tests/entryd/test_routes.py
+++ b/tests/entryd/test_routes.py
@@ -281,3 +281,33 @@
 
     codes = sorted(r.code for r in run(work))
     assert codes == [200, 200, 503]
+
+
+@pytest.mark.parametrize(("priority", "moved"), [("batch", True), ("quote", False)])
+def test_only_batch_streams_leave_a_closing_engine(priority, moved):
+    """A planned change cut a batch stream, or moved an urgent one."""
+
+    async def work():
+        engine = EngineSettings(token_interval_s=0.01)
+        async with World(engines=2, engine=engine) as world:
+            stream = asyncio.create_task(
+                world.complete(max_tokens=60, X_Priority_Class=priority)
+            )
+            while not any(e.batch.running for e in world.engines):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            busy = 0 if world.engines[0].batch.running else 1
+            objects = [
+                structs.replace(o, phase=EnginePhase.CLOSING)
+                if getattr(o, "name", "") == f"e{busy}"
+                else o
+                for o in world.objects()
+            ]
+            world.sync(objects, version=2)
+            response = await stream
+            faults = [n for n in world.metrics.counts if n.startswith("attempt")]
+            return response, world.engines[1 - busy].completions, faults
+
+    response, others, faults = run(work)
+    assert text_of(response) == answer_text("plate 7 is", 60)
+    assert (others, faults) == (int(moved), [])
--- a/wigeonspan/entryd/_attempt.py
+++ b/wigeonspan/entryd/_attempt.py
@@ -92,7 +92,7 @@
         if step.token is not None:
             self._on_token(step.token)
         if step.fault is not None or step.pause:
-            self._end(AttemptOutcome(step, 200))
+            self.end(AttemptOutcome(step, 200))
 
     def on_comment(self) -> None:
         """Take a keep-alive comment."""
@@ -102,15 +102,16 @@
         """Take the end marker."""
         step = self._tracker.on_end_marker(self._attempt, self._now())
         if step.whole or step.fault is not None:
-            self._end(AttemptOutcome(step, 200))
+            self.end(AttemptOutcome(step, 200))
 
     def on_ended(self, fault: StreamFault, status: int, message: str) -> None:
         """Take the end of the connection."""
         step = self._tracker.on_ended(self._attempt, fault)
         if step.fault is not None:
-            self._end(AttemptOutcome(step, status, message))
+            self.end(AttemptOutcome(step, status, message))
 
-    def _end(self, outcome: AttemptOutcome) -> None:
+    def end(self, outcome: AttemptOutcome) -> None:
+        """End the attempt unless it has ended."""
         if not self.ended.done():
             self.ended.set_result(outcome)
 
@@ -142,6 +143,18 @@
         self._tracker = tracker
         self._on_token = on_token
         self._fresh = False
+        self._stage: _Stage | None = None
+        self._listener: _Listener | None = None
+
+    @property
+    def engine(self) -> EngineId | None:
+        """Engine that runs the job now."""
+        return self._stage.engine if self._stage is not None else None
+
+    def move(self) -> None:
+        """End the running stage without a fault, so that another engine continues."""
+        if self._listener is not None:
+            self._listener.end(AttemptOutcome(Step(), 200, "moved"))
 
     async def run(self, route: Route, request: RouteRequest) -> AttemptOutcome | None:
         """Run until the attempt ends.
@@ -221,6 +234,7 @@
             decode_engine=stage.decode_engine,
             prefilled=bool(stage.kv_handle),
         )
+        self._stage, self._listener = stage, listener
         result = AttemptResult.CANCELLED
         stream = parts.engines.stream(
             stage.address,
@@ -234,6 +248,7 @@
             outcome = await self._watch(listener, tracker, stream)
             result = _result(outcome)
         finally:
+            self._stage = self._listener = None
             tracker.abandon(stage.attempt)
             self._end_stream(stage, stream, outcome)
             parts.router.ended(stage.attempt, AttemptEnd(result), parts.clock.now())
@@ -288,6 +303,9 @@
 
 
 def _result(outcome: AttemptOutcome | None) -> AttemptResult:
-    if outcome is None or outcome.step.pause or outcome.stale_connection:
-        return AttemptResult.CANCELLED
-    return AttemptResult.OK if outcome.step.whole else AttemptResult.FAILED
+    if outcome is not None and outcome.step.whole:
+        return AttemptResult.OK
+    blamed = outcome is not None and outcome.step.fault is not None
+    if blamed and not outcome.stale_connection:
+        return AttemptResult.FAILED
+    return AttemptResult.CANCELLED
--- a/wigeonspan/entryd/_entry.py
+++ b/wigeonspan/entryd/_entry.py
@@ -83,7 +83,7 @@
         self.clock = clock
         self.metrics = metrics
         self.in_flight = 0
-        self._streams = 0
+        self._relays: set[CompletionRelay] = set()
         self._follower = follower
         self._rng = rng
         self._drain: Drain | None = None
@@ -236,15 +236,15 @@
                 ErrorKind.NO_TARGET, f"no engine serves {job.service.name} now"
             )
         await self._gate.enter(job.admission_ticket(route))
-        self._streams += 1
+        self._relays.add(relay)
         try:
-            if self._streams > self.settings.relay.max_streams:
+            if len(self._relays) > self.settings.relay.max_streams:
                 raise WigeonspanError(
                     ErrorKind.OVERLOADED, "this entry has too many streams"
                 )
             await relay.run()
         finally:
-            self._streams -= 1
+            self._relays.discard(relay)
             self._gate.leave(job.ticket)
 
     async def run_call(self, intent: Intent, send: Send) -> tuple[CallOutcome, bool]:
@@ -318,6 +318,8 @@
             self._parts.router.update_engines(engines, now)
             self.poller.update_engines(engines)
             self.plain.update_services(configuration.all(PlainService))
+            for relay in self._relays:
+                relay.leave_closing_engine()
         live = max(1, len(self._follower.live_entries))
         self._parts.router.update_live_entries(live)
         tenants = configuration.all(Tenant)
--- a/wigeonspan/entryd/_relay.py
+++ b/wigeonspan/entryd/_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from wigeonspan.catalog import URGENT_CLASSES
 from wigeonspan.common import EngineId, ErrorKind, Ran, WigeonspanError, part_logger
 from wigeonspan.entryd._attempt import Attempt, AttemptOutcome
 from wigeonspan.entryd._job import CompletionJob, RelayParts
@@ -51,6 +52,7 @@
         self._may_have_run = False
         self._fruitless = 0
         self._last_token_at = 0.0
+        self._attempt = Attempt(parts, job, self._tracker, self._on_token)
 
     @property
     def tracker(self) -> StreamTracker:
@@ -63,6 +65,21 @@
         if self._tracker.may_resume:
             self._drained.set()
 
+    def leave_closing_engine(self) -> None:
+        """Continue a batch request elsewhere when its engine takes no new work.
+
+        A planned change waits for urgent requests and cuts the others. Moving them
+        before keeps the cut from counting as a failure of the engine.
+        """
+        engine = self._attempt.engine
+        urgent = self._job.priority in URGENT_CLASSES
+        if engine is None or urgent or self._parts.may_use(engine):
+            return
+        now = self._parts.clock.now()
+        request = self._request(frozenset(self._tried))
+        if self._parts.router.choose(request, now) is not None:
+            self._attempt.move()
+
     async def run(self) -> None:
         """Return when the answer is whole.
 
@@ -71,7 +88,6 @@
         WigeonspanError
             When the request is given up.
         """
-        attempt = Attempt(self._parts, self._job, self._tracker, self._on_token)
         self._parts.budget.earn()
         fault: StreamFault | None = None
         while not self._tracker.whole:
@@ -79,7 +95,7 @@
                 await self._wait_until_drained()
             route = self._choose(fault)
             position = self._tracker.position
-            outcome = await attempt.run(route, self._request(frozenset()))
+            outcome = await self._attempt.run(route, self._request(frozenset()))
             if outcome is None:
                 self._may_have_run = True
                 raise self._too_late()
