Measure memory with streams that are known to run on an engine

Slots follow the queues on the engines, so most callers of the earlier measurement waited in the entry and its memory figure meant little. Slots are now fixed in the measurement, and the table shows how many streams are on an engine.

--- a/bench/entry_process.py
+++ b/bench/entry_process.py
@@ -21,8 +21,9 @@
 LEASE_S = 86_400.0
 """Length of the routing lease, above the time of any measurement."""
 
-SYNC_S = 0.5
-"""Time between two calls of what follows a sync, as in a real deployment."""
+SLOTS = 16_384
+"""Requests that the entry runs at once. They do not follow the queues on the engines,
+so that every stream of a measurement reaches an engine."""
 
 MODEL = "demo-model"
 """Model of the stand-in engines."""
@@ -55,10 +56,9 @@
     reply = SyncReply(1, LEASE_S, 1, make_snapshot(engines), [], ["entry-1"], {})
     daemon.follower.accept(reply, daemon.entry.clock.now())
     daemon.entry.on_sync()
+    daemon.entry._admission.update_slots("note", SLOTS)
     pipe.send(daemon.address)
-    while True:
-        await asyncio.sleep(SYNC_S)
-        daemon.entry.on_sync()
+    await asyncio.Event().wait()
 
 
 def serve_entry(engines: list[str], relay: RelaySettings, pipe: Connection) -> None:
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -4,7 +4,7 @@
 own, one entry daemon and the callers run in processes of their own. Processor time is
 that of the entry process; the time per token is the difference between answers of 101
 and of 1 token. Memory is the resident set size of the entry with streams that wait for
-tokens.
+tokens; those that admission holds back are not on an engine.
 """
 
 import asyncio
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 import time
+import urllib.request
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -31,7 +32,7 @@
 STREAMS = (0, 1_000, 4_000)
 """Numbers of open streams at which memory is read."""
 
-SETTLE_S = 4.0
+SETTLE_S = 8.0
 """Seconds after the last stream is open before memory is read."""
 
 _TICKS = os.sysconf("SC_CLK_TCK")
@@ -85,8 +86,8 @@
     process.start()
     try:
         address = ours.recv()
-        # The first load reports give the number of slots.
-        time.sleep(2.0)
+        # The first load reports arrive.
+        time.sleep(1.0)
         yield address, process.pid or 0
     finally:
         process.terminate()
@@ -201,18 +202,28 @@
         )
 
 
-async def open_streams(address: str, pid: int) -> None:
+def running_on(engines: list[str]) -> int:
+    """Return the number of requests in the batches of the engines."""
+    running = 0
+    for address in engines:
+        with urllib.request.urlopen(f"http://{address}/wigeonspan/load") as response:
+            running += json.load(response)["running"]
+    return running
+
+
+async def open_streams(address: str, pid: int, engines: list[str]) -> None:
     """Print the entry's memory with more and more open streams."""
     request = make_request(10_000, "note")
     connections: list[Caller] = []
-    print(f"{'streams':>8} {'entry MB':>9}")
+    print(f"{'callers':>8} {'on engines':>11} {'entry MB':>9}")
     for count in STREAMS:
         while len(connections) < count:
             connections.append(Caller(address))
             await connections[-1].connect()
             connections[-1].send(request)
         await asyncio.sleep(SETTLE_S if count else 0)
-        print(f"{count:>8} {resident_mb(pid):>9.1f}")
+        running = await asyncio.to_thread(running_on, engines)
+        print(f"{count:>8} {running:>11} {resident_mb(pid):>9.1f}")
     for connection in connections:
         connection.close()
 
@@ -222,9 +233,9 @@
     with running_engines(3, "--token_interval_s=0") as engines:
         with running_entry(engines) as (address, pid):
             measure_costs(engines, address, pid)
-    with running_engines(2, "--token_interval_s=5") as engines:
+    with running_engines(3, "--token_interval_s=1") as engines:
         with running_entry(engines) as (address, pid):
-            asyncio.run(open_streams(address, pid))
+            asyncio.run(open_streams(address, pid, engines))
 
 
 if __name__ == "__main__":
