--- a/tests/planning/test_task.py
+++ b/tests/planning/test_task.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from tests.planning.test_planner import POLICY, fleet, overload
-from wigeonspan.catalog import SetEngineState
+from tests.planning.test_planner import POLICY, _fields, fleet, overload
+from wigeonspan.catalog import Engine, EnginePhase, SetEngineState
 from wigeonspan.common import ManualClock
 from wigeonspan.planning import PlannerTask
 from wigeonspan.record import NoteDecision
@@ -82,3 +82,16 @@
 
     run_steps(log, 40, new_term)
     assert log.commands == []
+
+
+def test_lost_engine_is_planned_for_at_once():
+    """A crashed engine waited for the next interval before anything was replanned."""
+    log, clock, engines = InstantLog(), ManualClock(), fleet()
+    task = PlannerTask(log, lambda: [*engines, POLICY], Samples, lambda c: c, clock)
+    clock.advance(5.0)
+    asyncio.run(task.step())
+    clock.advance(1.0)
+    assert not task._is_due()
+    lost = {**_fields(engines[0]), "phase": EnginePhase.FAILED}
+    engines[0] = Engine(**lost)
+    assert task._is_due()
