--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -1,33 +1,34 @@
 """Runs the decision modules against the engine model on a manual clock."""
 
 from collections import defaultdict
-from dataclasses import dataclass, field
 from random import Random
 
 import msgspec
 
 from bench.engine_model import ModelEngine, Run
+from bench.entries import (
+    ENTRIES,
+    MODEL,
+    SERVICE,
+    Entry,
+    Job,
+    Result,
+    count,
+    first_engines,
+    ticket_of,
+)
 from bench.policies import Contender
 from bench.workload import Arrival, Deployment, Shape
-from wigeonspan.admission import Admission, Admitted, Refused, Ticket
-from wigeonspan.catalog import Engine, EnginePhase, PriorityClass, Tenant
+from wigeonspan.admission import Admitted, Refused
+from wigeonspan.catalog import EnginePhase, PriorityClass
 from wigeonspan.common import (
     AttemptId,
     EngineId,
-    ModelName,
     RequestId,
-    ServiceName,
-    TenantName,
 )
 from wigeonspan.distribution import DemandSample, EngineSample
 from wigeonspan.engines import CacheEvents, LoadReport
-from wigeonspan.routing import AttemptEnd, AttemptResult, Route, Router, RouteRequest
-
-SERVICE = ServiceName("model")
-MODEL = ModelName("model")
-
-ENTRIES = 8
-"""Entry hosts of either deployment."""
+from wigeonspan.routing import AttemptEnd, AttemptResult, Route, RouteRequest
 
 STEP_S = 0.1
 """Step of the clock; a tenth of the shortest time that a decision depends on."""
@@ -45,60 +46,6 @@
 SAMPLE_LOSS = 0.1
 """Part of the engine samples that never reaches the planner."""
 
-WARM_UP_S = 60.0
-"""Requests that arrive earlier are not counted: at the start, the dynamic contenders
-have the roles of no particular mix."""
-
-
-@dataclass
-class Result:
-    """What became of the requests of one run.
-
-    Parameters
-    ----------
-    on_time, late, refused, cut : dict
-        Requests by kind.
-    """
-
-    on_time: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-    late: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-    refused: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-    cut: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-    arrived: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-    role_changes: int = 0
-    timeline: list[tuple[float, int, tuple[int, int, int]]] = field(
-        default_factory=list
-    )
-
-
-@dataclass(slots=True)
-class Job:
-    """A request at its entry."""
-
-    arrival: Arrival
-    entry: "Entry"
-    request: RouteRequest
-    produced: int = 0
-    attempts: int = 0
-    attempt: AttemptId = AttemptId("")
-    engine: EngineId = EngineId("")
-    decode_on: EngineId | None = None
-    first_noted: bool = False
-
-
-class Entry:
-    """Router and admission of one entry host."""
-
-    def __init__(self, number: int, router: Router, domain: str) -> None:
-        self.number = number
-        self.router = router
-        self.domain = domain
-        self.admission = Admission()
-        tenant = Tenant(TenantName("t"), rate_per_s=1e6, burst=1e6, concurrency=10**6)
-        self.admission.update_tenants([tenant], {}, 1, 0.0)
-        router.update_live_entries(ENTRIES)
-        self.waiting: dict[RequestId, Job] = {}
-
 
 class Simulation:
     """One run of a contender on a shape of load.
@@ -128,7 +75,7 @@
         self._arrivals = arrivals
         self._rng = Random(seed)
         self._planner = contender.planner(deployment, shape)
-        self._engines = self._first_engines()
+        self._engines = first_engines(deployment, self._planner.first_roles())
         self._models = {
             e.name: ModelEngine(e.name, e.role, deployment.spec)
             for e in self._engines.values()
@@ -164,7 +111,7 @@
             self._work_engines(now)
             self._move(now)
         for job in [*self._jobs.values(), *self._orphans]:
-            self._count(self.result.cut, job.arrival)
+            count(self.result.cut, job.arrival)
         return self.result
 
     def _open(self) -> bool:
@@ -172,23 +119,6 @@
             entry.waiting for entry in self._entries
         )
 
-    def _first_engines(self) -> dict[EngineId, Engine]:
-        engines = {}
-        for number, role in enumerate(self._planner.first_roles()):
-            name = EngineId(f"e{number}")
-            engines[name] = Engine(
-                name=name,
-                address="",
-                domain=self._deployment.domains[number % 3],
-                service=SERVICE,
-                phase=EnginePhase.SERVING,
-                role=role,
-                wanted_role=role,
-                model=MODEL,
-                model_version="1",
-            )
-        return engines
-
     def _periodic(self, index: int, now: float, planning: bool) -> None:
         lose_at = self._shape.lose_at_s
         if lose_at is not None and index == round(lose_at / STEP_S):
@@ -313,7 +243,7 @@
             prefixes=arrival.prefixes,
             domain=entry.domain,
         )
-        self._count(self.result.arrived, arrival)
+        count(self.result.arrived, arrival)
         sums = self._demand[kind.priority]
         sums[0] += 1
         sums[1] += arrival.prompt_tokens
@@ -322,32 +252,18 @@
         if route is None:
             self._refuse(job)
             return
-        name = RequestId(str(arrival.number))
-        ticket = Ticket(
-            request=name,
-            tenant=TenantName("t"),
-            service=SERVICE,
-            priority=kind.priority,
-            deadline=request.deadline,
-            expected_s=route.completion_s,
-            cost=route.work_s,
-        )
+        ticket = ticket_of(job, route)
         verdict = entry.admission.offer(ticket, now)
         if isinstance(verdict, Admitted):
             self._start(job, route, now)
         elif isinstance(verdict, Refused):
             self._refuse(job)
         else:
-            entry.waiting[name] = job
-
-    @staticmethod
-    def _count(counts: dict[str, int], arrival: Arrival) -> None:
-        if arrival.at >= WARM_UP_S:
-            counts[arrival.kind.name] += 1
+            entry.waiting[ticket.request] = job
 
     def _refuse(self, job: Job) -> None:
         kind = job.arrival.kind
-        self._count(self.result.refused, job.arrival)
+        count(self.result.refused, job.arrival)
         self._demand[kind.priority][5] += 1
 
     def _start(self, job: Job, route: Route, now: float) -> None:
@@ -437,10 +353,10 @@
         sums = self._demand[kind.priority]
         sums[2] += arrival.output_tokens
         if now <= job.request.deadline:
-            self._count(self.result.on_time, arrival)
+            count(self.result.on_time, arrival)
             sums[3] += 1
         else:
-            self._count(self.result.late, arrival)
+            count(self.result.late, arrival)
             sums[4] += 1
         job.entry.admission.finished(RequestId(str(arrival.number)), now)
 
