--- a/wigeonspan/distribution/_distributor.py
+++ b/wigeonspan/distribution/_distributor.py
@@ -4,9 +4,10 @@
 from typing import Protocol
 
 from wigeonspan.catalog import CatalogObject, EntryHost, EntryState, ObjectUpdate
-from wigeonspan.common import EngineId, HostId, TenantName, Term, Version
+from wigeonspan.common import EngineId, HostId, Term, Version
 from wigeonspan.distribution._messages import InFlight, SyncReply, SyncRequest
 from wigeonspan.distribution._samples import SampleWindow
+from wigeonspan.distribution._shares import TenantShares
 
 ROUTING_LEASE_S = 4.0
 """Length of a routing lease; it outlives an election of about 2.5 s."""
@@ -20,11 +21,11 @@
 KEPT_GRANT_S = 10.0
 """Time for which an ended lease is remembered, for askers with a margin."""
 
-EQUAL_PART = 0.25
-"""Part of a tenant's limit that is spread evenly whatever the demand.
+REFRESH_S = 0.25
+"""Time for which the list of live entries in replies is kept.
 
-An entry without demand keeps some of the limit, so that its first requests are not
-refused before the next sync.
+Half a sync interval; finding the live entries anew for each sync costs the square of
+their number.
 """
 
 
@@ -113,6 +114,9 @@
         self._processes: dict[tuple[HostId, str], _EntryProcess] = {}
         self._newest: dict[HostId, str] = {}
         self._samples = SampleWindow(now)
+        self._shares = TenantShares()
+        self._live: list[HostId] = []
+        self._live_until = now
 
     @property
     def term(self) -> Term:
@@ -149,7 +153,8 @@
         version = self._source.version
         process.grant(version, now + self._lease_s * (1.0 + DRIFT))
         updates = self._updates(request.version)
-        live = self.live_entries(now)
+        live = self._recent_live(now)
+        key = (request.entry, request.incarnation)
         return SyncReply(
             term=self._term,
             lease_s=self._lease_s,
@@ -157,7 +162,7 @@
             snapshot=self._source.objects() if updates is None else None,
             updates=updates or [],
             live_entries=live,
-            tenant_shares=self._tenant_shares(request, live, now),
+            tenant_shares=self._shares.split(key, len(live)),
         )
 
     def live_entries(self, now: float) -> list[HostId]:
@@ -222,6 +227,15 @@
                 batch += count.batch
         return InFlight(urgent, batch)
 
+    def _recent_live(self, now: float) -> list[HostId]:
+        if now >= self._live_until:
+            for key, process in self._processes.items():
+                if process.lease_end <= now:
+                    self._shares.drop(key)
+            self._live = self.live_entries(now)
+            self._live_until = now + REFRESH_S
+        return self._live
+
     def _take_report(self, request: SyncRequest, now: float) -> _EntryProcess:
         key = (request.entry, request.incarnation)
         process = self._processes.get(key)
@@ -229,7 +243,10 @@
             self._forget_old(now)
             process = self._processes[key] = _EntryProcess(request)
             self._newest[request.entry] = request.incarnation
+        if request.draining is not process.request.draining or not process.grants:
+            self._live_until = now
         process.request = request
+        self._shares.note(key, request.tenant_rates)
         process.confirmed = max(process.confirmed, request.version)
         process.drop_ended(now)
         return process
@@ -238,6 +255,7 @@
         old = [k for k, p in self._processes.items() if p.lease_end + FORGET_S <= now]
         for entry, incarnation in old:
             del self._processes[entry, incarnation]
+            self._shares.drop((entry, incarnation))
             if self._newest.get(entry) == incarnation:
                 del self._newest[entry]
 
@@ -259,22 +277,3 @@
             for value in self._source.objects()
             if isinstance(value, EntryHost) and value.state is EntryState.ACTIVE
         ]
-
-    def _tenant_shares(
-        self, request: SyncRequest, live: list[HostId], now: float
-    ) -> dict[TenantName, float]:
-        """Split each tenant's limit: a part evenly, the rest by demand."""
-        count = max(1, len(live))
-        shares = {}
-        for tenant, rate in request.tenant_rates.items():
-            total = self._tenant_rate(tenant, now)
-            part = rate / total if total > 0 else 1.0 / count
-            shares[tenant] = EQUAL_PART / count + (1.0 - EQUAL_PART) * part
-        return shares
-
-    def _tenant_rate(self, tenant: TenantName, now: float) -> float:
-        return sum(
-            process.request.tenant_rates.get(tenant, 0.0)
-            for process in self._processes.values()
-            if process.lease_end > now
-        )
