--- a/tests/calls/test_book.py
+++ b/tests/calls/test_book.py
@@ -14,6 +14,7 @@
     OpenCall,
     OpenReply,
     OpenResult,
+    _book,
 )
 
 ANSWER = CallOutcome(201, "application/json", b"{}")
@@ -91,6 +92,28 @@
     assert book.apply(3, open_call("n2")) == OpenReply(OpenResult.DONE, expected)
 
 
+@pytest.mark.parametrize("restored", [False, True])
+def test_oldest_answers_lose_their_bodies_beyond_the_limit(monkeypatch, restored):
+    """Answers of 72 h would otherwise fill the memory of every control host."""
+    monkeypatch.setattr(_book, "MAX_STORED_TOTAL_BYTES", 25)
+    book = CallBook()
+    for number in range(4):
+        key, nonce = f"k{number}", f"n{number}"
+        book.apply(2 * number + 1, open_call(nonce, key=key))
+        answer = CallOutcome(201, "text/plain", b"x" * 10)
+        close = close_call(nonce, CallState.DONE, outcome=answer, key=key)
+        book.apply(2 * number + 2, close)
+        if restored:
+            book, old = CallBook(), book
+            book.restore(old.snapshot())
+    kept = [book.get("archive", "loans", f"k{n}").outcome for n in range(4)]
+    assert [outcome.status_only for outcome in kept] == [True, True, False, False]
+    assert [outcome.status for outcome in kept] == [201] * 4
+    assert book.body_bytes == 20
+    book.apply(9, ExpireCalls(RETENTION_MS + 1))
+    assert (book.size, book.body_bytes) == (0, 0)
+
+
 def test_expiry_marks_overdue_calls_and_drops_old_keys():
     """Keys of dead entries would stay in progress for ever."""
     book = CallBook()
--- a/wigeonspan/calls/_book.py
+++ b/wigeonspan/calls/_book.py
@@ -29,6 +29,10 @@
 MAX_STORED_BODY_BYTES = 64 * 1024
 """Largest body that is kept; state is held in memory and in every snapshot."""
 
+MAX_STORED_TOTAL_BYTES = 32 * 1024 * 1024
+"""Bodies kept for all keys together; beyond it the oldest answers keep their status
+only. A control host's memory must not grow with what services answer."""
+
 CallKey = tuple[TenantName, ServiceName, str]
 
 
@@ -61,6 +65,13 @@
         self._wall_ms = 0
         self._open: dict[CallKey, KeptCall] = {}
         self._ended: dict[CallKey, KeptCall] = {}
+        self._with_body: dict[CallKey, int] = {}
+        self._body_bytes = 0
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of all stored bodies in bytes."""
+        return self._body_bytes
 
     @property
     def open_calls(self) -> list[KeptCall]:
@@ -127,6 +138,8 @@
         self._wall_ms = snapshot.wall_ms
         self._open = {}
         self._ended = {}
+        self._with_body = {}
+        self._body_bytes = 0
         for call in snapshot.calls:
             self._store(call)
 
@@ -203,10 +216,27 @@
 
     def _store(self, call: KeptCall) -> None:
         where = (call.tenant, call.service, call.key)
-        self._open.pop(where, None)
-        self._ended.pop(where, None)
+        self._remove(where)
         calls = self._open if call.state is CallState.OPEN else self._ended
         calls[where] = call
+        if call.outcome is not None and call.outcome.body:
+            self._with_body[where] = len(call.outcome.body)
+            self._body_bytes += len(call.outcome.body)
+            self._limit_bodies()
+
+    def _remove(self, where: CallKey) -> None:
+        self._open.pop(where, None)
+        self._ended.pop(where, None)
+        self._body_bytes -= self._with_body.pop(where, 0)
+
+    def _limit_bodies(self) -> None:
+        """Drop the oldest bodies beyond the limit; their keys and states stay."""
+        while self._body_bytes > MAX_STORED_TOTAL_BYTES:
+            where = next(iter(self._with_body))
+            self._body_bytes -= self._with_body.pop(where)
+            call = self._ended[where]
+            outcome = msgspec.structs.replace(call.outcome, body=b"", status_only=True)
+            self._ended[where] = msgspec.structs.replace(call, outcome=outcome)
 
     def _expire(self) -> int:
         overdue = [c for c in self._open.values() if _is_overdue(c, self._wall_ms)]
@@ -218,7 +248,7 @@
                 break
             dropped.append(where)
         for where in dropped:
-            del self._ended[where]
+            self._remove(where)
         return len(overdue) + len(dropped)
 
 
