--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -1,22 +1,29 @@
 """Rules of the core, each on one voter and hand-made messages."""
 
-import random
-
 import pytest
 from msgspec import structs
 
+from tests.consensus.one_voter import (
+    AWAKE,
+    FIRST,
+    MEMBERS,
+    START,
+    answer,
+    bodies,
+    campaign,
+    lead,
+    member,
+    message,
+    node,
+    settle,
+)
 from wigeonspan.catalog import Member
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.consensus import (
-    BootstrapMember,
     Entry,
     HardState,
-    Local,
     LogRole,
-    Message,
     Peer,
-    RaftNode,
-    Stored,
 )
 from wigeonspan.consensus._messages import (
     Append,
@@ -26,67 +33,18 @@
     HelloReply,
     InstallSnapshot,
     SnapshotMeta,
+    SnapshotReply,
     TimeoutNow,
     Vote,
     VoteReply,
 )
-from wigeonspan.consensus._timing import ELECTION_MIN_S, LEASE_S, VOTE_GUARD_S
-
-START = 100.0
-AWAKE = START + VOTE_GUARD_S
-
-
-def member(name, voter=True, disk=None):
-    return Member(name, name, "szeged", disk or f"disk-{name}", voter)
-
-
-MEMBERS = tuple(member(name) for name in "abc")
-FIRST = Entry(1, 1, members=MEMBERS)
-
-
-def node(state=None, entries=(FIRST,)):
-    """Return voter ``a`` after a restart, in a group of three."""
-    stored = Stored(state or HardState("group", 1, ""), None, list(entries))
-    local = Local("a", "a", "szeged", "disk-a")
-    return RaftNode(local, [], stored, random.Random(1), START)
-
-
-def message(body, source="b", term=1, **fields):
-    peer = Peer(source, source, f"disk-{source}")
-    plain = Message("group", peer, Peer("a", "a", "disk-a"), term, body)
-    return structs.replace(plain, **fields)
-
-
-def bodies(ready):
-    return [m.body for m in ready.send]
-
-
-def settle(core, ready, now):
-    """Report all writes as synced; return the messages on the way."""
-    sent = list(ready.send)
-    while ready.persist is not None:
-        ready = core.persisted(ready.persist.sequence, now)
-        sent += ready.send
-    return sent
-
-
-def lead(core, now):
-    """Make a voter leader with the vote of ``b``; return the time."""
-    while core.role is LogRole.FOLLOWER:
-        now += 0.05
-        ready = core.tick(now)
-    settle(core, ready, now)
-    ready = core.handle(message(VoteReply(True, True), term=core.term + 1), now)
-    settle(core, ready, now)
-    ready = core.handle(message(VoteReply(False, True), term=core.term), now)
-    assert core.role is LogRole.LEADER
-    settle(core, ready, now)
-    return now
-
-
-def answer(core, now, match, source="b"):
-    reply = AppendReply(True, match, core._state.round)
-    return core.handle(message(reply, source, core.term), now)
+from wigeonspan.consensus._timing import (
+    DISK_STALL_S,
+    ELECTION_MAX_S,
+    ELECTION_MIN_S,
+    LEASE_S,
+    VOTE_GUARD_S,
+)
 
 
 def test_vote_is_sent_only_after_it_is_synced():
@@ -102,10 +60,7 @@
 def test_candidate_asks_only_after_its_own_vote_is_synced():
     """A candidate that forgets its own vote could vote for another in its term."""
     core = node()
-    now = START
-    while core.role is LogRole.FOLLOWER:
-        now += 0.05
-        core.tick(now)
+    now, _ = campaign(core, START)
     ready = core.handle(message(VoteReply(True, True), term=2), now)
     assert (core.role, ready.send) == (LogRole.CANDIDATE, [])
     ready = core.persisted(ready.persist.sequence, now)
@@ -144,6 +99,29 @@
     assert bodies(ready) == [AppendReply(True, 2, 7)]
 
 
+def test_heartbeat_during_a_sync_does_not_hide_the_entry():
+    """An entry that is not reported once it is synced is sent again after 0.5 s."""
+    core = node()
+    ready = core.handle(message(Append(1, 1, [Entry(2, 1, b"x")], 0, 7)), START)
+    core.handle(message(Append(1, 1, [], 0, 8)), START)
+    ready = core.persisted(ready.persist.sequence, START)
+    assert bodies(ready) == [AppendReply(True, 2, 8)]
+
+
+def test_snapshot_counts_only_after_it_is_synced():
+    """A snapshot that is acknowledged and then lost takes committed entries along."""
+    core = node()
+    meta = SnapshotMeta(9, 1, MEMBERS, 4)
+    core.handle(message(InstallSnapshot(meta, 0, 1, b"st")), START)
+    ready = core.handle(message(InstallSnapshot(meta, 2, 1, b"at")), START)
+    assert bodies(ready) == [SnapshotReply(9, 4, 1)]
+    assert (core.commit, core.last_index, ready.snapshot) == (0, 1, None)
+    assert ready.persist.snapshot.data == b"stat"
+    ready = core.persisted(ready.persist.sequence, START)
+    assert bodies(ready) == [AppendReply(True, 9, 1)]
+    assert (core.commit, core.last_index, ready.snapshot.data) == (9, 9, b"stat")
+
+
 def test_leader_sends_only_what_it_has_synced():
     """An entry refused for lack of space must not have reached another voter."""
     core = node()
@@ -196,12 +174,19 @@
     assert (core.lease_valid_until > now) == counted
 
 
-def test_leader_that_steps_down_keeps_its_published_lease():
-    """A leader that voted at once would let another lead within its own lease."""
+@pytest.mark.parametrize("removed", [None, "b"])
+def test_leader_that_steps_down_keeps_its_published_lease(removed):
+    """A leader that voted at once would let another lead within its own lease.
+
+    Removing the member that renewed the lease once took it back unnoticed.
+    """
     core = node()
     now = lead(core, START)
     answer(core, now, 2)
     published = core.lease_valid_until
+    if removed:
+        settle(core, core.change_member(member(removed), False, b"", now)[1], now)
+    assert core.lease_valid_until == published
     vote = message(Vote(False, 9, 9), "c", term=core.term + 1)
     assert core.handle(vote, now + 0.1).persist is None
     rejected = message(AppendReply(False, 0, 1), "c", term=core.term + 1)
@@ -211,6 +196,39 @@
     assert core.handle(vote, published - 0.01).persist is None
 
 
+@pytest.mark.parametrize("disk", ["disk-b", "wiped"])
+def test_votes_of_an_unregistered_disk_do_not_count(disk):
+    """A stranger's vote could elect a leader that lacks a committed entry."""
+    core = node()
+    now, _ = campaign(core, START)
+    reply = message(VoteReply(True, True), term=2)
+    core.handle(structs.replace(reply, source=Peer("b", "b", disk)), now)
+    assert (core.role is LogRole.CANDIDATE) == (disk == "disk-b")
+
+
+def test_leader_without_a_quorum_steps_down():
+    """A leader that is cut off must not hold on to proposals that it cannot commit."""
+    core = node()
+    now = lead(core, START)
+    answer(core, now, 2)
+    core.tick(now + ELECTION_MAX_S - 0.1)
+    assert core.role is LogRole.LEADER
+    core.tick(now + ELECTION_MAX_S + 0.1)
+    assert core.role is LogRole.FOLLOWER
+
+
+def test_leader_whose_disk_hangs_steps_down():
+    """Heartbeats go on without the disk, so the others would wait for it forever."""
+    core = node()
+    now = lead(core, START)
+    answer(core, now, 2)
+    core.propose(b"x", now)
+    for step in range(1, 40):
+        core.tick(now + step / 10)
+        answer(core, now + step / 10, 2)
+        assert (core.role is LogRole.LEADER) == (step / 10 <= DISK_STALL_S)
+
+
 def test_leader_with_a_quorum_ignores_votes():
     """A host that misses heartbeats must not depose a leader that works."""
     core = node()
@@ -278,10 +296,7 @@
 @pytest.mark.parametrize("known", ["group", ""])
 def test_founder_needs_every_first_voter_without_a_group(known):
     """A wiped founder must not found a second group beside the first."""
-    first = [BootstrapMember(name, name, "szeged") for name in "abc"]
-    local = Local("a", "a", "szeged", "disk-a")
-    stored = Stored(HardState(), None, [])
-    core = RaftNode(local, first, stored, random.Random(1), START)
+    core = node(HardState(), [], "abc")
     assert bodies(core.tick(START)) == [Hello(("a", "b", "c"))] * 2
     core.handle(message(HelloReply(""), "b", group=""), START)
     assert core.group == ""
@@ -294,10 +309,7 @@
 )
 def test_host_joins_only_the_first_voters_of_its_own_settings(first, joins):
     """Two founders with different settings could each found a group of a majority."""
-    settings = [BootstrapMember(name, name, "szeged") for name in first]
-    local = Local("a", "a", "szeged", "disk-a")
-    stored = Stored(HardState(), None, [])
-    core = RaftNode(local, settings, stored, random.Random(1), START)
+    core = node(HardState(), [], first)
     found = message(Found(MEMBERS), "c", group="group")
     ready = core.handle(message(Hello(("a", "b", "c")), "c", group=""), START)
     assert bool(ready.send) == joins
--- a/wigeonspan/consensus/_replication.py
+++ b/wigeonspan/consensus/_replication.py
@@ -77,17 +77,27 @@
 
 
 def lease_base(state: NodeState) -> float:
-    """Return when the last round was sent that a majority of voters answered."""
-    values: dict[HostId, float] = {n: p.answered_at for n, p in state.progress.items()}
+    """Return when the last round was sent that a majority of voters answered.
+
+    It never goes back in a term, also not when a member that answered is removed: the
+    lease that rests on it may have been published.
+    """
     if state.role is LogRole.LEADER:
+        values = {name: p.answered_at for name, p in state.progress.items()}
         values[state.local.name] = state.now
-    return state.quorum_of(values)
+        state.answered_at = max(state.answered_at, state.quorum_of(values))
+    return state.answered_at
 
 
 def tick_leader(state: NodeState, now: float) -> bool:
-    """Send what is due; return False when the leader has lost its quorum."""
+    """Send what is due; return False when the leader must step down.
+
+    It does so without a quorum, or when its disk hangs and another voter can lead.
+    """
     if max(lease_base(state), state.led_since) < now - ELECTION_MAX_S:
         return False
+    if state.disk_stalled and len(state.voters) > 1:
+        return False
     if now >= state.handover_until:
         state.handover = None
     if now >= state.heartbeat_at:
@@ -284,6 +294,9 @@
 
 
 def _reply(state: NodeState, leader: Peer, verified: LogIndex, round_: int) -> None:
+    if state.ack is not None and state.ack[:2] == (leader, state.term):
+        # A heartbeat may come while entries of the same leader are being synced.
+        verified = LogIndex(max(verified, state.ack[2]))
     state.ack = (leader, state.term, verified, round_)
     send_ack(state)
 
