Let a leaving engine go only to withdrawn

The catalogue refused a leaving engine's return to new and serving, but not its way through another phase.

--- a/tests/catalog/test_core.py
+++ b/tests/catalog/test_core.py
@@ -154,7 +154,8 @@
     """The lagging host list must not return an engine that was withdrawn."""
     catalog = filled()
     catalog.apply(5, change(5, WithdrawEngine("e1"), 3))
-    for phase in (EnginePhase.SERVING, EnginePhase.NEW):
+    # Through another phase it could come back in a second step.
+    for phase in set(EnginePhase) - {EnginePhase.LEAVING, EnginePhase.WITHDRAWN}:
         outcome = catalog.apply(6, SetEngineState("e1", 5, "back", 1000, phase))
         assert outcome.kind is OutcomeKind.INVALID
     gone = SetEngineState("e1", 5, "gone", 1000, EnginePhase.WITHDRAWN)
--- a/wigeonspan/catalog/_core.py
+++ b/wigeonspan/catalog/_core.py
@@ -41,8 +41,7 @@
 """Notes on removed objects that are kept to explain conflicts."""
 
 _PHASES_AFTER: dict[EnginePhase, frozenset[EnginePhase]] = {
-    EnginePhase.LEAVING: frozenset(EnginePhase)
-    - {EnginePhase.NEW, EnginePhase.SERVING},
+    EnginePhase.LEAVING: frozenset({EnginePhase.LEAVING, EnginePhase.WITHDRAWN}),
     EnginePhase.WITHDRAWN: frozenset({EnginePhase.WITHDRAWN}),
 }
 """Phases that may follow; a phase that is absent allows any."""
