--- a/tests/processes/test_control.py
+++ b/tests/processes/test_control.py
@@ -1,6 +1,7 @@
 """Control daemons that are killed, frozen and wiped."""
 
 import shutil
+import threading
 
 import pytest
 
@@ -131,3 +132,47 @@
     for name in names:
         deployment.fleet.thaw(name)
     deployment.wait("answers again", lambda: refused() is None)
+
+
+@pytest.mark.timeout(240)
+def test_racing_operators_get_one_winner(deployment):
+    """Two changes based on the same version must not overwrite each other."""
+    deployment.ctl(*TENANT, OPERATION)
+    base = tenant(deployment)["version"]
+    outcomes = []
+
+    def change(weight):
+        try:
+            deployment.ctl(
+                "put",
+                "tenant",
+                "press",
+                f"--weight={weight}",
+                f"--base-version={base}",
+                reason=f"weight {weight}",
+            )
+            outcomes.append(weight)
+        except StepFailed as error:
+            assert "conflict" in str(error)
+
+    threads = [threading.Thread(target=change, args=(w,)) for w in (3.0, 4.0, 5.0)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(outcomes) == 1
+    assert tenant(deployment)["weight"] == outcomes[0]
+    assert deployment.query("record", "--subject=tenant/press")
+
+
+@pytest.mark.timeout(240)
+def test_group_that_was_killed_whole_reverts_nothing(deployment):
+    """Accepted changes must be on disk before they are acknowledged."""
+    for number in range(20):
+        deployment.ctl("put", "tenant", "press", f"--weight={float(number + 1)}")
+    for number in range(3):
+        deployment.fleet.kill(f"control-{number + 1}")
+    for number in range(3):
+        deployment.start_control(number)
+    deployment.wait("a leader", deployment.leader)
+    assert tenant(deployment)["weight"] == 20.0
--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from testbed import Stream, release_loan
+from testbed import StepFailed, Stream, release_loan
 
 
 def phase(deployment, engine):
@@ -89,3 +89,37 @@
     deployment.wait("the outcome to be unknown", unknown, timeout_s=40.0)
     counts = deployment.get_json(deployment.plain, "/standin/executions")
     assert sum(counts.values()) <= 1
+
+
+@pytest.mark.timeout(240)
+def test_thawed_entry_sends_nothing_to_a_drained_engine(deployment):
+    """An entry frozen past its lease must not route by its old configuration."""
+    deployment.fleet.freeze("entry-1")
+    deployment.ctl("drain-engine", "engine-1")
+    deployment.wait("the drain", lambda: phase(deployment, "engine-1") == "drained")
+    engine = deployment.engines[0]
+    before = deployment.get_json(engine, "/standin/stats")["completions"]
+    # The requests wait in the sockets of the frozen entry.
+    answers = []
+    threads = [
+        threading.Thread(
+            target=lambda: answers.append(ask(deployment.entries[0])), daemon=True
+        )
+        for _ in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    deployment.fleet.thaw("entry-1")
+    for thread in threads:
+        thread.join()
+    assert set(answers) <= {"whole", "lease_expired"}
+    assert deployment.get_json(engine, "/standin/stats")["completions"] == before
+
+
+def ask(address):
+    try:
+        Stream(address, "question", 5).read_whole()
+    except StepFailed as error:
+        assert '"ran":"no"' in str(error)
+        return "lease_expired" if "lease_expired" in str(error) else str(error)
+    return "whole"
