--- a/bench/at_rest.py
+++ b/bench/at_rest.py
@@ -4,13 +4,13 @@
 engine and syncs with the leader.
 """
 
-import os
 import tempfile
 import time
 from pathlib import Path
 
 import fire
 
+from bench.usage import processor_s, resident_mb
 from testbed import Deployment, Fleet, Shape
 
 ENGINES = (2, 8, 32)
@@ -19,8 +19,6 @@
 WINDOW_S = 10.0
 """Time over which processor time is read."""
 
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
 
 def main(window_s: float = WINDOW_S) -> None:
     """Print processor time and memory of leader, follower and entry.
@@ -44,24 +42,14 @@
     follower = next(f"control-{n}" for n in (1, 2, 3) if f"control-{n}" != leader)
     names = {"leader": leader, "follower": follower, "entry": "entry-1"}
     pids = {part: deployment.fleet.pid(host) for part, host in names.items()}
-    before = {part: _processor_s(pid) for part, pid in pids.items()}
+    before = {part: processor_s(pid) for part, pid in pids.items()}
     time.sleep(window_s)
     for part, pid in pids.items():
-        core = (_processor_s(pid) - before[part]) / window_s * 100
+        core = (processor_s(pid) - before[part]) / window_s * 100
         print(
-            f"{count:7d}  {part:8s}  {core:6.2f}  {_resident_mb(pid):5.1f}", flush=True
+            f"{count:7d}  {part:8s}  {core:6.2f}  {resident_mb(pid):5.1f}", flush=True
         )
 
 
-def _processor_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-
-
-def _resident_mb(pid: int) -> float:
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
 if __name__ == "__main__":
     fire.Fire(main)
--- a/bench/changes.py
+++ b/bench/changes.py
@@ -12,6 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from bench.usage import percentile
 from testbed import Deployment, Fleet, Shape
 from wigeonspan.catalog import OutcomeKind, PutObject, Tenant
 from wigeonspan.common import TenantName, Version
@@ -27,11 +28,6 @@
 """Changes before the measurement."""
 
 
-def percentile(values: list[float], share: float) -> float:
-    """Return the value that a share of the values does not exceed."""
-    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
-
-
 def change_tenant(session: Session, name: str, changes: int) -> list[float]:
     """Change one tenant again and again; return the latencies in milliseconds."""
     version = Version(0)
--- a/bench/commit.py
+++ b/bench/commit.py
@@ -18,6 +18,7 @@
 
 from tornado.netutil import bind_sockets
 
+from bench.usage import percentile, resident_mb
 from bench.voters import DOMAIN, RunningVoter, change
 from wigeonspan.consensus import BootstrapMember
 
@@ -29,19 +30,6 @@
 REST_S = 5.0
 """Seconds after the election over which a voter at rest is measured."""
 
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-
-
-def resident_mb() -> float:
-    """Return the resident set size of this process in MB."""
-    pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return pages * PAGE_BYTES / 1e6
-
-
-def percentile(values: list[float], share: float) -> float:
-    """Return the value that a share of the sorted values does not exceed."""
-    return values[min(len(values) - 1, int(share * len(values)))]
-
 
 async def propose_all(voter: RunningVoter, callers: int, changes: int) -> str:
     """Commit changes by several callers; return one row of the table."""
@@ -76,7 +64,7 @@
     begun = time.process_time()
     await asyncio.sleep(REST_S)
     cpu = 100 * (time.process_time() - begun) / REST_S
-    at_rest = resident_mb()
+    at_rest = resident_mb(os.getpid())
     rows = []
     if voter.log.is_leader:
         for callers, changes in CALLERS:
@@ -85,7 +73,7 @@
     while not await asyncio.to_thread(pipe.poll, 0.1):
         pass
     role = "leader" if voter.log.is_leader else "follower"
-    pipe.send((role, cpu, at_rest, resident_mb(), rows))
+    pipe.send((role, cpu, at_rest, resident_mb(os.getpid()), rows))
     await voter.stop()
 
 
--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import os
 import random
 import statistics
 import tempfile
@@ -15,6 +14,7 @@
 
 from msgspec import Struct
 
+from bench.usage import processor_s, resident_mb
 from testbed import Deployment, Fleet, Shape, StepFailed
 from wigeonspan.catalog import PutObject, Tenant
 from wigeonspan.common import (
@@ -40,8 +40,6 @@
 TENANTS = 20
 """Tenants whose rates each entry reports."""
 
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
 
 class Cost(Struct, frozen=True):
     """Cost of the leader over a window.
@@ -161,7 +159,7 @@
 
 
 async def _cost(counter: CountingClient, leader: int) -> Cost:
-    syncs, size, cpu_s = counter.syncs, counter.bytes, _cpu_s(leader)
+    syncs, size, cpu_s = counter.syncs, counter.bytes, processor_s(leader)
     began = time.monotonic()
     await asyncio.sleep(WINDOW_S)
     elapsed_s = time.monotonic() - began
@@ -169,8 +167,8 @@
     return Cost(
         syncs_per_s=syncs / elapsed_s,
         bytes_per_sync=(counter.bytes - size) / max(1, syncs),
-        core_percent=100.0 * (_cpu_s(leader) - cpu_s) / elapsed_s,
-        memory_mb=_memory_mb(leader),
+        core_percent=100.0 * (processor_s(leader) - cpu_s) / elapsed_s,
+        memory_mb=resident_mb(leader),
     )
 
 
@@ -195,15 +193,5 @@
     return time.monotonic() - accepted_at
 
 
-def _cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
-def _memory_mb(pid: int) -> float:
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
 if __name__ == "__main__":
     main()
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -10,16 +10,15 @@
 import asyncio
 import json
 import multiprocessing
-import os
 import subprocess
 import sys
 import time
 import urllib.request
 from collections.abc import Iterator
 from contextlib import contextmanager
-from pathlib import Path
 
 from bench.entry_process import MODEL, serve_entry
+from bench.usage import percentile, processor_s, resident_mb
 from wigeonspan.entryd import RelaySettings
 
 TOKENS = (1, 101)
@@ -35,26 +34,6 @@
 SETTLE_S = 8.0
 """Seconds after the last stream is open before memory is read."""
 
-_TICKS = os.sysconf("SC_CLK_TCK")
-_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-
-
-def processor_s(pid: int) -> float:
-    """Return the processor time of a process in seconds."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS
-
-
-def resident_mb(pid: int) -> float:
-    """Return the resident set size of a process in MB."""
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * _PAGE_BYTES / 1e6
-
-
-def percentile(values: list[float], share: float) -> float:
-    """Return the value that a share of the values does not exceed."""
-    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
-
 
 @contextmanager
 def running_engines(count: int, *options: str) -> Iterator[list[str]]:
