--- /dev/null
+++ b/bench/roles.py
@@ -0,0 +1,121 @@
+"""Role changes under load with real processes: ``python -m bench.roles``.
+
+Six mixed engines get long prompts that they cannot both read and answer in time. The
+planner of the leader moves some to prefill and decode; each move is drained and ordered
+while requests go on. Prints what became of the requests and the recorded decisions.
+"""
+
+import asyncio
+import json
+import random
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import fire
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest
+
+from standins.engine import answer_text
+from testbed import MODEL, Deployment, Fleet, Shape
+
+WORDS = 1_500
+"""Length of each prompt; the stand-in engine reads 3,000 tokens a second."""
+
+TOKENS = 60
+"""Length of each answer; 1.8 s at the engines' token interval."""
+
+OPTIONS = (
+    "--token_interval_s=0.03",
+    "--order_s=1.0",
+    "--prefill_tokens_per_s=3000",
+    "--batch_limit=16",
+)
+
+
+def main(seconds: float = 80.0, rate: float = 9.0, seed: int = 1) -> None:
+    """Run the load and print what became of it.
+
+    Parameters
+    ----------
+    seconds : float
+        Length of the load.
+    rate : float
+        Requests per second.
+    seed : int
+        Seed of the callers' choices.
+    """
+    with tempfile.TemporaryDirectory(prefix="wigeonspan-roles-") as name:
+        with Fleet(Path(name)) as fleet:
+            shape = Shape(entries=2, engines=6, engine_options=OPTIONS)
+            deployment = Deployment(fleet, Path(name), shape)
+            deployment.start()
+            deployment.ctl(
+                "put",
+                "policy",
+                "policy",
+                "--role-change-price=1.0",
+                "--minimum-stay-s=20.0",
+            )
+            outcomes = asyncio.run(_load(deployment, seconds, rate, seed))
+            _report(deployment, outcomes)
+
+
+async def _load(
+    deployment: Deployment, seconds: float, rate: float, seed: int
+) -> Counter[str]:
+    """Send requests at a fixed rate and count how they ended."""
+    client = CurlAsyncHTTPClient(force_instance=True, max_clients=1000)
+    rng = random.Random(seed)
+    began, tasks = time.monotonic(), []
+    while time.monotonic() < began + seconds:
+        address = rng.choice(deployment.entries)
+        tasks.append(asyncio.ensure_future(_ask(client, address, len(tasks))))
+        pause_s = began + len(tasks) / rate - time.monotonic()
+        await asyncio.sleep(max(0.0, pause_s))
+    return Counter(await asyncio.gather(*tasks))
+
+
+async def _ask(client: CurlAsyncHTTPClient, address: str, number: int) -> str:
+    """Ask once and return how it ended."""
+    prompt = " ".join(f"w{number}x{word}" for word in range(WORDS))
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": TOKENS}
+    request = HTTPRequest(
+        f"http://{address}/v1/completions",
+        method="POST",
+        headers={
+            "Content-Type": "application/json",
+            "X-Tenant": "archive",
+            "X-Deadline-Ms": "8000",
+            "X-Priority-Class": "quote",
+        },
+        body=json.dumps(body),
+        request_timeout=12.0,
+    )
+    try:
+        response = await client.fetch(request, raise_error=False)
+    except (OSError, HTTPClientError) as error:
+        return f"no answer: {error}"
+    answer = json.loads(response.body)
+    if response.code != 200:
+        return f"refused: {answer['error']['kind']}, ran {answer['error']['ran']}"
+    text = answer["choices"][0]["text"]
+    return "whole" if text == answer_text(prompt, TOKENS) else "wrong"
+
+
+def _report(deployment: Deployment, outcomes: Counter[str]) -> None:
+    for outcome, count in outcomes.most_common():
+        print(f"{count:6d} {outcome}")
+    cut = sum(
+        deployment.get_json(address, "/standin/stats")["cut_urgent"]
+        for address in deployment.engines
+    )
+    print(f"{cut:6d} urgent requests cut by orders")
+    for engine in deployment.query("list", "engine"):
+        print(f"{engine['name']}: {engine['role']}, {engine['phase']}")
+    print(deployment.show("record", "--kind=decision"))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
