--- /dev/null
+++ b/tests/placing/test_placer.py
@@ -0,0 +1,182 @@
+"""Choice of engines and targets."""
+
+import random
+
+import pytest
+
+from wigeonspan.common import DomainName, HostId, ServiceName
+from wigeonspan.fleetconfig import CallKind, Route, WeightedService
+from wigeonspan.placing import (
+    Decision,
+    Placer,
+    Plan,
+    Prompt,
+    PromptPart,
+    Refusal,
+    Work,
+    WorkKind,
+)
+from wigeonspan.targets import Phase, Target, TargetId
+
+SERVICE = ServiceName("models")
+
+
+def route(objective_s=0.8, priority=2, pause_s=0.25):
+    return Route(
+        "r",
+        "h",
+        "/r/",
+        CallKind.STREAM,
+        (WeightedService(SERVICE, 1.0),),
+        timeout_s=10.0,
+        objective_s=objective_s,
+        pause_objective_s=pause_s,
+        priority=priority,
+    )
+
+
+def engine(name, phase, domain="a"):
+    return Target(
+        TargetId(name),
+        SERVICE,
+        f"10.0.0.1:{name[1:]}",
+        DomainName(domain),
+        64,
+        phase=phase,
+    )
+
+
+def fleet(prefill=2, decode=2):
+    return [engine(f"p{n}", Phase.PREFILL) for n in range(prefill)] + [
+        engine(f"d{n}", Phase.DECODE) for n in range(decode)
+    ]
+
+
+def prompt(tokens=6000, session=None, shared=5000):
+    parts = [PromptPart(f"own{tokens}", tokens)]
+    if session is not None:
+        parts.insert(0, PromptPart(session, shared))
+    return Prompt(tuple(parts), sum(p.tokens for p in parts), 40)
+
+
+def busy(placer, target, cost_ms, urgency=0, name="w"):
+    work = Work(name, HostId("e"), TargetId(target), WorkKind.PREFILL, cost_ms, urgency)
+    placer.ledger.begin(work, 0.0)
+
+
+@pytest.fixture
+def placer():
+    return Placer(DomainName("a"), random.Random(1))
+
+
+def test_plan_avoids_the_engine_that_reads_another_prompt(placer):
+    """Two entries once sent long prompts to one engine while another was idle."""
+    busy(placer, "p0", 300.0)
+    plan = placer.plan(route(), prompt(), fleet(), 10.0, 0.0)
+    assert isinstance(plan, Plan)
+    assert plan.prefill.target == "p1"
+
+
+def test_large_prompt_goes_before_a_small_one_with_time(placer):
+    """Large prompts stayed behind small ones and missed their objective: of the
+    largest tenth a third was served while of all three quarters were."""
+    large = placer.plan(route(0.8, 2), prompt(28_000), fleet(), 10.0, 0.0)
+    small = placer.plan(route(0.4, 0), prompt(600), fleet(), 10.0, 0.0)
+    assert large.urgency < small.urgency
+
+
+def test_prompt_that_cannot_be_on_time_yields(placer):
+    """A prompt that is late whatever happens must not make others late."""
+    late = placer.plan(route(0.8), prompt(50_000), fleet(), 10.0, 0.0)
+    timely = placer.plan(route(0.8), prompt(6_000), fleet(), 10.0, 0.0)
+    assert late.urgency > timely.urgency
+
+
+def test_elapsed_time_counts_against_the_objective(placer):
+    """A retried request was ranked as if it had just arrived."""
+    fresh = placer.plan(route(), prompt(), fleet(), 10.0, 0.0)
+    retried = placer.plan(route(), prompt(), fleet(), 10.0, 0.0, elapsed_s=0.5)
+    assert retried.urgency < fresh.urgency
+
+
+def test_session_stays_where_its_shared_part_is_held(placer):
+    """Sessions moved between engines for a few milliseconds of waiting and had their
+    shared part read again each time."""
+    shared = prompt(3000, session="s1")
+    placer.prefixes.note(TargetId("p1"), shared.parts, 8000)
+    busy(placer, "p1", 150.0)
+    assert placer.plan(route(), shared, fleet(), 10.0, 0.0).prefill.target == "p1"
+
+
+def test_session_moves_when_its_engine_is_far_behind(placer):
+    """Staying at any price would starve the session of a busy engine."""
+    shared = prompt(3000, session="s1")
+    placer.prefixes.note(TargetId("p1"), shared.parts, 8000)
+    busy(placer, "p1", 900.0)
+    assert placer.plan(route(), shared, fleet(), 10.0, 0.0).prefill.target == "p0"
+
+
+def test_request_known_to_be_lost_is_refused_at_once(placer):
+    """A caller leaves a stream without an event after its patience; holding such a
+    request only takes engine time from others."""
+    for name in ("p0", "p1"):
+        busy(placer, name, 5000.0, name=name)
+    for name in ("d0", "d1"):
+        busy(placer, name, 5000.0, name=name)
+    refusal = placer.plan(route(), prompt(), fleet(), 10.0, 0.0)
+    assert isinstance(refusal, Refusal)
+    assert refusal.retry_after_s > 0.0
+
+
+def test_no_engine_is_a_refusal_and_not_an_error(placer):
+    """An empty list of targets must lead to a truthful refusal."""
+    assert isinstance(placer.plan(route(), prompt(), [], 10.0, 0.0), Refusal)
+
+
+def test_small_prompt_is_read_directly_when_prefill_engines_are_busy(placer):
+    """Idle decode engines were not used while prompts queued at the others."""
+    for name in ("p0", "p1"):
+        busy(placer, name, 400.0, name=name)
+    plan = placer.plan(route(0.3), prompt(600), fleet(), 8.0, 0.0)
+    assert plan.decision is Decision.DIRECT
+
+
+def test_without_prefill_engines_decode_engines_read(placer):
+    """The loss of all prefill engines must not stop the service."""
+    plan = placer.plan(route(), prompt(), fleet(prefill=0), 10.0, 0.0)
+    assert plan.decision is Decision.DIRECT
+
+
+def test_excluded_engine_is_not_chosen_again(placer):
+    """A request went back to the engine that had just failed it."""
+    plan = placer.plan(route(), prompt(), fleet(), 10.0, 0.0, excluded={TargetId("p0")})
+    assert plan.prefill.target == "p1"
+
+
+def test_suspended_engine_is_avoided_while_others_are_sound(placer):
+    """A crashed engine stays on the list for seconds."""
+    placer.health.failed(TargetId("p0"), 0.0, silent=True)
+    plan = placer.plan(route(), prompt(), fleet(), 10.0, 0.1)
+    assert plan.prefill.target == "p1"
+
+
+def test_calls_avoid_a_target_that_fails_more_than_the_others(placer):
+    """A target that failed half of its calls with a good health check got as many
+    calls as the others."""
+    targets = [engine(f"t{n}", Phase.NONE) for n in range(3)]
+    for _ in range(12):
+        placer.health.erred(TargetId("t0"))
+        placer.health.succeeded(TargetId("t1"))
+        placer.health.succeeded(TargetId("t2"))
+    chosen = {placer.choose_call(targets, 1.0).target for _ in range(30)}
+    assert "t0" not in chosen
+
+
+def test_errors_that_all_targets_share_rule_none_out(placer):
+    """Errors of the requests themselves once emptied a service of targets."""
+    targets = [engine(f"t{n}", Phase.NONE) for n in range(3)]
+    for name in ("t0", "t1", "t2"):
+        for _ in range(12):
+            placer.health.erred(TargetId(name))
+    chosen = {placer.choose_call(targets, 1.0).target for _ in range(60)}
+    assert chosen == {"t0", "t1", "t2"}
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from msgspec import Struct
 from tornado.httpserver import HTTPServer
@@ -27,6 +27,8 @@
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import BEAT_PATH, Beat, BeatReply, EntryBoard
 from wigeonspan.serving import RequestServer, Serve
+from wigeonspan.staging import Authority, DemandMeter, OrderPort, StagingTask
+from wigeonspan.targets import Listing
 from wigeonspan.trail import LineWriter, Meters, Trail
 
 MAX_CLIENTS = 64
@@ -43,6 +45,13 @@
 """Seconds for which a caller keeps an answer of the directory; a stopping entry goes on
 for three times as long."""
 
+ORDER_WAIT_S = 3.5
+"""Seconds for which a new leader gives no orders: the lease of a holder of orders on
+the engines, and the time in which an unanswered order's connection ends."""
+
+ORDER_MARGIN_S = 0.3
+"""Seconds of the leader's lease that must be left when an order is sent."""
+
 MOST_ADDRESSES = 64
 """Largest number of addresses that callers read."""
 
@@ -80,10 +89,23 @@
 
 
 class Coordinator:
-    """One control host."""
+    """One control host.
+
+    Parameters
+    ----------
+    make_order_port : callable
+        Returns how engines are ordered over a connection pool.
+    read_listing : callable
+        Reads the list of targets.
+    """
 
     def __init__(
-        self, settings: CoordinatorSettings, clock: Clock, rng: random.Random
+        self,
+        settings: CoordinatorSettings,
+        make_order_port: Callable[[ConnectionPool], OrderPort],
+        read_listing: Callable[[ConnectionPool, Trail], Awaitable[Listing]],
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -112,6 +134,16 @@
             candidate, self._log, clock, self._pool, self._trail, settings.wanted_voters
         )
         self._group.set_seeds(settings.seeds)
+        self._meter = DemandMeter()
+        self._staging = StagingTask(
+            settings.host,
+            clock,
+            make_order_port(self._pool),
+            self._trail,
+            self._authority,
+            lambda: read_listing(self._pool, self._trail),
+            lambda service: self._meter.demand(service, clock.now()),
+        )
         self._servers: list[RequestServer] = []
         self._http = HTTPServer(self._internal_routes())
         self._tasks: list[asyncio.Task[None]] = []
@@ -145,6 +177,7 @@
             self._servers.append(server)
         self._tasks = [
             asyncio.create_task(self._group.run()),
+            asyncio.create_task(self._staging.run()),
             asyncio.create_task(self._keep_house()),
         ]
 
@@ -240,6 +273,9 @@
     def _take_beat(self, beat: Beat) -> BeatReply:
         now = self._clock.now()
         self._board.record(beat, now)
+        for service, read_ms in beat.read_ms.items():
+            stream_s = beat.stream_s.get(service, 0.0)
+            self._meter.note(beat.entry.host, service, read_ms, stream_s, now)
         digest = self._board.digest(now)
         stored = self.stored
         return BeatReply(
@@ -247,8 +283,21 @@
             entries=self._board.live(now) if digest != beat.entries_digest else None,
             entries_digest=digest,
             controls=[member.address for member in self._log.members],
+            switching=self._staging.switching,
         )
 
+    def _authority(self) -> Authority | None:
+        """Return the right to order engines, well within this leader's lease.
+
+        A new leader waits until an order of the one before it cannot arrive any more.
+        """
+        now, log = self._clock.now(), self._log
+        if not log.is_leader or now - log.led_since < ORDER_WAIT_S:
+            return None
+        if log.lease_valid_until < now + ORDER_MARGIN_S:
+            return None
+        return Authority(log.term, log.lease_valid_until)
+
     def _internal_routes(self) -> Application:
         return Application(
             [
@@ -298,7 +347,7 @@
 
 
 async def run_coordinator(
-    settings: CoordinatorSettings,
+    make: Callable[[Clock, random.Random], Coordinator],
     make_routes: Callable[[Coordinator], tuple[Serve, Serve]],
     read_settings: Callable[[], CoordinatorSettings],
     settings_path: str,
@@ -307,10 +356,12 @@
 
     Parameters
     ----------
+    make : callable
+        Makes the control host.
     make_routes : callable
         Returns what serves operators and what serves the directory.
     """
-    coordinator = Coordinator(settings, BootClock(), random.Random())
+    coordinator = make(BootClock(), random.Random())
     stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
--- a/wigeonspan/gateway/_beats.py
+++ b/wigeonspan/gateway/_beats.py
@@ -18,6 +18,7 @@
 from wigeonspan.gateway._config import ConfigHolder
 from wigeonspan.pool import ConnectionPool, ExchangeFailed, encode_request
 from wigeonspan.presence import BEAT_PATH, Beat, BeatReply, EntryInfo
+from wigeonspan.targets import TargetId
 from wigeonspan.trail import Trail
 
 BEAT_S = 0.5
@@ -37,6 +38,7 @@
 
 class _Control(Struct):
     answered_at: float
+    switching: list[TargetId] = []
     reachable: bool = True
 
 
@@ -49,6 +51,8 @@
         Returns the heartbeat to send now.
     note_entries : callable
         Takes the live entries when they have changed.
+    note_switching : callable
+        Takes the engines whose phase is changing.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         rng: random.Random,
         make_beat: Callable[[str], Beat],
         note_entries: Callable[[list[EntryInfo]], None],
+        note_switching: Callable[[list[TargetId]], None],
     ) -> None:
         self._clock = clock
         self._pool = pool
@@ -68,6 +73,7 @@
         self._rng = rng
         self._make_beat = make_beat
         self._note_entries = note_entries
+        self._note_switching = note_switching
         self._seeds: set[str] = set()
         self._controls: dict[str, _Control] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -129,6 +135,8 @@
         except (ExchangeFailed, WigeonspanError) as error:
             if control.reachable:
                 control.reachable = False
+                # Its word on phases is void; the list shows what came of it.
+                control.switching = []
                 self._trail.note(
                     "beats", "control_lost", control=address, why=str(error)
                 )
@@ -148,3 +156,5 @@
         if reply.entries is not None:
             self._note_entries(reply.entries)
         self._digests[address] = reply.entries_digest
+        self._controls[address].switching = reply.switching
+        self._note_switching([t for c in self._controls.values() for t in c.switching])
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -126,7 +126,14 @@
         self._front = RequestServer(self._server.serve)
         self._side = RequestServer(self._answer_side)
         self._beats = BeatTask(
-            clock, pool, parts.config, trail, rng, self._make_beat, self._note_entries
+            clock,
+            pool,
+            parts.config,
+            trail,
+            rng,
+            self._make_beat,
+            self._note_entries,
+            parts.board.set_switching,
         )
         self._listing = ListingTask(
             settings.host,
@@ -212,7 +219,8 @@
         entry = EntryInfo(
             settings.host, settings.domain, settings.front, settings.peer, self._state
         )
-        return Beat(entry, self._parts.config.version, digest)
+        parts = self._parts
+        return Beat(entry, parts.config.version, digest, parts.read_ms, parts.stream_s)
 
     def _note_entries(self, entries: list[EntryInfo]) -> None:
         own = self._settings.host
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -17,9 +17,9 @@
 READ_PATIENCE = 4.0
 """Multiple of the expected time after which a prompt is read elsewhere."""
 
-READ_PATIENCE_MIN_S = 0.6
+READ_PATIENCE_MIN_S = 1.0
 """Shortest time in seconds after which a prompt is read elsewhere; long enough for
-several chunks of other prompts."""
+several prompts that go first."""
 
 STALL_PAUSES = 4.0
 """Multiple of the pause objective after which a stream that may be resumed goes on at
@@ -55,6 +55,7 @@
         self._route = route
         self._service = service
         self._ends_at = ends_at
+        self._arrived = parts.clock.now()
         self._excluded: set[TargetId] = set()
         self._position = StreamPosition()
         self._reads = 0
@@ -91,6 +92,7 @@
             self._ends_at - now,
             now,
             self._excluded,
+            now - self._arrived,
         )
         list_age_ms = round((now - parts.board.read_at) * 1000)
         if isinstance(plan, Refusal):
@@ -98,6 +100,7 @@
                 "refused", failure=True, why=plan.reason, list_age_ms=list_age_ms
             )
             raise self._refusal(plan)
+        parts.note_demand(self._service, read_ms=plan.work_ms)
         self._note(
             "placed",
             how=plan.decision.value,
@@ -209,7 +212,11 @@
             if outcome is TargetOutcome.FAILED:
                 return await self._take_failure(caller, engine, head, exchange)
             self._head = self._head or head
-            await self._pass_on(caller, plan, engine, exchange, started)
+            try:
+                await self._pass_on(caller, plan, engine, exchange, started)
+            finally:
+                stream_s = parts.clock.now() - started
+                parts.note_demand(self._service, stream_s=stream_s)
         parts.placer.health.succeeded(engine.target)
         return True
 
--- a/wigeonspan/gateway/_parts.py
+++ b/wigeonspan/gateway/_parts.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, field
 
-from wigeonspan.common import Clock, HostId
+from wigeonspan.common import Clock, HostId, ServiceName
 from wigeonspan.gateway._config import ConfigHolder
 from wigeonspan.gateway._messages import TargetProtocol
 from wigeonspan.placing import Placer, PromptPart, RetryBudget, Work
@@ -30,8 +30,17 @@
     link: PeerLink
     trail: Trail
     meters: Meters
+    read_ms: dict[ServiceName, float] = {}
+    stream_s: dict[ServiceName, float] = {}
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def note_demand(
+        self, service: ServiceName, *, read_ms: float = 0.0, stream_s: float = 0.0
+    ) -> None:
+        """Add the work of a generation to the totals of its service."""
+        self.read_ms[service] = self.read_ms.get(service, 0.0) + read_ms
+        self.stream_s[service] = self.stream_s.get(service, 0.0) + stream_s
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run something that nobody waits for."""
         task = asyncio.create_task(work)
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -124,6 +124,8 @@
         ends_at: float,
     ) -> PlainCall | Generation:
         spec = config.service(service)
+        if spec is not None and spec.engine is not None:
+            self._parts.placer.prefixes.set_memory(spec.engine.kv_tokens)
         is_model = spec is not None and spec.engine is not None
         kind = Generation if is_model and route.kind is CallKind.STREAM else PlainCall
         return kind(self._parts, request, route, service, ends_at)
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -48,8 +48,10 @@
         Engine that reads the prompt; None when the decode engine reads it itself.
     decode : Target
         Engine that produces the answer.
+    work_ms : float
+        Engine time that reading the prompt takes at an engine of usual speed.
     cost_ms : float
-        Engine time that reading the prompt takes.
+        Time that reading the prompt takes at the chosen engine.
     wait_ms : float
         Time until reading begins.
     first_ms : float
@@ -61,6 +63,7 @@
     decision: Decision
     prefill: Target | None
     decode: Target
+    work_ms: float
     cost_ms: float
     wait_ms: float
     first_ms: float
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -56,12 +56,22 @@
 """Share of the time left beyond which a request is expected to be lost; the estimate
 errs by about a fifth."""
 
-LATE_RANKS = 3
-"""Ranks by which a request that will be late yields to requests that can be on time."""
+LAXITY_RANKS_MS = (150.0, 300.0, 500.0)
+"""Milliseconds that a request can still wait and be on time, below which it gets rank
+0, 1 and 2 at the engines; the rest gets rank 3. The least laxity goes first, so that a
+large prompt, which takes most of its objective to read, is not kept behind small ones
+that have time."""
+
+LATE_URGENCY = 5
+"""Rank of a request that cannot be on time: it yields to those that can."""
 
 MOST_URGENCY = 9
 """Largest rank that engines know."""
 
+READ_AGAIN_WEIGHT = 2.0
+"""Weight of the engine time that reading shared parts again takes from others, against
+the delay of this request."""
+
 
 class Placer:
     """Decisions on where requests run.
@@ -92,11 +102,7 @@
 
         Only tokens that it does not hold are read.
         """
-        total = max(prompt.input_tokens, sum(p.tokens for p in prompt.parts))
-        cached = self.prefixes.cached_tokens(target.target, prompt.parts)
-        new = max(1, total - cached)
-        nominal = READ_FIXED_MS + new / READ_TOKENS_PER_MS + PAIR_MS * new * total
-        return nominal * self.speeds.factor(target.target, now)
+        return self._work_ms(target, prompt) * self.speeds.factor(target.target, now)
 
     def new_tokens(self, target: Target, prompt: Prompt) -> int:
         """Return how many tokens of a prompt an engine does not hold."""
@@ -111,6 +117,7 @@
         left_s: float,
         now: float,
         excluded: Collection[TargetId] = (),
+        elapsed_s: float = 0.0,
     ) -> Plan | Refusal:
         """Decide where a generation runs, or that it is refused.
 
@@ -122,9 +129,11 @@
             Seconds until the caller gives up.
         excluded : collection of TargetId
             Engines that have failed this request.
+        elapsed_s : float
+            Seconds since the request arrived.
         """
         usable = self._usable(targets, now, excluded)
-        urgency = min(route.priority, MOST_URGENCY)
+        urgency = self._urgency(route, usable, prompt, elapsed_s, now)
         split = self._split(usable, prompt, urgency, now)
         direct = self._direct(usable, prompt, urgency, now)
         options = [plan for plan in (split, direct) if plan is not None]
@@ -135,17 +144,7 @@
         if plan.first_ms > budget_s * 1000.0 * LOST_SHARE:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
             return Refusal(reason, self._come_back_s(plan, route))
-        if plan.first_ms > route.objective_s * 1000.0:
-            urgency = min(urgency + LATE_RANKS, MOST_URGENCY)
-        return Plan(
-            plan.decision,
-            plan.prefill,
-            plan.decode,
-            plan.cost_ms,
-            plan.wait_ms,
-            plan.first_ms,
-            urgency,
-        )
+        return plan
 
     def choose_decode(
         self,
@@ -200,6 +199,11 @@
 
         return min(usable, key=delay_ms)
 
+    def _work_ms(self, target: Target, prompt: Prompt) -> float:
+        total = max(prompt.input_tokens, sum(p.tokens for p in prompt.parts))
+        new = self.new_tokens(target, prompt)
+        return READ_FIXED_MS + new / READ_TOKENS_PER_MS + PAIR_MS * new * total
+
     def _usable(
         self, targets: Sequence[Target], now: float, excluded: Collection[TargetId]
     ) -> list[Target]:
@@ -215,12 +219,17 @@
             return None
         names = [t.target for t in engines]
 
+        costs = {t.target: self.read_ms(t, prompt, now) for t in engines}
+        least = min(costs.values())
+
         def expected(target: Target) -> tuple[float, float, float]:
-            cost = self.read_ms(target, prompt, now)
+            cost = costs[target.target]
             wait = self.ledger.backlog_ms(target.target, urgency, now)
             far = (target.domain != self._domain) * OTHER_DOMAIN_MS
             price = self.health.price_ms(target.target, names)
-            return (wait + cost + far + price + self._rng.random(), wait, cost)
+            again = READ_AGAIN_WEIGHT * (cost - least)
+            score = wait + cost + again + far + price + self._rng.random()
+            return (score, wait, cost)
 
         scored = {t.target: expected(t) for t in engines}
         best = min(engines, key=lambda t: scored[t.target])
@@ -229,7 +238,8 @@
             return None
         _, wait, cost = scored[best.target]
         first = wait + cost + self._handoff_ms
-        return Plan(Decision.SPLIT, best, decode, cost, wait, first, urgency)
+        work = self._work_ms(best, prompt) * self.speeds.common
+        return Plan(Decision.SPLIT, best, decode, work, cost, wait, first, urgency)
 
     def _direct(
         self, targets: list[Target], prompt: Prompt, urgency: int, now: float
@@ -244,7 +254,25 @@
         if not alone and reading + cost > DIRECT_LIMIT_MS:
             return None
         first = reading + cost + READ_FIXED_MS
-        return Plan(Decision.DIRECT, None, engine, cost, reading, first, urgency)
+        work = self._work_ms(engine, prompt) * self.speeds.common
+        return Plan(Decision.DIRECT, None, engine, work, cost, reading, first, urgency)
+
+    def _urgency(
+        self,
+        route: Route,
+        targets: list[Target],
+        prompt: Prompt,
+        elapsed_s: float,
+        now: float,
+    ) -> int:
+        """Return the rank of a request by how long it can wait and be on time."""
+        readers = [t for t in targets if t.phase is Phase.PREFILL] or targets
+        cost_ms = min((self.read_ms(t, prompt, now) for t in readers), default=0.0)
+        spent_ms = elapsed_s * 1000.0 + cost_ms + self._handoff_ms
+        laxity_ms = route.objective_s * 1000.0 - spent_ms
+        if laxity_ms < 0.0:
+            return LATE_URGENCY
+        return sum(1 for bound in LAXITY_RANKS_MS if laxity_ms >= bound)
 
     def _come_back_s(self, plan: Plan, route: Route) -> float:
         """Return when a refused request can be on its way, spread over callers."""
--- a/wigeonspan/placing/_prefixes.py
+++ b/wigeonspan/placing/_prefixes.py
@@ -9,7 +9,7 @@
 PARTS_PER_TARGET = 4000
 """Parts remembered for an engine; at 100 bytes each under half a megabyte."""
 
-HOLD_SHARE = 0.6
+HOLD_SHARE = 0.75
 """Share of an engine's memory that is taken to hold finished parts; requests under way
 need the rest."""
 
--- a/wigeonspan/placing/_speed.py
+++ b/wigeonspan/placing/_speed.py
@@ -35,12 +35,14 @@
     def factor(self, target: TargetId, now: float) -> float:
         """Return the factor of a target; the common one before its first sample."""
         factor, at = self._factors.get(target, (0.0, now))
-        common = self._common()
+        common = self.common
         if not factor:
             return common
         kept = 0.5 ** ((now - at) / RECALL_S)
         return min(max(common + (factor - common) * kept, BOUNDS[0]), BOUNDS[1])
 
-    def _common(self) -> float:
+    @property
+    def common(self) -> float:
+        """Factor of the usual target."""
         factors = sorted(factor for factor, _ in self._factors.values())
         return factors[len(factors) // 2] if factors else 1.0
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -4,8 +4,9 @@
 
 from msgspec import Struct
 
-from wigeonspan.common import DomainName, HostId
+from wigeonspan.common import DomainName, HostId, ServiceName
 from wigeonspan.fleetconfig import StoredConfig
+from wigeonspan.targets import TargetId
 
 BEAT_PATH = "/internal/v1/beat"
 """Path of heartbeats at a control host."""
@@ -46,17 +47,17 @@
         Version that the entry holds; 0 when none.
     entries_digest : str
         Digest of the list of entries that it holds.
-    prefill_ms : dict
+    read_ms : dict
         Engine time in milliseconds that prompts took since the start, by service.
-    decode_tokens : dict
-        Tokens that answers took since the start, by service.
+    stream_s : dict
+        Seconds of streams since the start, added over all streams, by service.
     """
 
     entry: EntryInfo
     config_version: int
     entries_digest: str
-    prefill_ms: dict[str, float] = {}
-    decode_tokens: dict[str, float] = {}
+    read_ms: dict[ServiceName, float] = {}
+    stream_s: dict[ServiceName, float] = {}
 
 
 class BeatReply(Struct, frozen=True):
@@ -70,9 +71,12 @@
         Live entries when the entry holds another list.
     controls : list of str
         Internal addresses of the control group's members.
+    switching : list of TargetId
+        Engines that must get no new work because their phase is changing.
     """
 
     config: StoredConfig | None
     entries: list[EntryInfo] | None
     entries_digest: str
     controls: list[str]
+    switching: list[TargetId] = []
--- a/wigeonspan/targets/_board.py
+++ b/wigeonspan/targets/_board.py
@@ -1,5 +1,7 @@
 """Targets known here: the newest listing, with departures that it cannot undo."""
 
+from collections.abc import Iterable
+
 from wigeonspan.common import ServiceName
 from wigeonspan.targets._messages import Listing, Target, TargetId
 
@@ -13,6 +15,7 @@
     def __init__(self) -> None:
         self._targets: dict[TargetId, Target] = {}
         self._leaving: dict[TargetId, int] = {}
+        self._switching: frozenset[TargetId] = frozenset()
         self._read_at = NEVER
         self._digest = ""
 
@@ -60,6 +63,10 @@
         self._read_at = max(self._read_at, read_at)
         return True
 
+    def set_switching(self, targets: Iterable[TargetId]) -> None:
+        """Note the targets whose phase is being changed; they get no new work."""
+        self._switching = frozenset(targets)
+
     def get(self, target: TargetId) -> Target | None:
         """Return a target that is listed."""
         return self._targets.get(target)
@@ -73,7 +80,9 @@
         return [
             target
             for target in self._targets.values()
-            if target.service == service and not self._is_leaving(target)
+            if target.service == service
+            and target.target not in self._switching
+            and not self._is_leaving(target)
         ]
 
     def _is_leaving(self, target: Target) -> bool:
