Measure engines by what they finish while busy, and count the prompt they read

Cause: an engine finishes the prompt that it reads whatever the urgency of others (a prompt of 19,673 tokens held prompts of 161 tokens for 417 ms), the wait counted only more urgent work, and its speed was learned from single prompts, which measured the queue. Prompts took twice the expected time. Entries sent clumps of requests to one engine. After a kill of all control hosts entries had no configuration until the election was over.

Change: the ledger tracks the prompt being read and each engine's busy time against finished work, heard from all entries; large prompts with time go to engines that are busy anyway; near-equal engines are spread at random; phases are set once the list is whole; control hosts keep a copy of the committed configuration that entries may use after a restart.

--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -85,6 +85,15 @@
     assert large.urgency < small.urgency
 
 
+def test_large_prompt_with_time_leaves_the_free_engine_to_small_ones(placer):
+    """Large prompts spread over all engines and small ones waited behind them."""
+    busy(placer, "p0", 150.0)
+    large = placer.plan(route(0.8), prompt(12_000), fleet(), 10.0, 0.0)
+    small = placer.plan(route(0.3), prompt(600), fleet(), 8.0, 0.0)
+    assert large.prefill.target == "p0"
+    assert small.prefill is None or small.prefill.target == "p1"
+
+
 def test_prompt_that_cannot_be_on_time_yields(placer):
     """A prompt that is late whatever happens must not make others late."""
     late = placer.plan(route(0.8), prompt(50_000), fleet(), 10.0, 0.0)
@@ -99,6 +108,19 @@
     assert retried.urgency < fresh.urgency
 
 
+def test_requests_that_arrive_together_at_several_entries_are_spread():
+    """Eight entries with the same knowledge sent a clump of requests to one engine."""
+    engines = fleet(prefill=4)
+    chosen = set()
+    for seed in range(12):
+        entry = Placer(DomainName("a"), random.Random(seed))
+        entry.ledger.begin(
+            Work("w", HostId("e"), TargetId("p0"), WorkKind.PREFILL, 5.0, 1), 0.0
+        )
+        chosen.add(entry.plan(route(), prompt(600), engines, 10.0, 0.0).prefill.target)
+    assert {"p1", "p2", "p3"} <= chosen
+
+
 def test_session_stays_where_its_shared_part_is_held(placer):
     """Sessions moved between engines for a few milliseconds of waiting and had their
     shared part read again each time."""
--- a/wigeonspan/consensus/__init__.py
+++ b/wigeonspan/consensus/__init__.py
@@ -1,11 +1,15 @@
 """Replicated log."""
 
 from wigeonspan.consensus._core import RaftNode
+from wigeonspan.consensus._disk import FolderDisk
+from wigeonspan.consensus._files import write_whole
 from wigeonspan.consensus._frames import (
     StorageCorrupt,
     StorageError,
     StorageFailed,
     StorageFull,
+    frame,
+    payload_at,
 )
 from wigeonspan.consensus._interface import ReplicatedLog, StateMachine
 from wigeonspan.consensus._messages import (
@@ -27,6 +31,7 @@
 __all__ = [
     "BootstrapMember",
     "Entry",
+    "FolderDisk",
     "HardState",
     "Local",
     "LogRole",
@@ -46,6 +51,9 @@
     "StorageFailed",
     "StorageFull",
     "Stored",
+    "frame",
+    "payload_at",
+    "write_whole",
 ]
 
 
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -18,7 +18,8 @@
     WigeonspanError,
     watch_settings,
 )
-from wigeonspan.consensus import BootstrapMember, LogTask
+from wigeonspan.consensus import BootstrapMember, LogTask, StorageError
+from wigeonspan.coordinator._cache import CommittedCache
 from wigeonspan.coordinator._group import JOIN_PATH, Group
 from wigeonspan.coordinator._handlers import BeatHandler, JoinHandler, MetricsHandler
 from wigeonspan.coordinator._membership import Candidate
@@ -37,9 +38,9 @@
 HOUSEKEEPING_S = 0.2
 """Seconds between two rounds of housekeeping."""
 
-LISTEN_S = 1.0
-"""Seconds after the start in which callers are told nothing yet: entries send their
-heartbeats twice in that time."""
+LISTEN_S = 0.7
+"""Seconds after the start in which callers are told nothing yet: entries send a
+heartbeat in that time."""
 
 DIRECTORY_KEEP_S = 2.0
 """Seconds for which a caller keeps an answer of the directory; a stopping entry goes on
@@ -123,7 +124,7 @@
             settings.address,
             settings.domain,
             _first_voters(settings),
-            settings.folder,
+            f"{settings.folder}/log",
             self._machine,
             clock,
             rng,
@@ -134,6 +135,9 @@
             candidate, self._log, clock, self._pool, self._trail, settings.wanted_voters
         )
         self._group.set_seeds(settings.seeds)
+        self._cache = CommittedCache(f"{settings.folder}/committed")
+        # Committed configuration for entries, also from before a restart.
+        self._committed = self._cache.read()
         self._meter = DemandMeter()
         self._staging = StagingTask(
             settings.host,
@@ -142,7 +146,7 @@
             self._trail,
             self._authority,
             lambda: read_listing(self._pool, self._trail),
-            lambda service: self._meter.demand(service, clock.now()),
+            self._meter,
         )
         self._servers: list[RequestServer] = []
         self._http = HTTPServer(self._internal_routes())
@@ -178,6 +182,7 @@
         self._tasks = [
             asyncio.create_task(self._group.run()),
             asyncio.create_task(self._staging.run()),
+            asyncio.create_task(self._keep_committed()),
             asyncio.create_task(self._keep_house()),
         ]
 
@@ -198,6 +203,7 @@
         for task in self._tasks:
             task.cancel()
         await self._log.stop()
+        self._cache.close()
         for server in self._servers:
             await server.close()
         self._http.stop()
@@ -277,7 +283,7 @@
             stream_s = beat.stream_s.get(service, 0.0)
             self._meter.note(beat.entry.host, service, read_ms, stream_s, now)
         digest = self._board.digest(now)
-        stored = self.stored
+        stored = max(self.stored, self._committed, key=lambda c: c.version)
         return BeatReply(
             config=stored if stored.version > beat.config_version else None,
             entries=self._board.live(now) if digest != beat.entries_digest else None,
@@ -319,6 +325,22 @@
         meters.gauge("entries_live", float(len(self._board.live(self._clock.now()))))
         return meters.text()
 
+    async def _keep_committed(self) -> None:
+        """Copy each committed configuration to disk for the next start."""
+        while True:
+            if self.stored.version > self._committed.version:
+                self._committed = self.stored
+                try:
+                    await asyncio.to_thread(self._cache.write, self._committed)
+                except StorageError as error:
+                    self._trail.note(
+                        "config",
+                        "copy_unwritten",
+                        version=self._committed.version,
+                        why=str(error),
+                    )
+            await asyncio.sleep(HOUSEKEEPING_S)
+
     async def _keep_house(self) -> None:
         seen = (False, 0)
         while True:
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -20,7 +20,7 @@
     send: Send,
     kind: WorkKind,
     *,
-    cost_ms: float = 0.0,
+    work_ms: float = 0.0,
     fresh: bool = False,
     reads: tuple[PromptPart, ...] = (),
     new_tokens: int = 0,
@@ -41,11 +41,11 @@
         parts.host,
         target.target,
         kind,
-        cost_ms,
+        work_ms,
         send.urgency or 0,
     )
     parts.begin_work(work, reads, new_tokens)
-    exchange = None
+    exchange, completed = None, False
     try:
         exchange = await parts.pool.send(
             target.address,
@@ -54,12 +54,13 @@
             fresh=fresh,
         )
         yield exchange
+        completed = True
     except ExchangeFailed as failure:
         parts.pool.forget(target.address)
         parts.note_failure(target.target, silent=not failure.sent, reason=str(failure))
         raise
     finally:
-        parts.end_work(work)
+        parts.end_work(work, completed=completed)
         if exchange is not None:
             parts.pool.release(target.address, exchange)
 
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -246,7 +246,7 @@
                         event.work.target, event.parts, event.new_tokens
                     )
             case WorkEnded():
-                placer.ledger.end(event.work, now)
+                placer.ledger.end(event.work, now, completed=event.completed)
             case TargetSuspended():
                 placer.health.suspend(event.target, now)
             case ListSeen():
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -6,7 +6,14 @@
 from wigeonspan.gateway._events import EventSplitter, StreamPosition
 from wigeonspan.gateway._messages import CallerRequest, Handle, Send, TargetOutcome
 from wigeonspan.gateway._parts import Parts
-from wigeonspan.placing import Decision, Plan, Prompt, Refusal, WorkKind
+from wigeonspan.placing import (
+    DIRECT_SLOWDOWN,
+    Decision,
+    Plan,
+    Prompt,
+    Refusal,
+    WorkKind,
+)
 from wigeonspan.pool import Exchange, ExchangeFailed, FailureKind, Head
 from wigeonspan.serving import Caller
 from wigeonspan.targets import Phase, Target, TargetId
@@ -110,6 +117,9 @@
             cost_ms=round(plan.cost_ms),
             first_ms=round(plan.first_ms),
             urgency=plan.urgency,
+            new_tokens=parts.placer.new_tokens(
+                plan.prefill or plan.decode, self._prompt
+            ),
             list_age_ms=list_age_ms,
         )
         return plan
@@ -130,7 +140,7 @@
                 self._request,
                 send,
                 WorkKind.PREFILL,
-                cost_ms=plan.cost_ms,
+                work_ms=plan.work_ms,
                 reads=self._prompt.parts,
                 new_tokens=parts.placer.new_tokens(engine, self._prompt),
             ) as exchange:
@@ -147,9 +157,6 @@
             return None
         took_ms = (parts.clock.now() - now) * 1000.0
         parts.placer.health.succeeded(engine.target)
-        parts.placer.speeds.observe(
-            engine.target, expected_ms, took_ms, parts.clock.now()
-        )
         parts.meters.observe("prompt_read_seconds", took_ms / 1000.0)
         self._note("read", target=engine.target, took_ms=round(took_ms))
         return handle
@@ -193,7 +200,7 @@
             self._request,
             send,
             WorkKind.DIRECT if direct else WorkKind.DECODE,
-            cost_ms=plan.cost_ms if direct else 0.0,
+            work_ms=plan.work_ms * DIRECT_SLOWDOWN if direct else 0.0,
             fresh=not self._route.repeatable,
             reads=self._prompt.parts if direct else (),
             new_tokens=parts.placer.new_tokens(engine, self._prompt) if direct else 0,
@@ -205,6 +212,9 @@
             outcome = parts.protocol.read_outcome(head)
             if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
                 self._runs -= 1
+                if handle is not None:
+                    # Its prompt may have lapsed where it was read.
+                    parts.placer.health.erred(handle.source.target)
                 self._exclude(engine, "stream_refused", status=head.status)
                 return False
             if outcome is TargetOutcome.UNREADABLE:
--- a/wigeonspan/gateway/_listing.py
+++ b/wigeonspan/gateway/_listing.py
@@ -118,10 +118,10 @@
     def _note_changes(self, before: dict, source: str) -> None:
         after = {t.target: t for t in self._board.all()}
         for name in before.keys() - after.keys():
-            self._placer.prefixes.forget(name)
+            self._placer.forget(name)
         for name, target in after.items():
             if name in before and before[name].born_ms != target.born_ms:
-                self._placer.prefixes.forget(name)
+                self._placer.forget(name)
         self._trail.note(
             "listing",
             "targets_changed",
--- a/wigeonspan/gateway/_parts.py
+++ b/wigeonspan/gateway/_parts.py
@@ -58,10 +58,10 @@
             self.placer.prefixes.note(work.target, parts, new_tokens)
         self.link.tell(WorkBegun(work, parts, new_tokens))
 
-    def end_work(self, work: Work) -> None:
+    def end_work(self, work: Work, *, completed: bool) -> None:
         """Note the end of work here and tell the other entries."""
-        self.placer.ledger.end(work.work, self.clock.now())
-        self.link.tell(WorkEnded(work.work))
+        self.placer.ledger.end(work.work, self.clock.now(), completed=completed)
+        self.link.tell(WorkEnded(work.work, completed))
 
     def note_failure(self, target: TargetId, *, silent: bool, reason: str) -> None:
         """Note that a target failed; when that suspends it, tell the others."""
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -7,8 +7,7 @@
 from wigeonspan.gateway._attempt import read_body, read_head, sending
 from wigeonspan.gateway._messages import CallerRequest, Send, TargetOutcome
 from wigeonspan.gateway._parts import Parts
-from wigeonspan.placing import WorkKind
-from wigeonspan.placing._placer import CALL_MS
+from wigeonspan.placing import CALL_MS, WorkKind
 from wigeonspan.pool import ExchangeFailed, FailureKind, Head
 from wigeonspan.serving import Caller
 from wigeonspan.targets import TargetId
@@ -98,7 +97,7 @@
         limit_s = left_s * ATTEMPT_SHARE if again else left_s
         try:
             async with sending(
-                parts, self._request, send, WorkKind.CALL, cost_ms=CALL_MS, fresh=fresh
+                parts, self._request, send, WorkKind.CALL, work_ms=CALL_MS, fresh=fresh
             ) as exchange:
                 self._sent += 1
                 head = await read_head(exchange, limit_s)
--- a/wigeonspan/placing/__init__.py
+++ b/wigeonspan/placing/__init__.py
@@ -3,12 +3,14 @@
 from wigeonspan.placing._health import HealthBook
 from wigeonspan.placing._ledger import Work, WorkKind, WorkLedger
 from wigeonspan.placing._messages import Decision, Plan, Prompt, PromptPart, Refusal
-from wigeonspan.placing._placer import Placer
+from wigeonspan.placing._placer import CALL_MS, DIRECT_SLOWDOWN, Placer
 from wigeonspan.placing._prefixes import PrefixBook
 from wigeonspan.placing._retries import RetryBudget
 from wigeonspan.placing._speed import SpeedBook
 
 __all__ = [
+    "CALL_MS",
+    "DIRECT_SLOWDOWN",
     "Decision",
     "HealthBook",
     "Placer",
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from wigeonspan.common import HostId
+from wigeonspan.placing._throughput import Throughput
 from wigeonspan.targets import TargetId
 
 EXPIRY_S = 6.0
@@ -28,8 +29,8 @@
     ----------
     work : str
         Name that is unique among all entries.
-    cost_ms : float
-        Time that the target needs for it alone.
+    work_ms : float
+        Time that an engine of nominal speed needs to read its prompt.
     urgency : int
         Rank at the target; 0 is first.
     """
@@ -38,18 +39,36 @@
     host: HostId
     target: TargetId
     kind: WorkKind
-    cost_ms: float
+    work_ms: float
     urgency: int
 
 
 class _Queue:
     def __init__(self) -> None:
         self.work: dict[str, tuple[Work, float]] = {}
-        self.progress_since = 0.0
+        # Prompt that is being read, and since when.
+        self.head: str | None = None
+        self.head_since = 0.0
+        self.throughput = Throughput()
+
+    def largest_ms(self) -> float:
+        """Return the largest work of reading at hand."""
+        reads = (w.work_ms for w, _ in self.work.values() if _reads(w))
+        return max(reads, default=0.0)
+
+    def choose_head(self, now: float) -> None:
+        """Note which prompt is read next: the most urgent one, then the oldest."""
+        waiting = [(w.urgency, at, n) for n, (w, at) in self.work.items() if _reads(w)]
+        self.head = min(waiting)[2] if waiting else None
+        self.head_since = now
 
 
 class WorkLedger:
-    """Work by target."""
+    """Work by target, and how fast each target does it.
+
+    Every entry hears of all work, so each sees when an engine is busy and what it
+    finishes meanwhile; its speed follows from both, in whatever order it works.
+    """
 
     def __init__(self) -> None:
         self._queues: dict[TargetId, _Queue] = {}
@@ -58,19 +77,33 @@
     def begin(self, work: Work, now: float) -> None:
         """Note that work was sent to its target."""
         queue = self._queues.setdefault(work.target, _Queue())
-        if not queue.work:
-            queue.progress_since = now
         queue.work[work.work] = (work, now)
         self._targets[work.work] = work.target
-
-    def end(self, name: str, now: float) -> None:
-        """Note that work has ended."""
+        if _reads(work):
+            queue.throughput.resume(now)
+            if queue.head is None:
+                queue.choose_head(now)
+
+    def end(self, name: str, now: float, *, completed: bool = False) -> None:
+        """Note that work has ended.
+
+        Parameters
+        ----------
+        completed : bool
+            Whether its prompt was read to the end.
+        """
         target = self._targets.pop(name, None)
         queue = self._queues.get(target) if target is not None else None
         if queue is None:
             return
-        queue.work.pop(name, None)
-        queue.progress_since = now
+        work, _ = queue.work.pop(name, (None, 0.0))
+        if work is None or not _reads(work):
+            return
+        queue.throughput.finish(work.work_ms if completed else 0.0, now)
+        if queue.head == name:
+            queue.choose_head(now)
+        if queue.head is None:
+            queue.throughput.rest()
 
     def drop_host(self, host: HostId, now: float) -> None:
         """Forget the work of an entry that is gone."""
@@ -84,24 +117,46 @@
             old = [n for n, (_, at) in queue.work.items() if now - at > EXPIRY_S]
             for name in old:
                 self.end(name, now)
-        self._queues = {t: q for t, q in self._queues.items() if q.work}
+
+    def forget(self, target: TargetId) -> None:
+        """Forget a target that is gone or has restarted."""
+        self._queues.pop(target, None)
+
+    def slowness(self, target: TargetId, now: float) -> float:
+        """Return the time that a target needs for a unit of nominal work."""
+        queue = self._queues.get(target)
+        usual = self.usual_slowness(now)
+        if queue is None:
+            return usual
+        return queue.throughput.slowness(usual, queue.largest_ms(), now)
+
+    def usual_slowness(self, now: float) -> float:
+        """Return the slowness of the usual engine; 1 before any is known."""
+        known = sorted(
+            queue.throughput.slowness(1.0, queue.largest_ms(), now)
+            for queue in self._queues.values()
+            if queue.throughput.known
+        )
+        return known[len(known) // 2] if known else 1.0
 
     def backlog_ms(self, target: TargetId, urgency: int, now: float) -> float:
         """Return the engine time that is ahead of new work with an urgency.
 
-        Less urgent work does not delay it, but for the piece that is being done.
+        An engine finishes the prompt that it is reading, however urgent others are;
+        after it, less urgent work does not delay the new one.
         """
         queue = self._queues.get(target)
-        if queue is None:
+        if queue is None or queue.head is None:
             return 0.0
+        slowness = self.slowness(target, now)
+        head, _ = queue.work[queue.head]
+        done_ms = (now - queue.head_since) * 1000.0 / slowness
         ahead = sum(
-            w.cost_ms
+            w.work_ms
             for w, _ in queue.work.values()
-            if w.urgency <= urgency and w.kind in _READS
+            if _reads(w) and w.urgency <= urgency and w is not head
         )
-        done = (now - queue.progress_since) * 1000.0
-        largest = max((w.cost_ms for w, _ in queue.work.values()), default=0.0)
-        return max(0.0, ahead - min(done, largest))
+        return (max(0.0, head.work_ms - done_ms) + ahead) * slowness
 
     def count(self, target: TargetId, *kinds: WorkKind) -> int:
         """Return how many pieces of some kinds a target has."""
@@ -111,4 +166,5 @@
         return sum(1 for w, _ in queue.work.values() if w.kind in kinds)
 
 
-_READS = (WorkKind.PREFILL, WorkKind.DIRECT)
+def _reads(work: Work) -> bool:
+    return work.kind in (WorkKind.PREFILL, WorkKind.DIRECT)
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -49,7 +49,7 @@
     decode : Target
         Engine that produces the answer.
     work_ms : float
-        Engine time that reading the prompt takes at an engine of usual speed.
+        Time that reading the prompt takes at an engine of nominal speed.
     cost_ms : float
         Time that reading the prompt takes at the chosen engine.
     wait_ms : float
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -1,5 +1,6 @@
 """Choice of targets from the work, prefixes, speeds and failures known here."""
 
+import math
 import random
 from collections.abc import Collection, Sequence
 
@@ -13,12 +14,12 @@
 from wigeonspan.targets import Phase, Target, TargetId
 
 READ_TOKENS_PER_MS = 50.0
-"""Tokens that an engine reads in a millisecond before its speed factor is known."""
+"""Tokens that an engine of nominal speed reads in a millisecond."""
 
 PAIR_MS = 0.2e-6
 """Milliseconds for each pair of a new token and a token before it."""
 
-READ_FIXED_MS = 10.0
+READ_FIXED_MS = 17.0
 """Milliseconds that reading any prompt takes."""
 
 HANDOFF_MS = 40.0
@@ -43,6 +44,17 @@
 """Delay that another failure domain counts as: two extra ways of the request, and a
 transfer at half the speed."""
 
+SPREAD_MS = 30.0
+"""Largest random delay added when prefill engines are compared: requests that arrive
+together at several entries, before these hear of each other, go to different ones."""
+
+FREE_MS = 100.0
+"""Wait in milliseconds over which an engine stops counting as free: small prompts then
+go to other engines, so that one more large prompt blocks nobody."""
+
+LATE_PRICE_MS = 600.0
+"""Delay that missing the objective counts as when engines are compared."""
+
 PATIENCE_S = 2.0
 """Shortest time in seconds after which callers abandon a stream without an event."""
 
@@ -102,7 +114,12 @@
 
         Only tokens that it does not hold are read.
         """
-        return self._work_ms(target, prompt) * self.speeds.factor(target.target, now)
+        return self.work_ms(target, prompt) * self.ledger.slowness(target.target, now)
+
+    def forget(self, target: TargetId) -> None:
+        """Forget what a target that is gone or has restarted did and held."""
+        self.prefixes.forget(target)
+        self.ledger.forget(target)
 
     def new_tokens(self, target: Target, prompt: Prompt) -> int:
         """Return how many tokens of a prompt an engine does not hold."""
@@ -134,7 +151,8 @@
         """
         usable = self._usable(targets, now, excluded)
         urgency = self._urgency(route, usable, prompt, elapsed_s, now)
-        split = self._split(usable, prompt, urgency, now)
+        left_ms = (route.objective_s - elapsed_s) * 1000.0
+        split = self._split(usable, prompt, urgency, left_ms, now)
         direct = self._direct(usable, prompt, urgency, now)
         options = [plan for plan in (split, direct) if plan is not None]
         if not options:
@@ -199,7 +217,8 @@
 
         return min(usable, key=delay_ms)
 
-    def _work_ms(self, target: Target, prompt: Prompt) -> float:
+    def work_ms(self, target: Target, prompt: Prompt) -> float:
+        """Return the time that an engine of nominal speed needs for a prompt."""
         total = max(prompt.input_tokens, sum(p.tokens for p in prompt.parts))
         new = self.new_tokens(target, prompt)
         return READ_FIXED_MS + new / READ_TOKENS_PER_MS + PAIR_MS * new * total
@@ -212,8 +231,19 @@
         return sound or kept
 
     def _split(
-        self, targets: list[Target], prompt: Prompt, urgency: int, now: float
+        self,
+        targets: list[Target],
+        prompt: Prompt,
+        urgency: int,
+        left_ms: float,
+        now: float,
     ) -> Plan | None:
+        """Return the plan with the best prefill engine.
+
+        An engine that reads a prompt makes others wait until it is done. An engine
+        that is busy anyway blocks nobody else, so a large prompt that has time goes
+        there and leaves a free engine to small ones.
+        """
         engines = [t for t in targets if t.phase is Phase.PREFILL]
         if not engines:
             return None
@@ -228,8 +258,10 @@
             far = (target.domain != self._domain) * OTHER_DOMAIN_MS
             price = self.health.price_ms(target.target, names)
             again = READ_AGAIN_WEIGHT * (cost - least)
-            score = wait + cost + again + far + price + self._rng.random()
-            return (score, wait, cost)
+            blocks = cost * math.exp(-wait / FREE_MS)
+            late = LATE_PRICE_MS * (wait + cost + self._handoff_ms > left_ms)
+            score = wait + cost + again + blocks + late + far + price
+            return (score + SPREAD_MS * self._rng.random(), wait, cost)
 
         scored = {t.target: expected(t) for t in engines}
         best = min(engines, key=lambda t: scored[t.target])
@@ -238,7 +270,7 @@
             return None
         _, wait, cost = scored[best.target]
         first = wait + cost + self._handoff_ms
-        work = self._work_ms(best, prompt) * self.speeds.common
+        work = self.work_ms(best, prompt)
         return Plan(Decision.SPLIT, best, decode, work, cost, wait, first, urgency)
 
     def _direct(
@@ -254,7 +286,7 @@
         if not alone and reading + cost > DIRECT_LIMIT_MS:
             return None
         first = reading + cost + READ_FIXED_MS
-        work = self._work_ms(engine, prompt) * self.speeds.common
+        work = self.work_ms(engine, prompt)
         return Plan(Decision.DIRECT, None, engine, work, cost, reading, first, urgency)
 
     def _urgency(
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -24,9 +24,16 @@
 
 
 class WorkEnded(Struct, frozen=True, tag="ended", array_like=True):
-    """Work has ended, whether well or not."""
+    """Work has ended.
+
+    Parameters
+    ----------
+    completed : bool
+        Whether it was done to the end.
+    """
 
     work: str
+    completed: bool
 
 
 class TargetSuspended(Struct, frozen=True, tag="suspended", array_like=True):
--- a/wigeonspan/sharing/_task.py
+++ b/wigeonspan/sharing/_task.py
@@ -10,9 +10,9 @@
 from wigeonspan.common import HostId
 from wigeonspan.sharing._messages import Event, Packet
 
-BATCH_S = 0.004
-"""Seconds that events wait for others, so that a burst goes in few datagrams; a few
-milliseconds are short against the work that they announce."""
+BATCH_S = 0.001
+"""Seconds that events wait for others; requests arrive in clumps, and an entry that
+hears late sends its own to the same engine."""
 
 PACKET_EVENTS = 24
 """Most events in a datagram; with three parts each they fit a usual frame or two."""
--- a/wigeonspan/staging/_meter.py
+++ b/wigeonspan/staging/_meter.py
@@ -50,6 +50,14 @@
         while steps and steps[0][0] < now - WINDOW_S:
             steps.popleft()
 
+    def has_traffic(self, service: ServiceName) -> bool:
+        """Whether the service has ever had traffic."""
+        return any(
+            totals.read_ms > 0.0
+            for (_, name), totals in self._last.items()
+            if name == service
+        )
+
     def demand(self, service: ServiceName, now: float) -> Demand | None:
         """Return the demand for a service, or None before it is known."""
         steps = self._steps.get(service)
--- a/wigeonspan/staging/_task.py
+++ b/wigeonspan/staging/_task.py
@@ -7,11 +7,11 @@
 
 from wigeonspan.common import Clock, HostId, ServiceName
 from wigeonspan.staging._messages import (
-    Demand,
     OrderOutcome,
     OrderPort,
     PhaseOrder,
 )
+from wigeonspan.staging._meter import DemandMeter
 from wigeonspan.staging._plan import next_changes
 from wigeonspan.targets import Listing, Phase, Target, TargetBoard, TargetId
 from wigeonspan.trail import Trail
@@ -40,6 +40,9 @@
 """Seconds between two changes of a service once its demand is known, so that the phases
 follow the mix and not its noise."""
 
+SETTLED_S = 1.5
+"""Seconds without a change of the list after which it is taken to be complete."""
+
 MOST_AT_ONCE = 1
 """Largest number of engines of a service that change at once while there is traffic."""
 
@@ -75,8 +78,8 @@
         Returns the authority to give orders, or None.
     read_listing : callable
         Reads the list of targets; raises ``OSError`` when it cannot.
-    read_demand : callable
-        Returns the demand for a service, or None before it is known.
+    meter : DemandMeter
+        Demand for each service.
     """
 
     def __init__(
@@ -87,7 +90,7 @@
         trail: Trail,
         authority: Callable[[], Authority | None],
         read_listing: Callable[[], Awaitable[Listing]],
-        read_demand: Callable[[ServiceName], Demand | None],
+        meter: DemandMeter,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -95,12 +98,11 @@
         self._trail = trail
         self._authority = authority
         self._read_listing = read_listing
-        self._read_demand = read_demand
+        self._meter = meter
         self._board = TargetBoard()
         self._changes: dict[TargetId, Change] = {}
         self._changed_at: dict[ServiceName, float] = {}
-        # Services whose phases were set before their demand was known.
-        self._planned: set[ServiceName] = set()
+        self._listed_at = clock.now()
         self._fenced: int | None = None
 
     @property
@@ -126,7 +128,8 @@
         if now - self._board.read_at < LIST_AGE_S:
             return
         try:
-            self._board.update(await self._read_listing(), now)
+            if self._board.update(await self._read_listing(), now):
+                self._listed_at = now
         except OSError as error:
             self._trail.note("staging", "list_unread", why=str(error))
 
@@ -156,10 +159,9 @@
                 continue
             if now - self._changed_at.get(service, float("-inf")) < PAUSE_S:
                 continue
-            demand = self._read_demand(service)
-            if demand is None and service in self._planned:
+            demand = self._meter.demand(service, now)
+            if demand is None and not self._may_prepare(service):
                 continue
-            self._planned.add(service)
             most = MOST_AT_START if demand is None else MOST_AT_ONCE
             for target, phase in next_changes(targets, demand, most):
                 self._changed_at[service] = now
@@ -174,6 +176,14 @@
                     list_age_ms=round((now - self._board.read_at) * 1000),
                 )
 
+    def _may_prepare(self, service: ServiceName) -> bool:
+        """Whether phases may be set before the demand is known.
+
+        Not while engines still appear on the list, and not under the first traffic.
+        """
+        settled_s = self._clock.now() - self._listed_at
+        return settled_s >= SETTLED_S and not self._meter.has_traffic(service)
+
     async def _drive(self, change: Change) -> None:
         """Send the order when it is due."""
         now = self._clock.now()
