Judge the health of engines by phase and size the decode engines for bursts

Change: phases are filtered before health, streams beyond an engine's slots count as delay, demand uses the measured speed, two fifths of the engines decode at first.

--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -182,6 +182,28 @@
     assert plan.prefill.target == "p1"
 
 
+def test_all_decode_engines_suspended_still_serve(placer):
+    """With sound prefill engines left, suspended decode engines were not considered at
+    all and every request was refused."""
+    for name in ("d0", "d1"):
+        placer.health.failed(TargetId(name), 0.0, silent=True)
+    plan = placer.plan(route(), prompt(), fleet(), 10.0, 0.1)
+    assert isinstance(plan, Plan)
+
+
+def test_stream_goes_to_the_engine_with_free_slots(placer):
+    """Streams waited for a slot at one engine while another had some."""
+    for n in range(70):
+        placer.ledger.begin(
+            Work(f"d{n}", HostId("e"), TargetId("d0"), WorkKind.DECODE, 0.0, 1), 0.0
+        )
+    for n in range(60):
+        placer.ledger.begin(
+            Work(f"e{n}", HostId("e"), TargetId("d1"), WorkKind.DECODE, 0.0, 1), 0.0
+        )
+    assert placer.choose_decode(fleet(), 0.0).target == "d1"
+
+
 def test_calls_avoid_a_target_that_fails_more_than_the_others(placer):
     """A target that failed half of its calls with a good health check got as many
     calls as the others."""
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -107,7 +107,8 @@
                 "refused", failure=True, why=plan.reason, list_age_ms=list_age_ms
             )
             raise self._refusal(plan)
-        parts.note_demand(self._service, read_ms=plan.work_ms)
+        read_ms = plan.work_ms * parts.placer.ledger.usual_slowness(now)
+        parts.note_demand(self._service, read_ms=read_ms)
         self._note(
             "placed",
             how=plan.decision.value,
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -40,6 +40,10 @@
 """Most engine time of prompts under way at a decode engine at which it takes one more;
 beyond it the pauses of its streams grow over their objective."""
 
+SLOT_WAIT_MS = 20.0
+"""Delay that each stream beyond an engine's slots counts as; a stream of a second or
+two frees a slot of 64 about that often."""
+
 OTHER_DOMAIN_MS = 4.0
 """Delay that another failure domain counts as: two extra ways of the request, and a
 transfer at half the speed."""
@@ -149,11 +153,13 @@
         elapsed_s : float
             Seconds since the request arrived.
         """
-        usable = self._usable(targets, now, excluded)
-        urgency = self._urgency(route, usable, prompt, elapsed_s, now)
+        kept = [t for t in targets if t.target not in excluded]
+        readers = self._sound([t for t in kept if t.phase is Phase.PREFILL], now)
+        writers = self._sound([t for t in kept if t.phase is not Phase.PREFILL], now)
+        urgency = self._urgency(route, readers or writers, prompt, elapsed_s, now)
         left_ms = (route.objective_s - elapsed_s) * 1000.0
-        split = self._split(usable, prompt, urgency, left_ms, now)
-        direct = self._direct(usable, prompt, urgency, now)
+        split = self._split(readers, writers, prompt, urgency, left_ms, now)
+        direct = self._direct(writers, prompt, urgency, now, alone=not readers)
         options = [plan for plan in (split, direct) if plan is not None]
         if not options:
             return Refusal("no engine is available", 1.0)
@@ -172,8 +178,8 @@
         near: DomainName | None = None,
     ) -> Target | None:
         """Return the engine that produces an answer with the least delay."""
-        usable = self._usable(targets, now, excluded)
-        engines = [t for t in usable if t.phase is not Phase.PREFILL]
+        kept = [t for t in targets if t.target not in excluded]
+        engines = self._sound([t for t in kept if t.phase is not Phase.PREFILL], now)
         if not engines:
             return None
         names = [t.target for t in engines]
@@ -182,8 +188,10 @@
             running = self.ledger.count(target.target, WorkKind.DECODE, WorkKind.DIRECT)
             reading = self.ledger.backlog_ms(target.target, MOST_URGENCY, now)
             far = target.domain not in (near or self._domain,)
+            full = max(0, running + 1 - target.slots) * SLOT_WAIT_MS
             return (
                 running
+                + full
                 + reading * 0.2
                 + far * OTHER_DOMAIN_MS
                 + self.health.price_ms(target.target, names)
@@ -199,7 +207,7 @@
         excluded: Collection[TargetId] = (),
     ) -> Target | None:
         """Return the target of a plain call with the least expected delay."""
-        usable = self._usable(targets, now, excluded)
+        usable = self._sound([t for t in targets if t.target not in excluded], now)
         if not usable:
             return None
         names = [t.target for t in usable]
@@ -223,16 +231,15 @@
         new = self.new_tokens(target, prompt)
         return READ_FIXED_MS + new / READ_TOKENS_PER_MS + PAIR_MS * new * total
 
-    def _usable(
-        self, targets: Sequence[Target], now: float, excluded: Collection[TargetId]
-    ) -> list[Target]:
-        kept = [t for t in targets if t.target not in excluded]
-        sound = [t for t in kept if self.health.available(t.target, now)]
-        return sound or kept
+    def _sound(self, targets: list[Target], now: float) -> list[Target]:
+        """Return the targets that are not suspended, or all when all are."""
+        sound = [t for t in targets if self.health.available(t.target, now)]
+        return sound or targets
 
     def _split(
         self,
-        targets: list[Target],
+        engines: list[Target],
+        writers: list[Target],
         prompt: Prompt,
         urgency: int,
         left_ms: float,
@@ -244,7 +251,6 @@
         that is busy anyway blocks nobody else, so a large prompt that has time goes
         there and leaves a free engine to small ones.
         """
-        engines = [t for t in targets if t.phase is Phase.PREFILL]
         if not engines:
             return None
         names = [t.target for t in engines]
@@ -265,7 +271,7 @@
 
         scored = {t.target: expected(t) for t in engines}
         best = min(engines, key=lambda t: scored[t.target])
-        decode = self.choose_decode(targets, now, near=best.domain)
+        decode = self.choose_decode(writers, now, near=best.domain)
         if decode is None:
             return None
         _, wait, cost = scored[best.target]
@@ -274,12 +280,18 @@
         return Plan(Decision.SPLIT, best, decode, work, cost, wait, first, urgency)
 
     def _direct(
-        self, targets: list[Target], prompt: Prompt, urgency: int, now: float
+        self,
+        writers: list[Target],
+        prompt: Prompt,
+        urgency: int,
+        now: float,
+        *,
+        alone: bool,
     ) -> Plan | None:
-        engine = self.choose_decode(targets, now)
+        """Return the plan in which a decode engine reads the prompt itself."""
+        engine = self.choose_decode(writers, now)
         if engine is None:
             return None
-        alone = not any(t.phase is Phase.PREFILL for t in targets)
         reading = self.ledger.backlog_ms(engine.target, urgency, now)
         slowdown = DIRECT_SLOWDOWN if engine.phase is Phase.DECODE else 1.0
         cost = self.read_ms(engine, prompt, now) * slowdown
@@ -292,13 +304,12 @@
     def _urgency(
         self,
         route: Route,
-        targets: list[Target],
+        readers: list[Target],
         prompt: Prompt,
         elapsed_s: float,
         now: float,
     ) -> int:
         """Return the rank of a request by how long it can wait and be on time."""
-        readers = [t for t in targets if t.phase is Phase.PREFILL] or targets
         cost_ms = min((self.read_ms(t, prompt, now) for t in readers), default=0.0)
         spent_ms = elapsed_s * 1000.0 + cost_ms + self._handoff_ms
         laxity_ms = route.objective_s * 1000.0 - spent_ms
--- a/wigeonspan/staging/_plan.py
+++ b/wigeonspan/staging/_plan.py
@@ -10,7 +10,7 @@
 """Share of the decode engines' slots in use at which another one is wanted. An engine
 that changes is away for seconds, so a burst must not be enough."""
 
-SHRINK_LOAD = 0.5
+SHRINK_LOAD = 0.4
 """Share of the slots in use after the change below which a decode engine may read
 prompts instead; well under the share for growing, so that phases do not flap."""
 
@@ -24,9 +24,9 @@
 LEAST_DECODE = 2
 """Decode engines wanted at least, so that the loss of one stops no service."""
 
-DECODE_SHARE = 1 / 3
-"""Share of the engines that decode before any demand is known: in both deployments
-prompts take two thirds of the engine time or more."""
+DECODE_SHARE = 0.4
+"""Share of the engines that decode before any demand is known. Prompts take more engine
+time in both deployments, but streams that find no slot wait for seconds."""
 
 
 def wanted_decode(
