--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -28,6 +28,7 @@
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import BEAT_PATH, Beat, BeatReply, EntryBoard
 from wigeonspan.serving import RequestServer, Serve
+from wigeonspan.sharing import Relay
 from wigeonspan.staging import Authority, DemandMeter, OrderPort, StagingTask
 from wigeonspan.targets import Listing
 from wigeonspan.trail import LineWriter, Meters, Trail
@@ -148,6 +149,7 @@
             lambda: read_listing(self._pool, self._trail),
             self._meter,
         )
+        self._relay = Relay(self._peer_addresses)
         self._servers: list[RequestServer] = []
         self._http = HTTPServer(self._internal_routes())
         self._tasks: list[asyncio.Task[None]] = []
@@ -171,6 +173,7 @@
         self._http.listen(int(port), host)
         host, _, port = settings.metrics.rpartition(":")
         self._http.listen(int(port), host)
+        await self._relay.listen(settings.address)
         await self._log.start()
         for serve, address in (
             (serve_control, settings.control),
@@ -204,6 +207,7 @@
             task.cancel()
         await self._log.stop()
         self._cache.close()
+        self._relay.close()
         for server in self._servers:
             await server.close()
         self._http.stop()
@@ -284,14 +288,19 @@
             self._meter.note(beat.entry.host, service, read_ms, stream_s, now)
         digest = self._board.digest(now)
         stored = max(self.stored, self._committed, key=lambda c: c.version)
+        leader = self._log.leader
         return BeatReply(
             config=stored if stored.version > beat.config_version else None,
             entries=self._board.live(now) if digest != beat.entries_digest else None,
             entries_digest=digest,
             controls=[member.address for member in self._log.members],
+            relay="" if leader is None else leader.address,
             switching=self._staging.switching,
         )
 
+    def _peer_addresses(self) -> list[str]:
+        return [entry.peer_address for entry in self._board.live(self._clock.now())]
+
     def _authority(self) -> Authority | None:
         """Return the right to order engines, well within this leader's lease.
 
--- a/wigeonspan/gateway/_beats.py
+++ b/wigeonspan/gateway/_beats.py
@@ -53,6 +53,8 @@
         Takes the live entries when they have changed.
     note_switching : callable
         Takes the engines whose phase is changing.
+    note_relay : callable
+        Takes the address of the relay of datagrams.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         make_beat: Callable[[str], Beat],
         note_entries: Callable[[list[EntryInfo]], None],
         note_switching: Callable[[list[TargetId]], None],
+        note_relay: Callable[[str], None],
     ) -> None:
         self._clock = clock
         self._pool = pool
@@ -74,6 +77,7 @@
         self._make_beat = make_beat
         self._note_entries = note_entries
         self._note_switching = note_switching
+        self._note_relay = note_relay
         self._seeds: set[str] = set()
         self._controls: dict[str, _Control] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -156,5 +160,7 @@
         if reply.entries is not None:
             self._note_entries(reply.entries)
         self._digests[address] = reply.entries_digest
+        if reply.relay:
+            self._note_relay(reply.relay)
         self._controls[address].switching = reply.switching
         self._note_switching([t for c in self._controls.values() for t in c.switching])
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -134,6 +134,7 @@
             self._make_beat,
             self._note_entries,
             parts.board.set_switching,
+            parts.link.set_relay,
         )
         self._listing = ListingTask(
             settings.host,
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -71,6 +71,9 @@
         Live entries when the entry holds another list.
     controls : list of str
         Internal addresses of the control group's members.
+    relay : str
+        Address of the control host that relays datagrams between entries; empty when
+        none is known.
     switching : list of TargetId
         Engines that must get no new work because their phase is changing.
     """
@@ -79,4 +82,5 @@
     entries: list[EntryInfo] | None
     entries_digest: str
     controls: list[str]
+    relay: str = ""
     switching: list[TargetId] = []
--- a/wigeonspan/sharing/__init__.py
+++ b/wigeonspan/sharing/__init__.py
@@ -8,6 +8,7 @@
     WorkBegun,
     WorkEnded,
 )
+from wigeonspan.sharing._relay import Relay
 from wigeonspan.sharing._task import PeerLink
 
 __all__ = [
@@ -15,6 +16,7 @@
     "ListSeen",
     "Packet",
     "PeerLink",
+    "Relay",
     "TargetSuspended",
     "WorkBegun",
     "WorkEnded",
--- a/wigeonspan/sharing/_task.py
+++ b/wigeonspan/sharing/_task.py
@@ -1,14 +1,17 @@
 """Sending and receiving of datagrams between entries."""
 
 import asyncio
-import zlib
 from collections.abc import Callable
 from typing import cast
 
-import msgspec
-
 from wigeonspan.common import HostId
 from wigeonspan.sharing._messages import Event, Packet
+from wigeonspan.sharing._wire import (
+    LARGEST_BYTES,
+    BadDatagram,
+    decode_datagram,
+    encode_packet,
+)
 
 BATCH_S = 0.001
 """Seconds that events wait for others; requests arrive in clumps, and an entry that
@@ -17,11 +20,9 @@
 PACKET_EVENTS = 24
 """Most events in a datagram; with three parts each they fit a usual frame or two."""
 
-LARGEST_BYTES = 60_000
-"""Largest datagram in bytes that UDP carries, with some room for its headers."""
-
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Packet).decode
+MOST_DIRECT = 16
+"""Largest number of other entries that get a datagram each; with more of them one copy
+goes to the relay, since a small link would spend its time on copies."""
 
 
 class PeerLink(asyncio.DatagramProtocol):
@@ -47,6 +48,7 @@
         self._receive = receive
         self._note_bad = note_bad
         self._peers: list[tuple[str, int]] = []
+        self._relay: tuple[str, int] | None = None
         self._events: list[Event] = []
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -62,6 +64,11 @@
         split = (address.rpartition(":") for address in addresses)
         self._peers = [(host, int(port)) for host, _, port in split]
 
+    def set_relay(self, address: str) -> None:
+        """Note the address of the relay; empty when there is none."""
+        host, _, port = address.rpartition(":")
+        self._relay = (host, int(port)) if address else None
+
     def tell(self, event: Event) -> None:
         """Queue an event for all other entries."""
         if not self._peers:
@@ -87,12 +94,15 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Hand each event of a datagram over."""
         try:
-            packet = _decode(zlib.decompress(data))
-        except (zlib.error, msgspec.DecodeError) as error:
+            packets = decode_datagram(data)
+        except BadDatagram as error:
             self._note_bad(str(error))
             return
-        for event in packet.events:
-            self._receive(packet.host, event)
+        for packet in packets:
+            if packet.host == self._host:
+                continue
+            for event in packet.events:
+                self._receive(packet.host, event)
 
     def error_received(self, exc: Exception) -> None:
         """Report a datagram that could not be sent; the next beat corrects peers."""
@@ -105,9 +115,12 @@
         if not self._events or self._transport is None:
             return
         packet, self._events = Packet(self._host, self._events), []
-        data = zlib.compress(_encode(packet), 1)
+        data = encode_packet(packet)
         if len(data) > LARGEST_BYTES:
             self._note_bad(f"a datagram of {len(data)} bytes is too large")
             return
-        for peer in self._peers:
-            self._transport.sendto(data, peer)
+        if len(self._peers) <= MOST_DIRECT:
+            for peer in self._peers:
+                self._transport.sendto(data, peer)
+        elif self._relay is not None:
+            self._transport.sendto(data, self._relay)
--- /dev/null
+++ b/wigeonspan/sharing/_wire.py
@@ -0,0 +1,61 @@
+"""Encoding of datagrams: one packet, or a bundle of packets from a relay."""
+
+import zlib
+
+import msgspec
+
+from wigeonspan.sharing._messages import Packet
+
+LARGEST_BYTES = 60_000
+"""Largest datagram in bytes that UDP carries, with some room for its headers."""
+
+_PACKET = b"P"
+_BUNDLE = b"B"
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_packet = msgspec.msgpack.Decoder(Packet).decode
+_decode_bundle = msgspec.msgpack.Decoder(list[bytes]).decode
+
+
+class BadDatagram(Exception):
+    """A datagram that this program has not written."""
+
+
+def encode_packet(packet: Packet) -> bytes:
+    """Encode one packet."""
+    return _PACKET + zlib.compress(_encode(packet), 1)
+
+
+def encode_bundles(datagrams: list[bytes]) -> list[bytes]:
+    """Put received datagrams into as few datagrams as their sizes allow."""
+    bundles: list[bytes] = []
+    chosen: list[bytes] = []
+    size = 0
+    for datagram in datagrams:
+        if chosen and size + len(datagram) > LARGEST_BYTES:
+            bundles.append(_BUNDLE + _encode(chosen))
+            chosen, size = [], 0
+        chosen.append(datagram)
+        size += len(datagram)
+    if chosen:
+        bundles.append(_BUNDLE + _encode(chosen))
+    return bundles
+
+
+def decode_datagram(data: bytes) -> list[Packet]:
+    """Return the packets of a datagram.
+
+    Raises
+    ------
+    BadDatagram
+        When it cannot be read.
+    """
+    try:
+        if data[:1] == _PACKET:
+            return [_decode_packet(zlib.decompress(data[1:]))]
+        if data[:1] == _BUNDLE:
+            inner = _decode_bundle(data[1:])
+            return [packet for part in inner for packet in decode_datagram(part)]
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise BadDatagram(str(error)) from error
+    raise BadDatagram(f"a datagram begins with {data[:1]!r}")
