Compare a few engines for each prompt and compress relayed bundles together

Cause: on the grown site one engine that seemed free got eight prompts within ten milliseconds from different entries and was two seconds behind while others were idle; large urgent prompts went before prompts that had waited; sessions without a shared part all went to the fastest engine; datagrams between entries were compressed one by one (0.47 GB between domains).

Change: five engines at random and the holder of the prompt are compared, the delay of waiting prompts counts, the relay compresses bundles as a whole.

--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -121,6 +121,33 @@
     assert {"p1", "p2", "p3"} <= chosen
 
 
+def test_one_free_engine_of_many_is_not_everybodys_choice():
+    """Of 18 engines one that seemed free got eight prompts within ten milliseconds and
+    was behind for two seconds, while others were idle."""
+    engines = fleet(prefill=18)
+    counts = dict.fromkeys((e.target for e in engines), 0)
+    for seed in range(60):
+        entry = Placer(DomainName("a"), random.Random(seed))
+        for n in range(1, 18):
+            work = Work(
+                f"w{n}", HostId("e"), TargetId(f"p{n}"), WorkKind.PREFILL, 40.0, 1
+            )
+            entry.ledger.begin(work, 0.0)
+        plan = entry.plan(route(), prompt(600), engines, 10.0, 0.0)
+        counts[(plan.prefill or plan.decode).target] += 1
+    assert counts["p0"] < 30
+
+
+def test_more_urgent_prompt_avoids_engines_where_others_wait(placer):
+    """Large urgent prompts went before prompts that had waited and made them late."""
+    busy(placer, "p0", 60.0, name="a")
+    busy(placer, "p1", 60.0, name="b")
+    for n in range(4):
+        busy(placer, "p0", 30.0, urgency=3, name=f"w{n}")
+    plan = placer.plan(route(), prompt(20_000), fleet(), 10.0, 0.0)
+    assert plan.prefill.target == "p1"
+
+
 def test_session_stays_where_its_shared_part_is_held(placer):
     """Sessions moved between engines for a few milliseconds of waiting and had their
     shared part read again each time."""
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -158,6 +158,17 @@
         )
         return (max(0.0, head.work_ms - done_ms) + ahead) * slowness
 
+    def delayed(self, target: TargetId, urgency: int) -> int:
+        """Return how many waiting prompts new work with an urgency would go before."""
+        queue = self._queues.get(target)
+        if queue is None:
+            return 0
+        return sum(
+            1
+            for name, (work, _) in queue.work.items()
+            if _reads(work) and work.urgency > urgency and name != queue.head
+        )
+
     def count(self, target: TargetId, *kinds: WorkKind) -> int:
         """Return how many pieces of some kinds a target has."""
         queue = self._queues.get(target)
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -52,6 +52,12 @@
 """Largest random delay added when prefill engines are compared: requests that arrive
 together at several entries, before these hear of each other, go to different ones."""
 
+CHOICES = 5
+"""Prefill engines that are compared for one prompt; a few are nearly as good as all."""
+
+DELAYED_WEIGHT = 0.5
+"""Weight of the delay of each waiting prompt that a more urgent one goes before."""
+
 FREE_MS = 100.0
 """Wait in milliseconds over which an engine stops counting as free: small prompts then
 go to other engines, so that one more large prompt blocks nobody."""
@@ -256,6 +262,7 @@
         names = [t.target for t in engines]
 
         costs = {t.target: self.read_ms(t, prompt, now) for t in engines}
+        engines = self._sample(engines, prompt)
         least = min(costs.values())
 
         def expected(target: Target) -> tuple[float, float, float]:
@@ -264,7 +271,8 @@
             far = (target.domain != self._domain) * OTHER_DOMAIN_MS
             price = self.health.price_ms(target.target, names)
             again = READ_AGAIN_WEIGHT * (cost - least)
-            blocks = cost * math.exp(-wait / FREE_MS)
+            delayed = self.ledger.delayed(target.target, urgency)
+            blocks = cost * (math.exp(-wait / FREE_MS) + DELAYED_WEIGHT * delayed)
             late = LATE_PRICE_MS * (wait + cost + self._handoff_ms > left_ms)
             score = wait + cost + again + blocks + late + far + price
             return (score + SPREAD_MS * self._rng.random(), wait, cost)
@@ -279,6 +287,20 @@
         work = self.work_ms(best, prompt)
         return Plan(Decision.SPLIT, best, decode, work, cost, wait, first, urgency)
 
+    def _sample(self, engines: list[Target], prompt: Prompt) -> list[Target]:
+        """Return a few engines at random, and the one that holds most of the prompt.
+
+        Among many engines the best one is the same for all entries, and what they send
+        there at once is heard of too late.
+        """
+        if len(engines) <= CHOICES:
+            return engines
+        chosen = self._rng.sample(engines, CHOICES)
+        new = {t.target: self.new_tokens(t, prompt) for t in engines}
+        holder = min(engines, key=lambda t: new[t.target])
+        holds = new[holder.target] < max(new.values())
+        return [*chosen, holder] if holds and holder not in chosen else chosen
+
     def _direct(
         self,
         writers: list[Target],
--- a/wigeonspan/sharing/_wire.py
+++ b/wigeonspan/sharing/_wire.py
@@ -23,25 +23,32 @@
 
 def encode_packet(packet: Packet) -> bytes:
     """Encode one packet."""
-    return _PACKET + zlib.compress(_encode(packet), 1)
+    return _PACKET + _encode(packet)
 
 
 def encode_bundles(datagrams: list[bytes]) -> list[bytes]:
-    """Put received datagrams into as few datagrams as their sizes allow."""
+    """Put received datagrams into as few datagrams as their sizes allow.
+
+    They are compressed together, since entries say much the same.
+    """
     bundles: list[bytes] = []
     chosen: list[bytes] = []
     size = 0
     for datagram in datagrams:
         if chosen and size + len(datagram) > LARGEST_BYTES:
-            bundles.append(_BUNDLE + _encode(chosen))
+            bundles.append(_bundle(chosen))
             chosen, size = [], 0
         chosen.append(datagram)
         size += len(datagram)
     if chosen:
-        bundles.append(_BUNDLE + _encode(chosen))
+        bundles.append(_bundle(chosen))
     return bundles
 
 
+def _bundle(datagrams: list[bytes]) -> bytes:
+    return _BUNDLE + zlib.compress(_encode(datagrams))
+
+
 def decode_datagram(data: bytes) -> list[Packet]:
     """Return the packets of a datagram.
 
@@ -52,9 +59,9 @@
     """
     try:
         if data[:1] == _PACKET:
-            return [_decode_packet(zlib.decompress(data[1:]))]
+            return [_decode_packet(data[1:])]
         if data[:1] == _BUNDLE:
-            inner = _decode_bundle(data[1:])
+            inner = _decode_bundle(zlib.decompress(data[1:]))
             return [packet for part in inner for packet in decode_datagram(part)]
     except (zlib.error, msgspec.DecodeError) as error:
         raise BadDatagram(str(error)) from error
