--- a/tests/catalog/test_core.py
+++ b/tests/catalog/test_core.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 
 from wigeonspan.catalog import (
@@ -8,6 +9,7 @@
     Engine,
     EnginePhase,
     EntryHost,
+    Member,
     ModelService,
     ModelVersion,
     OutcomeKind,
@@ -15,11 +17,13 @@
     PlainService,
     PlainTarget,
     Policy,
+    PromoteLearner,
     PutObject,
     RemoveMember,
     RemoveObject,
     Role,
     SetEngineState,
+    SetMembers,
     Tenant,
     WithdrawEngine,
 )
@@ -180,3 +184,15 @@
     restored.restore(catalog.snapshot())
     assert restored.updates_after(3) is None
     assert restored.updates_after(4) == []
+
+
+def test_observed_address_does_not_conflict_with_an_operator():
+    """The control daemon's note of a member's address raised its version, and the
+    operator's promotion of it lost a race against nobody."""
+    member = Member("control-2", "127.0.0.1:9", "d", "disk", False)
+    catalog = Catalog()
+    catalog.apply(1, change(1, AddLearner("control-2", "127.0.0.1:9", "d", "disk")))
+    seen = msgspec.structs.replace(member, operators_address="127.0.0.1:10")
+    catalog.apply(2, SetMembers((seen,), 5))
+    outcome = catalog.apply(3, change(3, PromoteLearner("control-2"), base=1))
+    assert outcome.kind is OutcomeKind.ACCEPTED, outcome
--- /dev/null
+++ b/tests/fleetconfig/test_config.py
@@ -0,0 +1,123 @@
+"""Whole configurations: validation, route selection, replicated state."""
+
+import msgspec
+import pytest
+
+from wigeonspan.common import ErrorKind, ServiceName, WigeonspanError
+from wigeonspan.fleetconfig import (
+    CallKind,
+    ConfigMachine,
+    FleetConfig,
+    Route,
+    RouteTable,
+    ServiceSpec,
+    StoredConfig,
+    WeightedService,
+    check_config,
+    encode_store,
+)
+
+SHARE = (WeightedService(ServiceName("s"), 1.0),)
+
+
+def route(name="r", prefix="/a/", **fields):
+    values = {"host": "h.example", "kind": CallKind.IDEMPOTENT, "services": SHARE}
+    values |= {"timeout_s": 1.0, "objective_s": 0.1} | fields
+    return Route(name=name, prefix=prefix, **values)
+
+
+def config(*routes, version=1):
+    return FleetConfig(version, routes, (ServiceSpec(ServiceName("s"), "/health", 10),))
+
+
+FAULTS = [
+    (config(route(services=(WeightedService(ServiceName("x"), 1.0),))), "unknown"),
+    (config(route(services=(WeightedService(ServiceName("s"), 0.0),))), "add up to 0"),
+    (config(route(services=())), "add up to 0"),
+    (config(route(services=(WeightedService(ServiceName("s"), -1.0),))), "negative"),
+    (config(route(timeout_s=0.0)), "timeout"),
+    (config(route("a"), route("b")), "repeats"),
+    (config(route("a"), route("b", host="H.EXAMPLE")), "repeats"),
+    (config(route(prefix="/a")), "slash"),
+    (config(route(), version=0), "not positive"),
+]
+
+
+@pytest.mark.parametrize(("wrong", "fault"), FAULTS)
+def test_invalid_configuration_is_refused_by_name_of_its_fault(wrong, fault):
+    """A configuration that cannot be in force must not be acknowledged."""
+    with pytest.raises(WigeonspanError) as caught:
+        check_config(wrong)
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+    assert fault in caught.value.message
+
+
+def test_every_fault_is_named():
+    """An operator corrected one fault only to be refused for the next."""
+    wrong = config(route("a", timeout_s=0.0), route("b", timeout_s=0.0, prefix="/b/"))
+    with pytest.raises(WigeonspanError) as caught:
+        check_config(wrong)
+    assert "'a'" in caught.value.message and "'b'" in caught.value.message
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("h.example", "/a/x", "short"),
+        ("h.example", "/a/b/x", "long"),
+        ("h.example:80", "/a/b/", "long"),
+        ("H.Example", "/a/", "short"),
+        ("h.example", "/a", None),
+        ("h.example", "/", None),
+        ("other", "/a/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host_is_selected(host, path, name):
+    """A shorter prefix or another host's route must not win."""
+    table = RouteTable(config(route("short"), route("long", "/a/b/")))
+    found = table.match(host, path)
+    assert (found.name if found else None) == name
+
+
+def stored(version, text):
+    return StoredConfig(version, text)
+
+
+def test_state_keeps_the_highest_version():
+    """An older change that arrives again must change nothing."""
+    machine = ConfigMachine()
+    machine.apply(1, encode_store(stored(5, b"five")))
+    assert machine.apply(2, encode_store(stored(3, b"three"))) == stored(5, b"five")
+    assert machine.apply(3, encode_store(stored(9, b"nine"))) == stored(9, b"nine")
+
+
+def test_first_document_of_a_version_stays():
+    """Two operators sent different content under one version; every member must keep
+    the same one."""
+    machine = ConfigMachine()
+    machine.apply(1, encode_store(stored(5, b"one")))
+    assert machine.apply(2, encode_store(stored(5, b"other"))) == stored(5, b"one")
+
+
+def test_snapshot_holds_the_whole_state():
+    """A member that restores a snapshot must answer as the others."""
+    machine, copy = ConfigMachine(), ConfigMachine()
+    machine.apply(1, encode_store(stored(5, b"five")))
+    copy.restore(machine.snapshot())
+    assert copy.stored == stored(5, b"five")
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeatable"),
+    [
+        (CallKind.IDEMPOTENT, False, True),
+        (CallKind.NON_IDEMPOTENT, False, False),
+        (CallKind.NON_IDEMPOTENT, True, False),
+        (CallKind.STREAM, False, False),
+        (CallKind.STREAM, True, True),
+    ],
+)
+def test_only_some_kinds_may_run_again(kind, resumable, repeatable):
+    """A loan release that runs twice lends one original to two borrowers."""
+    changed = msgspec.structs.replace(route(), kind=kind, resumable=resumable)
+    assert changed.repeatable is repeatable
--- /dev/null
+++ b/tests/gateway/test_events.py
@@ -0,0 +1,49 @@
+"""Whole events and positions of a stream."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wigeonspan.gateway._events import EventSplitter, StreamEvent, StreamPosition
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nweight-versions: 3\nid: 3\ndata: c\n\n"
+
+
+def test_events_are_passed_on_whole():
+    """A target that stops in the middle of an event sends it again elsewhere."""
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\nda") == []
+    assert splitter.feed(b"ta: a\n\nid: 2") == [StreamEvent(b"id: 1\ndata: a\n\n", "1")]
+    assert splitter.rest == b"id: 2"
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_events_do_not_depend_on_how_bytes_arrive(cuts):
+    """Packets split a stream anywhere."""
+    splitter, events, start = EventSplitter(), [], 0
+    for cut in sorted([*cuts, len(STREAM)]):
+        events += splitter.feed(STREAM[start:cut])
+        start = cut
+    assert b"".join(event.data for event in events) == STREAM
+    assert [event.event for event in events] == ["1", "2", "3"]
+
+
+def test_windows_line_ends_separate_events_too():
+    """The format allows both line ends."""
+    events = EventSplitter().feed(b"id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n")
+    assert [event.event for event in events] == ["1", "2"]
+
+
+@pytest.mark.parametrize(
+    ("ids", "passed"),
+    [
+        (["1", "2", "3"], [True, True, True]),
+        (["1", "1", "2"], [True, False, True]),
+        (["9", "10", "9"], [True, True, False]),
+        ([None, "1", None], [True, True, True]),
+    ],
+)
+def test_caller_gets_no_event_twice(ids, passed):
+    """A second engine may begin before the last event that the caller has."""
+    position = StreamPosition()
+    assert [position.advance(StreamEvent(b"", i)) for i in ids] == passed
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,357 @@
+"""Translation at the boundary to the users' platform."""
+
+import asyncio
+
+import msgspec
+import pytest
+from adapter import (
+    PlatformProtocol,
+    coordinator_settings,
+    gateway_settings,
+    read_config,
+    read_node_file,
+)
+from adapter._list import ListReader, ListUnavailable
+from adapter._node_file import NodeFileError
+
+from wigeonspan.common import DomainName, ErrorKind, ServiceName, WigeonspanError
+from wigeonspan.fleetconfig import CallKind
+from wigeonspan.gateway import Handle, Send, TargetOutcome
+from wigeonspan.pool import Head
+from wigeonspan.targets import Phase, Target, TargetId
+
+NODE_FILE = """node_name=edge-1
+role=gateway
+ip=10.1.0.30
+zone=szeged
+listen.front=10.1.0.30:8149
+listen.ready=10.1.0.30:8141
+internal_ports=7380,7395
+seeds=10.1.0.33:8144,10.2.0.36:8144
+bootstrap=true
+fault_tolerance.machines=2
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_min_retries=56
+cloud.address=10.200.0.100:8142
+a.field.of.tomorrow=1
+"""
+
+TARGET = Target(
+    TargetId("i-1"), ServiceName("s"), "10.9.0.1:80", DomainName("szeged"), 64
+)
+
+
+def node(tmp_path, text=NODE_FILE):
+    path = tmp_path / "node.conf"
+    path.write_text(text)
+    return read_node_file(str(path))
+
+
+def test_settings_file_is_read_and_unknown_fields_are_ignored(tmp_path):
+    """New fields may come at any time."""
+    read = node(tmp_path)
+    settings = gateway_settings(read)
+    assert settings.controls == ["10.1.0.33:7380", "10.2.0.36:7380"]
+    assert (settings.front, settings.domain) == ("10.1.0.30:8149", "szeged")
+    assert coordinator_settings(read).wanted_voters == 5
+    assert coordinator_settings(read).first_start is True
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "fault"),
+    [
+        ("zone=szeged\n", "", "zone is missing"),
+        ("internal_ports=7380,7395", "internal_ports=7380", "internal_ports"),
+        ("budget_ratio=0.2", "budget_ratio=x", "retry_budget_ratio cannot be read"),
+    ],
+)
+def test_wrong_settings_name_the_field(tmp_path, old, new, fault):
+    """An engineer must see which field is wrong without reading the code."""
+    with pytest.raises(NodeFileError, match=fault):
+        node(tmp_path, NODE_FILE.replace(old, new))
+
+
+def document(**changes):
+    route = {
+        "name": "r1",
+        "host": "h",
+        "path_prefix": "/a/",
+        "kind": "streaming",
+        "timeout_ms": 8000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": "s",
+        "max_attempts": 2,
+        "sticky": True,
+        "resumable": True,
+        "target_gap_ms": 250,
+    } | changes.pop("route", {})
+    whole = {
+        "version": 7,
+        "routes": [route],
+        "services": [
+            {
+                "name": "s",
+                "health_path": "/health",
+                "max_connections": 370,
+                "protocol": "h1",
+                "engine": {"slots": 64, "kv_capacity": 1000, "handle_ttl_s": 5.0},
+            }
+        ],
+        "limits": {"max_body_bytes": 10},
+    } | changes
+    return msgspec.json.encode(whole)
+
+
+def test_configuration_is_decoded_into_the_products_words():
+    """Names of the wire end here."""
+    config = read_config(document())
+    route = config.routes[0]
+    assert (route.kind, route.repeatable) == (CallKind.STREAM, True)
+    assert (route.timeout_s, route.objective_s, route.pause_objective_s) == (
+        8.0,
+        0.3,
+        0.25,
+    )
+    assert config.services[0].engine.kv_tokens == 1000
+    assert config.limits.body_bytes == 10
+
+
+def test_split_route_has_its_shares():
+    """A split names several services instead of one."""
+    shares = [{"service": "s", "weight": 90}, {"service": "s", "weight": 10}]
+    config = read_config(document(route={"service": None, "traffic_split": shares}))
+    assert [s.weight for s in config.routes[0].services] == [90.0, 10.0]
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        b"",
+        document()[:-5],
+        b"[]",
+        document(version="x"),
+        document(routes=None),
+        document(route={"service": "unknown"}),
+        document(route={"timeout_ms": 0}),
+        document(route={"kind": "other"}),
+        document(
+            route={"service": None, "traffic_split": [{"service": "s", "weight": 0}]}
+        ),
+        b"\xff\xfe",
+    ],
+)
+def test_invalid_configuration_is_refused(wrong):
+    """What is invalid must not be acknowledged."""
+    with pytest.raises(WigeonspanError) as caught:
+        read_config(wrong)
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+    assert caught.value.status == 400
+
+
+def request(*extra, headers=()):
+    fields = [
+        ("Host", "h"),
+        ("Request-Id", "q1"),
+        ("Deadline-Ms", "900"),
+        *extra,
+        *headers,
+    ]
+    return PlatformProtocol().read_request("POST", "/a/x?y=1", fields, b"body")
+
+
+def test_request_size_is_decoded():
+    """Placement needs the prompt's parts and sizes."""
+    read = request(
+        ("Token-Usage", "1460,80"), ("Prompt-Prefix", "5c:800,91:410,e4:250")
+    )
+    assert (read.prompt.input_tokens, read.prompt.output_tokens) == (1460, 80)
+    assert [(p.part, p.tokens) for p in read.prompt.parts] == [
+        ("5c", 800),
+        ("91", 410),
+        ("e4", 250),
+    ]
+    assert read.deadline_s == 0.9
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [("Token-Usage", "x"), ("Token-Usage", "1"), ("Deadline-Ms", "soon")],
+)
+def test_unreadable_request_is_refused(wrong):
+    """Bad input gets a clear error."""
+    with pytest.raises(WigeonspanError) as caught:
+        PlatformProtocol().read_request("POST", "/", [wrong], b"")
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+SYSTEM_FIELDS = (
+    "Kv-Hold",
+    "Pin-Ms",
+    "Kv-Backup",
+    "Kv-Source",
+    "Stage",
+    "Expected-Instance",
+    "Request-Priority",
+)
+
+
+@pytest.mark.parametrize("name", SYSTEM_FIELDS)
+def test_callers_cannot_set_what_is_the_systems(name):
+    """A caller's field once reached a replica and took another run's memory."""
+    read = request((name, "stolen"))
+    sent = PlatformProtocol().encode(read, Send(TARGET, 0.5))
+    assert b"stolen" not in sent
+
+
+def test_fields_of_one_connection_are_not_forwarded():
+    """Only end-to-end fields are forwarded, all others as they came."""
+    read = request(
+        ("Connection", "close, X-Hop"), ("X-Hop", "no"), ("X-End", "yes"), ("TE", "t")
+    )
+    sent = PlatformProtocol().encode(read, Send(TARGET, 0.5))
+    assert b"X-End: yes" in sent
+    assert b"X-Hop" not in sent and b"TE: t" not in sent and b"close" not in sent
+
+
+def test_sent_request_says_how_it_is_sent():
+    """Deadline, target, rank, prompt and position are the system's to set."""
+    source = Handle(TARGET, "3fa0")
+    send = Send(TARGET, 0.5, 2, Phase.PREFILL, source, "12")
+    sent = PlatformProtocol().encode(request(("Last-Event-Id", "3")), send)
+    for line in (
+        b"POST /a/x?y=1 HTTP/1.1\r\n",
+        b"Deadline-Ms: 500\r\n",
+        b"Expected-Instance: i-1\r\n",
+        b"Request-Priority: 2\r\n",
+        b"Stage: prefill\r\n",
+        b"Kv-Source: 10.9.0.1:80/3fa0\r\n",
+        b"Last-Event-Id: 12\r\n",
+        b"Request-Id: q1\r\n",
+        b"Content-Length: 4\r\n",
+    ):
+        assert sent.count(line) == 1
+    assert sent.count(b"Last-Event-Id") == 1 and sent.count(b"Deadline-Ms") == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "outcome"),
+    [
+        (200, [("Response-Signature", "s")], TargetOutcome.ANSWERED),
+        (200, [], TargetOutcome.UNREADABLE),
+        (404, [], TargetOutcome.ANSWERED),
+        (500, [("Response-Signature", "s")], TargetOutcome.FAILED),
+        (503, [("Not-Executed", "1")], TargetOutcome.NOT_RUN),
+        (503, [], TargetOutcome.FAILED),
+        (421, [], TargetOutcome.WRONG_TARGET),
+    ],
+)
+def test_outcome_of_an_answer(status, fields, outcome):
+    """Only some answers prove that a request did not run."""
+    assert PlatformProtocol().read_outcome(Head(status, fields)) is outcome
+
+
+@pytest.mark.parametrize(
+    ("body", "handle"),
+    [
+        (b'{"transfer_handle":"ab","tokens":3}', "ab"),
+        (b'{"tokens":3}', None),
+        (b"[]", None),
+        (b"not json", None),
+        (b'{"transfer_handle":5}', None),
+    ],
+)
+def test_handle_of_a_read_prompt(body, handle):
+    """A handle that cannot be read must lead to another read and not to a crash."""
+    read = PlatformProtocol().read_handle(TARGET, body)
+    assert (read.handle if read else None) == handle
+
+
+GOOD = {
+    "id": "i-1",
+    "service": "s",
+    "address": "10.9.0.1:80",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+    "stage": "decode",
+}
+
+
+class Pages:
+    """Pool that answers with pages."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def fetch(self, address, request, timeout_s):
+        self.asked.append(request.split(b" ")[1])
+        status, body = self.answers.pop(0)
+        return Head(status, []), msgspec.json.encode(body)
+
+
+class NoTrail:
+    def __init__(self):
+        self.events = []
+
+    def note(self, part, event, **fields):
+        self.events.append(event)
+
+
+def read_list(*answers):
+    pages, trail = Pages(*answers), NoTrail()
+    listing = asyncio.run(ListReader("10.0.0.1:1").read(pages, trail))
+    return listing, pages, trail
+
+
+def test_list_is_read_page_by_page():
+    """A part of the list would make targets look gone."""
+    listing, pages, _ = read_list(
+        (200, {"instances": [GOOD], "next": "p 2"}),
+        (200, {"instances": [GOOD | {"id": "i-2", "state": "draining"}], "next": None}),
+    )
+    assert [(t.target, t.leaving) for t in listing.targets] == [
+        ("i-1", False),
+        ("i-2", True),
+    ]
+    assert pages.asked == [b"/instances", b"/instances?page_token=p%202"]
+    assert listing.targets[0].phase is Phase.DECODE
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {},
+        None,
+        [],
+        GOOD | {"id": None},
+        GOOD | {"state": "other"},
+        GOOD | {"slots": "4"},
+        GOOD | {"address": "nowhere"},
+        GOOD | {"born": 1.5},
+        GOOD | {"zone": 7},
+    ],
+)
+def test_entry_of_another_writer_names_no_target(wrong):
+    """One bad entry must not hide the others."""
+    listing, _, trail = read_list(
+        (200, {"instances": [wrong, GOOD | {"id": "i-2"}], "next": None})
+    )
+    assert [t.target for t in listing.targets] == ["i-2"]
+    assert trail.events == ["entry_skipped"]
+
+
+@pytest.mark.parametrize("answer", [(429, {}), (200, []), (200, {"instances": 3})])
+def test_list_that_cannot_be_read_whole_is_no_list(answer):
+    """Targets must not look gone because a page was refused."""
+    with pytest.raises(ListUnavailable):
+        read_list(answer)
+
+
+def test_name_of_the_folder_does_not_hide_pythons_module():
+    """The folder is called as a module of the standard library."""
+    import platform
+
+    assert platform.python_version()
--- /dev/null
+++ b/tests/pool/test_pool.py
@@ -0,0 +1,216 @@
+"""Exchanges with targets that misbehave, over loopback."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from wigeonspan.common import SystemClock
+from wigeonspan.pool import (
+    ConnectionPool,
+    ExchangeFailed,
+    FailureKind,
+    encode_request,
+)
+
+REQUEST = encode_request("GET", "/x", [("Host", "h"), ("Request-Id", "1")])
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: 1\r\n\r\nok"
+
+
+class Server:
+    """Server that plays a script on each connection.
+
+    A step is bytes to send after a request, ``None`` to close, or ``"reset"``.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.connections = 0
+        self.requests = 0
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        script = self.scripts[min(self.connections, len(self.scripts) - 1)]
+        self.connections += 1
+        for step in script:
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            for part in step if isinstance(step, list) else [step]:
+                if part is None:
+                    writer.close()
+                    return
+                if part == "reset":
+                    # Without lingering a close sends a reset.
+                    sock = writer.get_extra_info("socket")
+                    linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
+                    return
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+
+
+async def exchange(pool, address, **options):
+    sent = await pool.send(address, REQUEST, **options)
+    try:
+        async with asyncio.timeout(2):
+            head = await sent.head()
+            return head, await sent.read_all()
+    finally:
+        pool.release(address, sent)
+
+
+def play(scripts, *, times=1, pause_s=0.0, **options):
+    """Return the results of some exchanges and the server that played them."""
+
+    async def run():
+        pool, results = ConnectionPool(SystemClock()), []
+        async with Server(*scripts) as server:
+            for _ in range(times):
+                try:
+                    head, body = await exchange(pool, server.address, **options)
+                    results.append((head.status, body))
+                except ExchangeFailed as failure:
+                    results.append(failure)
+                await asyncio.sleep(pause_s)
+            pool.close()
+        return results, server
+
+    return asyncio.run(run())
+
+
+def test_connection_is_used_again():
+    """Each new connection costs a target a millisecond."""
+    results, server = play([[WHOLE, WHOLE]], times=2)
+    assert results == [(200, b"ok")] * 2
+    assert server.connections == 1
+
+
+def test_fresh_connection_is_not_an_idle_one():
+    """A call that must not run twice cannot risk an idle connection that closes."""
+    _, server = play([[WHOLE], [WHOLE]], times=2, fresh=True)
+    assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        [WHOLE + WHOLE],
+        [WHOLE, b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"],
+        [WHOLE + b"junk"],
+        [WHOLE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")],
+    ],
+)
+def test_bytes_after_an_answer_end_the_connection(step):
+    """Bytes of an extra answer once reached the next request's caller."""
+    results, server = play([[step], [WHOLE]], times=2, pause_s=0.05)
+    assert results[1] == (200, b"ok")
+    assert server.connections == 2
+
+
+def test_late_answer_to_an_earlier_request_is_skipped():
+    """An extra answer may arrive where the next one is expected."""
+    late = WHOLE.replace(b"Request-Id: 1", b"Request-Id: 0").replace(b"ok", b"no")
+    results, _ = play(
+        [[[late, WHOLE]]], accepts=lambda head: head.get("Request-Id") == "1"
+    )
+    assert results == [(200, b"ok")]
+
+
+@pytest.mark.parametrize(
+    ("step", "kind"),
+    [
+        ([WHOLE[:-1], None], FailureKind.CLOSED),
+        ([WHOLE[:20], None], FailureKind.CLOSED),
+        ([None], FailureKind.CLOSED),
+        ([WHOLE[:-1], "reset"], FailureKind.RESET),
+        ([b"nonsense\r\n\r\n"], FailureKind.GARBLED),
+        (
+            [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", None],
+            FailureKind.CLOSED,
+        ),
+    ],
+)
+def test_broken_answer_is_a_failure_that_may_have_run(step, kind):
+    """An answer that ends early must not look complete."""
+    results, server = play([[step]])
+    assert isinstance(results[0], ExchangeFailed)
+    assert (results[0].kind, results[0].sent) == (kind, True)
+    assert server.requests == 1
+
+
+def test_request_is_sent_once_when_a_reused_connection_dies():
+    """curl repeats a request on its own when a reused connection was closed."""
+    results, server = play([[WHOLE, None], [WHOLE]], times=2)
+    assert isinstance(results[1], ExchangeFailed)
+    assert server.connections == 1
+
+
+def test_answer_without_a_length_ends_with_its_connection():
+    """Some answers have no length; a clean close ends them."""
+    results, _ = play([[[b"HTTP/1.1 200 OK\r\n\r\nwhole", None]]])
+    assert results == [(200, b"whole")]
+
+
+def test_answer_without_a_length_that_is_reset_is_not_whole():
+    """A reset may have cut bytes off."""
+    results, _ = play([[[b"HTTP/1.1 200 OK\r\n\r\npart", "reset"]]])
+    assert isinstance(results[0], ExchangeFailed)
+
+
+def test_interim_answer_is_skipped():
+    """A status below 200 is not the answer."""
+    results, _ = play([[[b"HTTP/1.1 102 Processing\r\n\r\n", WHOLE]]])
+    assert results == [(200, b"ok")]
+
+
+def test_refused_connection_has_sent_nothing():
+    """Only then may a call that must not run twice go elsewhere."""
+
+    async def run():
+        async with Server([WHOLE]) as server:
+            address = server.address
+        pool = ConnectionPool(SystemClock())
+        with pytest.raises(ExchangeFailed) as caught:
+            await pool.send(address, REQUEST)
+        return caught.value
+
+    failure = asyncio.run(run())
+    assert failure.sent is False
+
+
+def test_stated_idle_time_is_respected():
+    """A target closes an idle connection when its stated time is over."""
+    stated = WHOLE.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=0\r\n\r\n")
+    _, server = play([[stated], [WHOLE]], times=2)
+    assert server.connections == 2
+
+
+def test_aborted_exchange_closes_its_connection():
+    """A target goes on with a request while its connection is open."""
+
+    async def run():
+        pool = ConnectionPool(SystemClock())
+        async with Server(
+            [[b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"]]
+        ) as server:
+            sent = await pool.send(server.address, REQUEST)
+            await sent.head()
+            sent.abort()
+            pool.release(server.address, sent)
+            with pytest.raises(ExchangeFailed):
+                await sent.read_all()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/targets/test_board.py
@@ -0,0 +1,82 @@
+"""Targets from a lagging list."""
+
+import pytest
+
+from wigeonspan.common import DomainName, ServiceName
+from wigeonspan.targets import Listing, Phase, Target, TargetBoard, TargetId
+
+SERVICE = ServiceName("s")
+
+
+def target(name, **fields):
+    return Target(TargetId(name), SERVICE, f"{name}:80", DomainName("a"), 4, **fields)
+
+
+def names(board):
+    return sorted(t.target for t in board.usable(SERVICE))
+
+
+def test_leaving_target_gets_no_new_work():
+    """A leaving target must not get requests seconds after it is listed so."""
+    board = TargetBoard()
+    board.update(Listing((target("t1"), target("t2", leaving=True))), 1.0)
+    assert names(board) == ["t1"]
+
+
+def test_older_listing_is_dropped():
+    """Another entry's older copy brought a target back that had gone."""
+    board = TargetBoard()
+    board.update(Listing((target("t1"),)), 2.0)
+    assert not board.update(Listing((target("t1"), target("t2"))), 1.0)
+    assert names(board) == ["t1"]
+
+
+def test_leaving_is_not_undone_by_a_later_read_of_a_stale_list():
+    """The list lags differently from read to read."""
+    board = TargetBoard()
+    board.update(Listing((target("t1", leaving=True, born_ms=5),)), 1.0)
+    board.update(Listing((target("t1", born_ms=5),)), 2.0)
+    assert names(board) == []
+
+
+def test_target_that_started_again_is_usable():
+    """A target may start again under its name; it is then not leaving."""
+    board = TargetBoard()
+    board.update(Listing((target("t1", leaving=True, born_ms=5),)), 1.0)
+    board.update(Listing((target("t1", born_ms=9),)), 2.0)
+    assert names(board) == ["t1"]
+
+
+def test_missing_target_is_gone():
+    """A target that is no longer listed may have given its address away."""
+    board = TargetBoard()
+    board.update(Listing((target("t1"), target("t2"))), 1.0)
+    board.update(Listing((target("t1"),)), 2.0)
+    assert names(board) == ["t1"]
+    assert board.get(TargetId("t2")) is None
+
+
+def test_confirmed_digest_keeps_the_list_fresh():
+    """Entries hear of an unchanged list by its digest alone."""
+    board = TargetBoard()
+    listing = Listing((target("t1"),))
+    board.update(listing, 1.0)
+    assert board.confirm(listing.digest, 5.0)
+    assert board.read_at == 5.0
+    assert not board.confirm("other", 6.0)
+    assert board.read_at == 5.0
+
+
+@pytest.mark.parametrize("phase", [Phase.PREFILL, Phase.DECODE])
+def test_switching_target_gets_no_new_work(phase):
+    """An engine that changes its phase refuses what has not started."""
+    board = TargetBoard()
+    board.update(Listing((target("t1", phase=phase), target("t2"))), 1.0)
+    board.set_switching([TargetId("t1")])
+    assert names(board) == ["t2"]
+
+
+def test_digest_does_not_depend_on_the_order():
+    """Pages come in any order."""
+    one, two = target("t1"), target("t2")
+    assert Listing((one, two)).digest == Listing((two, one)).digest
--- a/wigeonspan/catalog/_core.py
+++ b/wigeonspan/catalog/_core.py
@@ -293,8 +293,13 @@
         note = ActorNote("control", "members of the log", command.wall_ms)
         for key in sorted(present.keys() | wanted.keys()):
             value = wanted.get(key)
-            if value is None or not _same_member(value, present.get(key)):
+            before = present.get(key)
+            if value is None or before is None:
                 self._store(index, Edit(key, value), note)
+            elif not _same_member(value, before):
+                # An observation is nobody's change, so it conflicts with none.
+                observed = _differs_by_observation(value, before)
+                self._store(index, Edit(key, value), None if observed else note)
         return ChangeOutcome(OutcomeKind.ACCEPTED, self._version, "members are set")
 
     def _store(self, index: Version, edit: Edit, note: "ActorNote | None") -> None:
@@ -376,3 +381,9 @@
     return isinstance(present, Member) and value == msgspec.structs.replace(
         present, version=value.version
     )
+
+
+def _differs_by_observation(member: Member, before: Member) -> bool:
+    """Whether only what the system itself observes of a member has changed."""
+    seen = msgspec.structs.replace(before, operators_address=member.operators_address)
+    return _same_member(member, seen)
