--- /dev/null
+++ b/tests/gateway/test_jobs.py
@@ -0,0 +1,327 @@
+"""Plain calls and generations against targets that fail, over loopback."""
+
+import asyncio
+import random
+
+import pytest
+from adapter import PlatformProtocol
+
+from wigeonspan.common import DomainName, HostId, ServiceName, SystemClock
+from wigeonspan.fleetconfig import (
+    CallKind,
+    EngineTraits,
+    FleetConfig,
+    Route,
+    ServiceSpec,
+    StoredConfig,
+    WeightedService,
+)
+from wigeonspan.gateway._config import ConfigHolder
+from wigeonspan.gateway._parts import Parts
+from wigeonspan.gateway._serve import Server
+from wigeonspan.placing import Placer, RetryBudget
+from wigeonspan.pool import ConnectionPool
+from wigeonspan.serving import RequestServer
+from wigeonspan.targets import Listing, Phase, Target, TargetBoard, TargetId
+from wigeonspan.trail import Meters
+
+SERVICE = ServiceName("s")
+SIGNED = [("Response-Signature", "sig")]
+
+
+class Engine:
+    """Target that answers by its script, one step a request; the last one repeats."""
+
+    def __init__(self, name, phase, *script):
+        self.name = name
+        self.phase = phase
+        self.script = list(script)
+        self.seen = []
+        self.gone = 0
+
+    async def serve(self, method, target, headers, body, caller):
+        fields = {name.lower(): value for name, value in headers}
+        self.seen.append((method, target, fields))
+        step = self.script[0] if len(self.script) == 1 else self.script.pop(0)
+        try:
+            await step(fields, caller)
+        except asyncio.CancelledError:
+            self.gone += 1
+            raise
+
+
+def answers(status, body=b"ok", headers=SIGNED):
+    async def step(fields, caller):
+        await caller.answer(status, list(headers), body)
+
+    return step
+
+
+not_run = answers(503, b"", [("Not-Executed", "1")])
+reads = answers(200, b'{"transfer_handle":"ab"}', [])
+
+
+async def resets(fields, caller):
+    caller.break_off()
+
+
+async def hangs(fields, caller):
+    await asyncio.sleep(30)
+
+
+def streams(count, *, breaks=False):
+    async def step(fields, caller):
+        await caller.begin(200, list(SIGNED))
+        for n in range(int(fields.get("last-event-id", 0)) + 1, count + 1):
+            await caller.send(f"id: {n}\ndata: {n}\n\n".encode())
+            await asyncio.sleep(0.005)
+        if breaks:
+            await caller.send(b"id: 99\nda")
+            caller.break_off()
+        else:
+            await caller.finish()
+
+    return step
+
+
+class Nobody:
+    """Link and log that go nowhere."""
+
+    def tell(self, event):
+        pass
+
+    def note(self, part, event, **fields):
+        pass
+
+
+def serve(route, engines, *, usage="600,20", times=1, leave_after_s=None, budget=50.0):
+    """Send requests through a gateway's server and return their answers."""
+
+    async def run():
+        clock, board, targets = SystemClock(), TargetBoard(), []
+        servers = []
+        for number, engine in enumerate(engines):
+            server = RequestServer(engine.serve)
+            address = f"127.78.0.{number + 1}:18080"
+            server.listen(address)
+            servers.append(server)
+            targets.append(
+                Target(
+                    TargetId(engine.name),
+                    SERVICE,
+                    address,
+                    DomainName("d"),
+                    8,
+                    phase=engine.phase,
+                )
+            )
+        board.update(Listing(tuple(targets)), 1.0)
+        traits = EngineTraits(8, 100_000, 5.0, 3.0)
+        is_model = any(e.phase is not Phase.NONE for e in engines)
+        spec = ServiceSpec(SERVICE, "/health", 100, traits if is_model else None)
+        whole = FleetConfig(1, (route,), (spec,))
+        config = ConfigHolder(lambda document: whole, Nobody())
+        config.offer(StoredConfig(1, b""), "test")
+        parts = Parts(
+            host=HostId("e"),
+            clock=clock,
+            protocol=PlatformProtocol(),
+            config=config,
+            board=board,
+            placer=Placer(DomainName("d"), random.Random(1)),
+            budget=RetryBudget(0.0, budget, 10.0),
+            pool=ConnectionPool(clock),
+            link=Nobody(),
+            trail=Nobody(),
+            meters=Meters(),
+        )
+        server = Server(parts, random.Random(1))
+        server.open()
+        front = RequestServer(server.serve)
+        front.listen("127.78.1.1:18081")
+        servers.append(front)
+        results = []
+        for number in range(times):
+            results.append(await send(number, usage, leave_after_s))
+        await asyncio.sleep(0.05)
+        for server in servers:
+            await server.close()
+        parts.pool.close()
+        return results
+
+    return asyncio.run(run())
+
+
+async def send(number, usage, leave_after_s):
+    reader, writer = await asyncio.open_connection("127.78.1.1", 18081)
+    head = f"POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
+    head += f"Token-Usage: {usage}\r\n" if usage else ""
+    head += "Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+    writer.write(head.encode())
+    answer = b""
+    try:
+        async with asyncio.timeout(leave_after_s or 3.0):
+            while part := await reader.read(65536):
+                answer += part
+                if answer.endswith(b"0\r\n\r\n") or b"Content-Length" in answer:
+                    break
+    except TimeoutError:
+        pass
+    writer.close()
+    return answer
+
+
+def route(kind, *, attempts=2, resumable=False):
+    return Route(
+        "r",
+        "h",
+        "/r/",
+        kind,
+        (WeightedService(SERVICE, 1.0),),
+        timeout_s=2.0,
+        objective_s=0.3,
+        pause_objective_s=0.2,
+        max_attempts=attempts,
+        resumable=resumable,
+    )
+
+
+def plain(*scripts):
+    return [Engine(f"t{n}", Phase.NONE, *s) for n, s in enumerate(scripts)]
+
+
+def status(answer):
+    return int(answer.split(b" ")[1]) if answer else 0
+
+
+def runs(engines):
+    return sum(len(engine.seen) for engine in engines)
+
+
+CALL, LOAN, STREAM = CallKind.IDEMPOTENT, CallKind.NON_IDEMPOTENT, CallKind.STREAM
+
+
+@pytest.mark.parametrize("kind", [CALL, LOAN])
+def test_call_that_did_not_run_goes_to_another_target(kind):
+    """A full target is no reason to refuse while another one is free."""
+    engines = plain([not_run], [answers(200)])
+    for answer in serve(route(kind), engines, usage=None, times=4):
+        assert status(answer) == 200
+
+
+def test_loan_that_may_have_run_is_not_sent_again():
+    """A reset after the request was sent proves nothing; it must not run twice, and a
+    refusal that says not run would be false."""
+    engines = plain([resets], [resets])
+    answer = serve(route(LOAN), engines, usage=None)[0]
+    assert runs(engines) == 1
+    assert status(answer) == 502 and b'"ran":"unknown"' in answer
+
+
+def test_lookup_is_sent_again_after_a_reset():
+    """What may run again is not lost with one target."""
+    engines = plain([resets], [answers(200)])
+    assert all(
+        status(a) == 200 for a in serve(route(CALL), engines, usage=None, times=4)
+    )
+
+
+def test_error_of_a_target_is_passed_on_with_its_signature():
+    """When all attempts fail the caller gets the target's own answer."""
+    engines = plain([answers(500, b"bad")], [answers(500, b"bad")])
+    answer = serve(route(CALL), engines, usage=None)[0]
+    assert status(answer) == 500 and b"sig" in answer and answer.endswith(b"bad")
+    assert runs(engines) == 2
+
+
+def test_attempts_are_limited_by_the_route():
+    """A route says on how many targets a request may run."""
+    engines = plain([resets], [resets], [resets])
+    serve(route(CALL, attempts=2), engines, usage=None)
+    assert runs(engines) == 2
+
+
+def test_success_without_a_signature_is_not_passed_on():
+    """Bytes of a faulty target are nobody's answer."""
+    engines = plain([answers(200, b"x", [])])
+    answer = serve(route(LOAN), engines, usage=None)[0]
+    assert status(answer) == 502
+
+
+def test_repeats_stop_with_the_budget():
+    """Repeats must not multiply the load of a failing service."""
+    engines = plain([resets], [resets])
+    serve(route(CALL), engines, usage=None, times=6, budget=4.0)
+    assert runs(engines) == 6 + 3
+
+
+def test_no_target_is_a_refusal_that_did_not_run():
+    """A truthful refusal tells when to come back."""
+    answer = serve(route(LOAN), [], usage=None)[0]
+    assert status(answer) == 503
+    assert b"Retry-After" in answer and b'"ran":"no"' in answer
+
+
+def model(prefill, decode, *more):
+    engines = [Engine("p", Phase.PREFILL, *prefill), Engine("d", Phase.DECODE, *decode)]
+    return engines + [Engine(f"d{n}", Phase.DECODE, *s) for n, s in enumerate(more)]
+
+
+def test_prompt_is_read_by_one_engine_and_answered_by_another():
+    """Both phases, with the prompt handed over."""
+    engines = model([reads], [streams(3)])
+    answer = serve(route(STREAM), engines)[0]
+    assert answer.count(b"data: ") == 3 and answer.endswith(b"0\r\n\r\n")
+    assert engines[0].seen[0][2]["stage"] == "prefill"
+    assert engines[1].seen[0][2]["kv-source"] == "127.78.0.1:18080/ab"
+
+
+def test_stream_goes_on_at_another_engine_without_a_double_event():
+    """A resumable stream survives its engine; the caller sees one stream."""
+    engines = model([reads], [], [])
+    # The engine that comes first breaks off, whichever it is.
+    engines[1].script = engines[2].script = [streams(2, breaks=True), streams(5)]
+    answer = serve(route(STREAM, resumable=True), engines)[0]
+    assert [answer.count(b"id: %d\n" % n) for n in range(1, 6)] == [1] * 5
+    assert b"id: 99" not in answer and answer.endswith(b"0\r\n\r\n")
+
+
+def test_stream_that_may_not_run_twice_breaks_off():
+    """Its answer must not look complete, and no other engine may get it."""
+    engines = model([reads], [streams(2, breaks=True)], [streams(2, breaks=True)])
+    answer = serve(route(STREAM), engines)[0]
+    assert b"id: 2" in answer and not answer.endswith(b"0\r\n\r\n")
+    assert len(engines[1].seen) + len(engines[2].seen) == 1
+
+
+def test_lapsed_prompt_is_read_again():
+    """A handle may lapse before it is fetched; the stream has not run then."""
+    engines = model([reads], [not_run, streams(3)], [not_run, streams(3)])
+    answer = serve(route(STREAM), engines)[0]
+    assert status(answer) in (200, 503)
+    if status(answer) == 200:
+        assert answer.count(b"data: ") == 3
+    else:
+        assert b'"ran":"no"' in answer
+
+
+def test_engine_that_refuses_to_read_is_not_the_end():
+    """Without a prefill engine a decode engine reads the prompt itself."""
+    engines = model([not_run], [streams(3)])
+    answer = serve(route(STREAM), engines)[0]
+    assert answer.count(b"data: ") == 3
+    assert "kv-source" not in engines[1].seen[0][2]
+
+
+def test_caller_that_leaves_frees_its_engine():
+    """Engines went on with streams that nobody read."""
+    engines = model([reads], [hangs])
+    serve(route(STREAM), engines, leave_after_s=0.3)
+    assert engines[1].gone == 1
+
+
+def test_prompt_that_nobody_fetches_is_freed():
+    """A prompt that is kept takes memory until its time to live is over."""
+    engines = model([reads], [not_run])
+    serve(route(STREAM), engines)
+    assert any(method == "DELETE" for method, _, _ in engines[0].seen)
--- /dev/null
+++ b/tests/trail/test_main.py
@@ -0,0 +1,72 @@
+"""Reading of log files."""
+
+import json
+
+from wigeonspan.trail.main import LogCommands
+
+
+def write(tmp_path, name, *lines, prefix=""):
+    path = tmp_path / name
+    path.write_text("".join(prefix + json.dumps(line) + "\n" for line in lines))
+    return str(path)
+
+
+def line(wall_ms, event, **fields):
+    return {"wall_ms": wall_ms, "host": "e1", "part": "serve", "event": event} | fields
+
+
+def test_way_joins_the_files_of_all_processes_in_order(tmp_path):
+    """A request's lines are spread over processes."""
+    one = write(tmp_path, "one", line(105, "answered", request="r1", took_ms=5))
+    two = write(
+        tmp_path,
+        "two",
+        line(100, "admitted", request="r1", route="x"),
+        line(101, "admitted", request="r2"),
+        prefix="  12.5 edge-1 ",
+    )
+    text = LogCommands().way("r1", one, two)
+    assert text.splitlines() == [
+        "    +0 ms e1 serve: admitted route=x",
+        "    +5 ms e1 serve: answered took_ms=5",
+    ]
+
+
+def test_unknown_request_is_said_so(tmp_path):
+    """An empty answer looks like a failure of the command."""
+    assert "no line names" in LogCommands().way("r9", write(tmp_path, "one"))
+
+
+def test_cut_line_is_left_out(tmp_path):
+    """A process that is killed leaves half a line."""
+    path = tmp_path / "one"
+    path.write_text('{"wall_ms":1,"host":"e1","part":"serve","event":"refu')
+    assert "no line names" in LogCommands().way("r1", str(path))
+
+
+def test_failures_are_counted_by_reason(tmp_path):
+    """Numbers in reasons must not make each failure a reason of its own."""
+    path = write(
+        tmp_path,
+        "one",
+        line(1, "refused", kind="overloaded", why="first event expected in 1200 ms"),
+        line(2, "refused", kind="overloaded", why="first event expected in 900 ms"),
+        line(3, "answered"),
+    )
+    assert LogCommands().failures(path).split() == (
+        "2 refused overloaded first event expected in N ms".split()
+    )
+
+
+def test_around_shows_what_was_learned_and_no_requests(tmp_path):
+    """The cause of a failure is often a change shortly before it."""
+    path = write(
+        tmp_path,
+        "one",
+        line(1000, "targets_changed", leaving=["t1"]),
+        line(1100, "admitted", request="r1"),
+        line(9000, "control_lost"),
+    )
+    text = LogCommands().around(1500, path)
+    assert "targets_changed" in text and "r1" not in text
+    assert "control_lost" not in text
