Treat an engine that finishes other prompts as behind, not dead

Change: a read that takes long is waited for once more, and its engine is not charged with a failure, when the engine has finished another prompt meanwhile. Refusals log the configuration version.

--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -44,6 +44,7 @@
         work_ms,
         send.urgency or 0,
     )
+    began = parts.clock.now()
     parts.begin_work(work, reads, new_tokens)
     exchange, completed = None, False
     try:
@@ -57,7 +58,14 @@
         completed = True
     except ExchangeFailed as failure:
         parts.pool.forget(target.address)
-        parts.note_failure(target.target, silent=not failure.sent, reason=str(failure))
+        # A target that finishes other work is behind, not dead.
+        behind = failure.kind is FailureKind.TIMEOUT and (
+            parts.placer.ledger.finished_since(target.target, began)
+        )
+        if not (failure.sent and behind):
+            parts.note_failure(
+                target.target, silent=not failure.sent, reason=str(failure)
+            )
         raise
     finally:
         parts.end_work(work, completed=completed)
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -145,7 +145,7 @@
                 reads=self._prompt.parts,
                 new_tokens=parts.placer.new_tokens(engine, self._prompt),
             ) as exchange:
-                head = await read_head(exchange, min(limit_s, left_s))
+                head = await self._read_answer(engine, exchange, limit_s)
                 body = await read_body(exchange, self._ends_at - parts.clock.now())
         except ExchangeFailed as failure:
             self._exclude(engine, "read_broke_off", why=str(failure))
@@ -162,6 +162,23 @@
         self._note("read", target=engine.target, took_ms=round(took_ms))
         return handle
 
+    async def _read_answer(
+        self, engine: Target, exchange: Exchange, limit_s: float
+    ) -> Head:
+        """Wait for an engine to read a prompt; longer while it finishes others.
+
+        Reading it again elsewhere would add to the work that all are behind with.
+        """
+        clock, ledger = self._parts.clock, self._parts.placer.ledger
+        began = clock.now()
+        try:
+            return await read_head(exchange, min(limit_s, self._ends_at - began))
+        except ExchangeFailed as failure:
+            waits = failure.kind is FailureKind.TIMEOUT
+            if not waits or not ledger.finished_since(engine.target, began):
+                raise
+        return await read_head(exchange, min(limit_s, self._ends_at - clock.now()))
+
     async def _stream_from(
         self, caller: Caller, plan: Plan, handle: Handle | None
     ) -> bool:
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -58,6 +58,7 @@
                 request=request_id,
                 failure=True,
                 kind=outcome,
+                config_version=self._parts.config.version,
                 ran=error.ran.value,
                 why=error.message,
                 took_ms=self._took_ms(arrived),
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -122,6 +122,11 @@
         """Forget a target that is gone or has restarted."""
         self._queues.pop(target, None)
 
+    def finished_since(self, target: TargetId, since: float) -> bool:
+        """Whether a target has read a prompt to the end since a time."""
+        queue = self._queues.get(target)
+        return queue is not None and queue.throughput.finished_at > since
+
     def slowness(self, target: TargetId, now: float) -> float:
         """Return the time that a target needs for a unit of nominal work."""
         queue = self._queues.get(target)
--- a/wigeonspan/placing/_throughput.py
+++ b/wigeonspan/placing/_throughput.py
@@ -27,6 +27,7 @@
         self._busy_ms = 0.0
         self._done_ms = 0.0
         self._faded_at = 0.0
+        self._finished_at = 0.0
         # When the work at hand began to be done; None without work.
         self._since: float | None = None
 
@@ -35,6 +36,11 @@
         """Whether enough work was finished lately."""
         return self._done_ms >= KNOWN_MS
 
+    @property
+    def finished_at(self) -> float:
+        """Monotonic time at which work was finished last; 0 before the first."""
+        return self._finished_at
+
     def resume(self, now: float) -> None:
         """Note that the engine has work."""
         if self._since is None:
@@ -48,6 +54,8 @@
         """Note finished work, in time that an engine of nominal speed needs."""
         kept = math.exp(-max(0.0, now - self._faded_at) / MEMORY_S)
         self._faded_at = now
+        if work_ms > 0.0:
+            self._finished_at = now
         self._busy_ms = self._busy_ms * kept + self._open_ms(now)
         self._done_ms = self._done_ms * kept + work_ms
         self._since = now
