--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from adapter import PlatformProtocol
 
@@ -26,6 +27,7 @@
 from wigeonspan.trail import Meters
 
 SERVICE = ServiceName("s")
+world = {}
 SIGNED = [("Response-Signature", "sig")]
 
 
@@ -125,6 +127,7 @@
                 )
             )
         board.update(Listing(tuple(targets)), 1.0)
+        world["board"] = board
         traits = EngineTraits(8, 100_000, 5.0, 3.0)
         is_model = any(e.phase is not Phase.NONE for e in engines)
         spec = ServiceSpec(SERVICE, "/health", 100, traits if is_model else None)
@@ -137,7 +140,7 @@
             protocol=PlatformProtocol(),
             config=config,
             board=board,
-            placer=Placer(DomainName("d"), random.Random(1)),
+            placer=Placer(DomainName("d"), random.Random(seed)),
             budget=RetryBudget(0.0, budget, 10.0),
             pool=ConnectionPool(clock),
             link=Nobody(),
@@ -343,6 +346,31 @@
     assert all("kv-source" in fields for _, _, fields in engines[1].seen)
 
 
+def test_engine_that_leaves_while_a_prompt_is_read_gets_nothing():
+    """The decode engine was chosen before a read of three seconds and had left when the
+    stream was sent to it (hunt on the first site, mix seed 876268253400)."""
+    engines = model([], [streams(3)], [streams(3)])
+
+    async def reads_while_others_leave(fields, caller):
+        world["board"].update(
+            Listing(
+                tuple(
+                    msgspec.structs.replace(t, leaving=t.target == "d")
+                    for t in world["board"].all()
+                )
+            ),
+            2.0,
+        )
+        await caller.answer(200, [], b'{"transfer_handle":"ab"}')
+
+    engines[0].script = [reads_while_others_leave]
+    # Some of the seeds plan for the engine that leaves.
+    for seed in range(8):
+        answer = serve(route(STREAM), engines, seed=seed)[0]
+        assert answer.count(b"data: ") == 3
+    assert engines[1].seen == [] and len(engines[2].seen) == 8
+
+
 def test_caller_that_leaves_frees_its_engine():
     """Engines went on with streams that nobody read."""
     engines = model([reads], [hangs])
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -184,7 +184,8 @@
     ) -> bool:
         """Stream from an engine; return False when another round may follow."""
         runs_before = self._runs
-        engine: Target | None = plan.decode
+        # Reading may take seconds, in which the planned engine may have left.
+        engine = plan.decode if handle is None else self._choose_engine(handle)
         try:
             while engine is not None:
                 self._check_budget()
@@ -194,7 +195,7 @@
                     self._exclude(engine, "stream_broke_off", why=str(failure))
                     if failure.sent:
                         return False
-                engine = self._other_engine(handle)
+                engine = self._choose_engine(handle)
             return False
         finally:
             if handle is not None and self._runs == runs_before:
@@ -310,8 +311,8 @@
             expected_s = 0.0
         return min(left_s, max(STALL_MIN_S, pauses_s, expected_s))
 
-    def _other_engine(self, handle: Handle | None) -> Target | None:
-        """Return another engine for a prompt that was not fetched yet."""
+    def _choose_engine(self, handle: Handle | None) -> Target | None:
+        """Return the best engine now for a prompt that was not fetched yet."""
         parts = self._parts
         if handle is None:
             return None
