--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -1,6 +1,7 @@
 """Plain calls and generations against targets that fail, over loopback."""
 
 import asyncio
+import os
 import random
 
 import msgspec
@@ -27,6 +28,8 @@
 from wigeonspan.trail import Meters
 
 SERVICE = ServiceName("s")
+# An address range of its own for each test process.
+NET = f"127.{64 + os.getpid() % 128}"
 world = {}
 SIGNED = [("Response-Signature", "sig")]
 
@@ -105,6 +108,7 @@
     leave_after_s=None,
     budget=50.0,
     together=False,
+    seed=1,
 ):
     """Send requests through a gateway's server and return their answers."""
 
@@ -113,7 +117,7 @@
         servers = []
         for number, engine in enumerate(engines):
             server = RequestServer(engine.serve)
-            address = f"127.78.0.{number + 1}:18080"
+            address = f"{NET}.0.{number + 1}:18080"
             server.listen(address)
             servers.append(server)
             targets.append(
@@ -150,7 +154,7 @@
         server = Server(parts, random.Random(1))
         server.open()
         front = RequestServer(server.serve)
-        front.listen("127.78.1.1:18081")
+        front.listen(f"{NET}.1.1:18081")
         servers.append(front)
         sends = [send(number, usage, leave_after_s) for number in range(times)]
         if together:
@@ -167,7 +171,7 @@
 
 
 async def send(number, usage, leave_after_s):
-    reader, writer = await asyncio.open_connection("127.78.1.1", 18081)
+    reader, writer = await asyncio.open_connection(f"{NET}.1.1", 18081)
     head = f"POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
     head += f"Token-Usage: {usage}\r\n" if usage else ""
     head += "Deadline-Ms: 1900\r\nContent-Length: 0\r\n\r\n"
@@ -287,7 +291,7 @@
     answer = serve(route(STREAM), engines)[0]
     assert answer.count(b"data: ") == 3 and answer.endswith(b"0\r\n\r\n")
     assert engines[0].seen[0][2]["stage"] == "prefill"
-    assert engines[1].seen[0][2]["kv-source"] == "127.78.0.1:18080/ab"
+    assert engines[1].seen[0][2]["kv-source"] == f"{NET}.0.1:18080/ab"
 
 
 def test_stream_goes_on_at_another_engine_without_a_double_event():
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -10,6 +10,7 @@
     DIRECTORY_PORT,
     EVENTS,
     FRONT_PORT,
+    NET,
     READY_PORT,
     Machine,
     Platform,
@@ -18,8 +19,8 @@
     wait,
 )
 
-CONTROLS = [f"127.77.0.{n}" for n in (1, 2, 3)]
-EDGES = [f"127.77.1.{n}" for n in (1, 2)]
+CONTROLS = [f"{NET}.0.{n}" for n in (1, 2, 3)]
+EDGES = [f"{NET}.1.{n}" for n in (1, 2)]
 
 
 def document(version, *, timeout_ms=8000, extra=()):
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -21,7 +21,9 @@
 DIRECTORY_PORT = 17162
 FRONT_PORT = 17163
 READY_PORT = 17164
-LIST_ADDRESS = "127.77.2.1:17165"
+# An address range of its own for each test process.
+NET = f"127.{64 + os.getpid() % 128}"
+LIST_ADDRESS = f"{NET}.2.1:17165"
 REPLICA_PORT = 17166
 EVENTS = 5
 EVENT_PAUSE_S = 0.05
@@ -84,10 +86,10 @@
 
     def __init__(self):
         self.replicas = [
-            Replica("127.77.3.1", "models", "prefill"),
-            Replica("127.77.3.2", "models", "decode"),
-            Replica("127.77.3.3", "models", "decode"),
-            Replica("127.77.3.4", "app"),
+            Replica(f"{NET}.3.1", "models", "prefill"),
+            Replica(f"{NET}.3.2", "models", "decode"),
+            Replica(f"{NET}.3.3", "models", "decode"),
+            Replica(f"{NET}.3.4", "app"),
         ]
         self._loop = asyncio.new_event_loop()
         self._thread = Thread(target=self._run, daemon=True)
