--- a/wigeonspan/coordinator/__init__.py
+++ b/wigeonspan/coordinator/__init__.py
@@ -3,7 +3,6 @@
 from wigeonspan.coordinator._daemon import (
     DIRECTORY_KEEP_S,
     Coordinator,
-    CoordinatorSettings,
     run_coordinator,
 )
 from wigeonspan.coordinator._membership import (
@@ -12,6 +11,7 @@
     MembershipView,
     next_step,
 )
+from wigeonspan.coordinator._settings import CoordinatorSettings
 
 __all__ = [
     "DIRECTORY_KEEP_S",
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -5,7 +5,6 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from msgspec import Struct
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
@@ -18,11 +17,12 @@
     WigeonspanError,
     watch_settings,
 )
-from wigeonspan.consensus import BootstrapMember, LogTask, StorageError
+from wigeonspan.consensus import LogTask, StorageError
 from wigeonspan.coordinator._cache import CommittedCache
 from wigeonspan.coordinator._group import JOIN_PATH, Group
 from wigeonspan.coordinator._handlers import BeatHandler, JoinHandler, MetricsHandler
 from wigeonspan.coordinator._membership import Candidate
+from wigeonspan.coordinator._settings import CoordinatorSettings
 from wigeonspan.fleetconfig import ConfigMachine, StoredConfig, encode_store
 from wigeonspan.http import make_client
 from wigeonspan.pool import ConnectionPool
@@ -58,38 +58,6 @@
 """Largest number of addresses that callers read."""
 
 
-class CoordinatorSettings(Struct, frozen=True):
-    """Settings of a control host.
-
-    Parameters
-    ----------
-    address : str
-        Internal address, which is also the host's name in the group.
-    control, directory, metrics : str
-        Addresses for operators, for callers that ask where to connect, and for
-        metrics.
-    seeds : list of str
-        Internal addresses of control hosts.
-    first_start : bool
-        Whether the whole system starts for the first time.
-    folder : str
-        Data folder.
-    wanted_voters : int
-        Voters that survive the losses to be tolerated.
-    """
-
-    host: HostId
-    domain: DomainName
-    address: str
-    control: str
-    directory: str
-    metrics: str
-    seeds: list[str]
-    first_start: bool
-    folder: str
-    wanted_voters: int
-
-
 class Coordinator:
     """One control host.
 
@@ -124,7 +92,7 @@
             name,
             settings.address,
             settings.domain,
-            _first_voters(settings),
+            settings.first_voters,
             f"{settings.folder}/log",
             self._machine,
             clock,
@@ -370,13 +338,6 @@
             await asyncio.sleep(HOUSEKEEPING_S)
 
 
-def _first_voters(settings: CoordinatorSettings) -> list[BootstrapMember]:
-    """Return the first voters: the seeds, when the whole system starts."""
-    if not settings.first_start or settings.address not in settings.seeds:
-        return []
-    return [BootstrapMember(HostId(a), a, DomainName("")) for a in settings.seeds]
-
-
 async def run_coordinator(
     make: Callable[[Clock, random.Random], Coordinator],
     make_routes: Callable[[Coordinator], tuple[Serve, Serve]],
--- a/wigeonspan/coordinator/_group.py
+++ b/wigeonspan/coordinator/_group.py
@@ -5,18 +5,15 @@
 from msgspec import Struct
 
 from wigeonspan.common import (
-    PROTOCOL_VERSION,
-    VERSION_HEADER,
     Clock,
     ErrorBody,
     HostId,
     WigeonspanError,
     decode,
-    encode,
 )
 from wigeonspan.consensus import LogTask
 from wigeonspan.coordinator._membership import Candidate, MembershipView, next_step
-from wigeonspan.pool import ConnectionPool, ExchangeFailed, encode_request
+from wigeonspan.pool import ConnectionPool, ExchangeFailed, encode_message
 from wigeonspan.trail import Trail
 
 JOIN_PATH = "/internal/v1/join"
@@ -155,12 +152,7 @@
 
     async def _ask_at(self, address: str, candidate: Candidate) -> str:
         """Ask one host to join; return the leader's address if it names one."""
-        headers = [
-            ("Host", address),
-            ("Content-Type", "application/json"),
-            (VERSION_HEADER, str(PROTOCOL_VERSION)),
-        ]
-        request = encode_request("POST", JOIN_PATH, headers, encode(candidate))
+        request = encode_message(address, JOIN_PATH, candidate)
         try:
             head, body = await self._pool.fetch(address, request, TIMEOUT_S)
             if head.status == 200:
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -1,14 +1,17 @@
 """One send of a request to one target."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
 from contextlib import asynccontextmanager
 from itertools import count
+from typing import TypeVar
 
 from wigeonspan.gateway._messages import CallerRequest, Send
 from wigeonspan.gateway._parts import Parts
 from wigeonspan.placing import PromptPart, Work, WorkKind
-from wigeonspan.pool import Exchange, ExchangeFailed, FailureKind, Head
+from wigeonspan.pool import Exchange, ExchangeFailed, FailureKind
+
+T = TypeVar("T")
 
 _numbers = count(1)
 
@@ -73,46 +76,16 @@
             parts.pool.release(target.address, exchange)
 
 
-async def read_head(exchange: Exchange, timeout_s: float) -> Head:
-    """Return the head of an answer.
-
-    Raises
-    ------
-    ExchangeFailed
-        Also when it does not come in time.
-    """
-    try:
-        async with asyncio.timeout(max(0.0, timeout_s)):
-            return await exchange.head()
-    except TimeoutError as error:
-        raise ExchangeFailed(FailureKind.TIMEOUT, sent=True) from error
-
-
-async def read_part(exchange: Exchange, timeout_s: float) -> bytes:
-    """Return the next part of a body; empty at its complete end.
-
-    Raises
-    ------
-    ExchangeFailed
-        Also when it does not come in time.
-    """
-    try:
-        async with asyncio.timeout(max(0.0, timeout_s)):
-            return await exchange.read()
-    except TimeoutError as error:
-        raise ExchangeFailed(FailureKind.TIMEOUT, sent=True) from error
-
-
-async def read_body(exchange: Exchange, timeout_s: float) -> bytes:
-    """Return a whole body.
+async def within(timeout_s: float, step: Awaitable[T]) -> T:
+    """Return the result of one step of an exchange.
 
     Raises
     ------
     ExchangeFailed
-        Also when it does not come in time.
+        When the step fails, or with ``TIMEOUT`` when it takes too long.
     """
     try:
         async with asyncio.timeout(max(0.0, timeout_s)):
-            return await exchange.read_all()
+            return await step
     except TimeoutError as error:
         raise ExchangeFailed(FailureKind.TIMEOUT, sent=True) from error
--- a/wigeonspan/gateway/_beats.py
+++ b/wigeonspan/gateway/_beats.py
@@ -7,16 +7,13 @@
 from msgspec import Struct
 
 from wigeonspan.common import (
-    PROTOCOL_VERSION,
-    VERSION_HEADER,
     Clock,
     ErrorBody,
     WigeonspanError,
     decode,
-    encode,
 )
 from wigeonspan.gateway._config import ConfigHolder
-from wigeonspan.pool import ConnectionPool, ExchangeFailed, encode_request
+from wigeonspan.pool import ConnectionPool, ExchangeFailed, encode_message
 from wigeonspan.presence import BEAT_PATH, Beat, BeatReply, EntryInfo
 from wigeonspan.targets import TargetId
 from wigeonspan.trail import Trail
@@ -124,12 +121,7 @@
     async def _beat(self, address: str) -> None:
         control = self._controls[address]
         beat = self._make_beat(self._digests.get(address, ""))
-        headers = [
-            ("Host", address),
-            ("Content-Type", "application/json"),
-            (VERSION_HEADER, str(PROTOCOL_VERSION)),
-        ]
-        request = encode_request("POST", BEAT_PATH, headers, encode(beat))
+        request = encode_message(address, BEAT_PATH, beat)
         try:
             head, body = await self._pool.fetch(address, request, TIMEOUT_S)
             if head.status != 200:
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -2,7 +2,7 @@
 
 from wigeonspan.common import ErrorKind, Ran, ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import Route
-from wigeonspan.gateway._attempt import read_body, read_head, read_part, sending
+from wigeonspan.gateway._attempt import sending, within
 from wigeonspan.gateway._events import EventSplitter, StreamPosition
 from wigeonspan.gateway._messages import CallerRequest, Handle, Send, TargetOutcome
 from wigeonspan.gateway._parts import Parts
@@ -146,7 +146,9 @@
                 new_tokens=parts.placer.new_tokens(engine, self._prompt),
             ) as exchange:
                 head = await self._read_answer(engine, exchange, limit_s)
-                body = await read_body(exchange, self._ends_at - parts.clock.now())
+                body = await within(
+                    self._ends_at - parts.clock.now(), exchange.read_all()
+                )
         except ExchangeFailed as failure:
             self._exclude(engine, "read_broke_off", why=str(failure))
             return None
@@ -172,12 +174,12 @@
         clock, ledger = self._parts.clock, self._parts.placer.ledger
         began = clock.now()
         try:
-            return await read_head(exchange, min(limit_s, self._ends_at - began))
+            return await within(min(limit_s, self._ends_at - began), exchange.head())
         except ExchangeFailed as failure:
             waits = failure.kind is FailureKind.TIMEOUT
             if not waits or not ledger.finished_since(engine.target, began):
                 raise
-        return await read_head(exchange, min(limit_s, self._ends_at - clock.now()))
+        return await within(min(limit_s, self._ends_at - clock.now()), exchange.head())
 
     async def _stream_from(
         self, caller: Caller, plan: Plan, handle: Handle | None
@@ -227,7 +229,7 @@
             self._streams += 1
             # Until the engine says otherwise the request counts as run.
             self._runs += 1
-            head = await read_head(exchange, self._stall_s(plan))
+            head = await within(self._stall_s(plan), exchange.head())
             outcome = parts.protocol.read_outcome(head)
             if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
                 self._runs -= 1
@@ -260,7 +262,7 @@
         """Pass whole events on until the stream's complete end."""
         parts, splitter = self._parts, EventSplitter()
         first = True
-        while data := await read_part(exchange, self._stall_s(plan)):
+        while data := await within(self._stall_s(plan), exchange.read()):
             for event in splitter.feed(data):
                 if first:
                     first = False
@@ -292,7 +294,7 @@
     ) -> bool:
         """Pass an engine's failure on, or return False to try another engine."""
         parts = self._parts
-        body = await read_body(exchange, self._ends_at - parts.clock.now())
+        body = await within(self._ends_at - parts.clock.now(), exchange.read_all())
         parts.placer.health.erred(engine.target)
         self._exclude(engine, "stream_failed", status=head.status)
         if caller.begun or (self._route.repeatable and self._runs_left()):
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -4,7 +4,7 @@
 
 from wigeonspan.common import ErrorKind, Ran, ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import CallKind, Route
-from wigeonspan.gateway._attempt import read_body, read_head, sending
+from wigeonspan.gateway._attempt import sending, within
 from wigeonspan.gateway._messages import CallerRequest, Send, TargetOutcome
 from wigeonspan.gateway._parts import Parts
 from wigeonspan.placing import CALL_MS, WorkKind
@@ -100,11 +100,13 @@
                 parts, self._request, send, WorkKind.CALL, work_ms=CALL_MS, fresh=fresh
             ) as exchange:
                 self._sent += 1
-                head = await read_head(exchange, limit_s)
+                head = await within(limit_s, exchange.head())
                 outcome = parts.protocol.read_outcome(head)
                 if outcome is TargetOutcome.UNREADABLE:
                     raise ExchangeFailed(FailureKind.GARBLED, sent=True)
-                body = await read_body(exchange, self._ends_at - parts.clock.now())
+                body = await within(
+                    self._ends_at - parts.clock.now(), exchange.read_all()
+                )
         except ExchangeFailed as failure:
             self._runs += failure.sent
             self._note("broke_off", target.target, why=str(failure))
--- a/wigeonspan/placing/_speed.py
+++ b/wigeonspan/placing/_speed.py
@@ -1,4 +1,4 @@
-"""How much slower than expected each target is."""
+"""How much slower than expected each target of plain calls is."""
 
 from wigeonspan.targets import TargetId
 
--- a/wigeonspan/pool/_head.py
+++ b/wigeonspan/pool/_head.py
@@ -1,9 +1,12 @@
 """Heads of requests and answers."""
 
 from collections.abc import Iterable
+from typing import Any
 
 from msgspec import Struct
 
+from wigeonspan.common import PROTOCOL_VERSION, VERSION_HEADER, encode
+
 HeaderList = list[tuple[str, str]]
 """Header fields in their order."""
 
@@ -32,3 +35,13 @@
     if body or method in ("POST", "PUT", "PATCH"):
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+def encode_message(address: str, path: str, message: Any) -> bytes:
+    """Return the request that sends a message to another process of the system."""
+    headers = [
+        ("Host", address),
+        ("Content-Type", "application/json"),
+        (VERSION_HEADER, str(PROTOCOL_VERSION)),
+    ]
+    return encode_request("POST", path, headers, encode(message))
