--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real programs as processes, faults from outside, and checks."""
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,345 @@
+"""Faults as they are carried out."""
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from standin import Defects, Replica, Role
+
+from soak._evidence import Departure, Scope
+from soak._launch import Trouble
+from soak._operators import Operators
+from soak._proxy import MOST_DELAY_S, Link
+from soak._schedule import Fault, FaultKind
+from soak._traffic import Traffic
+from soak._world import Host, World
+
+STOP_S = 10.0
+"""Seconds that a stopping process gets before it is killed; the platform allows eight,
+and the machine of the soak may be slow."""
+
+DRAIN_S = 4.0
+"""Seconds that a leaving target serves on; a little longer than it is listed as
+leaving at least."""
+
+REPLACED_AFTER_S = 1.0
+"""Seconds between the loss of a control host and the start of its successor."""
+
+STEP_S = 7.0
+"""Largest step of the time of day in seconds."""
+
+BURST_STREAMS = 40
+"""Streams of a burst at full strength."""
+
+STORM = 5
+"""Configurations of a storm."""
+
+Apply = Callable[[Fault], Awaitable[None]]
+
+
+class Faults:
+    """Carries the faults of a day out.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of what the schedule leaves open.
+    """
+
+    def __init__(
+        self, world: World, traffic: Traffic, operators: Operators, rng: random.Random
+    ) -> None:
+        self._world = world
+        self._traffic = traffic
+        self._operators = operators
+        self._rng = rng
+        self._apply: dict[FaultKind, Apply] = {
+            FaultKind.ENTRY_KILL: self._kill,
+            FaultKind.ENTRY_FREEZE: self._freeze,
+            FaultKind.ENTRY_STOP: self._stop,
+            FaultKind.ENTRY_RELOAD: self._reload,
+            FaultKind.ENTRY_ADD: self._add_entry,
+            FaultKind.CONTROL_KILL: self._kill,
+            FaultKind.CONTROL_FREEZE: self._freeze,
+            FaultKind.CONTROL_STOP: self._stop,
+            FaultKind.CONTROL_RELOAD: self._reload,
+            FaultKind.CONTROL_WIPE: self._wipe,
+            FaultKind.CONTROL_REPLACE: self._replace,
+            FaultKind.CORE_KILL: self._kill_core,
+            FaultKind.DISK_SLOW: self._trouble,
+            FaultKind.DISK_FULL: self._trouble,
+            FaultKind.CLOCK_STEP: self._step_clock,
+            FaultKind.LINK_DELAY: self._harm_link,
+            FaultKind.LINK_RESET: self._harm_link,
+            FaultKind.LINK_CUT_IN: self._harm_link,
+            FaultKind.LINK_CUT_OUT: self._harm_link,
+            FaultKind.LINK_SILENT: self._harm_link,
+            FaultKind.LIST_SILENT: self._silence_list,
+            FaultKind.LIST_UNSTEADY: self._unsteady_list,
+            FaultKind.TARGET_CRASH: self._crash_target,
+            FaultKind.TARGET_RESTART: self._crash_target,
+            FaultKind.TARGET_DRAIN: self._drain_target,
+            FaultKind.TARGET_FAILS: self._harm_target,
+            FaultKind.TARGET_SLOW: self._harm_target,
+            FaultKind.TARGET_DARK: self._harm_target,
+            FaultKind.TARGET_GARBLES: self._harm_target,
+            FaultKind.TARGET_LOSES: self._harm_target,
+            FaultKind.TARGET_CUTS: self._harm_target,
+            FaultKind.TARGET_REFUSES: self._harm_target,
+            FaultKind.ORDERS_LATE: self._harm_target,
+            FaultKind.BURST: self._burst,
+            FaultKind.CONFIG_CHANGE: self._change_config,
+            FaultKind.CONFIG_STORM: self._change_config,
+            FaultKind.CONFIG_RACE: self._change_config,
+            FaultKind.CONFIG_INVALID: self._change_config,
+        }
+
+    async def run(self, faults: tuple[Fault, ...], began: float) -> None:
+        """Carry all faults out at their times."""
+
+        async def carry_out(fault: Fault) -> None:
+            await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
+            await self._apply[fault.kind](fault)
+
+        await asyncio.gather(*(carry_out(fault) for fault in faults))
+
+    async def finish(self, kind: FaultKind) -> None:
+        """Kill all processes at once and start them again."""
+        hosts = list(self._world.controls)
+        if kind is FaultKind.ENTRY_KILL:
+            hosts += self._world.entries
+        await self._kill_all([host for host in hosts if not host.removed], 0.5)
+
+    def _hosts(self, role: Role) -> list[Host]:
+        world = self._world
+        hosts = world.controls if role is Role.CONTROL else world.entries
+        return [host for host in hosts if not host.removed]
+
+    def _host(self, fault: Fault) -> Host:
+        is_control = fault.kind.name.startswith(("CONTROL", "DISK"))
+        hosts = self._hosts(Role.CONTROL if is_control else Role.ENTRY)
+        return hosts[fault.victim % len(hosts)]
+
+    def _target(self, fault: Fault) -> Replica:
+        return self._world.targets[fault.victim % len(self._world.targets)]
+
+    async def _kill(self, fault: Fault) -> None:
+        await self._kill_all([self._host(fault)], fault.lasts_s)
+
+    async def _kill_core(self, fault: Fault) -> None:
+        await self._kill_all(self._hosts(Role.CONTROL), min(fault.lasts_s, 1.0))
+
+    async def _kill_all(self, hosts: list[Host], back_after_s: float) -> None:
+        now = time.monotonic()
+        for host in hosts:
+            self._world.disturb_host(host, "killed", now, now + back_after_s)
+            self._world.kill_host(host)
+        await asyncio.sleep(back_after_s)
+        for host in hosts:
+            self._start(host)
+
+    def _start(self, host: Host) -> None:
+        """Start a host unless another fault did."""
+        if not host.machine.is_running and not host.removed:
+            self._world.start_host(host)
+
+    async def _freeze(self, fault: Fault) -> None:
+        host, now = self._host(fault), time.monotonic()
+        self._world.disturb_host(host, "frozen", now, now + fault.lasts_s)
+        host.machine.signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.lasts_s)
+        host.machine.signal(signal.SIGCONT)
+
+    async def _stop(self, fault: Fault) -> None:
+        host, now = self._host(fault), time.monotonic()
+        if host.planned_end:
+            return
+        self._world.disturb_host(host, "stopped", now, now + STOP_S, planned=True)
+        self._world.stop_host(host)
+        while host.machine.is_running and time.monotonic() - now < STOP_S:
+            await asyncio.sleep(0.05)
+        self._world.kill_host(host)
+        self._start(host)
+
+    async def _reload(self, fault: Fault) -> None:
+        host, now = self._host(fault), time.monotonic()
+        self._world.write_settings()
+        if fault.strength < 0.5:
+            self._world.disturb_host(host, "reloaded", now, now, planned=True)
+            host.machine.signal(signal.SIGHUP)
+
+    async def _add_entry(self, fault: Fault) -> None:
+        host = await self._world.add_host(Role.ENTRY)
+        self._world.write_settings()
+        self._world.start_host(host)
+
+    async def _wipe(self, fault: Fault) -> None:
+        host, now = self._host(fault), time.monotonic()
+        self._world.disturb_host(host, "wiped", now, now + fault.lasts_s)
+        self._world.kill_host(host)
+        host.machine.wipe()
+        await asyncio.sleep(fault.lasts_s)
+        self._world.write_settings()
+        self._start(host)
+
+    async def _replace(self, fault: Fault) -> None:
+        host, now = self._host(fault), time.monotonic()
+        self._world.disturb_host(host, "replaced", now, now + REPLACED_AFTER_S)
+        self._world.kill_host(host)
+        host.removed = True
+        await asyncio.sleep(REPLACED_AFTER_S)
+        new = await self._world.add_host(Role.CONTROL)
+        self._world.write_settings()
+        self._world.start_host(new)
+
+    async def _trouble(self, fault: Fault) -> None:
+        host, now = self._host(fault), time.monotonic()
+        self._world.disturb_host(host, fault.kind.value, now, now + fault.lasts_s)
+        slow = fault.kind is FaultKind.DISK_SLOW
+        trouble = (
+            Trouble(sync_takes_s=fault.strength) if slow else Trouble(disk_full=True)
+        )
+        self._world.set_trouble(host, trouble)
+        await asyncio.sleep(fault.lasts_s)
+        self._world.set_trouble(host, Trouble())
+
+    async def _step_clock(self, fault: Fault) -> None:
+        hosts = self._hosts(Role.CONTROL) + self._hosts(Role.ENTRY)
+        host, now = hosts[fault.victim % len(hosts)], time.monotonic()
+        ahead_s = (fault.strength * 2.0 - 1.0) * STEP_S
+        self._world.disturb_host(host, "clock stepped", now, now)
+        self._world.set_trouble(host, Trouble(clock_ahead_s=ahead_s))
+        await asyncio.sleep(fault.lasts_s)
+        self._world.set_trouble(host, Trouble())
+        now = time.monotonic()
+        self._world.disturb_host(host, "clock stepped back", now, now)
+
+    async def _harm_link(self, fault: Fault) -> None:
+        links = self._world.links[fault.link]
+        link = links[fault.victim % len(links)]
+        scope = {
+            "entry": Scope.HOST,
+            "control": Scope.CORE,
+            "target": Scope.TARGETS,
+            "list": Scope.LIST,
+        }[fault.link]
+        now = time.monotonic()
+        disturbance = self._world.evidence.disturb(
+            scope, link.name, fault.kind.value, now, now + fault.lasts_s
+        )
+        await self._harm(link, fault)
+        disturbance.until = time.monotonic()
+
+    async def _harm(self, link: Link, fault: Fault) -> None:
+        state = link.state
+        match fault.kind:
+            case FaultKind.LINK_DELAY:
+                state.delay_s = MOST_DELAY_S * max(0.1, fault.strength)
+            case FaultKind.LINK_RESET:
+                link.reset()
+                state.resets = fault.strength < 0.5
+            case FaultKind.LINK_CUT_IN:
+                state.cut_in = True
+            case FaultKind.LINK_CUT_OUT:
+                state.cut_out = True
+            case FaultKind.LINK_SILENT:
+                link.silence()
+        await asyncio.sleep(fault.lasts_s)
+        match fault.kind:
+            case FaultKind.LINK_DELAY:
+                state.delay_s = 0.0
+            case FaultKind.LINK_RESET:
+                state.resets = False
+            case FaultKind.LINK_CUT_IN:
+                state.cut_in = False
+            case FaultKind.LINK_CUT_OUT:
+                state.cut_out = False
+
+    async def _silence_list(self, fault: Fault) -> None:
+        now = time.monotonic()
+        self._world.evidence.disturb(
+            Scope.LIST, "list", "silent", now, now + fault.lasts_s
+        )
+        state = self._world.list_link.state
+        state.cut_out = True
+        await asyncio.sleep(fault.lasts_s)
+        state.cut_out = False
+
+    async def _unsteady_list(self, fault: Fault) -> None:
+        self._world.list.set_unsteady(True)
+        await asyncio.sleep(fault.lasts_s)
+        self._world.list.set_unsteady(False)
+
+    def _disturb_targets(self, fault: Fault, name: str, lasts_s: float) -> None:
+        now = time.monotonic()
+        self._world.evidence.disturb(
+            Scope.TARGETS, name, fault.kind.value, now, now + lasts_s
+        )
+
+    async def _crash_target(self, fault: Fault) -> None:
+        target = self._target(fault)
+        if not target.running:
+            return
+        self._disturb_targets(fault, target.name, fault.lasts_s)
+        self._world.crash_target(target)
+        await asyncio.sleep(fault.lasts_s)
+        if fault.kind is FaultKind.TARGET_CRASH:
+            target.rename()
+        await self._restart(target)
+
+    async def _restart(self, target: Replica) -> None:
+        if not target.running:
+            target.draining = False
+            await target.start()
+
+    async def _drain_target(self, fault: Fault) -> None:
+        target = self._target(fault)
+        same = [t for t in self._world.targets if t.service == target.service]
+        left = [t for t in same if t.running and not t.draining]
+        if target not in left or len(left) < 3:
+            return
+        target.draining = True
+        shown = Departure(target.name, time.monotonic())
+        self._world.evidence.departures.append(shown)
+        await asyncio.sleep(DRAIN_S + fault.lasts_s)
+        if target.running:
+            self._disturb_targets(fault, target.name, 0.0)
+            target.crash()
+        await asyncio.sleep(1.0)
+        target.rename()
+        await self._restart(target)
+
+    async def _harm_target(self, fault: Fault) -> None:
+        target, share = self._target(fault), max(0.2, fault.strength)
+        self._disturb_targets(fault, target.name, fault.lasts_s)
+        target.defects = {
+            FaultKind.TARGET_FAILS: Defects(fails=share),
+            FaultKind.TARGET_SLOW: Defects(slowness=1.0 + 9.0 * share),
+            FaultKind.TARGET_DARK: Defects(dark=True),
+            FaultKind.TARGET_GARBLES: Defects(garbles=share),
+            FaultKind.TARGET_LOSES: Defects(loses_answers=share),
+            FaultKind.TARGET_CUTS: Defects(cuts=share),
+            FaultKind.TARGET_REFUSES: Defects(refuses=share),
+            FaultKind.ORDERS_LATE: Defects(orders_late_s=8.0 * share),
+        }[fault.kind]
+        await asyncio.sleep(fault.lasts_s)
+        target.defects = Defects()
+
+    async def _burst(self, fault: Fault) -> None:
+        streams = max(5, round(BURST_STREAMS * fault.strength))
+        await self._traffic.burst(streams, fault.lasts_s)
+
+    async def _change_config(self, fault: Fault) -> None:
+        operators = self._operators
+        match fault.kind:
+            case FaultKind.CONFIG_STORM:
+                for _ in range(STORM):
+                    await operators.change()
+            case FaultKind.CONFIG_RACE:
+                await asyncio.gather(operators.change(), operators.change())
+            case FaultKind.CONFIG_INVALID:
+                await operators.send_invalid()
+            case _:
+                await operators.change()
--- /dev/null
+++ b/soak/_traffic.py
@@ -0,0 +1,248 @@
+"""Callers: they find an entry, send requests and come back after refusals."""
+
+import asyncio
+import random
+import time
+from itertools import count
+
+from standin import Call, CallSeen, Connection, Ending, is_ready, resolve
+
+from soak._evidence import Probe
+from soak._operators import (
+    CALL_TIMEOUT_S,
+    STREAM_TIMEOUT_S,
+    Operators,
+    marker_path,
+)
+from soak._world import Host, World
+from wigeonspan.common import RequestId
+from wigeonspan.fleetconfig import CallKind
+
+CALLERS = 24
+"""Callers, each with its own connections and its own answer of the directory."""
+
+OLD_ANSWER_SHARE = 0.3
+"""Share of the callers that keep an answer of the directory three times as long."""
+
+LEAVE_SHARE = 0.05
+"""Share of the requests whose caller leaves early."""
+
+NEW_CONNECTION_SHARE = 0.2
+"""Share of the requests that are sent on a new connection."""
+
+RETRIES = 1
+"""Times that a caller comes back, as on the deployments' sheets."""
+
+PROBE_EVERY_S = 0.3
+"""Seconds between two probes of one entry."""
+
+PROBE_DEADLINE_S = 1.0
+
+FAILED_FOR_S = 2.0
+"""Seconds for which a caller avoids an address that failed it."""
+
+
+class _Caller:
+    """One caller's addresses and connections."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.zone = f"z{rng.randrange(3)}"
+        self.keeps = 3.0 if rng.random() < OLD_ANSWER_SHARE else 1.0
+        self.addresses: list[str] = []
+        self.until = 0.0
+        self.idle: list[Connection] = []
+        self.failed: dict[str, float] = {}
+
+
+class Traffic:
+    """Callers of a world.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Draws requests; the same seed gives the same requests at the same times.
+    """
+
+    def __init__(self, world: World, rng: random.Random) -> None:
+        self._world = world
+        self._rng = rng
+        self._numbers = count(1)
+        self._callers = [_Caller(rng) for _ in range(CALLERS)]
+        self._open: set[asyncio.Task[None]] = set()
+
+    async def run(self, until: float) -> None:
+        """Send requests at random times until a time."""
+        rate = self._world.schedule.requests_per_s
+        next_at = time.monotonic()
+        while next_at < until:
+            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+            self._begin(self._draw())
+            next_at += self._rng.expovariate(rate)
+
+    async def burst(self, streams: int, lasts_s: float) -> None:
+        """Send a number of long streams within a time."""
+        for _ in range(streams):
+            self._begin(self._stream(resumable=True, events=60))
+            await asyncio.sleep(lasts_s / streams)
+
+    async def finish(self) -> None:
+        """Wait for all open requests."""
+        while self._open:
+            await asyncio.gather(*self._open)
+
+    async def probe(self, operators: Operators, until: float) -> None:
+        """Ask every entry for the newest version's route until a time."""
+        while time.monotonic() < until:
+            for host in self._world.entries:
+                self._spawn(self._probe_once(host, operators.newest))
+            await asyncio.sleep(PROBE_EVERY_S)
+
+    async def wait_served(self, timeout_s: float) -> bool:
+        """Wait until all entries are ready; return whether they are."""
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end:
+            ready = [
+                await is_ready(self._world.ready(host)) for host in self._world.entries
+            ]
+            if all(ready):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    def _spawn(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
+    def _begin(self, call: Call) -> None:
+        self._spawn(self._serve(self._rng.choice(self._callers), call))
+
+    def _draw(self) -> Call:
+        draw = self._rng.random()
+        if draw < 0.3:
+            return self._stream(resumable=True, events=self._rng.randint(3, 30))
+        if draw < 0.5:
+            return self._stream(resumable=False, events=self._rng.randint(3, 30))
+        if draw < 0.8:
+            return self._call(CallKind.NON_IDEMPOTENT, "/book/x")
+        return self._call(CallKind.IDEMPOTENT, "/read/x")
+
+    def _stream(self, *, resumable: bool, events: int) -> Call:
+        tokens = self._rng.choice((300, 1500, 6000))
+        session = self._rng.randrange(20)
+        return Call(
+            self._request(),
+            CallKind.STREAM,
+            "/resumable/x" if resumable else "/single/x",
+            STREAM_TIMEOUT_S,
+            resumable,
+            tokens,
+            events,
+            f"a{session}:{tokens // 2},b{next(self._numbers):x}:{tokens // 2}",
+            self._leaves_after_s(2.0),
+        )
+
+    def _call(self, kind: CallKind, path: str) -> Call:
+        return Call(
+            self._request(),
+            kind,
+            path,
+            CALL_TIMEOUT_S,
+            leaves_after_s=self._leaves_after_s(0.05),
+        )
+
+    def _leaves_after_s(self, most_s: float) -> float | None:
+        if self._rng.random() >= LEAVE_SHARE:
+            return None
+        return self._rng.uniform(0.0, most_s) + 0.005
+
+    def _request(self) -> RequestId:
+        return RequestId(f"r{self._world.schedule.seed}-{next(self._numbers)}")
+
+    async def _serve(self, caller: _Caller, call: Call) -> None:
+        """Send a request, and once more where its caller would."""
+        ends_at = time.monotonic() + call.deadline_s
+        for attempt in range(RETRIES + 1):
+            connection = await self._connect(caller, fresh=attempt > 0)
+            if connection is None:
+                return
+            seen = await connection.send(call)
+            self._world.evidence.calls.append(seen)
+            if connection.is_open:
+                caller.idle.append(connection)
+            if seen.ending is Ending.UNCONNECTED:
+                caller.failed[seen.address] = time.monotonic() + FAILED_FOR_S
+            if not _comes_back(seen):
+                return
+            left_s = ends_at - time.monotonic()
+            wait_s = min(seen.retry_after_s or 0.05, left_s / 3)
+            if left_s - wait_s < 0.1:
+                return
+            await asyncio.sleep(wait_s)
+            call = Call(
+                self._request(),
+                call.kind,
+                call.path,
+                left_s - wait_s,
+                call.resumable,
+                call.tokens,
+                call.events,
+                call.prompt,
+            )
+
+    async def _connect(self, caller: _Caller, *, fresh: bool) -> Connection | None:
+        await self._refresh(caller)
+        usable = [
+            connection
+            for connection in caller.idle
+            if connection.is_open and connection.address in caller.addresses
+        ]
+        if usable and not fresh and self._rng.random() > NEW_CONNECTION_SHARE:
+            caller.idle.remove(usable[0])
+            return usable[0]
+        now = time.monotonic()
+        good = [a for a in caller.addresses if caller.failed.get(a, 0.0) < now]
+        addresses = good or caller.addresses
+        return Connection(self._rng.choice(addresses)) if addresses else None
+
+    async def _refresh(self, caller: _Caller) -> None:
+        if time.monotonic() < caller.until:
+            return
+        hosts = [host for host in self._world.controls if not host.removed]
+        for host in self._rng.sample(hosts, min(3, len(hosts))):
+            found = await resolve(self._world.directory(host), caller.zone)
+            if found is not None:
+                caller.addresses, keep_s = found
+                caller.until = time.monotonic() + keep_s * caller.keeps
+                return
+
+    async def _probe_once(self, host: Host, version: int) -> None:
+        start, sent_at = host.starts, time.monotonic()
+        call = Call(
+            RequestId(f"p{next(self._numbers)}"),
+            CallKind.IDEMPOTENT,
+            marker_path(version) + "x",
+            PROBE_DEADLINE_S,
+        )
+        connection = Connection(self._world.front(host))
+        seen = await connection.send(call)
+        connection.close()
+        self._world.evidence.calls.append(seen)
+        # An answer of the process after a restart says nothing of the one before.
+        same = host.starts == start
+        in_force = {200: True, 404: False}.get(seen.status) if same else None
+        self._world.evidence.probes.append(
+            Probe(sent_at, seen.ended, host.name, start, version, in_force)
+        )
+
+
+def _comes_back(seen: CallSeen) -> bool:
+    """Whether a caller may and does send its request again."""
+    if seen.ending in (Ending.LEFT, Ending.TIMED_OUT):
+        return False
+    if seen.ending is Ending.ANSWERED and seen.status < 300:
+        return False
+    if seen.status in (400, 401, 404, 413, 431):
+        return False
+    promised = seen.status in (408, 421, 429, 503) or not seen.sent
+    return promised or seen.call.kind is CallKind.IDEMPOTENT
--- /dev/null
+++ b/soak/_world.py
@@ -0,0 +1,267 @@
+"""The programs, the platform that they run on, and the links between them."""
+
+import random
+import signal
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+from standin import (
+    CONTROL_PORT,
+    DIRECTORY_PORT,
+    FRONT_PORT,
+    INTERNAL_PORT,
+    READY_PORT,
+    Bounds,
+    InstanceList,
+    Journal,
+    Machine,
+    Replica,
+    Role,
+)
+
+from soak._evidence import Evidence, Scope
+from soak._launch import BIND_VARIABLE, TROUBLE_VARIABLE, Trouble
+from soak._proxy import Link
+from soak._schedule import Schedule
+from wigeonspan.common import ServiceName
+
+MODELS = ServiceName("models")
+APPS = ServiceName("apps")
+
+LIST_PORT = 17165
+TARGET_PORT = 17166
+
+SLOTS = 6
+"""Streams that an engine runs at once; few, so that the fleet's phases change."""
+
+RETRY_MINIMUM = 8
+"""Repeats that are always allowed in a window; few, so that the budget binds."""
+
+CRASHED_LISTED_S = 2.0
+"""Seconds for which a crashed target stays on the list."""
+
+LINK_STARTS_S = 1.0
+"""Seconds that a started process is given before its link counts as calm."""
+
+
+class Host(msgspec.Struct):
+    """One of our programs with its link and its trouble file."""
+
+    name: str
+    machine: Machine
+    link: Link
+    inside: str
+    trouble: Path
+    starts: int = 0
+    planned_end: bool = False
+    removed: bool = False
+
+
+class World:
+    """Everything outside the programs.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings, data and logs.
+    net : str
+        First two numbers of the loopback addresses of this day.
+    """
+
+    def __init__(self, schedule: Schedule, folder: Path, net: str) -> None:
+        self.schedule = schedule
+        self.evidence = Evidence(
+            Journal(),
+            retry_ratio=0.2,
+            retry_minimum=RETRY_MINIMUM,
+        )
+        self.targets: list[Replica] = []
+        self.controls: list[Host] = []
+        self.entries: list[Host] = []
+        self.links: dict[str, list[Link]] = {"entry": [], "control": [], "target": []}
+        self._folder = folder
+        self._net = net
+        self._rng = random.Random(schedule.seed)
+        self._gone: dict[str, tuple[Replica, float]] = {}
+        self._list_address = f"{net}.2.1:{LIST_PORT}"
+        self.list = InstanceList(f"{net}.2.2:{LIST_PORT}", self._listed)
+        self.list_link = Link("list", f"{net}.2.1", f"{net}.2.2")
+        self.links["list"] = [self.list_link]
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self.list.open()
+        await self.list_link.forward(LIST_PORT)
+        for number in range(self.schedule.engines):
+            await self.add_target(MODELS, f"engine-{number}")
+        for number in range(self.schedule.apps):
+            await self.add_target(APPS, f"app-{number}")
+        for _ in range(self.schedule.controls):
+            await self.add_host(Role.CONTROL)
+        for _ in range(self.schedule.entries):
+            await self.add_host(Role.ENTRY)
+        self.write_settings(first=True)
+        for host in (*self.controls, *self.entries):
+            self.start_host(host)
+
+    async def add_target(self, service: ServiceName, name: str) -> Replica:
+        """Start a target of a service."""
+        number = len(self.targets) + 1
+        inside, outside = f"{self._net}.13.{number}", f"{self._net}.3.{number}"
+        target = Replica(
+            name,
+            service,
+            f"{inside}:{TARGET_PORT}",
+            f"{outside}:{TARGET_PORT}",
+            f"z{number % 3}",
+            self.evidence.journal,
+            self._rng,
+            stage="prefill" if service == MODELS else None,
+            slots=SLOTS,
+        )
+        link = Link(name, outside, inside)
+        await link.forward(TARGET_PORT)
+        await target.start()
+        self.targets.append(target)
+        self.links["target"].append(link)
+        return target
+
+    async def add_host(self, role: Role) -> Host:
+        """Make a host of ours; it is not started."""
+        hosts, block = (self.controls, 0) if role is Role.CONTROL else (self.entries, 1)
+        number = len(hosts) + 1
+        outside = f"{self._net}.{block}.{number}"
+        inside = f"{self._net}.{block + 10}.{number}"
+        trouble = self._folder / f"{role.value}-{number}.trouble"
+        machine = Machine(
+            self._folder,
+            role,
+            outside,
+            f"z{number % 3}",
+            self._list_address,
+            Bounds(self.schedule.losses, 0.2, RETRY_MINIMUM),
+            command=[sys.executable, "-m", "soak._launch", role.value],
+            environment={BIND_VARIABLE: inside, TROUBLE_VARIABLE: str(trouble)},
+        )
+        link = Link(f"{role.value}-{outside}", outside, inside)
+        ports = (
+            (INTERNAL_PORT, CONTROL_PORT, DIRECTORY_PORT)
+            if role is Role.CONTROL
+            else (FRONT_PORT, READY_PORT)
+        )
+        for port in ports:
+            await link.forward(port)
+        await link.forward_datagrams(INTERNAL_PORT + (role is Role.ENTRY))
+        host = Host(link.name, machine, link, inside, trouble)
+        hosts.append(host)
+        self.links["control" if role is Role.CONTROL else "entry"].append(link)
+        if role is Role.ENTRY:
+            self.evidence.host_by_address[self.front(host)] = host.name
+        return host
+
+    def write_settings(self, *, first: bool = False) -> None:
+        """Write the settings of all hosts, with the control hosts that there are."""
+        seeds = [host.machine.ip for host in self.controls if not host.removed]
+        for host in (*self.controls, *self.entries):
+            host.machine.write_settings(seeds, first=first)
+
+    def start_host(self, host: Host) -> None:
+        """Start a host's process."""
+        host.starts += 1
+        host.planned_end = False
+        host.machine.start()
+        now = time.monotonic()
+        self.disturb_host(host, "started", now, now + LINK_STARTS_S)
+
+    def kill_host(self, host: Host) -> None:
+        """Kill a host's process."""
+        host.planned_end = True
+        host.machine.kill()
+
+    def stop_host(self, host: Host) -> None:
+        """Tell a host's process to stop."""
+        host.planned_end = True
+        host.machine.signal(signal.SIGTERM)
+
+    def set_trouble(self, host: Host, trouble: Trouble) -> None:
+        """Set what is wrong with a host's clock and disk."""
+        new = host.trouble.with_suffix(".new")
+        new.write_bytes(msgspec.json.encode(trouble))
+        new.replace(host.trouble)
+
+    def disturb_host(
+        self,
+        host: Host,
+        what: str,
+        begins: float,
+        until: float,
+        *,
+        planned: bool = False,
+    ) -> None:
+        """Note that a host is disturbed."""
+        is_control = host.machine.role is Role.CONTROL
+        self.evidence.disturb(
+            Scope.CORE if is_control else Scope.HOST,
+            host.name,
+            what,
+            begins,
+            until,
+            planned=planned,
+        )
+
+    def note_own_ends(self) -> None:
+        """Note processes that ended without being told to, and start them again."""
+        for host in (*self.controls, *self.entries):
+            if host.removed or host.planned_end or host.machine.is_running:
+                continue
+            process = host.machine.process
+            code = process.returncode if process is not None else None
+            self.evidence.own_ends.append(f"{host.name} ended with status {code}")
+            self.start_host(host)
+
+    def crash_target(self, target: Replica) -> None:
+        """Crash a target; the list shows it for some time."""
+        if target.running:
+            target.crash()
+            self._gone[target.name] = (target, time.monotonic() + CRASHED_LISTED_S)
+
+    def front(self, host: Host) -> str:
+        """Return the address of an entry for callers."""
+        return f"{host.machine.ip}:{FRONT_PORT}"
+
+    def ready(self, host: Host) -> str:
+        """Return the address of an entry for checks of readiness."""
+        return f"{host.machine.ip}:{READY_PORT}"
+
+    def control(self, host: Host) -> str:
+        """Return the address of a control host for operators."""
+        return f"{host.machine.ip}:{CONTROL_PORT}"
+
+    def directory(self, host: Host) -> str:
+        """Return the address of a control host for callers."""
+        return f"{host.machine.ip}:{DIRECTORY_PORT}"
+
+    def _listed(self) -> list[dict]:
+        now = time.monotonic()
+        shown = [target.entry for target in self.targets if target.running]
+        for name, (target, until) in list(self._gone.items()):
+            if target.running or now > until:
+                del self._gone[name]
+            else:
+                shown.append(target.entry)
+        return shown
+
+    def close(self) -> None:
+        """End everything that was started."""
+        for host in (*self.controls, *self.entries):
+            host.machine.signal(signal.SIGCONT)
+            host.machine.kill()
+        for links in self.links.values():
+            for link in links:
+                link.close()
+        for target in self.targets:
+            if target.running:
+                target.crash()
+        self.list.close()
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,282 @@
+"""Each check sees the break that it is for, and nothing in a day without one."""
+
+import pytest
+from standin import Arrival, Call, CallSeen, Ending, Journal, OrderSeen, Purpose
+
+from soak._checks import judge
+from soak._evidence import Departure, Evidence, Probe, Scope, Stored, VersionRead
+from wigeonspan.fleetconfig import CallKind
+
+ENTRY = "gateway-1"
+ADDRESS = "127.1.1.1:1"
+BOOK, SINGLE, RESUMABLE = "book", "single", "resumable"
+
+
+def call(number, path, *, leaves_after_s=None):
+    stream = path != BOOK
+    kind = CallKind.STREAM if stream else CallKind.NON_IDEMPOTENT
+    return Call(
+        f"r{number}",
+        kind,
+        f"/{path}/x",
+        5.0,
+        resumable=path == RESUMABLE,
+        tokens=100 if stream else 0,
+        events=2 if stream else 0,
+        prompt="a:100" if stream else "",
+        leaves_after_s=leaves_after_s,
+    )
+
+
+def seen(what, began=10.0, took_s=0.1, **changes):
+    run = "t#1"
+    events = [f"id: {n}\ndata: {what.request} {n} {run}\n\n" for n in (1, 2)]
+    body = "".join(events) if what.tokens else f"{what.request} {run}"
+    made = CallSeen(
+        what,
+        ADDRESS,
+        began,
+        Ending.ANSWERED,
+        began + took_s,
+        sent=True,
+        status=200,
+        signature=run,
+        answers=what.request,
+        body=body.encode(),
+    )
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def arrival(what, at=10.0, **changes):
+    stream = what.tokens
+    made = Arrival(
+        at,
+        what.request,
+        "t",
+        "models" if stream else "apps",
+        Purpose.RUN if stream else Purpose.CALL,
+        what.path,
+        f"body of {what.request}".encode(),
+        f"{what.tokens},{what.events} {what.prompt}" if stream else " ",
+        4000.0,
+        "",
+        ran=True,
+        ended=at + 0.1,
+    )
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def make_evidence(**changes):
+    """Return a day on which nothing is broken."""
+    book, stream = call(1, BOOK), call(2, SINGLE)
+    made = Evidence(
+        Journal([arrival(book), arrival(stream)], [], {}),
+        [seen(book), seen(stream)],
+        stored=[Stored(1, 0.0, acknowledged_at=0.1)],
+        host_by_address={ADDRESS: ENTRY},
+        last_version=1,
+        recovered_by=5.0,
+        judged_until=50.0,
+        retry_ratio=0.2,
+        retry_minimum=2,
+    )
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def rules(evidence):
+    return {found.rule for found in judge(evidence)}
+
+
+def test_day_without_a_break_has_none():
+    """A check that always reports would hide the others."""
+    assert judge(make_evidence()) == []
+
+
+TWO_RUNS = b"id: 1\ndata: r2 1 t#1\n\nid: 2\ndata: r2 2 u#2\n\n"
+
+
+@pytest.mark.parametrize(
+    ("what", "changes"),
+    [
+        (SINGLE, {"body": b"id: 1\ndata: r2 1 t#1\n\n"}),
+        (SINGLE, {"body": b"id: 1\ndata: r2 1 t#1\n\nid: 1\ndata: r2 1 t#1\n\n"}),
+        (SINGLE, {"body": TWO_RUNS}),
+        (SINGLE, {"signature": ""}),
+        (SINGLE, {"answers": "r9"}),
+        (SINGLE, {"ending": Ending.UNREADABLE}),
+        (SINGLE, {"status": 502}),
+        (BOOK, {"body": b"r9 t#1"}),
+    ],
+)
+def test_wrong_answers_are_seen(what, changes):
+    """Missing, repeated, joined, unsigned, foreign, unreadable, relabelled."""
+    request = call(2, what)
+    evidence = make_evidence(calls=[seen(request, **changes)])
+    evidence.journal = Journal([arrival(request)])
+    assert "answer" in rules(evidence)
+
+
+def test_resumed_stream_may_join_two_runs():
+    """It goes on at another target after its last event."""
+    request = call(2, RESUMABLE)
+    evidence = make_evidence(calls=[seen(request, body=TWO_RUNS)])
+    evidence.journal = Journal([arrival(request)])
+    assert rules(evidence) == set()
+
+
+def test_second_run_is_seen():
+    """A loan must not be released twice."""
+    evidence = make_evidence()
+    evidence.journal.arrivals.append(arrival(call(1, BOOK), target="u"))
+    assert "runs once" in rules(evidence)
+
+
+def test_untrue_refusal_is_seen():
+    """The caller would send a request again that has run."""
+    evidence = make_evidence(calls=[seen(call(1, BOOK), status=503, signature="")])
+    assert "refusal" in rules(evidence)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"path": "/other/"},
+        {"body": b""},
+        {"service": "apps"},
+        {"foreign": True},
+        {"request": "r99"},
+    ],
+)
+def test_what_no_caller_sent_is_seen(changes):
+    """Changed, misrouted, joined with another prompt, or made up."""
+    evidence = make_evidence()
+    evidence.journal.arrivals.append(arrival(call(2, SINGLE), **changes))
+    assert "unasked" in rules(evidence)
+
+
+def test_too_much_time_handed_on_is_seen():
+    """The target would work on for nobody."""
+    evidence = make_evidence()
+    evidence.journal.arrivals[0].left_ms = 6000.0
+    assert "time left" in rules(evidence)
+
+
+@pytest.mark.parametrize(
+    ("disturbed", "broken"),
+    [(None, True), (Scope.HOST, False), (Scope.LIST, False), (Scope.CORE, False)],
+)
+def test_work_for_a_leaving_target_is_seen_of_hosts_in_touch(disturbed, broken):
+    """It would be cut when the target stops."""
+    evidence = make_evidence(departures=[Departure("t", 6.0)])
+    if disturbed is not None:
+        evidence.disturb(disturbed, ENTRY, "cut", 7.0, 8.0)
+    assert ("departure" in rules(evidence)) is broken
+
+
+def test_old_configuration_told_is_seen():
+    """By a host that was cut off from the others."""
+    reads = [VersionRead(2.0, "control-1", 1), VersionRead(9.0, "control-1", 1)]
+    stored = [Stored(1, 0.0, acknowledged_at=0.1), Stored(2, 1.0, acknowledged_at=1.5)]
+    evidence = make_evidence(stored=stored, reads=reads, last_version=2)
+    assert len(judge(evidence)) == 1
+
+
+def test_entry_that_goes_back_is_seen():
+    """Also when it is not in touch."""
+    probes = [
+        Probe(1.0, 1.1, ENTRY, 1, 1, True),
+        Probe(9.0, 9.1, ENTRY, 1, 1, False),
+        Probe(9.0, 9.1, ENTRY, 2, 1, False),
+    ]
+    evidence = make_evidence(probes=probes)
+    evidence.disturb(Scope.CORE, "", "killed", 0.0, 9.0)
+    assert len(judge(evidence)) == 1
+
+
+def test_entry_without_an_acknowledged_configuration_is_seen():
+    """Two seconds after the acknowledgement."""
+    probes = [Probe(2.0, 2.05, ENTRY, 1, 1, False), Probe(2.3, 2.4, ENTRY, 1, 1, False)]
+    assert len(judge(make_evidence(probes=probes))) == 1
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"last_version": None},
+        {"last_version": 0},
+        {"last_version": 7},
+        {"stored": [Stored(1, 0.0, refused=True)]},
+        {"stored": [Stored(1, 0.0, valid=False, acknowledged_at=1.0)]},
+    ],
+)
+def test_lost_or_wrong_configurations_are_seen(changes):
+    """Lost, made up, refused though valid, taken though invalid."""
+    assert rules(make_evidence(**changes)) & {"configuration", "configuration kept"}
+
+
+def test_repeats_beyond_the_budget_are_seen():
+    """They would add to an overload."""
+    evidence = make_evidence()
+    again = [arrival(call(2, SINGLE), 10.0 + n, ran=False) for n in range(3)]
+    evidence.journal.arrivals.extend(again[:2])
+    assert rules(evidence) == set()
+    evidence.journal.arrivals.extend(again[2:])
+    assert rules(evidence) == {"retry budget"}
+
+
+@pytest.mark.parametrize(
+    ("second", "broken"),
+    [
+        (OrderSeen(11.0, "u", "a", 1, True), False),
+        (OrderSeen(14.0, "u", "b", 2, True), False),
+        (OrderSeen(14.0, "u", "b", 1, True), True),
+        (OrderSeen(11.0, "u", "b", 2, True), True),
+        (OrderSeen(11.0, "u", "b", 2, True, late=True), False),
+    ],
+)
+def test_two_holders_are_seen(second, broken):
+    """With one token, or in turn within a lease."""
+    evidence = make_evidence()
+    evidence.journal.orders = [OrderSeen(10.0, "t", "a", 1, True), second]
+    assert ("one holder" in rules(evidence)) is broken
+
+
+def test_request_lost_by_a_planned_stop_is_seen():
+    """Unless something else was disturbed."""
+    cut = seen(call(1, BOOK), ending=Ending.CUT, status=0, signature="")
+    evidence = make_evidence(calls=[cut])
+    evidence.disturb(Scope.HOST, ENTRY, "stopped", 9.0, 19.0, planned=True)
+    assert "planned work" in rules(evidence)
+    evidence.disturb(Scope.TARGETS, "t", "crashed", 9.5, 9.6)
+    assert "planned work" not in rules(evidence)
+
+
+def test_late_answers_at_the_deadline_are_seen():
+    """More than a few, and more than half."""
+    calls = [seen(call(n, BOOK), took_s=5.55, status=0) for n in range(4)]
+    assert "deadline" in rules(make_evidence(calls=calls))
+
+
+def test_work_for_callers_that_left_is_seen():
+    """It takes the place of others."""
+    evidence = make_evidence()
+    for number in range(10, 14):
+        request = call(number, SINGLE, leaves_after_s=0.2)
+        left = seen(request, ending=Ending.LEFT, took_s=0.2, status=0, signature="")
+        evidence.calls.append(left)
+        evidence.journal.arrivals.append(arrival(request, ended=12.0))
+    assert "caller left" in rules(evidence)
+
+
+def test_missing_recovery_and_own_ends_are_seen():
+    """Less than a quarter of the requests served; a process that ended by itself."""
+    failed = [seen(call(n, BOOK), status=503, signature="") for n in range(9)]
+    evidence = make_evidence(calls=failed, own_ends=["control-1 ended with status 1"])
+    evidence.journal = Journal()
+    assert rules(evidence) == {"recovery", "own end"}
--- /dev/null
+++ b/tests/soak/test_day.py
@@ -0,0 +1,32 @@
+"""A short day of the soak with the real programs."""
+
+import asyncio
+
+import pytest
+from msgspec.structs import replace
+
+from soak._day import run_day
+from soak._schedule import FaultKind, make_schedule
+
+KINDS = (
+    FaultKind.CONTROL_KILL,
+    FaultKind.ENTRY_KILL,
+    FaultKind.LINK_RESET,
+    FaultKind.TARGET_CUTS,
+    FaultKind.CONFIG_CHANGE,
+)
+
+
+@pytest.mark.timeout(120)
+def test_short_day_keeps_every_promise(tmp_path):
+    """Kills, a reset link, cut streams and a change within three seconds."""
+    schedule = make_schedule(100)
+    template = schedule.faults[0]
+    faults = tuple(
+        replace(template, at=0.5 + 0.5 * n, kind=kind, lasts_s=0.5)
+        for n, kind in enumerate(KINDS)
+    )
+    schedule = replace(schedule, faults=faults, final=None)
+    result = asyncio.run(run_day(schedule, tmp_path / "day"))
+    assert result.breaks == []
+    assert result.served > result.requests / 2
--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,94 @@
+"""Loopback proxies."""
+
+import asyncio
+import os
+
+import pytest
+
+from soak._proxy import Link
+
+NET = f"127.{64 + os.getpid() % 128}"
+PORT = 17190
+
+
+async def echo(reader, writer):
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+async def connected(step):
+    """Run a step with a link and a connection through it to an echo."""
+    server = await asyncio.start_server(echo, f"{NET}.32.2", PORT)
+    link = Link("host", f"{NET}.32.1", f"{NET}.32.2")
+    await link.forward(PORT)
+    reader, writer = await asyncio.open_connection(f"{NET}.32.1", PORT)
+    try:
+        writer.write(b"before")
+        assert await reader.readexactly(6) == b"before"
+        await step(link, reader, writer)
+    finally:
+        writer.close()
+        link.close()
+        server.close()
+
+
+async def is_silent(reader):
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await reader.read(1)
+    return True
+
+
+def test_delay_holds_bytes_back():
+    """In both directions."""
+
+    async def step(link, reader, writer):
+        link.state.delay_s = 0.1
+        began = asyncio.get_running_loop().time()
+        writer.write(b"x")
+        assert await reader.readexactly(1) == b"x"
+        assert asyncio.get_running_loop().time() - began >= 0.19
+
+    asyncio.run(connected(step))
+
+
+@pytest.mark.parametrize("way", ["cut_in", "cut_out"])
+def test_cut_swallows_one_way_without_a_close(way):
+    """A partition is not a closed connection."""
+
+    async def step(link, reader, writer):
+        setattr(link.state, way, True)
+        writer.write(b"x")
+        assert await is_silent(reader)
+        setattr(link.state, way, False)
+        writer.write(b"y")
+        assert await reader.readexactly(1) == b"y"
+
+    asyncio.run(connected(step))
+
+
+def test_silence_lasts_while_new_connections_work():
+    """Only a time limit of the program's own shows it."""
+
+    async def step(link, reader, writer):
+        link.silence()
+        writer.write(b"x")
+        assert await is_silent(reader)
+        new_reader, new_writer = await asyncio.open_connection(f"{NET}.32.1", PORT)
+        new_writer.write(b"z")
+        assert await new_reader.readexactly(1) == b"z"
+        new_writer.close()
+
+    asyncio.run(connected(step))
+
+
+def test_reset_ends_open_connections():
+    """With a reset, not with an end that looks complete."""
+
+    async def step(link, reader, writer):
+        link.reset()
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+
+    asyncio.run(connected(step))
--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -1,5 +1,6 @@
 """Types and helpers shared by all parts."""
 
+from wigeonspan.common._addresses import bind_address
 from wigeonspan.common._clock import BootClock, Clock, ManualClock, SystemClock
 from wigeonspan.common._codec import (
     PROTOCOL_VERSION,
@@ -75,6 +76,7 @@
     "Term",
     "Version",
     "WigeonspanError",
+    "bind_address",
     "check_version",
     "decode",
     "encode",
--- a/wigeonspan/consensus/__init__.py
+++ b/wigeonspan/consensus/__init__.py
@@ -1,7 +1,7 @@
 """Replicated log."""
 
 from wigeonspan.consensus._core import RaftNode
-from wigeonspan.consensus._disk import FolderDisk
+from wigeonspan.consensus._disk import Disk, FolderDisk
 from wigeonspan.consensus._files import write_whole
 from wigeonspan.consensus._frames import (
     StorageCorrupt,
@@ -30,6 +30,7 @@
 
 __all__ = [
     "BootstrapMember",
+    "Disk",
     "Entry",
     "FolderDisk",
     "HardState",
--- a/wigeonspan/consensus/_driver.py
+++ b/wigeonspan/consensus/_driver.py
@@ -11,7 +11,7 @@
 
 from wigeonspan.common import Clock, ErrorKind, LogIndex, Term, part_logger
 from wigeonspan.consensus._core import RaftNode
-from wigeonspan.consensus._disk import FolderDisk
+from wigeonspan.consensus._disk import Disk
 from wigeonspan.consensus._files import failures
 from wigeonspan.consensus._frames import StorageFull
 from wigeonspan.consensus._interface import StateMachine
@@ -107,6 +107,7 @@
         folder: str | Path,
         bootstrap: Iterable[BootstrapMember],
         rng: random.Random,
+        make_disk: Callable[[str | Path], Disk],
     ) -> None:
         """Read the data folder and begin to take part.
 
@@ -116,7 +117,7 @@
             When the data folder cannot be used.
         """
         with failures(str(folder)):
-            disk = FolderDisk(folder)
+            disk = make_disk(folder)
         self._store = LogStore(disk)
         try:
             stored = await self._on_disk(self._store.open)
--- a/wigeonspan/consensus/_task.py
+++ b/wigeonspan/consensus/_task.py
@@ -20,6 +20,7 @@
     WigeonspanError,
     part_logger,
 )
+from wigeonspan.consensus._disk import Disk, FolderDisk
 from wigeonspan.consensus._driver import TICK_S, Driver
 from wigeonspan.consensus._http import RaftHandler
 from wigeonspan.consensus._interface import StateMachine
@@ -72,6 +73,8 @@
         Client for messages to other members.
     snapshot_entries : int
         Applied entries between snapshots.
+    make_disk : callable
+        Opens the data folder.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         client: CurlAsyncHTTPClient,
         *,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
+        make_disk: Callable[[str | Path], Disk] = FolderDisk,
     ) -> None:
         host = BootstrapMember(name, address, domain)
         self._name = name
@@ -94,6 +98,7 @@
         self._folder = folder
         self._clock = clock
         self._rng = rng
+        self._make_disk = make_disk
         self._driver = Driver(host, machine, clock, client, snapshot_entries)
 
     @property
@@ -147,7 +152,9 @@
         StorageError
             When the data folder cannot be used.
         """
-        await self._driver.start(self._folder, self._bootstrap, self._rng)
+        await self._driver.start(
+            self._folder, self._bootstrap, self._rng, self._make_disk
+        )
 
     async def stop(self) -> None:
         """Hand leadership over if this host leads, then end."""
--- a/wigeonspan/coordinator/_cache.py
+++ b/wigeonspan/coordinator/_cache.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from wigeonspan.consensus import (
-    FolderDisk,
+    Disk,
     frame,
     payload_at,
     write_whole,
@@ -27,17 +27,12 @@
 
     Parameters
     ----------
-    folder : str
+    disk : Disk
         Folder of its own.
-
-    Raises
-    ------
-    StorageError
-        When the folder cannot be used.
     """
 
-    def __init__(self, folder: str) -> None:
-        self._disk = FolderDisk(folder)
+    def __init__(self, disk: Disk) -> None:
+        self._disk = disk
 
     def close(self) -> None:
         """Give the folder back."""
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -4,20 +4,21 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from wigeonspan.common import (
-    BootClock,
     Clock,
     DomainName,
     ErrorKind,
     HostId,
     WigeonspanError,
+    bind_address,
     watch_settings,
 )
-from wigeonspan.consensus import LogTask, StorageError
+from wigeonspan.consensus import Disk, FolderDisk, LogTask, StorageError
 from wigeonspan.coordinator._cache import CommittedCache
 from wigeonspan.coordinator._group import JOIN_PATH, Group
 from wigeonspan.coordinator._handlers import BeatHandler, JoinHandler, MetricsHandler
@@ -67,6 +68,8 @@
         Returns how engines are ordered over a connection pool.
     read_listing : callable
         Reads the list of targets.
+    make_disk : callable
+        Opens a data folder.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         read_listing: Callable[[ConnectionPool, Trail], Awaitable[Listing]],
         clock: Clock,
         rng: random.Random,
+        make_disk: Callable[[str | Path], Disk] = FolderDisk,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -98,13 +102,14 @@
             clock,
             rng,
             self._client,
+            make_disk=make_disk,
         )
         candidate = Candidate(name, settings.address, settings.domain, "")
         self._group = Group(
             candidate, self._log, clock, self._pool, self._trail, settings.wanted_voters
         )
         self._group.set_seeds(settings.seeds)
-        self._cache = CommittedCache(f"{settings.folder}/committed")
+        self._cache = CommittedCache(make_disk(f"{settings.folder}/committed"))
         # Committed configuration for entries, also from before a restart.
         self._committed = self._cache.read()
         self._meter = DemandMeter()
@@ -137,18 +142,18 @@
             seeds=settings.seeds,
             first_start=settings.first_start,
         )
-        host, _, port = settings.address.rpartition(":")
-        self._http.listen(int(port), host)
-        host, _, port = settings.metrics.rpartition(":")
-        self._http.listen(int(port), host)
-        await self._relay.listen(settings.address)
+        bind = settings.bind
+        for address in (settings.address, settings.metrics):
+            host, _, port = bind_address(address, bind).rpartition(":")
+            self._http.listen(int(port), host)
+        await self._relay.listen(bind_address(settings.address, bind))
         await self._log.start()
         for serve, address in (
             (serve_control, settings.control),
             (serve_directory, settings.directory),
         ):
             server = RequestServer(serve)
-            server.listen(address)
+            server.listen(bind_address(address, bind))
             self._servers.append(server)
         self._tasks = [
             asyncio.create_task(self._group.run()),
@@ -343,6 +348,7 @@
     make_routes: Callable[[Coordinator], tuple[Serve, Serve]],
     read_settings: Callable[[], CoordinatorSettings],
     settings_path: str,
+    clock: Clock,
 ) -> None:
     """Run a control host until it is told to stop.
 
@@ -352,8 +358,10 @@
         Makes the control host.
     make_routes : callable
         Returns what serves operators and what serves the directory.
+    clock : Clock
+        Source of time; it must count the time in which the host is suspended.
     """
-    coordinator = make(BootClock(), random.Random())
+    coordinator = make(clock, random.Random())
     stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
--- a/wigeonspan/coordinator/_settings.py
+++ b/wigeonspan/coordinator/_settings.py
@@ -24,6 +24,9 @@
         Data folder.
     wanted_voters : int
         Voters that survive the losses to be tolerated.
+    bind : str
+        Address of the interface to listen on when the other addresses lead there by
+        way of a forwarder; empty when they are this host's own.
     """
 
     host: HostId
@@ -36,6 +39,7 @@
     first_start: bool
     folder: str
     wanted_voters: int
+    bind: str = ""
 
     @property
     def first_voters(self) -> list[BootstrapMember]:
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -7,7 +7,13 @@
 
 from msgspec import Struct
 
-from wigeonspan.common import Clock, DomainName, HostId, SystemClock, watch_settings
+from wigeonspan.common import (
+    Clock,
+    DomainName,
+    HostId,
+    bind_address,
+    watch_settings,
+)
 from wigeonspan.fleetconfig import FleetConfig
 from wigeonspan.gateway._beats import BeatTask
 from wigeonspan.gateway._config import ConfigHolder
@@ -62,6 +68,9 @@
         and for metrics.
     controls : list of str
         Internal addresses of control hosts.
+    bind : str
+        Address of the interface to listen on when the other addresses lead there by
+        way of a forwarder; empty when they are this host's own.
     """
 
     host: HostId
@@ -74,6 +83,7 @@
     retry_ratio: float
     retry_minimum: float
     retry_window_s: float
+    bind: str = ""
 
 
 class Gateway:
@@ -154,10 +164,11 @@
         self._parts.trail.note(
             "process", "started", domain=settings.domain, controls=settings.controls
         )
-        await self._parts.link.listen(settings.peer)
-        self._front.listen(settings.front)
-        self._side.listen(settings.ready)
-        self._side.listen(settings.metrics)
+        bind = settings.bind
+        await self._parts.link.listen(bind_address(settings.peer, bind))
+        self._front.listen(bind_address(settings.front, bind))
+        self._side.listen(bind_address(settings.ready, bind))
+        self._side.listen(bind_address(settings.metrics, bind))
         self._beats.set_seeds(settings.controls)
         self._tasks = [
             asyncio.create_task(self._listing.run()),
@@ -287,6 +298,7 @@
     make: Callable[[Clock, random.Random], Gateway],
     read_settings: Callable[[], GatewaySettings],
     settings_path: str,
+    clock: Clock,
 ) -> None:
     """Run a gateway until it is told to stop.
 
@@ -298,8 +310,10 @@
         Reads the settings again.
     settings_path : str
         File whose changes are noticed without a signal.
+    clock : Clock
+        Source of time.
     """
-    gateway = make(SystemClock(), random.Random())
+    gateway = make(clock, random.Random())
     stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
