Relay datagrams by one control host in each failure domain

Cause: in a fleet of over 16 entries one relay at the leader sent every bundle to every entry, so two thirds of the copies crossed failure domains, and packets carried the names of their fields.

Change: an entry uses the relay of an answering control host of its own domain, tells it with its heartbeat, and relays pass one copy of a bundle to each other. Neither the leader nor the membership matters. Work and prompt parts are encoded without field names.

--- a/tests/sharing/test_link.py
+++ b/tests/sharing/test_link.py
@@ -52,7 +52,7 @@
     async def run():
         one, own, own_heard = await make_link("e1")
         two, address, heard = await make_link("e2")
-        relay, relay_address = Relay(lambda: [own, address]), free_address()
+        relay, relay_address = Relay(lambda: [own, address], list), free_address()
         await relay.listen(relay_address)
         one.set_peers([address] * 40)
         one.set_relay(relay_address)
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -124,7 +124,7 @@
             self._meter,
             self._meters,
         )
-        self._relay = Relay(self._peer_addresses)
+        self._relay = Relay(self._relayed_entries, self._other_relays)
         self._servers: list[RequestServer] = []
         self._http = HTTPServer(self._internal_routes())
         self._tasks: list[asyncio.Task[None]] = []
@@ -266,18 +266,25 @@
             self._meter.note(beat.entry.host, service, read_ms, stream_s, now)
         digest = self._board.digest(now)
         stored = max(self.stored, self._committed, key=lambda c: c.version)
-        leader = self._log.leader
         return BeatReply(
             config=stored if stored.version > beat.config_version else None,
             entries=self._board.live(now) if digest != beat.entries_digest else None,
             entries_digest=digest,
             controls=[member.address for member in self._log.members],
-            relay="" if leader is None else leader.address,
+            domain=self._settings.domain,
             switching=self._staging.switching,
         )
 
-    def _peer_addresses(self) -> list[str]:
-        return [entry.peer_address for entry in self._board.live(self._clock.now())]
+    def _relayed_entries(self) -> list[str]:
+        """Return the datagram addresses of the entries that use this host's relay."""
+        own = self._settings.address
+        beats = self._board.beats(self._clock.now())
+        return [beat.entry.peer_address for beat in beats if beat.relay == own]
+
+    def _other_relays(self) -> list[str]:
+        """Return the addresses of the relays that other entries use."""
+        beats = self._board.beats(self._clock.now())
+        return sorted({beat.relay for beat in beats} - {"", self._settings.address})
 
     def _authority(self) -> Authority | None:
         """Return the right to order engines, well within this leader's lease.
--- a/wigeonspan/gateway/_beats.py
+++ b/wigeonspan/gateway/_beats.py
@@ -8,6 +8,7 @@
 
 from wigeonspan.common import (
     Clock,
+    DomainName,
     ErrorBody,
     WigeonspanError,
     decode,
@@ -36,6 +37,7 @@
 class _Control(Struct):
     answered_at: float
     switching: list[TargetId] = []
+    domain: DomainName | None = None
     reachable: bool = True
 
 
@@ -44,8 +46,11 @@
 
     Parameters
     ----------
+    domain : DomainName
+        Failure domain of this entry.
     make_beat : callable
-        Returns the heartbeat to send now.
+        Returns the heartbeat to send now from the digest of the entries and the chosen
+        relay.
     note_entries : callable
         Takes the live entries when they have changed.
     note_switching : callable
@@ -61,7 +66,8 @@
         config: ConfigHolder,
         trail: Trail,
         rng: random.Random,
-        make_beat: Callable[[str], Beat],
+        domain: DomainName,
+        make_beat: Callable[[str, str], Beat],
         note_entries: Callable[[list[EntryInfo]], None],
         note_switching: Callable[[list[TargetId]], None],
         note_relay: Callable[[str], None],
@@ -71,6 +77,7 @@
         self._config = config
         self._trail = trail
         self._rng = rng
+        self._domain = domain
         self._make_beat = make_beat
         self._note_entries = note_entries
         self._note_switching = note_switching
@@ -80,6 +87,7 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._digests: dict[str, str] = {}
         self._answered: set[str] = set()
+        self._relay = ""
 
     @property
     def answers(self) -> int:
@@ -125,7 +133,7 @@
 
     async def _beat(self, address: str) -> None:
         control = self._controls[address]
-        beat = self._make_beat(self._digests.get(address, ""))
+        beat = self._make_beat(self._digests.get(address, ""), self._relay)
         request = encode_message(address, BEAT_PATH, beat)
         try:
             head, body = await self._pool.fetch(address, request, TIMEOUT_S)
@@ -138,6 +146,7 @@
                 control.reachable = False
                 # Its word on phases is void; the list shows what came of it.
                 control.switching = []
+                self._choose_relay()
                 self._trail.note(
                     "beats", "control_lost", control=address, why=str(error)
                 )
@@ -157,7 +166,20 @@
         if reply.entries is not None:
             self._note_entries(reply.entries)
         self._digests[address] = reply.entries_digest
-        if reply.relay:
-            self._note_relay(reply.relay)
         self._controls[address].switching = reply.switching
+        self._controls[address].domain = reply.domain
+        self._choose_relay()
         self._note_switching([t for c in self._controls.values() for t in c.switching])
+
+    def _choose_relay(self) -> None:
+        """Use the relay of a control host that answers, best one of this domain."""
+        heard = [
+            (control.domain != self._domain, address)
+            for address, control in self._controls.items()
+            if control.reachable and control.domain is not None
+        ]
+        relay = min(heard)[1] if heard else ""
+        if relay != self._relay:
+            self._relay = relay
+            self._note_relay(relay)
+            self._trail.note("beats", "relay_chosen", relay=relay)
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -142,6 +142,7 @@
             parts.config,
             trail,
             rng,
+            settings.domain,
             self._make_beat,
             self._note_entries,
             parts.board.set_switching,
@@ -227,13 +228,14 @@
             parts.trail.flush()
             await asyncio.sleep(HOUSEKEEPING_S)
 
-    def _make_beat(self, digest: str) -> Beat:
+    def _make_beat(self, digest: str, relay: str) -> Beat:
         settings = self._settings
         entry = EntryInfo(
             settings.host, settings.domain, settings.front, settings.peer, self._state
         )
         parts = self._parts
-        return Beat(entry, parts.config.version, digest, parts.read_ms, parts.stream_s)
+        version = parts.config.version
+        return Beat(entry, version, digest, parts.read_ms, parts.stream_s, relay)
 
     def _note_entries(self, entries: list[EntryInfo]) -> None:
         own = self._settings.host
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -22,7 +22,7 @@
     CALL = "call"
 
 
-class Work(Struct, frozen=True):
+class Work(Struct, frozen=True, array_like=True):
     """One piece of work.
 
     Parameters
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -7,7 +7,7 @@
 from wigeonspan.targets import Target
 
 
-class PromptPart(Struct, frozen=True):
+class PromptPart(Struct, frozen=True, array_like=True):
     """A part of a prompt; requests that share it name it alike."""
 
     part: str
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -51,6 +51,9 @@
         Engine time in milliseconds that prompts took since the start, by service.
     stream_s : dict
         Seconds of streams since the start, added over all streams, by service.
+    relay : str
+        Internal address of the control host that relays this entry's datagrams; empty
+        when it has chosen none.
     """
 
     entry: EntryInfo
@@ -58,6 +61,7 @@
     entries_digest: str
     read_ms: dict[ServiceName, float] = {}
     stream_s: dict[ServiceName, float] = {}
+    relay: str = ""
 
 
 class BeatReply(Struct, frozen=True):
@@ -71,9 +75,8 @@
         Live entries when the entry holds another list.
     controls : list of str
         Internal addresses of the control group's members.
-    relay : str
-        Address of the control host that relays datagrams between entries; empty when
-        none is known.
+    domain : DomainName
+        Failure domain of the control host; entries use a relay of their own.
     switching : list of TargetId
         Engines that must get no new work because their phase is changing.
     """
@@ -82,5 +85,5 @@
     entries: list[EntryInfo] | None
     entries_digest: str
     controls: list[str]
-    relay: str = ""
+    domain: DomainName = DomainName("")
     switching: list[TargetId] = []
--- a/wigeonspan/sharing/_relay.py
+++ b/wigeonspan/sharing/_relay.py
@@ -1,14 +1,20 @@
 """Relay of datagrams between many entries, at a control host.
 
 An entry of a large fleet would fill its own link with copies for all others. It sends
-one copy to the relay, which bundles what all entries sent within a few milliseconds.
+one copy to a relay of its failure domain, which bundles what its entries sent within a
+few milliseconds. One copy of a bundle goes to each other relay, so that the bytes
+between failure domains do not grow with the number of entries.
 """
 
 import asyncio
 from collections.abc import Callable
 from typing import cast
 
-from wigeonspan.sharing._wire import encode_bundles
+from wigeonspan.sharing._wire import (
+    encode_bundles,
+    forwarded_bundle,
+    mark_forwarded,
+)
 
 RELAY_S = 0.01
 """Seconds that datagrams wait for others; short against the reading of a prompt, and
@@ -23,12 +29,17 @@
 
     Parameters
     ----------
-    peers : callable
-        Returns the datagram addresses of the live entries.
+    entries : callable
+        Returns the datagram addresses of the live entries that use this relay.
+    relays : callable
+        Returns the addresses of the other relays in use.
     """
 
-    def __init__(self, peers: Callable[[], list[str]]) -> None:
-        self._peers = peers
+    def __init__(
+        self, entries: Callable[[], list[str]], relays: Callable[[], list[str]]
+    ) -> None:
+        self._entries = entries
+        self._relays = relays
         self._waiting: list[bytes] = []
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -51,7 +62,11 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Queue a datagram."""
+        """Queue an entry's datagram; pass another relay's bundle on at once."""
+        bundle = forwarded_bundle(data)
+        if bundle is not None:
+            self._send(bundle, self._entries())
+            return
         if len(self._waiting) < MOST_WAITING:
             self._waiting.append(data)
         if self._timer is None:
@@ -61,10 +76,14 @@
     def _flush(self) -> None:
         self._timer = None
         waiting, self._waiting = self._waiting, []
+        entries, relays = self._entries(), self._relays()
+        for bundle in encode_bundles(waiting):
+            self._send(bundle, entries)
+            self._send(mark_forwarded(bundle), relays)
+
+    def _send(self, data: bytes, addresses: list[str]) -> None:
         if self._transport is None:
             return
-        bundles = encode_bundles(waiting)
-        for peer in self._peers():
-            host, _, port = peer.rpartition(":")
-            for bundle in bundles:
-                self._transport.sendto(bundle, (host, int(port)))
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
--- a/wigeonspan/sharing/_wire.py
+++ b/wigeonspan/sharing/_wire.py
@@ -11,6 +11,7 @@
 
 _PACKET = b"P"
 _BUNDLE = b"B"
+_FORWARDED = b"F"
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_packet = msgspec.msgpack.Decoder(Packet).decode
@@ -49,6 +50,16 @@
     return _BUNDLE + zlib.compress(_encode(datagrams))
 
 
+def mark_forwarded(bundle: bytes) -> bytes:
+    """Return a bundle as one relay sends it to another."""
+    return _FORWARDED + bundle
+
+
+def forwarded_bundle(data: bytes) -> bytes | None:
+    """Return the bundle that another relay has sent; None for an entry's datagram."""
+    return data[1:] if data[:1] == _FORWARDED else None
+
+
 def decode_datagram(data: bytes) -> list[Packet]:
     """Return the packets of a datagram.
 
