Keep the order of bytes on a delayed link of the soak

The log shows both requests served in order; the proxy let bytes overtake those that it still held when the delay ended.

Change: each side of a proxied connection sends its bytes one after the other.

Measured: the new test fails without the change (CancelledError while it waits for the bytes in order) and passes with it.

--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -11,6 +11,10 @@
 MOST_DELAY_S = 0.4
 """Longest delay in seconds that a link adds in each direction."""
 
+ORDER_S = 1e-6
+"""Seconds between two steps of one side; the event loop may swap steps that are due at
+the same time."""
+
 RESET = struct.pack("ii", 1, 0)
 """Value of SO_LINGER that makes a close send a reset."""
 
@@ -128,7 +132,7 @@
 
     def _to_host(self, data: bytes) -> None:
         if not (self.silent or self._link.state.cut_in):
-            self._later(self._write_inner, data)
+            self._later(self.inner, self._write_inner, data)
 
     def _write_inner(self, data: bytes) -> None:
         if self.inner.transport is None:
@@ -138,12 +142,17 @@
 
     def _from_host(self, data: bytes) -> None:
         if not (self.silent or self._link.state.cut_out):
-            self._later(self.outer.write, data)
+            self._later(self.outer, self.outer.write, data)
 
-    def _later(self, step: Callable[..., None], *arguments: bytes) -> None:
-        delay_s = self._link.state.delay_s
-        if delay_s:
-            asyncio.get_running_loop().call_later(delay_s, step, *arguments)
+    def _later(
+        self, side: "_Side", step: Callable[..., None], *arguments: bytes
+    ) -> None:
+        """Do a step after the link's delay, but not before earlier steps of a side."""
+        loop = asyncio.get_running_loop()
+        at = max(loop.time() + self._link.state.delay_s, side.busy_until)
+        if at > loop.time():
+            side.busy_until = at + ORDER_S
+            loop.call_at(at, step, *arguments)
         else:
             step(*arguments)
 
@@ -153,7 +162,8 @@
         if self.silent or state.cut_in or state.cut_out:
             # A cut link passes no end on, either.
             return
-        self._later(self._close)
+        side = max(self.outer, self.inner, key=lambda each: each.busy_until)
+        self._later(side, self._close)
 
     def _close(self) -> None:
         self._link.note_closed(self)
@@ -179,6 +189,7 @@
     ) -> None:
         self.transport: asyncio.Transport | None = None
         self.waiting: list[bytes] = []
+        self.busy_until = 0.0
         self._made = made
         self._receive = receive
         self._end = end
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -92,3 +92,17 @@
             await reader.read(1)
 
     asyncio.run(connected(step))
+
+
+def test_bytes_stay_in_order_when_a_delay_ends():
+    """Bytes that overtook others looked like a broken stream of the entry (seed 205)."""
+
+    async def step(link, reader, writer):
+        link.state.delay_s = 0.1
+        writer.write(b"first ")
+        await asyncio.sleep(0.02)
+        link.state.delay_s = 0.0
+        writer.write(b"second")
+        assert await reader.readexactly(12) == b"first second"
+
+    asyncio.run(connected(step))
