Bring configurations and entries from one control host, packed

Each of five control hosts sent the whole configuration (1,156 routes, a third of a megabyte) and, whenever an entry came or went, the whole list of entries to each of 82 entries, whose links carry 5 Mbit/s.

Change: an entry asks one control host for what has changed, its relay of the own domain; another one that knows a newer configuration steps in after 0.6 s. Both are compressed, and packed once for all entries. Which host is asked for what is decided in gateway/_controls.py, without I/O.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -27,12 +27,18 @@
 REPLACED_AFTER_S = 1.0
 """Seconds between the loss of a control host and the start of its successor."""
 
+INTERPRETER_S = 0.5
+"""Seconds that Python takes to begin with a program; a signal before that ends it."""
+
 STEP_S = 7.0
 """Largest step of the time of day in seconds."""
 
 BURST_STREAMS = 40
 """Streams of a burst at full strength."""
 
+WIDE_STRENGTH = 0.6
+"""Strength from which all targets of a service have a defect at the same time."""
+
 STORM = 5
 """Configurations of a storm."""
 
@@ -166,7 +172,8 @@
     async def _reload(self, fault: Fault) -> None:
         host, now = self._host(fault), time.monotonic()
         self._world.write_settings()
-        if fault.strength < 0.5:
+        running_s = now - host.started_at
+        if fault.strength < 0.5 and running_s > INTERPRETER_S:
             self._world.disturb_host(host, "reloaded", now, now, planned=True)
             host.machine.signal(signal.SIGHUP)
 
@@ -312,9 +319,19 @@
         await self._restart(target)
 
     async def _harm_target(self, fault: Fault) -> None:
-        target, share = self._target(fault), max(0.2, fault.strength)
-        self._disturb_targets(fault, target.name, fault.lasts_s)
-        target.defects = {
+        victim, share = self._target(fault), max(0.2, fault.strength)
+        targets = [victim]
+        if fault.strength > WIDE_STRENGTH:
+            targets = [t for t in self._world.targets if t.service == victim.service]
+        for target in targets:
+            self._disturb_targets(fault, target.name, fault.lasts_s)
+            target.defects = self._defects(fault.kind, share)
+        await asyncio.sleep(fault.lasts_s)
+        for target in targets:
+            target.defects = Defects()
+
+    def _defects(self, kind: FaultKind, share: float) -> Defects:
+        return {
             FaultKind.TARGET_FAILS: Defects(fails=share),
             FaultKind.TARGET_SLOW: Defects(slowness=1.0 + 9.0 * share),
             FaultKind.TARGET_DARK: Defects(dark=True),
@@ -323,9 +340,7 @@
             FaultKind.TARGET_CUTS: Defects(cuts=share),
             FaultKind.TARGET_REFUSES: Defects(refuses=share),
             FaultKind.ORDERS_LATE: Defects(orders_late_s=8.0 * share),
-        }[fault.kind]
-        await asyncio.sleep(fault.lasts_s)
-        target.defects = Defects()
+        }[kind]
 
     async def _burst(self, fault: Fault) -> None:
         streams = max(5, round(BURST_STREAMS * fault.strength))
--- a/soak/_launch.py
+++ b/soak/_launch.py
@@ -3,16 +3,22 @@
 The soak writes what is wrong into a file; the program's clock and disk read it.
 """
 
-import asyncio
-import errno
-import os
-import sys
-import time
-from collections.abc import Callable
-from pathlib import Path
-from typing import TypeVar
-
-import msgspec
+import signal
+
+if __name__ == "__main__":
+    # As the programs do, which are imported later here.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio  # noqa: E402
+import errno  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from pathlib import Path  # noqa: E402
+from typing import TypeVar  # noqa: E402
+
+import msgspec  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "platform"), str(ROOT)]
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -57,6 +57,7 @@
     inside: str
     trouble: Path
     starts: int = 0
+    started_at: float = 0.0
     start: Disturbance | None = None
     planned_end: bool = False
     removed: bool = False
@@ -176,6 +177,7 @@
         host.planned_end = False
         host.machine.start()
         now = time.monotonic()
+        host.started_at = now
         host.start = self.disturb_host(host, "started", now, now)
 
     def kill_host(self, host: Host) -> None:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -238,3 +238,25 @@
     lines = [x for edge in world.edges for x in log_lines(edge)]
     way = [x["event"] for x in lines if x.get("request") == "a1"]
     assert way == ["admitted", "placed", "read", "first_event", "answered"]
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize("role", [Role.CONTROL, Role.ENTRY])
+def test_change_of_settings_during_the_start_ends_nothing(tmp_path, role):
+    """A process that got the signal while it was loading ended (soak seed 1187)."""
+    ip = f"{NET}.4.{1 + (role is Role.ENTRY)}"
+    machine = Machine(tmp_path, role, ip, "z1", LIST_ADDRESS, Bounds())
+    machine.write_settings([ip], first=True)
+    machine.start()
+    try:
+        mapped = f"/proc/{machine.process.pid}/maps"
+        # By then the interpreter runs the program, and most imports are to come.
+        wait("the first import", lambda: "_socket" in open(mapped).read())
+        machine.signal(signal.SIGHUP)
+        wait(
+            "the program",
+            lambda: (machine.folder / "log").read_text().count('"started"'),
+        )
+        assert machine.is_running
+    finally:
+        machine.kill()
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -27,7 +27,13 @@
 from wigeonspan.fleetconfig import ConfigMachine, StoredConfig, encode_store
 from wigeonspan.http import make_client
 from wigeonspan.pool import ConnectionPool
-from wigeonspan.presence import BEAT_PATH, Beat, BeatReply, EntryBoard
+from wigeonspan.presence import (
+    BEAT_PATH,
+    Beat,
+    BeatReply,
+    EntryBoard,
+    pack_once,
+)
 from wigeonspan.serving import RequestServer, Serve
 from wigeonspan.sharing import Relay
 from wigeonspan.staging import Authority, DemandMeter, OrderPort, StagingTask
@@ -89,6 +95,8 @@
         self._meters = Meters()
         self._machine = ConfigMachine()
         self._board = EntryBoard()
+        self._pack_config = pack_once()
+        self._pack_entries = pack_once()
         self._pool = ConnectionPool(clock)
         self._client = make_client(MAX_CLIENTS)
         name = HostId(settings.address)
@@ -266,9 +274,16 @@
             self._meter.note(beat.entry.host, service, read_ms, stream_s, now)
         digest = self._board.digest(now)
         stored = max(self.stored, self._committed, key=lambda c: c.version)
+        is_newer = stored.version > beat.config_version
+        has_changed = digest != beat.entries_digest
         return BeatReply(
-            config=stored if stored.version > beat.config_version else None,
-            entries=self._board.live(now) if digest != beat.entries_digest else None,
+            config_version=stored.version,
+            config=self._pack_config(stored.version, stored)
+            if beat.whole and is_newer
+            else None,
+            entries=self._pack_entries(digest, self._board.live(now))
+            if beat.whole and has_changed
+            else None,
             entries_digest=digest,
             controls=[member.address for member in self._log.members],
             domain=self._settings.domain,
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -18,6 +18,7 @@
 from wigeonspan.fleetconfig import FleetConfig
 from wigeonspan.gateway._beats import BeatTask
 from wigeonspan.gateway._config import ConfigHolder
+from wigeonspan.gateway._controls import ControlBook
 from wigeonspan.gateway._listing import ListingTask
 from wigeonspan.gateway._messages import TargetProtocol
 from wigeonspan.gateway._parts import Parts
@@ -136,13 +137,14 @@
         self._server = Server(parts, rng)
         self._front = RequestServer(self._server.serve)
         self._side = RequestServer(self._answer_side)
+        self._controls = ControlBook(settings.domain)
         self._beats = BeatTask(
             clock,
             pool,
             parts.config,
             trail,
             rng,
-            settings.domain,
+            self._controls,
             self._make_beat,
             self._note_entries,
             parts.board.set_switching,
@@ -228,14 +230,14 @@
             parts.trail.flush()
             await asyncio.sleep(HOUSEKEEPING_S)
 
-    def _make_beat(self, digest: str, relay: str) -> Beat:
+    def _make_beat(self, digest: str, whole: bool, relay: str) -> Beat:
         settings = self._settings
         entry = EntryInfo(
             settings.host, settings.domain, settings.front, settings.peer, self._state
         )
         parts = self._parts
         version = parts.config.version
-        return Beat(entry, version, digest, parts.read_ms, parts.stream_s, relay)
+        return Beat(entry, version, digest, whole, parts.read_ms, parts.stream_s, relay)
 
     def _note_entries(self, entries: list[EntryInfo]) -> None:
         own = self._settings.host
@@ -304,7 +306,7 @@
         parts = self._parts
         now = self._clock.now()
         parts.meters.gauge("config_version", parts.config.version)
-        confirmed_s = now - self._beats.answered_at
+        confirmed_s = now - self._controls.answered_at
         parts.meters.gauge("config_confirmed_seconds", confirmed_s)
         parts.meters.gauge("list_age_seconds", now - parts.board.read_at)
         for state, number in self._count_targets(now).items():
--- a/wigeonspan/presence/__init__.py
+++ b/wigeonspan/presence/__init__.py
@@ -8,5 +8,17 @@
     EntryInfo,
     EntryState,
 )
+from wigeonspan.presence._packing import BadValue, pack, pack_once, unpack
 
-__all__ = ["BEAT_PATH", "Beat", "BeatReply", "EntryBoard", "EntryInfo", "EntryState"]
+__all__ = [
+    "BEAT_PATH",
+    "BadValue",
+    "Beat",
+    "BeatReply",
+    "EntryBoard",
+    "EntryInfo",
+    "EntryState",
+    "pack",
+    "pack_once",
+    "unpack",
+]
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -5,7 +5,6 @@
 from msgspec import Struct
 
 from wigeonspan.common import DomainName, HostId, ServiceName
-from wigeonspan.fleetconfig import StoredConfig
 from wigeonspan.targets import TargetId
 
 BEAT_PATH = "/internal/v1/beat"
@@ -46,7 +45,10 @@
     config_version : int
         Version that the entry holds; 0 when none.
     entries_digest : str
-        Digest of the list of entries that it holds.
+        Digest of the list of entries that it has from the asked host.
+    whole : bool
+        Whether the answer should bring the configuration and the list of entries when
+        they have changed.
     read_ms : dict
         Engine time in milliseconds that prompts took since the start, by service.
     stream_s : dict
@@ -59,6 +61,7 @@
     entry: EntryInfo
     config_version: int
     entries_digest: str
+    whole: bool = True
     read_ms: dict[ServiceName, float] = {}
     stream_s: dict[ServiceName, float] = {}
     relay: str = ""
@@ -69,10 +72,13 @@
 
     Parameters
     ----------
-    config : StoredConfig or None
-        Committed configuration when the entry holds an older one.
-    entries : list of EntryInfo or None
-        Live entries when the entry holds another list.
+    config_version : int
+        Version of the newest committed configuration that the host knows.
+    config : bytes or None
+        Packed ``StoredConfig`` when the entry asks for it and holds an older one.
+    entries : bytes or None
+        Packed list of ``EntryInfo`` of the live entries when the entry asks for it and
+        holds another one.
     controls : list of str
         Internal addresses of the control group's members.
     domain : DomainName
@@ -81,8 +87,9 @@
         Engines that must get no new work because their phase is changing.
     """
 
-    config: StoredConfig | None
-    entries: list[EntryInfo] | None
+    config_version: int
+    config: bytes | None
+    entries: bytes | None
     entries_digest: str
     controls: list[str]
     domain: DomainName = DomainName("")
