Count streams that a planned stop cuts after their head as lost

Cause: the check of planned stops passed over answers that had begun.

Change: every cut answer counts; targets that cut streams are disturbances.

Measured: tests of the checks pass.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -341,7 +341,7 @@
         disturbances=[each for each in evidence.disturbances if not each.planned],
     )
     for seen in evidence.calls:
-        if seen.ending is not Ending.CUT or seen.signature:
+        if seen.ending is not Ending.CUT:
             continue
         host = evidence.host_by_address[seen.address]
         if not any(
