--- a/wigeonspan/placing/__init__.py
+++ b/wigeonspan/placing/__init__.py
@@ -2,8 +2,15 @@
 
 from wigeonspan.placing._health import HealthBook
 from wigeonspan.placing._ledger import Work, WorkKind, WorkLedger
-from wigeonspan.placing._messages import Decision, Plan, Prompt, PromptPart, Refusal
-from wigeonspan.placing._placer import CALL_MS, DIRECT_SLOWDOWN, Placer
+from wigeonspan.placing._messages import (
+    Decision,
+    Limit,
+    Plan,
+    Prompt,
+    PromptPart,
+    Refusal,
+)
+from wigeonspan.placing._placer import CALL_MS, DIRECT_SLOWDOWN, Placer, patience_s
 from wigeonspan.placing._prefixes import PrefixBook
 from wigeonspan.placing._retries import RetryBudget
 from wigeonspan.placing._speed import SpeedBook
@@ -13,6 +20,7 @@
     "DIRECT_SLOWDOWN",
     "Decision",
     "HealthBook",
+    "Limit",
     "Placer",
     "Plan",
     "PrefixBook",
@@ -24,4 +32,5 @@
     "Work",
     "WorkKind",
     "WorkLedger",
+    "patience_s",
 ]
