Let nothing follow lost bytes on a cut link of the soak

The log shows the request served in order; the proxy swallowed bytes while the link was cut and passed on what came after, which TCP never does.

Change: a direction of a connection that lost bytes stays silent. The test of the cut asked for bytes after the lost ones; it now asks for silence and for a new connection that works.

Measured: the tests of the proxy pass.

--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -106,6 +106,8 @@
 
     def __init__(self, link: Link, inside: tuple[str, int]) -> None:
         self.silent = False
+        self._lost_in = False
+        self._lost_out = False
         self._link = link
         self._inside = inside
         self.outer = _Side(self._outer_made, self._to_host, self.end)
@@ -131,7 +133,9 @@
         self.outer.waiting.clear()
 
     def _to_host(self, data: bytes) -> None:
-        if not (self.silent or self._link.state.cut_in):
+        # TCP hands nothing over after bytes that were lost.
+        self._lost_in = self._lost_in or self.silent or self._link.state.cut_in
+        if not self._lost_in:
             self._later(self.inner, self._write_inner, data)
 
     def _write_inner(self, data: bytes) -> None:
@@ -141,7 +145,8 @@
             self.inner.write(data)
 
     def _from_host(self, data: bytes) -> None:
-        if not (self.silent or self._link.state.cut_out):
+        self._lost_out = self._lost_out or self.silent or self._link.state.cut_out
+        if not self._lost_out:
             self._later(self.outer, self.outer.write, data)
 
     def _later(
@@ -159,7 +164,8 @@
     def end(self) -> None:
         """Pass the end of one side on to the other."""
         state = self._link.state
-        if self.silent or state.cut_in or state.cut_out:
+        cut = self.silent or state.cut_in or state.cut_out
+        if cut or self._lost_in or self._lost_out:
             # A cut link passes no end on, either.
             return
         side = max(self.outer, self.inner, key=lambda each: each.busy_until)
