Fit the replay's engines to each deployment

Cause: one speed of reading for both deployments made tisza overloaded at single load.

Change: the speed is data of the deployment.

--- a/replay/_engine.py
+++ b/replay/_engine.py
@@ -14,10 +14,9 @@
 from wigeonspan.targets import Phase, Target
 
 READ_FIXED_MS = 17.0
-READ_TOKENS_PER_MS = 50.0
 PAIR_MS = 0.2e-6
-"""Time of reading: fixed, by new tokens, by pairs of tokens, as fitted to the logs of
-days of the users' bench."""
+"""Time of reading any prompt, and by pairs of tokens, fitted to the logs of days of the
+users' bench."""
 
 DECODE_READ_SLOWDOWN = 2.0
 """Factor by which a decode engine reads more slowly."""
@@ -54,7 +53,12 @@
     """One engine."""
 
     def __init__(
-        self, target: Target, memory_tokens: float, step_ms: float, at: At
+        self,
+        target: Target,
+        memory_tokens: float,
+        step_ms: float,
+        read_tokens_per_ms: float,
+        at: At,
     ) -> None:
         self.target = target
         self.phase = target.phase
@@ -66,6 +70,7 @@
         self.tokens_again = 0
         self._memory_tokens = memory_tokens
         self._step_ms = step_ms
+        self._read_tokens_per_ms = read_tokens_per_ms
         self._at = at
         self._start = 0
         self._reads: list[Reading] = []
@@ -150,7 +155,7 @@
             self._held.popitem(last=False)
         slower = DECODE_READ_SLOWDOWN if self.phase is Phase.DECODE else 1.0
         pairs_ms = PAIR_MS * new * prompt.input_tokens
-        return slower * (READ_FIXED_MS + new / READ_TOKENS_PER_MS + pairs_ms)
+        return slower * (READ_FIXED_MS + new / self._read_tokens_per_ms + pairs_ms)
 
     def _next_stream(self) -> None:
         while self._waiting and len(self._streams) < self.target.slots:
--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -236,7 +236,13 @@
             deployment.slots,
             phase=Phase.DECODE if decoding else Phase.PREFILL,
         )
-        return Engine(target, deployment.memory_tokens, deployment.step_ms, self._at)
+        return Engine(
+            target,
+            deployment.memory_tokens,
+            deployment.step_ms,
+            deployment.read_tokens_per_ms,
+            self._at,
+        )
 
     def _every(self, pause_s: float, until: float, step: Callable[[], None]) -> None:
         def again() -> None:
--- a/replay/_load.py
+++ b/replay/_load.py
@@ -43,7 +43,14 @@
 
 
 class Deployment(Struct, frozen=True):
-    """Fleet and the requests that it gets at single load."""
+    """Fleet and the requests that it gets at single load.
+
+    Parameters
+    ----------
+    read_tokens_per_ms : float
+        Prompt tokens that an engine reads in a millisecond, fitted to the logs of days
+        of the users' bench; the sheets name slightly more.
+    """
 
     entries: int
     engines: int
@@ -51,6 +58,7 @@
     slots: int
     memory_tokens: float
     step_ms: float
+    read_tokens_per_ms: float
     switch_s: float
     kinds: dict[str, Kind]
 
