Let requests that will be late yield to those that can be on time

Cause: in the replay of bursts the queue of long prompts stood at the patience of the callers: each one waited, was late, and made the ones after it late.

Change: a request that is expected to be late because of the wait, with a share for more urgent ones that will overtake it, gets the rank of late requests.

--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -16,6 +16,7 @@
     Work,
     WorkKind,
 )
+from wigeonspan.placing._placer import LATE_URGENCY
 from wigeonspan.targets import Phase, Target, TargetId
 
 SERVICE = ServiceName("models")
@@ -279,3 +280,17 @@
     monkeypatch.setattr(Throughput, "slowness", counted)
     assert isinstance(placer.plan(route(), prompt(), targets, 10.0, 10.5), Plan)
     assert calls < 4 * engines
+
+
+def test_request_that_will_be_late_yields_to_those_that_can_be_on_time():
+    """It kept its rank and made others late, too."""
+    placer = Placer(DomainName("a"), random.Random(1))
+    targets = fleet(1, 1)
+    alone = placer.plan(route(), prompt(), targets, 10.0, 10.0)
+    for n in range(6):
+        work = Work(f"w{n}", HostId("h"), TargetId("p0"), WorkKind.PREFILL, 150.0, 2)
+        placer.ledger.begin(work, 10.0)
+    behind = placer.plan(route(), prompt(), targets, 10.0, 10.0)
+    assert alone.urgency < LATE_URGENCY
+    assert behind.urgency == LATE_URGENCY
+    assert behind.first_ms > 900.0
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -87,6 +87,13 @@
 LATE_URGENCY = 5
 """Rank of a request that cannot be on time: it yields to those that can."""
 
+OVERTAKEN_SHARE = 0.75
+"""Share by which a wait grows because of more urgent requests that are yet to come,
+from `OVERTAKEN_RANK` on; replays with 0.5 and 1.0 differ little."""
+
+OVERTAKEN_RANK = 2
+"""Rank from which requests that come later often go first."""
+
 MOST_URGENCY = 9
 """Largest rank that engines know."""
 
@@ -165,12 +172,19 @@
         costs = {t.target: self.read_ms(t, prompt, now) for t in readers or writers}
         urgency = self._urgency(route, costs, elapsed_s)
         left_ms = (route.objective_s - elapsed_s) * 1000.0
-        split = self._split(readers, writers, prompt, costs, urgency, left_ms, now)
-        direct = self._direct(writers, prompt, urgency, now, alone=not readers)
-        options = [plan for plan in (split, direct) if plan is not None]
-        if not options:
+
+        def best(urgency: int) -> Plan | None:
+            split = self._split(readers, writers, prompt, costs, urgency, left_ms, now)
+            direct = self._direct(writers, prompt, urgency, now, alone=not readers)
+            options = [plan for plan in (split, direct) if plan is not None]
+            return min(options, key=_compared_ms, default=None)
+
+        plan = best(urgency)
+        if plan is not None and _will_be_late(plan, left_ms):
+            # It would only make those late that can still be on time.
+            plan = best(LATE_URGENCY)
+        if plan is None:
             return Refusal(Limit.NO_ENGINE, "no engine is available", 1.0)
-        plan = min(options, key=_compared_ms)
         budget_s = min(patience_s(route), left_s)
         if plan.first_ms > budget_s * 1000.0 * LOST_SHARE:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
@@ -355,3 +369,11 @@
 
 def _compared_ms(plan: Plan) -> float:
     return plan.first_ms * (DIRECT_PRICE if plan.decision is Decision.DIRECT else 1.0)
+
+
+def _will_be_late(plan: Plan, left_ms: float) -> bool:
+    """Whether a request that can be on time by itself is late because of its wait."""
+    if plan.urgency >= LATE_URGENCY:
+        return False
+    overtaken = OVERTAKEN_SHARE if plan.urgency >= OVERTAKEN_RANK else 0.0
+    return plan.first_ms + overtaken * plan.wait_ms > left_ms
