Let only long prompts yield, and not the largest of a route

Change: a prompt yields when it takes more work than the usual one of all routes and is not among the largest of its own route.

--- a/replay/__main__.py
+++ b/replay/__main__.py
@@ -53,7 +53,8 @@
         lines.append(
             f"{name}: {kind.asked} asked, served {kind.served:.3f}, on time "
             f"{kind.on_time:.3f}, refused {kind.refused:.3f}, left {kind.left:.3f}, "
-            f"largest served {kind.largest_served:.3f}, decided after "
+            f"largest served {kind.largest_served:.3f}, on time "
+            f"{kind.largest_on_time:.3f}, decided after "
             f"{kind.decided_s * 1000:.0f} ms"
         )
     return "\n".join(lines)
--- a/replay/_figures.py
+++ b/replay/_figures.py
@@ -26,6 +26,7 @@
     refused: float
     left: float
     largest_served: float
+    largest_on_time: float
     decided_s: float
 
 
@@ -83,6 +84,7 @@
         _share(outcomes, lambda each: each.end is End.REFUSED),
         _share(outcomes, lambda each: each.end is End.LEFT),
         _share(largest, _is_served),
+        _share(largest, lambda each: each.end is End.ON_TIME),
         decided[len(decided) // 2] if decided else 0.0,
     )
 
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -283,9 +283,11 @@
 
 
 def test_request_that_will_be_late_yields_to_those_that_can_be_on_time():
-    """It kept its rank and made others late, too."""
+    """It kept its rank and made others late, too; short and largest prompts keep it."""
     placer = Placer(DomainName("a"), random.Random(1))
     targets = fleet(1, 1)
+    for tokens in (1000, 6000):
+        placer.plan(route(), prompt(tokens), targets, 10.0, 10.0)
     alone = placer.plan(route(), prompt(), targets, 10.0, 10.0)
     for n in range(6):
         work = Work(f"w{n}", HostId("h"), TargetId("p0"), WorkKind.PREFILL, 150.0, 2)
@@ -294,3 +296,6 @@
     assert alone.urgency < LATE_URGENCY
     assert behind.urgency == LATE_URGENCY
     assert behind.first_ms > 900.0
+    for tokens in (500, 19_000):
+        kept = placer.plan(route(), prompt(tokens), targets, 10.0, 10.0)
+        assert kept.urgency < LATE_URGENCY
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -10,6 +10,7 @@
 from wigeonspan.placing._ledger import WorkKind, WorkLedger
 from wigeonspan.placing._messages import Decision, Limit, Plan, Prompt, Refusal
 from wigeonspan.placing._prefixes import PrefixBook
+from wigeonspan.placing._sizes import WorkSizes
 from wigeonspan.placing._speed import SpeedBook
 from wigeonspan.targets import Phase, Target, TargetId
 
@@ -117,6 +118,7 @@
         self._domain = domain
         self._rng = rng
         self._handoff_ms = HANDOFF_MS
+        self._sizes = WorkSizes()
         self.ledger = WorkLedger()
         self.prefixes = PrefixBook(400_000.0)
         self.speeds = SpeedBook()
@@ -180,9 +182,11 @@
             return min(options, key=_compared_ms, default=None)
 
         plan = best(urgency)
-        if plan is not None and _will_be_late(plan, left_ms):
-            # It would only make those late that can still be on time.
-            plan = best(LATE_URGENCY)
+        if plan is not None:
+            self._sizes.note(route.name, plan.work_ms)
+            if self._yields(route, plan) and _will_be_late(plan, left_ms):
+                # It would only make those late that can still be on time.
+                plan = best(LATE_URGENCY)
         if plan is None:
             return Refusal(Limit.NO_ENGINE, "no engine is available", 1.0)
         budget_s = min(patience_s(route), left_s)
@@ -191,6 +195,17 @@
             return Refusal(Limit.TIME, reason, self._come_back_s(plan, route))
         return plan
 
+    def _yields(self, route: Route, plan: Plan) -> bool:
+        """Whether a prompt has to yield when it will be late.
+
+        Short prompts gain others little time. The largest ones of a route would yield
+        most often and hardly be served.
+        """
+        work_ms = plan.work_ms
+        return self._sizes.is_long(work_ms) and not self._sizes.is_largest(
+            route.name, work_ms
+        )
+
     def choose_decode(
         self,
         targets: Sequence[Target],
