--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,10 +11,14 @@
 
 import fire  # noqa: E402
 
+from soak._checks import Break  # noqa: E402
 from soak._day import Result  # noqa: E402
-from soak._report import describe, write_report  # noqa: E402
+from soak._report import describe, save_result, write_report  # noqa: E402
 from soak._schedule import make_schedule  # noqa: E402
 
+ERRORS_FILE = "errors"
+"""What a day's own process wrote to standard error."""
+
 REGRESSIONS = Path(__file__).parent / "regressions.txt"
 """Seeds that failed once, one a line, each with its cause."""
 
@@ -91,10 +95,19 @@
 async def _run_one(seed: int, folder: Path) -> Result:
     """Run a seed in a process of its own, so that days do not slow each other."""
     where = folder / str(seed)
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "soak._one", str(seed), str(where), cwd=ROOT
-    )
-    await process.wait()
+    where.mkdir(parents=True, exist_ok=True)
+    with open(where / ERRORS_FILE, "wb") as errors:
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "soak._one", str(seed), str(where)),
+            cwd=ROOT,
+            stderr=errors,
+        )
+        await process.wait()
+    if process.returncode:
+        # The soak failed, not the programs; the day counts as broken all the same.
+        text = f"the day ended with status {process.returncode}"
+        broken = [Break("soak", "soak", text)]
+        save_result(Result(make_schedule(seed), broken, where, 0, 0, 0.0))
     return write_report(where)
 
 
