--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -255,9 +255,9 @@
     acknowledged = [
         each.version for each in evidence.stored if each.acknowledged_at is not None
     ]
-    last = evidence.last_version
-    if last is None or last not in versions or last < max(acknowledged, default=0):
-        text = f"holds {last} at the end, acknowledged is {max(acknowledged)}"
+    last, newest = evidence.last_version, max(acknowledged, default=0)
+    if last is None or last not in versions or last < newest:
+        text = f"holds {last} at the end, acknowledged is {newest}"
         yield Break("configuration kept", "control", text)
     for each in evidence.stored:
         if each.valid and each.refused:
