--- a/soak/_launch.py
+++ b/soak/_launch.py
@@ -16,7 +16,7 @@
 import time  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 from pathlib import Path  # noqa: E402
-from typing import TypeVar  # noqa: E402
+from threading import Thread  # noqa: E402
 
 import msgspec  # noqa: E402
 
@@ -37,7 +37,8 @@
 READ_EVERY_S = 0.05
 """Seconds for which the file's content is kept."""
 
-T = TypeVar("T")
+PARENT_S = 0.5
+"""Seconds between two looks at whether the parent process is still there."""
 
 
 class Trouble(msgspec.Struct):
@@ -197,8 +198,21 @@
             raise OSError(errno.ENOSPC, "no space left on the disk")
 
 
+def end_with_parent() -> None:
+    """End this process when the day that started it is gone, however that ended."""
+    parent = os.getppid()
+
+    def watch() -> None:
+        while os.getppid() == parent:
+            time.sleep(PARENT_S)
+        os._exit(1)
+
+    Thread(target=watch, daemon=True).start()
+
+
 def main() -> None:
     """Run the program that the first argument names."""
+    end_with_parent()
     path, bind = os.environ[SETTINGS_VARIABLE], os.environ[BIND_VARIABLE]
     trouble = TroubleFile(os.environ[TROUBLE_VARIABLE])
     if sys.argv[1] == "gateway":
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -211,6 +211,7 @@
         {"last_version": None},
         {"last_version": 0},
         {"last_version": 7},
+        {"last_version": None, "stored": []},
         {"stored": [Stored(1, 0.0, refused=True)]},
         {"stored": [Stored(1, 0.0, valid=False, acknowledged_at=1.0)]},
     ],
