Give the stand-in's replicas their phase in the product's terms

Cause: the soak named the platform's stages.

Change: replicas take a Phase; the stand-in translates.

--- a/soak/_world.py
+++ b/soak/_world.py
@@ -27,6 +27,7 @@
 from soak._proxy import Link
 from soak._schedule import Schedule
 from wigeonspan.common import ServiceName
+from wigeonspan.targets import Phase
 
 MODELS = ServiceName("models")
 APPS = ServiceName("apps")
@@ -122,7 +123,7 @@
             f"z{number % 3}",
             self.evidence.journal,
             self._rng,
-            stage="prefill" if service == MODELS else None,
+            phase=Phase.PREFILL if service == MODELS else Phase.NONE,
             slots=SLOTS,
         )
         link = Link(name, outside, inside)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -12,6 +12,8 @@
 
 from standin import InstanceList, Journal, Machine, Replica
 
+from wigeonspan.targets import Phase
+
 # An address range of its own for each test process.
 NET = f"127.{64 + os.getpid() % 128}"
 LIST_ADDRESS = f"{NET}.2.1:17165"
@@ -24,11 +26,8 @@
 
     def __init__(self):
         self.journal = Journal()
-        kinds = [("models", "prefill"), ("models", "decode"), ("models", "decode")]
-        self.replicas = [
-            self._make(number, *kind)
-            for number, kind in enumerate([*kinds, ("app", None)], 1)
-        ]
+        phases = (Phase.PREFILL, Phase.DECODE, Phase.DECODE, Phase.NONE)
+        self.replicas = [self._make(n, phase) for n, phase in enumerate(phases, 1)]
         self._list = InstanceList(
             LIST_ADDRESS, lambda: [replica.entry for replica in self.replicas]
         )
@@ -49,17 +48,17 @@
         # Cancelled work ends in the rounds of the loop before it stops.
         self._loop.call_later(0.1, self._loop.stop)
 
-    def _make(self, number, service, stage):
+    def _make(self, number, phase):
         address = f"{NET}.3.{number}:{REPLICA_PORT}"
         return Replica(
             f"i-{number}",
-            service,
+            "app" if phase is Phase.NONE else "models",
             address,
             address,
             "z1",
             self.journal,
             random.Random(number),
-            stage=stage,
+            phase=phase,
         )
 
     def _run(self):
