--- a/soak/_world.py
+++ b/soak/_world.py
@@ -232,6 +232,9 @@
         for host in (*self.controls, *self.entries):
             if host.removed or host.planned_end or host.machine.is_running:
                 continue
+            if not host.starts:
+                # It was made and is about to be started.
+                continue
             process = host.machine.process
             code = process.returncode if process is not None else None
             self.evidence.own_ends.append(f"{host.name} ended with status {code}")
