--- a/replay/_figures.py
+++ b/replay/_figures.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
-from replay._fleet import End, Outcome
 from replay._load import Deployment
+from replay._messages import End, Outcome
 
 BASE_CREDIT = 0.3
 """Part of a request's credit that does not depend on its size."""
