Split the soak's checks and keep one way to end with the parent

Change: checks of requests and of the fleet, a module for what they share, _parent.py, the path in the package; the retry ratio is named once.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,15 +6,13 @@
 import time
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
-sys.path[:0] = [str(ROOT / "platform")]
+import fire
 
-import fire  # noqa: E402
-
-from soak._checks import Break  # noqa: E402
-from soak._day import Result  # noqa: E402
-from soak._report import describe, save_result, write_report  # noqa: E402
-from soak._schedule import make_schedule  # noqa: E402
+from soak import ROOT
+from soak._day import Result
+from soak._report import describe, save_result, write_report
+from soak._schedule import make_schedule
+from soak._verdict import Break
 
 ERRORS_FILE = "errors"
 """What a day's own process wrote to standard error."""
--- a/soak/_day.py
+++ b/soak/_day.py
@@ -8,12 +8,13 @@
 
 from msgspec import Struct
 
-from soak._checks import Break, judge
+from soak._checks import judge
 from soak._evidence import Evidence, Scope
 from soak._faults import Faults
 from soak._operators import Operators
 from soak._schedule import JUDGED_S, RECOVERY_S, Schedule
 from soak._traffic import Traffic
+from soak._verdict import Break
 from soak._world import World
 
 READY_S = 40.0
--- a/soak/_launch.py
+++ b/soak/_launch.py
@@ -16,15 +16,11 @@
 import time  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 from pathlib import Path  # noqa: E402
-from threading import Thread  # noqa: E402
 
 import msgspec  # noqa: E402
-
-ROOT = Path(__file__).resolve().parent.parent
-sys.path[:0] = [str(ROOT / "platform"), str(ROOT)]
-
 from adapter import SETTINGS_VARIABLE  # noqa: E402
 
+from soak._parent import end_with_parent  # noqa: E402
 from wigeonspan.common import BootClock, Clock, SystemClock  # noqa: E402
 from wigeonspan.consensus import FolderDisk  # noqa: E402
 
@@ -37,9 +33,6 @@
 READ_EVERY_S = 0.05
 """Seconds for which the file's content is kept."""
 
-PARENT_S = 0.5
-"""Seconds between two looks at whether the parent process is still there."""
-
 
 class Trouble(msgspec.Struct):
     """What is wrong with a process's clock and disk."""
@@ -198,18 +191,6 @@
             raise OSError(errno.ENOSPC, "no space left on the disk")
 
 
-def end_with_parent() -> None:
-    """End this process when the day that started it is gone, however that ended."""
-    parent = os.getppid()
-
-    def watch() -> None:
-        while os.getppid() == parent:
-            time.sleep(PARENT_S)
-        os._exit(1)
-
-    Thread(target=watch, daemon=True).start()
-
-
 def main() -> None:
     """Run the program that the first argument names."""
     end_with_parent()
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -38,6 +38,9 @@
 SLOTS = 6
 """Streams that an engine runs at once; few, so that the fleet's phases change."""
 
+RETRY_RATIO = 0.2
+"""Repeats for each request that are allowed, as in the deployments."""
+
 RETRY_MINIMUM = 8
 """Repeats that are always allowed in a window; few, so that the budget binds."""
 
@@ -79,7 +82,7 @@
         self.schedule = schedule
         self.evidence = Evidence(
             Journal(),
-            retry_ratio=0.2,
+            retry_ratio=RETRY_RATIO,
             retry_minimum=RETRY_MINIMUM,
         )
         self.targets: list[Replica] = []
@@ -146,7 +149,7 @@
             outside,
             f"z{number % 3}",
             self._list_address,
-            Bounds(self.schedule.losses, 0.2, RETRY_MINIMUM),
+            Bounds(self.schedule.losses, RETRY_RATIO, RETRY_MINIMUM),
             command=[sys.executable, "-m", "soak._launch", role.value],
             environment={BIND_VARIABLE: inside, TROUBLE_VARIABLE: str(trouble)},
         )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -171,7 +171,7 @@
     ("disturbed", "broken"),
     [(None, True), (Scope.HOST, False), (Scope.LIST, False), (Scope.CORE, False)],
 )
-def test_work_for_a_leaving_target_is_seen_of_hosts_in_touch(disturbed, broken):
+def test_work_for_a_leaving_target_is_seen_of_undisturbed_hosts(disturbed, broken):
     """It would be cut when the target stops."""
     evidence = make_evidence(departures=[Departure("t", 6.0)])
     if disturbed is not None:
@@ -188,7 +188,7 @@
 
 
 def test_entry_that_goes_back_is_seen():
-    """Also when it is not in touch."""
+    """Also when it is disturbed."""
     probes = [
         Probe(1.0, 1.1, ENTRY, 1, 1, True),
         Probe(9.0, 9.1, ENTRY, 1, 1, False),
