--- /dev/null
+++ b/tests/coordinator/test_heartbeats.py
@@ -0,0 +1,48 @@
+"""What control hosts tell entries."""
+
+import pytest
+
+from wigeonspan.common import DomainName, HostId, ManualClock
+from wigeonspan.coordinator._heartbeats import Heartbeats
+from wigeonspan.fleetconfig import StoredConfig
+from wigeonspan.presence import Beat, EntryInfo, EntryState, unpack
+from wigeonspan.staging import DemandMeter
+
+STORED = StoredConfig(3, b"{}")
+
+
+def beat(name, version=0, *, wants_changes=True, relay="", digest=""):
+    host, domain = HostId(name), DomainName("a")
+    entry = EntryInfo(host, domain, f"{name}:80", f"{name}:81", EntryState.READY)
+    return Beat(entry, version, digest, wants_changes, relay=relay)
+
+
+@pytest.fixture
+def heartbeats():
+    return Heartbeats("c1:1", DomainName("a"), ManualClock(), DemandMeter())
+
+
+def test_entry_that_asks_gets_what_has_changed(heartbeats):
+    """The configuration and the entries, each until it holds them."""
+    first = heartbeats.take(beat("e1"), STORED, ["c1:1"], [])
+    assert unpack(first.config, StoredConfig) == STORED
+    assert unpack(first.entries, list[EntryInfo]) == [beat("e1").entry]
+    again = beat("e1", 3, digest=first.entries_digest)
+    second = heartbeats.take(again, STORED, ["c1:1"], [])
+    assert (second.config, second.entries) == (None, None)
+
+
+def test_entry_that_does_not_ask_gets_the_version_only(heartbeats):
+    """Every control host sent everything to every entry."""
+    reply = heartbeats.take(beat("e1", wants_changes=False), STORED, ["c1:1"], [])
+    assert (reply.config, reply.entries) == (None, None)
+    assert reply.config_version == 3
+
+
+def test_relay_serves_its_own_entries_and_knows_the_others(heartbeats):
+    """A bundle goes to each entry once, through one relay."""
+    for entry in (beat("e1", relay="c1:1"), beat("e2", relay="c2:1"), beat("e3")):
+        heartbeats.take(entry, STORED, ["c1:1"], [])
+    assert heartbeats.relayed_entries() == ["e1:81"]
+    assert heartbeats.other_relays() == ["c2:1"]
+    assert heartbeats.live_entries == 3
--- /dev/null
+++ b/tests/gateway/test_failures.py
@@ -0,0 +1,24 @@
+"""What a caller is told of a request that was not answered."""
+
+import pytest
+
+from wigeonspan.common import ErrorKind, Ran
+from wigeonspan.gateway._failures import describe_failure
+
+
+@pytest.mark.parametrize(
+    ("ran", "over", "kind"),
+    [
+        (False, False, ErrorKind.NO_TARGET),
+        (False, True, ErrorKind.NO_TARGET),
+        (True, False, ErrorKind.TARGET_FAILED),
+        (True, True, ErrorKind.DEADLINE_EXCEEDED),
+    ],
+)
+def test_request_that_may_have_run_is_not_called_not_run(ran, over, kind):
+    """Its caller would send it again."""
+    error = describe_failure("lost", ran=ran, over=over)
+    assert error.kind is kind
+    if ran:
+        assert error.ran is not Ran.NO
+        assert error.status in (502, 504)
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -22,18 +22,13 @@
 from wigeonspan.coordinator._cache import CommittedCache
 from wigeonspan.coordinator._group import JOIN_PATH, Group
 from wigeonspan.coordinator._handlers import BeatHandler, JoinHandler, MetricsHandler
+from wigeonspan.coordinator._heartbeats import Heartbeats
 from wigeonspan.coordinator._membership import Candidate
 from wigeonspan.coordinator._settings import CoordinatorSettings
 from wigeonspan.fleetconfig import ConfigMachine, StoredConfig, encode_store
 from wigeonspan.http import make_client
 from wigeonspan.pool import ConnectionPool
-from wigeonspan.presence import (
-    BEAT_PATH,
-    Beat,
-    BeatReply,
-    EntryBoard,
-    pack_once,
-)
+from wigeonspan.presence import BEAT_PATH, Beat, BeatReply
 from wigeonspan.serving import RequestServer, Serve
 from wigeonspan.sharing import Relay
 from wigeonspan.staging import Authority, DemandMeter, OrderPort, StagingTask
@@ -94,9 +89,6 @@
         self._trail = open_trail(settings.host, clock)
         self._meters = Meters()
         self._machine = ConfigMachine()
-        self._board = EntryBoard()
-        self._pack_config = pack_once()
-        self._pack_entries = pack_once()
         self._pool = ConnectionPool(clock)
         self._client = make_client(MAX_CLIENTS)
         name = HostId(settings.address)
@@ -121,7 +113,8 @@
         self._cache = CommittedCache(make_disk(f"{settings.folder}/committed"))
         # Committed configuration for entries, also from before a restart.
         self._committed = self._cache.read()
-        self._meter = DemandMeter()
+        meter = DemandMeter()
+        self._heartbeats = Heartbeats(settings.address, settings.domain, clock, meter)
         self._staging = StagingTask(
             settings.host,
             clock,
@@ -129,10 +122,12 @@
             self._trail,
             self._authority,
             lambda: read_listing(self._pool, self._trail),
-            self._meter,
+            meter,
             self._meters,
         )
-        self._relay = Relay(self._relayed_entries, self._other_relays)
+        self._relay = Relay(
+            self._heartbeats.relayed_entries, self._heartbeats.other_relays
+        )
         self._servers: list[RequestServer] = []
         self._http = HTTPServer(self._internal_routes())
         self._tasks: list[asyncio.Task[None]] = []
@@ -248,7 +243,9 @@
             ``NO_TARGET`` when none is known.
         """
         now = self._clock.now()
-        addresses = self._board.addresses(domain, MOST_ADDRESSES, self._rng, now)
+        addresses = self._heartbeats.board.addresses(
+            domain, MOST_ADDRESSES, self._rng, now
+        )
         if not addresses or now - self._started_at < LISTEN_S:
             raise WigeonspanError(ErrorKind.NO_TARGET, "no entry is known yet")
         return addresses
@@ -267,40 +264,14 @@
         )
 
     def _take_beat(self, beat: Beat) -> BeatReply:
-        now = self._clock.now()
-        self._board.record(beat, now)
-        for service, read_ms in beat.read_ms.items():
-            stream_s = beat.stream_s.get(service, 0.0)
-            self._meter.note(beat.entry.host, service, read_ms, stream_s, now)
-        digest = self._board.digest(now)
         stored = max(self.stored, self._committed, key=lambda c: c.version)
-        is_newer = stored.version > beat.config_version
-        has_changed = digest != beat.entries_digest
-        return BeatReply(
-            config_version=stored.version,
-            config=self._pack_config(stored.version, stored)
-            if beat.whole and is_newer
-            else None,
-            entries=self._pack_entries(digest, self._board.live(now))
-            if beat.whole and has_changed
-            else None,
-            entries_digest=digest,
-            controls=[member.address for member in self._log.members],
-            domain=self._settings.domain,
-            switching=self._staging.switching,
+        return self._heartbeats.take(
+            beat,
+            stored,
+            [member.address for member in self._log.members],
+            self._staging.switching,
         )
 
-    def _relayed_entries(self) -> list[str]:
-        """Return the datagram addresses of the entries that use this host's relay."""
-        own = self._settings.address
-        beats = self._board.beats(self._clock.now())
-        return [beat.entry.peer_address for beat in beats if beat.relay == own]
-
-    def _other_relays(self) -> list[str]:
-        """Return the addresses of the relays that other entries use."""
-        beats = self._board.beats(self._clock.now())
-        return sorted({beat.relay for beat in beats} - {"", self._settings.address})
-
     def _authority(self) -> Authority | None:
         """Return the right to order engines, well within this leader's lease.
 
@@ -334,7 +305,7 @@
         meters.gauge("lease_left_seconds", self._lease_left_s())
         meters.gauge("log_lines_left_out", self._trail.left_out)
         meters.gauge("engines_changing", len(self._staging.switching))
-        meters.gauge("entries_live", float(len(self._board.live(self._clock.now()))))
+        meters.gauge("entries_live", self._heartbeats.live_entries)
         return meters.text()
 
     def _lease_left_s(self) -> float:
--- /dev/null
+++ b/wigeonspan/coordinator/_heartbeats.py
@@ -0,0 +1,91 @@
+"""Heartbeats of entries: who is alive, and what each is told; without I/O."""
+
+from wigeonspan.common import Clock, DomainName
+from wigeonspan.fleetconfig import StoredConfig
+from wigeonspan.presence import Beat, BeatReply, EntryBoard, pack_once
+from wigeonspan.staging import DemandMeter
+from wigeonspan.targets import TargetId
+
+
+class Heartbeats:
+    """Heartbeats that one control host gets.
+
+    Parameters
+    ----------
+    address : str
+        Internal address of the host.
+    domain : DomainName
+        Failure domain of the host.
+    meter : DemandMeter
+        Takes the demand that entries report.
+    """
+
+    def __init__(
+        self, address: str, domain: DomainName, clock: Clock, meter: DemandMeter
+    ) -> None:
+        self._address = address
+        self._domain = domain
+        self._clock = clock
+        self._meter = meter
+        self._board = EntryBoard()
+        self._pack_config = pack_once()
+        self._pack_entries = pack_once()
+
+    @property
+    def board(self) -> EntryBoard:
+        """Entries by name, with the time of their last heartbeat."""
+        return self._board
+
+    @property
+    def live_entries(self) -> int:
+        """Number of entries that count as alive."""
+        return len(self._board.live(self._clock.now()))
+
+    def take(
+        self,
+        beat: Beat,
+        stored: StoredConfig,
+        controls: list[str],
+        switching: list[TargetId],
+    ) -> BeatReply:
+        """Note a heartbeat and return its answer.
+
+        Parameters
+        ----------
+        stored : StoredConfig
+            Newest committed configuration.
+        controls : list of str
+            Internal addresses of the control group's members.
+        switching : list of TargetId
+            Engines whose phase is changing.
+        """
+        now = self._clock.now()
+        self._board.record(beat, now)
+        for service, read_ms in beat.read_ms.items():
+            stream_s = beat.stream_s.get(service, 0.0)
+            self._meter.note(beat.entry.host, service, read_ms, stream_s, now)
+        digest = self._board.digest(now)
+        config = entries = None
+        if beat.wants_changes and stored.version > beat.config_version:
+            config = self._pack_config(stored.version, stored)
+        if beat.wants_changes and digest != beat.entries_digest:
+            entries = self._pack_entries(digest, self._board.live(now))
+        return BeatReply(
+            config_version=stored.version,
+            config=config,
+            entries=entries,
+            entries_digest=digest,
+            controls=controls,
+            domain=self._domain,
+            switching=switching,
+        )
+
+    def relayed_entries(self) -> list[str]:
+        """Return the datagram addresses of the entries that use this host's relay."""
+        beats = self._board.beats(self._clock.now())
+        return [b.entry.peer_address for b in beats if b.relay == self._address]
+
+    def other_relays(self) -> list[str]:
+        """Return the addresses of the relays that other entries use."""
+        beats = self._board.beats(self._clock.now())
+        return sorted({beat.relay for beat in beats} - {"", self._address})
--- a/wigeonspan/gateway/_beats.py
+++ b/wigeonspan/gateway/_beats.py
@@ -44,8 +44,8 @@
     controls : ControlBook
         Control hosts as this entry sees them.
     make_beat : callable
-        Returns the heartbeat to send now from the digest of the entries, whether the
-        whole answer is wanted, and the relay.
+        Returns the heartbeat to send now from the digest of the entries, whether
+        changes are wanted, and the relay.
     note_entries : callable
         Takes the live entries when they have changed.
     note_switching : callable
@@ -116,9 +116,9 @@
 
     async def _beat(self, address: str) -> None:
         held, now = self._config.version, self._clock.now()
-        whole = self._controls.wants_whole(address, held, now)
+        wants_changes = self._controls.wants_changes(address, held, now)
         digest = self._digests.get(address, "")
-        beat = self._make_beat(digest, whole, self._controls.relay)
+        beat = self._make_beat(digest, wants_changes, self._controls.relay)
         request = encode_message(address, BEAT_PATH, beat)
         try:
             head, body = await self._pool.fetch(address, request, TIMEOUT_S)
@@ -126,7 +126,7 @@
                 detail = decode(body, ErrorBody).error
                 raise WigeonspanError(detail.kind, detail.message)
             reply = decode(body, BeatReply)
-            self._take_whole(address, reply)
+            self._take_changes(address, reply)
         except (ExchangeFailed, WigeonspanError, BadValue) as error:
             if self._controls.unanswered(address):
                 self._trail.note(
@@ -136,7 +136,7 @@
             return
         self._take(address, reply)
 
-    def _take_whole(self, address: str, reply: BeatReply) -> None:
+    def _take_changes(self, address: str, reply: BeatReply) -> None:
         """Take what has changed.
 
         Raises
--- a/wigeonspan/gateway/_controls.py
+++ b/wigeonspan/gateway/_controls.py
@@ -103,7 +103,7 @@
         self._choose_relay()
         return lost
 
-    def wants_whole(self, address: str, held: int, now: float) -> bool:
+    def wants_changes(self, address: str, held: int, now: float) -> bool:
         """Whether a host should send what has changed with its next answer.
 
         One host does, since every host has the same; another one steps in when it
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -230,14 +230,21 @@
             parts.trail.flush()
             await asyncio.sleep(HOUSEKEEPING_S)
 
-    def _make_beat(self, digest: str, whole: bool, relay: str) -> Beat:
+    def _make_beat(self, digest: str, wants_changes: bool, relay: str) -> Beat:
         settings = self._settings
         entry = EntryInfo(
             settings.host, settings.domain, settings.front, settings.peer, self._state
         )
         parts = self._parts
-        version = parts.config.version
-        return Beat(entry, version, digest, whole, parts.read_ms, parts.stream_s, relay)
+        return Beat(
+            entry,
+            parts.config.version,
+            digest,
+            wants_changes,
+            parts.read_ms,
+            parts.stream_s,
+            relay,
+        )
 
     def _note_entries(self, entries: list[EntryInfo]) -> None:
         own = self._settings.host
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -1,9 +1,10 @@
 """Generations: read the prompt at one engine, stream the answer from another."""
 
-from wigeonspan.common import ErrorKind, Ran, ServiceName, WigeonspanError
+from wigeonspan.common import ErrorKind, ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import Route
 from wigeonspan.gateway._attempt import sending, within
 from wigeonspan.gateway._events import EventSplitter, StreamPosition
+from wigeonspan.gateway._failures import describe_failure
 from wigeonspan.gateway._messages import CallerRequest, Handle, Send, TargetOutcome
 from wigeonspan.gateway._parts import Parts
 from wigeonspan.placing import (
@@ -382,11 +383,8 @@
         )
 
     def _error(self, message: str) -> WigeonspanError:
-        if not self._runs:
-            return WigeonspanError(ErrorKind.NO_TARGET, message, retry_after_s=0.2)
-        if self._parts.clock.now() >= self._ends_at:
-            return WigeonspanError(ErrorKind.DEADLINE_EXCEEDED, message)
-        return WigeonspanError(ErrorKind.TARGET_FAILED, message, ran=Ran.UNKNOWN)
+        over = self._parts.clock.now() >= self._ends_at
+        return describe_failure(message, ran=self._runs > 0, over=over)
 
     def _exclude(self, engine: Target, event: str, **fields: object) -> None:
         self._excluded.add(engine.target)
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -2,9 +2,10 @@
 
 from msgspec import Struct
 
-from wigeonspan.common import ErrorKind, Ran, ServiceName, WigeonspanError
+from wigeonspan.common import ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import CallKind, Route
 from wigeonspan.gateway._attempt import sending, within
+from wigeonspan.gateway._failures import describe_failure
 from wigeonspan.gateway._messages import CallerRequest, Send, TargetOutcome
 from wigeonspan.gateway._parts import Parts
 from wigeonspan.placing import CALL_MS, WorkKind
@@ -143,11 +144,8 @@
         await caller.answer(answer.head.status, headers, answer.body)
 
     def _error(self, message: str) -> WigeonspanError:
-        if not self._runs:
-            return WigeonspanError(ErrorKind.NO_TARGET, message, retry_after_s=0.2)
-        if self._parts.clock.now() >= self._ends_at:
-            return WigeonspanError(ErrorKind.DEADLINE_EXCEEDED, message)
-        return WigeonspanError(ErrorKind.TARGET_FAILED, message, ran=Ran.UNKNOWN)
+        over = self._parts.clock.now() >= self._ends_at
+        return describe_failure(message, ran=self._runs > 0, over=over)
 
     def _note(self, event: str, target: TargetId, **fields: object) -> None:
         self._parts.trail.note(
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -90,7 +90,7 @@
 
 OVERTAKEN_SHARE = 0.75
 """Share by which a wait grows because of more urgent requests that are yet to come,
-from `OVERTAKEN_RANK` on; replays with 0.5 and 1.0 differ little."""
+from ``OVERTAKEN_RANK`` on; fitted to replays of bursts."""
 
 OVERTAKEN_RANK = 2
 """Rank from which requests that come later often go first."""
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -46,7 +46,7 @@
         Version that the entry holds; 0 when none.
     entries_digest : str
         Digest of the list of entries that it has from the asked host.
-    whole : bool
+    wants_changes : bool
         Whether the answer should bring the configuration and the list of entries when
         they have changed.
     read_ms : dict
@@ -61,7 +61,7 @@
     entry: EntryInfo
     config_version: int
     entries_digest: str
-    whole: bool = True
+    wants_changes: bool = True
     read_ms: dict[ServiceName, float] = {}
     stream_s: dict[ServiceName, float] = {}
     relay: str = ""
