--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -4,7 +4,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wigeonspan.gateway._events import EventSplitter, StreamEvent, StreamPosition
+from wigeonspan.gateway._events import (
+    MOST_EVENT_BYTES,
+    EventSplitter,
+    EventTooLarge,
+    StreamEvent,
+    StreamPosition,
+)
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nweight-versions: 3\nid: 3\ndata: c\n\n"
 
@@ -47,3 +53,27 @@
     """A second engine may begin before the last event that the caller has."""
     position = StreamPosition()
     assert [position.advance(StreamEvent(b"", i)) for i in ids] == passed
+
+
+@pytest.mark.parametrize("part", [b"data: a\n", b"x", b": ping\n"])
+def test_event_without_an_end_is_bounded(part):
+    """An engine in trouble sends bytes without end; they filled the memory."""
+    splitter = EventSplitter()
+    with pytest.raises(EventTooLarge):
+        for _ in range(2 * MOST_EVENT_BYTES):
+            splitter.feed(part)
+
+
+@pytest.mark.parametrize(
+    ("event", "has_data"),
+    [
+        (b"data: a\n\n", True),
+        (b"id: 1\ndata\n\n", True),
+        (b": ping\n\n", False),
+        (b"\n\n", False),
+        (b"id: 1\n\n", False),
+    ],
+)
+def test_comments_carry_no_data(event, has_data):
+    """Comments keep a connection alive but are no progress of the answer."""
+    assert [e.has_data for e in EventSplitter().feed(event)] == [has_data]
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -55,9 +55,17 @@
             raise
 
 
+def _echo(fields):
+    return ("Request-Id", fields.get("request-id", ""))
+
+
+def _unexpected(error):
+    raise error
+
+
 def answers(status, body=b"ok", headers=SIGNED):
     async def step(fields, caller):
-        await caller.answer(status, list(headers), body)
+        await caller.answer(status, [*headers, _echo(fields)], body)
 
     return step
 
@@ -76,7 +84,7 @@
 
 def streams(count, *, breaks=False):
     async def step(fields, caller):
-        await caller.begin(200, list(SIGNED))
+        await caller.begin(200, [*SIGNED, _echo(fields)])
         for n in range(int(fields.get("last-event-id", 0)) + 1, count + 1):
             await caller.send(f"id: {n}\ndata: {n}\n\n".encode())
             await asyncio.sleep(0.005)
@@ -99,6 +107,54 @@
         pass
 
 
+def start_gateway(route, engines, *, budget=50.0, seed=1):
+    """Start engines and a gateway; return its parts and all servers, its own last."""
+    clock, board, targets = SystemClock(), TargetBoard(), []
+    servers = []
+    for number, engine in enumerate(engines):
+        server = RequestServer(engine.serve, _unexpected)
+        address = f"{NET}.0.{number + 1}:18080"
+        server.listen(address)
+        servers.append(server)
+        targets.append(
+            Target(
+                TargetId(engine.name),
+                SERVICE,
+                address,
+                DomainName("d"),
+                8,
+                phase=engine.phase,
+            )
+        )
+    board.update(Listing(tuple(targets)), 1.0)
+    world["board"] = board
+    traits = EngineTraits(8, 100_000, 5.0, 3.0)
+    is_model = any(e.phase is not Phase.NONE for e in engines)
+    spec = ServiceSpec(SERVICE, "/health", 100, traits if is_model else None)
+    whole = FleetConfig(1, (route,), (spec,))
+    config = ConfigHolder(lambda document: whole, Nobody())
+    config.offer(StoredConfig(1, b""), "test")
+    parts = Parts(
+        host=HostId("e"),
+        clock=clock,
+        protocol=PlatformProtocol(),
+        config=config,
+        board=board,
+        placer=Placer(DomainName("d"), random.Random(seed)),
+        budget=RetryBudget(0.0, budget, 10.0),
+        pool=ConnectionPool(clock),
+        link=Nobody(),
+        trail=Nobody(),
+        meters=Meters(),
+    )
+    server = Server(parts, random.Random(1))
+    server.open()
+    front = RequestServer(server.serve, _unexpected)
+    front.listen(f"{NET}.1.1:18081")
+    servers.append(front)
+    return parts, servers
+
+
 def serve(
     route,
     engines,
@@ -113,49 +169,7 @@
     """Send requests through a gateway's server and return their answers."""
 
     async def run():
-        clock, board, targets = SystemClock(), TargetBoard(), []
-        servers = []
-        for number, engine in enumerate(engines):
-            server = RequestServer(engine.serve)
-            address = f"{NET}.0.{number + 1}:18080"
-            server.listen(address)
-            servers.append(server)
-            targets.append(
-                Target(
-                    TargetId(engine.name),
-                    SERVICE,
-                    address,
-                    DomainName("d"),
-                    8,
-                    phase=engine.phase,
-                )
-            )
-        board.update(Listing(tuple(targets)), 1.0)
-        world["board"] = board
-        traits = EngineTraits(8, 100_000, 5.0, 3.0)
-        is_model = any(e.phase is not Phase.NONE for e in engines)
-        spec = ServiceSpec(SERVICE, "/health", 100, traits if is_model else None)
-        whole = FleetConfig(1, (route,), (spec,))
-        config = ConfigHolder(lambda document: whole, Nobody())
-        config.offer(StoredConfig(1, b""), "test")
-        parts = Parts(
-            host=HostId("e"),
-            clock=clock,
-            protocol=PlatformProtocol(),
-            config=config,
-            board=board,
-            placer=Placer(DomainName("d"), random.Random(seed)),
-            budget=RetryBudget(0.0, budget, 10.0),
-            pool=ConnectionPool(clock),
-            link=Nobody(),
-            trail=Nobody(),
-            meters=Meters(),
-        )
-        server = Server(parts, random.Random(1))
-        server.open()
-        front = RequestServer(server.serve)
-        front.listen(f"{NET}.1.1:18081")
-        servers.append(front)
+        parts, servers = start_gateway(route, engines, budget=budget, seed=seed)
         sends = [send(number, usage, leave_after_s) for number in range(times)]
         if together:
             results = await asyncio.gather(*sends)
@@ -387,3 +401,114 @@
     engines = model([reads], [not_run])
     serve(route(STREAM), engines)
     assert any(method == "DELETE" for method, _, _ in engines[0].seen)
+
+
+def slow_stream(pauses_s):
+    """Send events with pauses; the last pause is before the end."""
+
+    async def step(fields, caller):
+        await caller.begin(200, [*SIGNED, _echo(fields)])
+        begin = int(fields.get("last-event-id", 0)) + 1
+        for n, pause_s in list(enumerate(pauses_s, 1))[begin - 1 :]:
+            await asyncio.sleep(pause_s)
+            await caller.send(f"id: {n}\ndata: {n}\n\n".encode())
+        await caller.finish()
+
+    return step
+
+
+def trickle(data, pause_s=0.2):
+    """Send one event, and then the same bytes for ever."""
+
+    async def step(fields, caller):
+        await caller.begin(200, [*SIGNED, _echo(fields)])
+        if not fields.get("last-event-id"):
+            await caller.send(b"id: 1\ndata: 1\n\n")
+        while not caller.gone:
+            await caller.send(data)
+            await asyncio.sleep(pause_s)
+
+    return step
+
+
+TRICKLES = {
+    "a byte now and then": b"x",
+    "comments": b": ping\n\n",
+    "half events": b"id: 2\ndata: 2\n",
+    "the same event": b"id: 1\ndata: 1\n\n",
+}
+
+
+@pytest.mark.parametrize("data", TRICKLES.values(), ids=TRICKLES)
+@pytest.mark.parametrize("pause_s", [0.0, 0.2])
+def test_stalled_stream_that_sends_bytes_goes_on_elsewhere(data, pause_s):
+    """Any byte counted as progress, so that such a stream was never resumed."""
+    engines = model([reads], [], [])
+    for engine in engines[1:]:
+        engine.script = [trickle(data, pause_s)]
+    engines[1].script = engines[2].script = [trickle(data, pause_s), streams(5)]
+    answer = serve(route(STREAM, resumable=True), engines)[0]
+    assert [answer.count(b"id: %d\n" % n) for n in range(1, 6)] == [1] * 5
+    assert answer.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("data", TRICKLES.values(), ids=TRICKLES)
+def test_stalled_stream_that_may_not_run_twice_ends(data):
+    """It ends with the caller's time, and not as a complete answer."""
+    engines = model([reads], [trickle(data)], [trickle(data)])
+    answer = serve(route(STREAM), engines)[0]
+    assert not answer.endswith(b"0\r\n\r\n")
+    assert len(engines[1].seen) + len(engines[2].seen) == 1
+
+
+def test_slow_but_sound_stream_is_not_cut():
+    """A stream at a tenth of its usual pace is served by its engine to the end."""
+    engines = model([reads], [slow_stream([0.4] * 4)], [slow_stream([0.4] * 4)])
+    answer = serve(route(STREAM, resumable=True), engines)[0]
+    assert answer.count(b"data: ") == 4 and answer.endswith(b"0\r\n\r\n")
+    assert len(engines[1].seen) + len(engines[2].seen) == 1
+
+
+@pytest.mark.parametrize("size", range(1, 15))
+def test_stream_without_length_that_ends_in_an_event_is_not_complete(size):
+    """The end of the connection in the middle of an event passed for the end."""
+    events = b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+
+    async def ends_early(fields, caller):
+        stream = caller._connection.stream
+        name, value = _echo(fields)
+        head = f"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n{name}: {value}\r\n\r\n"
+        await stream.write(head.encode() + events[: 15 + size])
+        stream.close()
+
+    engines = model([reads], [ends_early])
+    answer = serve(route(STREAM), engines)[0]
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("kind", [CALL, LOAN])
+@pytest.mark.parametrize("encoding", ["gzip", "br"])
+def test_answer_with_a_content_coding_is_not_passed_on(kind, encoding):
+    """Callers ask for bodies as they are; another coding is not the target's body."""
+    headers = [*SIGNED, ("Content-Encoding", encoding)]
+    answer = serve(route(kind), plain([answers(200, b"x", headers)]), usage=None)[0]
+    assert status(answer) == 502
+
+
+def test_request_that_is_open_at_the_end_of_the_process_is_told_whether_it_ran():
+    """A planned stop cut the last requests off without an answer."""
+
+    async def run():
+        parts, front = start_gateway(route(LOAN), plain([hangs]))
+        asking = asyncio.create_task(send(0, None, None))
+        await asyncio.sleep(0.2)
+        front[-1].stop_accepting()
+        await front[-1].end_requests()
+        answer = await asking
+        for server in front:
+            await server.close()
+        parts.pool.close()
+        return answer
+
+    answer = asyncio.run(run())
+    assert status(answer) == 502 and b'"ran":"unknown"' in answer
--- /dev/null
+++ b/tests/pool/test_bounds.py
@@ -0,0 +1,298 @@
+"""Answers without an end, over loopback."""
+
+import asyncio
+import contextlib
+import tracemalloc
+
+import pytest
+
+from wigeonspan.common import SystemClock
+from wigeonspan.pool import (
+    Bound,
+    ConnectionPool,
+    ExchangeFailed,
+    FailureKind,
+    encode_request,
+)
+from wigeonspan.pool._bounds import BufferBudget
+
+REQUEST = encode_request("GET", "/x", [("Host", "h"), ("Request-Id", "1")])
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+LATE = b"HTTP/1.1 200 OK\r\nRequest-Id: 0\r\nContent-Length: 1000\r\n\r\n"
+MOST_EXTRA_BYTES = 24 * 1024 * 1024
+
+ENDLESS = {
+    "fields": (OK, b"X-More: 1\r\n" * 1000, Bound.FIELDS),
+    "field": (OK + b"X-More: ", b"a" * 16384, Bound.HEAD),
+    "status line": (b"HTTP/1.1 200 ", b"a" * 16384, Bound.HEAD),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500, Bound.INTERIM),
+    "late answers": (b"", (LATE + b"x" * 1000) * 10, Bound.SKIPPED),
+    "late body": (LATE.replace(b"1000", b"9" * 12), b"x" * 16384, Bound.SKIPPED),
+    "body by length": (
+        OK + b"Content-Length: 999999999999\r\n\r\n",
+        b"x" * 16384,
+        Bound.BODY,
+    ),
+    "body by chunks": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"400\r\n" + b"x" * 1024 + b"\r\n",
+        Bound.BODY,
+    ),
+    "body by single bytes": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 2000,
+        Bound.BODY,
+    ),
+    "body by close": (OK + b"\r\n", b"x" * 16384, Bound.BODY),
+    "chunk size": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n1;a=",
+        b"a" * 16384,
+        Bound.HEAD,
+    ),
+    "trailers": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-More: 1\r\n" * 1000,
+        Bound.FIELDS,
+    ),
+}
+
+
+def address_of(server):
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+@contextlib.asynccontextmanager
+async def endless_target(first, again):
+    """Serve bytes without end to each connection until the other side closes."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first)
+            while True:
+                writer.write(again)
+                await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    yield address_of(server)
+    server.close()
+
+
+async def fetch(pool, address):
+    try:
+        return await pool.fetch(address, REQUEST, 10.0)
+    except ExchangeFailed as failure:
+        return failure
+
+
+async def send(pool, address):
+    """Fetch as requests do, which know their answers by an id."""
+    exchange = await pool.send(
+        address, REQUEST, accepts=lambda head: head.get("Request-Id") in (None, "1")
+    )
+    try:
+        async with asyncio.timeout(10):
+            await exchange.head()
+            return await exchange.read_all()
+    except ExchangeFailed as failure:
+        return failure
+    finally:
+        pool.release(address, exchange)
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_answer_without_an_end_ends_the_exchange(name):
+    """A target that sent header fields without end cost a process all its memory."""
+    first, again, bound = ENDLESS[name]
+
+    async def run():
+        pool = ConnectionPool(SystemClock())
+        async with endless_target(first, again) as address:
+            failure = await send(pool, address)
+        assert pool.buffered_bytes == 0
+        return failure
+
+    failure = asyncio.run(run())
+    assert (failure.kind, failure.bound) == (FailureKind.OVERSIZED, bound)
+    assert failure.sent
+
+
+@pytest.mark.parametrize("name", ["fields", "field", "interim", "body by chunks"])
+def test_twenty_endless_targets_leave_memory_and_other_requests(name):
+    """All connections share one budget, so that twenty of them cost no more."""
+    first, again, _ = ENDLESS[name]
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: 1\r\n\r\nok"
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(whole)
+
+    async def run():
+        pool = ConnectionPool(SystemClock())
+        sound = await asyncio.start_server(serve, "127.0.0.1", 0)
+        sound_address = address_of(sound)
+        async with endless_target(first, again) as address:
+            await fetch(pool, sound_address)
+            tracemalloc.start()
+            bad = [asyncio.create_task(fetch(pool, address)) for _ in range(20)]
+            answers = [await fetch(pool, sound_address) for _ in range(50)]
+            failures = await asyncio.gather(*bad)
+            _, peak = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+        pool.close()
+        sound.close()
+        return answers, failures, peak
+
+    answers, failures, peak = asyncio.run(run())
+    assert all(body == b"ok" for _, body in answers)
+    assert {failure.kind for failure in failures} == {FailureKind.OVERSIZED}
+    assert peak < MOST_EXTRA_BYTES
+
+
+class Holder:
+    def __init__(self, budget):
+        self.budget = budget
+        self.bound = None
+
+    def give_up(self, bound):
+        self.bound = bound
+        self.budget.set_held(self, 0)
+
+
+def test_holder_of_most_gives_up_when_all_hold_too_much():
+    """A few endless answers must not cost sound ones theirs."""
+    budget = BufferBudget(100)
+    small, large, late = (Holder(budget) for _ in range(3))
+    budget.set_held(small, 20)
+    budget.set_held(large, 70)
+    budget.set_held(late, 30)
+    assert (small.bound, large.bound, late.bound) == (None, Bound.BUFFERS, None)
+    assert budget.total == 50
+
+
+def test_body_that_was_dropped_does_not_look_complete():
+    """An answer that had arrived whole may lose its bytes to the budget."""
+    whole = OK + b"Content-Length: 2\r\n\r\nok"
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(whole)
+
+    async def run():
+        pool = ConnectionPool(SystemClock())
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = address_of(server)
+        exchange = await pool.send(address, REQUEST)
+        while not exchange.done:
+            await asyncio.sleep(0.01)
+        exchange.give_up(Bound.BUFFERS)
+        with pytest.raises(ExchangeFailed):
+            await exchange.read()
+        server.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 5\r\n\r\nhello",
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    ],
+)
+def test_answer_that_breaks_off_at_any_byte_is_not_whole(framing):
+    """Half an answer once reached a caller as a complete success."""
+    whole = OK + framing
+
+    async def run():
+        sizes = iter(range(1, len(whole)))
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(whole[: next(sizes)])
+            writer.close()
+
+        pool = ConnectionPool(SystemClock())
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = address_of(server)
+        results = [await fetch(pool, address) for _ in range(1, len(whole))]
+        server.close()
+        return results
+
+    results = asyncio.run(run())
+    assert all(isinstance(result, ExchangeFailed) for result in results)
+
+
+@pytest.mark.parametrize("split", [None, "packet", "taken"])
+def test_second_copy_of_an_answer_reaches_nobody(split):
+    """A late copy on a connection in use again went to the next caller."""
+
+    def answer(number):
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nRequest-Id: %d\r\n\r\n%d" % (
+            number,
+            number,
+        )
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            last = None
+            while request := await reader.readuntil(b"\r\n\r\n"):
+                number = int(request.partition(b"Request-Id: ")[2].split()[0])
+                if split == "taken" and last is not None:
+                    # The copy comes after the connection was taken again.
+                    writer.write(answer(last))
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+                writer.write(answer(number) * (2 if split is None else 1))
+                if split == "packet":
+                    await writer.drain()
+                    await asyncio.sleep(0.005)
+                    writer.write(answer(number))
+                last = number
+
+    async def run():
+        pool, bodies = ConnectionPool(SystemClock()), []
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = address_of(server)
+        for number in range(1, 9):
+            fields = [("Host", "h"), ("Request-Id", str(number))]
+            exchange = await pool.send(
+                address,
+                encode_request("GET", "/x", fields),
+                accepts=lambda head, n=number: head.get("Request-Id") == str(n),
+            )
+            async with asyncio.timeout(2):
+                await exchange.head()
+                bodies.append(await exchange.read_all())
+            pool.release(address, exchange)
+            await asyncio.sleep(0.02 if split == "packet" else 0)
+        server.close()
+        pool.close()
+        return bodies
+
+    assert asyncio.run(run()) == [b"%d" % n for n in range(1, 9)]
+
+
+def test_exchange_without_an_id_can_have_a_connection_of_its_own():
+    """The late copy of a report passed for the answer to an order."""
+    counts = []
+
+    async def serve(reader, writer):
+        counts.append(0)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                counts[-1] += 1
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def run():
+        pool = ConnectionPool(SystemClock())
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = address_of(server)
+        for _ in range(3):
+            await pool.fetch(address, REQUEST, 2.0, fresh=True)
+        server.close()
+
+    asyncio.run(run())
+    assert counts == [1, 1, 1]
--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -1,6 +1,7 @@
 """HTTP server for whole requests, over loopback."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -8,6 +9,7 @@
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.serving import RequestServer
 
+errors = []
 REQUEST = b"POST /a?b=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\nContent-Length: 2\r\n\r\nhi"
 
 
@@ -21,7 +23,7 @@
     """Send bytes to a server and return all that it sends until it closes."""
 
     async def run():
-        server, address = RequestServer(serve), free_address()
+        server, address = RequestServer(serve, errors.append), free_address()
         server.listen(address)
         if draining:
             server.close_after_answers()
@@ -115,7 +117,7 @@
             raise
 
     async def run():
-        server, address = RequestServer(serve), free_address()
+        server, address = RequestServer(serve, errors.append), free_address()
         server.listen(address)
         host, port = address.split(":")
         _, writer = await asyncio.open_connection(host, int(port))
@@ -151,3 +153,92 @@
     answer = talk(serve, data)
     assert seen == []
     assert b"200" not in answer[:15]
+
+
+def test_unexpected_error_costs_one_request():
+    """An error in the service of one request once left its caller without an answer."""
+    errors.clear()
+
+    async def serve(method, target, headers, body, caller):
+        raise KeyError("surprise")
+
+    answer = talk(serve)
+    assert answer.startswith(b"HTTP/1.1 500") and b'"ran":"unknown"' in answer
+    assert [type(error) for error in errors] == [KeyError]
+
+
+def test_broken_stream_to_a_caller_without_chunks_is_reset():
+    """For HTTP/1.0 the end of the connection is the end of a whole answer."""
+
+    async def serve(method, target, headers, body, caller):
+        await caller.begin(200, [])
+        await caller.send(b"part")
+
+    with pytest.raises(ConnectionResetError):
+        talk(serve, REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+
+
+def test_connections_made_before_the_stop_are_answered():
+    """Closing the listening socket reset the connections that the kernel still held."""
+    served = []
+
+    async def serve(method, target, headers, body, caller):
+        served.append(target)
+        await caller.answer(200, [], b"x")
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        server.close_after_answers()
+        host, port = address.split(":")
+        callers = []
+        # Without a turn of the loop the kernel accepts these and nobody else does.
+        for _ in range(100):
+            caller = socket.create_connection((host, int(port)))
+            caller.sendall(REQUEST)
+            callers.append(caller)
+        server.stop_accepting()
+        answers = []
+        for caller in callers:
+            reader, writer = await asyncio.open_connection(sock=caller)
+            async with asyncio.timeout(2):
+                answers.append(await reader.read())
+            writer.close()
+        await server.close()
+        return answers
+
+    answers = asyncio.run(run())
+    assert [answer[:12] for answer in answers] == [b"HTTP/1.1 200"] * 100
+    assert len(served) == 100
+
+
+def test_requests_open_at_the_end_can_still_be_answered():
+    """The last requests of a stopping process were cut off without an answer."""
+
+    async def serve(method, target, headers, body, caller):
+        try:
+            await asyncio.sleep(5)
+        except asyncio.CancelledError:
+            error = WigeonspanError(ErrorKind.DRAINING, "this host stops")
+            await caller.refuse(error)
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        host, port = address.split(":")
+        pairs = [await asyncio.open_connection(host, int(port)) for _ in range(20)]
+        for _, writer in pairs:
+            writer.write(REQUEST)
+        await asyncio.sleep(0.1)
+        assert server.open_requests == 20
+        await server.end_requests()
+        await server.close()
+        answers = []
+        for reader, writer in pairs:
+            with contextlib.suppress(ConnectionError):
+                answers.append(await reader.read())
+            writer.close()
+        return answers
+
+    answers = asyncio.run(run())
+    assert [answer[:12] for answer in answers] == [b"HTTP/1.1 503"] * 20
--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -42,6 +42,7 @@
     metric_name,
 )
 from wigeonspan.common._settings import SettingsErrors, SettingsFault, load_settings
+from wigeonspan.common._supervise import describe_error, keep_running
 from wigeonspan.common._watch import watch_settings
 
 __all__ = [
@@ -79,11 +80,13 @@
     "bind_address",
     "check_version",
     "decode",
+    "describe_error",
     "encode",
     "load_settings",
     "make_metrics",
     "metric_name",
     "part_logger",
     "set_up_logs",
+    "keep_running",
     "watch_settings",
 ]
--- a/wigeonspan/common/_watch.py
+++ b/wigeonspan/common/_watch.py
@@ -9,9 +9,15 @@
 
 
 async def watch_settings(
-    path: str, changed: asyncio.Event, reload: Callable[[], None]
+    path: str,
+    changed: asyncio.Event,
+    reload: Callable[[], None],
+    note_error: Callable[[Exception], None],
 ) -> None:
-    """Reload settings after a signal or when their file has changed."""
+    """Reload settings after a signal or when their file has changed.
+
+    Settings that cannot be read change nothing; the next change is read again.
+    """
     seen = _stamp(path)
     while True:
         try:
@@ -22,7 +28,10 @@
                 continue
         changed.clear()
         seen = _stamp(path)
-        reload()
+        try:
+            reload()
+        except Exception as error:
+            note_error(error)
 
 
 def _stamp(path: str) -> tuple[int, int]:
--- a/wigeonspan/consensus/_driver.py
+++ b/wigeonspan/consensus/_driver.py
@@ -173,10 +173,14 @@
         self._note_role()
 
     async def _tick_loop(self) -> None:
-        while self.running:
-            self.step(self.node.tick(self._clock.now()))
-            self._transport.flush()
-            await asyncio.sleep(TICK_S)
+        try:
+            while self.running:
+                self.step(self.node.tick(self._clock.now()))
+                self._transport.flush()
+                await asyncio.sleep(TICK_S)
+        except Exception as error:
+            # A voter without ticks would never notice that its leader is gone.
+            self._fail(error)
 
     async def _write_loop(self) -> None:
         try:
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
@@ -16,6 +17,8 @@
     HostId,
     WigeonspanError,
     bind_address,
+    describe_error,
+    keep_running,
     watch_settings,
 )
 from wigeonspan.consensus import Disk, FolderDisk, LogTask, StorageError
@@ -158,14 +161,18 @@
             (serve_control, settings.control),
             (serve_directory, settings.directory),
         ):
-            server = RequestServer(serve)
+            server = RequestServer(serve, self.note_error)
             server.listen(bind_address(address, bind))
             self._servers.append(server)
+        asyncio.get_running_loop().set_exception_handler(self._hear_of_error)
         self._tasks = [
-            asyncio.create_task(self._group.run()),
-            asyncio.create_task(self._staging.run()),
-            asyncio.create_task(self._keep_committed()),
-            asyncio.create_task(self._keep_house()),
+            asyncio.create_task(keep_running(work, self.note_error))
+            for work in (
+                self._group.run,
+                self._staging.run,
+                self._keep_committed,
+                self._keep_house,
+            )
         ]
 
     def reload(self, settings: CoordinatorSettings) -> None:
@@ -263,6 +270,20 @@
             why=error.message,
         )
 
+    def note_error(self, error: BaseException) -> None:
+        """Log an unexpected error, which costs only what it met."""
+        self._meters.count("unexpected_errors", kind=type(error).__name__)
+        self._trail.note(
+            "process", "unexpected_error", failure=True, why=describe_error(error)
+        )
+
+    def _hear_of_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Take an error that no task waits for."""
+        error = context.get("exception")
+        self.note_error(error or RuntimeError(context["message"]))
+
     def _take_beat(self, beat: Beat) -> BeatReply:
         stored = max(self.stored, self._committed, key=lambda c: c.version)
         return self._heartbeats.take(
@@ -379,7 +400,10 @@
     failed.add_done_callback(lambda _: stop.set())
     watch = asyncio.create_task(
         watch_settings(
-            settings_path, reload, lambda: coordinator.reload(read_settings())
+            settings_path,
+            reload,
+            lambda: coordinator.reload(read_settings()),
+            coordinator.note_error,
         )
     )
     await stop.wait()
--- a/wigeonspan/gateway/_beats.py
+++ b/wigeonspan/gateway/_beats.py
@@ -9,6 +9,7 @@
     ErrorBody,
     WigeonspanError,
     decode,
+    keep_running,
 )
 from wigeonspan.fleetconfig import StoredConfig
 from wigeonspan.gateway._config import ConfigHolder
@@ -52,6 +53,8 @@
         Takes the engines whose phase is changing.
     note_relay : callable
         Takes the address of the relay of datagrams.
+    note_error : callable
+        Takes an unexpected error; the host is asked again.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         note_entries: Callable[[list[EntryInfo]], None],
         note_switching: Callable[[list[TargetId]], None],
         note_relay: Callable[[str], None],
+        note_error: Callable[[Exception], None],
     ) -> None:
         self._clock = clock
         self._pool = pool
@@ -77,6 +81,7 @@
         self._note_entries = note_entries
         self._note_switching = note_switching
         self._note_relay = note_relay
+        self._note_error = note_error
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._digests: dict[str, str] = {}
         self._answered: set[str] = set()
@@ -104,7 +109,9 @@
 
     def _add(self, address: str) -> None:
         if self._controls.add(address, self._clock.now()):
-            self._tasks[address] = asyncio.create_task(self._run(address))
+            self._tasks[address] = asyncio.create_task(
+                keep_running(lambda: self._run(address), self._note_error)
+            )
 
     async def _run(self, address: str) -> None:
         while self._controls.is_wanted(address, self._clock.now()):
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -5,6 +5,7 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from msgspec import Struct
 
@@ -13,6 +14,8 @@
     DomainName,
     HostId,
     bind_address,
+    describe_error,
+    keep_running,
     watch_settings,
 )
 from wigeonspan.fleetconfig import FleetConfig
@@ -52,9 +55,9 @@
 """Seconds after the signal to stop in which connections are still accepted: callers
 keep an answer of the directory for two seconds, some three times as long."""
 
-LAST_ANSWERS_S = 1.3
-"""Seconds for the last answers after that; the platform kills a process eight seconds
-after the signal."""
+LAST_ANSWERS_S = 1.0
+"""Seconds for the last answers after that; what is open then is refused. The platform
+kills a process eight seconds after the signal."""
 
 MOST_ENTRIES_SEEN = 64
 """Largest number of callers' addresses in one answer of the directory."""
@@ -135,8 +138,8 @@
         )
         parts = self._parts
         self._server = Server(parts, rng)
-        self._front = RequestServer(self._server.serve)
-        self._side = RequestServer(self._answer_side)
+        self._front = RequestServer(self._server.serve, self.note_error)
+        self._side = RequestServer(self._answer_side, self.note_error)
         self._controls = ControlBook(settings.domain)
         self._beats = BeatTask(
             clock,
@@ -149,6 +152,7 @@
             self._note_entries,
             parts.board.set_switching,
             parts.link.set_relay,
+            self.note_error,
         )
         self._listing = ListingTask(
             settings.host,
@@ -174,10 +178,10 @@
         self._side.listen(bind_address(settings.ready, bind))
         self._side.listen(bind_address(settings.metrics, bind))
         self._beats.set_seeds(settings.controls)
+        asyncio.get_running_loop().set_exception_handler(self._hear_of_error)
         self._tasks = [
-            asyncio.create_task(self._listing.run()),
-            asyncio.create_task(self._open()),
-            asyncio.create_task(self._keep_house()),
+            asyncio.create_task(keep_running(work, self.note_error))
+            for work in (self._listing.run, self._open, self._keep_house)
         ]
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -200,6 +204,7 @@
         give_up_at = self._clock.now() + LAST_ANSWERS_S
         while self._front.open_requests and self._clock.now() < give_up_at:
             await asyncio.sleep(HOUSEKEEPING_S / 2)
+        await self._front.end_requests()
         for task in self._tasks:
             task.cancel()
         self._beats.close()
@@ -276,6 +281,20 @@
             case ListSeen():
                 self._listing.take(event)
 
+    def note_error(self, error: BaseException) -> None:
+        """Log an unexpected error, which costs only what it met."""
+        self._parts.meters.count("unexpected_errors", kind=type(error).__name__)
+        self._parts.trail.note(
+            "process", "unexpected_error", failure=True, why=describe_error(error)
+        )
+
+    def _hear_of_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Take an error that no task waits for."""
+        error = context.get("exception")
+        self.note_error(error or RuntimeError(context["message"]))
+
     def _note_bad_datagram(self, why: str) -> None:
         self._parts.trail.note("sharing", "bad_datagram", why=why)
 
@@ -354,7 +373,12 @@
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     await gateway.start()
     watch = asyncio.create_task(
-        watch_settings(settings_path, reload, lambda: gateway.reload(read_settings()))
+        watch_settings(
+            settings_path,
+            reload,
+            lambda: gateway.reload(read_settings()),
+            gateway.note_error,
+        )
     )
     await stop.wait()
     watch.cancel()
--- a/wigeonspan/gateway/_events.py
+++ b/wigeonspan/gateway/_events.py
@@ -1,13 +1,34 @@
 """Splitting of an event stream into whole events."""
 
+import re
+
 from msgspec import Struct
 
+MOST_EVENT_BYTES = 128 * 1024
+"""Largest event in bytes; a chunk of tokens has a few hundred."""
+
+_BLANK = re.compile(rb"\n\r?\n")
+_BLANK_BYTES = 3
+
+
+class EventTooLarge(ValueError):
+    """A stream has an event that is larger than ``MOST_EVENT_BYTES``."""
+
 
 class StreamEvent(Struct, frozen=True):
-    """One event with the blank line that ends it."""
+    """One event with the blank line that ends it.
+
+    Parameters
+    ----------
+    event : str or None
+        Id; None when it has none.
+    has_data : bool
+        Whether it is more than a comment, which engines may send without progress.
+    """
 
     data: bytes
     event: str | None
+    has_data: bool = True
 
 
 class EventSplitter:
@@ -18,30 +39,37 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        # No blank line begins before this position.
+        self._searched = 0
 
     @property
     def rest(self) -> bytes:
         """Bytes after the last whole event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that are now whole."""
+        """Add bytes and return the events that are now whole.
+
+        Raises
+        ------
+        EventTooLarge
+            When the rest is larger than an event may be.
+        """
         self._buffer += data
         events = []
-        while (end := self._end()) > 0:
-            chunk, self._buffer = self._buffer[:end], self._buffer[end:]
-            events.append(StreamEvent(chunk, _event_id(chunk)))
+        begin = 0
+        while blank := _BLANK.search(self._buffer, self._searched):
+            chunk = bytes(self._buffer[begin : blank.end()])
+            begin = self._searched = blank.end()
+            event, has_data = _read_fields(chunk)
+            events.append(StreamEvent(chunk, event, has_data))
+        del self._buffer[:begin]
+        self._searched = max(0, len(self._buffer) - _BLANK_BYTES)
+        if len(self._buffer) > MOST_EVENT_BYTES:
+            raise EventTooLarge(f"an event has over {MOST_EVENT_BYTES} bytes")
         return events
 
-    def _end(self) -> int:
-        ends = []
-        for blank in (b"\n\n", b"\r\n\r\n"):
-            position = self._buffer.find(blank)
-            if position >= 0:
-                ends.append(position + len(blank))
-        return min(ends, default=0)
-
 
 class StreamPosition:
     """Last event that a caller has got."""
@@ -70,9 +98,12 @@
     return event != last
 
 
-def _event_id(chunk: bytes) -> str | None:
+def _read_fields(chunk: bytes) -> tuple[str | None, bool]:
+    """Return the id of an event and whether it has data."""
+    event, has_data = None, False
     for line in chunk.splitlines():
         name, colon, value = line.partition(b":")
-        if colon and name == b"id":
-            return value.strip().decode("latin-1")
-    return None
+        if colon and name == b"id" and event is None:
+            event = value.strip().decode("latin-1")
+        has_data = has_data or name == b"data"
+    return event, has_data
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -3,7 +3,12 @@
 from wigeonspan.common import ErrorKind, ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import Route
 from wigeonspan.gateway._attempt import sending, within
-from wigeonspan.gateway._events import EventSplitter, StreamPosition
+from wigeonspan.gateway._events import (
+    EventSplitter,
+    EventTooLarge,
+    StreamEvent,
+    StreamPosition,
+)
 from wigeonspan.gateway._failures import describe_failure
 from wigeonspan.gateway._messages import CallerRequest, Handle, Send, TargetOutcome
 from wigeonspan.gateway._parts import Parts
@@ -14,8 +19,9 @@
     Prompt,
     Refusal,
     WorkKind,
+    patience_s,
 )
-from wigeonspan.pool import Exchange, ExchangeFailed, FailureKind, Head
+from wigeonspan.pool import Bound, Exchange, ExchangeFailed, FailureKind, Head
 from wigeonspan.serving import Caller
 from wigeonspan.targets import Phase, Target, TargetId
 
@@ -33,9 +39,24 @@
 """Multiple of the pause objective after which a stream that may be resumed goes on at
 another engine."""
 
+STALL_PACE = 12.0
+"""Multiple of the engine's own time between events, and of its time to a first event,
+after which it counts as stalled: one at a tenth of its usual pace is slow but sound."""
+
 STALL_MIN_S = 0.9
 """Shortest such time in seconds; half of the time that callers wait at least."""
 
+STALL_PATIENCE = 0.75
+"""Share of callers' patience that is the longest such time; the rest is for the engine
+that goes on."""
+
+MOST_REPLY_BYTES = 64 * 1024
+"""Largest answer of an engine that has read a prompt, in bytes; a handle is short."""
+
+BODY_S = 1.0
+"""Seconds in which the short body of an engine's own answer, such as a handle or a
+failure, must follow its head."""
+
 RELEASE_S = 1.0
 """Seconds in which the release of a prompt that nobody fetches must be answered."""
 
@@ -69,8 +90,13 @@
         self._reads = 0
         self._streams = 0
         self._runs = 0
+        self._last_event_at: float | None = None
         self._head: Head | None = None
 
+    def give_up(self, message: str) -> WigeonspanError:
+        """Return what the caller is told when the request is served no further."""
+        return self._error(message)
+
     async def serve(self, caller: Caller) -> None:
         """Answer the caller.
 
@@ -149,9 +175,7 @@
                 new_tokens=parts.placer.new_tokens(engine, self._prompt),
             ) as exchange:
                 head = await self._read_answer(engine, exchange, limit_s)
-                body = await within(
-                    self._ends_at - parts.clock.now(), exchange.read_all()
-                )
+                body = await within(self._body_s(), exchange.read_all(MOST_REPLY_BYTES))
         except ExchangeFailed as failure:
             self._exclude(engine, "read_broke_off", why=str(failure))
             return None
@@ -232,7 +256,7 @@
             self._streams += 1
             # Until the engine says otherwise the request counts as run.
             self._runs += 1
-            head = await within(self._stall_s(plan), exchange.head())
+            head = await within(self._stall_s(plan, engine), exchange.head())
             outcome = parts.protocol.read_outcome(head)
             if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
                 self._runs -= 1
@@ -262,31 +286,65 @@
         exchange: Exchange,
         started: float,
     ) -> None:
-        """Pass whole events on until the stream's complete end."""
+        """Pass whole events on until the stream's complete end.
+
+        The engine must bring a new event in time; comments, halves of events and
+        events that the caller has are no progress.
+        """
         parts, splitter = self._parts, EventSplitter()
-        first = True
-        while data := await within(self._stall_s(plan), exchange.read()):
-            for event in splitter.feed(data):
-                if first:
-                    first = False
-                    took_s = parts.clock.now() - started
-                    whole_s = parts.clock.now() - self._arrived
-                    parts.meters.observe("first_event_seconds", whole_s)
-                    if plan.decision is Decision.SPLIT:
-                        parts.placer.observe_handoff(took_s * 1000.0)
-                    self._note(
-                        "first_event",
-                        target=engine.target,
-                        took_ms=round(took_s * 1000),
-                    )
-                if self._position.advance(event):
-                    await self._begin(caller)
-                    await caller.send(event.data)
+        due_at = parts.clock.now() + self._stall_s(plan, engine)
+        while data := await self._read(exchange, due_at):
+            for event in self._split(splitter, data):
+                if not self._position.advance(event):
+                    continue
+                await self._begin(caller)
+                await caller.send(event.data)
+                if event.has_data:
+                    self._note_progress(plan, engine, started)
+                    due_at = parts.clock.now() + self._stall_s(plan, engine)
+        if splitter.rest and not exchange.framed:
+            # The end of the connection in the middle of an event is a break.
+            raise ExchangeFailed(FailureKind.CLOSED, sent=True)
         await self._begin(caller)
         if splitter.rest:
             await caller.send(splitter.rest)
         await caller.finish()
 
+    async def _read(self, exchange: Exchange, due_at: float) -> bytes:
+        """Return the next bytes of a stream; empty at its end.
+
+        Raises
+        ------
+        ExchangeFailed
+            When the answer breaks off or is not there in time.
+        """
+        left_s = due_at - self._parts.clock.now()
+        if left_s <= 0.0:
+            # Bytes that are always there would never wait for the limit to fire.
+            raise ExchangeFailed(FailureKind.TIMEOUT, sent=True)
+        return await within(left_s, exchange.read())
+
+    def _split(self, splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
+        try:
+            return splitter.feed(data)
+        except EventTooLarge as error:
+            raise ExchangeFailed(
+                FailureKind.OVERSIZED, sent=True, bound=Bound.EVENT
+            ) from error
+
+    def _note_progress(self, plan: Plan, engine: Target, started: float) -> None:
+        """Measure the time to the first event, or the pause before another one."""
+        parts, now = self._parts, self._parts.clock.now()
+        last, self._last_event_at = self._last_event_at, now
+        if last is not None and last >= started:
+            parts.placer.paces.observe(engine.target, now - last)
+            return
+        took_s = now - started
+        parts.meters.observe("first_event_seconds", now - self._arrived)
+        if plan.decision is Decision.SPLIT:
+            parts.placer.observe_handoff(took_s * 1000.0)
+        self._note("first_event", target=engine.target, took_ms=round(took_s * 1000))
+
     async def _begin(self, caller: Caller) -> None:
         """Send the head once; it is that of the first engine also after a resume."""
         if caller.begun or self._head is None:
@@ -299,7 +357,7 @@
     ) -> bool:
         """Pass an engine's failure on, or return False to try another engine."""
         parts = self._parts
-        body = await within(self._ends_at - parts.clock.now(), exchange.read_all())
+        body = await within(self._body_s(), exchange.read_all())
         parts.placer.health.erred(engine.target)
         self._exclude(engine, "stream_failed", status=head.status)
         if caller.begun or (self._route.repeatable and self._runs_left()):
@@ -307,16 +365,31 @@
         await caller.answer(head.status, parts.protocol.answer_headers(head), body)
         return True
 
-    def _stall_s(self, plan: Plan) -> float:
-        """Return how long to wait for the next bytes of a stream."""
+    def _stall_s(self, plan: Plan, engine: Target) -> float:
+        """Return how long to wait for the next event of a stream.
+
+        A stream that cannot go on elsewhere gets all the time that is left.
+        """
         left_s = self._ends_at - self._parts.clock.now()
-        if not (self._route.repeatable and self._runs_left() > 1):
+        if not (self._route.repeatable and self._runs_left()):
             return left_s
-        pauses_s = STALL_PAUSES * self._route.pause_objective_s
+        placer = self._parts.placer
+        if self._last_event_at is not None:
+            usual_s = placer.paces.usual_s(engine.target)
+        elif plan.decision is Decision.SPLIT:
+            usual_s = placer.handoff_ms / 1000.0
+        else:
+            usual_s = 0.0
+        slow_s = min(STALL_PACE * usual_s, STALL_PATIENCE * patience_s(self._route))
         expected_s = READ_PATIENCE * plan.cost_ms / 1000.0
         if plan.decision is Decision.SPLIT:
             expected_s = 0.0
-        return min(left_s, max(STALL_MIN_S, pauses_s, expected_s))
+        pauses_s = STALL_PAUSES * self._route.pause_objective_s
+        return min(left_s, max(STALL_MIN_S, pauses_s, expected_s, slow_s))
+
+    def _body_s(self) -> float:
+        """Return how long to wait for the body of an engine's own answer."""
+        return min(BODY_S, self._ends_at - self._parts.clock.now())
 
     def _choose_engine(self, handle: Handle | None) -> Target | None:
         """Return the best engine now for a prompt that was not fetched yet."""
@@ -340,6 +413,7 @@
                     handle.source.address,
                     parts.protocol.encode_release(handle),
                     RELEASE_S,
+                    fresh=True,
                 )
             except ExchangeFailed as failure:
                 # The engine frees it by itself when its time to live is over.
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from wigeonspan.common import ServiceName, WigeonspanError
-from wigeonspan.fleetconfig import CallKind, Route
+from wigeonspan.fleetconfig import Route
 from wigeonspan.gateway._attempt import sending, within
 from wigeonspan.gateway._failures import describe_failure
 from wigeonspan.gateway._messages import CallerRequest, Send, TargetOutcome
@@ -54,6 +54,10 @@
         self._runs = 0
         self._failure: _Whole | None = None
 
+    def give_up(self, message: str) -> WigeonspanError:
+        """Return what the caller is told when the request is served no further."""
+        return self._error(message)
+
     async def serve(self, caller: Caller) -> None:
         """Answer the caller.
 
@@ -79,13 +83,15 @@
         parts, now = self._parts, self._parts.clock.now()
         targets = parts.board.usable(self._service)
         target = parts.placer.choose_call(targets, now, self._tried)
+        if target is None and self._failure is not None:
+            return self._failure
         if target is None:
             raise self._error("no target is available")
         self._tried.add(target.target)
         left_s = self._ends_at - now
         again = self._route.repeatable and self._runs + 1 < self._route.max_attempts
         send = Send(target, left_s)
-        fresh = self._route.kind is CallKind.NON_IDEMPOTENT
+        fresh = not self._route.repeatable
         parts.trail.note(
             "plain",
             "sent",
@@ -96,24 +102,27 @@
             list_age_ms=round((now - parts.board.read_at) * 1000),
         )
         limit_s = left_s * ATTEMPT_SHARE if again else left_s
+        attempt_ends_at = now + limit_s
         try:
             async with sending(
                 parts, self._request, send, WorkKind.CALL, work_ms=CALL_MS, fresh=fresh
             ) as exchange:
                 self._sent += 1
+                # Until the target says otherwise the call counts as run.
+                self._runs += 1
                 head = await within(limit_s, exchange.head())
                 outcome = parts.protocol.read_outcome(head)
                 if outcome is TargetOutcome.UNREADABLE:
                     raise ExchangeFailed(FailureKind.GARBLED, sent=True)
                 body = await within(
-                    self._ends_at - parts.clock.now(), exchange.read_all()
+                    attempt_ends_at - parts.clock.now(), exchange.read_all()
                 )
         except ExchangeFailed as failure:
-            self._runs += failure.sent
             self._note("broke_off", target.target, why=str(failure))
             return None
         took_ms = (parts.clock.now() - now) * 1000.0
         if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
+            self._runs -= 1
             self._note("not_run", target.target, status=head.status)
             if outcome is TargetOutcome.WRONG_TARGET:
                 parts.note_failure(target.target, silent=True, reason="other target")
@@ -121,7 +130,6 @@
         if outcome is TargetOutcome.FAILED:
             parts.placer.health.erred(target.target)
             self._failure = _Whole(head, body)
-            self._runs += 1
             self._note("failed", target.target, status=head.status)
             return None if again else self._failure
         parts.placer.health.succeeded(target.target)
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -1,5 +1,6 @@
 """From a caller's request to the job that answers it."""
 
+import asyncio
 import random
 
 from wigeonspan.common import ErrorKind, ServiceName, WigeonspanError
@@ -119,7 +120,13 @@
             waits_ms=round(waits_s * 1000),
         )
         job = self._job(config, request, route, service, ends_at)
-        await job.serve(caller)
+        try:
+            await job.serve(caller)
+        except asyncio.CancelledError:
+            if caller.gone:
+                raise
+            # This process ends; the caller hears whether the request has run.
+            raise job.give_up("this entry stops") from None
         took_s = parts.clock.now() - arrived
         parts.meters.observe("request_seconds", took_s, route=route.name)
         parts.trail.note(
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -9,6 +9,7 @@
 from wigeonspan.placing._health import HealthBook
 from wigeonspan.placing._ledger import WorkKind, WorkLedger
 from wigeonspan.placing._messages import Decision, Limit, Plan, Prompt, Refusal
+from wigeonspan.placing._paces import PaceBook
 from wigeonspan.placing._prefixes import PrefixBook
 from wigeonspan.placing._sizes import WorkSizes
 from wigeonspan.placing._speed import SpeedBook
@@ -123,6 +124,12 @@
         self.prefixes = PrefixBook(400_000.0)
         self.speeds = SpeedBook()
         self.health = HealthBook()
+        self.paces = PaceBook()
+
+    @property
+    def handoff_ms(self) -> float:
+        """Usual milliseconds from a read prompt to the first event elsewhere."""
+        return self._handoff_ms
 
     def observe_handoff(self, actual_ms: float) -> None:
         """Take a sample of the time from a read prompt to the first event."""
@@ -139,6 +146,7 @@
         """Forget what a target that is gone or has restarted did and held."""
         self.prefixes.forget(target)
         self.ledger.forget(target)
+        self.paces.forget(target)
 
     def new_tokens(self, target: Target, prompt: Prompt) -> int:
         """Return how many tokens of a prompt an engine does not hold."""
--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -2,13 +2,24 @@
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
 import httptools
 
 from wigeonspan.common import Clock
+from wigeonspan.pool._bounds import (
+    BUFFER_BYTES,
+    MOST_BODY_BYTES,
+    MOST_FIELDS,
+    MOST_HEAD_BYTES,
+    MOST_INTERIM,
+    MOST_SKIPPED,
+    MOST_SKIPPED_BYTES,
+    PART_BYTES,
+    Bound,
+    BufferBudget,
+)
 from wigeonspan.pool._head import Head, HeaderList
 
 SILENCE_MS = 2000
@@ -21,9 +32,6 @@
 KEEPALIVE_PROBES = 2
 """Unanswered probes after which a silent connection ends."""
 
-BUFFER_BYTES = 256 * 1024
-"""Unread bytes of an answer at which reading from the target pauses."""
-
 
 class FailureKind(Enum):
     """How an exchange failed."""
@@ -33,6 +41,7 @@
     RESET = "reset"
     GARBLED = "garbled"
     TIMEOUT = "timeout"
+    OVERSIZED = "oversized"
 
 
 class ExchangeFailed(Exception):
@@ -44,12 +53,18 @@
         What was seen.
     sent : bool
         Whether any byte of the request may have reached the target.
+    bound : Bound or None
+        Bound that the answer went over, for ``OVERSIZED``.
     """
 
-    def __init__(self, kind: FailureKind, *, sent: bool) -> None:
-        super().__init__(f"{kind.value}, {'sent' if sent else 'not sent'}")
+    def __init__(
+        self, kind: FailureKind, *, sent: bool, bound: Bound | None = None
+    ) -> None:
+        what = kind.value if bound is None else f"{kind.value} {bound.value}"
+        super().__init__(f"{what}, {'sent' if sent else 'not sent'}")
         self.kind = kind
         self.sent = sent
+        self.bound = bound
 
 
 class Connection(asyncio.Protocol):
@@ -59,10 +74,13 @@
     ----------
     clock : Clock
         Source of time.
+    buffers : BufferBudget
+        Counts the bytes that all connections keep.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, buffers: BufferBudget) -> None:
         self._clock = clock
+        self._buffers = buffers
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -71,6 +89,8 @@
         self._skips = False
         self._status = 0
         self._headers: HeaderList = []
+        self._in_body = False
+        self._counts = _Counts()
         self.idle_since = clock.now()
         self.idle_limit_s: float | None = None
 
@@ -105,7 +125,8 @@
     def start(self, request: bytes, accepts: Callable[[Head], bool]) -> "Exchange":
         """Send a request and return its exchange."""
         assert self._transport is not None
-        self._exchange = Exchange(self, accepts, self._clock.now())
+        self._counts = _Counts()
+        self._exchange = Exchange(self, accepts, self._clock.now(), self._buffers)
         self._transport.write(request)
         return self._exchange
 
@@ -130,9 +151,18 @@
             self.close()
             return
         try:
+            self._counts.unframed += len(data)
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(FailureKind.GARBLED)
+            return
+        over = self._counts.over()
+        if over is not None:
+            self.fail_oversized(over)
+
+    def fail_oversized(self, bound: Bound) -> None:
+        """Fail the exchange because its answer goes over a bound."""
+        self._fail(FailureKind.OVERSIZED, bound)
 
     def eof_received(self) -> bool:
         """Take the end of the connection; it may end an answer without a length."""
@@ -150,34 +180,48 @@
     def on_message_begin(self) -> None:
         """Begin an answer; one that nobody asked for ends the connection."""
         self._headers = []
+        self._in_body = False
+        self._counts.fields = 0
         if self._exchange is None:
             self._usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        """Collect a header field; trailers are dropped."""
+        self._counts.fields += 1
+        if not self._in_body and self._counts.fields <= MOST_FIELDS:
+            self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Hand the head over when it answers our request."""
         status = self._parser.get_status_code()
         head = Head(status, self._headers)
         exchange = self._exchange
+        self._in_body = True
+        self._counts.unframed = 0
         self._skips = exchange is None or status < 200 or not exchange.accepts(head)
         if self._skips or exchange is None:
+            if status < 200:
+                self._counts.interim += 1
+            else:
+                self._counts.skipped += 1
             return
         self._ends_with_close = not _has_end(head)
         self.idle_limit_s = _keep_alive_s(head)
         if not self._parser.should_keep_alive():
             self._usable = False
-        exchange.take_head(head)
+        exchange.take_head(head, framed=not self._ends_with_close)
 
     def on_body(self, data: bytes) -> None:
         """Hand a part of the body over."""
-        if not self._skips and self._exchange is not None:
+        self._counts.unframed = 0
+        if self._skips:
+            self._counts.skipped_bytes += len(data)
+        elif self._exchange is not None:
             self._exchange.take_body(data)
 
     def on_message_complete(self) -> None:
         """Finish the exchange, or skip an answer to an earlier request."""
+        self._counts.unframed = 0
         if not self._skips and self._exchange is not None:
             self._finish()
 
@@ -187,11 +231,35 @@
         if exchange is not None:
             exchange.take_end()
 
-    def _fail(self, kind: FailureKind) -> None:
+    def _fail(self, kind: FailureKind, bound: Bound | None = None) -> None:
         exchange, self._exchange = self._exchange, None
         self.close()
         if exchange is not None:
-            exchange.take_failure(ExchangeFailed(kind, sent=True))
+            exchange.take_failure(ExchangeFailed(kind, sent=True, bound=bound))
+
+
+class _Counts:
+    """What has arrived for one request beyond the parts of its answer's body."""
+
+    def __init__(self) -> None:
+        # Bytes since the last complete head, part of a body or end.
+        self.unframed = 0
+        self.fields = 0
+        self.interim = 0
+        self.skipped = 0
+        self.skipped_bytes = 0
+
+    def over(self) -> Bound | None:
+        """Return a bound that is passed."""
+        if self.fields > MOST_FIELDS:
+            return Bound.FIELDS
+        if self.unframed > MOST_HEAD_BYTES:
+            return Bound.HEAD
+        if self.interim > MOST_INTERIM:
+            return Bound.INTERIM
+        if self.skipped > MOST_SKIPPED or self.skipped_bytes > MOST_SKIPPED_BYTES:
+            return Bound.SKIPPED
+        return None
 
 
 class Exchange:
@@ -206,14 +274,23 @@
         request may arrive late in its place.
     sent_at : float
         Monotonic time of sending.
+    buffers : BufferBudget
+        Counts the bytes that all exchanges keep.
     """
 
     def __init__(
-        self, connection: Connection, accepts: Callable[[Head], bool], sent_at: float
+        self,
+        connection: Connection,
+        accepts: Callable[[Head], bool],
+        sent_at: float,
+        buffers: BufferBudget,
     ) -> None:
         self._connection = connection
+        self._buffers = buffers
+        self._body_limit: int | None = None
         self._head: Head | None = None
-        self._parts: deque[bytes] = deque()
+        self._framed = True
+        self._parts: list[bytes] = []
         self._buffered = 0
         self._ended = False
         self._failure: ExchangeFailed | None = None
@@ -226,6 +303,11 @@
         """Whether the head has arrived."""
         return self._head is not None
 
+    @property
+    def framed(self) -> bool:
+        """Whether a length or chunks, not the connection's end, end the body."""
+        return self._framed
+
     @property
     def done(self) -> bool:
         """Whether the whole answer has arrived or the exchange has failed."""
@@ -251,7 +333,7 @@
         return self._head
 
     async def read(self) -> bytes:
-        """Return the next part of the body; empty at its complete end.
+        """Return what has arrived of the body; empty at its complete end.
 
         Raises
         ------
@@ -259,30 +341,47 @@
             When the answer breaks off.
         """
         while not self._parts:
-            if self._ended:
-                return b""
             if self._failure is not None:
                 raise self._failure
+            if self._ended:
+                return b""
             await self._wait()
-        part = self._parts.popleft()
-        before = self._buffered
-        self._buffered -= len(part)
-        if before >= BUFFER_BYTES > self._buffered:
+        data = b"".join(self._parts)
+        paused = self._buffered >= BUFFER_BYTES
+        self.drop()
+        if paused:
             self._connection.pause(False)
-        return part
+        return data
 
-    async def read_all(self) -> bytes:
+    async def read_all(self, most: int = MOST_BODY_BYTES) -> bytes:
         """Return the whole body.
 
+        Parameters
+        ----------
+        most : int
+            Largest number of bytes.
+
         Raises
         ------
         ExchangeFailed
-            When the answer breaks off.
+            When the answer breaks off or is larger.
         """
-        parts = []
-        while part := await self.read():
-            parts.append(part)
-        return b"".join(parts)
+        self._body_limit = most
+        self._check_body()
+        if self._buffered >= BUFFER_BYTES:
+            self._connection.pause(False)
+        while not self.done:
+            await self._wait()
+        if self._failure is not None:
+            raise self._failure
+        body = b"".join(self._parts)
+        self.drop()
+        return body
+
+    def drop(self) -> None:
+        """Keep no bytes of the answer any more."""
+        self._parts.clear()
+        self._note_held(0)
 
     def abort(self) -> None:
         """End the exchange; the target drops the request with the connection."""
@@ -290,20 +389,34 @@
             self._failure = ExchangeFailed(FailureKind.CLOSED, sent=True)
             self._connection.close()
 
-    def take_head(self, head: Head) -> None:
-        """Note the head."""
+    def take_head(self, head: Head, *, framed: bool) -> None:
+        """Note the head, and whether the framing tells where the body ends."""
         self._head = head
+        self._framed = framed
         self._wake()
 
     def take_body(self, data: bytes) -> None:
         """Note a part of the body."""
         before = self._buffered
         self._parts.append(data)
-        self._buffered += len(data)
-        if before < BUFFER_BYTES <= self._buffered:
+        self._note_held(before + len(data) + PART_BYTES)
+        if self._body_limit is not None:
+            self._check_body()
+        elif before < BUFFER_BYTES <= self._buffered:
             self._connection.pause(True)
         self._wake()
 
+    def give_up(self, bound: Bound) -> None:
+        """Fail because the answer goes over a bound."""
+        self.drop()
+        if self._ended:
+            # The answer had arrived whole, but a part of it is dropped here.
+            self.take_failure(
+                ExchangeFailed(FailureKind.OVERSIZED, sent=True, bound=bound)
+            )
+        else:
+            self._connection.fail_oversized(bound)
+
     def take_end(self) -> None:
         """Note the complete end."""
         self._ended = True
@@ -314,6 +427,14 @@
         self._failure = self._failure or failure
         self._wake()
 
+    def _check_body(self) -> None:
+        if self._body_limit is not None and self._buffered > self._body_limit:
+            self.give_up(Bound.BODY)
+
+    def _note_held(self, size: int) -> None:
+        self._buffered = size
+        self._buffers.set_held(self, size)
+
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         await self._waiter
--- a/wigeonspan/pool/_pool.py
+++ b/wigeonspan/pool/_pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from wigeonspan.common import Clock
+from wigeonspan.pool._bounds import MOST_BODY_BYTES, BufferBudget
 from wigeonspan.pool._connection import (
     Connection,
     Exchange,
@@ -37,6 +38,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._buffers = BufferBudget()
         self._idle: dict[str, deque[Connection]] = {}
         self._opened = 0
 
@@ -45,6 +47,11 @@
         """Number of connections that were opened."""
         return self._opened
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of answers that are kept now."""
+        return self._buffers.total
+
     async def send(
         self,
         address: str,
@@ -80,6 +87,7 @@
     def release(self, address: str, exchange: Exchange) -> None:
         """Take a connection back after its exchange; it is closed if not usable."""
         connection = exchange.connection
+        exchange.drop()
         if exchange.done and connection.usable:
             self._idle.setdefault(address, deque()).append(connection)
         else:
@@ -108,10 +116,24 @@
             self.forget(address)
 
     async def fetch(
-        self, address: str, request: bytes, timeout_s: float
+        self,
+        address: str,
+        request: bytes,
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+        most_bytes: int = MOST_BODY_BYTES,
     ) -> tuple[Head, bytes]:
         """Send a request and return its whole answer.
 
+        Parameters
+        ----------
+        fresh : bool
+            Whether to use a connection for this request only. Answers without an id
+            cannot be told from a late copy of an earlier answer.
+        most_bytes : int
+            Largest body.
+
         Raises
         ------
         ExchangeFailed
@@ -120,13 +142,16 @@
         exchange = None
         try:
             async with asyncio.timeout(timeout_s):
-                exchange = await self.send(address, request)
+                exchange = await self.send(address, request, fresh=fresh)
                 head = await exchange.head()
-                body = await exchange.read_all()
+                body = await exchange.read_all(most_bytes)
         except TimeoutError as error:
             raise ExchangeFailed(FailureKind.TIMEOUT, sent=True) from error
         finally:
-            if exchange is not None:
+            if exchange is not None and fresh:
+                exchange.drop()
+                exchange.connection.close()
+            elif exchange is not None:
                 self.release(address, exchange)
         return head, body
 
@@ -150,7 +175,7 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._clock), host, int(port)
+                    lambda: Connection(self._clock, self._buffers), host, int(port)
                 )
         except TimeoutError as error:
             raise ExchangeFailed(FailureKind.TIMEOUT, sent=False) from error
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -1,6 +1,8 @@
 """HTTP server that hands whole requests over and takes answers in parts."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -13,9 +15,10 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
 
-from wigeonspan.common import WigeonspanError, encode
+from wigeonspan.common import ErrorKind, WigeonspanError, encode
 
 MOST_HEADER_BYTES = 64 * 1024
 """Largest head in bytes that is read at all; configurations set lower limits."""
@@ -28,6 +31,12 @@
 callers count on, so that no request meets a close."""
 
 
+LAST_WRITE_S = 0.25
+"""Seconds for the answers to requests that are ended with the process."""
+
+_RESET = struct.pack("ii", 1, 0)
+
+
 class Caller:
     """Where the answer to one request goes.
 
@@ -35,10 +44,13 @@
     ----------
     connection : HTTPConnection
         Caller's connection.
+    has_chunks : bool
+        Whether the caller understands chunks, which HTTP/1.0 lacks.
     """
 
-    def __init__(self, connection: HTTPConnection) -> None:
+    def __init__(self, connection: HTTPConnection, *, has_chunks: bool = True) -> None:
         self._connection = connection
+        self._has_chunks = has_chunks
         self._begun = False
         self._finished = False
         self._gone = False
@@ -102,8 +114,14 @@
 
     def break_off(self) -> None:
         """Close the connection, so that the answer does not look complete."""
-        if isinstance(self._connection, HTTP1Connection):
-            self._connection.stream.close()
+        if not isinstance(self._connection, HTTP1Connection):
+            return
+        stream = self._connection.stream
+        if self._begun and not self._has_chunks and stream.socket is not None:
+            # The end of the connection is the end of an answer without chunks; only
+            # a reset shows that it is not whole.
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        stream.close()
 
     async def _begin(
         self, status: int, headers: list[tuple[str, str]], body: bytes | None
@@ -133,11 +151,15 @@
     ----------
     serve : callable
         Serves one request.
+    note_error : callable
+        Takes an unexpected error of ``serve``; its caller gets an error answer.
     """
 
-    def __init__(self, serve: Serve) -> None:
+    def __init__(self, serve: Serve, note_error: Callable[[Exception], None]) -> None:
         self._serve = serve
+        self._note_error = note_error
         self._open: set[asyncio.Task[None]] = set()
+        self._sockets: list[socket.socket] = []
         self._server = HTTPServer(
             self,
             max_header_size=MOST_HEADER_BYTES,
@@ -153,21 +175,55 @@
     def listen(self, address: str) -> None:
         """Listen on an address."""
         host, _, port = address.rpartition(":")
-        self._server.listen(int(port), host)
+        sockets = bind_sockets(int(port), host)
+        self._sockets.extend(sockets)
+        self._server.add_sockets(sockets)
 
     def close_after_answers(self) -> None:
         """Tell each caller with its next answer that the connection ends."""
         self._server.conn_params.no_keep_alive = True
 
     def stop_accepting(self) -> None:
-        """Take no new connections."""
+        """Take no new connections, but those that callers have already made.
+
+        The kernel resets connections that still wait to be accepted when their
+        listening socket is closed.
+        """
+        for listening in self._sockets:
+            self._accept_waiting(listening)
         self._server.stop()
+        self._sockets = []
+
+    async def end_requests(self) -> None:
+        """Cancel the open requests and wait until their callers have answers.
+
+        ``serve`` may answer a cancelled request whose caller is still there.
+        """
+        open_now = set(self._open)
+        for task in open_now:
+            task.cancel()
+        if open_now:
+            await asyncio.wait(open_now, timeout=LAST_WRITE_S)
 
     async def close(self) -> None:
         """Close all connections."""
         self._server.stop()
         await self._server.close_all_connections()
 
+    def _accept_waiting(self, listening: socket.socket) -> None:
+        while True:
+            try:
+                accepted, address = listening.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # The caller has left, or descriptors have run out.
+                self._note_error(error)
+                return
+            accepted.setblocking(False)
+            stream = IOStream(accepted, max_buffer_size=MOST_BODY_BYTES)
+            self._server.handle_stream(stream, address)
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
@@ -184,7 +240,7 @@
         body: bytes,
         connection: HTTPConnection,
     ) -> None:
-        caller = Caller(connection)
+        caller = Caller(connection, has_chunks=line.version != "HTTP/1.0")
         fields = list(headers.get_all())
         work = self._serve(line.method, line.path, fields, body, caller)
         task = asyncio.ensure_future(self._run(work, caller))
@@ -200,6 +256,12 @@
     async def _run(self, work: Awaitable[None], caller: Caller) -> None:
         try:
             await work
+        except Exception as error:
+            # A fault of this process costs one request and not the others.
+            self._note_error(error)
+            if not caller.begun:
+                message = "the request failed inside the system"
+                await caller.refuse(WigeonspanError(ErrorKind.INTERNAL, message))
         finally:
             if not caller.finished:
                 caller.break_off()
