Copy shared beginnings between engines and leave engines that fall silent

Cause: shared parts were read again at each engine that a session moved to, prompts waited for a dark engine up to four times their expected wait, and bodies of long prompts crossed failure domains twice. Change: Kv-Fetch from the engine that holds the longest beginning, priced as memory like reading again; a waiting prompt is placed anew when its engine finishes nothing or another request finds it silent; the size of the body weighs against another failure domain. The client of entryd keeps bodies under one budget, and an answer that goes on after its last event is closed.

--- a/replay/_request.py
+++ b/replay/_request.py
@@ -120,8 +120,7 @@
             work_ms,
             plan.urgency,
         )
-        new_tokens = self._entry.placer.new_tokens(target, prompt)
-        fleet.begin(self._entry, work, prompt.parts, new_tokens)
+        fleet.begin(self._entry, work, prompt.parts, plan.reading.new_tokens)
         engine = fleet.engine(target.target)
 
         def done(completed: bool) -> None:
@@ -162,7 +161,11 @@
             self._try_again(engine)
             return
         decode = self._entry.placer.choose_decode(
-            fleet.usable(), fleet.clock.now(), self._excluded, engine.target.domain
+            fleet.usable(),
+            self._arrival.prompt,
+            fleet.clock.now(),
+            self._excluded,
+            engine.target.domain,
         )
         if decode is None:
             self._try_again(engine)
--- /dev/null
+++ b/tests/engines/test_endless.py
@@ -0,0 +1,121 @@
+"""Engines whose answers have no end, over loopback."""
+
+import asyncio
+import contextlib
+import tracemalloc
+
+import pytest
+
+from wigeonspan.common import SystemClock
+from wigeonspan.engines import _client as client
+from wigeonspan.engines._client import EngineStream
+from wigeonspan.engines._connections import TargetConnections
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKS = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+MOST_EXTRA_BYTES = 24 * 1024 * 1024
+
+ENDLESS = {
+    "fields": (OK, b"X-More: 1\r\n" * 1000),
+    "field": (OK + b"X-More: ", b"a" * 16384),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+    "body by length": (OK + b"Content-Length: 999999999999\r\n\r\n", b"x" * 16384),
+    "body by chunks": (CHUNKS, b"4000\r\n" + b"x" * 16384 + b"\r\n"),
+    "body by close": (OK + b"\r\n", b"x" * 16384),
+    "trailers": (CHUNKS + b"0\r\n", b"X-More: 1\r\n" * 1000),
+    "chunk size": (CHUNKS + b"1;a=", b"a" * 16384),
+}
+
+
+@contextlib.asynccontextmanager
+async def endless_engine(first, again):
+    """Serve bytes without end to each connection until the other side closes."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first)
+            while True:
+                writer.write(again)
+                await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connections = TargetConnections(40, 1 << 22, 1.0, SystemClock())
+    yield connections, f"127.0.0.1:{port}"
+    connections.close()
+    server.close()
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_answer_without_an_end_is_no_answer(name):
+    """Twenty such engines must not cost a process its memory."""
+
+    async def run():
+        async with endless_engine(*ENDLESS[name]) as (connections, address):
+            tracemalloc.start()
+            exchanges = [
+                connections.open(address, "GET", "/", timeout_s=1.0) for _ in range(20)
+            ]
+            async with asyncio.timeout(15):
+                ends = [await exchange.ended for exchange in exchanges]
+            _, peak = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            return ends, peak
+
+    ends, peak = asyncio.run(run())
+    assert all(end.status == 0 and not end.sent_nothing for end in ends)
+    assert peak < MOST_EXTRA_BYTES
+
+
+class Listener:
+    """Releases its stream at the end marker, as an attempt does."""
+
+    def __init__(self):
+        self.stream = None
+        self.fault = None
+
+    def on_frame(self, frame):
+        pass
+
+    def on_comment(self):
+        pass
+
+    def on_end_marker(self):
+        self.stream.release()
+
+    def on_ended(self, fault, status, message):
+        self.fault = fault
+
+
+@pytest.mark.parametrize("again", [b": x\n\n", b"data: ", b"y"])
+def test_answer_that_goes_on_after_its_last_event_ends(again, monkeypatch):
+    """Its connection was read for ever, with nobody who listened."""
+    monkeypatch.setattr(client, "DRAIN_S", 0.2)
+    first = OK + b"\r\ndata: [DONE]\n\n"
+
+    async def run():
+        async with endless_engine(first, again * 100) as (connections, address):
+            listener = Listener()
+            listener.stream = EngineStream(connections, address, b"{}", listener)
+            async with asyncio.timeout(5):
+                await listener.stream._exchange.ended
+
+    asyncio.run(run())
+
+
+def test_event_without_an_end_is_garbage():
+    """Half an event of any size filled the memory of its entry."""
+
+    async def run():
+        async with endless_engine(OK + b"\r\ndata: ", b"x" * 16384) as (conns, address):
+            listener = Listener()
+            listener.stream = EngineStream(conns, address, b"{}", listener)
+            async with asyncio.timeout(5):
+                while listener.fault is None:
+                    await asyncio.sleep(0.01)
+            listener.stream.close()
+            return listener.fault
+
+    assert asyncio.run(run()).value == "garbage"
--- /dev/null
+++ b/tests/placing/test_copies.py
@@ -0,0 +1,72 @@
+"""What an engine reads of a prompt and what it copies."""
+
+import random
+
+import pytest
+
+from wigeonspan.common import DomainName, ServiceName
+from wigeonspan.placing._copies import FIXED_MS, LEAST_TOKENS, plan_readings
+from wigeonspan.targets import Target, TargetId
+
+
+def engine(name, domain="a"):
+    return Target(
+        TargetId(name), ServiceName("m"), "10.0.0.1:1", DomainName(domain), 64
+    )
+
+
+def read(held, *, engines=("x",), sources=("x", "y"), total=10_000, copy_us=1.0):
+    far = {"z"}
+    targets = {n: engine(n, "b" if n in far else "a") for n in (*engines, *sources)}
+    return plan_readings(
+        [targets[n] for n in engines],
+        {TargetId(n): held.get(n, 0) for n in targets},
+        [targets[n] for n in sources],
+        total,
+        copy_us,
+        random.Random(1),
+    )
+
+
+@pytest.mark.parametrize(
+    ("held", "total", "expected"),
+    [
+        ({}, 10_000, (10_000, 0)),
+        ({"y": 6000}, 10_000, (4000, 6000)),
+        ({"x": 6000, "y": 6000}, 10_000, (4000, 0)),
+        ({"x": 7000, "y": 6000}, 10_000, (3000, 0)),
+        ({"x": 6000 - LEAST_TOKENS + 1, "y": 6000}, 10_000, (4383, 0)),
+        # One token at least is read.
+        ({"y": 10_000}, 10_000, (1, 9999)),
+        ({"x": 10_000, "y": 10_000}, 10_000, (1, 0)),
+    ],
+)
+def test_longest_beginning_is_copied(held, total, expected):
+    """Parts that an engine holds were read again next to it."""
+    reading = read(held, total=total)[TargetId("x")]
+    assert (reading.read_tokens, reading.copied_tokens) == expected
+    assert (reading.source is not None) == (expected[1] > 0)
+
+
+def test_engines_that_cannot_copy_read():
+    """The configuration may not say how long a copy takes."""
+    reading = read({"y": 6000}, copy_us=0.0)[TargetId("x")]
+    assert reading.source is None and reading.new_tokens == 10_000
+
+
+def test_source_in_the_same_failure_domain_goes_first():
+    """A copy between failure domains takes twice as long and is dear."""
+    held = {"y": 6000, "z": 6000}
+    sources = {
+        read(held, sources=("z", "y"))[TargetId("x")].source.target for _ in range(5)
+    }
+    assert sources == {"y"}
+    near = read({"y": 6000})[TargetId("x")].copy_ms
+    far = read({"z": 6000}, sources=("z",))[TargetId("x")].copy_ms
+    assert near - FIXED_MS == pytest.approx(6.0)
+    assert far - FIXED_MS == pytest.approx(12.0)
+
+
+def test_memory_counts_what_is_copied():
+    """Copied parts make others yield like parts that were read."""
+    assert read({"y": 6000})[TargetId("x")].new_tokens == 10_000
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -60,6 +60,10 @@
     return Prompt(tuple(parts), sum(p.tokens for p in parts), 40)
 
 
+def large_body(size):
+    return Prompt((PromptPart("x", 6000),), 6000, 40, body_bytes=size)
+
+
 def busy(placer, target, cost_ms, urgency=0, name="w"):
     work = Work(name, HostId("e"), TargetId(target), WorkKind.PREFILL, cost_ms, urgency)
     placer.ledger.begin(work, 0.0)
@@ -229,7 +233,7 @@
         placer.ledger.begin(
             Work(f"e{n}", HostId("e"), TargetId("d1"), WorkKind.DECODE, 0.0, 1), 0.0
         )
-    assert placer.choose_decode(fleet(), 0.0).target == "d1"
+    assert placer.choose_decode(fleet(), prompt(), 0.0).target == "d1"
 
 
 def test_calls_avoid_a_target_that_fails_more_than_the_others(placer):
@@ -299,3 +303,62 @@
     for tokens in (500, 19_000):
         kept = placer.plan(route(), prompt(tokens), targets, 10.0, 10.0)
         assert kept.urgency < LATE_URGENCY
+
+
+def holds(placer, target, session="s", shared=5000):
+    placer.prefixes.note(TargetId(target), (PromptPart(session, shared),), shared)
+
+
+@pytest.mark.parametrize("holder", ["p0", "d0"])
+def test_beginning_that_another_engine_holds_is_copied(placer, holder):
+    """A burst of prompts with one beginning read it again at each engine; an engine
+    that produces answers holds it as well."""
+    placer.set_engines(400_000.0, 1.0)
+    holds(placer, holder)
+    busy(placer, "p0", 3000.0)
+    plan = placer.plan(route(), prompt(1000, "s"), fleet(), 10.0, 0.0)
+    assert plan.prefill.target == "p1"
+    assert plan.reading.source.target == holder
+    assert (plan.reading.copied_tokens, plan.reading.read_tokens) == (5000, 1000)
+    assert plan.work_ms < 50.0
+
+
+def test_copies_do_not_spread_a_session_over_free_engines(placer):
+    """Copies that cost hardly any time filled the memories with the same parts, and
+    what others held was read again."""
+    placer.set_engines(400_000.0, 1.0)
+    holds(placer, "p0")
+    chosen = set()
+    for _ in range(20):
+        plan = placer.plan(route(), prompt(1000, "s"), fleet(), 10.0, 0.0)
+        chosen.add(plan.prefill.target)
+    assert chosen == {"p0"}
+
+
+@pytest.mark.parametrize("size", [12_000, 60_000])
+def test_large_body_stays_in_its_failure_domain(placer, size):
+    """Bodies are sent to two engines; most of the bytes between domains were theirs."""
+    engines = [
+        engine("p0", Phase.PREFILL, "b"),
+        engine("p1", Phase.PREFILL, "a"),
+        engine("d0", Phase.DECODE, "b"),
+        engine("d1", Phase.DECODE, "a"),
+    ]
+    plans = [
+        placer.plan(route(), large_body(size), engines, 10.0, 0.0) for _ in range(20)
+    ]
+    near = sum(p.prefill.target == "p1" for p in plans)
+    assert near >= (12 if size < 20_000 else 20)
+    assert {p.decode.target for p in plans if p.prefill.target == "p1"} == {"d1"}
+
+
+def test_busy_engine_does_not_keep_a_body_in_its_domain(placer):
+    """Bytes between domains cost less than a late answer."""
+    engines = [
+        engine("p0", Phase.PREFILL, "b"),
+        engine("p1", Phase.PREFILL, "a"),
+        engine("d0", Phase.DECODE, "a"),
+    ]
+    busy(placer, "p1", 400.0)
+    plan = placer.plan(route(), large_body(20_000), engines, 10.0, 0.0)
+    assert plan.prefill.target == "p0"
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -21,7 +21,7 @@
 from wigeonspan.gateway._config import ConfigHolder
 from wigeonspan.gateway._parts import Parts
 from wigeonspan.gateway._serve import Server
-from wigeonspan.placing import Placer, RetryBudget
+from wigeonspan.placing import Placer, PromptPart, RetryBudget, Work, WorkKind
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.serving import RequestServer
 from wigeonspan.targets import Listing, Phase, Target, TargetBoard, TargetId
@@ -184,10 +184,11 @@
     return asyncio.run(run())
 
 
-async def send(number, usage, leave_after_s):
+async def send(number, usage, leave_after_s, *, prefix=""):
     reader, writer = await asyncio.open_connection(f"{NET}.1.1", 18081)
     head = f"POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
     head += f"Token-Usage: {usage}\r\n" if usage else ""
+    head += f"Prompt-Prefix: {prefix}\r\n" if prefix else ""
     head += "Deadline-Ms: 1900\r\nContent-Length: 0\r\n\r\n"
     writer.write(head.encode())
     answer = b""
@@ -512,3 +513,69 @@
 
     answer = asyncio.run(run())
     assert status(answer) == 502 and b'"ran":"unknown"' in answer
+
+
+def test_prompt_leaves_an_engine_that_another_request_finds_silent():
+    """Prompts waited for a dark engine until their callers had left."""
+
+    async def run():
+        engines = [
+            Engine("p", Phase.PREFILL, hangs),
+            Engine("p2", Phase.PREFILL, reads),
+            Engine("d", Phase.DECODE, streams(3)),
+        ]
+        parts, servers = start_gateway(route(STREAM), engines)
+        # All prompts go to the engine that hangs.
+        parts.placer.prefixes.note(TargetId("p"), (PromptPart("s", 9000),), 9000)
+        began = parts.clock.now()
+        asking = asyncio.create_task(send(0, "9600,20", None, prefix="s:9000,o:600"))
+        await asyncio.sleep(0.2)
+        assert len(engines[0].seen) == 1
+        parts.placer.health.suspend(TargetId("p"), parts.clock.now())
+        answer = await asking
+        took_s = parts.clock.now() - began
+        for server in servers:
+            await server.close()
+        parts.pool.close()
+        return answer, took_s
+
+    answer, took_s = asyncio.run(run())
+    assert answer.count(b"data: ") == 3
+    assert took_s < 0.6
+
+
+@pytest.mark.parametrize("finishes", [True, False])
+def test_prompt_waits_for_an_engine_that_finishes_others(finishes):
+    """Reading it again elsewhere would add to the work that all are behind with."""
+
+    async def run():
+        engines = [
+            Engine("p", Phase.PREFILL, hangs),
+            Engine("p2", Phase.PREFILL, hangs),
+            Engine("d", Phase.DECODE, streams(3)),
+        ]
+        parts, servers = start_gateway(route(STREAM), engines)
+        asking = asyncio.create_task(send(0, "600,20", None))
+        for n in range(16):
+            await asyncio.sleep(0.1)
+            if finishes:
+                now = parts.clock.now()
+                for name in ("p", "p2"):
+                    work = Work(
+                        f"w{n}{name}",
+                        HostId("o"),
+                        TargetId(name),
+                        WorkKind.PREFILL,
+                        20.0,
+                        0,
+                    )
+                    parts.placer.ledger.begin(work, now - 0.02)
+                    parts.placer.ledger.end(work.work, now, completed=True)
+        seen = len(engines[0].seen) + len(engines[1].seen)
+        asking.cancel()
+        for server in servers:
+            await server.close()
+        parts.pool.close()
+        return seen
+
+    assert asyncio.run(run()) == (1 if finishes else 2)
--- a/wigeonspan/engines/_client.py
+++ b/wigeonspan/engines/_client.py
@@ -41,6 +41,10 @@
 KV_TIMEOUT_S = 5.0
 """Longest time of a KV cache transfer; recomputing the prompt is the alternative."""
 
+DRAIN_S = 1.0
+"""Seconds in which an answer must end after its last event; its connection is closed
+then, since an engine in trouble may go on for ever."""
+
 COMPLETIONS_PATH = "/v1/completions"
 
 _REFUSALS = frozenset({404, 409, 429, 503})
@@ -122,6 +126,10 @@
     def release(self) -> None:
         """Stop listening and let the answer end, so that the connection is kept."""
         self._listener = None
+        if not self._exchange.ended.done():
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(DRAIN_S, self._exchange.close)
+            self._exchange.ended.add_done_callback(lambda _: timer.cancel())
 
     def _on_data(self, data: bytes) -> None:
         if self._listener is None:
--- a/wigeonspan/engines/_connections.py
+++ b/wigeonspan/engines/_connections.py
@@ -14,6 +14,7 @@
 
 from wigeonspan.common import Clock
 from wigeonspan.http import use_fresh_connection
+from wigeonspan.pool import Bound, BufferBudget
 
 MAX_IDLE_S = 10
 """Seconds that an idle connection stays usable. It bounds how long a target must be
@@ -23,6 +24,10 @@
 """Milliseconds that sent bytes may stay unacknowledged. The kernel ends a connection
 that something on the way has lost track of, long before a progress timer would."""
 
+MOST_BODIES_BYTES = 8 * 1024 * 1024
+"""Bytes of answers that are kept whole for all exchanges together; bodies of calls are
+far smaller, and as much again may wait in the client."""
+
 _NEVER_CONNECTED = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
 OnData = Callable[[bytes], None]
@@ -102,16 +107,28 @@
     client : AbortableClient
         Client that runs it.
     request : HTTPRequest
-        The request; every option that curl needs must be set.
+        The request; every option that curl needs must be set. The body is kept when
+        it has no function that takes the pieces.
     fresh : bool
         Whether the connection must be new and must not be used again.
+    buffers : BufferBudget
+        Counts the bytes of bodies that all exchanges keep.
     """
 
     def __init__(
-        self, client: AbortableClient, request: HTTPRequest, fresh: bool
+        self,
+        client: AbortableClient,
+        request: HTTPRequest,
+        fresh: bool,
+        buffers: BufferBudget,
     ) -> None:
         self._client = client
         self._fresh = fresh
+        self._buffers = buffers
+        self._body = bytearray()
+        self._over: Bound | None = None
+        if request.streaming_callback is None:
+            request.streaming_callback = self._keep
         self._curl: pycurl.Curl | None = None
         self._closed = False
         self.ended: asyncio.Future[ExchangeEnd] = asyncio.Future()
@@ -138,6 +155,21 @@
         if self._curl is not None:
             self._client.abort(self._curl)
 
+    def give_up(self, bound: Bound) -> None:
+        """Close the connection because too much of answers is kept."""
+        self._over = bound
+        self._drop()
+        self.close()
+
+    def _keep(self, data: bytes) -> None:
+        if self._over is None:
+            self._body += data
+            self._buffers.set_held(self, len(self._body))
+
+    def _drop(self) -> None:
+        self._body = bytearray()
+        self._buffers.set_held(self, 0)
+
     def _prepare(self, curl: pycurl.Curl) -> None:
         if self._closed:
             raise ConnectionAbortedError("closed by this side")
@@ -153,13 +185,17 @@
         self._curl = None
         if not self.ended.done():
             self.ended.set_result(self._end_of(response))
+        self._drop()
 
     def _end_of(self, response: HTTPResponse) -> ExchangeEnd:
         error = response.error
+        if self._over is not None:
+            return ExchangeEnd(0, "", b"", {}, message=f"over {self._over.value}")
         if response.code != 599:
             headers = response.headers
             content_type = headers.get("Content-Type", "")
-            return ExchangeEnd(response.code, content_type, response.body, headers)
+            body = bytes(self._body)
+            return ExchangeEnd(response.code, content_type, body, headers)
         errno = error.errno if isinstance(error, CurlError) else None
         timed_out = errno == pycurl.E_OPERATION_TIMEDOUT
         unconnected = timed_out and response.time_info.get("connect") == 0
@@ -202,6 +238,7 @@
         )
         self._connect_timeout_s = connect_timeout_s
         self._clock = clock
+        self._buffers = BufferBudget(MOST_BODIES_BYTES)
         self._fresh_until: dict[str, float] = {}
 
     def open(
@@ -251,7 +288,8 @@
             user_agent="wigeonspan",
             streaming_callback=on_data,
         )
-        return Exchange(self._client, request, fresh or self._is_distrusted(address))
+        fresh = fresh or self._is_distrusted(address)
+        return Exchange(self._client, request, fresh, self._buffers)
 
     def distrust(self, address: str) -> None:
         """Stop using the idle connections to a target.
--- a/wigeonspan/fleetconfig/_messages.py
+++ b/wigeonspan/fleetconfig/_messages.py
@@ -76,12 +76,16 @@
         Seconds that an engine keeps a prompt for another engine to fetch.
     switch_s : float
         Seconds that a change of phase takes an engine out of service.
+    copy_us : float
+        Microseconds in which one engine copies a token from another one in its
+        failure domain; 0 when engines cannot copy.
     """
 
     slots: int
     kv_tokens: int
     handle_ttl_s: float
     switch_s: float
+    copy_us: float = 0.0
 
 
 class ServiceSpec(Struct, frozen=True):
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -29,11 +29,14 @@
 """Most rounds of reading a prompt and producing its answer for one request."""
 
 READ_PATIENCE = 4.0
-"""Multiple of the expected time after which a prompt is read elsewhere."""
+"""Multiple of the time for a prompt in which its engine must finish some prompt, or it
+is read elsewhere."""
 
 READ_PATIENCE_MIN_S = 1.0
-"""Shortest time in seconds after which a prompt is read elsewhere; long enough for
-several prompts that go first."""
+"""Shortest such time in seconds; long enough for a prompt of the largest size."""
+
+LOOK_S = 0.1
+"""Seconds between two looks at the engine of a prompt that waits to be read."""
 
 STALL_PAUSES = 4.0
 """Multiple of the pause objective after which a stream that may be resumed goes on at
@@ -147,9 +150,9 @@
             cost_ms=round(plan.cost_ms),
             first_ms=round(plan.first_ms),
             urgency=plan.urgency,
-            new_tokens=parts.placer.new_tokens(
-                plan.prefill or plan.decode, self._prompt
-            ),
+            read_tokens=plan.reading.read_tokens,
+            copied_tokens=plan.reading.copied_tokens,
+            source=plan.reading.source.target if plan.reading.source else None,
             list_age_ms=list_age_ms,
         )
         return plan
@@ -161,9 +164,14 @@
             self._take_budget()
         self._reads += 1
         left_s = self._ends_at - now
-        expected_ms = plan.wait_ms + plan.cost_ms
-        limit_s = max(READ_PATIENCE_MIN_S, READ_PATIENCE * expected_ms / 1000.0)
-        send = Send(engine, left_s, plan.urgency, Phase.PREFILL)
+        limit_s = max(READ_PATIENCE_MIN_S, READ_PATIENCE * plan.cost_ms / 1000.0)
+        send = Send(
+            engine,
+            left_s,
+            plan.urgency,
+            Phase.PREFILL,
+            copy_from=plan.reading.source,
+        )
         try:
             async with sending(
                 parts,
@@ -172,7 +180,7 @@
                 WorkKind.PREFILL,
                 work_ms=plan.work_ms,
                 reads=self._prompt.parts,
-                new_tokens=parts.placer.new_tokens(engine, self._prompt),
+                new_tokens=plan.reading.new_tokens,
             ) as exchange:
                 head = await self._read_answer(engine, exchange, limit_s)
                 body = await within(self._body_s(), exchange.read_all(MOST_REPLY_BYTES))
@@ -194,19 +202,28 @@
     async def _read_answer(
         self, engine: Target, exchange: Exchange, limit_s: float
     ) -> Head:
-        """Wait for an engine to read a prompt; longer while it finishes others.
+        """Wait for an engine to read a prompt, as long as it finishes others.
 
-        Reading it again elsewhere would add to the work that all are behind with.
+        Reading it again elsewhere would add to the work that all are behind with. An
+        engine that another request found silent is left at once: nothing has run.
         """
-        clock, ledger = self._parts.clock, self._parts.placer.ledger
-        began = clock.now()
-        try:
-            return await within(min(limit_s, self._ends_at - began), exchange.head())
-        except ExchangeFailed as failure:
-            waits = failure.kind is FailureKind.TIMEOUT
-            if not waits or not ledger.finished_since(engine.target, began):
-                raise
-        return await within(min(limit_s, self._ends_at - clock.now()), exchange.head())
+        clock, placer = self._parts.clock, self._parts.placer
+        began = progress_at = clock.now()
+        while True:
+            try:
+                return await within(
+                    min(LOOK_S, self._ends_at - clock.now()), exchange.head()
+                )
+            except ExchangeFailed as failure:
+                if failure.kind is not FailureKind.TIMEOUT:
+                    raise
+                now = clock.now()
+                if placer.ledger.finished_since(engine.target, progress_at):
+                    progress_at = now
+                silent = now - progress_at >= limit_s
+                lost = placer.health.suspended_since(engine.target, began)
+                if silent or lost or now >= self._ends_at:
+                    raise
 
     async def _stream_from(
         self, caller: Caller, plan: Plan, handle: Handle | None
@@ -235,14 +252,15 @@
     ) -> bool:
         """Send the request to an engine and pass its events on."""
         parts, started = self._parts, self._parts.clock.now()
+        direct = handle is None
         send = Send(
             engine,
             self._ends_at - started,
             plan.urgency,
             fetch=handle,
             resume_after=self._position.last,
+            copy_from=plan.reading.source if direct else None,
         )
-        direct = handle is None
         async with sending(
             parts,
             self._request,
@@ -250,8 +268,8 @@
             WorkKind.DIRECT if direct else WorkKind.DECODE,
             work_ms=plan.work_ms * DIRECT_SLOWDOWN if direct else 0.0,
             fresh=not self._route.repeatable,
-            reads=self._prompt.parts if direct else (),
-            new_tokens=parts.placer.new_tokens(engine, self._prompt) if direct else 0,
+            reads=self._prompt.parts,
+            new_tokens=parts.placer.new_tokens(engine, self._prompt),
         ) as exchange:
             self._streams += 1
             # Until the engine says otherwise the request counts as run.
@@ -398,6 +416,7 @@
             return None
         return parts.placer.choose_decode(
             parts.board.usable(self._service),
+            self._prompt,
             parts.clock.now(),
             self._excluded,
             near=handle.source.domain,
--- a/wigeonspan/gateway/_messages.py
+++ b/wigeonspan/gateway/_messages.py
@@ -63,6 +63,8 @@
         Where the engine gets the prompt from.
     resume_after : str or None
         Last event that the caller has; None to forward what the caller sent.
+    copy_from : Target or None
+        Engine that the prompt's beginning is copied from before it is read.
     """
 
     target: Target
@@ -71,6 +73,7 @@
     phase: Phase = Phase.NONE
     fetch: Handle | None = None
     resume_after: str | None = None
+    copy_from: Target | None = None
 
 
 class TargetOutcome(Enum):
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -147,7 +147,8 @@
     ) -> PlainCall | Generation:
         spec = config.service(service)
         if spec is not None and spec.engine is not None:
-            self._parts.placer.prefixes.set_memory(spec.engine.kv_tokens)
+            engine = spec.engine
+            self._parts.placer.set_engines(engine.kv_tokens, engine.copy_us)
         is_model = spec is not None and spec.engine is not None
         kind = Generation if is_model and route.kind is CallKind.STREAM else PlainCall
         return kind(self._parts, request, route, service, ends_at)
--- a/wigeonspan/placing/__init__.py
+++ b/wigeonspan/placing/__init__.py
@@ -1,5 +1,6 @@
 """Placement of requests on targets, decided without I/O."""
 
+from wigeonspan.placing._copies import Reading
 from wigeonspan.placing._health import HealthBook
 from wigeonspan.placing._ledger import Work, WorkKind, WorkLedger
 from wigeonspan.placing._messages import (
@@ -26,6 +27,7 @@
     "PrefixBook",
     "Prompt",
     "PromptPart",
+    "Reading",
     "Refusal",
     "RetryBudget",
     "SpeedBook",
--- a/wigeonspan/placing/_health.py
+++ b/wigeonspan/placing/_health.py
@@ -19,6 +19,10 @@
 objective of a long generation."""
 
 
+NEVER = float("-inf")
+"""Time of a suspension that has not happened."""
+
+
 class _State:
     def __init__(self) -> None:
         self.in_row = 0
@@ -26,6 +30,7 @@
         self.suspensions = 0
         self.until = 0.0
         self.trial = False
+        self.suspended_at = NEVER
 
 
 class HealthBook:
@@ -69,6 +74,12 @@
         state = self._states.setdefault(target, _State())
         if now >= state.until:
             state.until = now + FIRST_SUSPENSION_S
+            state.suspended_at = now
+
+    def suspended_since(self, target: TargetId, since: float) -> bool:
+        """Whether a target was suspended after a time and has not answered since."""
+        state = self._states.get(target)
+        return state is not None and state.until > 0.0 and state.suspended_at > since
 
     def available(self, target: TargetId, now: float) -> bool:
         """Whether a target may get a request; after a suspension, one as a trial."""
@@ -105,4 +116,5 @@
         length = FIRST_SUSPENSION_S * 2.0**state.suspensions
         state.until = now + min(length, LONGEST_SUSPENSION_S)
         state.suspensions += 1
+        state.suspended_at = now
         state.trial = False
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from wigeonspan.placing._copies import Reading
 from wigeonspan.targets import Target
 
 
@@ -25,11 +26,19 @@
         Tokens of the whole prompt.
     output_tokens : int
         Largest number of tokens of the answer.
+    body_bytes : int
+        Size of the request's body.
     """
 
     parts: tuple[PromptPart, ...]
     input_tokens: int
     output_tokens: int
+    body_bytes: int = 0
+
+    @property
+    def total_tokens(self) -> int:
+        """Tokens to read when nothing is held; the parts may name more than the sum."""
+        return max(1, self.input_tokens, sum(part.tokens for part in self.parts))
 
 
 class Decision(Enum):
@@ -58,6 +67,8 @@
         Expected time until the first event.
     urgency : int
         Rank at the engines; 0 is first.
+    reading : Reading
+        What the engine that reads the prompt reads and copies.
     """
 
     decision: Decision
@@ -68,6 +79,7 @@
     wait_ms: float
     first_ms: float
     urgency: int
+    reading: Reading
 
 
 class Limit(Enum):
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -6,6 +6,7 @@
 
 from wigeonspan.common import DomainName
 from wigeonspan.fleetconfig import Route
+from wigeonspan.placing._copies import Reading, plan_readings
 from wigeonspan.placing._health import HealthBook
 from wigeonspan.placing._ledger import WorkKind, WorkLedger
 from wigeonspan.placing._messages import Decision, Limit, Plan, Prompt, Refusal
@@ -47,9 +48,13 @@
 two frees a slot of 64 about that often."""
 
 OTHER_DOMAIN_MS = 4.0
-"""Delay that another failure domain counts as: two extra ways of the request, and a
+"""Delay that another failure domain counts as: two extra ways of a request, or a
 transfer at half the speed."""
 
+FAR_KB_MS = 1.0
+"""Delay that each kilobyte sent to another failure domain counts as; links between
+domains are shared and dear, and the body of a long prompt is sent to two engines."""
+
 SPREAD_MS = 30.0
 """Largest random delay added when prefill engines are compared: requests that arrive
 together at several entries, before these hear of each other, go to different ones."""
@@ -119,6 +124,7 @@
         self._domain = domain
         self._rng = rng
         self._handoff_ms = HANDOFF_MS
+        self._copy_us = 0.0
         self._sizes = WorkSizes()
         self.ledger = WorkLedger()
         self.prefixes = PrefixBook(400_000.0)
@@ -135,12 +141,18 @@
         """Take a sample of the time from a read prompt to the first event."""
         self._handoff_ms += HANDOFF_WEIGHT * (actual_ms - self._handoff_ms)
 
-    def read_ms(self, target: Target, prompt: Prompt, now: float) -> float:
-        """Return the time that an engine needs to read a prompt, if it does only that.
+    def set_engines(self, memory_tokens: float, copy_us: float) -> None:
+        """Note the sizes of the engines, from the configuration.
 
-        Only tokens that it does not hold are read.
+        Parameters
+        ----------
+        memory_tokens : float
+            Tokens that an engine's memory holds.
+        copy_us : float
+            Microseconds in which engines copy one token; 0 when they cannot.
         """
-        return self.work_ms(target, prompt) * self.ledger.slowness(target.target, now)
+        self.prefixes.set_memory(memory_tokens)
+        self._copy_us = copy_us
 
     def forget(self, target: TargetId) -> None:
         """Forget what a target that is gone or has restarted did and held."""
@@ -150,8 +162,8 @@
 
     def new_tokens(self, target: Target, prompt: Prompt) -> int:
         """Return how many tokens of a prompt an engine does not hold."""
-        total = max(prompt.input_tokens, sum(p.tokens for p in prompt.parts))
-        return max(1, total - self.prefixes.cached_tokens(target.target, prompt.parts))
+        held = self.prefixes.cached_tokens(target.target, prompt.parts)
+        return max(1, prompt.total_tokens - held)
 
     def plan(
         self,
@@ -179,13 +191,21 @@
         kept = [t for t in targets if t.target not in excluded]
         readers = self._sound([t for t in kept if t.phase is Phase.PREFILL], now)
         writers = self._sound([t for t in kept if t.phase is not Phase.PREFILL], now)
-        costs = {t.target: self.read_ms(t, prompt, now) for t in readers or writers}
+        readings = self._readings(readers, writers, prompt)
+        costs = {
+            t.target: self._cost_ms(t, readings[t.target], prompt, now)
+            for t in readers or writers
+        }
         urgency = self._urgency(route, costs, elapsed_s)
         left_ms = (route.objective_s - elapsed_s) * 1000.0
 
         def best(urgency: int) -> Plan | None:
-            split = self._split(readers, writers, prompt, costs, urgency, left_ms, now)
-            direct = self._direct(writers, prompt, urgency, now, alone=not readers)
+            split = self._split(
+                readers, writers, prompt, readings, costs, urgency, left_ms, now
+            )
+            direct = self._direct(
+                writers, prompt, readings, urgency, now, alone=not readers
+            )
             options = [plan for plan in (split, direct) if plan is not None]
             return min(options, key=_compared_ms, default=None)
 
@@ -217,11 +237,19 @@
     def choose_decode(
         self,
         targets: Sequence[Target],
+        prompt: Prompt,
         now: float,
         excluded: Collection[TargetId] = (),
         near: DomainName | None = None,
     ) -> Target | None:
-        """Return the engine that produces an answer with the least delay."""
+        """Return the engine that produces an answer with the least delay.
+
+        Parameters
+        ----------
+        near : DomainName or None
+            Failure domain of the engine that holds the prompt; None when there is
+            none.
+        """
         kept = [t for t in targets if t.target not in excluded]
         engines = self._sound([t for t in kept if t.phase is not Phase.PREFILL], now)
         if not engines:
@@ -231,13 +259,14 @@
         def delay_ms(target: Target) -> float:
             running = self.ledger.count(target.target, WorkKind.DECODE, WorkKind.DIRECT)
             reading = self.ledger.backlog_ms(target.target, MOST_URGENCY, now)
-            far = target.domain not in (near or self._domain,)
+            far = near is not None and target.domain != near
             full = max(0, running + 1 - target.slots) * SLOT_WAIT_MS
             return (
                 running
                 + full
                 + reading * 0.2
                 + far * OTHER_DOMAIN_MS
+                + self._far_ms(target, prompt)
                 + prices[target.target]
                 + self._rng.random()
             )
@@ -269,11 +298,23 @@
 
         return min(usable, key=delay_ms)
 
-    def work_ms(self, target: Target, prompt: Prompt) -> float:
-        """Return the time that an engine of nominal speed needs for a prompt."""
-        total = max(prompt.input_tokens, sum(p.tokens for p in prompt.parts))
-        new = self.new_tokens(target, prompt)
-        return READ_FIXED_MS + new / READ_TOKENS_PER_MS + PAIR_MS * new * total
+    def _readings(
+        self, readers: list[Target], writers: list[Target], prompt: Prompt
+    ) -> dict[TargetId, Reading]:
+        engines = [*readers, *writers]
+        held = {
+            t.target: self.prefixes.cached_tokens(t.target, prompt.parts)
+            for t in engines
+        }
+        total = prompt.total_tokens
+        return plan_readings(engines, held, engines, total, self._copy_us, self._rng)
+
+    def _cost_ms(
+        self, target: Target, reading: Reading, prompt: Prompt, now: float
+    ) -> float:
+        """Return the time until an engine has a prompt, if it does only that."""
+        slowness = self.ledger.slowness(target.target, now)
+        return reading.copy_ms + _work_ms(reading, prompt) * slowness
 
     def _sound(self, targets: list[Target], now: float) -> list[Target]:
         """Return the targets that are not suspended, or all when all are."""
@@ -285,6 +326,7 @@
         engines: list[Target],
         writers: list[Target],
         prompt: Prompt,
+        readings: dict[TargetId, Reading],
         costs: dict[TargetId, float],
         urgency: int,
         left_ms: float,
@@ -299,15 +341,21 @@
         if not engines:
             return None
         prices = self.health.prices_ms([t.target for t in engines])
-        engines = self._sample(engines, prompt)
-        least = min(costs.values())
+        engines = self._sample(engines, readings)
+        # A copy takes little time, but it fills memory like reading again does.
+        alone = {
+            t.target: _work_ms(Reading(readings[t.target].new_tokens), prompt)
+            * self.ledger.slowness(t.target, now)
+            for t in engines
+        }
+        least = min(alone.values())
 
         def expected(target: Target) -> tuple[float, float, float]:
             cost = costs[target.target]
             wait = self.ledger.backlog_ms(target.target, urgency, now)
-            far = (target.domain != self._domain) * OTHER_DOMAIN_MS
+            far = self._far_ms(target, prompt)
             price = prices[target.target]
-            again = READ_AGAIN_WEIGHT * (cost - least)
+            again = READ_AGAIN_WEIGHT * (alone[target.target] - least)
             delayed = self.ledger.delayed(target.target, urgency)
             blocks = cost * (math.exp(-wait / FREE_MS) + DELAYED_WEIGHT * delayed)
             late = LATE_PRICE_MS * (wait + cost + self._handoff_ms > left_ms)
@@ -316,15 +364,26 @@
 
         scored = {t.target: expected(t) for t in engines}
         best = min(engines, key=lambda t: scored[t.target])
-        decode = self.choose_decode(writers, now, near=best.domain)
+        decode = self.choose_decode(writers, prompt, now, near=best.domain)
         if decode is None:
             return None
         _, wait, cost = scored[best.target]
         first = wait + cost + self._handoff_ms
-        work = self.work_ms(best, prompt)
-        return Plan(Decision.SPLIT, best, decode, work, cost, wait, first, urgency)
+        reading = readings[best.target]
+        work = _work_ms(reading, prompt)
+        return Plan(
+            Decision.SPLIT, best, decode, work, cost, wait, first, urgency, reading
+        )
+
+    def _far_ms(self, target: Target, prompt: Prompt) -> float:
+        """Return the delay that sending a prompt out of this domain counts as."""
+        if target.domain == self._domain:
+            return 0.0
+        return OTHER_DOMAIN_MS + FAR_KB_MS * prompt.body_bytes / 1024.0
 
-    def _sample(self, engines: list[Target], prompt: Prompt) -> list[Target]:
+    def _sample(
+        self, engines: list[Target], readings: dict[TargetId, Reading]
+    ) -> list[Target]:
         """Return a few engines at random, and the one that holds most of the prompt.
 
         Among many engines the best one is the same for all entries, and what they send
@@ -333,7 +392,7 @@
         if len(engines) <= CHOICES:
             return engines
         chosen = self._rng.sample(engines, CHOICES)
-        new = {t.target: self.new_tokens(t, prompt) for t in engines}
+        new = {t.target: readings[t.target].new_tokens for t in engines}
         holder = min(engines, key=lambda t: new[t.target])
         holds = new[holder.target] < max(new.values())
         return [*chosen, holder] if holds and holder not in chosen else chosen
@@ -342,23 +401,27 @@
         self,
         writers: list[Target],
         prompt: Prompt,
+        readings: dict[TargetId, Reading],
         urgency: int,
         now: float,
         *,
         alone: bool,
     ) -> Plan | None:
         """Return the plan in which a decode engine reads the prompt itself."""
-        engine = self.choose_decode(writers, now)
+        engine = self.choose_decode(writers, prompt, now)
         if engine is None:
             return None
-        reading = self.ledger.backlog_ms(engine.target, urgency, now)
+        waiting = self.ledger.backlog_ms(engine.target, urgency, now)
         slowdown = DIRECT_SLOWDOWN if engine.phase is Phase.DECODE else 1.0
-        cost = self.read_ms(engine, prompt, now) * slowdown
-        if not alone and reading + cost > DIRECT_LIMIT_MS:
+        reading = readings[engine.target]
+        cost = self._cost_ms(engine, reading, prompt, now) * slowdown
+        if not alone and waiting + cost > DIRECT_LIMIT_MS:
             return None
-        first = reading + cost + READ_FIXED_MS
-        work = self.work_ms(engine, prompt)
-        return Plan(Decision.DIRECT, None, engine, work, cost, reading, first, urgency)
+        first = waiting + cost + READ_FIXED_MS
+        work = _work_ms(reading, prompt)
+        return Plan(
+            Decision.DIRECT, None, engine, work, cost, waiting, first, urgency, reading
+        )
 
     def _urgency(
         self, route: Route, costs: dict[TargetId, float], elapsed_s: float
@@ -390,6 +453,14 @@
     )
 
 
+def _work_ms(reading: Reading, prompt: Prompt) -> float:
+    """Return the time that an engine of nominal speed needs to read a prompt."""
+    read = reading.read_tokens
+    return (
+        READ_FIXED_MS + read / READ_TOKENS_PER_MS + PAIR_MS * read * prompt.total_tokens
+    )
+
+
 def _compared_ms(plan: Plan) -> float:
     return plan.first_ms * (DIRECT_PRICE if plan.decision is Decision.DIRECT else 1.0)
 
