Relay what other relays send in one datagram with the own, less often in large fleets

Change: a relay keeps other relays' bundles for its next own datagram and waits longer in larger fleets; hosts that neither lead nor relay are asked once a second. A bundle's content is bounded.

--- a/tests/gateway/test_controls.py
+++ b/tests/gateway/test_controls.py
@@ -75,3 +75,14 @@
     assert made.switching == ["t"]
     made.unanswered("a")
     assert made.switching == []
+
+
+def test_hosts_that_neither_lead_nor_relay_are_asked_less_often():
+    """Two hundred entries asked five hosts twice a second each."""
+    made = book(("a", FAR), ("b", OWN), ("c", FAR))
+    for address in "ac":
+        made.answered(address, FAR, 1, [], 1.0, leads=address == "c")
+    made.answered("b", OWN, 1, [], 1.0, leads=False)
+    assert [made.is_urgent(x) for x in "abc"] == [False, True, True]
+    made.unanswered("a")
+    assert made.is_urgent("a")
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -291,6 +291,7 @@
             stored,
             [member.address for member in self._log.members],
             self._staging.switching,
+            leads=self._log.is_leader,
         )
 
     def _authority(self) -> Authority | None:
--- a/wigeonspan/coordinator/_heartbeats.py
+++ b/wigeonspan/coordinator/_heartbeats.py
@@ -47,6 +47,8 @@
         stored: StoredConfig,
         controls: list[str],
         switching: list[TargetId],
+        *,
+        leads: bool = False,
     ) -> BeatReply:
         """Note a heartbeat and return its answer.
 
@@ -58,6 +60,8 @@
             Internal addresses of the control group's members.
         switching : list of TargetId
             Engines whose phase is changing.
+        leads : bool
+            Whether this host leads its group.
         """
         now = self._clock.now()
         self._board.record(beat, now)
@@ -78,6 +82,7 @@
             controls=controls,
             domain=self._domain,
             switching=switching,
+            leads=leads,
         )
 
     def relayed_entries(self) -> list[str]:
--- a/wigeonspan/gateway/_beats.py
+++ b/wigeonspan/gateway/_beats.py
@@ -30,6 +30,10 @@
 """Seconds between heartbeats to one control host; a configuration must be in force
 within two seconds."""
 
+CALM_BEAT_S = 1.0
+"""Seconds between heartbeats to a host that neither leads nor relays; it takes an entry
+for alive for 1.6 seconds."""
+
 FIRST_BEAT_S = 0.15
 """Seconds between heartbeats until the first configuration."""
 
@@ -116,7 +120,9 @@
     async def _run(self, address: str) -> None:
         while self._controls.is_wanted(address, self._clock.now()):
             await self._beat(address)
-            pause = BEAT_S if self._config.version else FIRST_BEAT_S
+            pause = BEAT_S if self._controls.is_urgent(address) else CALM_BEAT_S
+            if not self._config.version:
+                pause = FIRST_BEAT_S
             await asyncio.sleep(pause * (0.8 + 0.4 * self._rng.random()))
         self._controls.drop(address)
         del self._tasks[address]
@@ -161,7 +167,12 @@
         self._answered.add(address)
         version, now = reply.config_version, self._clock.now()
         if self._controls.answered(
-            address, reply.domain, version, reply.switching, now
+            address,
+            reply.domain,
+            version,
+            reply.switching,
+            now,
+            leads=reply.leads,
         ):
             self._trail.note("beats", "control_back", control=address)
         for control in reply.controls:
--- a/wigeonspan/gateway/_controls.py
+++ b/wigeonspan/gateway/_controls.py
@@ -22,6 +22,7 @@
     # When it first told the version that it tells now.
     told_at: float = 0.0
     switching: list[TargetId] = []
+    leads: bool = True
 
 
 class ControlBook:
@@ -82,6 +83,8 @@
         version: int,
         switching: list[TargetId],
         now: float,
+        *,
+        leads: bool = True,
     ) -> bool:
         """Note an answer; return whether the host was unreachable before."""
         control = self._controls[address]
@@ -90,6 +93,7 @@
             control.version, control.told_at = version, now
         control.answered_at, control.reachable = now, True
         control.domain, control.switching = domain, switching
+        control.leads = leads
         self._choose_relay()
         return back
 
@@ -103,6 +107,15 @@
         self._choose_relay()
         return lost
 
+    def is_urgent(self, address: str) -> bool:
+        """Whether a host says what an entry must hear soon.
+
+        The relay brings configurations and the leader changes phases; the others only
+        have to know that this entry is alive.
+        """
+        control = self._controls[address]
+        return address == self._relay or control.leads or not control.reachable
+
     def wants_changes(self, address: str, held: int, now: float) -> bool:
         """Whether a host should send what has changed with its next answer.
 
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -85,6 +85,8 @@
         Failure domain of the control host; entries use a relay of their own.
     switching : list of TargetId
         Engines that must get no new work because their phase is changing.
+    leads : bool
+        Whether the host leads its group; only a leader changes phases.
     """
 
     config_version: int
@@ -94,3 +96,4 @@
     controls: list[str]
     domain: DomainName = DomainName("")
     switching: list[TargetId] = []
+    leads: bool = True
--- a/wigeonspan/sharing/_relay.py
+++ b/wigeonspan/sharing/_relay.py
@@ -12,13 +12,23 @@
 
 from wigeonspan.sharing._wire import (
     encode_bundles,
+    encode_groups,
     forwarded_bundle,
     mark_forwarded,
 )
 
-RELAY_S = 0.01
-"""Seconds that datagrams wait for others; short against the reading of a prompt, and
-long enough that entries get a hundred datagrams a second and not thousands."""
+SHORTEST_WAIT_S = 0.01
+"""Shortest time in seconds that datagrams wait for others; short against the reading of
+a prompt."""
+
+WAIT_PER_ENTRY_S = 0.00025
+"""Seconds of waiting for each entry of the fleet. What all entries handle grows with
+the square of their number at a fixed rate of datagrams; this keeps the datagrams of the
+whole fleet at some four thousand a second."""
+
+LONGEST_WAIT_S = 0.06
+"""Longest time in seconds that datagrams wait; about half of what a usual prompt takes
+to be read, so that entries still see each other's work."""
 
 MOST_WAITING = 4096
 """Largest number of datagrams that wait; more come only from a fault."""
@@ -41,6 +51,7 @@
         self._entries = entries
         self._relays = relays
         self._waiting: list[bytes] = []
+        self._forwarded: list[bytes] = []
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -62,24 +73,30 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Queue an entry's datagram; pass another relay's bundle on at once."""
+        """Queue an entry's datagram, or another relay's bundle."""
         bundle = forwarded_bundle(data)
-        if bundle is not None:
-            self._send(bundle, self._entries())
-            return
-        if len(self._waiting) < MOST_WAITING:
-            self._waiting.append(data)
+        queue = self._waiting if bundle is None else self._forwarded
+        if len(queue) < MOST_WAITING:
+            queue.append(data if bundle is None else bundle)
         if self._timer is None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(RELAY_S, self._flush)
+            self._timer = loop.call_later(self._wait_s(), self._flush)
+
+    def _wait_s(self) -> float:
+        """Return how long datagrams wait, from a guess at the number of all entries."""
+        fleet = len(self._entries()) * (1 + len(self._relays()))
+        return min(max(SHORTEST_WAIT_S, WAIT_PER_ENTRY_S * fleet), LONGEST_WAIT_S)
 
     def _flush(self) -> None:
         self._timer = None
         waiting, self._waiting = self._waiting, []
+        forwarded, self._forwarded = self._forwarded, []
+        bundles = encode_bundles(waiting)
         entries, relays = self._entries(), self._relays()
-        for bundle in encode_bundles(waiting):
-            self._send(bundle, entries)
+        for bundle in bundles:
             self._send(mark_forwarded(bundle), relays)
+        for group in encode_groups([*bundles, *forwarded]):
+            self._send(group, entries)
 
     def _send(self, data: bytes, addresses: list[str]) -> None:
         if self._transport is None:
