Ask for the right to order again when the connection to an engine is made

Cause: an order was checked against the lease before its connection was opened; a leader frozen in between sent it after its successor's orders, and on the further sites no engine checks fencing tokens. Change: the pool asks right before it writes; the order is withheld when the term or the lease is over. Measured: tests only; a process test freezes a leader in the middle of an order and thaws it after its lease.

--- a/tests/pool/test_pool.py
+++ b/tests/pool/test_pool.py
@@ -214,3 +214,26 @@
                 await sent.read_all()
 
     asyncio.run(run())
+
+
+def test_request_that_must_not_be_sent_any_more_is_withheld():
+    """The right to send may end while the connection is made."""
+    got = []
+
+    async def serve(reader, writer):
+        got.append(await reader.read())
+        writer.close()
+
+    async def run():
+        pool = ConnectionPool(SystemClock())
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        with pytest.raises(ExchangeFailed) as failed:
+            await pool.fetch(address, REQUEST, 2.0, may_send=lambda: False)
+        await asyncio.sleep(0.05)
+        server.close()
+        return failed.value
+
+    failure = asyncio.run(run())
+    assert (failure.kind, failure.sent) == (FailureKind.WITHHELD, False)
+    assert got in ([], [b""])
--- a/tests/staging/test_task.py
+++ b/tests/staging/test_task.py
@@ -24,11 +24,15 @@
         self.outcomes = list(outcomes)
         self.orders: list[PhaseOrder] = []
         self.report = EngineReport(Phase.DECODE, False, 7)
+        self.connecting = lambda: None
 
     async def read_report(self, target):
         return self.report
 
-    async def order(self, order):
+    async def order(self, order, may_send):
+        self.connecting()
+        if not may_send():
+            return OrderOutcome.WITHHELD
         self.orders.append(order)
         return self.outcomes.pop(0) if self.outcomes else OrderOutcome.ACCEPTED
 
@@ -153,3 +157,24 @@
     meter.note(HostId("e1"), ServiceName("models"), 50.0, 0.1, 100.0)
     run(port, lambda: Authority(5, 1e9), 20, monkeypatch, meter=meter)
     assert port.orders == []
+
+
+def test_authority_lost_while_connecting_withholds_the_order(monkeypatch):
+    """A leader that was frozen while it connected sent its order after those of its
+    successor, and engines that check no tokens obeyed it."""
+    port, held = Port(), [Authority(5, 1e9)]
+    port.connecting = held.clear
+    run(port, lambda: held[0] if held else None, 20, monkeypatch)
+    assert port.orders == []
+
+
+def test_new_term_is_not_the_authority_of_an_old_order(monkeypatch):
+    """The order in hand bears the token of the term in which it was made."""
+    port, fences = Port(), [5]
+
+    def next_term():
+        fences[0] += 1
+
+    port.connecting = next_term
+    run(port, lambda: Authority(fences[0], 1e9), 12, monkeypatch)
+    assert port.orders == []
--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -42,6 +42,7 @@
     GARBLED = "garbled"
     TIMEOUT = "timeout"
     OVERSIZED = "oversized"
+    WITHHELD = "withheld"
 
 
 class ExchangeFailed(Exception):
--- a/wigeonspan/pool/_pool.py
+++ b/wigeonspan/pool/_pool.py
@@ -59,6 +59,7 @@
         *,
         accepts: Callable[[Head], bool] = lambda head: True,
         fresh: bool = False,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Exchange:
         """Send a request once.
 
@@ -73,15 +74,21 @@
         fresh : bool
             Whether to open a connection, which a target cannot have closed for being
             idle while the request is on its way.
+        may_send : callable
+            Asked when the connection is there, right before the request is written.
 
         Raises
         ------
         ExchangeFailed
-            With ``sent`` false when no connection could be made.
+            With ``sent`` false when no connection could be made, or when the request
+            must not be sent any more.
         """
         connection = None if fresh else self._take_idle(address)
         if connection is None:
             connection = await self._connect(address)
+        if not may_send():
+            connection.close()
+            raise ExchangeFailed(FailureKind.WITHHELD, sent=False)
         return connection.start(request, accepts)
 
     def release(self, address: str, exchange: Exchange) -> None:
@@ -122,6 +129,7 @@
         timeout_s: float,
         *,
         fresh: bool = False,
+        may_send: Callable[[], bool] = lambda: True,
         most_bytes: int = MOST_BODY_BYTES,
     ) -> tuple[Head, bytes]:
         """Send a request and return its whole answer.
@@ -131,6 +139,8 @@
         fresh : bool
             Whether to use a connection for this request only. Answers without an id
             cannot be told from a late copy of an earlier answer.
+        may_send : callable
+            Asked right before the request is written.
         most_bytes : int
             Largest body.
 
@@ -142,7 +152,9 @@
         exchange = None
         try:
             async with asyncio.timeout(timeout_s):
-                exchange = await self.send(address, request, fresh=fresh)
+                exchange = await self.send(
+                    address, request, fresh=fresh, may_send=may_send
+                )
                 head = await exchange.head()
                 body = await exchange.read_all(most_bytes)
         except TimeoutError as error:
--- a/wigeonspan/staging/_messages.py
+++ b/wigeonspan/staging/_messages.py
@@ -1,5 +1,6 @@
 """Demand for engines, and orders to them."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -72,6 +73,7 @@
     FENCED = "fenced"
     REFUSED = "refused"
     UNKNOWN = "unknown"
+    WITHHELD = "withheld"
 
 
 class OrderPort(Protocol):
@@ -81,6 +83,15 @@
         """Return an engine's report, or None when it does not answer."""
         ...
 
-    async def order(self, order: PhaseOrder) -> OrderOutcome:
-        """Send an order once."""
+    async def order(
+        self, order: PhaseOrder, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
+        """Send an order once.
+
+        Parameters
+        ----------
+        may_send : callable
+            Tells right before the order is written whether the holder still has the
+            right to give it.
+        """
         ...
--- a/wigeonspan/staging/_task.py
+++ b/wigeonspan/staging/_task.py
@@ -208,7 +208,9 @@
         order = PhaseOrder(
             change.target, change.phase, self._host, authority.fence, change.after
         )
-        outcome = await self._port.order(order)
+        outcome = await self._port.order(
+            order, lambda: self._has_right(authority.fence)
+        )
         self._meters.count("orders", outcome=outcome.value)
         self._trail.note(
             "staging",
@@ -222,11 +224,22 @@
         )
         self._take(change, authority, outcome)
 
+    def _has_right(self, fence: int) -> bool:
+        """Whether this host may give orders under a fencing token now.
+
+        Engines that do not check tokens would obey a holder that was frozen while it
+        connected, after its successor's orders.
+        """
+        authority = self._authority()
+        return authority is not None and authority.fence == fence
+
     def _take(
         self, change: Change, authority: Authority, outcome: OrderOutcome
     ) -> None:
         change.settled = outcome in (OrderOutcome.ACCEPTED, OrderOutcome.IN_FORCE)
-        if outcome is OrderOutcome.FENCED:
+        if outcome is OrderOutcome.WITHHELD:
+            change.sends -= 1
+        elif outcome is OrderOutcome.FENCED:
             # Another holder has a higher token: this one's authority is over.
             self._fenced = authority.fence
         elif outcome is OrderOutcome.REFUSED:
