Move prompts that are overdue, refuse those that are lost, and wait for the list of targets

Change: a prompt that waits far longer than expected goes to an engine that reads it much sooner, or is refused before its caller leaves; an entry is ready when it has read the list.

--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -107,7 +107,7 @@
         pass
 
 
-def start_gateway(route, engines, *, budget=50.0, seed=1):
+def start_gateway(route, engines, *, budget=50.0, seed=1, listed=True):
     """Start engines and a gateway; return its parts and all servers, its own last."""
     clock, board, targets = SystemClock(), TargetBoard(), []
     servers = []
@@ -126,7 +126,8 @@
                 phase=engine.phase,
             )
         )
-    board.update(Listing(tuple(targets)), 1.0)
+    if listed:
+        board.update(Listing(tuple(targets)), 1.0)
     world["board"] = board
     traits = EngineTraits(8, 100_000, 5.0, 3.0)
     is_model = any(e.phase is not Phase.NONE for e in engines)
@@ -579,3 +580,88 @@
         return seen
 
     assert asyncio.run(run()) == (1 if finishes else 2)
+
+
+@pytest.mark.parametrize("kind", [LOAN, STREAM])
+def test_request_before_the_list_of_targets_is_refused(kind):
+    """Its age was infinite, and the request of a caller that came within a few
+    milliseconds of a start was cut off by an unexpected error."""
+
+    async def run():
+        parts, servers = start_gateway(route(kind), model([reads], []), listed=False)
+        answer = await send(0, "600,20", None)
+        for server in servers:
+            await server.close()
+        parts.pool.close()
+        return answer
+
+    answer = asyncio.run(run())
+    assert status(answer) == 503 and b'"ran":"no"' in answer
+
+
+def wait_behind(name, parts, work_ms):
+    """Make an engine look busy with a prompt that goes first."""
+    work = Work(f"b{name}", HostId("o"), TargetId(name), WorkKind.PREFILL, work_ms, 0)
+    parts.placer.ledger.begin(work, parts.clock.now())
+
+
+def finish_some(parts, number):
+    """Let both engines finish a small prompt, as engines that are behind do."""
+    now = parts.clock.now()
+    for name in ("p", "p2"):
+        work = Work(
+            f"s{number}{name}", HostId("o"), TargetId(name), WorkKind.PREFILL, 20.0, 0
+        )
+        parts.placer.ledger.begin(work, now - 0.02)
+        parts.placer.ledger.end(work.work, now, completed=True)
+
+
+def ask_overdue(engines, *, free_after_s=None):
+    """Send a prompt that is overtaken at its engine; return the answer and its time."""
+
+    async def run():
+        parts, servers = start_gateway(route(STREAM), engines)
+        parts.placer.prefixes.note(TargetId("p"), (PromptPart("s", 9000),), 9000)
+        began = parts.clock.now()
+        asking = asyncio.create_task(send(0, "9600,20", None, prefix="s:9000,o:600"))
+        await asyncio.sleep(0.15)
+        wait_behind("p", parts, 60_000.0)
+        if free_after_s is None:
+            wait_behind("p2", parts, 60_000.0)
+        number = 0
+        while not asking.done():
+            number += 1
+            finish_some(parts, number)
+            await asyncio.sleep(0.05)
+        for server in servers:
+            await server.close()
+        parts.pool.close()
+        return asking.result(), parts.clock.now() - began
+
+    return asyncio.run(run())
+
+
+def test_overdue_prompt_moves_to_an_engine_that_is_free():
+    """In a burst late prompts were overtaken at one engine until their callers left,
+    while another engine was free again."""
+    engines = [
+        Engine("p", Phase.PREFILL, hangs),
+        Engine("p2", Phase.PREFILL, reads),
+        Engine("d", Phase.DECODE, streams(3)),
+    ]
+    answer, took_s = ask_overdue(engines, free_after_s=0.2)
+    assert answer.count(b"data: ") == 3
+    assert took_s < 1.5
+
+
+def test_overdue_prompt_without_a_free_engine_is_refused_before_its_caller_leaves():
+    """The caller hears that nothing has run, and when to come back."""
+    engines = [
+        Engine("p", Phase.PREFILL, hangs),
+        Engine("p2", Phase.PREFILL, hangs),
+        Engine("d", Phase.DECODE, streams(3)),
+    ]
+    answer, took_s = ask_overdue(engines)
+    assert status(answer) == 503 and b'"ran":"no"' in answer
+    assert b"Retry-After" in answer
+    assert took_s < 1.9
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -45,8 +45,8 @@
 """Seconds between two rounds of housekeeping: log lines, idle connections, limits."""
 
 CONFIRM_S = 1.5
-"""Seconds after the start in which a second control host is waited for, so that a
-configuration from one that lags is not taken for the newest."""
+"""Seconds after the start in which the list of targets and a second control host are
+waited for; one host may lag and offer an old configuration."""
 
 CONFIRMING_CONTROLS = 2
 """Control hosts that must have answered before this entry serves; one may lag."""
@@ -216,8 +216,7 @@
         """Serve once the configuration is known well enough."""
         config, started = self._parts.config, self._clock.now()
         while not config.version or (
-            self._beats.answers < CONFIRMING_CONTROLS
-            and self._clock.now() - started < CONFIRM_S
+            not self._has_confirmed() and self._clock.now() - started < CONFIRM_S
         ):
             await asyncio.sleep(0.02)
         self._server.open()
@@ -226,6 +225,11 @@
         self._parts.trail.note("process", "ready", config_version=config.version)
         await self._beats.beat_now()
 
+    def _has_confirmed(self) -> bool:
+        """Whether enough hosts have answered and the targets are known."""
+        listed = self._parts.board.age_ms(self._clock.now()) is not None
+        return listed and self._beats.answers >= CONFIRMING_CONTROLS
+
     async def _keep_house(self) -> None:
         parts = self._parts
         while True:
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -15,6 +15,7 @@
 from wigeonspan.placing import (
     DIRECT_SLOWDOWN,
     Decision,
+    Limit,
     Plan,
     Prompt,
     Refusal,
@@ -38,6 +39,17 @@
 LOOK_S = 0.1
 """Seconds between two looks at the engine of a prompt that waits to be read."""
 
+OVERDUE = 1.5
+"""Multiple of the expected time to read a prompt from which a free engine is looked
+for; the estimate errs by less as long as nothing unforeseen goes first."""
+
+OVERDUE_S = 0.2
+"""Seconds added to it, so that short prompts do not move for the error of a hop."""
+
+SOONER = 0.5
+"""Share of the time left at the engine where a prompt waits below which another engine
+takes it over; moving gives up the place in the queue."""
+
 STALL_PAUSES = 4.0
 """Multiple of the pause objective after which a stream that may be resumed goes on at
 another engine."""
@@ -131,7 +143,7 @@
             self._excluded,
             now - self._arrived,
         )
-        list_age_ms = round((now - parts.board.read_at) * 1000)
+        list_age_ms = parts.board.age_ms(now)
         if isinstance(plan, Refusal):
             parts.meters.count("refusals", limit=plan.limit.value)
             self._note(
@@ -182,7 +194,7 @@
                 reads=self._prompt.parts,
                 new_tokens=plan.reading.new_tokens,
             ) as exchange:
-                head = await self._read_answer(engine, exchange, limit_s)
+                head = await self._read_answer(plan, engine, exchange, limit_s)
                 body = await within(self._body_s(), exchange.read_all(MOST_REPLY_BYTES))
         except ExchangeFailed as failure:
             self._exclude(engine, "read_broke_off", why=str(failure))
@@ -200,20 +212,26 @@
         return handle
 
     async def _read_answer(
-        self, engine: Target, exchange: Exchange, limit_s: float
+        self, plan: Plan, engine: Target, exchange: Exchange, limit_s: float
     ) -> Head:
-        """Wait for an engine to read a prompt, as long as it finishes others.
+        """Wait for an engine to read a prompt, as long as that makes sense.
+
+        An engine that finishes other prompts is behind, not dead. One that another
+        request found silent is left at once: nothing has run.
 
-        Reading it again elsewhere would add to the work that all are behind with. An
-        engine that another request found silent is left at once: nothing has run.
+        Raises
+        ------
+        ExchangeFailed
+            When the prompt is to be read elsewhere.
+        WigeonspanError
+            When the caller will have left before its first event.
         """
         clock, placer = self._parts.clock, self._parts.placer
         began = progress_at = clock.now()
         while True:
+            left_s = self._ends_at - clock.now()
             try:
-                return await within(
-                    min(LOOK_S, self._ends_at - clock.now()), exchange.head()
-                )
+                return await within(min(LOOK_S, left_s), exchange.head())
             except ExchangeFailed as failure:
                 if failure.kind is not FailureKind.TIMEOUT:
                     raise
@@ -224,6 +242,54 @@
                 lost = placer.health.suspended_since(engine.target, began)
                 if silent or lost or now >= self._ends_at:
                     raise
+                if self._is_overdue(plan, began, now):
+                    self._check_may_wait(plan, now)
+                    if self._finds_sooner(plan, engine, now):
+                        raise
+
+    def _is_overdue(self, plan: Plan, began: float, now: float) -> bool:
+        expected_s = (plan.wait_ms + plan.cost_ms) / 1000.0
+        return now - began > OVERDUE * expected_s + OVERDUE_S
+
+    def _check_may_wait(self, plan: Plan, now: float) -> None:
+        """Refuse a request whose caller leaves before its prompt can be read.
+
+        Raises
+        ------
+        WigeonspanError
+            With the time to come back; the prompt has not run.
+        """
+        rest_s = (plan.cost_ms + self._parts.placer.handoff_ms) / 1000.0
+        leaves_at = min(self._arrived + patience_s(self._route), self._ends_at)
+        if now + rest_s < leaves_at or self._runs:
+            return
+        self._parts.meters.count("refusals", limit=Limit.TIME.value)
+        self._note("refused", failure=True, why="overdue")
+        raise self._refusal(
+            Refusal(
+                Limit.TIME,
+                "the prompt still waits to be read",
+                self._parts.placer.come_back_s(plan, self._route),
+            )
+        )
+
+    def _finds_sooner(self, plan: Plan, engine: Target, now: float) -> bool:
+        """Whether another engine would read a waiting prompt much sooner."""
+        parts = self._parts
+        here_ms = parts.placer.ledger.backlog_ms(engine.target, plan.urgency, now)
+        other = parts.placer.plan(
+            self._route,
+            self._prompt,
+            parts.board.usable(self._service),
+            self._ends_at - now,
+            now,
+            self._excluded | {engine.target},
+            now - self._arrived,
+        )
+        if isinstance(other, Refusal) or other.prefill is None:
+            return False
+        there_ms = other.wait_ms + other.cost_ms
+        return there_ms < SOONER * max(here_ms, plan.cost_ms)
 
     async def _stream_from(
         self, caller: Caller, plan: Plan, handle: Handle | None
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -99,7 +99,7 @@
             target=target.target,
             left_ms=round(left_s * 1000),
             sends=self._sent,
-            list_age_ms=round((now - parts.board.read_at) * 1000),
+            list_age_ms=parts.board.age_ms(now),
         )
         limit_s = left_s * ATTEMPT_SHARE if again else left_s
         attempt_ends_at = now + limit_s
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -220,7 +220,7 @@
         budget_s = min(patience_s(route), left_s)
         if plan.first_ms > budget_s * 1000.0 * LOST_SHARE:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
-            return Refusal(Limit.TIME, reason, self._come_back_s(plan, route))
+            return Refusal(Limit.TIME, reason, self.come_back_s(plan, route))
         return plan
 
     def _yields(self, route: Route, plan: Plan) -> bool:
@@ -434,7 +434,7 @@
             return LATE_URGENCY
         return sum(1 for bound in LAXITY_RANKS_MS if laxity_ms >= bound)
 
-    def _come_back_s(self, plan: Plan, route: Route) -> float:
+    def come_back_s(self, plan: Plan, route: Route) -> float:
         """Return when a refused request can be on its way, spread over callers."""
         over_s = max(0.1, plan.first_ms / 1000.0 - route.objective_s)
         return over_s * (0.7 + 0.6 * self._rng.random())
--- a/wigeonspan/staging/_task.py
+++ b/wigeonspan/staging/_task.py
@@ -177,7 +177,7 @@
                     phase=phase.value,
                     read_engines=demand.read_engines if demand else None,
                     streams=(demand.streams if demand else None),
-                    list_age_ms=round((now - self._board.read_at) * 1000),
+                    list_age_ms=self._board.age_ms(now),
                 )
 
     def _may_prepare(self, service: ServiceName) -> bool:
--- a/wigeonspan/targets/_board.py
+++ b/wigeonspan/targets/_board.py
@@ -24,6 +24,10 @@
         """Monotonic time of the newest read; minus infinity before the first."""
         return self._read_at
 
+    def age_ms(self, now: float) -> int | None:
+        """Return how old the newest read is; None before the first."""
+        return None if self._read_at == NEVER else round((now - self._read_at) * 1000)
+
     @property
     def digest(self) -> str:
         """Digest of the newest listing."""
