Load what only control hosts need when it is used

Cause: entries loaded the control process, loguru, yaml and the curl client at each start; two hundred of them start together after a loss of power. Change: names of packages that load their modules at first use.

--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -1,5 +1,7 @@
 """Types and helpers shared by all parts."""
 
+from typing import TYPE_CHECKING
+
 from wigeonspan.common._addresses import bind_address
 from wigeonspan.common._clock import BootClock, Clock, ManualClock, SystemClock
 from wigeonspan.common._codec import (
@@ -32,19 +34,43 @@
     Term,
     Version,
 )
-from wigeonspan.common._logs import part_logger, set_up_logs
-from wigeonspan.common._metrics import (
-    Metrics,
-    MetricsSettings,
-    NoMetrics,
-    StatsdMetrics,
-    make_metrics,
-    metric_name,
-)
-from wigeonspan.common._settings import SettingsErrors, SettingsFault, load_settings
+from wigeonspan.common._lazy import load_on_use
 from wigeonspan.common._supervise import describe_error, keep_running
 from wigeonspan.common._watch import watch_settings
 
+if TYPE_CHECKING:
+    from wigeonspan.common._logs import part_logger, set_up_logs
+    from wigeonspan.common._metrics import (
+        Metrics,
+        MetricsSettings,
+        NoMetrics,
+        StatsdMetrics,
+        make_metrics,
+        metric_name,
+    )
+    from wigeonspan.common._settings import (
+        SettingsErrors,
+        SettingsFault,
+        load_settings,
+    )
+
+__getattr__ = load_on_use(
+    __name__,
+    {
+        "part_logger": "_logs",
+        "set_up_logs": "_logs",
+        "Metrics": "_metrics",
+        "MetricsSettings": "_metrics",
+        "NoMetrics": "_metrics",
+        "StatsdMetrics": "_metrics",
+        "make_metrics": "_metrics",
+        "metric_name": "_metrics",
+        "SettingsErrors": "_settings",
+        "SettingsFault": "_settings",
+        "load_settings": "_settings",
+    },
+)
+
 __all__ = [
     "ANSWERS",
     "PROTOCOL_VERSION",
@@ -88,5 +114,6 @@
     "part_logger",
     "set_up_logs",
     "keep_running",
+    "load_on_use",
     "watch_settings",
 ]
