Refuse late prompts while a queue of late ones stands, and overtaken ones before their callers leave

Cause: at a sustained overload every prompt waited for over a second and hardly any was on time; late prompts were overtaken until their callers left. Each heartbeat hashed all entries. A prompt that cannot begin before its caller leaves is refused as not run. The digest of entries is kept for a tenth of a second.

--- a/tests/presence/test_board.py
+++ b/tests/presence/test_board.py
@@ -70,3 +70,17 @@
     before = made.digest(0.0)
     made.record(beat("a2", state=EntryState.LEAVING), 0.0)
     assert made.digest(0.0) != before
+
+
+def test_digest_follows_an_entry_at_once_and_silence_soon():
+    """Hashing all entries for each heartbeat took a third of a core with two hundred;
+    a digest that is kept must not hide a change."""
+    board = EntryBoard()
+    first = beat("e1")
+    board.record(first, 0.0)
+    before = board.digest(0.0)
+    board.record(beat("e2"), 0.01)
+    both = board.digest(0.01)
+    assert both != before
+    board.record(first, 1.7)
+    assert board.digest(1.7) == before
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -30,8 +30,8 @@
 """Most rounds of reading a prompt and producing its answer for one request."""
 
 READ_PATIENCE = 4.0
-"""Multiple of the time for a prompt in which its engine must finish some prompt, or it
-is read elsewhere."""
+"""Multiple of the expected time in which the engine of a prompt must finish some
+prompt, or it is read elsewhere."""
 
 READ_PATIENCE_MIN_S = 1.0
 """Shortest such time in seconds; long enough for a prompt of the largest size."""
@@ -39,17 +39,6 @@
 LOOK_S = 0.1
 """Seconds between two looks at the engine of a prompt that waits to be read."""
 
-OVERDUE = 1.5
-"""Multiple of the expected time to read a prompt from which a free engine is looked
-for; the estimate errs by less as long as nothing unforeseen goes first."""
-
-OVERDUE_S = 0.2
-"""Seconds added to it, so that short prompts do not move for the error of a hop."""
-
-SOONER = 0.5
-"""Share of the time left at the engine where a prompt waits below which another engine
-takes it over; moving gives up the place in the queue."""
-
 STALL_PAUSES = 4.0
 """Multiple of the pause objective after which a stream that may be resumed goes on at
 another engine."""
@@ -176,7 +165,8 @@
             self._take_budget()
         self._reads += 1
         left_s = self._ends_at - now
-        limit_s = max(READ_PATIENCE_MIN_S, READ_PATIENCE * plan.cost_ms / 1000.0)
+        expected_ms = plan.wait_ms + plan.cost_ms
+        limit_s = max(READ_PATIENCE_MIN_S, READ_PATIENCE * expected_ms / 1000.0)
         send = Send(
             engine,
             left_s,
@@ -229,7 +219,7 @@
         clock, placer = self._parts.clock, self._parts.placer
         began = progress_at = clock.now()
         while True:
-            left_s = self._ends_at - clock.now()
+            left_s = self._lost_at() - clock.now()
             try:
                 return await within(min(LOOK_S, left_s), exchange.head())
             except ExchangeFailed as failure:
@@ -242,54 +232,26 @@
                 lost = placer.health.suspended_since(engine.target, began)
                 if silent or lost or now >= self._ends_at:
                     raise
-                if self._is_overdue(plan, began, now):
-                    self._check_may_wait(plan, now)
-                    if self._finds_sooner(plan, engine, now):
-                        raise
+                if now >= self._lost_at():
+                    raise self._overtaken(plan) from failure
 
-    def _is_overdue(self, plan: Plan, began: float, now: float) -> bool:
-        expected_s = (plan.wait_ms + plan.cost_ms) / 1000.0
-        return now - began > OVERDUE * expected_s + OVERDUE_S
+    def _lost_at(self) -> float:
+        """Return when a prompt that is not read is too late for its caller.
 
-    def _check_may_wait(self, plan: Plan, now: float) -> None:
-        """Refuse a request whose caller leaves before its prompt can be read.
-
-        Raises
-        ------
-        WigeonspanError
-            With the time to come back; the prompt has not run.
+        Right before, it may be nearly read, which nobody sees from outside the engine.
         """
-        rest_s = (plan.cost_ms + self._parts.placer.handoff_ms) / 1000.0
+        if self._runs:
+            return self._ends_at
         leaves_at = min(self._arrived + patience_s(self._route), self._ends_at)
-        if now + rest_s < leaves_at or self._runs:
-            return
-        self._parts.meters.count("refusals", limit=Limit.TIME.value)
-        self._note("refused", failure=True, why="overdue")
-        raise self._refusal(
-            Refusal(
-                Limit.TIME,
-                "the prompt still waits to be read",
-                self._parts.placer.come_back_s(plan, self._route),
-            )
-        )
+        return leaves_at - self._parts.placer.handoff_ms / 1000.0
 
-    def _finds_sooner(self, plan: Plan, engine: Target, now: float) -> bool:
-        """Whether another engine would read a waiting prompt much sooner."""
-        parts = self._parts
-        here_ms = parts.placer.ledger.backlog_ms(engine.target, plan.urgency, now)
-        other = parts.placer.plan(
-            self._route,
-            self._prompt,
-            parts.board.usable(self._service),
-            self._ends_at - now,
-            now,
-            self._excluded | {engine.target},
-            now - self._arrived,
-        )
-        if isinstance(other, Refusal) or other.prefill is None:
-            return False
-        there_ms = other.wait_ms + other.cost_ms
-        return there_ms < SOONER * max(here_ms, plan.cost_ms)
+    def _overtaken(self, plan: Plan) -> WigeonspanError:
+        """Return the refusal of a request whose prompt waited for too long."""
+        self._parts.meters.count("refusals", limit=Limit.TIME.value)
+        self._note("refused", failure=True, why="overtaken")
+        reason = "the prompt still waits to be read"
+        come_back_s = self._parts.placer.come_back_s(plan, self._route)
+        return self._refusal(Refusal(Limit.TIME, reason, come_back_s))
 
     async def _stream_from(
         self, caller: Caller, plan: Plan, handle: Handle | None
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -87,6 +87,7 @@
 
     NO_ENGINE = "no_engine"
     TIME = "time"
+    QUEUE = "queue"
 
 
 class Refusal(Struct, frozen=True):
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -14,6 +14,7 @@
 from wigeonspan.placing._prefixes import PrefixBook
 from wigeonspan.placing._sizes import WorkSizes
 from wigeonspan.placing._speed import SpeedBook
+from wigeonspan.placing._standing import StandingQueue
 from wigeonspan.targets import Phase, Target, TargetId
 
 READ_TOKENS_PER_MS = 50.0
@@ -126,6 +127,7 @@
         self._handoff_ms = HANDOFF_MS
         self._copy_us = 0.0
         self._sizes = WorkSizes()
+        self._queue = StandingQueue()
         self.ledger = WorkLedger()
         self.prefixes = PrefixBook(400_000.0)
         self.speeds = SpeedBook()
@@ -212,7 +214,12 @@
         plan = best(urgency)
         if plan is not None:
             self._sizes.note(route.name, plan.work_ms)
-            if self._yields(route, plan) and _will_be_late(plan, left_ms):
+            late = _will_be_late(plan, left_ms)
+            self._queue.note(late, now)
+            if late and self._queue.stands(now):
+                reason = f"first event expected late, in {plan.first_ms:.0f} ms"
+                return Refusal(Limit.QUEUE, reason, self.come_back_s(plan, route))
+            if late and self._yields(route, plan):
                 # It would only make those late that can still be on time.
                 plan = best(LATE_URGENCY)
         if plan is None:
@@ -229,10 +236,10 @@
         Short prompts gain others little time. The largest ones of a route would yield
         most often and hardly be served.
         """
-        work_ms = plan.work_ms
-        return self._sizes.is_long(work_ms) and not self._sizes.is_largest(
-            route.name, work_ms
-        )
+        return self._sizes.is_long(plan.work_ms) and not self._is_largest(route, plan)
+
+    def _is_largest(self, route: Route, plan: Plan) -> bool:
+        return self._sizes.is_largest(route.name, plan.work_ms)
 
     def choose_decode(
         self,
--- a/wigeonspan/presence/_board.py
+++ b/wigeonspan/presence/_board.py
@@ -14,6 +14,10 @@
 """Seconds after its last heartbeat in which an entry is named when nearly all entries
 fall silent at once, because then this host itself is probably cut off."""
 
+SWEEP_S = 0.1
+"""Seconds between two looks at all entries, whose cost would otherwise grow with the
+square of their number; short against the time after which an entry counts as gone."""
+
 ISOLATED_SHARE = 0.5
 """Share of the remembered entries below which the fresh ones mean that this host is
 cut off, not that the entries are gone."""
@@ -34,10 +38,18 @@
 
     def __init__(self) -> None:
         self._seen: dict[HostId, _Seen] = {}
+        self._swept_at = float("-inf")
+        self._digest = ("", float("-inf"))
 
     def record(self, beat: Beat, now: float) -> None:
         """Note a heartbeat."""
+        before = self._seen.get(beat.entry.host)
         self._seen[beat.entry.host] = _Seen(beat, now)
+        if before is None or before.beat.entry != beat.entry:
+            self._digest = ("", float("-inf"))
+        if now - self._swept_at < SWEEP_S:
+            return
+        self._swept_at = now
         for host in [h for h, s in self._seen.items() if now - s.at > REMEMBER_S]:
             del self._seen[host]
 
@@ -49,8 +61,16 @@
         return sorted((s.beat.entry for s in chosen), key=lambda e: e.host)
 
     def digest(self, now: float) -> str:
-        """Return a digest of the live entries."""
-        return hashlib.blake2s(encode(self.live(now)), digest_size=8).hexdigest()
+        """Return a digest of the live entries, at most ``SWEEP_S`` old.
+
+        Each heartbeat asks for it; it changes at once with what an entry says.
+        """
+        digest, made_at = self._digest
+        if now - made_at >= SWEEP_S:
+            live = encode(self.live(now))
+            digest = hashlib.blake2s(live, digest_size=8).hexdigest()
+            self._digest = (digest, now)
+        return digest
 
     def beats(self, now: float) -> list[Beat]:
         """Return the last heartbeat of each entry that is heard now."""
