--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -94,6 +94,9 @@
             FaultKind.TARGET_LOSES: self._harm_target,
             FaultKind.TARGET_CUTS: self._harm_target,
             FaultKind.TARGET_REFUSES: self._harm_target,
+            FaultKind.TARGET_ENDLESS: self._harm_target,
+            FaultKind.TARGET_REPEATS: self._harm_target,
+            FaultKind.TARGET_STALLS: self._harm_target,
             FaultKind.ORDERS_LATE: self._harm_target,
             FaultKind.BURST: self._burst,
             FaultKind.CONFIG_CHANGE: self._change_config,
@@ -339,6 +342,9 @@
             FaultKind.TARGET_LOSES: Defects(loses_answers=share),
             FaultKind.TARGET_CUTS: Defects(cuts=share),
             FaultKind.TARGET_REFUSES: Defects(refuses=share),
+            FaultKind.TARGET_ENDLESS: Defects(endless=share),
+            FaultKind.TARGET_REPEATS: Defects(repeats=share),
+            FaultKind.TARGET_STALLS: Defects(stalls=share),
             FaultKind.ORDERS_LATE: Defects(orders_late_s=8.0 * share),
         }[kind]
 
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -25,6 +25,10 @@
 """Probability that faults end with one that takes all processes."""
 
 
+MOST_LATER_FAULTS = 3
+"""Largest number of faults of ``LATER_KINDS`` in a day, before series."""
+
+
 class FaultKind(Enum):
     """Kinds of faults; the value names the victim and what happens to it."""
 
@@ -60,6 +64,9 @@
     TARGET_LOSES = "target loses answers"
     TARGET_CUTS = "target cuts streams"
     TARGET_REFUSES = "target refuses"
+    TARGET_ENDLESS = "target sends bytes without end"
+    TARGET_REPEATS = "target repeats answers late"
+    TARGET_STALLS = "target stalls streams but sends bytes"
     ORDERS_LATE = "orders carried out late"
     BURST = "burst of streams"
     CONFIG_CHANGE = "configuration changed"
@@ -68,6 +75,14 @@
     CONFIG_INVALID = "invalid configuration"
 
 
+LATER_KINDS = (
+    FaultKind.TARGET_ENDLESS,
+    FaultKind.TARGET_REPEATS,
+    FaultKind.TARGET_STALLS,
+)
+"""Kinds that are drawn after all others, so that the days of earlier seeds keep the
+faults that they had."""
+
 # Kinds that carry a victim's number; it is taken modulo the hosts or targets there are.
 LINKS = ("entry", "control", "target", "list")
 
@@ -141,7 +156,7 @@
     faults: list[Fault] = []
     disks_lost = 0
     for _ in range(rng.randint(4, most_faults)):
-        kind = rng.choice(list(FaultKind))
+        kind = rng.choice([k for k in FaultKind if k not in LATER_KINDS])
         if kind in (FaultKind.CONTROL_WIPE, FaultKind.CONTROL_REPLACE):
             # More lost disks than the deployment is built for lose the configuration.
             disks_lost += 1
@@ -149,10 +164,14 @@
                 continue
         faults.extend(_draw_fault(rng, kind, repeats=disks_lost == 0))
     final = rng.choice([FaultKind.CORE_KILL, FaultKind.ENTRY_KILL])
+    ends_with_final = rng.random() < FINAL_SHARE
+    for _ in range(rng.randint(0, MOST_LATER_FAULTS)):
+        kind = rng.choice(LATER_KINDS)
+        faults.extend(_draw_fault(rng, kind, repeats=True))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
-        final=final if rng.random() < FINAL_SHARE else None,
+        final=final if ends_with_final else None,
         **sizes,
     )
 
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -34,6 +34,13 @@
 SIGNED = [("Response-Signature", "sig")]
 
 
+@pytest.fixture(autouse=True)
+def patient_connects(monkeypatch):
+    """Keep a test process that is not scheduled for half a second from taking its own
+    engines for silent; connection limits have tests of their own."""
+    monkeypatch.setattr("wigeonspan.pool._pool.CONNECT_S", 5.0)
+
+
 class Engine:
     """Target that answers by its script, one step a request; the last one repeats."""
 
@@ -452,6 +459,21 @@
     answer = serve(route(STREAM, resumable=True), engines)[0]
     assert [answer.count(b"id: %d\n" % n) for n in range(1, 6)] == [1] * 5
     assert answer.endswith(b"0\r\n\r\n")
+    # What the stalled engine sent after its last event is no part of the answer.
+    assert b"ping" not in answer
+
+
+def test_comments_of_a_whole_stream_are_passed_on():
+    """The caller gets the target's body as it is."""
+
+    async def step(fields, caller):
+        await caller.begin(200, [*SIGNED, _echo(fields)])
+        await caller.send(b": one\n\nid: 1\ndata: 1\n\n: two\n\n")
+        await caller.finish()
+
+    answer = serve(route(STREAM), model([reads], [step]))[0]
+    assert answer.count(b"one") == answer.count(b"two") == 1
+    assert answer.index(b"one") < answer.index(b"data: 1") < answer.index(b"two")
 
 
 @pytest.mark.parametrize("data", TRICKLES.values(), ids=TRICKLES)
--- a/wigeonspan/gateway/_events.py
+++ b/wigeonspan/gateway/_events.py
@@ -71,6 +71,35 @@
         return events
 
 
+class CommentHolder:
+    """Comments of a run, kept until its next event.
+
+    What a stalled engine sends after its last event is no part of the answer when
+    another engine goes on with it.
+    """
+
+    def __init__(self) -> None:
+        self._held = b""
+
+    def pass_through(self, event: StreamEvent) -> bytes:
+        """Return what the caller gets now.
+
+        Raises
+        ------
+        EventTooLarge
+            When comments without an event between them grow too large.
+        """
+        self._held += event.data
+        if len(self._held) > MOST_EVENT_BYTES and not event.has_data:
+            raise EventTooLarge(f"comments of over {MOST_EVENT_BYTES} bytes")
+        return self.take() if event.has_data else b""
+
+    def take(self) -> bytes:
+        """Return what is held at the complete end of the run."""
+        held, self._held = self._held, b""
+        return held
+
+
 class StreamPosition:
     """Last event that a caller has got."""
 
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -1,12 +1,15 @@
 """Generations: read the prompt at one engine, stream the answer from another."""
 
+from collections.abc import Callable
+from typing import TypeVar
+
 from wigeonspan.common import ErrorKind, ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import Route
 from wigeonspan.gateway._attempt import sending, within
 from wigeonspan.gateway._events import (
+    CommentHolder,
     EventSplitter,
     EventTooLarge,
-    StreamEvent,
     StreamPosition,
 )
 from wigeonspan.gateway._failures import describe_failure
@@ -26,6 +29,9 @@
 from wigeonspan.serving import Caller
 from wigeonspan.targets import Phase, Target, TargetId
 
+S = TypeVar("S")
+T = TypeVar("T")
+
 MOST_ROUNDS = 5
 """Most rounds of reading a prompt and producing its answer for one request."""
 
@@ -337,23 +343,25 @@
         The engine must bring a new event in time; comments, halves of events and
         events that the caller has are no progress.
         """
-        parts, splitter = self._parts, EventSplitter()
+        parts, splitter, comments = self._parts, EventSplitter(), CommentHolder()
         due_at = parts.clock.now() + self._stall_s(plan, engine)
         while data := await self._read(exchange, due_at):
-            for event in self._split(splitter, data):
+            for event in _bounded(splitter.feed, data):
                 if not self._position.advance(event):
                     continue
-                await self._begin(caller)
-                await caller.send(event.data)
-                if event.has_data:
+                passed = _bounded(comments.pass_through, event)
+                if passed:
+                    await self._begin(caller)
+                    await caller.send(passed)
                     self._note_progress(plan, engine, started)
                     due_at = parts.clock.now() + self._stall_s(plan, engine)
         if splitter.rest and not exchange.framed:
             # The end of the connection in the middle of an event is a break.
             raise ExchangeFailed(FailureKind.CLOSED, sent=True)
         await self._begin(caller)
-        if splitter.rest:
-            await caller.send(splitter.rest)
+        rest = comments.take() + splitter.rest
+        if rest:
+            await caller.send(rest)
         await caller.finish()
 
     async def _read(self, exchange: Exchange, due_at: float) -> bytes:
@@ -370,14 +378,6 @@
             raise ExchangeFailed(FailureKind.TIMEOUT, sent=True)
         return await within(left_s, exchange.read())
 
-    def _split(self, splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
-        try:
-            return splitter.feed(data)
-        except EventTooLarge as error:
-            raise ExchangeFailed(
-                FailureKind.OVERSIZED, sent=True, bound=Bound.EVENT
-            ) from error
-
     def _note_progress(self, plan: Plan, engine: Target, started: float) -> None:
         """Measure the time to the first event, or the pause before another one."""
         parts, now = self._parts, self._parts.clock.now()
@@ -519,3 +519,19 @@
             failure=failure,
             **fields,
         )
+
+
+def _bounded(step: Callable[[S], T], data: S) -> T:
+    """Return the result of a step of decoding a stream.
+
+    Raises
+    ------
+    ExchangeFailed
+        When the stream goes over the bound for events.
+    """
+    try:
+        return step(data)
+    except EventTooLarge as error:
+        raise ExchangeFailed(
+            FailureKind.OVERSIZED, sent=True, bound=Bound.EVENT
+        ) from error
