--- a/tests/engines/test_endless.py
+++ b/tests/engines/test_endless.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.endless import endless_server
 from wigeonspan.common import SystemClock
 from wigeonspan.engines import _client as client
 from wigeonspan.engines._client import EngineStream
@@ -29,23 +30,11 @@
 
 @contextlib.asynccontextmanager
 async def endless_engine(first, again):
-    """Serve bytes without end to each connection until the other side closes."""
-
-    async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(first)
-            while True:
-                writer.write(again)
-                await writer.drain()
-        writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
+    """Yield connections and the address of an engine that sends without end."""
     connections = TargetConnections(40, 1 << 22, 1.0, SystemClock())
-    yield connections, f"127.0.0.1:{port}"
+    async with endless_server(first, again) as address:
+        yield connections, address
     connections.close()
-    server.close()
 
 
 @pytest.mark.parametrize("name", ENDLESS)
--- a/tests/pool/test_bounds.py
+++ b/tests/pool/test_bounds.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.endless import endless_server
 from wigeonspan.common import SystemClock
 from wigeonspan.pool import (
     Bound,
@@ -61,24 +62,6 @@
     return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
 
-@contextlib.asynccontextmanager
-async def endless_target(first, again):
-    """Serve bytes without end to each connection until the other side closes."""
-
-    async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(first)
-            while True:
-                writer.write(again)
-                await writer.drain()
-        writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    yield address_of(server)
-    server.close()
-
-
 async def fetch(pool, address):
     try:
         return await pool.fetch(address, REQUEST, 10.0)
@@ -108,7 +91,7 @@
 
     async def run():
         pool = ConnectionPool(SystemClock())
-        async with endless_target(first, again) as address:
+        async with endless_server(first, again) as address:
             failure = await send(pool, address)
         assert pool.buffered_bytes == 0
         return failure
@@ -133,7 +116,7 @@
         pool = ConnectionPool(SystemClock())
         sound = await asyncio.start_server(serve, "127.0.0.1", 0)
         sound_address = address_of(sound)
-        async with endless_target(first, again) as address:
+        async with endless_server(first, again) as address:
             await fetch(pool, sound_address)
             tracemalloc.start()
             bad = [asyncio.create_task(fetch(pool, address)) for _ in range(20)]
