Keep one copy of error notes and of a request's parts, and split long modules

Change: trail.note_errors and watch_loop, gateway.Job; time limits of engines in gateway/_patience without I/O; events of a run in one class; the pool's exchange, the cost of reading and callers' patience in modules of their own; the tests of jobs by subject, which print a failed test's decisions. retry_after_s is called by the field's term. No behaviour, check or bound changes.

--- a/tests/placing/test_copies.py
+++ b/tests/placing/test_readings.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wigeonspan.common import DomainName, ServiceName
-from wigeonspan.placing._copies import FIXED_MS, LEAST_TOKENS, plan_readings
+from wigeonspan.placing._readings import FIXED_MS, LEAST_TOKENS, plan_readings
 from wigeonspan.targets import Target, TargetId
 
 
--- /dev/null
+++ b/tests/platform/jobs.py
@@ -0,0 +1,240 @@
+"""A gateway between callers and scripted targets, over loopback."""
+
+import asyncio
+import os
+import random
+import time
+
+from adapter import PlatformProtocol
+
+from wigeonspan.common import DomainName, HostId, ServiceName, SystemClock
+from wigeonspan.fleetconfig import (
+    CallKind,
+    EngineTraits,
+    FleetConfig,
+    Route,
+    ServiceSpec,
+    StoredConfig,
+    WeightedService,
+)
+from wigeonspan.gateway._config import ConfigHolder
+from wigeonspan.gateway._parts import Parts
+from wigeonspan.gateway._serve import Server
+from wigeonspan.placing import Placer, RetryBudget
+from wigeonspan.pool import ConnectionPool
+from wigeonspan.serving import RequestServer
+from wigeonspan.targets import Listing, Phase, Target, TargetBoard, TargetId
+from wigeonspan.trail import Meters
+
+SERVICE = ServiceName("s")
+# An address range of its own for each test process.
+NET = f"127.{64 + os.getpid() % 128}"
+world = {}
+SIGNED = [("Response-Signature", "sig")]
+
+
+class Engine:
+    """Target that answers by its script, one step a request; the last one repeats."""
+
+    def __init__(self, name, phase, *script):
+        self.name = name
+        self.phase = phase
+        self.script = list(script)
+        self.seen = []
+        self.gone = 0
+
+    async def serve(self, method, target, headers, body, caller):
+        fields = {name.lower(): value for name, value in headers}
+        self.seen.append((method, target, fields))
+        step = self.script[0] if len(self.script) == 1 else self.script.pop(0)
+        try:
+            await step(fields, caller)
+        except asyncio.CancelledError:
+            self.gone += 1
+            raise
+
+
+def echo(fields):
+    return ("Request-Id", fields.get("request-id", ""))
+
+
+def unexpected(error):
+    raise error
+
+
+def answers(status, body=b"ok", headers=SIGNED):
+    async def step(fields, caller):
+        await caller.answer(status, [*headers, echo(fields)], body)
+
+    return step
+
+
+not_run = answers(503, b"", [("Not-Executed", "1")])
+reads = answers(200, b'{"transfer_handle":"ab"}', [])
+
+
+async def resets(fields, caller):
+    caller.break_off()
+
+
+async def hangs(fields, caller):
+    await asyncio.sleep(30)
+
+
+def streams(count, *, breaks=False):
+    async def step(fields, caller):
+        await caller.begin(200, [*SIGNED, echo(fields)])
+        for n in range(int(fields.get("last-event-id", 0)) + 1, count + 1):
+            await caller.send(f"id: {n}\ndata: {n}\n\n".encode())
+            await asyncio.sleep(0.005)
+        if breaks:
+            await caller.send(b"id: 99\nda")
+            caller.break_off()
+        else:
+            await caller.finish()
+
+    return step
+
+
+class Nobody:
+    """Link and log that go nowhere."""
+
+    def tell(self, event):
+        pass
+
+    def note(self, part, event, **fields):
+        # Shown by pytest with a test that fails.
+        print(round(time.monotonic(), 3), part, event, fields)
+
+
+def start_gateway(route, engines, *, budget=50.0, seed=1, listed=True):
+    """Start engines and a gateway; return its parts and all servers, its own last."""
+    clock, board, targets = SystemClock(), TargetBoard(), []
+    servers = []
+    for number, engine in enumerate(engines):
+        server = RequestServer(engine.serve, unexpected)
+        address = f"{NET}.0.{number + 1}:18080"
+        server.listen(address)
+        servers.append(server)
+        targets.append(
+            Target(
+                TargetId(engine.name),
+                SERVICE,
+                address,
+                DomainName("d"),
+                8,
+                phase=engine.phase,
+            )
+        )
+    if listed:
+        board.update(Listing(tuple(targets)), 1.0)
+    world["board"] = board
+    traits = EngineTraits(8, 100_000, 5.0, 3.0)
+    is_model = any(e.phase is not Phase.NONE for e in engines)
+    spec = ServiceSpec(SERVICE, "/health", 100, traits if is_model else None)
+    whole = FleetConfig(1, (route,), (spec,))
+    config = ConfigHolder(lambda document: whole, Nobody())
+    config.offer(StoredConfig(1, b""), "test")
+    parts = Parts(
+        host=HostId("e"),
+        clock=clock,
+        protocol=PlatformProtocol(),
+        config=config,
+        board=board,
+        placer=Placer(DomainName("d"), random.Random(seed)),
+        budget=RetryBudget(0.0, budget, 10.0),
+        pool=ConnectionPool(clock),
+        link=Nobody(),
+        trail=Nobody(),
+        meters=Meters(),
+    )
+    server = Server(parts, random.Random(1))
+    server.open()
+    front = RequestServer(server.serve, unexpected)
+    front.listen(f"{NET}.1.1:18081")
+    servers.append(front)
+    return parts, servers
+
+
+def serve(
+    route,
+    engines,
+    *,
+    usage="600,20",
+    times=1,
+    leave_after_s=None,
+    budget=50.0,
+    together=False,
+    seed=1,
+):
+    """Send requests through a gateway's server and return their answers."""
+
+    async def run():
+        parts, servers = start_gateway(route, engines, budget=budget, seed=seed)
+        sends = [send(number, usage, leave_after_s) for number in range(times)]
+        if together:
+            results = await asyncio.gather(*sends)
+        else:
+            results = [await one for one in sends]
+        await asyncio.sleep(0.05)
+        for server in servers:
+            await server.close()
+        parts.pool.close()
+        return results
+
+    return asyncio.run(run())
+
+
+async def send(number, usage, leave_after_s, *, prefix=""):
+    reader, writer = await asyncio.open_connection(f"{NET}.1.1", 18081)
+    head = f"POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
+    head += f"Token-Usage: {usage}\r\n" if usage else ""
+    head += f"Prompt-Prefix: {prefix}\r\n" if prefix else ""
+    head += "Deadline-Ms: 1900\r\nContent-Length: 0\r\n\r\n"
+    writer.write(head.encode())
+    answer = b""
+    try:
+        async with asyncio.timeout(leave_after_s or 3.0):
+            while part := await reader.read(65536):
+                answer += part
+                if answer.endswith(b"0\r\n\r\n") or b"Content-Length" in answer:
+                    break
+    except TimeoutError:
+        pass
+    writer.close()
+    return answer
+
+
+def route(kind, *, attempts=2, resumable=False):
+    return Route(
+        "r",
+        "h",
+        "/r/",
+        kind,
+        (WeightedService(SERVICE, 1.0),),
+        timeout_s=2.0,
+        objective_s=0.3,
+        pause_objective_s=0.2,
+        max_attempts=attempts,
+        resumable=resumable,
+    )
+
+
+def plain(*scripts):
+    return [Engine(f"t{n}", Phase.NONE, *s) for n, s in enumerate(scripts)]
+
+
+def status(answer):
+    return int(answer.split(b" ")[1]) if answer else 0
+
+
+def runs(engines):
+    return sum(len(engine.seen) for engine in engines)
+
+
+CALL, LOAN, STREAM = CallKind.IDEMPOTENT, CallKind.NON_IDEMPOTENT, CallKind.STREAM
+
+
+def model(prefill, decode, *more):
+    engines = [Engine("p", Phase.PREFILL, *prefill), Engine("d", Phase.DECODE, *decode)]
+    return engines + [Engine(f"d{n}", Phase.DECODE, *s) for n, s in enumerate(more)]
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -5,7 +5,6 @@
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
@@ -17,7 +16,6 @@
     HostId,
     WigeonspanError,
     bind_address,
-    describe_error,
     keep_running,
     watch_settings,
 )
@@ -36,7 +34,14 @@
 from wigeonspan.sharing import Relay
 from wigeonspan.staging import Authority, DemandMeter, OrderPort, StagingTask
 from wigeonspan.targets import Listing
-from wigeonspan.trail import Meters, Trail, bridge_logs, open_trail
+from wigeonspan.trail import (
+    Meters,
+    Trail,
+    bridge_logs,
+    note_errors,
+    open_trail,
+    watch_loop,
+)
 
 MAX_CLIENTS = 64
 """Requests to other control hosts at once; a group has a handful of members."""
@@ -91,6 +96,7 @@
         self._started_at = clock.now()
         self._trail = open_trail(settings.host, clock)
         self._meters = Meters()
+        self._note_error = note_errors(self._trail, self._meters)
         self._machine = ConfigMachine()
         self._pool = ConnectionPool(clock)
         self._client = make_client(MAX_CLIENTS)
@@ -140,6 +146,11 @@
         """Committed configuration as far as it is known here."""
         return self._machine.stored
 
+    @property
+    def note_error(self) -> Callable[[BaseException], None]:
+        """Takes an unexpected error for the log and the metrics."""
+        return self._note_error
+
     async def start(self, serve_control: Serve, serve_directory: Serve) -> None:
         """Listen, join the group and begin to serve."""
         bridge_logs(self._trail)
@@ -161,12 +172,12 @@
             (serve_control, settings.control),
             (serve_directory, settings.directory),
         ):
-            server = RequestServer(serve, self.note_error)
+            server = RequestServer(serve, self._note_error)
             server.listen(bind_address(address, bind))
             self._servers.append(server)
-        asyncio.get_running_loop().set_exception_handler(self._hear_of_error)
+        watch_loop(self._note_error)
         self._tasks = [
-            asyncio.create_task(keep_running(work, self.note_error))
+            asyncio.create_task(keep_running(work, self._note_error))
             for work in (
                 self._group.run,
                 self._staging.run,
@@ -270,20 +281,6 @@
             why=error.message,
         )
 
-    def note_error(self, error: BaseException) -> None:
-        """Log an unexpected error, which costs only what it met."""
-        self._meters.count("unexpected_errors", kind=type(error).__name__)
-        self._trail.note(
-            "process", "unexpected_error", failure=True, why=describe_error(error)
-        )
-
-    def _hear_of_error(
-        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
-    ) -> None:
-        """Take an error that no task waits for."""
-        error = context.get("exception")
-        self.note_error(error or RuntimeError(context["message"]))
-
     def _take_beat(self, beat: Beat) -> BeatReply:
         stored = max(self.stored, self._committed, key=lambda c: c.version)
         return self._heartbeats.take(
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -5,7 +5,6 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 from msgspec import Struct
 
@@ -14,7 +13,6 @@
     DomainName,
     HostId,
     bind_address,
-    describe_error,
     keep_running,
     watch_settings,
 )
@@ -39,7 +37,7 @@
     WorkEnded,
 )
 from wigeonspan.targets import Listing, TargetBoard
-from wigeonspan.trail import Meters, Trail, open_trail
+from wigeonspan.trail import Meters, Trail, note_errors, open_trail, watch_loop
 
 HOUSEKEEPING_S = 0.1
 """Seconds between two rounds of housekeeping: log lines, idle connections, limits."""
@@ -137,9 +135,10 @@
             meters=Meters(),
         )
         parts = self._parts
+        self._note_error = note_errors(trail, parts.meters)
         self._server = Server(parts, rng)
-        self._front = RequestServer(self._server.serve, self.note_error)
-        self._side = RequestServer(self._answer_side, self.note_error)
+        self._front = RequestServer(self._server.serve, self._note_error)
+        self._side = RequestServer(self._answer_side, self._note_error)
         self._controls = ControlBook(settings.domain)
         self._beats = BeatTask(
             clock,
@@ -152,7 +151,7 @@
             self._note_entries,
             parts.board.set_switching,
             parts.link.set_relay,
-            self.note_error,
+            self._note_error,
         )
         self._listing = ListingTask(
             settings.host,
@@ -166,6 +165,11 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def note_error(self) -> Callable[[BaseException], None]:
+        """Takes an unexpected error for the log and the metrics."""
+        return self._note_error
+
     async def start(self) -> None:
         """Listen and begin to take part."""
         settings = self._settings
@@ -178,9 +182,9 @@
         self._side.listen(bind_address(settings.ready, bind))
         self._side.listen(bind_address(settings.metrics, bind))
         self._beats.set_seeds(settings.controls)
-        asyncio.get_running_loop().set_exception_handler(self._hear_of_error)
+        watch_loop(self._note_error)
         self._tasks = [
-            asyncio.create_task(keep_running(work, self.note_error))
+            asyncio.create_task(keep_running(work, self._note_error))
             for work in (self._listing.run, self._open, self._keep_house)
         ]
 
@@ -285,20 +289,6 @@
             case ListSeen():
                 self._listing.take(event)
 
-    def note_error(self, error: BaseException) -> None:
-        """Log an unexpected error, which costs only what it met."""
-        self._parts.meters.count("unexpected_errors", kind=type(error).__name__)
-        self._parts.trail.note(
-            "process", "unexpected_error", failure=True, why=describe_error(error)
-        )
-
-    def _hear_of_error(
-        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
-    ) -> None:
-        """Take an error that no task waits for."""
-        error = context.get("exception")
-        self.note_error(error or RuntimeError(context["message"]))
-
     def _note_bad_datagram(self, why: str) -> None:
         self._parts.trail.note("sharing", "bad_datagram", why=why)
 
--- a/wigeonspan/gateway/_events.py
+++ b/wigeonspan/gateway/_events.py
@@ -1,6 +1,7 @@
 """Splitting of an event stream into whole events."""
 
 import re
+from collections.abc import Iterator
 
 from msgspec import Struct
 
@@ -71,35 +72,6 @@
         return events
 
 
-class CommentHolder:
-    """Comments of a run, kept until its next event.
-
-    What a stalled engine sends after its last event is no part of the answer when
-    another engine goes on with it.
-    """
-
-    def __init__(self) -> None:
-        self._held = b""
-
-    def pass_through(self, event: StreamEvent) -> bytes:
-        """Return what the caller gets now.
-
-        Raises
-        ------
-        EventTooLarge
-            When comments without an event between them grow too large.
-        """
-        self._held += event.data
-        if len(self._held) > MOST_EVENT_BYTES and not event.has_data:
-            raise EventTooLarge(f"comments of over {MOST_EVENT_BYTES} bytes")
-        return self.take() if event.has_data else b""
-
-    def take(self) -> bytes:
-        """Return what is held at the complete end of the run."""
-        held, self._held = self._held, b""
-        return held
-
-
 class StreamPosition:
     """Last event that a caller has got."""
 
@@ -121,6 +93,51 @@
         return True
 
 
+class RunEvents:
+    """Events of one run that are new to the caller.
+
+    Comments are kept until the next event of the run. What a stalled engine sends after
+    its last event is no part of the answer when another engine goes on with it.
+
+    Parameters
+    ----------
+    position : StreamPosition
+        Last event that the caller has got, from this run or one before it.
+    """
+
+    def __init__(self, position: StreamPosition) -> None:
+        self._position = position
+        self._splitter = EventSplitter()
+        self._comments = b""
+
+    @property
+    def in_event(self) -> bool:
+        """Whether the bytes so far end in the middle of an event."""
+        return bool(self._splitter.rest)
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Add bytes and yield what the caller gets of each new event.
+
+        Raises
+        ------
+        EventTooLarge
+            When an event, or the comments before one, are too large.
+        """
+        for event in self._splitter.feed(data):
+            if not self._position.advance(event):
+                continue
+            self._comments += event.data
+            if event.has_data:
+                passed, self._comments = self._comments, b""
+                yield passed
+            elif len(self._comments) > MOST_EVENT_BYTES:
+                raise EventTooLarge(f"comments of over {MOST_EVENT_BYTES} bytes")
+
+    def rest(self) -> bytes:
+        """Return what is left for the caller at the run's complete end."""
+        return self._comments + self._splitter.rest
+
+
 def _after(event: str, last: str) -> bool:
     if event.isdigit() and last.isdigit():
         return int(event) > int(last)
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -1,20 +1,17 @@
 """Generations: read the prompt at one engine, stream the answer from another."""
 
-from collections.abc import Callable
-from typing import TypeVar
-
-from wigeonspan.common import ErrorKind, ServiceName, WigeonspanError
+from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.fleetconfig import Route
 from wigeonspan.gateway._attempt import sending, within
 from wigeonspan.gateway._events import (
-    CommentHolder,
-    EventSplitter,
     EventTooLarge,
+    RunEvents,
     StreamPosition,
 )
-from wigeonspan.gateway._failures import describe_failure
-from wigeonspan.gateway._messages import CallerRequest, Handle, Send, TargetOutcome
+from wigeonspan.gateway._job import Job
+from wigeonspan.gateway._messages import Handle, Send, TargetOutcome
 from wigeonspan.gateway._parts import Parts
+from wigeonspan.gateway._patience import reading_limit_s, stall_limit_s
 from wigeonspan.placing import (
     DIRECT_SLOWDOWN,
     Decision,
@@ -29,37 +26,12 @@
 from wigeonspan.serving import Caller
 from wigeonspan.targets import Phase, Target, TargetId
 
-S = TypeVar("S")
-T = TypeVar("T")
-
 MOST_ROUNDS = 5
 """Most rounds of reading a prompt and producing its answer for one request."""
 
-READ_PATIENCE = 4.0
-"""Multiple of the expected time in which the engine of a prompt must finish some
-prompt, or it is read elsewhere."""
-
-READ_PATIENCE_MIN_S = 1.0
-"""Shortest such time in seconds; long enough for a prompt of the largest size."""
-
 LOOK_S = 0.1
 """Seconds between two looks at the engine of a prompt that waits to be read."""
 
-STALL_PAUSES = 4.0
-"""Multiple of the pause objective after which a stream that may be resumed goes on at
-another engine."""
-
-STALL_PACE = 12.0
-"""Multiple of the engine's own time between events, and of its time to a first event,
-after which it counts as stalled: one at a tenth of its usual pace is slow but sound."""
-
-STALL_MIN_S = 0.9
-"""Shortest such time in seconds; half of the time that callers wait at least."""
-
-STALL_PATIENCE = 0.75
-"""Share of callers' patience that is the longest such time; the rest is for the engine
-that goes on."""
-
 MOST_REPLY_BYTES = 64 * 1024
 """Largest answer of an engine that has read a prompt, in bytes; a handle is short."""
 
@@ -76,25 +48,14 @@
 
     Parameters
     ----------
-    ends_at : float
-        Monotonic time at which nobody waits for the answer any more.
+    job : Job
+        The request.
     """
 
-    def __init__(
-        self,
-        parts: Parts,
-        request: CallerRequest,
-        route: Route,
-        service: ServiceName,
-        ends_at: float,
-    ) -> None:
-        self._parts = parts
-        self._request = request
+    def __init__(self, job: Job) -> None:
+        self._job = job
+        request = job.request
         self._prompt = request.prompt or Prompt((), len(request.body), 1)
-        self._route = route
-        self._service = service
-        self._ends_at = ends_at
-        self._arrived = parts.clock.now()
         self._excluded: set[TargetId] = set()
         self._position = StreamPosition()
         self._reads = 0
@@ -103,6 +64,14 @@
         self._last_event_at: float | None = None
         self._head: Head | None = None
 
+    @property
+    def _parts(self) -> Parts:
+        return self._job.parts
+
+    @property
+    def _route(self) -> Route:
+        return self._job.route
+
     def give_up(self, message: str) -> WigeonspanError:
         """Return what the caller is told when the request is served no further."""
         return self._error(message)
@@ -132,11 +101,11 @@
         plan = parts.placer.plan(
             self._route,
             self._prompt,
-            parts.board.usable(self._service),
-            self._ends_at - now,
+            parts.board.usable(self._job.service),
+            self._job.ends_at - now,
             now,
             self._excluded,
-            now - self._arrived,
+            now - self._job.arrived,
         )
         list_age_ms = parts.board.age_ms(now)
         if isinstance(plan, Refusal):
@@ -146,7 +115,7 @@
             )
             raise self._refusal(plan)
         read_ms = plan.work_ms * parts.placer.ledger.usual_slowness(now)
-        parts.note_demand(self._service, read_ms=read_ms)
+        parts.note_demand(self._job.service, read_ms=read_ms)
         parts.meters.observe("expected_wait_seconds", plan.wait_ms / 1000.0)
         self._note(
             "placed",
@@ -170,12 +139,9 @@
         if self._reads:
             self._take_budget()
         self._reads += 1
-        left_s = self._ends_at - now
-        expected_ms = plan.wait_ms + plan.cost_ms
-        limit_s = max(READ_PATIENCE_MIN_S, READ_PATIENCE * expected_ms / 1000.0)
         send = Send(
             engine,
-            left_s,
+            self._job.ends_at - now,
             plan.urgency,
             Phase.PREFILL,
             copy_from=plan.reading.source,
@@ -183,14 +149,14 @@
         try:
             async with sending(
                 parts,
-                self._request,
+                self._job.request,
                 send,
                 WorkKind.PREFILL,
                 work_ms=plan.work_ms,
                 reads=self._prompt.parts,
                 new_tokens=plan.reading.new_tokens,
             ) as exchange:
-                head = await self._read_answer(plan, engine, exchange, limit_s)
+                head = await self._read_answer(plan, engine, exchange)
                 body = await within(self._body_s(), exchange.read_all(MOST_REPLY_BYTES))
         except ExchangeFailed as failure:
             self._exclude(engine, "read_broke_off", why=str(failure))
@@ -208,7 +174,7 @@
         return handle
 
     async def _read_answer(
-        self, plan: Plan, engine: Target, exchange: Exchange, limit_s: float
+        self, plan: Plan, engine: Target, exchange: Exchange
     ) -> Head:
         """Wait for an engine to read a prompt, as long as that makes sense.
 
@@ -224,6 +190,7 @@
         """
         clock, placer = self._parts.clock, self._parts.placer
         began = progress_at = clock.now()
+        limit_s = reading_limit_s(plan)
         while True:
             left_s = self._lost_at() - clock.now()
             try:
@@ -236,7 +203,7 @@
                     progress_at = now
                 silent = now - progress_at >= limit_s
                 lost = placer.health.suspended_since(engine.target, began)
-                if silent or lost or now >= self._ends_at:
+                if silent or lost or now >= self._job.ends_at:
                     raise
                 if now >= self._lost_at():
                     raise self._overtaken(plan) from failure
@@ -247,8 +214,8 @@
         Right before, it may be nearly read, which nobody sees from outside the engine.
         """
         if self._runs:
-            return self._ends_at
-        leaves_at = min(self._arrived + patience_s(self._route), self._ends_at)
+            return self._job.ends_at
+        leaves_at = min(self._job.arrived + patience_s(self._route), self._job.ends_at)
         return leaves_at - self._parts.placer.handoff_ms / 1000.0
 
     def _overtaken(self, plan: Plan) -> WigeonspanError:
@@ -256,8 +223,8 @@
         self._parts.meters.count("refusals", limit=Limit.TIME.value)
         self._note("refused", failure=True, why="overtaken")
         reason = "the prompt still waits to be read"
-        come_back_s = self._parts.placer.come_back_s(plan, self._route)
-        return self._refusal(Refusal(Limit.TIME, reason, come_back_s))
+        retry_after_s = self._parts.placer.retry_after_s(plan, self._route)
+        return self._refusal(Refusal(Limit.TIME, reason, retry_after_s))
 
     async def _stream_from(
         self, caller: Caller, plan: Plan, handle: Handle | None
@@ -289,7 +256,7 @@
         direct = handle is None
         send = Send(
             engine,
-            self._ends_at - started,
+            self._job.ends_at - started,
             plan.urgency,
             fetch=handle,
             resume_after=self._position.last,
@@ -297,7 +264,7 @@
         )
         async with sending(
             parts,
-            self._request,
+            self._job.request,
             send,
             WorkKind.DIRECT if direct else WorkKind.DECODE,
             work_ms=plan.work_ms * DIRECT_SLOWDOWN if direct else 0.0,
@@ -326,7 +293,7 @@
                 await self._pass_on(caller, plan, engine, exchange, started)
             finally:
                 stream_s = parts.clock.now() - started
-                parts.note_demand(self._service, stream_s=stream_s)
+                parts.note_demand(self._job.service, stream_s=stream_s)
         parts.placer.health.succeeded(engine.target)
         return True
 
@@ -343,24 +310,24 @@
         The engine must bring a new event in time; comments, halves of events and
         events that the caller has are no progress.
         """
-        parts, splitter, comments = self._parts, EventSplitter(), CommentHolder()
-        due_at = parts.clock.now() + self._stall_s(plan, engine)
+        events, clock = RunEvents(self._position), self._parts.clock
+        due_at = clock.now() + self._stall_s(plan, engine)
         while data := await self._read(exchange, due_at):
-            for event in _bounded(splitter.feed, data):
-                if not self._position.advance(event):
-                    continue
-                passed = _bounded(comments.pass_through, event)
-                if passed:
+            try:
+                for passed in events.feed(data):
                     await self._begin(caller)
                     await caller.send(passed)
                     self._note_progress(plan, engine, started)
-                    due_at = parts.clock.now() + self._stall_s(plan, engine)
-        if splitter.rest and not exchange.framed:
+                    due_at = clock.now() + self._stall_s(plan, engine)
+            except EventTooLarge as error:
+                raise ExchangeFailed(
+                    FailureKind.OVERSIZED, sent=True, bound=Bound.EVENT
+                ) from error
+        if events.in_event and not exchange.framed:
             # The end of the connection in the middle of an event is a break.
             raise ExchangeFailed(FailureKind.CLOSED, sent=True)
         await self._begin(caller)
-        rest = comments.take() + splitter.rest
-        if rest:
+        if rest := events.rest():
             await caller.send(rest)
         await caller.finish()
 
@@ -386,7 +353,7 @@
             parts.placer.paces.observe(engine.target, now - last)
             return
         took_s = now - started
-        parts.meters.observe("first_event_seconds", now - self._arrived)
+        parts.meters.observe("first_event_seconds", now - self._job.arrived)
         if plan.decision is Decision.SPLIT:
             parts.placer.observe_handoff(took_s * 1000.0)
         self._note("first_event", target=engine.target, took_ms=round(took_s * 1000))
@@ -416,9 +383,8 @@
 
         A stream that cannot go on elsewhere gets all the time that is left.
         """
-        left_s = self._ends_at - self._parts.clock.now()
         if not (self._route.repeatable and self._runs_left()):
-            return left_s
+            return self._job.left_s
         placer = self._parts.placer
         if self._last_event_at is not None:
             usual_s = placer.paces.usual_s(engine.target)
@@ -426,16 +392,11 @@
             usual_s = placer.handoff_ms / 1000.0
         else:
             usual_s = 0.0
-        slow_s = min(STALL_PACE * usual_s, STALL_PATIENCE * patience_s(self._route))
-        expected_s = READ_PATIENCE * plan.cost_ms / 1000.0
-        if plan.decision is Decision.SPLIT:
-            expected_s = 0.0
-        pauses_s = STALL_PAUSES * self._route.pause_objective_s
-        return min(left_s, max(STALL_MIN_S, pauses_s, expected_s, slow_s))
+        return min(self._job.left_s, stall_limit_s(self._route, plan, usual_s))
 
     def _body_s(self) -> float:
         """Return how long to wait for the body of an engine's own answer."""
-        return min(BODY_S, self._ends_at - self._parts.clock.now())
+        return min(BODY_S, self._job.left_s)
 
     def _choose_engine(self, handle: Handle | None) -> Target | None:
         """Return the best engine now for a prompt that was not fetched yet."""
@@ -443,7 +404,7 @@
         if handle is None:
             return None
         return parts.placer.choose_decode(
-            parts.board.usable(self._service),
+            parts.board.usable(self._job.service),
             self._prompt,
             parts.clock.now(),
             self._excluded,
@@ -480,7 +441,7 @@
         WigeonspanError
             When the budget is used up.
         """
-        if not self._parts.take_repeat(self._service):
+        if not self._parts.take_repeat(self._job.service):
             raise self._error("the budget of repeated sends is used up")
 
     def _runs_left(self) -> int:
@@ -492,7 +453,7 @@
             raise self._error("the engine broke off")
         if self._runs and not self._runs_left():
             raise self._error("all attempts broke off")
-        if self._parts.clock.now() >= self._ends_at:
+        if self._parts.clock.now() >= self._job.ends_at:
             raise self._error("the time is over")
 
     def _refusal(self, refusal: Refusal) -> WigeonspanError:
@@ -504,34 +465,11 @@
         )
 
     def _error(self, message: str) -> WigeonspanError:
-        over = self._parts.clock.now() >= self._ends_at
-        return describe_failure(message, ran=self._runs > 0, over=over)
+        return self._job.error(message, ran=self._runs > 0)
 
     def _exclude(self, engine: Target, event: str, **fields: object) -> None:
         self._excluded.add(engine.target)
         self._note(event, failure=True, target=engine.target, **fields)
 
     def _note(self, event: str, *, failure: bool = False, **fields: object) -> None:
-        self._parts.trail.note(
-            "generation",
-            event,
-            request=self._request.request,
-            failure=failure,
-            **fields,
-        )
-
-
-def _bounded(step: Callable[[S], T], data: S) -> T:
-    """Return the result of a step of decoding a stream.
-
-    Raises
-    ------
-    ExchangeFailed
-        When the stream goes over the bound for events.
-    """
-    try:
-        return step(data)
-    except EventTooLarge as error:
-        raise ExchangeFailed(
-            FailureKind.OVERSIZED, sent=True, bound=Bound.EVENT
-        ) from error
+        self._job.note("generation", event, failure=failure, **fields)
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -2,12 +2,10 @@
 
 from msgspec import Struct
 
-from wigeonspan.common import ServiceName, WigeonspanError
-from wigeonspan.fleetconfig import Route
+from wigeonspan.common import WigeonspanError
 from wigeonspan.gateway._attempt import sending, within
-from wigeonspan.gateway._failures import describe_failure
-from wigeonspan.gateway._messages import CallerRequest, Send, TargetOutcome
-from wigeonspan.gateway._parts import Parts
+from wigeonspan.gateway._job import Job
+from wigeonspan.gateway._messages import Send, TargetOutcome
 from wigeonspan.placing import CALL_MS, WorkKind
 from wigeonspan.pool import ExchangeFailed, FailureKind, Head
 from wigeonspan.serving import Caller
@@ -32,23 +30,12 @@
 
     Parameters
     ----------
-    ends_at : float
-        Monotonic time at which nobody waits for the answer any more.
+    job : Job
+        The request.
     """
 
-    def __init__(
-        self,
-        parts: Parts,
-        request: CallerRequest,
-        route: Route,
-        service: ServiceName,
-        ends_at: float,
-    ) -> None:
-        self._parts = parts
-        self._request = request
-        self._route = route
-        self._service = service
-        self._ends_at = ends_at
+    def __init__(self, job: Job) -> None:
+        self._job = job
         self._tried: set[TargetId] = set()
         self._sent = 0
         self._runs = 0
@@ -80,22 +67,21 @@
 
     async def _attempt(self) -> _Whole | None:
         """Send to one target; return an answer to pass on, or None."""
-        parts, now = self._parts, self._parts.clock.now()
-        targets = parts.board.usable(self._service)
+        parts, route = self._job.parts, self._job.route
+        now = parts.clock.now()
+        targets = parts.board.usable(self._job.service)
         target = parts.placer.choose_call(targets, now, self._tried)
         if target is None and self._failure is not None:
             return self._failure
         if target is None:
             raise self._error("no target is available")
         self._tried.add(target.target)
-        left_s = self._ends_at - now
-        again = self._route.repeatable and self._runs + 1 < self._route.max_attempts
-        send = Send(target, left_s)
-        fresh = not self._route.repeatable
-        parts.trail.note(
+        left_s = self._job.ends_at - now
+        again = route.repeatable and self._runs + 1 < route.max_attempts
+        self._job.note(
             "plain",
             "sent",
-            request=self._request.request,
+            failure=False,
             target=target.target,
             left_ms=round(left_s * 1000),
             sends=self._sent,
@@ -105,7 +91,12 @@
         attempt_ends_at = now + limit_s
         try:
             async with sending(
-                parts, self._request, send, WorkKind.CALL, work_ms=CALL_MS, fresh=fresh
+                parts,
+                self._job.request,
+                Send(target, left_s),
+                WorkKind.CALL,
+                work_ms=CALL_MS,
+                fresh=not route.repeatable,
             ) as exchange:
                 self._sent += 1
                 # Until the target says otherwise the call counts as run.
@@ -137,30 +128,22 @@
         return _Whole(head, body)
 
     def _may_go_on(self) -> bool:
-        if self._runs and not self._route.repeatable:
+        if self._runs and not self._job.route.repeatable:
             return False
-        if self._runs >= self._route.max_attempts:
+        if self._runs >= self._job.route.max_attempts:
             return False
-        if self._parts.clock.now() >= self._ends_at:
+        if self._job.left_s <= 0.0:
             return False
         if not self._sent:
             return True
-        return self._parts.take_repeat(self._service)
+        return self._job.parts.take_repeat(self._job.service)
 
     async def _deliver(self, caller: Caller, answer: _Whole) -> None:
-        headers = self._parts.protocol.answer_headers(answer.head)
+        headers = self._job.parts.protocol.answer_headers(answer.head)
         await caller.answer(answer.head.status, headers, answer.body)
 
     def _error(self, message: str) -> WigeonspanError:
-        over = self._parts.clock.now() >= self._ends_at
-        return describe_failure(message, ran=self._runs > 0, over=over)
+        return self._job.error(message, ran=self._runs > 0)
 
     def _note(self, event: str, target: TargetId, **fields: object) -> None:
-        self._parts.trail.note(
-            "plain",
-            event,
-            request=self._request.request,
-            failure=True,
-            target=target,
-            **fields,
-        )
+        self._job.note("plain", event, failure=True, target=target, **fields)
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -6,6 +6,7 @@
 from wigeonspan.common import ErrorKind, ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import CallKind, FleetConfig, Route
 from wigeonspan.gateway._generation import Generation
+from wigeonspan.gateway._job import Job
 from wigeonspan.gateway._messages import CallerRequest
 from wigeonspan.gateway._parts import Parts
 from wigeonspan.gateway._plain import PlainCall
@@ -119,14 +120,15 @@
             config_version=config.version,
             waits_ms=round(waits_s * 1000),
         )
-        job = self._job(config, request, route, service, ends_at)
+        job = Job(parts, request, route, service, parts.clock.now(), ends_at)
+        served = self._choose(config, job)
         try:
-            await job.serve(caller)
+            await served.serve(caller)
         except asyncio.CancelledError:
             if caller.gone:
                 raise
             # This process ends; the caller hears whether the request has run.
-            raise job.give_up("this entry stops") from None
+            raise served.give_up("this entry stops") from None
         took_s = parts.clock.now() - arrived
         parts.meters.observe("request_seconds", took_s, route=route.name)
         parts.trail.note(
@@ -137,21 +139,13 @@
             status=caller.status,
         )
 
-    def _job(
-        self,
-        config: FleetConfig,
-        request: CallerRequest,
-        route: Route,
-        service: ServiceName,
-        ends_at: float,
-    ) -> PlainCall | Generation:
-        spec = config.service(service)
-        if spec is not None and spec.engine is not None:
-            engine = spec.engine
-            self._parts.placer.set_engines(engine.kv_tokens, engine.copy_us)
-        is_model = spec is not None and spec.engine is not None
-        kind = Generation if is_model and route.kind is CallKind.STREAM else PlainCall
-        return kind(self._parts, request, route, service, ends_at)
+    def _choose(self, config: FleetConfig, job: Job) -> PlainCall | Generation:
+        spec = config.service(job.service)
+        engine = None if spec is None else spec.engine
+        if engine is None:
+            return PlainCall(job)
+        self._parts.placer.set_engines(engine.kv_tokens, engine.copy_us)
+        return Generation(job) if job.route.kind is CallKind.STREAM else PlainCall(job)
 
     def _service(self, route: Route) -> ServiceName:
         names = [share.service for share in route.services]
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from wigeonspan.placing._copies import Reading
+from wigeonspan.placing._readings import Reading
 from wigeonspan.targets import Target
 
 
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -6,26 +6,18 @@
 
 from wigeonspan.common import DomainName
 from wigeonspan.fleetconfig import Route
-from wigeonspan.placing._copies import Reading, plan_readings
 from wigeonspan.placing._health import HealthBook
 from wigeonspan.placing._ledger import WorkKind, WorkLedger
 from wigeonspan.placing._messages import Decision, Limit, Plan, Prompt, Refusal
 from wigeonspan.placing._paces import PaceBook
+from wigeonspan.placing._patience import patience_s
 from wigeonspan.placing._prefixes import PrefixBook
+from wigeonspan.placing._readings import READ_FIXED_MS, Reading, plan_readings
 from wigeonspan.placing._sizes import WorkSizes
 from wigeonspan.placing._speed import SpeedBook
 from wigeonspan.placing._standing import StandingQueue
 from wigeonspan.targets import Phase, Target, TargetId
 
-READ_TOKENS_PER_MS = 50.0
-"""Tokens that an engine of nominal speed reads in a millisecond."""
-
-PAIR_MS = 0.2e-6
-"""Milliseconds for each pair of a new token and a token before it."""
-
-READ_FIXED_MS = 17.0
-"""Milliseconds that reading any prompt takes."""
-
 HANDOFF_MS = 40.0
 """Milliseconds from a read prompt to the first event at another engine, before this is
 measured."""
@@ -73,15 +65,6 @@
 LATE_PRICE_MS = 600.0
 """Delay that missing the objective counts as when engines are compared."""
 
-PATIENCE_S = 2.0
-"""Shortest time in seconds after which callers abandon a stream without an event."""
-
-PATIENCE_OBJECTIVES = 4.0
-"""Multiple of the objective that callers wait at least."""
-
-PATIENCE_PAUSES = 8.0
-"""Multiple of the pause objective that callers wait at least."""
-
 LOST_SHARE = 0.8
 """Share of the time left beyond which a request is expected to be lost; the estimate
 errs by about a fifth."""
@@ -218,7 +201,7 @@
             self._queue.note(late, now)
             if late and self._queue.stands(now):
                 reason = f"first event expected late, in {plan.first_ms:.0f} ms"
-                return Refusal(Limit.QUEUE, reason, self.come_back_s(plan, route))
+                return Refusal(Limit.QUEUE, reason, self.retry_after_s(plan, route))
             if late and self._yields(route, plan):
                 # It would only make those late that can still be on time.
                 plan = best(LATE_URGENCY)
@@ -227,7 +210,7 @@
         budget_s = min(patience_s(route), left_s)
         if plan.first_ms > budget_s * 1000.0 * LOST_SHARE:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
-            return Refusal(Limit.TIME, reason, self.come_back_s(plan, route))
+            return Refusal(Limit.TIME, reason, self.retry_after_s(plan, route))
         return plan
 
     def _yields(self, route: Route, plan: Plan) -> bool:
@@ -321,7 +304,7 @@
     ) -> float:
         """Return the time until an engine has a prompt, if it does only that."""
         slowness = self.ledger.slowness(target.target, now)
-        return reading.copy_ms + _work_ms(reading, prompt) * slowness
+        return reading.copy_ms + reading.work_ms(prompt.total_tokens) * slowness
 
     def _sound(self, targets: list[Target], now: float) -> list[Target]:
         """Return the targets that are not suspended, or all when all are."""
@@ -350,8 +333,9 @@
         prices = self.health.prices_ms([t.target for t in engines])
         engines = self._sample(engines, readings)
         # A copy takes little time, but it fills memory like reading again does.
+        total = prompt.total_tokens
         alone = {
-            t.target: _work_ms(Reading(readings[t.target].new_tokens), prompt)
+            t.target: readings[t.target].alone.work_ms(total)
             * self.ledger.slowness(t.target, now)
             for t in engines
         }
@@ -377,7 +361,7 @@
         _, wait, cost = scored[best.target]
         first = wait + cost + self._handoff_ms
         reading = readings[best.target]
-        work = _work_ms(reading, prompt)
+        work = reading.work_ms(prompt.total_tokens)
         return Plan(
             Decision.SPLIT, best, decode, work, cost, wait, first, urgency, reading
         )
@@ -425,7 +409,7 @@
         if not alone and waiting + cost > DIRECT_LIMIT_MS:
             return None
         first = waiting + cost + READ_FIXED_MS
-        work = _work_ms(reading, prompt)
+        work = reading.work_ms(prompt.total_tokens)
         return Plan(
             Decision.DIRECT, None, engine, work, cost, waiting, first, urgency, reading
         )
@@ -441,8 +425,8 @@
             return LATE_URGENCY
         return sum(1 for bound in LAXITY_RANKS_MS if laxity_ms >= bound)
 
-    def come_back_s(self, plan: Plan, route: Route) -> float:
-        """Return when a refused request can be on its way, spread over callers."""
+    def retry_after_s(self, plan: Plan, route: Route) -> float:
+        """Return the seconds after which a refused request can be served, spread."""
         over_s = max(0.1, plan.first_ms / 1000.0 - route.objective_s)
         return over_s * (0.7 + 0.6 * self._rng.random())
 
@@ -451,23 +435,6 @@
 """Milliseconds of a plain call before a target's speed factor is known."""
 
 
-def patience_s(route: Route) -> float:
-    """Return the seconds after which callers abandon a stream without an event."""
-    return max(
-        PATIENCE_S,
-        PATIENCE_OBJECTIVES * route.objective_s,
-        PATIENCE_PAUSES * route.pause_objective_s,
-    )
-
-
-def _work_ms(reading: Reading, prompt: Prompt) -> float:
-    """Return the time that an engine of nominal speed needs to read a prompt."""
-    read = reading.read_tokens
-    return (
-        READ_FIXED_MS + read / READ_TOKENS_PER_MS + PAIR_MS * read * prompt.total_tokens
-    )
-
-
 def _compared_ms(plan: Plan) -> float:
     return plan.first_ms * (DIRECT_PRICE if plan.decision is Decision.DIRECT else 1.0)
 
--- a/wigeonspan/placing/_copies.py
+++ b/wigeonspan/placing/_readings.py
@@ -1,4 +1,4 @@
-"""What an engine reads of a prompt, and what it copies from another engine before."""
+"""What an engine reads of a prompt, what it copies before, and what both take."""
 
 import random
 from collections.abc import Mapping, Sequence
@@ -7,6 +7,15 @@
 
 from wigeonspan.targets import Target, TargetId
 
+READ_TOKENS_PER_MS = 50.0
+"""Tokens that an engine of nominal speed reads in a millisecond."""
+
+PAIR_MS = 0.2e-6
+"""Milliseconds for each pair of a new token and a token before it."""
+
+READ_FIXED_MS = 17.0
+"""Milliseconds that reading any prompt takes."""
+
 LEAST_TOKENS = 384
 """Tokens from which a copy is worth its set-up at both engines; engines read that many
 in a few milliseconds."""
@@ -19,7 +28,7 @@
 
 
 class Reading(Struct, frozen=True):
-    """How an engine comes by a prompt.
+    """How an engine obtains a prompt.
 
     Parameters
     ----------
@@ -43,6 +52,22 @@
         """Tokens that the engine did not hold before."""
         return self.read_tokens + self.copied_tokens
 
+    @property
+    def alone(self) -> "Reading":
+        """The same without a copy."""
+        return Reading(self.new_tokens)
+
+    def work_ms(self, total_tokens: int) -> float:
+        """Return the time that an engine of nominal speed needs to read.
+
+        Parameters
+        ----------
+        total_tokens : int
+            Tokens of the whole prompt; new ones attend to all before them.
+        """
+        read = self.read_tokens
+        return READ_FIXED_MS + read / READ_TOKENS_PER_MS + PAIR_MS * read * total_tokens
+
 
 def plan_readings(
     engines: Sequence[Target],
@@ -52,7 +77,7 @@
     copy_us: float,
     rng: random.Random,
 ) -> dict[TargetId, Reading]:
-    """Return how each engine would come by a prompt.
+    """Return how each engine would obtain a prompt.
 
     Answers bursts of requests with the same beginning: the engine that holds it is
     busy, and reading it again elsewhere takes engine time from others.
--- a/wigeonspan/pool/__init__.py
+++ b/wigeonspan/pool/__init__.py
@@ -1,7 +1,7 @@
 """HTTP client whose requests are never repeated by the transport."""
 
 from wigeonspan.pool._bounds import Bound, BufferBudget
-from wigeonspan.pool._connection import Exchange, ExchangeFailed, FailureKind
+from wigeonspan.pool._exchange import Exchange, ExchangeFailed, FailureKind
 from wigeonspan.pool._head import Head, encode_message, encode_request
 from wigeonspan.pool._pool import ConnectionPool
 
--- a/wigeonspan/pool/_pool.py
+++ b/wigeonspan/pool/_pool.py
@@ -6,12 +6,8 @@
 
 from wigeonspan.common import Clock
 from wigeonspan.pool._bounds import MOST_BODY_BYTES, BufferBudget
-from wigeonspan.pool._connection import (
-    Connection,
-    Exchange,
-    ExchangeFailed,
-    FailureKind,
-)
+from wigeonspan.pool._connection import Connection
+from wigeonspan.pool._exchange import Exchange, ExchangeFailed, FailureKind
 from wigeonspan.pool._head import Head
 
 CONNECT_S = 0.4
--- a/wigeonspan/trail/__init__.py
+++ b/wigeonspan/trail/__init__.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from wigeonspan.common import load_on_use
+from wigeonspan.trail._errors import note_errors, watch_loop
 from wigeonspan.trail._log import Trail, open_trail
 from wigeonspan.trail._meters import Meters
 from wigeonspan.trail._writer import LineWriter
@@ -12,4 +13,12 @@
 
 __getattr__ = load_on_use(__name__, {"bridge_logs": "_bridge"})
 
-__all__ = ["LineWriter", "Meters", "Trail", "bridge_logs", "open_trail"]
+__all__ = [
+    "LineWriter",
+    "Meters",
+    "Trail",
+    "bridge_logs",
+    "note_errors",
+    "open_trail",
+    "watch_loop",
+]
