Heed targets that say that they leave or want a pause

Cause: a target's word on itself was not read. A leaving target got new work until the list named it so (0.8 to 1.5 s later), and a target that refused with a time to come back was asked again with the next request.

Change: the protocol decodes a notice from the head of every answer. A leaving target gets no new work from the entry that hears of it, nor from the others, which are told; the mark holds for that start whatever the list says. A target that asks for a pause gets nothing in it, not even as a trial. When all pause, callers hear when the first one is over.

--- a/tests/targets/test_board.py
+++ b/tests/targets/test_board.py
@@ -4,6 +4,7 @@
 
 from wigeonspan.common import DomainName, ServiceName
 from wigeonspan.targets import Listing, Phase, Target, TargetBoard, TargetId
+from wigeonspan.targets._board import MOST_LEAVING
 
 SERVICE = ServiceName("s")
 
@@ -80,3 +81,26 @@
     """Pages come in any order."""
     one, two = target("t1"), target("t2")
     assert Listing((one, two)).digest == Listing((two, one)).digest
+
+
+def test_target_that_says_that_it_leaves_stays_so():
+    """The list still names it ready, lacks it for a read, and names it again."""
+    board = TargetBoard()
+    ready = Listing((target("t1", born_ms=5), target("t2")))
+    board.update(ready, 1.0)
+    assert board.note_leaving(TargetId("t1"), 5)
+    assert not board.note_leaving(TargetId("t1"), 5)
+    for at, listing in enumerate((Listing((target("t2"),)), ready), 2):
+        board.update(listing, float(at))
+        assert names(board) == ["t2"]
+    board.update(Listing((target("t1", born_ms=9), target("t2"))), 4.0)
+    assert names(board) == ["t1", "t2"]
+
+
+def test_leaving_targets_are_remembered_up_to_a_number():
+    """Each replaced target would cost memory for as long as the process runs."""
+    board = TargetBoard()
+    for number in range(MOST_LEAVING + 10):
+        board.note_leaving(TargetId(f"t{number}"), 1)
+    board.update(Listing((target("t0", born_ms=1), target("t20", born_ms=1))), 1.0)
+    assert names(board) == ["t0"]
--- a/wigeonspan/gateway/__init__.py
+++ b/wigeonspan/gateway/__init__.py
@@ -5,6 +5,7 @@
     CallerRequest,
     Handle,
     Send,
+    TargetNotice,
     TargetOutcome,
     TargetProtocol,
 )
@@ -15,6 +16,7 @@
     "GatewaySettings",
     "Handle",
     "Send",
+    "TargetNotice",
     "TargetOutcome",
     "TargetProtocol",
     "run_gateway",
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -9,7 +9,8 @@
 from wigeonspan.gateway._messages import CallerRequest, Send
 from wigeonspan.gateway._parts import Parts
 from wigeonspan.placing import PromptPart, Work, WorkKind
-from wigeonspan.pool import Exchange, ExchangeFailed, FailureKind
+from wigeonspan.pool import Exchange, ExchangeFailed, FailureKind, Head
+from wigeonspan.targets import Target
 
 T = TypeVar("T")
 
@@ -77,6 +78,21 @@
             parts.pool.release(target.address, exchange)
 
 
+async def answer_head(
+    parts: Parts, target: Target, exchange: Exchange, timeout_s: float
+) -> Head:
+    """Return the head of a target's answer and note what it says of the target.
+
+    Raises
+    ------
+    ExchangeFailed
+        When there is none in time.
+    """
+    head = await within(timeout_s, exchange.head())
+    parts.take_notice(target, parts.protocol.read_notice(head))
+    return head
+
+
 async def within(timeout_s: float, step: Awaitable[T]) -> T:
     """Return the result of one step of an exchange.
 
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -32,6 +32,7 @@
     Event,
     ListSeen,
     PeerLink,
+    TargetLeaving,
     TargetSuspended,
     WorkBegun,
     WorkEnded,
@@ -286,6 +287,8 @@
                 placer.ledger.end(event.work, now, completed=event.completed)
             case TargetSuspended():
                 placer.health.suspend(event.target, now)
+            case TargetLeaving():
+                self._parts.board.note_leaving(event.target, event.born_ms)
             case ListSeen():
                 self._listing.take(event)
 
--- a/wigeonspan/gateway/_failures.py
+++ b/wigeonspan/gateway/_failures.py
@@ -7,7 +7,9 @@
 full or restarts is often back by then."""
 
 
-def describe_failure(message: str, *, ran: bool, over: bool) -> WigeonspanError:
+def describe_failure(
+    message: str, *, ran: bool, over: bool, pause_s: float = 0.0
+) -> WigeonspanError:
     """Return the error of a request that no target answered.
 
     Parameters
@@ -16,9 +18,12 @@
         Whether a target may have run it, so that it must not be called not run.
     over : bool
         Whether its time is over.
+    pause_s : float
+        Seconds for which no target wants requests; 0 when one does or none is known.
     """
     if not ran:
-        return WigeonspanError(ErrorKind.NO_TARGET, message, retry_after_s=NO_TARGET_S)
+        after_s = max(NO_TARGET_S, pause_s)
+        return WigeonspanError(ErrorKind.NO_TARGET, message, retry_after_s=after_s)
     if over:
         return WigeonspanError(ErrorKind.DEADLINE_EXCEEDED, message)
     return WigeonspanError(ErrorKind.TARGET_FAILED, message, ran=Ran.UNKNOWN)
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -2,7 +2,7 @@
 
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.fleetconfig import Route
-from wigeonspan.gateway._attempt import sending, within
+from wigeonspan.gateway._attempt import answer_head, sending, within
 from wigeonspan.gateway._events import (
     EventTooLarge,
     RunEvents,
@@ -194,7 +194,9 @@
         while True:
             left_s = self._lost_at() - clock.now()
             try:
-                return await within(min(LOOK_S, left_s), exchange.head())
+                return await answer_head(
+                    self._parts, engine, exchange, min(LOOK_S, left_s)
+                )
             except ExchangeFailed as failure:
                 if failure.kind is not FailureKind.TIMEOUT:
                     raise
@@ -275,7 +277,9 @@
             self._streams += 1
             # Until the engine says otherwise the request counts as run.
             self._runs += 1
-            head = await within(self._stall_s(plan, engine), exchange.head())
+            head = await answer_head(
+                parts, engine, exchange, self._stall_s(plan, engine)
+            )
             outcome = parts.protocol.read_outcome(head)
             if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
                 self._runs -= 1
@@ -417,12 +421,13 @@
 
         async def release() -> None:
             try:
-                await parts.pool.fetch(
+                head, _ = await parts.pool.fetch(
                     handle.source.address,
                     parts.protocol.encode_release(handle),
                     RELEASE_S,
                     fresh=True,
                 )
+                parts.take_notice(handle.source, parts.protocol.read_notice(head))
             except ExchangeFailed as failure:
                 # The engine frees it by itself when its time to live is over.
                 self._note("release_failed", why=str(failure))
--- a/wigeonspan/gateway/_job.py
+++ b/wigeonspan/gateway/_job.py
@@ -44,7 +44,14 @@
         ran : bool
             Whether a target may have run the request.
         """
-        return describe_failure(message, ran=ran, over=self.left_s <= 0.0)
+        now = self.parts.clock.now()
+        targets = self.parts.board.usable(self.service)
+        return describe_failure(
+            message,
+            ran=ran,
+            over=self.ends_at <= now,
+            pause_s=self.parts.placer.pause_left_s(targets, now),
+        )
 
     def note(self, part: str, event: str, *, failure: bool, **fields: Any) -> None:
         """Write a line of the decision log."""
--- a/wigeonspan/gateway/_messages.py
+++ b/wigeonspan/gateway/_messages.py
@@ -86,6 +86,21 @@
     UNREADABLE = "unreadable"
 
 
+class TargetNotice(Struct, frozen=True):
+    """What a target says of itself beside its answer.
+
+    Parameters
+    ----------
+    leaving : bool
+        Whether it is about to stop and wants no new work.
+    pause_s : float
+        Seconds for which it wants no request from this entry; 0 when it does not say.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
 class TargetProtocol(Protocol):
     """Protocol that callers and targets speak."""
 
@@ -113,6 +128,10 @@
         """Return what the head of an answer says."""
         ...
 
+    def read_notice(self, head: Head) -> TargetNotice:
+        """Return what the head of an answer says of the target itself."""
+        ...
+
     def answer_headers(self, head: Head) -> list[tuple[str, str]]:
         """Return the header fields that the caller gets."""
         ...
--- a/wigeonspan/gateway/_parts.py
+++ b/wigeonspan/gateway/_parts.py
@@ -8,11 +8,17 @@
 
 from wigeonspan.common import Clock, HostId, ServiceName
 from wigeonspan.gateway._config import ConfigHolder
-from wigeonspan.gateway._messages import TargetProtocol
+from wigeonspan.gateway._messages import TargetNotice, TargetProtocol
 from wigeonspan.placing import Placer, PromptPart, RetryBudget, Work
 from wigeonspan.pool import ConnectionPool
-from wigeonspan.sharing import PeerLink, TargetSuspended, WorkBegun, WorkEnded
-from wigeonspan.targets import TargetBoard, TargetId
+from wigeonspan.sharing import (
+    PeerLink,
+    TargetLeaving,
+    TargetSuspended,
+    WorkBegun,
+    WorkEnded,
+)
+from wigeonspan.targets import Target, TargetBoard, TargetId
 from wigeonspan.trail import Meters, Trail
 
 
@@ -70,6 +76,19 @@
         self.placer.ledger.end(work.work, self.clock.now(), completed=completed)
         self.link.tell(WorkEnded(work.work, completed))
 
+    def take_notice(self, target: Target, notice: TargetNotice) -> None:
+        """Note what a target says of itself, and tell the others that it leaves."""
+        name = target.target
+        if notice.leaving and self.board.note_leaving(name, target.born_ms):
+            self.trail.note("targets", "target_leaving", target=name)
+            self.link.tell(TargetLeaving(name, target.born_ms))
+        if notice.pause_s > 0.0:
+            self.meters.count("target_pauses", target=name)
+            self.trail.note(
+                "targets", "target_pauses", target=name, pause_s=notice.pause_s
+            )
+            self.placer.health.pause(name, self.clock.now() + notice.pause_s)
+
     def note_failure(self, target: TargetId, *, silent: bool, reason: str) -> None:
         """Note that a target failed; when that suspends it, tell the others."""
         now = self.clock.now()
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from wigeonspan.common import WigeonspanError
-from wigeonspan.gateway._attempt import sending, within
+from wigeonspan.gateway._attempt import answer_head, sending, within
 from wigeonspan.gateway._job import Job
 from wigeonspan.gateway._messages import Send, TargetOutcome
 from wigeonspan.placing import CALL_MS, WorkKind
@@ -101,7 +101,7 @@
                 self._sent += 1
                 # Until the target says otherwise the call counts as run.
                 self._runs += 1
-                head = await within(limit_s, exchange.head())
+                head = await answer_head(parts, target, exchange, limit_s)
                 outcome = parts.protocol.read_outcome(head)
                 if outcome is TargetOutcome.UNREADABLE:
                     raise ExchangeFailed(FailureKind.GARBLED, sent=True)
--- a/wigeonspan/placing/_health.py
+++ b/wigeonspan/placing/_health.py
@@ -1,4 +1,4 @@
-"""Which targets answer: suspension after failures, and a price for unreliable ones."""
+"""Which targets answer and want requests, and a price for unreliable ones."""
 
 from wigeonspan.targets import TargetId
 
@@ -31,6 +31,7 @@
         self.until = 0.0
         self.trial = False
         self.suspended_at = NEVER
+        self.paused_until = NEVER
 
 
 class HealthBook:
@@ -76,6 +77,19 @@
             state.until = now + FIRST_SUSPENSION_S
             state.suspended_at = now
 
+    def pause(self, target: TargetId, until: float) -> None:
+        """Note that a target wants no request from here before a time.
+
+        A suspension is a guess, against which a trial may be made; this is not.
+        """
+        state = self._states.setdefault(target, _State())
+        state.paused_until = max(state.paused_until, until)
+
+    def pause_left_s(self, target: TargetId, now: float) -> float:
+        """Return the seconds for which a target wants no request; 0 when it does."""
+        state = self._states.get(target)
+        return 0.0 if state is None else max(0.0, state.paused_until - now)
+
     def suspended_since(self, target: TargetId, since: float) -> bool:
         """Whether a target was suspended after a time and has not answered since."""
         state = self._states.get(target)
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -88,6 +88,10 @@
 MOST_URGENCY = 9
 """Largest rank that engines know."""
 
+NO_ENGINE_S = 1.0
+"""Seconds after which a request that finds no engine may come back; engines that were
+replaced are listed again within about that time."""
+
 READ_AGAIN_WEIGHT = 2.0
 """Weight of the engine time that reading shared parts again takes from others, against
 the delay of this request."""
@@ -173,7 +177,7 @@
         elapsed_s : float
             Seconds since the request arrived.
         """
-        kept = [t for t in targets if t.target not in excluded]
+        kept = self._open(targets, excluded, now)
         readers = self._sound([t for t in kept if t.phase is Phase.PREFILL], now)
         writers = self._sound([t for t in kept if t.phase is not Phase.PREFILL], now)
         readings = self._readings(readers, writers, prompt)
@@ -206,7 +210,8 @@
                 # It would only make those late that can still be on time.
                 plan = best(LATE_URGENCY)
         if plan is None:
-            return Refusal(Limit.NO_ENGINE, "no engine is available", 1.0)
+            left_s = self.pause_left_s(targets, now) or NO_ENGINE_S
+            return Refusal(Limit.NO_ENGINE, "no engine is available", left_s)
         budget_s = min(patience_s(route), left_s)
         if plan.first_ms > budget_s * 1000.0 * LOST_SHARE:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
@@ -240,7 +245,7 @@
             Failure domain of the engine that holds the prompt; None when there is
             none.
         """
-        kept = [t for t in targets if t.target not in excluded]
+        kept = self._open(targets, excluded, now)
         engines = self._sound([t for t in kept if t.phase is not Phase.PREFILL], now)
         if not engines:
             return None
@@ -270,7 +275,7 @@
         excluded: Collection[TargetId] = (),
     ) -> Target | None:
         """Return the target of a plain call with the least expected delay."""
-        usable = self._sound([t for t in targets if t.target not in excluded], now)
+        usable = self._sound(self._open(targets, excluded, now), now)
         if not usable:
             return None
         prices = self.health.prices_ms([t.target for t in usable])
@@ -288,6 +293,25 @@
 
         return min(usable, key=delay_ms)
 
+    def pause_left_s(self, targets: Sequence[Target], now: float) -> float:
+        """Return the seconds until one of some targets wants requests again.
+
+        It is 0 when there is no target, or one that wants them now.
+        """
+        health = self.health
+        return min((health.pause_left_s(t.target, now) for t in targets), default=0.0)
+
+    def _open(
+        self, targets: Sequence[Target], excluded: Collection[TargetId], now: float
+    ) -> list[Target]:
+        """Return the targets that a request may still be sent to."""
+        return [
+            target
+            for target in targets
+            if target.target not in excluded
+            and not self.health.pause_left_s(target.target, now)
+        ]
+
     def _readings(
         self, readers: list[Target], writers: list[Target], prompt: Prompt
     ) -> dict[TargetId, Reading]:
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -42,6 +42,19 @@
     target: TargetId
 
 
+class TargetLeaving(Struct, frozen=True, tag="leaving", array_like=True):
+    """A target told an entry that it is about to stop.
+
+    Parameters
+    ----------
+    born_ms : int
+        Start of the target that this is about, as the list names it.
+    """
+
+    target: TargetId
+    born_ms: int
+
+
 class ListSeen(Struct, frozen=True, tag="list", array_like=True):
     """An entry has read the list of targets.
 
@@ -59,7 +72,7 @@
     listing: Listing | None = None
 
 
-Event = WorkBegun | WorkEnded | TargetSuspended | ListSeen
+Event = WorkBegun | WorkEnded | TargetSuspended | TargetLeaving | ListSeen
 """Content of a packet."""
 
 
--- a/wigeonspan/targets/_board.py
+++ b/wigeonspan/targets/_board.py
@@ -5,6 +5,10 @@
 from wigeonspan.common import ServiceName
 from wigeonspan.targets._messages import Listing, Target, TargetId
 
+MOST_LEAVING = 4096
+"""Leaving targets that are remembered; the oldest are forgotten first. A large fleet
+replaces all of its targets before the first one would be needed again."""
+
 NEVER = float("-inf")
 """Time of a listing that was never read."""
 
@@ -50,15 +54,27 @@
         self._read_at = read_at
         for target in listing.targets:
             if target.leaving:
-                self._leaving[target.target] = target.born_ms
+                self.note_leaving(target.target, target.born_ms)
         changed = listing.digest != self._digest
         self._digest = listing.digest
         if changed:
             self._targets = {t.target: t for t in listing.targets}
-            known = self._targets
-            self._leaving = {t: b for t, b in self._leaving.items() if t in known}
         return changed
 
+    def note_leaving(self, target: TargetId, born_ms: int) -> bool:
+        """Note that one start of a target is leaving; return whether that is news.
+
+        The target may say so itself before the list does. A listing that lacks it for
+        a while does not undo it.
+        """
+        if self._leaving.get(target) == born_ms:
+            return False
+        self._leaving.pop(target, None)
+        self._leaving[target] = born_ms
+        if len(self._leaving) > MOST_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        return True
+
     def confirm(self, digest: str, read_at: float) -> bool:
         """Note that a later read returned the listing with a digest.
 
