--- a/replay/_engine.py
+++ b/replay/_engine.py
@@ -13,10 +13,8 @@
 from wigeonspan.placing import Prompt
 from wigeonspan.targets import Phase, Target
 
-READ_FIXED_MS = 17.0
 PAIR_MS = 0.2e-6
-"""Time of reading any prompt, and by pairs of tokens, fitted to the logs of days of the
-users' bench."""
+"""Time of reading by pairs of tokens, fitted to the logs of days of the bench."""
 
 DECODE_READ_SLOWDOWN = 2.0
 """Factor by which a decode engine reads more slowly."""
@@ -59,6 +57,8 @@
         step_ms: float,
         read_tokens_per_ms: float,
         at: At,
+        read_fixed_ms: float = 17.0,
+        read_latency_ms: float = 0.0,
     ) -> None:
         self.target = target
         self.phase = target.phase
@@ -72,6 +72,8 @@
         self._step_ms = step_ms
         self._read_tokens_per_ms = read_tokens_per_ms
         self._at = at
+        self._read_fixed_ms = read_fixed_ms
+        self._read_latency_ms = read_latency_ms
         self._start = 0
         self._reads: list[Reading] = []
         self._reading: Reading | None = None
@@ -131,9 +133,12 @@
         def finish() -> None:
             if self._reading is reading and self._start == start:
                 self._reading = None
-                reading.done(True)
+                self._at(self._read_latency_ms / 1000.0, lambda: tell(start))
                 self._next_read()
 
+        def tell(start: int) -> None:
+            reading.done(self._start == start)
+
         self._at(took_ms / 1000.0, finish)
 
     def _read_ms(self, prompt: Prompt) -> float:
@@ -155,7 +160,9 @@
             self._held.popitem(last=False)
         slower = DECODE_READ_SLOWDOWN if self.phase is Phase.DECODE else 1.0
         pairs_ms = PAIR_MS * new * prompt.input_tokens
-        return slower * (READ_FIXED_MS + new / self._read_tokens_per_ms + pairs_ms)
+        return slower * (
+            self._read_fixed_ms + new / self._read_tokens_per_ms + pairs_ms
+        )
 
     def _next_stream(self) -> None:
         while self._waiting and len(self._streams) < self.target.slots:
--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -194,6 +194,8 @@
             deployment.step_ms,
             deployment.read_tokens_per_ms,
             self.at,
+            deployment.read_fixed_ms,
+            deployment.read_latency_ms,
         )
 
     def _every(self, pause_s: float, until: float, step: Callable[[], None]) -> None:
--- a/replay/_load.py
+++ b/replay/_load.py
@@ -18,18 +18,28 @@
 SERVICE = ServiceName("models")
 
 SESSIONS = 40
-"""Sessions of a kind; each shares a part of the prompt among its requests."""
+"""Usual number of sessions of a kind."""
 
 TEMPLATE_SHARE = 0.25
-"""Share of the shared tokens that all requests of a kind have in common."""
+"""Usual share of the shared tokens that all requests of a kind have in common."""
 
 SIZE_SIGMA = 0.4
-"""Spread of prompt sizes, as the sigma of a log-normal distribution; the largest
-prompts of the users' days are about twice the mean."""
+"""Usual spread of the own tokens; the largest prompts of the first deployments are
+about twice the mean."""
 
 
 class Kind(Struct, frozen=True):
-    """Kind of request; ``worth`` and ``late`` are credits of one request."""
+    """Kind of request; ``worth`` and ``late`` are credits of one request.
+
+    Parameters
+    ----------
+    sessions : int
+        Sessions; each shares a part of the prompt among its requests.
+    template_share : float
+        Share of the shared tokens that all requests have in common.
+    sigma : float
+        Spread of the own tokens, as the sigma of a log-normal distribution.
+    """
 
     per_s: float
     shared: int
@@ -40,6 +50,9 @@
     deadline_s: float
     worth: float
     late: float
+    sessions: int = SESSIONS
+    template_share: float = TEMPLATE_SHARE
+    sigma: float = SIZE_SIGMA
 
 
 class Deployment(Struct, frozen=True):
@@ -50,6 +63,11 @@
     read_tokens_per_ms : float
         Prompt tokens that an engine reads in a millisecond, fitted to the logs of days
         of the users' bench; the sheets name slightly more.
+    read_fixed_ms : float
+        Engine time that reading any prompt takes.
+    read_latency_ms : float
+        Time after which a prompt that was read counts as read; the engine does other
+        work meanwhile.
     """
 
     entries: int
@@ -61,6 +79,8 @@
     read_tokens_per_ms: float
     switch_s: float
     kinds: dict[str, Kind]
+    read_fixed_ms: float = 17.0
+    read_latency_ms: float = 0.0
 
     def route(self, name: str) -> Route:
         """Return the route of a kind."""
@@ -180,10 +200,10 @@
 
 
 def _draw_prompt(name: str, kind: Kind, number: int, rng: random.Random) -> Prompt:
-    size = rng.lognormvariate(-(SIZE_SIGMA**2) / 2, SIZE_SIGMA)
+    size = rng.lognormvariate(-(kind.sigma**2) / 2, kind.sigma)
     # Sessions differ in how often they ask.
-    session = int(SESSIONS * rng.random() ** 2)
-    template = int(kind.shared * TEMPLATE_SHARE)
+    session = int(kind.sessions * rng.random() ** 2)
+    template = int(kind.shared * kind.template_share)
     parts = (
         PromptPart(f"{name}-template", template),
         PromptPart(f"{name}-{session}", kind.shared - template),
