Count a prompt as read when its stream begins, and let streams pause in replays

Cause: the work of an engine that reads a prompt and answers it ended with the stream, seconds after the prompt was read.

Change: the first event ends the reading; a message tells the other entries so. In replays the streams of a decode engine go on when it has no prompt left to read, and a pause over the objective makes an answer late.

--- a/replay/_engine.py
+++ b/replay/_engine.py
@@ -2,7 +2,8 @@
 
 It stands for what the users' pages say: an engine finishes the prompt that it reads,
 then takes the most urgent one; parts that it holds are not read again and the least
-recently used ones yield; streams take slots; a decode engine reads at half the speed.
+recently used ones yield; streams take slots; a decode engine reads at half the speed,
+and its streams pause until no prompt is left to read.
 """
 
 from collections import OrderedDict
@@ -35,12 +36,22 @@
 
 
 class Stream(Struct, eq=False):
-    """An answer to be produced; ``first`` and ``done`` tell how it goes."""
+    """An answer to be produced; the callables tell how it goes.
+
+    Parameters
+    ----------
+    paused : callable
+        Takes the length of a pause in seconds.
+    delay_s : float
+        Time of pauses that its end is yet to be put off by.
+    """
 
     tokens: int
     urgency: int
     first: Callable[[], None]
     done: Callable[[bool], None]
+    paused: Callable[[float], None]
+    delay_s: float = 0.0
 
 
 At = Callable[[float, Callable[[], None]], None]
@@ -77,6 +88,8 @@
         self._start = 0
         self._reads: list[Reading] = []
         self._reading: Reading | None = None
+        # Reading time in one go until now, which the streams of the engine wait for.
+        self._in_one_go_s = 0.0
         self._waiting: list[Stream] = []
         self._streams: list[Stream] = []
         self._held: OrderedDict[str, int] = OrderedDict()
@@ -121,13 +134,17 @@
             work.done(False)
 
     def _next_read(self) -> None:
-        if self._reading is not None or not self._reads:
+        if self._reading is not None:
+            return
+        if not self._reads:
+            self._end_pause()
             return
         reading = min(self._reads, key=lambda each: each.urgency)
         self._reads.remove(reading)
         self._reading = reading
         took_ms = self._read_ms(reading.prompt) * self.slowness
         self.read_ms += took_ms
+        self._in_one_go_s += took_ms / 1000.0
         start = self._start
 
         def finish() -> None:
@@ -141,6 +158,15 @@
 
         self._at(took_ms / 1000.0, finish)
 
+    def _end_pause(self) -> None:
+        """Let the streams of a decode engine go on after it has read prompts."""
+        pause_s, self._in_one_go_s = self._in_one_go_s, 0.0
+        if self.phase is not Phase.DECODE or not pause_s:
+            return
+        for stream in self._streams:
+            stream.delay_s += pause_s
+            stream.paused(pause_s)
+
     def _read_ms(self, prompt: Prompt) -> float:
         """Return the time of reading a prompt, and hold its parts."""
         held = 0
@@ -181,10 +207,14 @@
             return stream in self._streams and self._start == start
 
         def first() -> None:
+            if self._put_off(stream, first):
+                return
             if is_open():
                 stream.first()
 
         def finish() -> None:
+            if self._put_off(stream, finish):
+                return
             if is_open():
                 self._streams.remove(stream)
                 stream.done(True)
@@ -192,3 +222,10 @@
 
         self._at(step_s, first)
         self._at(step_s * max(1, stream.tokens), finish)
+
+    def _put_off(self, stream: Stream, step: Callable[[], None]) -> bool:
+        """Run a step of a stream later when it has paused; return whether it has."""
+        delay_s, stream.delay_s = stream.delay_s, 0.0
+        if delay_s > 0.0:
+            self._at(delay_s, step)
+        return delay_s > 0.0
--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -30,6 +30,7 @@
     Work,
 )
 from wigeonspan.staging import DemandMeter, next_changes
+from wigeonspan.staging._plan import DECODE_SHARE
 from wigeonspan.targets import Phase, Target, TargetId
 
 START_S = 100.0
@@ -150,6 +151,12 @@
             ),
         )
 
+    def note_read(self, entry: Entry, work: str) -> None:
+        """Note that a prompt was read whose stream goes on at the same engine."""
+        self._tell(
+            entry, lambda each: each.placer.ledger.note_read(work, self._clock.now())
+        )
+
     def suspend(self, entry: Entry, target: TargetId) -> None:
         """Note a silent engine."""
         now = self._clock.now()
@@ -179,7 +186,7 @@
     def _make_engine(self, number: int) -> Engine:
         deployment = self._deployment
         # Phases start as the control hosts set them before there is traffic.
-        decoding = number < round(deployment.engines * 0.4)
+        decoding = number < max(2, round(deployment.engines * DECODE_SHARE))
         target = Target(
             TargetId(f"engine-{number}"),
             SERVICE,
--- a/replay/_request.py
+++ b/replay/_request.py
@@ -52,6 +52,7 @@
         self._returns = IMPATIENT_RETRIES if arrival.impatient else RETRIES
         self._rounds = 0
         self._first_s: float | None = None
+        self._longest_pause_s = 0.0
         self._ended = False
 
     def start(self) -> None:
@@ -184,6 +185,7 @@
         self, plan: Plan, engine: Engine, work: str, completed: bool
     ) -> None:
         if completed and not self._ended:
+            self._fleet.note_read(self._entry, work)
             self._write(plan, engine, work)
             return
         self._fleet.end(self._entry, work, completed=completed)
@@ -197,6 +199,10 @@
             if self._first_s is None:
                 self._first_s = fleet.now - self._arrived
 
+        def paused(pause_s: float) -> None:
+            if self._first_s is not None:
+                self._longest_pause_s = max(self._longest_pause_s, pause_s)
+
         def done(completed: bool) -> None:
             self._drop(work)
             self._entry.stream_s += fleet.now - began
@@ -204,13 +210,17 @@
             if self._ended:
                 return
             if completed:
-                on_time = (self._first_s or 0.0) <= self._kind.objective_s
+                on_time = (
+                    (self._first_s or 0.0) <= self._kind.objective_s
+                    and self._longest_pause_s <= self._kind.pause_s
+                )
                 self._finish(End.ON_TIME if on_time else End.LATE)
             else:
                 self._try_again(engine)
 
         tokens = self._arrival.prompt.output_tokens
-        self._give(engine, Stream(tokens, plan.urgency, first, done), work)
+        stream = Stream(tokens, plan.urgency, first, done, paused)
+        self._give(engine, stream, work)
 
     def _try_again(self, engine: Engine) -> None:
         """Go on at another engine while rounds and the budget allow it."""
--- a/tests/replay/test_replay.py
+++ b/tests/replay/test_replay.py
@@ -7,6 +7,7 @@
 from replay._fleet import Fleet
 from replay._load import draw_arrivals, read_deployments, read_patterns
 from wigeonspan.placing import _placer
+from wigeonspan.placing._readings import READ_TOKENS_PER_MS
 
 SECONDS = 25.0
 DEPLOYMENTS, PATTERNS = read_deployments(), read_patterns()
@@ -87,4 +88,8 @@
     placers = []
     fleet = Fleet(deployment, PATTERNS["flips"], 1, placers.append)
     fleet.run(1.0, SECONDS, 1)
-    assert all(placer.latency_ms > 45.0 for placer in placers)
+    truth = READ_TOKENS_PER_MS / deployment.read_tokens_per_ms
+    for placer in placers:
+        now = fleet.clock.now()
+        assert placer.latency_ms > 45.0
+        assert placer.ledger.usual_slowness(now) == pytest.approx(truth, rel=0.2)
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -6,6 +6,8 @@
 from itertools import count
 from typing import TypeVar
 
+from msgspec import Struct
+
 from wigeonspan.gateway._messages import CallerRequest, Send
 from wigeonspan.gateway._parts import Parts
 from wigeonspan.placing import PromptPart, Work, WorkKind
@@ -17,6 +19,13 @@
 _numbers = count(1)
 
 
+class Sending(Struct, frozen=True):
+    """A request on its way: its exchange, and the work that it is to the target."""
+
+    exchange: Exchange
+    work: Work
+
+
 @asynccontextmanager
 async def sending(
     parts: Parts,
@@ -28,7 +37,7 @@
     fresh: bool = False,
     reads: tuple[PromptPart, ...] = (),
     new_tokens: int = 0,
-) -> AsyncIterator[Exchange]:
+) -> AsyncIterator[Sending]:
     """Send a request and account for it until the block ends.
 
     An exchange that is not done at the end of the block is broken off, so that the
@@ -59,7 +68,7 @@
             accepts=lambda head: parts.protocol.is_answer_to(request, head),
             fresh=fresh,
         )
-        yield exchange
+        yield Sending(exchange, work)
         completed = True
     except ExchangeFailed as failure:
         parts.pool.forget(target.address)
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -32,6 +32,7 @@
     Event,
     ListSeen,
     PeerLink,
+    PromptRead,
     TargetLeaving,
     TargetSuspended,
     WorkBegun,
@@ -283,6 +284,8 @@
                     placer.prefixes.note(
                         event.work.target, event.parts, event.new_tokens
                     )
+            case PromptRead():
+                placer.ledger.note_read(event.work, now)
             case WorkEnded():
                 placer.ledger.end(event.work, now, completed=event.completed)
             case TargetSuspended():
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -2,7 +2,7 @@
 
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.fleetconfig import Route
-from wigeonspan.gateway._attempt import answer_head, sending, within
+from wigeonspan.gateway._attempt import Sending, answer_head, sending, within
 from wigeonspan.gateway._events import (
     EventTooLarge,
     RunEvents,
@@ -19,6 +19,7 @@
     Plan,
     Prompt,
     Refusal,
+    Work,
     WorkKind,
     patience_s,
 )
@@ -155,9 +156,11 @@
                 work_ms=plan.work_ms,
                 reads=self._prompt.parts,
                 new_tokens=plan.reading.new_tokens,
-            ) as exchange:
-                head = await self._read_answer(plan, engine, exchange)
-                body = await within(self._body_s(), exchange.read_all(MOST_REPLY_BYTES))
+            ) as sent:
+                head = await self._read_answer(plan, engine, sent.exchange)
+                body = await within(
+                    self._body_s(), sent.exchange.read_all(MOST_REPLY_BYTES)
+                )
         except ExchangeFailed as failure:
             self._exclude(engine, "read_broke_off", why=str(failure))
             return None
@@ -274,7 +277,8 @@
             fresh=not self._route.repeatable,
             reads=self._prompt.parts,
             new_tokens=parts.placer.new_tokens(engine, self._prompt),
-        ) as exchange:
+        ) as sent:
+            exchange = sent.exchange
             self._streams += 1
             # Until the engine says otherwise the request counts as run.
             self._runs += 1
@@ -295,7 +299,7 @@
                 return await self._take_failure(caller, engine, head, exchange)
             self._head = self._head or head
             try:
-                await self._pass_on(caller, plan, engine, exchange, started)
+                await self._pass_on(caller, plan, engine, sent, started)
             finally:
                 stream_s = parts.clock.now() - started
                 parts.note_demand(self._job.service, stream_s=stream_s)
@@ -307,7 +311,7 @@
         caller: Caller,
         plan: Plan,
         engine: Target,
-        exchange: Exchange,
+        sent: Sending,
         started: float,
     ) -> None:
         """Pass whole events on until the stream's complete end.
@@ -316,13 +320,14 @@
         events that the caller has are no progress.
         """
         events, clock = RunEvents(self._position), self._parts.clock
+        exchange = sent.exchange
         due_at = clock.now() + self._stall_s(plan, engine)
         while data := await self._read(exchange, due_at):
             try:
                 for passed in events.feed(data):
                     await self._begin(caller)
                     await caller.send(passed)
-                    self._note_progress(plan, engine, started)
+                    self._note_progress(plan, engine, sent.work, started)
                     due_at = clock.now() + self._stall_s(plan, engine)
             except EventTooLarge as error:
                 raise ExchangeFailed(
@@ -350,7 +355,9 @@
             raise ExchangeFailed(FailureKind.TIMEOUT, sent=True)
         return await within(left_s, exchange.read())
 
-    def _note_progress(self, plan: Plan, engine: Target, started: float) -> None:
+    def _note_progress(
+        self, plan: Plan, engine: Target, work: Work, started: float
+    ) -> None:
         """Measure the time to the first event, or the pause before another one."""
         parts, now = self._parts, self._parts.clock.now()
         last, self._last_event_at = self._last_event_at, now
@@ -359,7 +366,9 @@
             return
         took_s = now - started
         parts.meters.observe("first_event_seconds", now - self._job.arrived)
-        if plan.decision is Decision.SPLIT:
+        if work.kind is WorkKind.DIRECT:
+            parts.note_read(work)
+        elif plan.decision is Decision.SPLIT:
             parts.placer.observe_handoff(took_s * 1000.0)
         self._note("first_event", target=engine.target, took_ms=round(took_s * 1000))
 
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -97,7 +97,8 @@
                 WorkKind.CALL,
                 work_ms=CALL_MS,
                 fresh=not route.repeatable,
-            ) as exchange:
+            ) as sent:
+                exchange = sent.exchange
                 self._sent += 1
                 # Until the target says otherwise the call counts as run.
                 self._runs += 1
