Try engines again that took no connection when none else is left

Cause: an engine to which a connection was not made in 0.4 s was left out for the rest of that request, although nothing had been sent to it. When the other engine stalled, no engine was left and the stream broke off after its first event.

Change: engines that took no connection are tried once more when no other one is left; those that a request was sent to never are.

Measured: with the first or second connection to a decode engine failing, the test of the stall gives [1, 0, 0, 0, 0] before and five events after.

--- a/tests/platform/test_stalls.py
+++ b/tests/platform/test_stalls.py
@@ -1,6 +1,7 @@
 """Streams that stall, are slow or break off."""
 
 import asyncio
+from itertools import count
 
 import pytest
 
@@ -11,9 +12,13 @@
     model,
     reads,
     route,
+    send,
     serve,
+    start_gateway,
+    status,
     streams,
 )
+from wigeonspan.pool import ExchangeFailed, FailureKind
 
 
 def slow_stream(pauses_s):
@@ -67,6 +72,58 @@
     assert b"ping" not in answer
 
 
+@pytest.mark.parametrize("unreached", [1, 2, 3])
+def test_engine_that_took_no_connection_is_tried_again_when_it_is_the_last(unreached):
+    """Beside load a connection was not made in its time. The engine counted as failed
+    for that request, and when the other one stalled none was left."""
+
+    async def run():
+        engines = model([reads], [], [])
+        engines[1].script = engines[2].script = [trickle(b"x"), streams(5)]
+        parts, servers = start_gateway(route(STREAM, resumable=True), engines)
+        connect, tries = parts.pool._connect, count(1)
+
+        async def fail_once(address):
+            # The first connection goes to the engine that reads.
+            if next(tries) == unreached + 1:
+                raise ExchangeFailed(FailureKind.TIMEOUT, sent=False)
+            return await connect(address)
+
+        parts.pool._connect = fail_once
+        answer = await send(0, "600,20", None)
+        for server in servers:
+            await server.close()
+        parts.pool.close()
+        return answer
+
+    answer = asyncio.run(run())
+    assert [answer.count(b"id: %d\n" % n) for n in range(1, 6)] == [1] * 5
+    assert answer.endswith(b"0\r\n\r\n")
+
+
+def test_engine_that_takes_no_connections_is_not_tried_for_ever():
+    """The caller hears at once that no engine is there."""
+    engines = model([reads], [streams(5)])
+
+    async def run():
+        parts, servers = start_gateway(route(STREAM, resumable=True), engines)
+        tries = []
+
+        async def fail(address):
+            tries.append(address)
+            raise ExchangeFailed(FailureKind.CONNECT, sent=False)
+
+        parts.pool._connect = fail
+        answer = await send(0, "600,20", None)
+        for server in servers:
+            await server.close()
+        return answer, len(tries)
+
+    answer, tries = asyncio.run(run())
+    assert status(answer) == 503 and b'"ran":"no"' in answer
+    assert tries <= 2 * len(engines)
+
+
 def test_comments_of_a_whole_stream_are_passed_on():
     """The caller gets the target's body as it is."""
 
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -1,6 +1,6 @@
 """Generations: read the prompt at one engine, stream the answer from another."""
 
-from wigeonspan.common import ErrorKind, WigeonspanError
+from wigeonspan.common import DomainName, ErrorKind, WigeonspanError
 from wigeonspan.fleetconfig import Route
 from wigeonspan.gateway._attempt import Sending, answer_head, sending, within
 from wigeonspan.gateway._events import (
@@ -58,6 +58,9 @@
         request = job.request
         self._prompt = request.prompt or Prompt((), len(request.body), 1)
         self._excluded: set[TargetId] = set()
+        # Engines that took no connection; they are tried once more when none is left.
+        self._unreached: set[TargetId] = set()
+        self._tried_again = False
         self._position = StreamPosition()
         self._reads = 0
         self._streams = 0
@@ -97,17 +100,35 @@
             self._check_may_go_on()
         raise self._error("no engine answered")
 
-    def _plan(self) -> Plan:
+    def _place(self) -> Plan | Refusal:
+        """Ask for a place among the engines that are left."""
         parts, now = self._parts, self._parts.clock.now()
-        plan = parts.placer.plan(
+        return parts.placer.plan(
             self._route,
             self._prompt,
             parts.board.usable(self._job.service),
             self._job.ends_at - now,
             now,
-            self._excluded,
+            self._excluded | self._unreached,
             now - self._job.arrived,
         )
+
+    def _may_try_again(self) -> bool:
+        """Whether engines that took no connection may be tried again, once.
+
+        A connection also fails when this process or a packet is held up for a moment.
+        """
+        if self._tried_again or not self._unreached:
+            return False
+        self._tried_again = True
+        self._unreached.clear()
+        return True
+
+    def _plan(self) -> Plan:
+        parts, now = self._parts, self._parts.clock.now()
+        plan = self._place()
+        if isinstance(plan, Refusal) and plan.limit is Limit.NO_ENGINE:
+            plan = self._place() if self._may_try_again() else plan
         list_age_ms = parts.board.age_ms(now)
         if isinstance(plan, Refusal):
             parts.meters.count("refusals", limit=plan.limit.value)
@@ -162,7 +183,7 @@
                     self._body_s(), sent.exchange.read_all(MOST_REPLY_BYTES)
                 )
         except ExchangeFailed as failure:
-            self._exclude(engine, "read_broke_off", why=str(failure))
+            self._note_break(engine, "read_broke_off", failure)
             return None
         handle = (
             parts.protocol.read_handle(engine, body) if head.status == 200 else None
@@ -245,7 +266,7 @@
                 try:
                     return await self._stream(caller, plan, engine, handle)
                 except ExchangeFailed as failure:
-                    self._exclude(engine, "stream_broke_off", why=str(failure))
+                    self._note_break(engine, "stream_broke_off", failure)
                     if failure.sent:
                         return False
                 engine = self._choose_engine(handle)
@@ -414,15 +435,22 @@
 
     def _choose_engine(self, handle: Handle | None) -> Target | None:
         """Return the best engine now for a prompt that was not fetched yet."""
-        parts = self._parts
         if handle is None:
             return None
+        near = handle.source.domain
+        engine = self._choose_decode(near)
+        if engine is None and self._may_try_again():
+            engine = self._choose_decode(near)
+        return engine
+
+    def _choose_decode(self, near: DomainName) -> Target | None:
+        parts = self._parts
         return parts.placer.choose_decode(
             parts.board.usable(self._job.service),
             self._prompt,
             parts.clock.now(),
-            self._excluded,
-            near=handle.source.domain,
+            self._excluded | self._unreached,
+            near=near,
         )
 
     def _release(self, handle: Handle) -> None:
@@ -486,5 +514,11 @@
         self._excluded.add(engine.target)
         self._note(event, failure=True, target=engine.target, **fields)
 
+    def _note_break(self, engine: Target, event: str, failure: ExchangeFailed) -> None:
+        """Leave an engine out whose answer broke off or that took no connection."""
+        left_out = self._excluded if failure.sent else self._unreached
+        left_out.add(engine.target)
+        self._note(event, failure=True, target=engine.target, why=str(failure))
+
     def _note(self, event: str, *, failure: bool = False, **fields: object) -> None:
         self._job.note("generation", event, failure=failure, **fields)
