Let background tasks of entryd and controld go on after unexpected errors

Cause: the poller and the sync of an entry ran as bare tasks: an unexpected error ended them without a log line, and the entry lost its lease for good. In a control daemon an error in keeping the record ended the process.

Change: both use keep_running, as the programs on the platform do, with a log line and the counter unexpected_errors. Duties and the log still end a control host, since going on could fork its state.

--- /dev/null
+++ b/tests/controld/test_daemon.py
@@ -0,0 +1,56 @@
+"""Background tasks of the control daemon that fail."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from wigeonspan.controld import _daemon
+from wigeonspan.controld._daemon import Daemon
+
+
+async def nothing():
+    pass
+
+
+def bare_daemon(counts):
+    """Return a daemon whose parts do nothing."""
+    daemon = Daemon.__new__(Daemon)
+    metrics = SimpleNamespace(count=lambda name, amount=1: counts.append(name))
+    daemon._settings = SimpleNamespace(
+        host="c1", address="127.0.0.1:1", metrics=SimpleNamespace(enabled=True)
+    )
+    daemon._http = SimpleNamespace(listen=lambda port, host: None)
+    daemon._log = daemon._operators = SimpleNamespace(start=nothing)
+    daemon._duties = SimpleNamespace(run=nothing)
+    daemon._state = SimpleNamespace(record=None)
+    daemon._metrics, daemon._client, daemon._clock = metrics, None, None
+    return daemon
+
+
+@pytest.mark.parametrize("name", ["keep_record", "send_gauges"])
+def test_task_goes_on_after_an_unexpected_error(name, monkeypatch):
+    """A malformed answer of another host to a request for its record ended the whole
+    process."""
+
+    async def run():
+        runs, counts = [], []
+
+        async def fail_first(*args):
+            runs.append(None)
+            if len(runs) == 1:
+                raise KeyError("unexpected")
+
+        async def idle(*args):
+            pass
+
+        for each in ("keep_record", "send_gauges"):
+            monkeypatch.setattr(_daemon, each, fail_first if each == name else idle)
+        daemon = bare_daemon(counts)
+        await daemon.start()
+        async with asyncio.timeout(5):
+            while len(runs) < 2:
+                await asyncio.sleep(0.01)
+        return counts
+
+    assert asyncio.run(run()) == ["unexpected_errors"]
--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -6,7 +6,14 @@
 
 from tornado.httpserver import HTTPServer
 
-from wigeonspan.common import Clock, SystemClock, make_metrics, part_logger
+from wigeonspan.common import (
+    Clock,
+    SystemClock,
+    describe_error,
+    keep_running,
+    make_metrics,
+    part_logger,
+)
 from wigeonspan.controld._build import (
     build_backend,
     build_duties,
@@ -67,23 +74,28 @@
         self._http.listen(int(port), host.strip("[]"))
         await self._log.start()
         await self._operators.start()
-        record = keep_record(self._state.record, self._client, self._other_addresses)
         self._tasks = [
             asyncio.create_task(self._duties.run()),
-            asyncio.create_task(record),
+            asyncio.create_task(keep_running(self._keep_record, self._note_error)),
         ]
         if self._settings.metrics.enabled:
-            gauges = send_gauges(
-                self._metrics,
-                self._log,
-                self._state,
-                self._distributor,
-                self._clock,
-            )
             # Not among the tasks whose end ends this host: gauges are not worth that.
+            gauges = keep_running(self._send_gauges, self._note_error)
             self._gauges = asyncio.create_task(gauges)
         _log.info("Host {} serves on {}.", self._settings.host, self._settings.address)
 
+    async def _keep_record(self) -> None:
+        await keep_record(self._state.record, self._client, self._other_addresses)
+
+    async def _send_gauges(self) -> None:
+        await send_gauges(
+            self._metrics, self._log, self._state, self._distributor, self._clock
+        )
+
+    def _note_error(self, error: Exception) -> None:
+        _log.error("Unexpected error, going on: {}.", describe_error(error))
+        self._metrics.count("unexpected_errors")
+
     async def wait_failed(self) -> None:
         """Return when this host cannot go on, because of its disk or its state."""
         disk = asyncio.create_task(self._log.wait_failed())
--- a/wigeonspan/entryd/_daemon.py
+++ b/wigeonspan/entryd/_daemon.py
@@ -4,7 +4,7 @@
 import random
 import socket
 import uuid
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -13,7 +13,14 @@
 from tornado.web import Application
 
 from wigeonspan.calls.tasks import ControlLink, ControlPost
-from wigeonspan.common import Clock, Metrics, make_metrics, part_logger
+from wigeonspan.common import (
+    Clock,
+    Metrics,
+    describe_error,
+    keep_running,
+    make_metrics,
+    part_logger,
+)
 from wigeonspan.distribution import Follower
 from wigeonspan.distribution.tasks import SyncTask
 from wigeonspan.entryd._completions import CompletionHandler
@@ -121,10 +128,10 @@
             body_timeout=BODY_TIMEOUT_S,
         )
         self._server.add_sockets(sockets)
-        self._run(self.entry.poller.run())
+        self._run(self.entry.poller.run)
         if self._settings.control:
             self._sync = self._make_sync()
-            self._run(self._sync.run())
+            self._run(self._sync.run)
         _log.info("Entry {} serves at {}.", self._settings.host, self.address)
 
     def request_stop(self) -> None:
@@ -166,5 +173,11 @@
     def _leader_address(self) -> str:
         return self._sync.leader_address if self._sync is not None else ""
 
-    def _run(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def _run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run work that starts again after an unexpected error."""
+        running = keep_running(work, self._note_error)
+        self._tasks.append(asyncio.create_task(running))
+
+    def _note_error(self, error: Exception) -> None:
+        _log.error("Unexpected error, going on: {}.", describe_error(error))
+        self.entry.metrics.count("unexpected_errors")
