Copy only what an engine has read, and count refused prompts as undone

Cause: a beginning counted as held from the moment a prompt with it was sent. A second engine was told to copy it from one that was still reading it, found nothing and read it again. And a refusal of an engine counted as the prompt read: an engine that refused at once passed for a fast one, and sessions went on being sent to where their parts were taken to be.

Change: parts can be copied once their reading has ended as done; the end of work says whether the target has done it. Parts whose reading broke off are forgotten.

Measured: tests/placing/test_books.py and test_readings.py.

--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -137,7 +137,7 @@
             now = self._clock.now()
             each.placer.ledger.begin(work, now)
             if parts:
-                each.placer.prefixes.note(work.target, parts, new_tokens)
+                each.placer.prefixes.begin(work.work, work.target, parts, new_tokens)
 
         entry.placer.health.note_sent(work.target, self._clock.now())
         self._tell(entry, note)
@@ -146,16 +146,14 @@
         """Note the end of work."""
         self._tell(
             entry,
-            lambda each: each.placer.ledger.end(
+            lambda each: each.placer.end_work(
                 work, self._clock.now(), completed=completed
             ),
         )
 
     def note_read(self, entry: Entry, work: str) -> None:
         """Note that a prompt was read whose stream goes on at the same engine."""
-        self._tell(
-            entry, lambda each: each.placer.ledger.note_read(work, self._clock.now())
-        )
+        self._tell(entry, lambda each: each.placer.note_read(work, self._clock.now()))
 
     def suspend(self, entry: Entry, target: TargetId) -> None:
         """Note a silent engine."""
--- a/tests/placing/test_books.py
+++ b/tests/placing/test_books.py
@@ -15,6 +15,7 @@
     WorkKind,
     WorkLedger,
 )
+from wigeonspan.placing._prefixes import MOST_PENDING
 from wigeonspan.targets import TargetId
 
 T = TargetId("t")
@@ -89,7 +90,7 @@
 def test_cached_prefix_ends_at_the_first_unknown_part():
     """A part is only held usefully with all parts before it."""
     book = PrefixBook(100_000.0)
-    book.note(T, [PromptPart("a", 100), PromptPart("c", 300)], 400)
+    book.begin("w", T, [PromptPart("a", 100), PromptPart("c", 300)], 400)
     parts = [PromptPart("a", 100), PromptPart("b", 200), PromptPart("c", 300)]
     assert book.cached_tokens(T, parts) == 100
 
@@ -97,11 +98,52 @@
 def test_part_is_forgotten_after_a_memory_full_of_other_tokens():
     """Sessions were sent to engines that had dropped their parts long ago."""
     book = PrefixBook(10_000.0)
-    book.note(T, [PromptPart("a", 500)], 500)
-    book.note(T, [PromptPart("b", 9000)], 9000)
+    book.begin("w1", T, [PromptPart("a", 500)], 500)
+    book.begin("w2", T, [PromptPart("b", 9000)], 9000)
     assert book.cached_tokens(T, [PromptPart("a", 500)]) == 0
 
 
+def test_part_can_be_copied_once_it_is_read():
+    """Engines were told to copy what their source was still reading; they found
+    nothing there and read it again."""
+    book, parts = PrefixBook(100_000.0), [PromptPart("a", 500)]
+    book.begin("w", T, parts, 500)
+    assert book.cached_tokens(T, parts) == 500
+    assert book.ready_tokens(T, parts) == 0
+    book.end("w", completed=True)
+    assert book.ready_tokens(T, parts) == 500
+
+
+def test_part_that_is_read_once_more_can_still_be_copied():
+    """A second prompt with the same beginning does not take it away, nor does its
+    end without having been read."""
+    book, parts = PrefixBook(100_000.0), [PromptPart("a", 500)]
+    for name, completed in (("w1", True), ("w2", False)):
+        book.begin(name, T, parts, 500)
+        book.end(name, completed=completed)
+    book.begin("w3", T, parts, 0)
+    assert book.ready_tokens(T, parts) == 500
+
+
+def test_part_whose_reading_broke_off_is_not_held():
+    """A session went on being sent to an engine that had refused its prompt."""
+    book, parts = PrefixBook(100_000.0), [PromptPart("a", 500)]
+    book.begin("w", T, parts, 500)
+    book.end("w", completed=False)
+    assert book.cached_tokens(T, parts) == 0
+
+
+def test_prompts_whose_end_is_never_told_are_forgotten():
+    """Lost datagrams must not cost memory for as long as the process runs."""
+    book, parts = PrefixBook(1e9), [PromptPart("a", 500)]
+    for number in range(MOST_PENDING + 1):
+        book.begin(f"w{number}", T, parts, 500)
+    book.end("w0", completed=True)
+    assert book.ready_tokens(T, parts) == 0
+    book.end(f"w{MOST_PENDING}", completed=True)
+    assert book.ready_tokens(T, parts) == 500
+
+
 def test_slow_target_is_tried_again_after_a_while():
     """A target that was slow once was never used again, so it could not recover."""
     book = SpeedBook()
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -69,6 +69,14 @@
     placer.ledger.begin(work, 0.0)
 
 
+def hold(placer, target, *parts):
+    """Note that an engine has read some parts."""
+    work = f"read {target} {parts}"
+    tokens = sum(part.tokens for part in parts)
+    placer.prefixes.begin(work, TargetId(target), parts, tokens)
+    placer.prefixes.end(work, completed=True)
+
+
 @pytest.fixture
 def placer():
     return Placer(DomainName("a"), random.Random(1))
@@ -157,7 +165,7 @@
     """Sessions moved between engines for a few milliseconds of waiting and had their
     shared part read again each time."""
     shared = prompt(3000, session="s1")
-    placer.prefixes.note(TargetId("p1"), shared.parts, 8000)
+    hold(placer, "p1", *shared.parts)
     busy(placer, "p1", 150.0)
     assert placer.plan(route(), shared, fleet(), 10.0, 0.0).prefill.target == "p1"
 
@@ -165,7 +173,7 @@
 def test_session_moves_when_its_engine_is_far_behind(placer):
     """Staying at any price would starve the session of a busy engine."""
     shared = prompt(3000, session="s1")
-    placer.prefixes.note(TargetId("p1"), shared.parts, 8000)
+    hold(placer, "p1", *shared.parts)
     busy(placer, "p1", 900.0)
     assert placer.plan(route(), shared, fleet(), 10.0, 0.0).prefill.target == "p0"
 
@@ -306,7 +314,7 @@
 
 
 def holds(placer, target, session="s", shared=5000):
-    placer.prefixes.note(TargetId(target), (PromptPart(session, shared),), shared)
+    hold(placer, target, PromptPart(session, shared))
 
 
 @pytest.mark.parametrize("holder", ["p0", "d0"])
--- a/tests/placing/test_readings.py
+++ b/tests/placing/test_readings.py
@@ -15,12 +15,15 @@
     )
 
 
-def read(held, *, engines=("x",), sources=("x", "y"), total=10_000, copy_us=1.0):
+def read(
+    held, ready=None, *, engines=("x",), sources=("x", "y"), total=10_000, copy_us=1.0
+):
     far = {"z"}
     targets = {n: engine(n, "b" if n in far else "a") for n in (*engines, *sources)}
     return plan_readings(
         [targets[n] for n in engines],
         {TargetId(n): held.get(n, 0) for n in targets},
+        {TargetId(n): (held if ready is None else ready).get(n, 0) for n in targets},
         [targets[n] for n in sources],
         total,
         copy_us,
@@ -48,6 +51,14 @@
     assert (reading.source is not None) == (expected[1] > 0)
 
 
+def test_beginning_that_is_still_being_read_is_not_copied():
+    """The engine found nothing to copy and read what another one was reading."""
+    reading = read({"y": 6000}, {})[TargetId("x")]
+    assert (reading.read_tokens, reading.source) == (10_000, None)
+    reading = read({"x": 6000, "y": 6000}, {})[TargetId("x")]
+    assert (reading.read_tokens, reading.source) == (4000, None)
+
+
 def test_engines_that_cannot_copy_read():
     """The configuration may not say how long a copy takes."""
     reading = read({"y": 6000}, copy_us=0.0)[TargetId("x")]
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -34,7 +34,7 @@
         ]
         parts, servers = start_gateway(route(STREAM), engines)
         # All prompts go to the engine that hangs.
-        parts.placer.prefixes.note(TargetId("p"), (PromptPart("s", 9000),), 9000)
+        parts.placer.prefixes.begin("w", TargetId("p"), (PromptPart("s", 9000),), 9000)
         began = parts.clock.now()
         asking = asyncio.create_task(send(0, "9600,20", None, prefix="s:9000,o:600"))
         await asyncio.sleep(0.2)
@@ -111,7 +111,7 @@
 
     async def run():
         parts, servers = start_gateway(route(STREAM), engines)
-        parts.placer.prefixes.note(TargetId("p"), (PromptPart("s", 9000),), 9000)
+        parts.placer.prefixes.begin("w", TargetId("p"), (PromptPart("s", 9000),), 9000)
         began = parts.clock.now()
         asking = asyncio.create_task(send(0, "9600,20", None, prefix="s:9000,o:600"))
         ended = []
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -19,11 +19,21 @@
 _numbers = count(1)
 
 
-class Sending(Struct, frozen=True):
-    """A request on its way: its exchange, and the work that it is to the target."""
+class Sending(Struct):
+    """A request on its way.
+
+    Parameters
+    ----------
+    work : Work
+        What it is to the target.
+    completed : bool
+        Whether the target has done the work; a refusal is a whole answer as well, but
+        not to be taken for fast work.
+    """
 
     exchange: Exchange
     work: Work
+    completed: bool = False
 
 
 @asynccontextmanager
@@ -60,7 +70,7 @@
     began = parts.clock.now()
     parts.meters.count("sends", purpose=kind.value)
     parts.begin_work(work, reads, new_tokens)
-    exchange, completed = None, False
+    exchange, sent = None, None
     try:
         exchange = await parts.pool.send(
             target.address,
@@ -68,8 +78,8 @@
             accepts=lambda head: parts.protocol.is_answer_to(request, head),
             fresh=fresh,
         )
-        yield Sending(exchange, work)
-        completed = True
+        sent = Sending(exchange, work)
+        yield sent
     except ExchangeFailed as failure:
         parts.pool.forget(target.address)
         # A target that finishes other work is behind, not dead.
@@ -82,7 +92,7 @@
             )
         raise
     finally:
-        parts.end_work(work, completed=completed)
+        parts.end_work(work, completed=sent is not None and sent.completed)
         if exchange is not None:
             parts.pool.release(target.address, exchange)
 
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -281,13 +281,16 @@
             case WorkBegun():
                 placer.ledger.begin(event.work, now)
                 if event.parts:
-                    placer.prefixes.note(
-                        event.work.target, event.parts, event.new_tokens
+                    placer.prefixes.begin(
+                        event.work.work,
+                        event.work.target,
+                        event.parts,
+                        event.new_tokens,
                     )
             case PromptRead():
-                placer.ledger.note_read(event.work, now)
+                placer.note_read(event.work, now)
             case WorkEnded():
-                placer.ledger.end(event.work, now, completed=event.completed)
+                placer.end_work(event.work, now, completed=event.completed)
             case TargetSuspended():
                 placer.health.suspend(event.target, now)
             case TargetLeaving():
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -182,12 +182,11 @@
                 body = await within(
                     self._body_s(), sent.exchange.read_all(MOST_REPLY_BYTES)
                 )
+                handle = self._read_handle(engine, head, body)
+                sent.completed = handle is not None
         except ExchangeFailed as failure:
             self._note_break(engine, "read_broke_off", failure)
             return None
-        handle = (
-            parts.protocol.read_handle(engine, body) if head.status == 200 else None
-        )
         if handle is None:
             self._exclude(engine, "read_refused", status=head.status)
             return None
@@ -198,6 +197,11 @@
         self._note("read", target=engine.target, took_ms=round(took_ms))
         return handle
 
+    def _read_handle(self, engine: Target, head: Head, body: bytes) -> Handle | None:
+        if head.status != 200:
+            return None
+        return self._parts.protocol.read_handle(engine, body)
+
     async def _read_answer(
         self, plan: Plan, engine: Target, exchange: Exchange
     ) -> Head:
@@ -321,6 +325,7 @@
             self._head = self._head or head
             try:
                 await self._pass_on(caller, plan, engine, sent, started)
+                sent.completed = True
             finally:
                 stream_s = parts.clock.now() - started
                 parts.note_demand(self._job.service, stream_s=stream_s)
--- a/wigeonspan/gateway/_parts.py
+++ b/wigeonspan/gateway/_parts.py
@@ -69,17 +69,17 @@
         self.placer.ledger.begin(work, now)
         self.placer.health.note_sent(work.target, now)
         if parts:
-            self.placer.prefixes.note(work.target, parts, new_tokens)
+            self.placer.prefixes.begin(work.work, work.target, parts, new_tokens)
         self.link.tell(WorkBegun(work, parts, new_tokens))
 
     def note_read(self, work: Work) -> None:
         """Note that the prompt of some work was read; its stream goes on."""
-        self.placer.ledger.note_read(work.work, self.clock.now())
+        self.placer.note_read(work.work, self.clock.now())
         self.link.tell(PromptRead(work.work))
 
     def end_work(self, work: Work, *, completed: bool) -> None:
         """Note the end of work here and tell the other entries."""
-        self.placer.ledger.end(work.work, self.clock.now(), completed=completed)
+        self.placer.end_work(work.work, self.clock.now(), completed=completed)
         self.link.tell(WorkEnded(work.work, completed))
 
     def take_notice(self, target: Target, notice: TargetNotice) -> None:
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -109,6 +109,7 @@
                 body = await within(
                     attempt_ends_at - parts.clock.now(), exchange.read_all()
                 )
+                sent.completed = outcome is TargetOutcome.ANSWERED
         except ExchangeFailed as failure:
             self._note("broke_off", target.target, why=str(failure))
             return None
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -162,6 +162,16 @@
         self.ledger.forget(target)
         self.paces.forget(target)
 
+    def note_read(self, work: str, now: float) -> None:
+        """Note that the engine of a stream has read its prompt."""
+        self.ledger.note_read(work, now)
+        self.prefixes.end(work, completed=True)
+
+    def end_work(self, work: str, now: float, *, completed: bool) -> None:
+        """Note the end of work, and whether its prompt was read to the end."""
+        self.ledger.end(work, now, completed=completed)
+        self.prefixes.end(work, completed=completed)
+
     def new_tokens(self, target: Target, prompt: Prompt) -> int:
         """Return how many tokens of a prompt an engine does not hold."""
         held = self.prefixes.cached_tokens(target.target, prompt.parts)
@@ -328,13 +338,13 @@
     def _readings(
         self, readers: list[Target], writers: list[Target], prompt: Prompt
     ) -> dict[TargetId, Reading]:
-        engines = [*readers, *writers]
-        held = {
-            t.target: self.prefixes.cached_tokens(t.target, prompt.parts)
-            for t in engines
-        }
+        engines, book, parts = [*readers, *writers], self.prefixes, prompt.parts
+        held = {t.target: book.cached_tokens(t.target, parts) for t in engines}
+        ready = {t.target: book.ready_tokens(t.target, parts) for t in engines}
         total = prompt.total_tokens
-        return plan_readings(engines, held, engines, total, self._copy_us, self._rng)
+        return plan_readings(
+            engines, held, ready, engines, total, self._copy_us, self._rng
+        )
 
     def _cost_ms(
         self, target: Target, reading: Reading, prompt: Prompt, now: float
--- a/wigeonspan/placing/_readings.py
+++ b/wigeonspan/placing/_readings.py
@@ -72,6 +72,7 @@
 def plan_readings(
     engines: Sequence[Target],
     held: Mapping[TargetId, int],
+    ready: Mapping[TargetId, int],
     sources: Sequence[Target],
     total_tokens: int,
     copy_us: float,
@@ -87,7 +88,10 @@
     engines : sequence of Target
         Engines that may read the prompt.
     held : mapping
-        Tokens of the prompt's beginning that each engine and source holds.
+        Tokens of the prompt's beginning that each engine holds when it comes to it.
+    ready : mapping
+        Tokens of it that can be copied from each source now. One that is still
+        reading them has nothing to copy, and the copy would be read again.
     sources : sequence of Target
         Engines that may be copied from.
     total_tokens : int
@@ -97,8 +101,8 @@
     rng : random.Random
         Spreads copies over sources that hold as much.
     """
-    most = max((held[s.target] for s in sources), default=0)
-    best = [s for s in sources if held[s.target] == most] if copy_us > 0.0 else []
+    most = max((ready[s.target] for s in sources), default=0)
+    best = [s for s in sources if ready[s.target] == most] if copy_us > 0.0 else []
 
     def reading(engine: Target) -> Reading:
         own = held[engine.target]
