--- a/tests/replay/test_replay.py
+++ b/tests/replay/test_replay.py
@@ -16,10 +16,15 @@
 QUIET = {"arkib": 0.92, "tisza": 0.92, "alcancia": 0.87}
 
 
-def share(deployment, pattern, load=1.0):
+def share(deployment, pattern, load=1.0, seed=1):
     fleet_of = DEPLOYMENTS[deployment]
-    fleet = Fleet(fleet_of, PATTERNS[pattern], 1)
-    return sum_up(fleet.run(load, SECONDS, 1), fleet_of)
+    fleet = Fleet(fleet_of, PATTERNS[pattern], seed)
+    return sum_up(fleet.run(load, SECONDS, seed), fleet_of)
+
+
+def mean_share(deployment, pattern, seeds):
+    shares = [share(deployment, pattern, seed=seed).share for seed in seeds]
+    return sum(shares) / len(shares)
 
 
 def test_same_seed_gives_the_same_requests_and_the_same_end():
@@ -93,3 +98,11 @@
         now = fleet.clock.now()
         assert placer.latency_ms > 45.0
         assert placer.ledger.usual_slowness(now) == pytest.approx(truth, rel=0.2)
+
+
+def test_decode_engines_read_small_prompts_between_streams(monkeypatch):
+    """When the mix flips and an engine is lost, prompts waited behind large ones while
+    decode engines had time."""
+    with_rule = mean_share("alcancia", "flips", range(1, 7))
+    monkeypatch.setattr(_placer, "DIRECT_PAUSE_SHARE", 0.0)
+    assert with_rule > mean_share("alcancia", "flips", range(1, 7)) + 0.01
