--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -1,8 +1,9 @@
 """Generations: read the prompt at one engine, stream the answer from another."""
 
-from wigeonspan.common import DomainName, ErrorKind, WigeonspanError
+from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.fleetconfig import Route
 from wigeonspan.gateway._attempt import Sending, answer_head, sending, within
+from wigeonspan.gateway._engines_left import EnginesLeft
 from wigeonspan.gateway._events import (
     EventTooLarge,
     RunEvents,
@@ -25,7 +26,7 @@
 )
 from wigeonspan.pool import Bound, Exchange, ExchangeFailed, FailureKind, Head
 from wigeonspan.serving import Caller
-from wigeonspan.targets import Phase, Target, TargetId
+from wigeonspan.targets import Phase, Target
 
 MOST_ROUNDS = 5
 """Most rounds of reading a prompt and producing its answer for one request."""
@@ -57,10 +58,7 @@
         self._job = job
         request = job.request
         self._prompt = request.prompt or Prompt((), len(request.body), 1)
-        self._excluded: set[TargetId] = set()
-        # Engines that took no connection; they are tried once more when none is left.
-        self._unreached: set[TargetId] = set()
-        self._tried_again = False
+        self._engines = EnginesLeft(job, self._prompt)
         self._position = StreamPosition()
         self._reads = 0
         self._streams = 0
@@ -100,35 +98,9 @@
             self._check_may_go_on()
         raise self._error("no engine answered")
 
-    def _place(self) -> Plan | Refusal:
-        """Ask for a place among the engines that are left."""
-        parts, now = self._parts, self._parts.clock.now()
-        return parts.placer.plan(
-            self._route,
-            self._prompt,
-            parts.board.usable(self._job.service),
-            self._job.ends_at - now,
-            now,
-            self._excluded | self._unreached,
-            now - self._job.arrived,
-        )
-
-    def _may_try_again(self) -> bool:
-        """Whether engines that took no connection may be tried again, once.
-
-        A connection also fails when this process or a packet is held up for a moment.
-        """
-        if self._tried_again or not self._unreached:
-            return False
-        self._tried_again = True
-        self._unreached.clear()
-        return True
-
     def _plan(self) -> Plan:
         parts, now = self._parts, self._parts.clock.now()
-        plan = self._place()
-        if isinstance(plan, Refusal) and plan.limit is Limit.NO_ENGINE:
-            plan = self._place() if self._may_try_again() else plan
+        plan = self._engines.plan()
         list_age_ms = parts.board.age_ms(now)
         if isinstance(plan, Refusal):
             parts.meters.count("refusals", limit=plan.limit.value)
@@ -185,10 +157,10 @@
                 handle = self._read_handle(engine, head, body)
                 sent.completed = handle is not None
         except ExchangeFailed as failure:
-            self._note_break(engine, "read_broke_off", failure)
+            self._engines.note_break(engine, "read_broke_off", failure)
             return None
         if handle is None:
-            self._exclude(engine, "read_refused", status=head.status)
+            self._engines.exclude(engine, "read_refused", status=head.status)
             return None
         took_ms = (parts.clock.now() - now) * 1000.0
         parts.placer.health.succeeded(engine.target)
@@ -263,17 +235,17 @@
         """Stream from an engine; return False when another round may follow."""
         runs_before = self._runs
         # Reading may take seconds, in which the planned engine may have left.
-        engine = plan.decode if handle is None else self._choose_engine(handle)
+        engine = plan.decode if handle is None else self._engines.choose(handle.source)
         try:
             while engine is not None:
                 self._check_budget()
                 try:
                     return await self._stream(caller, plan, engine, handle)
                 except ExchangeFailed as failure:
-                    self._note_break(engine, "stream_broke_off", failure)
+                    self._engines.note_break(engine, "stream_broke_off", failure)
                     if failure.sent:
                         return False
-                engine = self._choose_engine(handle)
+                engine = None if handle is None else self._engines.choose(handle.source)
             return False
         finally:
             if handle is not None and self._runs == runs_before:
@@ -316,7 +288,7 @@
                 if handle is not None:
                     # Its prompt may have lapsed where it was read.
                     parts.placer.health.erred(handle.source.target)
-                self._exclude(engine, "stream_refused", status=head.status)
+                self._engines.exclude(engine, "stream_refused", status=head.status)
                 return False
             if outcome is TargetOutcome.UNREADABLE:
                 raise ExchangeFailed(FailureKind.GARBLED, sent=True)
@@ -412,7 +384,7 @@
         parts = self._parts
         body = await within(self._body_s(), exchange.read_all())
         parts.placer.health.erred(engine.target)
-        self._exclude(engine, "stream_failed", status=head.status)
+        self._engines.exclude(engine, "stream_failed", status=head.status)
         if caller.begun or (self._route.repeatable and self._runs_left()):
             return False
         await caller.answer(head.status, parts.protocol.answer_headers(head), body)
@@ -438,26 +410,6 @@
         """Return how long to wait for the body of an engine's own answer."""
         return min(BODY_S, self._job.left_s)
 
-    def _choose_engine(self, handle: Handle | None) -> Target | None:
-        """Return the best engine now for a prompt that was not fetched yet."""
-        if handle is None:
-            return None
-        near = handle.source.domain
-        engine = self._choose_decode(near)
-        if engine is None and self._may_try_again():
-            engine = self._choose_decode(near)
-        return engine
-
-    def _choose_decode(self, near: DomainName) -> Target | None:
-        parts = self._parts
-        return parts.placer.choose_decode(
-            parts.board.usable(self._job.service),
-            self._prompt,
-            parts.clock.now(),
-            self._excluded | self._unreached,
-            near=near,
-        )
-
     def _release(self, handle: Handle) -> None:
         """Free a prompt that nobody will fetch, without waiting for the answer."""
         parts = self._parts
@@ -515,15 +467,5 @@
     def _error(self, message: str) -> WigeonspanError:
         return self._job.error(message, ran=self._runs > 0)
 
-    def _exclude(self, engine: Target, event: str, **fields: object) -> None:
-        self._excluded.add(engine.target)
-        self._note(event, failure=True, target=engine.target, **fields)
-
-    def _note_break(self, engine: Target, event: str, failure: ExchangeFailed) -> None:
-        """Leave an engine out whose answer broke off or that took no connection."""
-        left_out = self._excluded if failure.sent else self._unreached
-        left_out.add(engine.target)
-        self._note(event, failure=True, target=engine.target, why=str(failure))
-
     def _note(self, event: str, *, failure: bool = False, **fields: object) -> None:
         self._job.note("generation", event, failure=failure, **fields)
