--- a/tests/staging/test_plan.py
+++ b/tests/staging/test_plan.py
@@ -98,8 +98,9 @@
 
 
 @pytest.mark.parametrize(
-    ("fleet", "decoding"), [(2, 1), (6, 2), (9, 3), (30, 7), (59, 13)]
+    ("fleet", "decoding"), [(2, 1), (6, 2), (9, 4), (30, 7), (59, 12)]
 )
-def test_a_fifth_and_one_decode_before_demand_is_known(fleet, decoding):
-    """Two fifths of 30 engines decoded for a few dozen streams while prompts waited."""
+def test_large_fleets_keep_a_smaller_share_for_streams(fleet, decoding):
+    """Two fifths of 30 engines decoded for a few dozen streams while prompts waited;
+    with two of nine, streams became slow."""
     assert wanted_decode(fleet, 0, 64, None) == decoding
--- a/wigeonspan/staging/_plan.py
+++ b/wigeonspan/staging/_plan.py
@@ -24,15 +24,19 @@
 LEAST_DECODE = 2
 """Decode engines wanted at least, so that the loss of one stops no service."""
 
-DECODE_SHARE = 0.2
-"""Share of the engines that decode before any demand is known, beside one that may be
-lost. Prompts take most of the engine time in all deployments, and engines that decode
-read few of them."""
+DECODE_SHARE = 0.4
+"""Largest share of the engines that decode before any demand is known. Prompts take
+more engine time, but streams that share too few engines become slow."""
+
+LARGE_SHARE = 1.0 / 6.0
+"""Share that decodes in large fleets, beside ``LEAST_DECODE`` that may be lost: what is
+kept for a loss does not grow with the fleet."""
 
 
 def first_decode(engines: int) -> int:
     """Return how many engines of a service decode before any demand is known."""
-    return 1 + round(engines * DECODE_SHARE)
+    large = LEAST_DECODE + round(engines * LARGE_SHARE)
+    return min(round(engines * DECODE_SHARE), large)
 
 
 def wanted_decode(
