--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -29,9 +29,13 @@
 DIRECT_SLOWDOWN = 2.0
 """Factor by which a decode engine reads prompts more slowly than a prefill engine."""
 
-DIRECT_PAUSE_SHARE = 2.0 / 3.0
-"""Share of the pause objective that prompts may take at a decode engine in one go; its
-streams wait meanwhile, and entries that hear of each other late overlap."""
+DIRECT_PRICE = 1.5
+"""Factor on the time of reading at a decode engine when the two ways are compared: it
+holds up the streams that run there."""
+
+DIRECT_LIMIT_MS = 120.0
+"""Most engine time of prompts under way at a decode engine at which it takes one more;
+beyond it the pauses of its streams grow over their objective."""
 
 SLOT_WAIT_MS = 20.0
 """Delay that each stream beyond an engine's slots counts as; a stream of a second or
@@ -211,12 +215,11 @@
             split = self._split(
                 readers, writers, prompt, readings, costs, urgency, left_ms, now
             )
-            most_ms = route.pause_objective_s * 1000.0 * DIRECT_PAUSE_SHARE
             direct = self._direct(
-                writers, prompt, readings, urgency, now, most_ms if readers else None
+                writers, prompt, readings, urgency, now, alone=not readers
             )
             options = [plan for plan in (split, direct) if plan is not None]
-            return min(options, key=lambda plan: plan.first_ms, default=None)
+            return min(options, key=_compared_ms, default=None)
 
         plan = best(urgency)
         if plan is not None:
@@ -440,19 +443,10 @@
         readings: dict[TargetId, Reading],
         urgency: int,
         now: float,
-        most_ms: float | None,
+        *,
+        alone: bool,
     ) -> Plan | None:
-        """Return the plan in which a decode engine reads the prompt itself.
-
-        Answers bursts in which prefill engines are behind while decode engines have
-        time: small prompts are read there, between the streams.
-
-        Parameters
-        ----------
-        most_ms : float or None
-            Most time in milliseconds that its prompts may take; None when no other
-            engine can read.
-        """
+        """Return the plan in which a decode engine reads the prompt itself."""
         engine = self.choose_decode(writers, prompt, now)
         if engine is None:
             return None
@@ -460,7 +454,7 @@
         slowdown = DIRECT_SLOWDOWN if engine.phase is Phase.DECODE else 1.0
         reading = readings[engine.target]
         cost = self._cost_ms(engine, reading, prompt, now) * slowdown
-        if most_ms is not None and waiting + cost > most_ms:
+        if not alone and waiting + cost > DIRECT_LIMIT_MS:
             return None
         first = waiting + cost + self._latency.ms + READ_FIXED_MS
         work = reading.work_ms(prompt.total_tokens)
@@ -489,6 +483,10 @@
 """Milliseconds of a plain call before a target's speed factor is known."""
 
 
+def _compared_ms(plan: Plan) -> float:
+    return plan.first_ms * (DIRECT_PRICE if plan.decision is Decision.DIRECT else 1.0)
+
+
 def _will_be_late(plan: Plan, left_ms: float) -> bool:
     """Whether a request that can be on time by itself is late because of its wait."""
     if plan.urgency >= LATE_URGENCY:
