Revert counting a prompt as read when its stream begins

That the reading of an engine counted until the end of its stream kept entries from sending it the next prompt; without that brake decode engines read all the time and their streams paused.

--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -151,10 +151,6 @@
             ),
         )
 
-    def note_read(self, entry: Entry, work: str) -> None:
-        """Note that a prompt was read whose stream goes on at the same engine."""
-        self._tell(entry, lambda each: each.placer.note_read(work, self._clock.now()))
-
     def suspend(self, entry: Entry, target: TargetId) -> None:
         """Note a silent engine."""
         now = self._clock.now()
--- a/replay/_request.py
+++ b/replay/_request.py
@@ -185,7 +185,6 @@
         self, plan: Plan, engine: Engine, work: str, completed: bool
     ) -> None:
         if completed and not self._ended:
-            self._fleet.note_read(self._entry, work)
             self._write(plan, engine, work)
             return
         self._fleet.end(self._entry, work, completed=completed)
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -32,7 +32,6 @@
     Event,
     ListSeen,
     PeerLink,
-    PromptRead,
     TargetLeaving,
     TargetSuspended,
     WorkBegun,
@@ -287,8 +286,6 @@
                         event.parts,
                         event.new_tokens,
                     )
-            case PromptRead():
-                placer.note_read(event.work, now)
             case WorkEnded():
                 placer.end_work(event.work, now, completed=event.completed)
             case TargetSuspended():
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -20,7 +20,6 @@
     Plan,
     Prompt,
     Refusal,
-    Work,
     WorkKind,
     patience_s,
 )
@@ -325,7 +324,7 @@
                 for passed in events.feed(data):
                     await self._begin(caller)
                     await caller.send(passed)
-                    self._note_progress(plan, engine, sent.work, started)
+                    self._note_progress(plan, engine, started)
                     due_at = clock.now() + self._stall_s(plan, engine)
             except EventTooLarge as error:
                 raise ExchangeFailed(
@@ -353,9 +352,7 @@
             raise ExchangeFailed(FailureKind.TIMEOUT, sent=True)
         return await within(left_s, exchange.read())
 
-    def _note_progress(
-        self, plan: Plan, engine: Target, work: Work, started: float
-    ) -> None:
+    def _note_progress(self, plan: Plan, engine: Target, started: float) -> None:
         """Measure the time to the first event, or the pause before another one."""
         parts, now = self._parts, self._parts.clock.now()
         last, self._last_event_at = self._last_event_at, now
@@ -364,9 +361,7 @@
             return
         took_s = now - started
         parts.meters.observe("first_event_seconds", now - self._job.arrived)
-        if work.kind is WorkKind.DIRECT:
-            parts.note_read(work)
-        elif plan.decision is Decision.SPLIT:
+        if plan.decision is Decision.SPLIT:
             parts.placer.observe_handoff(took_s * 1000.0)
         self._note("first_event", target=engine.target, took_ms=round(took_s * 1000))
 
--- a/wigeonspan/gateway/_parts.py
+++ b/wigeonspan/gateway/_parts.py
@@ -13,7 +13,6 @@
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.sharing import (
     PeerLink,
-    PromptRead,
     TargetLeaving,
     TargetSuspended,
     WorkBegun,
@@ -72,11 +71,6 @@
             self.placer.prefixes.begin(work.work, work.target, parts, new_tokens)
         self.link.tell(WorkBegun(work, parts, new_tokens))
 
-    def note_read(self, work: Work) -> None:
-        """Note that the prompt of some work was read; its stream goes on."""
-        self.placer.note_read(work.work, self.clock.now())
-        self.link.tell(PromptRead(work.work))
-
     def end_work(self, work: Work, *, completed: bool) -> None:
         """Note the end of work here and tell the other entries."""
         self.placer.end_work(work.work, self.clock.now(), completed=completed)
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -3,7 +3,6 @@
 from enum import Enum
 
 from msgspec import Struct
-from msgspec.structs import replace
 
 from wigeonspan.common import HostId
 from wigeonspan.placing._throughput import Throughput
@@ -116,22 +115,6 @@
         if queue.head is None:
             queue.throughput.rest()
 
-    def note_read(self, name: str, now: float) -> None:
-        """Note that an engine that reads and answers has read the prompt.
-
-        What follows is a stream like any other; it must not count as reading.
-        """
-        target = self._targets.get(name)
-        queue = self._queues.get(target) if target is not None else None
-        if target is None or queue is None or name not in queue.work:
-            return
-        work, at = queue.work[name]
-        if not _reads(work):
-            return
-        self.end(name, now, completed=True)
-        queue.work[name] = (replace(work, kind=WorkKind.DECODE, work_ms=0.0), at)
-        self._targets[name] = target
-
     def drop_host(self, host: HostId, now: float) -> None:
         """Forget the work of an entry that is gone."""
         for queue in self._queues.values():
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -162,11 +162,6 @@
         self.ledger.forget(target)
         self.paces.forget(target)
 
-    def note_read(self, work: str, now: float) -> None:
-        """Note that the engine of a stream has read its prompt."""
-        self.ledger.note_read(work, now)
-        self.prefixes.end(work, completed=True)
-
     def end_work(self, work: str, now: float, *, completed: bool) -> None:
         """Note the end of work, and whether its prompt was read to the end."""
         self.ledger.end(work, now, completed=completed)
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -23,12 +23,6 @@
     new_tokens: int = 0
 
 
-class PromptRead(Struct, frozen=True, tag="read", array_like=True):
-    """An engine that reads and answers has read the prompt; its answer follows."""
-
-    work: str
-
-
 class WorkEnded(Struct, frozen=True, tag="ended", array_like=True):
     """Work has ended.
 
@@ -78,7 +72,7 @@
     listing: Listing | None = None
 
 
-Event = WorkBegun | PromptRead | WorkEnded | TargetSuspended | TargetLeaving | ListSeen
+Event = WorkBegun | WorkEnded | TargetSuspended | TargetLeaving | ListSeen
 """Content of a packet."""
 
 
