--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -24,15 +24,12 @@
 
     Parameters
     ----------
-    work : Work
-        What it is to the target.
     completed : bool
         Whether the target has done the work; a refusal is a whole answer as well, but
         not to be taken for fast work.
     """
 
     exchange: Exchange
-    work: Work
     completed: bool = False
 
 
@@ -78,7 +75,7 @@
             accepts=lambda head: parts.protocol.is_answer_to(request, head),
             fresh=fresh,
         )
-        sent = Sending(exchange, work)
+        sent = Sending(exchange)
         yield sent
     except ExchangeFailed as failure:
         parts.pool.forget(target.address)
