Log open streams and slots, and show them as metrics

first_event and stream_broke_off said how long an answer took at a decode engine, but not whether it waited for a slot or for its prompt. Both lines now have the streams that were open at the engine when the request was sent and the engine's slots, and entries show decode_slots and open_streams by service.

--- a/tests/platform/test_log_diagnosis.py
+++ b/tests/platform/test_log_diagnosis.py
@@ -127,6 +127,18 @@
     assert 'refusals_total{limit="time"}' in deployment.metrics()
 
 
+@pytest.mark.timeout(120)
+def test_metrics_tell_whether_slots_or_prefill_are_short(deployment):
+    """Streams that waited for a slot looked like slow prompts or slow transfers."""
+    for number in range(3):
+        answer = deployment.send("/stream/x", f"slots-{number}", usage="600,3").read()
+        assert answer[0] == 200
+    request_log = deployment.request_log("slots-0")
+    assert "open_streams=0" in request_log and "slots=8" in request_log
+    metrics = deployment.metrics()
+    assert "decode_slots{" in metrics and "open_streams{" in metrics
+
+
 @pytest.mark.timeout(120)
 def test_broken_off_stream_names_the_engine(deployment):
     """The lines must say which engine cut the stream and why it was not resumed."""
--- a/wigeonspan/gateway/_candidates.py
+++ b/wigeonspan/gateway/_candidates.py
@@ -55,7 +55,7 @@
         )
 
     def exclude_after_error(
-        self, engine: Target, event: str, failure: ExchangeError
+        self, engine: Target, event: str, failure: ExchangeError, **fields: object
     ) -> None:
         """Exclude an engine that cut off its response or accepted no connection."""
         if not failure.sent:
@@ -63,7 +63,12 @@
         else:
             self._failed.add(engine.target)
         self._active_request.log_event(
-            "generation", event, failure=True, target=engine.target, why=str(failure)
+            "generation",
+            event,
+            failure=True,
+            target=engine.target,
+            why=str(failure),
+            **fields,
         )
 
     def _plan(self) -> Plan | Refusal:
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -12,6 +12,7 @@
     Clock,
     DomainName,
     HostId,
+    ServiceName,
     bind_address,
     keep_running,
     watch_settings,
@@ -37,7 +38,7 @@
     WorkBegun,
     WorkEnded,
 )
-from wigeonspan.targets import Listing, TargetTable
+from wigeonspan.targets import Listing, Phase, TargetTable
 from wigeonspan.trail import (
     EventLog,
     ProcessMetrics,
@@ -355,6 +356,18 @@
                 counts["suspended"] += 1
         return counts
 
+    def _record_slots(self, service: ServiceName) -> None:
+        """Set the gauges of a service's decode slots and of the streams for them."""
+        context = self._context
+        usable = context.target_table.usable(service)
+        engines = [t for t in usable if t.phase is Phase.DECODE]
+        if not engines:
+            return
+        slots = sum(t.slots for t in engines)
+        open_streams = [context.placer.ledger.open_streams(t.target) for t in engines]
+        context.metrics.gauge("decode_slots", slots, service=service)
+        context.metrics.gauge("open_streams", sum(open_streams), service=service)
+
     def _metrics_text(self) -> bytes:
         context = self._context
         now = self._clock.now()
@@ -367,6 +380,7 @@
         for service in context.target_table.services:
             remaining = context.budget.remaining(service, now)
             context.metrics.gauge("repeats_left", remaining, service=service)
+            self._record_slots(service)
         context.metrics.gauge("open_requests", self._front_server.open_requests)
         context.metrics.gauge("connections_opened", context.pool.opened_connections)
         context.metrics.gauge("log_lines_left_out", context.event_log.omitted_lines)
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -68,6 +68,8 @@
         self._stream_count = 0
         self._run_count = 0
         self._last_event_at: float | None = None
+        # Streams that were open at the engine when the latest one was sent there.
+        self._open_streams = 0
         self._head: Head | None = None
 
     @property
@@ -264,7 +266,11 @@
                     return await self._stream(caller, plan, engine, handle)
                 except ExchangeError as failure:
                     self._engines.exclude_after_error(
-                        engine, "stream_broke_off", failure
+                        engine,
+                        "stream_broke_off",
+                        failure,
+                        open_streams=self._open_streams,
+                        slots=engine.slots,
                     )
                     if failure.sent:
                         return False
@@ -284,6 +290,7 @@
         """Send the request to an engine and pass on the events of its response."""
         context, started = self._context, self._context.clock.now()
         direct = handle is None
+        self._open_streams = context.placer.ledger.open_streams(engine.target)
         send = SendOptions(
             engine,
             self._active_request.deadline - started,
@@ -396,7 +403,11 @@
         if plan.decision is Decision.SPLIT:
             context.placer.record_handoff(took_s * 1000.0)
         self._log_event(
-            "first_event", target=engine.target, took_ms=round(took_s * 1000)
+            "first_event",
+            target=engine.target,
+            took_ms=round(took_s * 1000),
+            open_streams=self._open_streams,
+            slots=engine.slots,
         )
 
     async def _ensure_head_sent(self, caller: ResponseWriter) -> None:
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -199,6 +199,10 @@
             if _includes_prefill(work) and work.urgency > urgency and name != queue.head
         )
 
+    def open_streams(self, target: TargetId) -> int:
+        """Return the number of streams that take or await a slot of an engine."""
+        return self.count(target, WorkKind.DECODE, WorkKind.DIRECT)
+
     def count(self, target: TargetId, *kinds: WorkKind) -> int:
         """Return the number of units of work of the given kinds at a target."""
         queue = self._queues.get(target)
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -304,7 +304,7 @@
         penalties = self.health.failure_penalties_ms([t.target for t in engines])
 
         def delay_ms(target: Target) -> float:
-            running = self.ledger.count(target.target, WorkKind.DECODE, WorkKind.DIRECT)
+            running = self.ledger.open_streams(target.target)
             backlog = self.ledger.backlog_ms(target.target, MAX_URGENCY, now)
             cross_domain = near is not None and target.domain != near
             slot_wait = max(0, running + 1 - target.slots) * SLOT_WAIT_MS
--- a/wigeonspan/staging/_task.py
+++ b/wigeonspan/staging/_task.py
@@ -185,6 +185,7 @@
                     phase=phase.value,
                     read_engines=demand.busy_prefill_engines if demand else None,
                     streams=(demand.streams if demand else None),
+                    slots=target.slots,
                     list_age_ms=self._target_table.age_ms(now),
                 )
 
