Add failing tests of decode engines with few slots

The replay missed the failure so far since its streams last a tenth as long as those of the users: one event holds several tokens.

--- a/tests/replay/test_replay.py
+++ b/tests/replay/test_replay.py
@@ -123,3 +123,34 @@
         _fleet, "initial_decode_engines", lambda engines: round(0.4 * engines)
     )
     assert with_rule > credit_share() + 0.02
+
+
+def simulate_few_slots(load=1.0, decoding=None, monkeypatch=None):
+    """Play steady load on the fleet with few slots and return the outcomes."""
+    if decoding is not None:
+        monkeypatch.setattr(_fleet, "initial_decode_engines", lambda *args: decoding)
+    pattern = structs.replace(PATTERNS["steady"], entries=8)
+    simulation = FleetSimulation(DEPLOYMENTS["tisza_grown"], pattern, 1)
+    return simulation.run(load, DURATION_S, 1)
+
+
+def test_streams_find_slots_at_engines_with_few_slots():
+    """The number of decode engines ignored the slots: 11 of 56 engines with 12 slots
+    each decoded for streams that need 190, and half of the prompts were abandoned."""
+    figures = compute_figures(simulate_few_slots(), DEPLOYMENTS["tisza_grown"])
+    assert figures.served > 0.98
+    assert all(kind.served > 0.95 for kind in figures.kinds.values())
+
+
+def test_missing_slots_are_added_within_seconds(monkeypatch):
+    """One engine every ten seconds was added, however many were missing."""
+    outcomes = simulate_few_slots(decoding=6, monkeypatch=monkeypatch)
+    later = [o for o in outcomes if o.arrival_s > 15.0]
+    assert compute_figures(later, DEPLOYMENTS["tisza_grown"]).served > 0.95
+
+
+def test_prompts_without_a_slot_in_time_are_refused():
+    """Such prompts were prefilled and then waited for a slot until their callers left,
+    which took the prefill time of others."""
+    figures = compute_figures(simulate_few_slots(2.0), DEPLOYMENTS["tisza_grown"])
+    assert all(kind.abandoned < 0.05 for kind in figures.kinds.values())
