Choose the initial number of decode engines by their slots

Engines with 12 slots were given the same share, 132 slots for streams that need about 190, so prompts were prefilled, waited for a slot, were cut off as stalled and prefilled again.

The share now gives both phases the same load for the slots of the engines. It is the same as before for 64 slots (7 of 30 engines) and 22 of 56 for 12.

--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -202,7 +202,9 @@
     def _make_engine(self, number: int) -> Engine:
         deployment = self._deployment
         # Phases start as the control hosts set them before there is traffic.
-        is_decode = number < initial_decode_engines(deployment.engines)
+        is_decode = number < initial_decode_engines(
+            deployment.engines, deployment.slots
+        )
         target = Target(
             TargetId(f"engine-{number}"),
             SERVICE,
--- a/tests/replay/test_replay.py
+++ b/tests/replay/test_replay.py
@@ -120,7 +120,7 @@
 
     with_rule = credit_share()
     monkeypatch.setattr(
-        _fleet, "initial_decode_engines", lambda engines: round(0.4 * engines)
+        _fleet, "initial_decode_engines", lambda engines, slots: round(0.4 * engines)
     )
     assert with_rule > credit_share() + 0.02
 
--- a/tests/staging/test_plan.py
+++ b/tests/staging/test_plan.py
@@ -110,3 +110,12 @@
     """Guards against a fixed share: with two fifths of 30 engines for a few dozen
     streams, prompts waited; with two of nine engines, streams became slow."""
     assert desired_decode_engines(fleet, 0, 64, None) == decoding
+
+
+@pytest.mark.parametrize("fleet", [14, 30, 56, 120])
+def test_engines_with_few_slots_need_a_larger_share(fleet):
+    """The share ignored the slots and left 11 engines with 12 slots each for streams
+    that needed 190."""
+    few, many = (desired_decode_engines(fleet, 0, slots, None) for slots in (12, 64))
+    assert few >= 0.35 * fleet
+    assert few > many
--- a/wigeonspan/staging/_plan.py
+++ b/wigeonspan/staging/_plan.py
@@ -29,15 +29,27 @@
 """Maximum share of decode engines before any demand is known. Prefill takes more engine
 time, but streams that share too few engines become slow."""
 
-LARGE_FLEET_DECODE_SHARE = 1.0 / 6.0
-"""Share of decode engines in large fleets, in addition to ``MIN_DECODE_ENGINES``, which
-is the reserve for losses and does not have to grow with the fleet."""
+STREAM_TIME_RATIO = 9.0
+"""Ratio of the time that streams take slots to the time of their prefills before any
+demand is known; an engine has many slots but runs one prefill at a time."""
 
 
-def initial_decode_engines(engines: int) -> int:
-    """Return the number of decode engines before any demand is known."""
-    large = MIN_DECODE_ENGINES + round(engines * LARGE_FLEET_DECODE_SHARE)
-    return min(round(engines * INITIAL_DECODE_SHARE), large)
+def initial_decode_engines(engines: int, slots: int) -> int:
+    """Return the number of decode engines before any demand is known.
+
+    The share of decode engines gives both phases the same load. The reserve for losses,
+    ``MIN_DECODE_ENGINES``, does not have to grow with the fleet.
+
+    Parameters
+    ----------
+    engines : int
+        Number of engines.
+    slots : int
+        Maximum number of concurrent streams of an engine.
+    """
+    share = STREAM_TIME_RATIO / (STREAM_TIME_RATIO + PLANNED_LOAD * slots)
+    balanced = MIN_DECODE_ENGINES + round(engines * share)
+    return min(round(engines * INITIAL_DECODE_SHARE), balanced)
 
 
 def desired_decode_engines(
@@ -60,7 +72,8 @@
         return engines
     max_decode, min_decode = engines - 1, min(MIN_DECODE_ENGINES, engines - 1)
     if demand is None:
-        return min(max_decode, max(min_decode, initial_decode_engines(engines)))
+        initial = initial_decode_engines(engines, slots)
+        return min(max_decode, max(min_decode, initial))
     needed_engines = demand.streams / slots
     prefill_engines = engines - decoding
     desired = decoding
