Forecast the wait for a slot, and refuse prompts whose slot comes too late

The wait for a slot counted 20 ms for each stream, which fits engines with 64 slots, and was no part of the forecast.

The forecast now has the wait for a slot from the slots, the measured duration of streams and the more urgent streams that go first, and a prompt without a slot in time is refused before its prefill, with the time after which one is expected. A stream that waits for a slot is not taken for stalled, and the wait is no longer learned as a part of the hand-over. Refused requests count as demand, so that the planner sees the shortage.

--- a/replay/_request.py
+++ b/replay/_request.py
@@ -108,7 +108,7 @@
         if isinstance(plan, Refusal):
             self._handle_refusal(plan)
             return
-        self._entry.read_ms += plan.work_ms * placer.ledger.median_slowness(now)
+        self._add_prefill_demand(plan.work_ms)
         if plan.prefill is None:
             self._submit_prefill(
                 plan, plan.decode, WorkKind.DIRECT, self._end_direct_prefill
@@ -120,6 +120,10 @@
 
     def _handle_refusal(self, refusal: Refusal) -> None:
         """Schedule a retry, or end the request if there are no retries or time left."""
+        if refusal.work_ms:
+            # As in the daemons, refused requests count as demand.
+            self._add_prefill_demand(refusal.work_ms)
+            self._entry.stream_s += self._entry.placer.slots.stream_s
         wait_s = 0.0 if self._arrival.impatient else refusal.retry_after_s
         wait_s = min(wait_s, self._remaining_s / 3)
         if not self._remaining_retries or self._remaining_s - wait_s < 0.1:
@@ -128,6 +132,10 @@
         self._remaining_retries -= 1
         self._simulation.schedule(wait_s, self.start_attempt)
 
+    def _add_prefill_demand(self, work_ms: float) -> None:
+        now, ledger = self._simulation.clock.now(), self._entry.placer.ledger
+        self._entry.read_ms += work_ms * ledger.median_slowness(now)
+
     def _submit_prefill(
         self, plan: Plan, target: Target, kind: WorkKind, on_end: Callable[..., None]
     ) -> None:
@@ -228,8 +236,11 @@
 
     def _start_stream(self, plan: Plan, engine: Engine, work_id: str) -> None:
         simulation, started = self._simulation, self._simulation.now
+        stream_began_s: float | None = None
 
         def record_first_event() -> None:
+            nonlocal stream_began_s
+            stream_began_s = simulation.now
             if self._first_event_s is None:
                 self._first_event_s = simulation.now - self._arrived
 
@@ -240,6 +251,9 @@
         def end(completed: bool) -> None:
             self._remove_job(work_id)
             self._entry.stream_s += simulation.now - started
+            if completed and stream_began_s is not None:
+                duration_s = simulation.now - stream_began_s
+                self._entry.placer.slots.record_stream(plan.urgency, duration_s)
             simulation.end_work(self._entry, work_id, completed=completed)
             if self._has_ended:
                 return
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -8,6 +8,7 @@
 from wigeonspan.fleetconfig import CallKind, Route, WeightedService
 from wigeonspan.placing import (
     Decision,
+    Limit,
     Placer,
     Plan,
     Prompt,
@@ -377,3 +378,31 @@
     busy(placer, "p1", 400.0)
     plan = placer.plan(route(), large_body(20_000), engines, 10.0, 0.0)
     assert plan.prefill.target == "p0"
+
+
+def test_prompt_whose_slot_comes_too_late_is_refused():
+    """It was prefilled, cut off while it waited for a slot, and prefilled again."""
+    placer = Placer(DomainName("a"), random.Random(1))
+    targets = fleet()
+    assert isinstance(placer.plan(route(), prompt(600), targets, 8.0, 0.0), Plan)
+    for n in range(400):
+        target = TargetId(f"d{n % 2}")
+        work = Work(f"s{n}", HostId("e"), target, WorkKind.DECODE, 0.0, 0)
+        placer.ledger.begin(work, 0.0)
+    refusal = placer.plan(route(), prompt(600), targets, 8.0, 0.0)
+    assert isinstance(refusal, Refusal)
+    assert refusal.limit is Limit.SLOTS
+    assert refusal.retry_after_s > 0.5
+    assert refusal.work_ms > 0.0
+
+
+def test_prompts_in_prefill_take_the_next_slots():
+    """Streams that are about to begin were not counted, so too many were admitted."""
+    placer = Placer(DomainName("a"), random.Random(1))
+    targets = fleet()
+    for n in range(800):
+        target = TargetId(f"p{n % 2}")
+        work = Work(f"r{n}", HostId("e"), target, WorkKind.PREFILL, 1.0, 0)
+        placer.ledger.begin(work, 0.0)
+    refusal = placer.plan(route(), prompt(600), targets, 8.0, 0.0)
+    assert isinstance(refusal, Refusal) and refusal.limit is Limit.SLOTS
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 
 from tests.platform.gateway_harness import (
     STREAM,
@@ -147,3 +148,40 @@
     assert status(answer) == 503 and b'"ran":"no"' in answer
     assert b"Retry-After" in answer
     assert took_s < 1.9
+
+
+def answers_late(delay_s):
+    async def step(fields, caller):
+        await asyncio.sleep(delay_s)
+        await streams(3)(fields, caller)
+
+    return step
+
+
+def test_stream_that_waits_for_a_slot_is_not_cut_as_stalled():
+    """It was cut off after 0.9 s and its prompt prefilled again for the next queue."""
+
+    async def run():
+        engines = [
+            Engine("p", Phase.PREFILL, prefills),
+            Engine("d", Phase.DECODE, answers_late(1.2)),
+        ]
+        patient = replace(route(STREAM, resumable=True), objective_s=1.5)
+        context, servers = start_gateway(patient, engines)
+        now = context.clock.now()
+        for n in range(13):
+            work = Work(f"s{n}", HostId("o"), TargetId("d"), WorkKind.DECODE, 0.0, 3)
+            context.placer.ledger.begin(work, now)
+        handoff_ms = context.placer.handoff_ms
+        answer = await send(0, "600,20", None)
+        learned_ms = context.placer.handoff_ms
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return answer, engines, handoff_ms, learned_ms
+
+    answer, engines, handoff_ms, learned_ms = asyncio.run(run())
+    assert answer.count(b"data: ") == 3
+    assert [len(engine.seen) for engine in engines] == [1, 1]
+    # The wait for a slot is not a part of the hand-over.
+    assert learned_ms == handoff_ms
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -364,9 +364,9 @@
         if not engines:
             return
         slots = sum(t.slots for t in engines)
-        open_streams = [context.placer.ledger.open_streams(t.target) for t in engines]
+        streams = context.placer.ledger.open_streams(*(t.target for t in engines))
         context.metrics.gauge("decode_slots", slots, service=service)
-        context.metrics.gauge("open_streams", sum(open_streams), service=service)
+        context.metrics.gauge("open_streams", streams.total(), service=service)
 
     def _metrics_text(self) -> bytes:
         context = self._context
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -70,6 +70,9 @@
         self._last_event_at: float | None = None
         # Streams that were open at the engine when the latest one was sent there.
         self._open_streams = 0
+        # Expected wait of the latest stream for a slot of its engine, in seconds.
+        self._slot_wait_s = 0.0
+        self._first_event_at: float | None = None
         self._head: Head | None = None
 
     @property
@@ -118,18 +121,26 @@
         if isinstance(plan, Refusal):
             context.metrics.count("refusals", limit=plan.limit.value)
             self._log_event(
-                "refused", failure=True, why=plan.reason, list_age_ms=list_age_ms
+                "refused",
+                failure=True,
+                limit=plan.limit.value,
+                why=plan.reason,
+                list_age_ms=list_age_ms,
             )
+            self._add_refused_demand(plan)
             raise self._refusal(plan)
-        read_ms = plan.work_ms * context.placer.ledger.median_slowness(now)
-        context.add_demand(self._active_request.service, read_ms=read_ms)
+        self._add_prefill_demand(plan.work_ms)
         context.metrics.observe("expected_wait_seconds", plan.wait_ms / 1000.0)
+        context.metrics.observe(
+            "expected_slot_wait_seconds", plan.slot_wait_ms / 1000.0
+        )
         self._log_event(
             "placed",
             how=plan.decision.value,
             prefill=plan.prefill.target if plan.prefill else None,
             decode=plan.decode.target,
             wait_ms=round(plan.wait_ms),
+            slot_wait_ms=round(plan.slot_wait_ms),
             cost_ms=round(plan.cost_ms),
             first_ms=round(plan.first_ms),
             urgency=plan.urgency,
@@ -142,6 +153,25 @@
         )
         return plan
 
+    def _add_prefill_demand(self, work_ms: float) -> None:
+        """Count the engine time of a prefill as demand of the service."""
+        context, now = self._context, self._context.clock.now()
+        read_ms = work_ms * context.placer.ledger.median_slowness(now)
+        context.add_demand(self._active_request.service, read_ms=read_ms)
+
+    def _add_refused_demand(self, refusal: Refusal) -> None:
+        """Count what a refused request would have taken as demand.
+
+        Without it, engines that are short of slots would seem to have enough once
+        requests are refused.
+        """
+        if not refusal.work_ms:
+            return
+        self._add_prefill_demand(refusal.work_ms)
+        self._context.add_demand(
+            self._active_request.service, stream_s=self._context.placer.slots.stream_s
+        )
+
     async def _prefill_prompt(self, plan: Plan, engine: Target) -> PromptHandle | None:
         """Have an engine prefill the prompt; return None if another one must do it."""
         context, now = self._context, self._context.clock.now()
@@ -247,7 +277,9 @@
     def _late_refusal(self, plan: Plan) -> WigeonspanError:
         """Return the refusal of a request whose prompt has waited too long."""
         self._context.metrics.count("refusals", limit=Limit.TIME.value)
-        self._log_event("refused", failure=True, why="overtaken")
+        self._log_event(
+            "refused", failure=True, limit=Limit.TIME.value, why="overtaken"
+        )
         reason = "the prompt still waits to be read"
         retry_after_s = self._context.placer.retry_after_s(plan, self._route)
         return self._refusal(Refusal(Limit.TIME, reason, retry_after_s))
@@ -290,7 +322,11 @@
         """Send the request to an engine and pass on the events of its response."""
         context, started = self._context, self._context.clock.now()
         direct = handle is None
-        self._open_streams = context.placer.ledger.open_streams(engine.target)
+        streams = context.placer.ledger.open_streams(engine.target)
+        self._open_streams = streams.total()
+        self._slot_wait_s = (
+            context.placer.slots.wait_ms(engine.slots, streams, plan.urgency) / 1000.0
+        )
         send = SendOptions(
             engine,
             self._active_request.deadline - started,
@@ -332,6 +368,9 @@
             try:
                 await self._relay_events(caller, plan, engine, sent, started)
                 sent.completed = True
+                if self._first_event_at is not None:
+                    duration_s = context.clock.now() - self._first_event_at
+                    context.placer.slots.record_stream(plan.urgency, duration_s)
             finally:
                 stream_s = context.clock.now() - started
                 context.add_demand(self._active_request.service, stream_s=stream_s)
@@ -397,10 +436,11 @@
             context.placer.event_pauses.observe(engine.target, now - last)
             return
         took_s = now - started
+        self._first_event_at = now
         context.metrics.observe(
             "first_event_seconds", now - self._active_request.arrived_at
         )
-        if plan.decision is Decision.SPLIT:
+        if plan.decision is Decision.SPLIT and self._open_streams < engine.slots:
             context.placer.record_handoff(took_s * 1000.0)
         self._log_event(
             "first_event",
@@ -446,10 +486,11 @@
             typical_s = placer.handoff_ms / 1000.0
         else:
             typical_s = 0.0
-        return min(
-            self._active_request.remaining_s,
-            stall_timeout_s(self._route, plan, typical_s),
-        )
+        limit_s = stall_timeout_s(self._route, plan, typical_s)
+        if self._last_event_at is None:
+            # An engine without a free slot is busy, not stalled.
+            limit_s += self._slot_wait_s
+        return min(self._active_request.remaining_s, limit_s)
 
     def _body_timeout_s(self) -> float:
         """Return the seconds to wait for the body of an unstreamed response."""
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -1,5 +1,7 @@
 """Work in progress at each target, sent by this entry and by the other entries."""
 
+from collections import Counter
+from collections.abc import Collection, Iterable
 from enum import Enum
 
 from msgspec import Struct
@@ -47,11 +49,26 @@
 class _Queue:
     def __init__(self) -> None:
         self.work: dict[str, tuple[Work, float]] = {}
+        # Number of units of work by kind and urgency.
+        self.counts: Counter[tuple[WorkKind, int]] = Counter()
         # Work whose prompt is assumed to be in prefill, and its assumed start.
         self.head: str | None = None
         self.head_since = 0.0
         self.throughput = Throughput()
 
+    def add(self, work: Work, now: float) -> None:
+        """Add work, or replace the work with the same name."""
+        self.pop(work.work)
+        self.work[work.work] = (work, now)
+        self.counts[work.kind, work.urgency] += 1
+
+    def pop(self, name: str) -> Work | None:
+        """Remove work and return it; None if there is none with the name."""
+        work, _ = self.work.pop(name, (None, 0.0))
+        if work is not None:
+            self.counts[work.kind, work.urgency] -= 1
+        return work
+
     def largest_prefill_ms(self) -> float:
         """Return the largest nominal prefill time among the work in progress."""
         prefills = (w.work_ms for w, _ in self.work.values() if _includes_prefill(w))
@@ -92,7 +109,7 @@
         """Record that work was sent to its target."""
         self._median_at = None
         queue = self._queues.setdefault(work.target, _Queue())
-        queue.work[work.work] = (work, now)
+        queue.add(work, now)
         self._targets[work.work] = work.target
         if _includes_prefill(work):
             queue.throughput.mark_busy(now + self._latency_s)
@@ -112,7 +129,7 @@
         queue = self._queues.get(target) if target is not None else None
         if queue is None:
             return
-        work, _ = queue.work.pop(name, (None, 0.0))
+        work = queue.pop(name)
         if work is None or not _includes_prefill(work):
             return
         queue.throughput.record_finished(work.work_ms if completed else 0.0, now)
@@ -199,16 +216,34 @@
             if _includes_prefill(work) and work.urgency > urgency and name != queue.head
         )
 
-    def open_streams(self, target: TargetId) -> int:
-        """Return the number of streams that take or await a slot of an engine."""
-        return self.count(target, WorkKind.DECODE, WorkKind.DIRECT)
+    def open_streams(self, *targets: TargetId) -> Counter[int]:
+        """Return the streams that take or await a slot of engines, by urgency."""
+        return self._count_by_urgency(targets, _STREAM_KINDS)
+
+    def expected_streams(self, *targets: TargetId) -> Counter[int]:
+        """Return the streams that follow the prefills at engines, by urgency."""
+        return self._count_by_urgency(targets, _SPLIT_KINDS)
 
     def count(self, target: TargetId, *kinds: WorkKind) -> int:
         """Return the number of units of work of the given kinds at a target."""
-        queue = self._queues.get(target)
-        if queue is None:
-            return 0
-        return sum(1 for w, _ in queue.work.values() if w.kind in kinds)
+        return self._count_by_urgency((target,), kinds).total()
+
+    def _count_by_urgency(
+        self, targets: Iterable[TargetId], kinds: Collection[WorkKind]
+    ) -> Counter[int]:
+        counts: Counter[int] = Counter()
+        for target in targets:
+            queue = self._queues.get(target)
+            if queue is None:
+                continue
+            for (kind, urgency), number in queue.counts.items():
+                if kind in kinds:
+                    counts[urgency] += number
+        return counts
+
+
+_STREAM_KINDS = (WorkKind.DECODE, WorkKind.DIRECT)
+_SPLIT_KINDS = (WorkKind.PREFILL,)
 
 
 def _includes_prefill(work: Work) -> bool:
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -69,6 +69,8 @@
         Expected time in milliseconds for copy and prefill on the chosen engine.
     wait_ms : float
         Expected time in milliseconds until the engine starts the prefill.
+    slot_wait_ms : float
+        Expected time in milliseconds until a decode engine has a slot for the stream.
     first_ms : float
         Expected time in milliseconds until the first event of the stream.
     urgency : int
@@ -83,10 +85,16 @@
     work_ms: float
     cost_ms: float
     wait_ms: float
+    slot_wait_ms: float
     first_ms: float
     urgency: int
     prefill_steps: PrefillSteps
 
+    @property
+    def awaits_slot(self) -> bool:
+        """Whether the stream will wait longer for its slot than for its prefill."""
+        return self.slot_wait_ms > self.wait_ms + self.cost_ms
+
 
 class Limit(Enum):
     """Limit that caused a refusal."""
@@ -94,6 +102,7 @@
     NO_ENGINE = "no_engine"
     TIME = "time"
     QUEUE = "queue"
+    SLOTS = "slots"
 
 
 class Refusal(Struct, frozen=True):
@@ -107,8 +116,11 @@
         Details for the log.
     retry_after_s : float
         Seconds after which a retry is expected to be served.
+    work_ms : float
+        Prefill time in milliseconds that the request would have taken; 0 if unknown.
     """
 
     limit: Limit
     reason: str
     retry_after_s: float
+    work_ms: float = 0.0
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -19,6 +19,7 @@
     plan_prefill_steps,
 )
 from wigeonspan.placing._sizes import WorkSizes
+from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
 from wigeonspan.placing._standing import StandingQueueDetector
 from wigeonspan.targets import Phase, Target, TargetId
@@ -42,10 +43,6 @@
 new one; with more, the pauses between the events of its streams exceed their
 objective."""
 
-SLOT_WAIT_MS = 20.0
-"""Delay in milliseconds that each stream beyond an engine's slots counts as. With 64
-slots and streams of one to two seconds, a slot becomes available about that often."""
-
 CROSS_DOMAIN_MS = 4.0
 """Delay in milliseconds that a target in another failure domain counts as: an
 additional round trip of a request, or a transfer at half the speed."""
@@ -135,6 +132,7 @@
         self.speeds = SlowdownFactors()
         self.health = TargetAvailability()
         self.event_pauses = EventPauses()
+        self.slots = SlotForecast()
 
     @property
     def handoff_ms(self) -> float:
@@ -227,6 +225,7 @@
         remaining_ms = (route.objective_s - elapsed_s) * 1000.0
 
         def best(urgency: int) -> Plan | None:
+            slot_wait_ms = self._slot_wait_ms(prefill_engines, decode_engines, urgency)
             split = self._split(
                 prefill_engines,
                 decode_engines,
@@ -234,6 +233,7 @@
                 steps_by_target,
                 costs,
                 urgency,
+                slot_wait_ms,
                 remaining_ms,
                 now,
             )
@@ -242,6 +242,7 @@
                 prompt,
                 steps_by_target,
                 urgency,
+                slot_wait_ms,
                 now,
                 required=not prefill_engines,
             )
@@ -255,7 +256,7 @@
             self._standing_queue.record(late, now)
             if late and self._standing_queue.is_standing(now):
                 reason = f"first event expected late, in {plan.first_ms:.0f} ms"
-                return Refusal(Limit.QUEUE, reason, self.retry_after_s(plan, route))
+                return self._refusal(Limit.QUEUE, reason, plan, route)
             if late and self._should_yield(route, plan):
                 # At its rank, it would only delay requests that can still be on time.
                 plan = best(LATE_URGENCY)
@@ -265,9 +266,34 @@
         budget_s = min(abandon_after_s(route), remaining_s)
         if plan.first_ms > budget_s * 1000.0 * MAX_TIMEOUT_SHARE:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
-            return Refusal(Limit.TIME, reason, self.retry_after_s(plan, route))
+            return self._refusal(Limit.TIME, reason, plan, route)
         return plan
 
+    def _refusal(self, limit: Limit, reason: str, plan: Plan, route: Route) -> Refusal:
+        """Return the refusal of a request whose first event would be too late."""
+        if plan.awaits_slot:
+            limit, reason = Limit.SLOTS, f"{reason}, no slot is free"
+        after_s = self.retry_after_s(plan, route)
+        return Refusal(limit, reason, after_s, plan.work_ms)
+
+    def _slot_wait_ms(
+        self,
+        prefill_engines: list[Target],
+        decode_engines: list[Target],
+        urgency: int,
+    ) -> float:
+        """Return the milliseconds until a decode engine has a slot for a new stream.
+
+        The prompts that are in prefill need their slots first. Less urgent streams
+        without a slot wait behind the new one.
+        """
+        return self.slots.wait_ms(
+            sum(t.slots for t in decode_engines),
+            self.ledger.open_streams(*(t.target for t in decode_engines)),
+            urgency,
+            self.ledger.expected_streams(*(t.target for t in prefill_engines)),
+        )
+
     def _should_yield(self, route: Route, plan: Plan) -> bool:
         """Return whether a late prompt has to yield to those that can be on time.
 
@@ -304,10 +330,11 @@
         penalties = self.health.failure_penalties_ms([t.target for t in engines])
 
         def delay_ms(target: Target) -> float:
-            running = self.ledger.open_streams(target.target)
+            streams = self.ledger.open_streams(target.target)
+            running = streams.total()
             backlog = self.ledger.backlog_ms(target.target, MAX_URGENCY, now)
             cross_domain = near is not None and target.domain != near
-            slot_wait = max(0, running + 1 - target.slots) * SLOT_WAIT_MS
+            slot_wait = self.slots.wait_ms(target.slots, streams, MAX_URGENCY)
             return (
                 running
                 + slot_wait
@@ -404,6 +431,7 @@
         steps_by_target: dict[TargetId, PrefillSteps],
         costs: dict[TargetId, float],
         urgency: int,
+        slot_wait_ms: float,
         remaining_ms: float,
         now: float,
     ) -> Plan | None:
@@ -439,7 +467,7 @@
             blocking_ms = cost * (
                 math.exp(-wait / IDLE_WAIT_MS) + DELAYED_WEIGHT * delayed
             )
-            first = wait + cost + self._latency.ms + self._handoff_ms
+            first = self._first_event_ms(wait + cost, slot_wait_ms)
             late = LATE_PENALTY_MS * (first > remaining_ms)
             score_ms = (
                 wait + cost + repeated_ms + blocking_ms + late + cross_domain + penalty
@@ -452,13 +480,24 @@
         if decode is None:
             return None
         _, wait, cost = scored[best.target]
-        first = wait + cost + self._latency.ms + self._handoff_ms
         steps = steps_by_target[best.target]
-        work = steps.work_ms(prompt.total_tokens)
         return Plan(
-            Decision.SPLIT, best, decode, work, cost, wait, first, urgency, steps
+            Decision.SPLIT,
+            best,
+            decode,
+            work_ms=steps.work_ms(prompt.total_tokens),
+            cost_ms=cost,
+            wait_ms=wait,
+            slot_wait_ms=slot_wait_ms,
+            first_ms=self._first_event_ms(wait + cost, slot_wait_ms),
+            urgency=urgency,
+            prefill_steps=steps,
         )
 
+    def _first_event_ms(self, prefill_ms: float, slot_wait_ms: float) -> float:
+        """Return the time until the first event, which needs the prefill and a slot."""
+        return max(prefill_ms + self._latency.ms, slot_wait_ms) + self._handoff_ms
+
     def _cross_domain_ms(self, target: Target, prompt: Prompt) -> float:
         """Return the penalty in milliseconds for a target in another failure domain."""
         if target.domain == self._domain:
@@ -491,6 +530,7 @@
         prompt: Prompt,
         steps_by_target: dict[TargetId, PrefillSteps],
         urgency: int,
+        slot_wait_ms: float,
         now: float,
         *,
         required: bool,
@@ -511,10 +551,18 @@
         cost = self._cost_ms(engine, steps, prompt, now) * slowdown
         if not required and waiting + cost > DIRECT_LIMIT_MS:
             return None
-        first = waiting + cost + self._latency.ms + PREFILL_FIXED_MS
-        work = steps.work_ms(prompt.total_tokens)
+        ready = max(waiting + cost + self._latency.ms, slot_wait_ms)
         return Plan(
-            Decision.DIRECT, None, engine, work, cost, waiting, first, urgency, steps
+            Decision.DIRECT,
+            None,
+            engine,
+            work_ms=steps.work_ms(prompt.total_tokens),
+            cost_ms=cost,
+            wait_ms=waiting,
+            slot_wait_ms=slot_wait_ms,
+            first_ms=ready + PREFILL_FIXED_MS,
+            urgency=urgency,
+            prefill_steps=steps,
         )
 
     def _urgency(
@@ -553,4 +601,5 @@
     if plan.urgency >= LATE_URGENCY:
         return False
     overtaken = OVERTAKEN_SHARE if plan.urgency >= OVERTAKEN_RANK else 0.0
-    return plan.first_ms + overtaken * plan.wait_ms > remaining_ms
+    wait_ms = max(plan.wait_ms, plan.slot_wait_ms)
+    return plan.first_ms + overtaken * wait_ms > remaining_ms
