Add missing decode engines at once in a shortage of slots

Callers waited or were refused for up to a minute when too few engines decoded: demand was known after six seconds, then one engine every ten seconds changed its phase, however many were missing.

A shortage is now found from the streams of the last three seconds, known after three seconds, and corrected at once by up to a quarter of the prefill engines. Without a shortage the phases follow the mean of ten seconds as before, one engine at a time. When engines are short for both phases, decode takes no more than its part.

--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -30,7 +30,7 @@
     RetryBudget,
     Work,
 )
-from wigeonspan.staging import DemandMeter, next_changes
+from wigeonspan.staging import DemandMeter, allowed_changes, next_changes
 from wigeonspan.staging._plan import initial_decode_engines
 from wigeonspan.targets import Phase, Target, TargetId
 
@@ -41,10 +41,9 @@
 """Seconds between two reports of demand, as in the daemons."""
 
 PHASE_CHECK_INTERVAL_S = 0.5
-MIN_PHASE_CHANGE_INTERVAL_S = 10.0
 PHASE_CHANGE_NOTICE_S = 0.7
-"""Interval at which phases are checked, minimum time between two changes, and time from
-a decision until the engine starts to change; all as in the daemons."""
+"""Interval at which phases are checked, and time from a decision until the engine
+starts to change; both as in the daemons."""
 
 DRAIN_S = 8.0
 """Seconds that are simulated after the last request."""
@@ -92,7 +91,7 @@
             entry.budget.set_entries(pattern.entries or deployment.entries)
             self._entries.append(entry)
         self._meter = DemandMeter()
-        self._phase_changed_at = -MIN_PHASE_CHANGE_INTERVAL_S
+        self._phase_changed_at = float("-inf")
 
     @property
     def clock(self) -> Clock:
@@ -269,11 +268,11 @@
         """Start a change of phase if the demand calls for one."""
         now = self._clock.now()
         demand = self._meter.demand(SERVICE, now)
-        if demand is None or now - self._phase_changed_at < MIN_PHASE_CHANGE_INTERVAL_S:
+        if demand is None or any(engine.is_switching for engine in self.engines):
             return
-        if any(engine.is_switching for engine in self.engines):
-            return
-        for target, phase in next_changes(self.usable_targets(), demand, 1):
+        targets = self.usable_targets()
+        max_changes = allowed_changes(targets, demand, now - self._phase_changed_at)
+        for target, phase in next_changes(targets, demand, max_changes):
             self._phase_changed_at = now
             self._change_phase(self.engine_of(target.target), phase)
 
--- a/tests/staging/test_plan.py
+++ b/tests/staging/test_plan.py
@@ -6,6 +6,7 @@
 from wigeonspan.staging import (
     DemandMeter,
     EngineDemand,
+    allowed_changes,
     desired_decode_engines,
     next_changes,
 )
@@ -119,3 +120,39 @@
     few, many = (desired_decode_engines(fleet, 0, slots, None) for slots in (12, 64))
     assert few >= 0.35 * fleet
     assert few > many
+
+
+def test_shortage_of_slots_is_corrected_at_once():
+    """One engine every ten seconds was changed while requests were lost."""
+    targets = engines(*[P] * 16, *[D] * 2)
+    demand = EngineDemand(4.0, 400.0, recent_streams=400.0, is_settled=False)
+    allowed = allowed_changes(targets, demand, idle_s=0.5)
+    assert allowed == 4
+    assert [phase for _, phase in next_changes(targets, demand, allowed)] == [D] * 4
+
+
+def test_phases_do_not_follow_noise_without_a_shortage():
+    """Each change takes an engine out of service for seconds."""
+    targets = engines(*[P] * 16, *[D] * 2)
+    demand = EngineDemand(4.0, 120.0, recent_streams=125.0)
+    assert allowed_changes(targets, demand, idle_s=9.0) == 0
+    assert allowed_changes(targets, demand, idle_s=11.0) == 1
+    unsettled = EngineDemand(4.0, 120.0, recent_streams=125.0, is_settled=False)
+    assert allowed_changes(targets, unsettled, idle_s=11.0) == 0
+
+
+def test_shortage_of_slots_leaves_the_prefill_engines_that_are_needed():
+    """With too few engines for both phases, prompts must not lose all of theirs."""
+    demand = EngineDemand(20.0, 640.0, recent_streams=1280.0)
+    assert desired_decode_engines(18, 6, 64, demand) == 6
+
+
+def test_recent_demand_is_known_before_the_mean_is_settled():
+    """A wrong number at the start was kept for six seconds, then for ten more."""
+    meter = DemandMeter()
+    for half_second in range(9):
+        seconds = half_second / 2.0
+        meter.record(HOST, SERVICE, 500.0 * seconds, 40.0 * seconds, seconds)
+    demand = meter.demand(SERVICE, 4.0)
+    assert demand is not None and not demand.is_settled
+    assert demand.recent_streams == pytest.approx(40.0, rel=0.2)
--- a/wigeonspan/staging/__init__.py
+++ b/wigeonspan/staging/__init__.py
@@ -8,7 +8,11 @@
     PhaseOrder,
 )
 from wigeonspan.staging._meter import DemandMeter
-from wigeonspan.staging._plan import desired_decode_engines, next_changes
+from wigeonspan.staging._plan import (
+    allowed_changes,
+    desired_decode_engines,
+    next_changes,
+)
 from wigeonspan.staging._task import Authority, PhaseChangeTask
 
 __all__ = [
@@ -20,6 +24,7 @@
     "OrderPort",
     "PhaseOrder",
     "PhaseChangeTask",
+    "allowed_changes",
     "desired_decode_engines",
     "next_changes",
 ]
--- a/wigeonspan/staging/_messages.py
+++ b/wigeonspan/staging/_messages.py
@@ -19,10 +19,16 @@
         Mean number of engines that are busy with prefill.
     streams : float
         Mean number of open streams.
+    recent_streams : float
+        Mean number of open streams in the last few seconds.
+    is_settled : bool
+        Whether the means cover enough time for changes that can wait.
     """
 
     busy_prefill_engines: float
     streams: float
+    recent_streams: float = 0.0
+    is_settled: bool = True
 
 
 class EngineReport(Struct, frozen=True):
--- a/wigeonspan/staging/_meter.py
+++ b/wigeonspan/staging/_meter.py
@@ -10,7 +10,12 @@
 but hardly changes with bursts of a few seconds."""
 
 MIN_WINDOW_S = 6.0
-"""Minimum seconds covered by reports before demand is computed."""
+"""Minimum seconds covered by reports before demand counts as settled."""
+
+RECENT_WINDOW_S = 3.0
+"""Seconds over which recent demand is averaged, to find a shortage of slots while the
+requests without one can still be served; longer than most streams, which are reported
+at their end."""
 
 MIN_PREFILL_LOAD = 0.05
 """Minimum number of engines busy with prefill; below it there is no traffic to plan
@@ -73,11 +78,18 @@
     def demand(self, service: ServiceName, now: float) -> EngineDemand | None:
         """Return the demand for a service, or None if it is unknown or negligible."""
         increments = self._increments.get(service)
-        if not increments or now - increments[0][0] < MIN_WINDOW_S:
+        if not increments:
+            return None
+        covered_s = now - increments[0][0]
+        if covered_s < RECENT_WINDOW_S:
             return None
-        span_s = max(MIN_WINDOW_S, now - increments[0][0])
-        busy_prefill_engines = sum(ms for _, ms, _ in increments) / 1000.0 / span_s
-        streams = sum(seconds for _, _, seconds in increments) / span_s
+        busy_prefill_engines = sum(ms for _, ms, _ in increments) / 1000.0 / covered_s
         if busy_prefill_engines < MIN_PREFILL_LOAD:
             return None
-        return EngineDemand(busy_prefill_engines, streams)
+        recent_s = sum(s for at, _, s in increments if at > now - RECENT_WINDOW_S)
+        return EngineDemand(
+            busy_prefill_engines,
+            streams=sum(seconds for _, _, seconds in increments) / covered_s,
+            recent_streams=recent_s / RECENT_WINDOW_S,
+            is_settled=covered_s >= MIN_WINDOW_S,
+        )
--- a/wigeonspan/staging/_plan.py
+++ b/wigeonspan/staging/_plan.py
@@ -22,6 +22,25 @@
 """Load of the prefill engines above which another one is worth the seconds during which
 the changing engine is unavailable."""
 
+SHORTAGE_LOAD = 1.0
+"""Recent streams per slot above which requests wait for slots. Such a shortage is
+corrected at once: the requests are lost before the next change would help."""
+
+SHORTAGE_CHANGE_SHARE = 0.25
+"""Maximum share of the prefill engines that change together in a shortage of slots; the
+others have to take over their prompts for seconds."""
+
+CHANGE_INTERVAL_S = 10.0
+"""Minimum seconds between two changes of a service without a shortage, so that the
+phases follow the traffic mix and not its noise."""
+
+MAX_CONCURRENT_CHANGES = 1
+"""Maximum number of engines of a service that change together without a shortage."""
+
+MAX_INITIAL_CHANGES = 64
+"""Maximum number of engines of a service that change together before there is
+traffic."""
+
 MIN_DECODE_ENGINES = 2
 """Minimum number of decode engines, so that a service survives the loss of one."""
 
@@ -79,12 +98,54 @@
     desired = decoding
     if needed_engines > GROW_LOAD * decoding:
         desired = math.ceil(needed_engines / PLANNED_LOAD)
+    elif _is_short(decoding, slots, demand):
+        desired = math.ceil(demand.recent_streams / slots / GROW_LOAD)
     elif demand.busy_prefill_engines > MAX_PREFILL_LOAD * prefill_engines:
         while needed_engines < SHRINK_LOAD * (desired - 1):
             desired -= 1
+    if desired > decoding:
+        # With too few engines for both phases, neither is served at the other's cost.
+        busy_engines = needed_engines + demand.busy_prefill_engines
+        balanced = round(engines * needed_engines / max(1e-9, busy_engines))
+        desired = max(decoding, min(desired, balanced))
     return min(max_decode, max(1, min_decode if desired < decoding else 1, desired))
 
 
+def _is_short(decoding: int, slots: int, demand: EngineDemand) -> bool:
+    return demand.recent_streams > SHORTAGE_LOAD * decoding * slots
+
+
+def allowed_changes(
+    targets: Sequence[Target], demand: EngineDemand | None, idle_s: float
+) -> int:
+    """Return how many engines of a service may change their phase together.
+
+    Parameters
+    ----------
+    targets : sequence of Target
+        Engines that may get new work.
+    demand : EngineDemand or None
+        Demand of the service; None before there is traffic.
+    idle_s : float
+        Seconds since the last change of the service began.
+    """
+    if demand is None:
+        return MAX_INITIAL_CHANGES if idle_s >= CHANGE_INTERVAL_S else 0
+    decoding = sum(1 for t in targets if t.phase is Phase.DECODE)
+    prefill = sum(1 for t in targets if t.phase is Phase.PREFILL)
+    if _is_short(decoding, _slots(targets), demand):
+        return max(1, int(prefill * SHORTAGE_CHANGE_SHARE))
+    if not demand.is_settled or idle_s < CHANGE_INTERVAL_S:
+        return 0
+    return MAX_CONCURRENT_CHANGES
+
+
+def _slots(targets: Sequence[Target]) -> int:
+    """Return the slots of an engine, the smallest number if they differ."""
+    engines = (t.slots for t in targets if t.phase is not Phase.NONE)
+    return max(1, min(engines, default=1))
+
+
 def next_changes(
     targets: Sequence[Target], demand: EngineDemand | None, max_changes: int
 ) -> list[tuple[Target, Phase]]:
@@ -94,7 +155,7 @@
     that both phases stay spread over the domains.
     """
     engines = [t for t in targets if t.phase is not Phase.NONE]
-    slots = max(1, min((t.slots for t in engines), default=1))
+    slots = _slots(engines)
     decoding = sum(1 for t in engines if t.phase is Phase.DECODE)
     desired = desired_decode_engines(len(engines), decoding, slots, demand)
     phases = {t.target: t.phase for t in engines}
--- a/wigeonspan/staging/_task.py
+++ b/wigeonspan/staging/_task.py
@@ -12,7 +12,7 @@
     PhaseOrder,
 )
 from wigeonspan.staging._meter import DemandMeter
-from wigeonspan.staging._plan import next_changes
+from wigeonspan.staging._plan import allowed_changes, next_changes
 from wigeonspan.targets import Listing, Phase, Target, TargetId, TargetTable
 from wigeonspan.trail import EventLog, ProcessMetrics
 
@@ -37,20 +37,9 @@
 """Seconds after which a change that the list does not show is abandoned. Unanswered
 orders may be carried out up to twelve seconds late."""
 
-CHANGE_INTERVAL_S = 10.0
-"""Minimum seconds between two changes of a service, so that the phases follow the
-traffic mix and not its noise."""
-
 LIST_STABLE_S = 1.5
 """Seconds without a change of the list after which it is assumed to be complete."""
 
-MAX_CONCURRENT_CHANGES = 1
-"""Maximum number of engines of a service that change at once while there is traffic."""
-
-MAX_INITIAL_CHANGES = 64
-"""Maximum number of engines of a service that change at once before there is
-traffic."""
-
 
 class PhaseChange(Struct):
     """A phase change in progress."""
@@ -167,14 +156,11 @@
             targets = self._target_table.usable(service)
             if any(t.target in self._changes for t in targets):
                 continue
-            if now - self._changed_at.get(service, float("-inf")) < CHANGE_INTERVAL_S:
-                continue
             demand = self._meter.demand(service, now)
             if demand is None and not self._may_set_initial_phases(service):
                 continue
-            max_changes = (
-                MAX_INITIAL_CHANGES if demand is None else MAX_CONCURRENT_CHANGES
-            )
+            idle_s = now - self._changed_at.get(service, float("-inf"))
+            max_changes = allowed_changes(targets, demand, idle_s)
             for target, phase in next_changes(targets, demand, max_changes):
                 self._changed_at[service] = now
                 self._changes[target.target] = PhaseChange(target, phase, now)
@@ -185,6 +171,7 @@
                     phase=phase.value,
                     read_engines=demand.busy_prefill_engines if demand else None,
                     streams=(demand.streams if demand else None),
+                    recent_streams=(demand.recent_streams if demand else None),
                     slots=target.slots,
                     list_age_ms=self._target_table.age_ms(now),
                 )
