Read and log the limits that targets name

Nothing showed that a target had named a limit, so the hypotheses on the incident could not be told apart. Requests are placed as before.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -361,3 +361,21 @@
     import platform
 
     assert platform.python_version()
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"), [("3.3", 3.3), ("12", 12.0), ("0.05", 0.05), (" 4 ", 4.0)]
+)
+def test_named_limit_is_read(value, rate):
+    """Nothing read the limit that a target named."""
+    head = Head(200, [("Server-Limit", value)])
+    notice = PlatformProtocol().read_notice(head)
+    assert (notice.max_rate, notice.unreadable_rate) == (rate, "")
+
+
+@pytest.mark.parametrize("value", ["", "0", "-3", "nan", "inf", "many", "1e999"])
+def test_unreadable_limit_is_no_limit(value):
+    """A limit without a number must neither stop all requests nor go unnoticed."""
+    head = Head(200, [("Server-Limit", value)])
+    notice = PlatformProtocol().read_notice(head)
+    assert (notice.max_rate, notice.unreadable_rate) == (0.0, value)
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -92,6 +92,19 @@
         if notice.leaving and self.target_table.record_leaving(name, target.born_ms):
             self.event_log.write("targets", "target_leaving", target=name)
             self.link.publish(TargetLeaving(name, target.born_ms))
+        if notice.max_rate > 0.0:
+            self.metrics.count("target_limits", target=name)
+            self.event_log.write(
+                "targets", "target_limits", target=name, max_rate=notice.max_rate
+            )
+        if notice.unreadable_rate:
+            self.event_log.write(
+                "targets",
+                "target_limit_unreadable",
+                failure=True,
+                target=name,
+                value=notice.unreadable_rate[:80],
+            )
         if notice.pause_s > 0.0:
             self.metrics.count("target_pauses", target=name)
             self.event_log.write(
--- a/wigeonspan/gateway/_messages.py
+++ b/wigeonspan/gateway/_messages.py
@@ -97,10 +97,16 @@
         Whether it is about to stop and accepts no new work.
     pause_s : float
         Seconds for which it wants no requests from this entry; 0 for no pause.
+    max_rate : float
+        Requests a second that it takes from all entries together; 0 for no limit.
+    unreadable_rate : str
+        Value of such a limit that cannot be read; empty otherwise.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
+    max_rate: float = 0.0
+    unreadable_rate: str = ""
 
 
 class TargetProtocol(Protocol):
