Add failing tests of targets that name a limit

A target that names 2 requests a second gets 39 of 40 calls that are sent within two seconds, where the users' rule allows 17 in 4 s; engines that name 1 get all prompts and streams.

--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -142,3 +142,36 @@
     engines = plain_engines([refuses(value), answers(200)])
     results = serve(route(IDEMPOTENT), engines, usage=None, times=2)
     assert status(results[1]) == 200
+
+
+def limited(rate, body=b"ok"):
+    return answers(200, body, [*SIGNED, ("Server-Limit", rate)])
+
+
+def max_requests(rate, seconds):
+    """Return how many requests a target that named a limit may get in a time."""
+    return 1.5 * rate * seconds + 5
+
+
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT])
+def test_target_that_names_a_limit_gets_no_more_calls(kind):
+    """Nothing read the limit, and the target got twenty times as much."""
+    engines = plain_engines([limited("2")], [slowly])
+    results = serve(route(kind), engines, usage=None, times=40)
+    assert len(engines[0].seen) <= max_requests(2.0, 4.0)
+    assert all(status(answer) == 200 for answer in results)
+
+
+def test_engine_that_names_a_limit_gets_no_more_prompts_and_streams():
+    """Prompts that are only prefilled and hand-overs count like other requests."""
+    handle = b'{"transfer_handle":"ab"}'
+    limit = [("Server-Limit", "1")]
+
+    async def stream(fields, caller):
+        await caller.send_head(200, [*SIGNED, *limit, echo(fields)])
+        await caller.send(b"id: 1\ndata: 1\n\n")
+        await caller.finish()
+
+    engines = model_engines([answers(200, handle, limit)], [stream])
+    serve(route(STREAM), engines, times=40)
+    assert all(len(engine.seen) <= max_requests(1.0, 4.0) for engine in engines)
