Keep to the limits that targets set on the requests of all entries

A target in need got as much as before: 72 requests in 4 s at a limit of 3.3 a second, where 25 are allowed, and its answers became later for everybody. Nothing read the field. The class of the fault is a limit that holds for the whole fleet while each entry decides alone; parts of equal size in turns keep the sum without a message per request.

An entry that gets an answer with a limit announces it. Every request takes a turn. What has none is refused at once, with the time of the next free request for each caller in order, and the planner replaces limited engines in their phase.

--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 
 from tests.platform.gateway_harness import (
     IDEMPOTENT,
@@ -11,6 +12,7 @@
     STREAM,
     answers,
     echo,
+    hangs,
     model_engines,
     plain_engines,
     prefills,
@@ -21,7 +23,7 @@
     status,
     streams,
 )
-from wigeonspan.sharing import TargetLeaving
+from wigeonspan.sharing import TargetLeaving, TargetLimited
 from wigeonspan.targets import TargetId
 
 LEAVING = ("Server-Leaving", "1")
@@ -175,3 +177,79 @@
     engines = model_engines([answers(200, handle, limit)], [stream])
     serve(route(STREAM), engines, times=40)
     assert all(len(engine.seen) <= max_requests(1.0, 4.0) for engine in engines)
+
+
+def test_other_entries_are_informed_of_a_limit_and_of_its_end():
+    """Each entry that was not told sent its own requests beyond the limit."""
+
+    async def run():
+        engines = plain_engines([limited("50"), limited("50"), answers(200)])
+        context, servers = start_gateway(route(IDEMPOTENT), engines)
+        published = []
+        context.link.publish = published.append
+        for number in range(3):
+            await send(number, None, None)
+            await asyncio.sleep(0.06)
+        for server in servers:
+            await server.close()
+        return [event for event in published if isinstance(event, TargetLimited)]
+
+    name = TargetId("t0")
+    assert asyncio.run(run()) == [
+        TargetLimited(name, 0, 50.0),
+        TargetLimited(name, 0, 0.0),
+    ]
+
+
+@pytest.mark.parametrize(("born_ms", "applied"), [(0, True), (7, False)])
+def test_limit_announced_by_another_entry_is_applied(born_ms, applied):
+    """A new start under the same name begins without a limit."""
+
+    async def run():
+        context, servers = start_gateway(route(IDEMPOTENT), plain_engines([hangs]))
+        event = TargetLimited(TargetId("t0"), born_ms, 0.1)
+        context.apply_announced_limit(event)
+        rates = context.placer.limits.rates
+        context.apply_announced_limit(replace(event, max_rate=0.0))
+        for server in servers:
+            await server.close()
+        return rates, context.placer.limits.rates
+
+    assert asyncio.run(run()) == ({"t0": 0.1} if applied else {}, {})
+
+
+def test_calls_beyond_all_limits_are_refused_at_once_with_different_returns():
+    """They waited or were sent all the same, and came back together."""
+    engines = plain_engines([limited("2")], [limited("2")])
+    results = serve(route(IDEMPOTENT), engines, usage=None, times=20)
+    refused = [answer for answer in results if status(answer) == 503]
+    assert len(refused) >= 10
+    assert all(b'"ran":"no"' in answer for answer in refused)
+    returns = [
+        float(answer.split(b"Retry-After: ")[1].split(b"\r\n")[0]) for answer in refused
+    ]
+    assert returns == sorted(returns) and len(set(returns)) > len(returns) / 2
+
+
+def test_unreadable_limit_does_not_lift_the_one_before():
+    """A target in need that names a broken value was flooded again."""
+    engines = plain_engines([limited("1"), limited("many")], [slowly])
+    serve(route(IDEMPOTENT), engines, usage=None, times=20)
+    assert len(engines[0].seen) <= 3
+
+
+def test_prompt_keeps_its_turn_at_the_decode_engine():
+    """A prompt was prefilled, then refused since the only decode engine was limited."""
+
+    async def stream(fields, caller):
+        limit = ("Server-Limit", "4")
+        await caller.send_head(200, [*SIGNED, limit, echo(fields)])
+        await caller.send(b"id: 1\ndata: 1\n\n")
+        await caller.finish()
+
+    engines = model_engines([prefills], [stream])
+    results = serve(route(STREAM), engines, usage="6000,20", times=20)
+    served = [answer for answer in results if answer.count(b"data: ") == 1]
+    prefill, decode = engines
+    assert len(served) == len(decode.seen)
+    assert sum(call[0] == "POST" for call in prefill.seen) <= len(decode.seen)
--- a/tests/staging/test_task.py
+++ b/tests/staging/test_task.py
@@ -8,6 +8,7 @@
 from wigeonspan.staging import (
     Authority,
     DemandMeter,
+    EngineDemand,
     EngineReport,
     OrderOutcome,
     PhaseChangeTask,
@@ -47,8 +48,10 @@
         pass
 
 
-def listing():
-    phases = (Phase.PREFILL, Phase.DECODE, Phase.DECODE, Phase.DECODE)
+FEW_PREFILL = (Phase.PREFILL, Phase.DECODE, Phase.DECODE, Phase.DECODE)
+
+
+def listing(phases=FEW_PREFILL):
     return Listing(
         tuple(
             Target(
@@ -64,12 +67,21 @@
     )
 
 
-def run(port, authority, rounds, monkeypatch, step_s=0.5, meter=None):
+def run(
+    port,
+    authority,
+    rounds,
+    monkeypatch,
+    step_s=0.5,
+    meter=None,
+    phases=FEW_PREFILL,
+    limited=(),
+):
     """Run a number of rounds of the task on a manual clock and return the task."""
     clock = ManualClock(100.0)
 
     async def read_listing():
-        return listing()
+        return listing(phases)
 
     task = PhaseChangeTask(
         HostId("c1"),
@@ -80,6 +92,7 @@
         read_listing,
         meter or DemandMeter(),
         ProcessMetrics(),
+        lambda: limited,
     )
     remaining_rounds = rounds
 
@@ -178,3 +191,34 @@
     port.connecting = next_term
     run(port, lambda: Authority(fences[0], 1e9), 12, monkeypatch)
     assert port.orders == []
+
+
+class BusyMeter(DemandMeter):
+    """Meter of a service with steady demand."""
+
+    def demand(self, service, now):
+        return EngineDemand(1.0, 30.0, recent_streams=30.0)
+
+
+@pytest.mark.parametrize("limited", [(), ("t4", "t5")])
+def test_engines_that_limit_their_requests_are_made_up_for(limited, monkeypatch):
+    """With both decode engines limited to a few requests a second, all others were
+    refused although four engines had little to do."""
+    port, phases = ScriptedPort(), (*[Phase.PREFILL] * 4, *[Phase.DECODE] * 2)
+    run(
+        port,
+        lambda: Authority(5, 1e9),
+        8,
+        monkeypatch,
+        meter=BusyMeter(),
+        phases=phases,
+        limited=limited,
+    )
+    assert [order.phase for order in port.orders] == [Phase.DECODE] * bool(limited)
+
+
+def test_last_engines_without_a_limit_keep_their_phases(monkeypatch):
+    """The only prefill engine must not follow when all decode engines are limited."""
+    port, limited = ScriptedPort(), ("t1", "t2", "t3")
+    run(port, lambda: Authority(5, 1e9), 8, monkeypatch, limited=limited)
+    assert all(order.phase is Phase.PREFILL for order in port.orders)
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -143,6 +143,7 @@
             lambda: read_listing(self._pool, self._event_log),
             meter,
             self._metrics,
+            self._heartbeats.limited_targets,
         )
         self._relay = Relay(
             self._heartbeats.relayed_entries, self._heartbeats.other_relays
--- a/wigeonspan/coordinator/_heartbeats.py
+++ b/wigeonspan/coordinator/_heartbeats.py
@@ -90,6 +90,11 @@
             leads=leads,
         )
 
+    def limited_targets(self) -> set[TargetId]:
+        """Return the targets that limit their requests, as the live entries report."""
+        beats = self._entries.beats(self._clock.now())
+        return {target for beat in beats for target in beat.limited}
+
     def relayed_entries(self) -> list[str]:
         """Return the datagram addresses of the entries that use this host's relay."""
         beats = self._entries.beats(self._clock.now())
--- a/wigeonspan/gateway/_active_request.py
+++ b/wigeonspan/gateway/_active_request.py
@@ -53,7 +53,7 @@
             message,
             ran=ran,
             deadline_passed=self.deadline <= now,
-            pause_s=self.context.placer.remaining_pause_s(targets, now),
+            pause_s=0.0 if ran else self.context.placer.return_after_s(targets, now),
         )
 
     def log_event(self, part: str, event: str, *, failure: bool, **fields: Any) -> None:
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from wigeonspan.gateway._context import GatewayContext
-from wigeonspan.gateway._messages import CallerRequest, SendOptions
+from wigeonspan.gateway._messages import CallerRequest, SendOptions, TargetOutcome
 from wigeonspan.placing import PromptPart, Work, WorkKind
 from wigeonspan.pool import Exchange, ExchangeError, FailureKind, Head
 from wigeonspan.targets import Target
@@ -26,12 +26,15 @@
     ----------
     exchange : Exchange
         Exchange with the target.
+    sent_at : float
+        Time at which the request was sent.
     completed : bool
         Whether the target has done the work. A refusal is a complete response too,
         but must not be counted as work that was done fast.
     """
 
     exchange: Exchange
+    sent_at: float
     completed: bool = False
 
 
@@ -97,7 +100,7 @@
             accepts=lambda head: context.protocol.is_response_to(request, head),
             new_connection=new_connection,
         )
-        sent = ActiveSend(exchange)
+        sent = ActiveSend(exchange, started_at)
         yield sent
     except ExchangeError as failure:
         context.pool.close_idle(target.address)
@@ -117,7 +120,7 @@
 
 
 async def receive_head(
-    context: GatewayContext, target: Target, exchange: Exchange, timeout_s: float
+    context: GatewayContext, target: Target, sent: ActiveSend, timeout_s: float
 ) -> Head:
     """Return the head of a target's response and process the notice that it contains.
 
@@ -126,8 +129,10 @@
     ExchangeError
         When no head arrives in time.
     """
-    head = await with_timeout(timeout_s, exchange.head())
-    context.handle_notice(target, context.protocol.read_notice(head))
+    head = await with_timeout(timeout_s, sent.exchange.head())
+    if context.protocol.read_outcome(head) is not TargetOutcome.WRONG_TARGET:
+        notice = context.protocol.read_notice(head)
+        context.handle_notice(target, notice, sent.sent_at)
     return head
 
 
--- a/wigeonspan/gateway/_candidates.py
+++ b/wigeonspan/gateway/_candidates.py
@@ -27,12 +27,21 @@
         self._failed: set[TargetId] = set()
         self._unreachable: set[TargetId] = set()
         self._retried = False
+        # Limited engines of the latest plan; they get this request but none after it.
+        self._claimed: set[TargetId] = set()
 
     def plan(self) -> Plan | Refusal:
         """Return the engines on which the request is to run, or why it is refused."""
         plan = self._plan()
         none_left = isinstance(plan, Refusal) and plan.limit is Limit.NO_ENGINE
-        return self._plan() if none_left and self._readmit_unreachable() else plan
+        if none_left and self._readmit_unreachable():
+            plan = self._plan()
+        if isinstance(plan, Plan):
+            self._claimed = {plan.decode.target}
+            self._claim(plan.decode)
+            if plan.prefill is not None:
+                self._claim(plan.prefill)
+        return plan
 
     def choose(self, source: Target) -> Target | None:
         """Return the best engine to decode a prompt that another engine has prefilled.
@@ -45,8 +54,16 @@
         engine = self._choose(source)
         if engine is None and self._readmit_unreachable():
             engine = self._choose(source)
+        if engine is not None and engine.target not in self._claimed:
+            self._claim(engine)
+        self._claimed.clear()
         return engine
 
+    def _claim(self, engine: Target) -> None:
+        """Use this entry's turn at an engine that limits its requests."""
+        request = self._active_request
+        request.context.placer.limits.take(engine.target, request.context.clock.now())
+
     def exclude(self, engine: Target, event: str, **fields: object) -> None:
         """Exclude an engine for the rest of the request, and log why."""
         self._failed.add(engine.target)
@@ -91,6 +108,7 @@
             request.context.clock.now(),
             self._failed | self._unreachable,
             near=source.domain,
+            claimed=self._claimed,
         )
 
     def _readmit_unreachable(self) -> bool:
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -14,6 +14,7 @@
 from wigeonspan.sharing import (
     PeerLink,
     TargetLeaving,
+    TargetLimited,
     TargetSuspended,
     WorkBegun,
     WorkEnded,
@@ -86,18 +87,35 @@
         self.placer.end_work(work.work, self.clock.now(), completed=completed)
         self.link.publish(WorkEnded(work.work, completed))
 
-    def handle_notice(self, target: Target, notice: TargetNotice) -> None:
-        """Process a target's notice; tell the other entries if the target leaves."""
+    def handle_notice(
+        self, target: Target, notice: TargetNotice, sent_at: float
+    ) -> None:
+        """Process a target's notice; tell the other entries if it leaves or is limited.
+
+        Parameters
+        ----------
+        sent_at : float
+            Time at which the request was sent that the target has answered.
+        """
         name = target.target
         if notice.leaving and self.target_table.record_leaving(name, target.born_ms):
             self.event_log.write("targets", "target_leaving", target=name)
             self.link.publish(TargetLeaving(name, target.born_ms))
-        if notice.max_rate > 0.0:
-            self.metrics.count("target_limits", target=name)
+        self._handle_limit(target, notice, sent_at)
+        if notice.pause_s > 0.0:
+            self.metrics.count("target_pauses", target=name)
             self.event_log.write(
-                "targets", "target_limits", target=name, max_rate=notice.max_rate
+                "targets", "target_pauses", target=name, pause_s=notice.pause_s
             )
+            self.placer.health.pause(name, self.clock.now() + notice.pause_s)
+
+    def _handle_limit(
+        self, target: Target, notice: TargetNotice, sent_at: float
+    ) -> None:
+        """Apply the limit that a target names, or lift it when it names none."""
+        name, limits, now = target.target, self.placer.limits, self.clock.now()
         if notice.unreadable_rate:
+            # The target still limits its requests, so a limit that is known holds on.
             self.event_log.write(
                 "targets",
                 "target_limit_unreadable",
@@ -105,12 +123,41 @@
                 target=name,
                 value=notice.unreadable_rate[:80],
             )
-        if notice.pause_s > 0.0:
-            self.metrics.count("target_pauses", target=name)
-            self.event_log.write(
-                "targets", "target_pauses", target=name, pause_s=notice.pause_s
-            )
-            self.placer.health.pause(name, self.clock.now() + notice.pause_s)
+        elif notice.max_rate > 0.0:
+            self.metrics.count("target_limits", target=name)
+            changed = limits.learn(name, notice.max_rate, now)
+            if not limits.announcement_due(name, now, changed=changed):
+                return
+            self._log_limit(name, notice.max_rate)
+            self.link.publish(TargetLimited(name, target.born_ms, notice.max_rate))
+        elif limits.lift(name, sent_at):
+            self._log_limit(name, 0.0)
+            self.link.publish(TargetLimited(name, target.born_ms, 0.0))
+
+    def apply_announced_limit(self, event: TargetLimited) -> None:
+        """Apply a limit of a target that another entry has announced."""
+        target = self.target_table.get(event.target)
+        if target is None or target.born_ms != event.born_ms:
+            # The limit is of an earlier or later start than the list shows.
+            return
+        limits, now = self.placer.limits, self.clock.now()
+        if event.max_rate > 0.0:
+            changed = limits.learn(event.target, event.max_rate, now)
+            limits.record_announcement(event.target, now)
+        else:
+            changed = event.target in limits.rates
+            limits.forget(event.target)
+        if changed:
+            self._log_limit(event.target, event.max_rate)
+
+    def _log_limit(self, target: TargetId, max_rate: float) -> None:
+        self.event_log.write(
+            "targets",
+            "target_limits",
+            target=target,
+            max_rate=max_rate,
+            own_rate=self.placer.limits.own_rate(target) if max_rate else None,
+        )
 
     def record_failure(
         self, target: TargetId, *, unreachable: bool, reason: str
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -34,6 +34,7 @@
     ListRead,
     PeerLink,
     TargetLeaving,
+    TargetLimited,
     TargetSuspended,
     WorkBegun,
     WorkEnded,
@@ -282,6 +283,7 @@
             context.read_ms,
             context.stream_s,
             relay,
+            limited=sorted(context.placer.limits.rates),
         )
 
     def _update_entries(self, entries: list[EntryInfo]) -> None:
@@ -296,6 +298,10 @@
         self._entries = entries
         self._context.link.set_peers([e.peer_address for e in entries if e.host != own])
         self._context.budget.set_entries(len(entries))
+        hosts = sorted({own, *(e.host for e in entries)})
+        self._context.placer.limits.set_entries(
+            hosts.index(own), len(hosts), self._clock.now()
+        )
         self._listing.set_entries([e.host for e in entries])
 
     def _receive_event(self, host: HostId, event: Event) -> None:
@@ -316,6 +322,8 @@
                 placer.health.suspend(event.target, now)
             case TargetLeaving():
                 self._context.target_table.record_leaving(event.target, event.born_ms)
+            case TargetLimited():
+                self._context.apply_announced_limit(event)
             case ListRead():
                 self._listing.receive(event)
 
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -195,7 +195,7 @@
                 prompt_parts=self._prompt.parts,
                 new_tokens=plan.prefill_steps.new_tokens,
             ) as sent:
-                head = await self._wait_for_prefill(plan, engine, sent.exchange)
+                head = await self._wait_for_prefill(plan, engine, sent)
                 body = await with_timeout(
                     self._body_timeout_s(),
                     sent.exchange.read_all(MAX_PREFILL_RESPONSE_BYTES),
@@ -223,7 +223,7 @@
         return self._context.protocol.read_handle(engine, body)
 
     async def _wait_for_prefill(
-        self, plan: Plan, engine: Target, exchange: Exchange
+        self, plan: Plan, engine: Target, sent: ActiveSend
     ) -> Head:
         """Wait for an engine to prefill a prompt, as long as that can still succeed.
 
@@ -245,7 +245,7 @@
             remaining_s = self._prefill_deadline() - clock.now()
             try:
                 return await receive_head(
-                    self._context, engine, exchange, min(POLL_INTERVAL_S, remaining_s)
+                    self._context, engine, sent, min(POLL_INTERVAL_S, remaining_s)
                 )
             except ExchangeError as failure:
                 if failure.kind is not FailureKind.TIMEOUT:
@@ -350,7 +350,7 @@
             # The request counts as run unless the engine reports otherwise.
             self._run_count += 1
             head = await receive_head(
-                context, engine, exchange, self._stall_timeout_s(plan, engine)
+                context, engine, sent, self._stall_timeout_s(plan, engine)
             )
             outcome = context.protocol.read_outcome(head)
             if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
@@ -498,7 +498,13 @@
 
     def _release(self, handle: PromptHandle) -> None:
         """Release a prompt that no engine will fetch, in the background."""
-        context = self._context
+        context, sent_at = self._context, self._context.clock.now()
+        limits = context.placer.limits
+        if limits.wait_s(handle.source.target, sent_at):
+            # The engine discards the prompt when its time to live ends.
+            self._log_event("release_skipped", target=handle.source.target)
+            return
+        limits.take(handle.source.target, sent_at)
 
         async def release() -> None:
             try:
@@ -508,7 +514,8 @@
                     RELEASE_TIMEOUT_S,
                     new_connection=True,
                 )
-                context.handle_notice(handle.source, context.protocol.read_notice(head))
+                notice = context.protocol.read_notice(head)
+                context.handle_notice(handle.source, notice, sent_at)
             except ExchangeError as failure:
                 # The engine discards the prompt when its time to live ends.
                 self._log_event("release_failed", why=str(failure))
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -75,6 +75,7 @@
             return self._failure
         if target is None:
             raise self._error("no target is available")
+        context.placer.limits.take(target.target, now)
         self._tried_targets.add(target.target)
         remaining_s = self._active_request.deadline - now
         may_retry = route.repeatable and self._run_count + 1 < route.max_attempts
@@ -102,7 +103,7 @@
                 self._send_count += 1
                 # The call counts as run unless the target reports otherwise.
                 self._run_count += 1
-                head = await receive_head(context, target, exchange, limit_s)
+                head = await receive_head(context, target, sent, limit_s)
                 outcome = context.protocol.read_outcome(head)
                 if outcome is TargetOutcome.UNREADABLE:
                     raise ExchangeError(FailureKind.MALFORMED, sent=True)
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -103,6 +103,7 @@
     TIME = "time"
     QUEUE = "queue"
     SLOTS = "slots"
+    RATE = "rate"
 
 
 class Refusal(Struct, frozen=True):
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -22,6 +22,7 @@
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
 from wigeonspan.placing._standing import StandingQueueDetector
+from wigeonspan.ratelimits import ReturnSchedule, SharedRateLimits
 from wigeonspan.targets import Phase, Target, TargetId
 
 HANDOFF_MS = 40.0
@@ -133,6 +134,8 @@
         self.health = TargetAvailability()
         self.event_pauses = EventPauses()
         self.slots = SlotForecast()
+        self.limits = SharedRateLimits()
+        self._returns = ReturnSchedule()
 
     @property
     def handoff_ms(self) -> float:
@@ -175,6 +178,7 @@
         self.prefixes.forget(target)
         self.ledger.forget(target)
         self.event_pauses.forget(target)
+        self.limits.forget(target)
 
     def end_work(self, work: str, now: float, *, completed: bool) -> None:
         """Record the end of work, and whether its prefill was completed."""
@@ -261,14 +265,27 @@
                 # At its rank, it would only delay requests that can still be on time.
                 plan = best(LATE_URGENCY)
         if plan is None:
-            retry_s = self.remaining_pause_s(targets, now) or NO_ENGINE_RETRY_S
-            return Refusal(Limit.NO_ENGINE, "no engine is available", retry_s)
+            return self._refusal_without_engine(targets, excluded, now)
         budget_s = min(abandon_after_s(route), remaining_s)
         if plan.first_ms > budget_s * 1000.0 * MAX_TIMEOUT_SHARE:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
             return self._refusal(Limit.TIME, reason, plan, route)
         return plan
 
+    def _refusal_without_engine(
+        self, targets: Sequence[Target], excluded: Collection[TargetId], now: float
+    ) -> Refusal:
+        """Return the refusal of a request when one of the phases has no engine."""
+        remaining = [t for t in targets if t.target not in excluded]
+        prefill = [t for t in remaining if t.phase is Phase.PREFILL]
+        decode = [t for t in remaining if t.phase is not Phase.PREFILL]
+        after_s = max(self.return_after_s(group, now) for group in (prefill, decode))
+        if any(t.target in self.limits.rates for t in remaining):
+            reason = "engines take no more requests"
+            return Refusal(Limit.RATE, reason, after_s or NO_ENGINE_RETRY_S)
+        reason = "no engine is available"
+        return Refusal(Limit.NO_ENGINE, reason, after_s or NO_ENGINE_RETRY_S)
+
     def _refusal(self, limit: Limit, reason: str, plan: Plan, route: Route) -> Refusal:
         """Return the refusal of a request whose first event would be too late."""
         if plan.awaits_slot:
@@ -313,15 +330,18 @@
         now: float,
         excluded: Collection[TargetId] = (),
         near: DomainName | None = None,
+        claimed: Collection[TargetId] = (),
     ) -> Target | None:
         """Return the decode engine with the least expected delay.
 
         Parameters
         ----------
+        claimed : collection of TargetId
+            Engines whose limit allows this request although the next one has to wait.
         near : DomainName or None
             Failure domain of the prefill engine; None when there is none.
         """
-        eligible = self._eligible(targets, excluded, now)
+        eligible = self._eligible(targets, excluded, now, claimed)
         engines = self._without_suspended(
             [t for t in eligible if t.phase is not Phase.PREFILL], now
         )
@@ -372,25 +392,37 @@
 
         return min(usable, key=delay_ms)
 
-    def remaining_pause_s(self, targets: Sequence[Target], now: float) -> float:
-        """Return the seconds until the first of the targets ends its pause.
+    def return_after_s(self, targets: Sequence[Target], now: float) -> float:
+        """Return the seconds after which one of the targets takes a request again.
 
-        It is 0 when there is no target, or one that is not paused.
+        Each call returns the time for one more caller, as far as the targets limit
+        their requests. It is 0 when there is no target, or one that takes a request.
         """
-        health = self.health
-        return min(
-            (health.remaining_pause_s(t.target, now) for t in targets), default=0.0
-        )
+        waits_s = [self._blocked_s(t.target, now) for t in targets]
+        first_s = min(waits_s, default=0.0)
+        rate = sum(self.limits.own_rate(t.target) for t in targets)
+        if not first_s or rate == math.inf:
+            return first_s
+        return self._returns.next_return_s(first_s, rate, now)
+
+    def _blocked_s(self, target: TargetId, now: float) -> float:
+        """Return the seconds until a target's pause and limit allow a request."""
+        pause_s = self.health.remaining_pause_s(target, now)
+        return max(pause_s, self.limits.wait_s(target, now))
 
     def _eligible(
-        self, targets: Sequence[Target], excluded: Collection[TargetId], now: float
+        self,
+        targets: Sequence[Target],
+        excluded: Collection[TargetId],
+        now: float,
+        claimed: Collection[TargetId] = (),
     ) -> list[Target]:
-        """Return the targets that are neither excluded nor paused."""
+        """Return the targets that are not excluded and take a request now."""
         return [
             target
             for target in targets
             if target.target not in excluded
-            and not self.health.remaining_pause_s(target.target, now)
+            and (target.target in claimed or not self._blocked_s(target.target, now))
         ]
 
     def _prefill_steps(
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -56,6 +56,8 @@
     relay : str
         Internal address of the control host that relays this entry's datagrams; empty
         when there is none.
+    limited : list of TargetId
+        Targets that limit their requests.
     """
 
     entry: EntryInfo
@@ -65,6 +67,7 @@
     read_ms: dict[ServiceName, float] = {}
     stream_s: dict[ServiceName, float] = {}
     relay: str = ""
+    limited: list[TargetId] = []
 
 
 class BeatReply(Struct, frozen=True):
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -57,6 +57,23 @@
     born_ms: int
 
 
+class TargetLimited(Struct, frozen=True, tag="limited", array_like=True):
+    """A target limits the requests of all entries together.
+
+    Parameters
+    ----------
+    born_ms : int
+        Start time of the target as in the list. It identifies the incarnation that
+        names the limit.
+    max_rate : float
+        Requests a second; 0 when the limit is over.
+    """
+
+    target: TargetId
+    born_ms: int
+    max_rate: float
+
+
 class ListRead(Struct, frozen=True, tag="list", array_like=True):
     """An entry has read the list of targets.
 
@@ -74,7 +91,9 @@
     listing: Listing | None = None
 
 
-Event = WorkBegun | WorkEnded | TargetSuspended | TargetLeaving | ListRead
+Event = (
+    WorkBegun | WorkEnded | TargetSuspended | TargetLeaving | TargetLimited | ListRead
+)
 """Any event in a packet."""
 
 
--- a/wigeonspan/staging/_task.py
+++ b/wigeonspan/staging/_task.py
@@ -1,7 +1,7 @@
 """Task of the leader that orders engines to change their phases."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 from msgspec import Struct
 
@@ -41,6 +41,11 @@
 """Seconds without a change of the list after which it is assumed to be complete."""
 
 
+MIN_PLANNED_ENGINES = 2
+"""Minimum number of engines without a limit for a plan that leaves out the limited
+ones; each phase needs an engine."""
+
+
 class PhaseChange(Struct):
     """A phase change in progress."""
 
@@ -73,6 +78,9 @@
         Demand of each service.
     metrics : ProcessMetrics
         Metrics of this process.
+    limited_targets : callable
+        Returns the engines that limit their requests. They run few streams or prompts,
+        so others must make up for them.
     """
 
     def __init__(
@@ -85,6 +93,7 @@
         read_listing: Callable[[], Awaitable[Listing]],
         meter: DemandMeter,
         metrics: ProcessMetrics,
+        limited_targets: Callable[[], Collection[TargetId]] = tuple,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -94,6 +103,7 @@
         self._read_listing = read_listing
         self._meter = meter
         self._metrics = metrics
+        self._limited_targets = limited_targets
         self._target_table = TargetTable()
         self._changes: dict[TargetId, PhaseChange] = {}
         self._changed_at: dict[ServiceName, float] = {}
@@ -148,7 +158,7 @@
             )
 
     def _begin_changes(self) -> None:
-        now = self._clock.now()
+        now, limited = self._clock.now(), self._limited_targets()
         services = {
             t.service for t in self._target_table.all() if t.phase is not Phase.NONE
         }
@@ -156,6 +166,9 @@
             targets = self._target_table.usable(service)
             if any(t.target in self._changes for t in targets):
                 continue
+            unlimited = [t for t in targets if t.target not in limited]
+            if len(unlimited) >= MIN_PLANNED_ENGINES:
+                targets = unlimited
             demand = self._meter.demand(service, now)
             if demand is None and not self._may_set_initial_phases(service):
                 continue
