Let targets name limits in the stand-ins and the soak

Neither the stand-in platform nor the soak could show a target that gets more than the limit it names. Replicas now name one for 6 to 12 s in two of five runs, for a target or a whole service, and a check counts what undisturbed entries send them.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -21,6 +21,7 @@
     _request_checks.check_deadlines,
     _request_checks.check_abandoned_requests,
     _fleet_checks.check_departures,
+    _fleet_checks.check_limits,
     _fleet_checks.check_read_versions,
     _fleet_checks.check_applied_versions,
     _fleet_checks.check_stored_versions,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -36,6 +36,9 @@
 MAX_BURST_STREAMS = 40
 """Number of streams of a burst at full strength."""
 
+MAX_NAMED_LIMIT = 4.0
+"""Largest limit in requests a second, above the smallest one of 0.5."""
+
 SERVICE_WIDE_STRENGTH = 0.6
 """Strength above which all targets of a service have the fault at the same time."""
 
@@ -97,6 +100,7 @@
             FaultKind.TARGET_ENDLESS: self._set_injected_faults,
             FaultKind.TARGET_REPEATS: self._set_injected_faults,
             FaultKind.TARGET_STALLS: self._set_injected_faults,
+            FaultKind.TARGET_LIMITS: self._limit_requests,
             FaultKind.ORDERS_LATE: self._set_injected_faults,
             FaultKind.BURST: self._burst,
             FaultKind.CONFIG_CHANGE: self._change_config,
@@ -348,6 +352,19 @@
         for target in targets:
             target.injected_faults = InjectedFaults()
 
+    async def _limit_requests(self, fault: Fault) -> None:
+        """Let a target, or with high severity its service, name a limit."""
+        victim, rate = self._target(fault), 0.5 + MAX_NAMED_LIMIT * fault.strength
+        targets = [victim]
+        if fault.strength > SERVICE_WIDE_STRENGTH:
+            targets = [t for t in self._world.targets if t.service == victim.service]
+        for target in targets:
+            self._record_target_disturbance(fault, target.name, fault.lasts_s)
+            target.set_limit(rate)
+        await asyncio.sleep(fault.lasts_s)
+        for target in targets:
+            target.set_limit(0.0)
+
     def _injected_faults(self, kind: FaultKind, severity: float) -> InjectedFaults:
         return {
             FaultKind.TARGET_FAILS: InjectedFaults(error_rate=severity),
--- a/soak/_fleet_checks.py
+++ b/soak/_fleet_checks.py
@@ -3,15 +3,21 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from standin import CallEnding
+from standin import Arrival, CallEnding, NamedLimit
 
 from soak._check_types import Index, Violation
-from soak._evidence import Evidence, Probe, Scope
+from soak._evidence import SETTLING_S, Evidence, Probe, Scope
 
 MAX_DEPARTURE_LAG_S = 3.0
 """Seconds after a target is listed as leaving within which entries must stop sending
 it work; this is the limit of the deployments."""
 
+LIMIT_SPAN_S = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_TOLERATED_REQUESTS = 5
+"""Span in seconds, and factor and number of requests by which a target may get more in
+it than the limit that it names; these are the limits of the deployments."""
+
 MAX_APPLY_S = 2.0
 """Seconds within which an acknowledged configuration must be in force everywhere."""
 
@@ -64,6 +70,45 @@
             yield Violation("departure", arrival.request, text)
 
 
+def check_limits(evidence: Evidence, index: Index) -> Iterator[Violation]:
+    """Check that undisturbed entries together keep to the limit that a target names."""
+    for limit in evidence.journal.limits:
+        begins = limit.began_at + SETTLING_S
+        times = [
+            arrival.arrived_at
+            for arrival in evidence.journal.arrivals
+            if arrival.target == limit.target
+            and begins <= arrival.arrived_at <= limit.ended_at
+            and _comes_from_undisturbed_host(evidence, index, arrival, limit)
+        ]
+        allowed = LIMIT_TOLERANCE * limit.rate * LIMIT_SPAN_S + LIMIT_TOLERATED_REQUESTS
+        for at in times:
+            got = sum(at <= other < at + LIMIT_SPAN_S for other in times)
+            if got > allowed:
+                text = (
+                    f"got {got} requests in {LIMIT_SPAN_S:.0f} s, {allowed:.0f} allowed"
+                )
+                yield Violation("limit", limit.target, text)
+                break
+
+
+def _comes_from_undisturbed_host(
+    evidence: Evidence, index: Index, arrival: Arrival, limit: NamedLimit
+) -> bool:
+    """Whether nothing happened to the sending entry while the limit was named."""
+    record = index.calls.get(arrival.request)
+    if record is None:
+        return False
+    host = evidence.host_by_address[record.address]
+    return not any(
+        each.scope is Scope.HOST
+        and each.name == host
+        and each.begins <= limit.ended_at
+        and each.until + SETTLING_S >= limit.began_at
+        for each in evidence.disturbances
+    )
+
+
 def check_read_versions(evidence: Evidence, index: Index) -> Iterator[Violation]:
     """Check that control hosts report no version older than an acknowledged one."""
     invalid = {each.version for each in evidence.sent_configs if not each.valid}
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -3,7 +3,7 @@
 import random
 from enum import Enum
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 FAULT_WINDOW_S = 15.0
 """Seconds after the start of traffic until which faults may begin."""
@@ -67,6 +67,7 @@
     TARGET_ENDLESS = "target sends bytes without end"
     TARGET_REPEATS = "target repeats answers late"
     TARGET_STALLS = "target stalls streams but sends bytes"
+    TARGET_LIMITS = "target limits its requests"
     ORDERS_LATE = "orders carried out late"
     BURST = "burst of streams"
     CONFIG_CHANGE = "configuration changed"
@@ -83,6 +84,17 @@
 """Kinds that are drawn after all others: they were added later, and seeds from before
 must still give the same other faults."""
 
+LATER_KINDS = (*LAST_DRAWN_KINDS, FaultKind.TARGET_LIMITS)
+"""Kinds that the first draws leave out."""
+
+LIMIT_PROBABILITY = 0.4
+"""Probability that a target limits its requests. This fault is drawn last of all, and
+lasts longer than others because entries have seconds to learn of the limit."""
+
+MIN_LIMIT_S = 6.0
+MAX_LIMIT_S = 12.0
+"""Bounds of the duration of such a limit in seconds."""
+
 LINK_GROUPS = ("entry", "control", "target", "list")
 """Groups of links that a fault of a link may affect."""
 
@@ -166,7 +178,7 @@
     faults: list[Fault] = []
     disks_lost = 0
     for _ in range(rng.randint(4, max_faults)):
-        kind = rng.choice([k for k in FaultKind if k not in LAST_DRAWN_KINDS])
+        kind = rng.choice([k for k in FaultKind if k not in LATER_KINDS])
         if kind in (FaultKind.CONTROL_WIPE, FaultKind.CONTROL_REPLACE):
             # Losing more disks than the deployment tolerates would lose the
             # configuration by design.
@@ -179,6 +191,10 @@
     for _ in range(rng.randint(0, MAX_LAST_DRAWN_FAULTS)):
         kind = rng.choice(LAST_DRAWN_KINDS)
         faults.extend(_draw_fault(rng, kind, repeats=True))
+    if rng.random() < LIMIT_PROBABILITY:
+        limit = _draw_fault(rng, FaultKind.TARGET_LIMITS, repeats=False)[0]
+        lasts_s = rng.uniform(MIN_LIMIT_S, MAX_LIMIT_S)
+        faults.append(structs.replace(limit, lasts_s=lasts_s))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,7 +1,16 @@
 """Tests that each check finds its violations and reports none in a correct run."""
 
 import pytest
-from standin import Arrival, Call, CallEnding, CallRecord, Journal, OrderRecord, Purpose
+from standin import (
+    Arrival,
+    Call,
+    CallEnding,
+    CallRecord,
+    Journal,
+    NamedLimit,
+    OrderRecord,
+    Purpose,
+)
 
 from soak._checks import find_violations
 from soak._evidence import Departure, Evidence, Probe, Scope, SentConfig, VersionRead
@@ -306,3 +315,20 @@
     )
     evidence.journal = Journal()
     assert rules(evidence) == {"recovery", "own end"}
+
+
+@pytest.mark.parametrize(
+    ("rate", "disturbed", "is_violation"),
+    [(2.0, "", True), (5.0, "", False), (2.0, ENTRY, False)],
+)
+def test_requests_beyond_a_named_limit_are_found(rate, disturbed, is_violation):
+    """Targets in need got as much as before; disturbed entries are excused."""
+    calls = [make_call(n, BOOK) for n in range(30)]
+    arrivals = [make_arrival(c, 14.0 + 0.1 * n) for n, c in enumerate(calls)]
+    evidence = make_evidence(
+        journal=Journal(arrivals, [], {}, [NamedLimit("t", rate, 10.0, 20.0)]),
+        calls=[make_call_record(c, 14.0 + 0.1 * n) for n, c in enumerate(calls)],
+    )
+    if disturbed:
+        evidence.record_disturbance(Scope.HOST, disturbed, "killed", 12.0, 12.5)
+    assert ("limit" in rules(evidence)) is is_violation
