--- a/tests/entryd/test_relay.py
+++ b/tests/entryd/test_relay.py
@@ -11,6 +11,7 @@
 from wigeonspan.common import SystemClock, WigeonspanError
 from wigeonspan.entryd._budget import MAX_AVAILABLE_RETRIES, RetryBudget
 from wigeonspan.entryd._completion_job import CompletionJob, RelayContext
+from wigeonspan.entryd._limits import TargetLimits
 from wigeonspan.entryd._relay import MAX_ATTEMPTS_WITHOUT_PROGRESS, CompletionRelay
 from wigeonspan.entryd._requests import CompletionBody
 from wigeonspan.routing import Router
@@ -100,6 +101,8 @@
         limits=StreamLimits(),
         has_lease=lease,
         accepts_new_work=lambda engine: True,
+        target_limits=TargetLimits(clock, CountingMetrics()),
+        limited_engines=dict,
         domain="szeged",
         attempt_prefix="test",
         metrics=CountingMetrics(),
