Compare decode engines by their own backlog, and weigh recent demand

Two corrections of the forecast of slots. Decode engines were compared with the wait of the least urgent stream, which counts every other stream as more urgent and made an engine with one stream too many look ten times as full. And the balance of both phases in a shortage used the mean of ten seconds, which understates a shortage that has just begun.

--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -354,7 +354,7 @@
             running = streams.total()
             backlog = self.ledger.backlog_ms(target.target, MAX_URGENCY, now)
             cross_domain = near is not None and target.domain != near
-            slot_wait = self.slots.wait_ms(target.slots, streams, MAX_URGENCY)
+            slot_wait = self.slots.backlog_ms(target.slots, streams)
             return (
                 running
                 + slot_wait
--- a/wigeonspan/placing/_slots.py
+++ b/wigeonspan/placing/_slots.py
@@ -62,22 +62,29 @@
         expected : Counter or None
             Number of streams whose prompts are in prefill, by urgency.
         """
-        ahead = open_streams + expected if expected is not None else open_streams
-        durations_s = [
-            (number, self._duration_s(rank))
-            for rank, number in ahead.items()
-            if rank <= urgency
-        ]
-        number = sum(n for n, _ in durations_s)
+        streams = open_streams + expected if expected is not None else open_streams
+        ahead = Counter({rank: n for rank, n in streams.items() if rank <= urgency})
+        urgent = sum(n for rank, n in open_streams.items() if rank < urgency)
+        urgent_share = min(MAX_URGENT_SHARE, urgent / max(1, slots))
+        return self.backlog_ms(slots, ahead) / (1.0 - urgent_share)
+
+    def backlog_ms(self, slots: int, streams: Counter[int]) -> float:
+        """Return the expected milliseconds until streams leave a slot for one more.
+
+        Parameters
+        ----------
+        slots : int
+            Slots of the engines that run the streams.
+        streams : Counter
+            Number of streams that take or await one of them, by urgency.
+        """
+        number = streams.total()
         excess = number + 1 - slots
         if excess <= 0:
             return 0.0
-        mean_s = self._mean_s
-        if number:
-            mean_s = sum(n * duration_s for n, duration_s in durations_s) / number
-        urgent = sum(n for rank, n in open_streams.items() if rank < urgency)
-        urgent_share = min(MAX_URGENT_SHARE, urgent / max(1, slots))
-        return 1000.0 * excess * mean_s / max(1, slots) / (1.0 - urgent_share)
+        total_s = sum(n * self._duration_s(rank) for rank, n in streams.items())
+        mean_s = total_s / number if number else self._mean_s
+        return 1000.0 * excess * mean_s / max(1, slots)
 
     def _duration_s(self, urgency: int) -> float:
         return self._mean_s_by_urgency.get(urgency, self._mean_s)
--- a/wigeonspan/staging/_plan.py
+++ b/wigeonspan/staging/_plan.py
@@ -105,8 +105,9 @@
             desired -= 1
     if desired > decoding:
         # With too few engines for both phases, neither is served at the other's cost.
+        needed_engines = max(demand.streams, demand.recent_streams) / slots
         busy_engines = needed_engines + demand.busy_prefill_engines
-        balanced = round(engines * needed_engines / max(1e-9, busy_engines))
+        balanced = round(engines * needed_engines / busy_engines)
         desired = max(decoding, min(desired, balanced))
     return min(max_decode, max(1, min_decode if desired < decoding else 1, desired))
 
