Schedule the returns of refused callers by service

All services shared one schedule of returns, so that callers of a plain service were told to wait for those of limited engines. The schedule now has one line for each service, with a test.

--- a/tests/ratelimits/test_turns.py
+++ b/tests/ratelimits/test_turns.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from wigeonspan.common import ServiceName
 from wigeonspan.ratelimits import ReturnSchedule, SharedRateLimits
 from wigeonspan.ratelimits._turns import SHRINK_DELAY_S
 
@@ -135,8 +136,18 @@
 
 def test_refused_callers_return_one_after_the_other():
     """With the same time for all, they came back together and were refused again."""
-    schedule = ReturnSchedule()
-    returns = [schedule.next_return_s(0.3, 2.0, 5.0) for _ in range(4)]
+    schedule, service = ReturnSchedule(), ServiceName("s")
+    returns = [schedule.next_return_s(service, 0.3, 2.0, 5.0) for _ in range(4)]
     assert returns == pytest.approx([0.3, 0.8, 1.3, 1.8])
-    assert schedule.next_return_s(0.3, 2.0, 60.0) == pytest.approx(0.3)
-    assert all(schedule.next_return_s(0.1, 0.01, 70.0) <= 10.0 for _ in range(5))
+    assert schedule.next_return_s(service, 0.3, 2.0, 60.0) == pytest.approx(0.3)
+    late = [schedule.next_return_s(service, 0.1, 0.01, 70.0) for _ in range(5)]
+    assert all(seconds <= 10.0 for seconds in late)
+
+
+def test_callers_of_one_service_do_not_wait_for_those_of_another():
+    """All services shared one schedule, and a slow one delayed the others."""
+    schedule = ReturnSchedule()
+    for _ in range(5):
+        schedule.next_return_s(ServiceName("slow"), 0.1, 0.5, 5.0)
+    fast = schedule.next_return_s(ServiceName("fast"), 0.1, 0.5, 5.0)
+    assert fast == pytest.approx(0.1)
--- a/wigeonspan/entryd/_entry.py
+++ b/wigeonspan/entryd/_entry.py
@@ -251,7 +251,9 @@
             raise WigeonspanError(
                 ErrorKind.NO_TARGET,
                 f"no engine serves {job.service.name} now",
-                retry_after_s=self._target_limits.return_after_s(limited.values()),
+                retry_after_s=self._target_limits.return_after_s(
+                    job.service.name, limited.values()
+                ),
             )
         await self._async_admission.acquire(job.admission_request(route))
         self._relays.add(relay)
--- a/wigeonspan/entryd/_limits.py
+++ b/wigeonspan/entryd/_limits.py
@@ -3,7 +3,14 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from wigeonspan.common import Clock, HostId, Metrics, parse_positive, part_logger
+from wigeonspan.common import (
+    Clock,
+    HostId,
+    Metrics,
+    ServiceName,
+    parse_positive,
+    part_logger,
+)
 from wigeonspan.ratelimits import ReturnSchedule, SharedRateLimits
 
 LIMIT_HEADER = "X-Request-Limit"
@@ -66,8 +73,10 @@
         """Record a request to a target."""
         self._limits.take(address, self._clock.now())
 
-    def return_after_s(self, addresses: Iterable[str]) -> float | None:
-        """Return the seconds after which one more refused caller may return.
+    def return_after_s(
+        self, service: ServiceName, addresses: Iterable[str]
+    ) -> float | None:
+        """Return the seconds after which one more refused caller of a service returns.
 
         None when the targets do not limit their requests.
         """
@@ -77,4 +86,4 @@
             return None
         first_s = min(self._limits.wait_s(address, now) for address in limited)
         rate = math.fsum(self._limits.own_rate(address) for address in limited)
-        return self._returns.next_return_s(first_s, rate, now)
+        return self._returns.next_return_s(service, first_s, rate, now)
--- a/wigeonspan/entryd/_plain.py
+++ b/wigeonspan/entryd/_plain.py
@@ -238,7 +238,8 @@
 
     def _return_after_s(self, call: PlainCall) -> float | None:
         """Return when to retry a call that the limits of its targets prevented."""
-        return self._limits.return_after_s(t.address for t in call.service.targets)
+        addresses = (target.address for target in call.service.targets)
+        return self._limits.return_after_s(call.service.name, addresses)
 
     def _choose(self, call: PlainCall) -> PlainTarget | None:
         """Choose a target, if possible a healthy one in this failure domain.
--- a/wigeonspan/entryd/_relay.py
+++ b/wigeonspan/entryd/_relay.py
@@ -164,7 +164,9 @@
                 self._request(frozenset(same_fault | set(limited))), now
             )
         if route is None:
-            after_s = self._context.target_limits.return_after_s(limited.values())
+            after_s = self._context.target_limits.return_after_s(
+                self._job.service.name, limited.values()
+            )
             message = "no engine can run the request"
             raise self._make_error(ErrorKind.NO_TARGET, message, after_s)
         if now + route.first_token_s >= self._job.deadline:
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -165,7 +165,7 @@
         Without it, engines that are short of slots would seem to have enough once
         requests are refused.
         """
-        if not refusal.work_ms:
+        if refusal.limit is Limit.NO_ENGINE:
             return
         self._add_prefill_demand(refusal.work_ms)
         self._context.add_demand(
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -403,7 +403,7 @@
         rate = sum(self.limits.own_rate(t.target) for t in targets)
         if not first_s or rate == math.inf:
             return first_s
-        return self._returns.next_return_s(first_s, rate, now)
+        return self._returns.next_return_s(targets[0].service, first_s, rate, now)
 
     def _blocked_s(self, target: TargetId, now: float) -> float:
         """Return the seconds until a target's pause and limit allow a request."""
