Move the selection of targets that take a request out of the placer

Pauses, suspensions and limits decide together which targets may be considered and when a refused caller may return; the placer had grown by them.

--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -406,3 +406,11 @@
         placer.ledger.begin(work, 0.0)
     refusal = placer.plan(route(), prompt(600), targets, 8.0, 0.0)
     assert isinstance(refusal, Refusal) and refusal.limit is Limit.SLOTS
+
+
+def test_restarted_target_begins_without_a_limit(placer):
+    """The limit of the start before would leave a sound target unused."""
+    placer.limits.set_entries(3, 8, 0.0)
+    placer.limits.learn("p0", 0.1, 0.0)
+    placer.forget(TargetId("p0"))
+    assert placer.limits.rates == {}
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -6,6 +6,7 @@
 
 from wigeonspan.common import DomainName
 from wigeonspan.fleetconfig import Route
+from wigeonspan.placing._eligible import EligibleTargets
 from wigeonspan.placing._event_pauses import EventPauses
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._latency import PrefillLatency
@@ -22,7 +23,7 @@
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
 from wigeonspan.placing._standing import StandingQueueDetector
-from wigeonspan.ratelimits import ReturnSchedule, SharedRateLimits
+from wigeonspan.ratelimits import SharedRateLimits
 from wigeonspan.targets import Phase, Target, TargetId
 
 HANDOFF_MS = 40.0
@@ -135,7 +136,7 @@
         self.event_pauses = EventPauses()
         self.slots = SlotForecast()
         self.limits = SharedRateLimits()
-        self._returns = ReturnSchedule()
+        self._eligible = EligibleTargets(self.health, self.limits)
 
     @property
     def handoff_ms(self) -> float:
@@ -213,11 +214,11 @@
         elapsed_s : float
             Seconds since the request arrived.
         """
-        eligible = self._eligible(targets, excluded, now)
-        prefill_engines = self._without_suspended(
+        eligible = self._eligible.select(targets, excluded, now)
+        prefill_engines = self._eligible.without_suspended(
             [t for t in eligible if t.phase is Phase.PREFILL], now
         )
-        decode_engines = self._without_suspended(
+        decode_engines = self._eligible.without_suspended(
             [t for t in eligible if t.phase is not Phase.PREFILL], now
         )
         steps_by_target = self._prefill_steps(prefill_engines, decode_engines, prompt)
@@ -279,7 +280,9 @@
         remaining = [t for t in targets if t.target not in excluded]
         prefill = [t for t in remaining if t.phase is Phase.PREFILL]
         decode = [t for t in remaining if t.phase is not Phase.PREFILL]
-        after_s = max(self.return_after_s(group, now) for group in (prefill, decode))
+        after_s = max(
+            self._eligible.return_after_s(group, now) for group in (prefill, decode)
+        )
         if any(t.target in self.limits.rates for t in remaining):
             reason = "engines take no more requests"
             return Refusal(Limit.RATE, reason, after_s or NO_ENGINE_RETRY_S)
@@ -341,8 +344,8 @@
         near : DomainName or None
             Failure domain of the prefill engine; None when there is none.
         """
-        eligible = self._eligible(targets, excluded, now, claimed)
-        engines = self._without_suspended(
+        eligible = self._eligible.select(targets, excluded, now, claimed)
+        engines = self._eligible.without_suspended(
             [t for t in eligible if t.phase is not Phase.PREFILL], now
         )
         if not engines:
@@ -374,7 +377,9 @@
         excluded: Collection[TargetId] = (),
     ) -> Target | None:
         """Return the target of a plain call with the least expected delay."""
-        usable = self._without_suspended(self._eligible(targets, excluded, now), now)
+        usable = self._eligible.without_suspended(
+            self._eligible.select(targets, excluded, now), now
+        )
         if not usable:
             return None
         penalties = self.health.failure_penalties_ms([t.target for t in usable])
@@ -395,35 +400,9 @@
     def return_after_s(self, targets: Sequence[Target], now: float) -> float:
         """Return the seconds after which one of the targets takes a request again.
 
-        Each call returns the time for one more caller, as far as the targets limit
-        their requests. It is 0 when there is no target, or one that takes a request.
+        See :meth:`EligibleTargets.return_after_s`.
         """
-        waits_s = [self._blocked_s(t.target, now) for t in targets]
-        first_s = min(waits_s, default=0.0)
-        rate = sum(self.limits.own_rate(t.target) for t in targets)
-        if not first_s or rate == math.inf:
-            return first_s
-        return self._returns.next_return_s(targets[0].service, first_s, rate, now)
-
-    def _blocked_s(self, target: TargetId, now: float) -> float:
-        """Return the seconds until a target's pause and limit allow a request."""
-        pause_s = self.health.remaining_pause_s(target, now)
-        return max(pause_s, self.limits.wait_s(target, now))
-
-    def _eligible(
-        self,
-        targets: Sequence[Target],
-        excluded: Collection[TargetId],
-        now: float,
-        claimed: Collection[TargetId] = (),
-    ) -> list[Target]:
-        """Return the targets that are not excluded and take a request now."""
-        return [
-            target
-            for target in targets
-            if target.target not in excluded
-            and (target.target in claimed or not self._blocked_s(target.target, now))
-        ]
+        return self._eligible.return_after_s(targets, now)
 
     def _prefill_steps(
         self,
@@ -450,11 +429,6 @@
         slowness = self.ledger.slowness(target.target, now)
         return steps.copy_ms + steps.work_ms(prompt.total_tokens) * slowness
 
-    def _without_suspended(self, targets: list[Target], now: float) -> list[Target]:
-        """Return the targets that are not suspended, or all if every one is."""
-        not_suspended = [t for t in targets if self.health.available(t.target, now)]
-        return not_suspended or targets
-
     def _split(
         self,
         engines: list[Target],
