--- a/wigeonspan/placing/_eligible.py
+++ b/wigeonspan/placing/_eligible.py
@@ -1,4 +1,4 @@
-"""Targets that take a request now: not excluded, paused, suspended or at their limit."""
+"""Targets that take a request: not excluded, paused, suspended or limited."""
 
 import math
 from collections.abc import Collection, Sequence
