Count refused requests as demand only where slots were short

Requests that wait for prefill need no slots, so only those that are refused for lack of slots, or by the limits of engines, count now.

--- a/replay/_request.py
+++ b/replay/_request.py
@@ -120,8 +120,8 @@
 
     def _handle_refusal(self, refusal: Refusal) -> None:
         """Schedule a retry, or end the request if there are no retries or time left."""
-        if refusal.work_ms:
-            # As in the daemons, refused requests count as demand.
+        if refusal.lacks_decode:
+            # As in the daemons, requests refused for lack of slots count as demand.
             self._add_prefill_demand(refusal.work_ms)
             self._entry.stream_s += self._entry.placer.slots.stream_s
         wait_s = 0.0 if self._arrival.impatient else refusal.retry_after_s
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -160,12 +160,12 @@
         context.add_demand(self._active_request.service, read_ms=read_ms)
 
     def _add_refused_demand(self, refusal: Refusal) -> None:
-        """Count what a refused request would have taken as demand.
+        """Count what a request that was refused for lack of slots would have taken.
 
         Without it, engines that are short of slots would seem to have enough once
-        requests are refused.
+        requests are refused. Requests that wait for prefill need no slots.
         """
-        if refusal.limit is Limit.NO_ENGINE:
+        if not refusal.lacks_decode:
             return
         self._add_prefill_demand(refusal.work_ms)
         self._context.add_demand(
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -125,3 +125,8 @@
     reason: str
     retry_after_s: float
     work_ms: float = 0.0
+
+    @property
+    def lacks_decode(self) -> bool:
+        """Whether more decode engines would have served the request."""
+        return self.limit in (Limit.SLOTS, Limit.RATE)
