Close the connections that pool tests leave open

Stream writers that tests left open were collected after their loop was closed; their finalizer raises, and this CPython parses source while it formats that error, which upsets the depth count of an ast.parse that is under way.

tests/loopback.py closes what a server's handlers leave open, and such an error fails the test in which it appears, so that none comes back.

--- a/tests/endless.py
+++ b/tests/endless.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from tests.loopback import loopback_server
+
 
 @contextlib.asynccontextmanager
 async def endless_server(first, again):
@@ -20,6 +22,5 @@
                 await writer.drain()
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    server.close()
+    async with loopback_server(serve) as address:
+        yield address
--- a/tests/pool/test_bounds.py
+++ b/tests/pool/test_bounds.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.endless import endless_server
+from tests.loopback import loopback_server
 from wigeonspan.common import SystemClock
 from wigeonspan.pool import (
     ConnectionPool,
@@ -62,10 +63,6 @@
 }
 
 
-def address_of(server):
-    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-
-
 async def fetch(pool, address):
     try:
         return await pool.fetch(address, REQUEST, 10.0)
@@ -121,9 +118,10 @@
 
     async def run():
         pool = ConnectionPool(SystemClock())
-        healthy = await asyncio.start_server(serve, "127.0.0.1", 0)
-        healthy_address = address_of(healthy)
-        async with endless_server(first, again) as address:
+        async with (
+            loopback_server(serve) as healthy_address,
+            endless_server(first, again) as address,
+        ):
             await fetch(pool, healthy_address)
             tracemalloc.start()
             endless_fetches = [
@@ -134,7 +132,6 @@
             _, peak = tracemalloc.get_traced_memory()
             tracemalloc.stop()
         pool.close()
-        healthy.close()
         return responses, failures, peak
 
     responses, failures, peak = asyncio.run(run())
@@ -177,15 +174,13 @@
 
     async def run():
         pool = ConnectionPool(SystemClock())
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = address_of(server)
-        exchange = await pool.send(address, REQUEST)
-        while not exchange.done:
-            await asyncio.sleep(0.01)
-        exchange.discard_and_fail(ResponseLimit.BUFFERS)
-        with pytest.raises(ExchangeError):
-            await exchange.read()
-        server.close()
+        async with loopback_server(serve) as address:
+            exchange = await pool.send(address, REQUEST)
+            while not exchange.done:
+                await asyncio.sleep(0.01)
+            exchange.discard_and_fail(ResponseLimit.BUFFERS)
+            with pytest.raises(ExchangeError):
+                await exchange.read()
 
     asyncio.run(run())
 
@@ -210,10 +205,8 @@
             writer.close()
 
         pool = ConnectionPool(SystemClock())
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = address_of(server)
-        results = [await fetch(pool, address) for _ in range(1, len(complete))]
-        server.close()
+        async with loopback_server(serve) as address:
+            results = [await fetch(pool, address) for _ in range(1, len(complete))]
         return results
 
     results = asyncio.run(run())
@@ -249,21 +242,19 @@
 
     async def run():
         pool, bodies = ConnectionPool(SystemClock()), []
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = address_of(server)
-        for number in range(1, 9):
-            fields = [("Host", "h"), ("Request-Id", str(number))]
-            exchange = await pool.send(
-                address,
-                encode_request("GET", "/x", fields),
-                accepts=lambda head, n=number: head.get("Request-Id") == str(n),
-            )
-            async with asyncio.timeout(2):
-                await exchange.head()
-                bodies.append(await exchange.read_all())
-            pool.release(address, exchange)
-            await asyncio.sleep(0.02 if split == "packet" else 0)
-        server.close()
+        async with loopback_server(serve) as address:
+            for number in range(1, 9):
+                fields = [("Host", "h"), ("Request-Id", str(number))]
+                exchange = await pool.send(
+                    address,
+                    encode_request("GET", "/x", fields),
+                    accepts=lambda head, n=number: head.get("Request-Id") == str(n),
+                )
+                async with asyncio.timeout(2):
+                    await exchange.head()
+                    bodies.append(await exchange.read_all())
+                pool.release(address, exchange)
+                await asyncio.sleep(0.02 if split == "packet" else 0)
         pool.close()
         return bodies
 
@@ -287,11 +278,9 @@
 
     async def run():
         pool = ConnectionPool(SystemClock())
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = address_of(server)
-        for _ in range(3):
-            await pool.fetch(address, REQUEST, 2.0, new_connection=True)
-        server.close()
+        async with loopback_server(serve) as address:
+            for _ in range(3):
+                await pool.fetch(address, REQUEST, 2.0, new_connection=True)
 
     asyncio.run(run())
     assert counts == [1, 1, 1]
--- a/tests/pool/test_pool.py
+++ b/tests/pool/test_pool.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.loopback import loopback_server
 from wigeonspan.common import SystemClock
 from wigeonspan.pool import (
     ConnectionPool,
@@ -33,13 +34,12 @@
         self.requests = 0
 
     async def __aenter__(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self._open = loopback_server(self._serve)
+        self.address = await self._open.__aenter__()
         return self
 
-    async def __aexit__(self, *_):
-        self.server.close()
+    async def __aexit__(self, *error):
+        await self._open.__aexit__(*error)
 
     async def _serve(self, reader, writer):
         script = self.scripts[min(self.connections, len(self.scripts) - 1)]
@@ -232,12 +232,10 @@
 
     async def run():
         pool = ConnectionPool(SystemClock())
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        with pytest.raises(ExchangeError) as failed:
-            await pool.fetch(address, REQUEST, 2.0, may_send=lambda: False)
-        await asyncio.sleep(0.05)
-        server.close()
+        async with loopback_server(serve) as address:
+            with pytest.raises(ExchangeError) as failed:
+                await pool.fetch(address, REQUEST, 2.0, may_send=lambda: False)
+            await asyncio.sleep(0.05)
         return failed.value
 
     failure = asyncio.run(run())
