Record requests that end with neither an answer nor a refusal

Logs and metrics could not tell the hypotheses on silent targets apart: a stream that was cut off did not say how long its target had been silent, and a connection closed by an error or a cancelled task left no line at all.

A broken stream now has its silence, its last event and the time that was left; the event "unanswered" and the metric unanswered_total name the cause of every other unfinished answer. wigeonspan-logs counts them among the failures.

--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -294,6 +294,7 @@
         try:
             while engine is not None:
                 self._spend_retry_after_first_stream()
+                started = self._context.clock.now()
                 try:
                     return await self._stream(caller, plan, engine, handle)
                 except ExchangeError as failure:
@@ -303,6 +304,9 @@
                         failure,
                         open_streams=self._open_streams,
                         slots=engine.slots,
+                        last_event=self._position.last,
+                        silent_ms=self._silent_ms(started),
+                        left_ms=round(self._active_request.remaining_s * 1000),
                     )
                     if failure.sent:
                         return False
@@ -492,6 +496,11 @@
             limit_s += self._slot_wait_s
         return min(self._active_request.remaining_s, limit_s)
 
+    def _silent_ms(self, started: float) -> int:
+        """Return the milliseconds since a stream began or had its last event."""
+        last_at = max(started, self._last_event_at or started)
+        return round((self._context.clock.now() - last_at) * 1000)
+
     def _body_timeout_s(self) -> float:
         """Return the seconds to wait for the body of an unstreamed response."""
         return min(BODY_TIMEOUT_S, self._active_request.remaining_s)
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from wigeonspan.common import ErrorKind, ServiceName, WigeonspanError
+from wigeonspan.common import ErrorKind, RequestId, ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import CallKind, FleetConfig, Route
 from wigeonspan.gateway._active_request import ActiveRequest
 from wigeonspan.gateway._context import GatewayContext
@@ -47,7 +47,7 @@
     ) -> None:
         """Serve one request."""
         arrived_at = self._context.clock.now()
-        request_id, outcome, kind = None, "answered", "unknown"
+        request_id, outcome, kind, unanswered = None, "answered", "unknown", False
         try:
             request = self._context.protocol.read_request(method, target, headers, body)
             request_id = request.request
@@ -67,9 +67,20 @@
                 why=error.message,
                 took_ms=self._took_ms(arrived_at),
             )
+            unanswered = caller.head_sent
             if not caller.head_sent:
                 await caller.send_error(error)
+        except Exception as error:
+            outcome = type(error).__name__
+            # Before the head, the server answers the error with status 500.
+            unanswered = caller.head_sent
+            raise
+        except asyncio.CancelledError:
+            outcome, unanswered = "cancelled", True
+            raise
         finally:
+            if unanswered and not caller.finished and not caller.disconnected:
+                self._record_unanswered(request_id, outcome, caller, arrived_at)
             if caller.disconnected:
                 outcome = "caller_left"
                 self._context.event_log.write(
@@ -80,6 +91,26 @@
                 )
             self._context.metrics.count("requests", kind=kind, outcome=outcome)
 
+    def _record_unanswered(
+        self,
+        request_id: RequestId | None,
+        cause: str,
+        caller: ResponseWriter,
+        arrived_at: float,
+    ) -> None:
+        """Record that a caller gets neither a complete answer nor a refusal."""
+        self._context.metrics.count("unanswered", cause=cause)
+        self._context.event_log.write(
+            "serve",
+            "unanswered",
+            request=request_id,
+            failure=True,
+            cause=cause,
+            head_sent=caller.head_sent,
+            config_version=self._context.config.version,
+            took_ms=self._took_ms(arrived_at),
+        )
+
     def _match_route(self, request: CallerRequest) -> Route:
         """Return the route of a request.
 
--- a/wigeonspan/trail/main.py
+++ b/wigeonspan/trail/main.py
@@ -53,11 +53,13 @@
 
     def failures(self, *files: str) -> str:
         """Count the requests that ended without a response, by event and reason."""
-        failure_events = ("refused", "broken_off", "caller_left")
+        failure_events = ("refused", "broken_off", "caller_left", "unanswered")
         counts: Counter[str] = Counter()
         for line in read_lines(files):
             if line["event"] in failure_events and line["part"] == "serve":
-                reason = re.sub(r"\d+", "N", str(line.get("why", "")))
+                reason = re.sub(
+                    r"\d+", "N", str(line.get("why", line.get("cause", "")))
+                )
                 counts[f"{line['event']} {line.get('kind', '')} {reason}".strip()] += 1
         return "\n".join(
             f"{count:7d} {failure}" for failure, count in counts.most_common()
