Keep a plain call at a silent target while another one is tried

An idempotent call whose target was silent for 0.4 of the caller's time was ended there and sent to another target. When that one refused, the caller got 502 although the first would have answered: the same fault as in streams, a silence taken for a failure of the target.

The first send goes on beside the next one, and the first answer is passed on. Calls that may not be repeated are sent once, as before.

--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -1,5 +1,7 @@
 """Plain calls, sent to other targets after a refusal or, if repeatable, a failure."""
 
+import asyncio
+
 from msgspec import Struct
 
 from wigeonspan.common import WigeonspanError
@@ -9,10 +11,11 @@
 from wigeonspan.placing import CALL_MS, WorkKind
 from wigeonspan.pool import ExchangeError, FailureKind, Head
 from wigeonspan.serving import ResponseWriter
-from wigeonspan.targets import TargetId
+from wigeonspan.targets import Target, TargetId
 
 ATTEMPT_TIME_SHARE = 0.4
-"""Share of the remaining time that an attempt may use when another may follow it."""
+"""Share of the remaining time after which a call that may be repeated is also sent to
+another target."""
 
 MAX_SENDS = 5
 """Largest number of sends of one call; a service with that many refusals is full."""
@@ -25,6 +28,9 @@
     body: bytes
 
 
+_Attempt = asyncio.Task[_CompleteResponse | None]
+
+
 class PlainCall:
     """One plain call of a caller.
 
@@ -53,32 +59,91 @@
         WigeonspanError
             When no target has sent a response that can be passed on.
         """
-        for _ in range(MAX_SENDS):
-            response = await self._attempt()
-            if response is not None:
-                await self._deliver(caller, response)
-                return
-            if not self._may_send_again():
-                break
-        if self._failure is not None:
-            await self._deliver(caller, self._failure)
-            return
-        raise self._error("no target answered")
-
-    async def _attempt(self) -> _CompleteResponse | None:
+        response = await self._first_response() or self._failure
+        if response is None:
+            raise self._error("no target answered")
+        await self._deliver(caller, response)
+
+    async def _first_response(self) -> _CompleteResponse | None:
+        """Return the first response of a target that can be passed on, if any.
+
+        A call that may be repeated is also sent to another target while the first one
+        is silent. Neither is given up for the other: both may be sound.
+
+        Raises
+        ------
+        WigeonspanError
+            When no target is available and none was tried that may still answer.
+        """
+        attempts: set[_Attempt] = set()
+        try:
+            for _ in range(MAX_SENDS):
+                target = self._choose()
+                if target is None and not attempts and self._failure is None:
+                    raise self._error("no target is available")
+                if target is None:
+                    break
+                limit_s = self._silence_limit_s()
+                attempts.add(asyncio.create_task(self._attempt(target)))
+                pending = len(attempts)
+                response = await self._wait(attempts, limit_s)
+                if response is not None:
+                    return response
+                if len(attempts) == pending:
+                    self._active_request.context.record_silence(target.target)
+                if not self._may_send_again():
+                    break
+            while attempts:
+                response = await self._wait(attempts, None)
+                if response is not None:
+                    return response
+            return None
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    def _silence_limit_s(self) -> float | None:
+        """Return the seconds after which another target is tried; None for never."""
+        route = self._active_request.route
+        # The attempt that begins is not counted yet.
+        if not route.repeatable or self._run_count + 1 >= route.max_attempts:
+            return None
+        return self._active_request.remaining_s * ATTEMPT_TIME_SHARE
+
+    async def _wait(
+        self, attempts: set[_Attempt], limit_s: float | None
+    ) -> _CompleteResponse | None:
+        """Wait until an attempt ends; return its response, or None for another send.
+
+        Attempts that have ended are removed.
+        """
+        done, _ = await asyncio.wait(
+            attempts, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        attempts -= done
+        responses = (attempt.result() for attempt in done)
+        return next((r for r in responses if r is not None), None)
+
+    def _choose(self) -> Target | None:
+        """Choose a target that has not been tried; None when there is none."""
+        context, now = (
+            self._active_request.context,
+            self._active_request.context.clock.now(),
+        )
+        targets = context.target_table.usable(self._active_request.service)
+        target = context.placer.choose_call(targets, now, self._tried_targets)
+        if target is not None:
+            context.placer.limits.take(target.target, now)
+            self._tried_targets.add(target.target)
+        return target
+
+    async def _attempt(self, target: Target) -> _CompleteResponse | None:
         """Send the call to one target; return a response to pass on, or None."""
         context, route = self._active_request.context, self._active_request.route
         now = context.clock.now()
-        targets = context.target_table.usable(self._active_request.service)
-        target = context.placer.choose_call(targets, now, self._tried_targets)
-        if target is None and self._failure is not None:
-            return self._failure
-        if target is None:
-            raise self._error("no target is available")
-        context.placer.limits.take(target.target, now)
-        self._tried_targets.add(target.target)
         remaining_s = self._active_request.deadline - now
-        may_retry = route.repeatable and self._run_count + 1 < route.max_attempts
+        # The call counts as run unless it is not sent or the target reports otherwise.
+        self._run_count += 1
         self._active_request.log_event(
             "plain",
             "sent",
@@ -88,8 +153,6 @@
             sends=self._send_count,
             list_age_ms=context.target_table.age_ms(now),
         )
-        limit_s = remaining_s * ATTEMPT_TIME_SHARE if may_retry else remaining_s
-        attempt_ends_at = now + limit_s
         try:
             async with active_send(
                 context,
@@ -101,17 +164,17 @@
             ) as sent:
                 exchange = sent.exchange
                 self._send_count += 1
-                # The call counts as run unless the target reports otherwise.
-                self._run_count += 1
-                head = await receive_head(context, target, sent, limit_s)
+                head = await receive_head(context, target, sent, remaining_s)
                 outcome = context.protocol.read_outcome(head)
                 if outcome is TargetOutcome.UNREADABLE:
                     raise ExchangeError(FailureKind.MALFORMED, sent=True)
                 body = await with_timeout(
-                    attempt_ends_at - context.clock.now(), exchange.read_all()
+                    self._active_request.remaining_s, exchange.read_all()
                 )
                 sent.completed = outcome is TargetOutcome.ANSWERED
         except ExchangeError as failure:
+            if not failure.sent:
+                self._run_count -= 1
             self._log_event("broke_off", target.target, why=str(failure))
             return None
         took_ms = (context.clock.now() - now) * 1000.0
@@ -127,7 +190,7 @@
             context.placer.health.record_error(target.target)
             self._failure = _CompleteResponse(head, body)
             self._log_event("failed", target.target, status=head.status)
-            return None if may_retry else self._failure
+            return None
         context.placer.health.record_success(target.target)
         context.placer.speeds.observe(
             target.target, CALL_MS, took_ms, context.clock.now()
