Log the shared parts of prompts whose runs break off

Logs could not show what the requests of broken runs have in common, nor whether a run had begun: the lines of first events are sampled, those of broken runs are not.

A broken run now has had_event and shared_parts, and streams_broken_total counts both kinds.

--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -50,3 +50,23 @@
     unanswered = [f for words, f in lines if words == ("serve", "unanswered")]
     assert [f["cause"] for f in unanswered] == causes
     assert metrics.count('unanswered_total{cause="RuntimeError"} 1.0') == len(causes)
+
+
+def test_broken_run_is_logged_with_its_parts():
+    """The requests of broken runs could not be compared: no line had their parts."""
+    lines = []
+
+    async def run():
+        engines = model_engines([prefills], [streams(3, breaks=True)])
+        context, servers = start_gateway(route(STREAM), engines)
+        context.event_log.write = lambda *words, **fields: lines.append((words, fields))
+        await send(0, "600,20", None, prefix="a:100,b:100,c:400")
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return context.metrics.text().decode()
+
+    metrics = asyncio.run(run())
+    broken = next(f for words, f in lines if words[1] == "stream_broke_off")
+    assert broken["shared_parts"] == ["a", "b"] and broken["had_event"]
+    assert 'streams_broken_total{had_event="True"} 1.0' in metrics
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -57,6 +57,10 @@
 """Seconds within which an engine must respond to the release of a prompt."""
 
 
+MAX_LOGGED = 8
+"""Largest number of a prompt's parts in a line of the log."""
+
+
 class Generation:
     """One generation of a caller, over all engines that it is sent to.
 
@@ -356,6 +360,9 @@
 
     def _log_broken_run(self, run: OpenRun, failure: ExchangeError) -> None:
         """Exclude the engine of a run that has broken off, and log the run."""
+        had_event = run.first_event_at is not None
+        if failure.sent:
+            self._context.metrics.count("streams_broken", had_event=str(had_event))
         self._engines.exclude_after_error(
             run.engine,
             "stream_broke_off",
@@ -365,6 +372,8 @@
             last_event=self._position.last,
             silent_ms=self._silent_ms(run),
             left_ms=round(self._active_request.remaining_s * 1000),
+            had_event=had_event,
+            shared_parts=[part.part for part in self._prompt.shared_parts][:MAX_LOGGED],
         )
 
     async def _stream(
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -38,6 +38,11 @@
     output_tokens: int
     body_bytes: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts that other requests may have as well: all but the last one."""
+        return self.parts[:-1]
+
     @property
     def total_tokens(self) -> int:
         """Tokens to process when nothing is cached.
