Move the application of other entries' events to the gateway's context

The context publishes these events, and tests with several entries can deliver them without a daemon.

--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -12,6 +12,7 @@
 from wigeonspan.placing import Placer, PromptPart, RetryBudget, Work
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.sharing import (
+    Event,
     PeerLink,
     TargetLeaving,
     TargetLimited,
@@ -87,6 +88,28 @@
         self.placer.end_work(work.work, self.clock.now(), completed=completed)
         self.link.publish(WorkEnded(work.work, completed))
 
+    def apply_event(self, event: Event) -> None:
+        """Apply an event about targets that another entry has published."""
+        placer, now = self.placer, self.clock.now()
+        match event:
+            case WorkBegun():
+                placer.ledger.begin(event.work, now)
+                if event.parts:
+                    placer.prefixes.begin(
+                        event.work.work,
+                        event.work.target,
+                        event.parts,
+                        event.new_tokens,
+                    )
+            case WorkEnded():
+                placer.end_work(event.work, now, completed=event.completed)
+            case TargetSuspended():
+                placer.health.suspend(event.target, now)
+            case TargetLeaving():
+                self.target_table.record_leaving(event.target, event.born_ms)
+            case TargetLimited():
+                self.apply_announced_limit(event)
+
     def handle_notice(
         self, target: Target, notice: TargetNotice, sent_at: float
     ) -> None:
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -33,11 +33,6 @@
     Event,
     ListRead,
     PeerLink,
-    TargetLeaving,
-    TargetLimited,
-    TargetSuspended,
-    WorkBegun,
-    WorkEnded,
 )
 from wigeonspan.targets import Listing, Phase, TargetTable
 from wigeonspan.trail import (
@@ -305,27 +300,10 @@
         self._listing.set_entries([e.host for e in entries])
 
     def _receive_event(self, host: HostId, event: Event) -> None:
-        placer, now = self._context.placer, self._clock.now()
-        match event:
-            case WorkBegun():
-                placer.ledger.begin(event.work, now)
-                if event.parts:
-                    placer.prefixes.begin(
-                        event.work.work,
-                        event.work.target,
-                        event.parts,
-                        event.new_tokens,
-                    )
-            case WorkEnded():
-                placer.end_work(event.work, now, completed=event.completed)
-            case TargetSuspended():
-                placer.health.suspend(event.target, now)
-            case TargetLeaving():
-                self._context.target_table.record_leaving(event.target, event.born_ms)
-            case TargetLimited():
-                self._context.apply_announced_limit(event)
-            case ListRead():
-                self._listing.receive(event)
+        if isinstance(event, ListRead):
+            self._listing.receive(event)
+        else:
+            self._context.apply_event(event)
 
     def _record_bad_datagram(self, why: str) -> None:
         self._context.event_log.write("sharing", "bad_datagram", why=why)
