--- a/tests/platform/gateway_harness.py
+++ b/tests/platform/gateway_harness.py
@@ -111,18 +111,36 @@
         print(round(time.monotonic(), 3), part, event, fields)
 
 
-def start_gateway(route, engines, *, budget=50.0, seed=1, listed=True):
+def start_gateway(
+    route,
+    engines,
+    *,
+    budget=50.0,
+    seed=1,
+    listed=True,
+    front=None,
+    host="e",
+    targets_of=None,
+):
     """Start engines and a gateway.
 
+    Parameters
+    ----------
+    targets_of : GatewayContext
+        Other gateway before the same engines, whose targets this one uses.
+
     Returns the gateway's context and all servers; the gateway's own server is the last.
     """
     clock, target_table, targets = SystemClock(), TargetTable(), []
     servers = []
     for number, engine in enumerate(engines):
-        server = RequestServer(engine.serve, unexpected)
         address = f"{NET}.0.{number + 1}:18080"
-        server.listen(address)
-        servers.append(server)
+        if hasattr(engine, "listen"):
+            engine.listen(address)
+        else:
+            server = RequestServer(engine.serve, unexpected)
+            server.listen(address)
+            servers.append(server)
         targets.append(
             Target(
                 TargetId(engine.name),
@@ -133,17 +151,20 @@
                 phase=engine.phase,
             )
         )
-    if listed:
+    if targets_of is not None:
+        target_table.update(Listing(tuple(targets_of.target_table.all())), 1.0)
+    elif listed:
         target_table.update(Listing(tuple(targets)), 1.0)
     shared_state["target_table"] = target_table
     traits = EngineTraits(8, 100_000, 5.0, 3.0)
-    is_model = any(e.phase is not Phase.NONE for e in engines)
+    is_model = any(t.phase is not Phase.NONE for t in target_table.all())
+    is_model |= any(e.phase is not Phase.NONE for e in engines)
     spec = ServiceSpec(SERVICE, "/health", 100, traits if is_model else None)
     fleet_config = FleetConfig(1, (route,), (spec,))
     config = ConfigHolder(lambda document: fleet_config, NullRecorder())
     config.offer(StoredConfig(1, b""), "test")
     context = GatewayContext(
-        host=HostId("e"),
+        host=HostId(host),
         clock=clock,
         protocol=PlatformProtocol(),
         config=config,
@@ -157,9 +178,9 @@
     )
     server = Server(context, random.Random(1))
     server.open()
-    front = RequestServer(server.serve, unexpected)
-    front.listen(f"{NET}.1.1:18081")
-    servers.append(front)
+    front_server = RequestServer(server.serve, unexpected)
+    front_server.listen(front or f"{NET}.1.1:18081")
+    servers.append(front_server)
     return context, servers
 
 
