Add the decision on prompt parts that crash engines

Nothing knew that a prompt can be the cause of a crash, so each request with such a part crashed one engine more.

wigeonspan/quarantine blames the shared parts of streams without an event for a crash, clears parts on which an answer is written, and quarantines a part after three crashes without one.

--- /dev/null
+++ b/wigeonspan/quarantine/__init__.py
@@ -0,0 +1,19 @@
+"""Parts of prompts that crash the engines that write answers on them."""
+
+from wigeonspan.quarantine._core import PromptQuarantine
+from wigeonspan.quarantine._messages import (
+    PartQuarantined,
+    PartsCleared,
+    QuarantineMessage,
+    StreamCrashed,
+    Verdict,
+)
+
+__all__ = [
+    "PartQuarantined",
+    "PartsCleared",
+    "PromptQuarantine",
+    "QuarantineMessage",
+    "StreamCrashed",
+    "Verdict",
+]
--- /dev/null
+++ b/wigeonspan/quarantine/_core.py
@@ -0,0 +1,381 @@
+"""Decisions of one entry on parts of prompts that crash engines.
+
+A part of a prompt may crash each engine that begins to write an answer on it. When an
+engine breaks off its streams, those without an event are the suspects, and with them
+all shared parts of their prompts. An answer on a part clears it. A part that is
+suspected at several crashes in a row is quarantined: requests with it are refused.
+
+Entries tell each other of crashes, cleared parts and verdicts in datagrams that may be
+late or lost, so each of them decides on its own and passes its verdicts on.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Sequence
+
+from msgspec import Struct
+
+from wigeonspan.quarantine._evidence import Crash, Evidence, Suspect
+from wigeonspan.quarantine._keys import WrittenParts, part_key
+from wigeonspan.quarantine._messages import (
+    PartQuarantined,
+    PartsCleared,
+    QuarantineMessage,
+    StreamCrashed,
+    Verdict,
+)
+from wigeonspan.quarantine._trials import ANNOUNCE_INTERVAL_S, Quarantine, Turns
+from wigeonspan.targets import TargetId
+
+CRASHES_TO_QUARANTINE = 3
+"""Number of crashes, without an answer in between, after which a part is quarantined on
+which no answer was written before."""
+
+CRASHES_WHEN_WRITTEN = 4
+"""Number of crashes after which a part is quarantined on which answers were written
+before. Common parts are blamed with each culprit, and while few engines are up, there
+may be no answer that clears them."""
+
+UNEXPLAINED_WHEN_WRITTEN = 2
+"""Minimum number of crashes that no quarantined part explains, for such a part."""
+
+SUSPECT_CRASHES = 2
+"""Number of crashes from which a request is not repeated at another engine; one more
+for parts on which answers were written before."""
+
+SETTLE_S = 0.2
+"""Seconds from the news of a crash to the verdict. The reports of other entries arrive
+within about 0.1 s, and the culprit may be named in the last one."""
+
+REPEAT_S = 0.3
+"""Seconds after which an entry repeats its own reports and verdicts, since datagrams
+are lost."""
+
+VERDICT_REPEATS = 2
+"""Number of times that an entry repeats news of a quarantine."""
+
+CLOCK_ERROR_S = 0.2
+"""Maximum error in seconds of times that are reported as ages."""
+
+MAX_QUARANTINED = 250
+"""Maximum number of quarantined parts; those without requests for the longest time are
+removed first."""
+
+MAX_CLEARED = 1000
+"""Maximum number of cleared parts that are remembered."""
+
+MAX_REPORTS = 256
+"""Maximum number of own reports that wait to be repeated."""
+
+MAX_MESSAGE_PARTS = 64
+"""Maximum number of parts in a message. A datagram holds up to 24 messages and has a
+limit of 60,000 bytes."""
+
+MAX_REQUEST_PARTS = 256
+"""Maximum number of parts of a request that are considered."""
+
+FORGET_S = 86400.0
+"""Seconds without a request after which a quarantine ends."""
+
+ANSWER_STEP_S = 0.1
+"""Seconds by which the answer of each further entry to an outdated verdict is later."""
+
+MAX_ANSWER_S = 1.0
+"""Maximum seconds until an entry answers an outdated verdict."""
+
+
+class _Cleared(Struct, eq=False):
+    """Part on which an answer was written after it had been suspected.
+
+    Parameters
+    ----------
+    at : float
+        Time of the answer.
+    answer_at : float or None
+        Time to repeat this to an entry that still announces a quarantine.
+    """
+
+    at: float
+    answer_at: float | None = None
+
+
+class PromptQuarantine:
+    """Suspected and quarantined parts, as one entry knows them.
+
+    Parts are passed as the ids of all parts of a prompt but the last one, which is
+    always new. All methods that return messages expect them to be sent to all other
+    entries.
+    """
+
+    def __init__(self) -> None:
+        self._quarantined: OrderedDict[str, Quarantine] = OrderedDict()
+        self._evidence = Evidence(self._quarantined.keys())
+        self._written = WrittenParts()
+        self._cleared: OrderedDict[str, _Cleared] = OrderedDict()
+        self._turns = Turns()
+        # Time at which to judge each crash of which there is news.
+        self._judge_at: dict[Crash, float] = {}
+        # Own reports with the crash and the time to repeat them.
+        self._reports: deque[tuple[float, Crash, StreamCrashed]] = deque(
+            maxlen=MAX_REPORTS
+        )
+
+    @property
+    def quarantined(self) -> tuple[str, ...]:
+        """Keys of the quarantined parts."""
+        return tuple(self._quarantined)
+
+    @property
+    def suspects(self) -> int:
+        """Number of suspected parts."""
+        return len(self._evidence)
+
+    def set_entries(self, rank: int, count: int, now: float) -> None:
+        """Set the number of entries and the rank of this one among them.
+
+        Until the first call, this entry lets no trial through.
+
+        Parameters
+        ----------
+        rank : int
+            Number of entries whose turns come before those of this one.
+        count : int
+            Number of entries, this one included.
+        """
+        self._turns.set_entries(rank, count, now)
+
+    def check(self, parts: Iterable[str], now: float) -> Verdict | None:
+        """Return the verdict on a request with quarantined parts, to be asked per send.
+
+        A verdict that lets the request through as a trial counts as used. It is given
+        once, so there is no second check for the same request.
+        """
+        if not self._quarantined:
+            return None
+        found = [key for key in map(part_key, parts) if key in self._quarantined]
+        if not found:
+            return None
+        for key in found:
+            self._quarantined[key].requested_at = now
+        key = max(found, key=lambda key: self._quarantined[key].return_s(now))
+        quarantine = self._quarantined[key]
+        if (
+            len(set(found)) == 1
+            and self._turns.may_try(key, quarantine, now)
+            and not self._evidence.flapping_targets(now)
+        ):
+            quarantine.trials += 1
+            quarantine.trial_at = now
+            quarantine.repeats = VERDICT_REPEATS
+            message = self._announce(key, quarantine, now)
+            return Verdict(key, quarantine.return_s(now), True, (message,))
+        return Verdict(key, quarantine.return_s(now))
+
+    def may_repeat(self, parts: Iterable[str], now: float) -> bool:
+        """Return whether a broken request may be sent to another engine."""
+        for key in map(part_key, parts):
+            if key in self._quarantined:
+                return False
+            suspect = self._evidence.get(key)
+            if suspect is None:
+                continue
+            _, unexplained = self._evidence.count(key, now)
+            if unexplained >= SUSPECT_CRASHES + self._has_written(key, suspect):
+                return False
+        return True
+
+    def record_break(
+        self, target: TargetId, parts: Sequence[str], now: float
+    ) -> list[QuarantineMessage]:
+        """Record that a target broke off a stream; return what to publish.
+
+        Parameters
+        ----------
+        parts : sequence of str
+            Parts of the prompt; empty when the stream had had an event. Such a break
+            shows a crash without a suspect.
+        """
+        keys = list(dict.fromkeys(map(part_key, parts[:MAX_REQUEST_PARTS])))
+        messages: list[QuarantineMessage] = []
+        for start in range(0, max(1, len(keys)), MAX_MESSAGE_PARTS):
+            chunk = keys[start : start + MAX_MESSAGE_PARTS]
+            written = [i for i, key in enumerate(chunk) if key in self._written]
+            report = StreamCrashed(target, tuple(chunk), tuple(written))
+            crash = self._record_crash(report, now, now)
+            if crash is None:
+                continue
+            messages.append(report)
+            if chunk:
+                self._reports.append((now + REPEAT_S, crash, report))
+        return messages
+
+    def _record_crash(
+        self, report: StreamCrashed, at: float, now: float
+    ) -> Crash | None:
+        """Record a report of a crash; return the crash if there is anything new."""
+        crash = self._evidence.find_crash(report.target, at)
+        is_new = crash is None
+        if crash is None:
+            crash = self._evidence.record_crash(report.target, at)
+        parts = report.parts[:MAX_REQUEST_PARTS]
+        written = [parts[i] for i in report.written if 0 <= i < len(parts)]
+        cleared = {
+            key
+            for key in parts
+            if key in self._cleared and self._cleared[key].at >= crash.at
+        }
+        if self._evidence.blame(crash, parts, written, cleared):
+            self._judge_at.setdefault(crash, now + SETTLE_S)
+            return crash
+        return crash if is_new else None
+
+    def record_written(
+        self, parts: Iterable[str], now: float
+    ) -> list[QuarantineMessage]:
+        """Record the first event of a stream; return what to publish, usually nothing.
+
+        Suspected and quarantined parts of its prompt are cleared.
+        """
+        cleared = []
+        for part in parts:
+            key = part_key(part)
+            self._written.add(key, now)
+            if key in self._evidence or key in self._quarantined:
+                cleared.append(key)
+                self._clear(key, now, 0.0)
+        return [
+            PartsCleared(tuple(cleared[start : start + MAX_MESSAGE_PARTS]))
+            for start in range(0, len(cleared), MAX_MESSAGE_PARTS)
+        ]
+
+    def _clear(self, key: str, written_at: float, error_s: float) -> None:
+        """Remove what was known against a part up to a time.
+
+        Parameters
+        ----------
+        error_s : float
+            Maximum error of the time in seconds.
+        """
+        self._evidence.clear(key, written_at + error_s)
+        quarantine = self._quarantined.get(key)
+        if quarantine is not None and quarantine.began_at <= written_at + error_s:
+            del self._quarantined[key]
+        cleared = self._cleared.pop(key, None)
+        at = written_at if cleared is None else max(cleared.at, written_at)
+        self._cleared[key] = _Cleared(at)
+        while len(self._cleared) > MAX_CLEARED:
+            self._cleared.popitem(last=False)
+
+    def apply(self, message: QuarantineMessage, now: float) -> None:
+        """Apply a message of another entry."""
+        if isinstance(message, StreamCrashed):
+            self._record_crash(message, now - max(0.0, message.age_s), now)
+        elif isinstance(message, PartsCleared):
+            for key in message.parts:
+                self._clear(key, now - max(0.0, message.age_s), CLOCK_ERROR_S)
+        else:
+            self._learn(message, now)
+
+    def _learn(self, message: PartQuarantined, now: float) -> None:
+        """Apply the verdict of another entry unless the part was cleared later."""
+        key, began_at = message.part, now - max(0.0, message.age_s)
+        cleared = self._cleared.get(key)
+        if cleared is not None and began_at <= cleared.at:
+            if cleared.answer_at is None:
+                wait_s = ANSWER_STEP_S * self._turns.position(key)
+                cleared.answer_at = now + min(wait_s, MAX_ANSWER_S)
+            return
+        quarantine = self._quarantined.get(key)
+        if quarantine is None:
+            quarantine = self._begin(key, began_at)
+        quarantine.began_at = min(quarantine.began_at, began_at)
+        requested_at = now - max(0.0, message.idle_s)
+        quarantine.requested_at = max(quarantine.requested_at, requested_at)
+        if message.trials > quarantine.trials:
+            quarantine.trials, quarantine.trial_at = message.trials, now
+        if message.trials >= quarantine.trials:
+            # An announcement with fewer trials must be corrected.
+            quarantine.announced_at = now
+        self._remove_surplus()
+
+    def _begin(self, key: str, began_at: float) -> Quarantine:
+        quarantine = Quarantine(began_at, blames=self._evidence.discard(key))
+        self._quarantined[key] = quarantine
+        return quarantine
+
+    def _remove_surplus(self) -> None:
+        """Remove the quarantines without requests for the longest time."""
+        kept = self._quarantined
+        while len(kept) > MAX_QUARANTINED:
+            del kept[min(kept, key=lambda key: kept[key].requested_at)]
+
+    def tick(self, now: float) -> list[QuarantineMessage]:
+        """Judge recent crashes and return what to publish; to be called every 0.1 s."""
+        for crash in [c for c, at in self._judge_at.items() if at <= now]:
+            del self._judge_at[crash]
+            self._judge(crash, now)
+        messages: list[QuarantineMessage] = []
+        while self._reports and self._reports[0][0] <= now:
+            _, crash, report = self._reports.popleft()
+            age_s = max(0.0, now - crash.at)
+            messages.append(
+                StreamCrashed(report.target, report.parts, report.written, age_s)
+            )
+        for key, quarantine in list(self._quarantined.items()):
+            if now - quarantine.requested_at > FORGET_S:
+                del self._quarantined[key]
+            elif self._turns.announcement_due(key, quarantine, now) or (
+                quarantine.repeats and now - quarantine.announced_at >= REPEAT_S
+            ):
+                messages.append(self._announce(key, quarantine, now))
+        for key, cleared in self._cleared.items():
+            if cleared.answer_at is not None and cleared.answer_at <= now:
+                cleared.answer_at = None
+                messages.append(PartsCleared((key,), max(0.0, now - cleared.at)))
+        return messages
+
+    def _announce(
+        self, key: str, quarantine: Quarantine, now: float
+    ) -> PartQuarantined:
+        quarantine.announced_at = now
+        quarantine.repeats = max(0, quarantine.repeats - 1)
+        return PartQuarantined(
+            key,
+            max(0.0, now - quarantine.began_at),
+            quarantine.trials,
+            max(0.0, now - quarantine.requested_at),
+        )
+
+    def _has_written(self, key: str, suspect: Suspect) -> bool:
+        """Return whether an answer on a part was written before its crashes."""
+        return suspect.has_written or key in self._written or key in self._cleared
+
+    def _judge(self, crash: Crash, now: float) -> None:
+        """Quarantine the part that is most likely the cause of a crash, if any is."""
+        if self._evidence.is_explained(crash):
+            return
+        best: tuple[tuple[int, bool, int], str] | None = None
+        for key, position in crash.suspects.items():
+            suspect = self._evidence.get(key)
+            if suspect is None or len(suspect.blames) < CRASHES_TO_QUARANTINE:
+                continue
+            total, unexplained = self._evidence.count(key, now)
+            has_written = self._has_written(key, suspect)
+            if has_written and (
+                total < CRASHES_WHEN_WRITTEN or unexplained < UNEXPLAINED_WHEN_WRITTEN
+            ):
+                continue
+            if total >= CRASHES_TO_QUARANTINE:
+                order = (total, not has_written, position)
+                best = max(best, (order, key)) if best else (order, key)
+        if best is None:
+            return
+        # It began with the crash, so that a later answer on the part ends it even when
+        # the message about the answer is late.
+        quarantine = self._begin(best[1], crash.at)
+        quarantine.requested_at = now
+        if any(crash is own for _, own, _ in self._reports):
+            quarantine.repeats = VERDICT_REPEATS
+        else:
+            # The first of the other entries announces it at once as well.
+            quarantine.announced_at = now - ANNOUNCE_INTERVAL_S
+        self._remove_surplus()
