Refuse requests with a part of a prompt that crashes engines

Callers saw sound requests fail while engine after engine ended under requests with one part in their prompts. Cause: nothing knew that a prompt can be the cause of a crash. Each was put down to the engine, and the request went on to the next one.

Entries now tell each other of runs that an engine breaks off before their first event, with the shared parts of their prompts. A part that is suspected at several crashes without an answer in between is quarantined by each entry on its own, and the verdict is repeated for entries that missed it or have started. Requests with it are refused at once with 503, since they have not run; a suspected request is not repeated at another engine. The first event on a part clears it. Trials end a wrong verdict.

--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -68,5 +68,5 @@
 
     metrics = asyncio.run(run())
     broken = next(f for words, f in lines if words[1] == "stream_broke_off")
-    assert broken["shared_parts"] == ["a", "b"] and broken["had_event"]
+    assert broken["shared_parts"] == ("a", "b") and broken["had_event"]
     assert 'streams_broken_total{had_event="True"} 1.0' in metrics
--- a/tests/platform/crash_harness.py
+++ b/tests/platform/crash_harness.py
@@ -103,15 +103,25 @@
         self._rng = random.Random(1)
         shared_state["tasks"] = []
 
+    async def _update(self):
+        while True:
+            for context in self.contexts:
+                context.update_quarantine()
+            await asyncio.sleep(0.1)
+
     async def __aenter__(self):
         engines = [*self.prefill, *self.decode]
         for engine in engines:
             self._record_arrivals(engine)
         for number in range(self._entries):
             self._start_entry(number, engines if number == 0 else [])
+        for rank, context in enumerate(self.contexts):
+            context.quarantine.set_entries(rank, self._entries, time.monotonic())
+        self._updates = asyncio.create_task(self._update())
         return self
 
     async def __aexit__(self, *error):
+        self._updates.cancel()
         for server in self._servers:
             await server.close()
         for engine in self.decode:
--- a/wigeonspan/gateway/_candidates.py
+++ b/wigeonspan/gateway/_candidates.py
@@ -30,12 +30,18 @@
         # Limited engines of the latest plan; they get this request but none after it.
         self._claimed: set[TargetId] = set()
 
-    def plan(self) -> Plan | Refusal:
-        """Return the engines on which the request is to run, or why it is refused."""
-        plan = self._plan()
+    def plan(self, *, direct_only: bool = False) -> Plan | Refusal:
+        """Return the engines on which the request is to run, or why it is refused.
+
+        Parameters
+        ----------
+        direct_only : bool
+            Whether one engine must do both the prefill and the answer.
+        """
+        plan = self._plan(direct_only)
         none_left = isinstance(plan, Refusal) and plan.limit is Limit.NO_ENGINE
         if none_left and self._readmit_unreachable():
-            plan = self._plan()
+            plan = self._plan(direct_only)
         if isinstance(plan, Plan):
             self._claimed = {plan.decode.target}
             self._claim(plan.decode)
@@ -100,7 +106,7 @@
             **fields,
         )
 
-    def _plan(self) -> Plan | Refusal:
+    def _plan(self, direct_only: bool) -> Plan | Refusal:
         request, now = self._active_request, self._active_request.context.clock.now()
         return request.context.placer.plan(
             request.route,
@@ -110,6 +116,7 @@
             now,
             self._failed | self._unreachable,
             now - request.arrived_at,
+            direct_only=direct_only,
         )
 
     def _choose(self, source: Target) -> Target | None:
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -1,7 +1,7 @@
 """State that the components of a gateway share."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from typing import Any
 
 from msgspec import Struct, field
@@ -11,6 +11,14 @@
 from wigeonspan.gateway._messages import TargetNotice, TargetProtocol
 from wigeonspan.placing import Placer, PromptPart, RetryBudget, Work
 from wigeonspan.pool import ConnectionPool
+from wigeonspan.quarantine import (
+    PartQuarantined,
+    PartsCleared,
+    PromptQuarantine,
+    QuarantineMessage,
+    StreamCrashed,
+    Verdict,
+)
 from wigeonspan.sharing import (
     Event,
     PeerLink,
@@ -50,6 +58,7 @@
     metrics: ProcessMetrics
     read_ms: dict[ServiceName, float] = {}
     stream_s: dict[ServiceName, float] = {}
+    quarantine: PromptQuarantine = field(default_factory=PromptQuarantine)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def add_demand(
@@ -109,6 +118,49 @@
                 self.target_table.record_leaving(event.target, event.born_ms)
             case TargetLimited():
                 self.apply_announced_limit(event)
+            case StreamCrashed() | PartsCleared() | PartQuarantined():
+                self.quarantine.apply(event, now)
+
+    def check_quarantine(
+        self, parts: tuple[str, ...], *, may_try: bool = True
+    ) -> Verdict | None:
+        """Return the verdict on a request whose prompt has quarantined parts, if any.
+
+        Parameters
+        ----------
+        parts : tuple of str
+            Ids of the parts of its prompt that other requests may have as well.
+        may_try : bool
+            Whether the request may be let through as a trial.
+        """
+        verdict = self.quarantine.check(parts, self.clock.now(), may_try=may_try)
+        if verdict is not None:
+            self._publish_quarantine(verdict.publish)
+        return verdict
+
+    def record_break(self, target: TargetId, parts: tuple[str, ...]) -> None:
+        """Record that a target broke off a run, and tell the other entries.
+
+        Parameters
+        ----------
+        parts : tuple of str
+            Shared parts of its prompt; empty when the run had had an event.
+        """
+        now = self.clock.now()
+        self._publish_quarantine(self.quarantine.record_break(target, parts, now))
+
+    def record_written(self, parts: tuple[str, ...]) -> None:
+        """Record the first event of a run, which clears the parts of its prompt."""
+        now = self.clock.now()
+        self._publish_quarantine(self.quarantine.record_written(parts, now))
+
+    def update_quarantine(self) -> None:
+        """Judge recent breaks and repeat what other entries may have missed."""
+        self._publish_quarantine(self.quarantine.tick(self.clock.now()))
+
+    def _publish_quarantine(self, messages: Iterable[QuarantineMessage]) -> None:
+        for message in messages:
+            self.link.publish(message)
 
     def handle_notice(
         self, target: Target, notice: TargetNotice, sent_at: float
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -260,6 +260,7 @@
         while True:
             now = self._clock.now()
             context.placer.ledger.expire(now)
+            context.update_quarantine()
             context.pool.close_expired()
             context.event_log.flush()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
@@ -294,9 +295,9 @@
         self._context.link.set_peers([e.peer_address for e in entries if e.host != own])
         self._context.budget.set_entries(len(entries))
         hosts = sorted({own, *(e.host for e in entries)})
-        self._context.placer.limits.set_entries(
-            hosts.index(own), len(hosts), self._clock.now()
-        )
+        rank, now = hosts.index(own), self._clock.now()
+        self._context.placer.limits.set_entries(rank, len(hosts), now)
+        self._context.quarantine.set_entries(rank, len(hosts), now)
         self._listing.set_entries([e.host for e in entries])
 
     def _receive_event(self, host: HostId, event: Event) -> None:
@@ -367,6 +368,9 @@
             remaining = context.budget.remaining(service, now)
             context.metrics.gauge("repeats_left", remaining, service=service)
             self._record_slots(service)
+        quarantine = context.quarantine
+        context.metrics.gauge("quarantined_parts", len(quarantine.quarantined))
+        context.metrics.gauge("suspected_parts", quarantine.suspects)
         context.metrics.gauge("open_requests", self._front_server.open_requests)
         context.metrics.gauge("connections_opened", context.pool.opened_connections)
         context.metrics.gauge("log_lines_left_out", context.event_log.omitted_lines)
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -74,12 +74,15 @@
         self._active_request = active_request
         request = active_request.request
         self._prompt = request.prompt or Prompt((), len(request.body), 1)
+        self._shared_parts = tuple(p.part for p in self._prompt.shared_parts)
         self._engines = CandidateEngines(active_request, self._prompt)
         self._position = StreamPosition()
         self._prefill_count = 0
         self._stream_count = 0
         self._run_count = 0
         self._last_event_at: float | None = None
+        # Whether this request shows if a quarantined part still crashes engines.
+        self._is_trial = False
         self._runs = OpenRuns()
 
     @property
@@ -133,7 +136,8 @@
             When it is refused.
         """
         context, now = self._context, self._context.clock.now()
-        plan = self._engines.plan()
+        self._check_quarantine()
+        plan = self._engines.plan(direct_only=self._is_trial)
         list_age_ms = context.target_table.age_ms(now)
         if isinstance(plan, Refusal):
             if self._runs:
@@ -172,6 +176,32 @@
         )
         return plan
 
+    def _check_quarantine(self) -> None:
+        """Check before each send whether a part of the prompt is quarantined.
+
+        Raises
+        ------
+        WigeonspanError
+            When it is, unless the request is let through as a trial.
+        """
+        if self._is_trial:
+            return
+        # A trial is one send, so a request that was sent before is no trial.
+        verdict = self._context.check_quarantine(
+            self._shared_parts,
+            may_try=not self._prefill_count and not self._stream_count,
+        )
+        if verdict is None:
+            return
+        self._is_trial = verdict.trial
+        event = "quarantine_trial" if self._is_trial else "quarantined"
+        self._log_event(event, failure=True, prompt_part=verdict.part)
+        if self._is_trial:
+            return
+        self._context.metrics.count("refusals", limit=Limit.QUARANTINE.value)
+        reason = "engines crashed on a part of the prompt"
+        raise self._refusal(Refusal(Limit.QUARANTINE, reason, verdict.retry_after_s))
+
     def _add_prefill_demand(self, work_ms: float) -> None:
         """Count the engine time of a prefill as demand of the service."""
         context, now = self._context, self._context.clock.now()
@@ -322,6 +352,7 @@
         engine = plan.decode if handle is None else self._engines.choose(handle.source)
         try:
             while engine is not None:
+                self._check_quarantine()
                 self._spend_retry_after_first_stream()
                 run = self._begin_run(plan, engine)
                 try:
@@ -363,6 +394,9 @@
         had_event = run.first_event_at is not None
         if failure.sent:
             self._context.metrics.count("streams_broken", had_event=str(had_event))
+        if failure.sent and failure.kind in (FailureKind.CLOSED, FailureKind.RESET):
+            suspects = () if had_event else self._shared_parts
+            self._context.record_break(run.engine.target, suspects)
         self._engines.exclude_after_error(
             run.engine,
             "stream_broke_off",
@@ -373,7 +407,7 @@
             silent_ms=self._silent_ms(run),
             left_ms=round(self._active_request.remaining_s * 1000),
             had_event=had_event,
-            shared_parts=[part.part for part in self._prompt.shared_parts][:MAX_LOGGED],
+            shared_parts=self._shared_parts[:MAX_LOGGED],
         )
 
     async def _stream(
@@ -595,6 +629,7 @@
             return
         took_s = now - run.started_at
         run.first_event_at = now
+        context.record_written(self._shared_parts)
         context.metrics.observe(
             "first_event_seconds", now - self._active_request.arrived_at
         )
@@ -704,8 +739,9 @@
             raise self._error("the budget of repeated sends is used up")
 
     def _may_run_again(self) -> bool:
-        """Return whether the route allows one more run besides those until now."""
-        return self._route.repeatable and self._remaining_runs() > 0
+        """Return whether the request may run once more besides its runs until now."""
+        allowed = self._route.repeatable and self._remaining_runs() > 0
+        return allowed and not self._is_trial
 
     def _remaining_runs(self) -> int:
         return max(0, self._route.max_attempts - self._run_count)
@@ -722,6 +758,10 @@
             raise self._error("the engine broke off")
         if self._run_count and not self._remaining_runs():
             raise self._error("all attempts broke off")
+        if self._is_trial or not self._context.quarantine.may_repeat(
+            self._shared_parts, self._context.clock.now()
+        ):
+            raise self._error("engines may crash on a part of the prompt")
         if self._context.clock.now() >= self._active_request.deadline:
             raise self._error("the time is over")
 
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -4,11 +4,11 @@
 
 from msgspec import Struct
 
-from wigeonspan.common import WigeonspanError
+from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.gateway._active_request import ActiveRequest
 from wigeonspan.gateway._attempt import active_send, receive_head, with_timeout
 from wigeonspan.gateway._messages import SendOptions, TargetOutcome
-from wigeonspan.placing import CALL_MS, WorkKind
+from wigeonspan.placing import CALL_MS, Limit, WorkKind
 from wigeonspan.pool import ExchangeError, FailureKind, Head
 from wigeonspan.serving import ResponseWriter
 from wigeonspan.targets import Target, TargetId
@@ -46,6 +46,9 @@
         self._send_count = 0
         self._run_count = 0
         self._failure: _CompleteResponse | None = None
+        prompt = active_request.request.prompt
+        parts = prompt.shared_parts if prompt is not None else ()
+        self._shared_parts = tuple(part.part for part in parts)
 
     def abort_error(self, message: str) -> WigeonspanError:
         """Return the error for the caller when serving the request is aborted."""
@@ -59,11 +62,37 @@
         WigeonspanError
             When no target has sent a response that can be passed on.
         """
+        self._check_quarantine()
         response = await self._first_response() or self._failure
         if response is None:
             raise self._error("no target answered")
         await self._deliver(caller, response)
 
+    def _check_quarantine(self) -> None:
+        """Refuse a call whose prompt has a quarantined part.
+
+        A call is no trial of the part: it has no event that shows that its answer has
+        begun.
+
+        Raises
+        ------
+        WigeonspanError
+            When a part of the prompt is quarantined.
+        """
+        context = self._active_request.context
+        verdict = context.check_quarantine(self._shared_parts, may_try=False)
+        if verdict is None:
+            return
+        context.metrics.count("refusals", limit=Limit.QUARANTINE.value)
+        self._active_request.log_event(
+            "plain", "quarantined", failure=True, prompt_part=verdict.part
+        )
+        raise WigeonspanError(
+            ErrorKind.OVERLOADED,
+            "targets crashed on a part of the prompt",
+            retry_after_s=verdict.retry_after_s,
+        )
+
     async def _first_response(self) -> _CompleteResponse | None:
         """Return the first response of a target that can be passed on, if any.
 
@@ -175,6 +204,9 @@
         except ExchangeError as failure:
             if not failure.sent:
                 self._run_count -= 1
+            elif failure.kind in (FailureKind.CLOSED, FailureKind.RESET):
+                if self._shared_parts:
+                    context.record_break(target.target, self._shared_parts)
             self._log_event("broke_off", target.target, why=str(failure))
             return None
         took_ms = (context.clock.now() - now) * 1000.0
@@ -192,6 +224,7 @@
             self._log_event("failed", target.target, status=head.status)
             return None
         context.placer.health.record_success(target.target)
+        context.record_written(self._shared_parts)
         context.placer.speeds.observe(
             target.target, CALL_MS, took_ms, context.clock.now()
         )
@@ -205,6 +238,12 @@
             return False
         if self._active_request.remaining_s <= 0.0:
             return False
+        quarantine, clock = (
+            self._active_request.context.quarantine,
+            self._active_request.context.clock,
+        )
+        if not quarantine.may_repeat(self._shared_parts, clock.now()):
+            return False
         if not self._send_count:
             return True
         return self._active_request.context.take_retry(self._active_request.service)
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -109,6 +109,7 @@
     QUEUE = "queue"
     SLOTS = "slots"
     RATE = "rate"
+    QUARANTINE = "quarantine"
 
 
 class Refusal(Struct, frozen=True):
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -200,6 +200,8 @@
         now: float,
         excluded: Collection[TargetId] = (),
         elapsed_s: float = 0.0,
+        *,
+        direct_only: bool = False,
     ) -> Plan | Refusal:
         """Decide where a generation runs, or refuse it.
 
@@ -213,6 +215,8 @@
             Engines where this request has failed.
         elapsed_s : float
             Seconds since the request arrived.
+        direct_only : bool
+            Whether the engine that writes the answer must do the prefill as well.
         """
         eligible = self._eligible.select(targets, excluded, now)
         prefill_engines = self._eligible.without_suspended(
@@ -249,8 +253,10 @@
                 urgency,
                 slot_wait_ms,
                 now,
-                required=not prefill_engines,
+                required=direct_only or not prefill_engines,
             )
+            if direct_only:
+                return direct
             options = [plan for plan in (split, direct) if plan is not None]
             return min(options, key=_comparison_ms, default=None)
 
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -143,11 +143,18 @@
         """
         self._turns.set_entries(rank, count, now)
 
-    def check(self, parts: Iterable[str], now: float) -> Verdict | None:
+    def check(
+        self, parts: Iterable[str], now: float, *, may_try: bool = True
+    ) -> Verdict | None:
         """Return the verdict on a request with quarantined parts, to be asked per send.
 
         A verdict that lets the request through as a trial counts as used. It is given
         once, so there is no second check for the same request.
+
+        Parameters
+        ----------
+        may_try : bool
+            Whether the request can be a trial.
         """
         if not self._quarantined:
             return None
@@ -159,7 +166,8 @@
         key = max(found, key=lambda key: self._quarantined[key].return_s(now))
         quarantine = self._quarantined[key]
         if (
-            len(set(found)) == 1
+            may_try
+            and len(set(found)) == 1
             and self._turns.may_try(key, quarantine, now)
             and not self._evidence.flapping_targets(now)
         ):
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -4,6 +4,7 @@
 
 from wigeonspan.common import HostId
 from wigeonspan.placing import PromptPart, Work
+from wigeonspan.quarantine import QuarantineMessage
 from wigeonspan.targets import Listing, TargetId
 
 
@@ -92,7 +93,13 @@
 
 
 Event = (
-    WorkBegun | WorkEnded | TargetSuspended | TargetLeaving | TargetLimited | ListRead
+    WorkBegun
+    | WorkEnded
+    | TargetSuspended
+    | TargetLeaving
+    | TargetLimited
+    | ListRead
+    | QuarantineMessage
 )
 """Any event in a packet."""
 
