Keep verdicts on prompt parts at the control hosts

Entries pass verdicts on to each other. When all of them are killed at the same moment, nobody knows a part that crashes engines, and it would crash three more.

Heartbeats report the verdicts of an entry, and replies bring an entry those that it does not hold. Nothing is written to disks, so a loss of all processes at once still loses the verdicts.

--- a/tests/coordinator/test_heartbeats.py
+++ b/tests/coordinator/test_heartbeats.py
@@ -1,11 +1,13 @@
 """Tests of the replies of control hosts to heartbeats of entries."""
 
 import pytest
+from msgspec.structs import replace
 
 from wigeonspan.common import DomainName, HostId, ManualClock
 from wigeonspan.coordinator._heartbeats import Heartbeats
 from wigeonspan.fleetconfig import StoredConfig
 from wigeonspan.presence import Beat, EntryInfo, EntryState, unpack
+from wigeonspan.quarantine import PartQuarantined
 from wigeonspan.staging import DemandMeter
 
 STORED = StoredConfig(3, b"{}")
@@ -49,3 +51,12 @@
     assert heartbeats.relayed_entries() == ["e1:81"]
     assert heartbeats.other_relays() == ["c2:1"]
     assert heartbeats.live_entries == 3
+
+
+def test_entry_that_starts_gets_the_verdicts_that_others_reported(heartbeats):
+    """Entries that were killed together knew no part that crashes engines."""
+    verdict = PartQuarantined("bad", 2.0)
+    reporting = replace(beat("e1"), quarantined=[verdict])
+    assert heartbeats.receive(reporting, STORED, ["c1:1"], []).quarantined == []
+    reply = heartbeats.receive(beat("e2"), STORED, ["c1:1"], [])
+    assert [v.part for v in reply.quarantined] == ["bad"]
--- a/wigeonspan/coordinator/_heartbeats.py
+++ b/wigeonspan/coordinator/_heartbeats.py
@@ -3,6 +3,7 @@
 from wigeonspan.common import Clock, DomainName
 from wigeonspan.fleetconfig import StoredConfig
 from wigeonspan.presence import Beat, BeatReply, EntryHeartbeats, pack_once
+from wigeonspan.quarantine import VerdictMemory
 from wigeonspan.staging import DemandMeter
 from wigeonspan.targets import TargetId
 
@@ -28,6 +29,7 @@
         self._clock = clock
         self._meter = meter
         self._entries = EntryHeartbeats()
+        self._verdicts = VerdictMemory()
         self._pack_config = pack_once()
         self._pack_entries = pack_once()
 
@@ -73,6 +75,7 @@
         for service, read_ms in beat.read_ms.items():
             stream_s = beat.stream_s.get(service, 0.0)
             self._meter.record(beat.entry.host, service, read_ms, stream_s, now)
+        self._verdicts.record(beat.quarantined, now)
         digest = self._entries.digest(now)
         config = entries = None
         if beat.wants_changes and stored.version > beat.config_version:
@@ -88,6 +91,7 @@
             domain=self._domain,
             switching=switching,
             leads=leads,
+            quarantined=self._verdicts.missing(beat.quarantined, now),
         )
 
     def limited_targets(self) -> set[TargetId]:
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -164,6 +164,7 @@
             self._update_entries,
             context.target_table.set_switching,
             context.link.set_relay,
+            lambda verdicts: context.quarantine.restore(verdicts, clock.now()),
             self._record_error,
         )
         self._listing = ListingTask(
@@ -280,6 +281,7 @@
             context.stream_s,
             relay,
             limited=sorted(context.placer.limits.rates),
+            quarantined=context.quarantine.verdicts(self._clock.now()),
         )
 
     def _update_entries(self, entries: list[EntryInfo]) -> None:
--- a/wigeonspan/gateway/_heartbeats.py
+++ b/wigeonspan/gateway/_heartbeats.py
@@ -23,6 +23,7 @@
     InvalidValue,
     unpack,
 )
+from wigeonspan.quarantine import PartQuarantined
 from wigeonspan.targets import TargetId
 from wigeonspan.trail import EventLog
 
@@ -57,6 +58,8 @@
         Called with the engines whose phase is changing.
     on_relay : callable
         Called with the address of the datagram relay when it changes.
+    on_quarantined : callable
+        Called with the verdicts of the quarantine that the host has kept.
     record_error : callable
         Called with an unexpected error; heartbeats to the host continue.
     """
@@ -73,6 +76,7 @@
         on_entries: Callable[[list[EntryInfo]], None],
         on_switching: Callable[[list[TargetId]], None],
         on_relay: Callable[[str], None],
+        on_quarantined: Callable[[list[PartQuarantined]], None],
         record_error: Callable[[Exception], None],
     ) -> None:
         self._clock = clock
@@ -85,6 +89,7 @@
         self._on_entries = on_entries
         self._on_switching = on_switching
         self._on_relay = on_relay
+        self._on_quarantined = on_quarantined
         self._record_error = record_error
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._digests: dict[str, str] = {}
@@ -184,6 +189,8 @@
         for control in reply.controls:
             self._add(control)
         self._on_switching(self._controls.switching)
+        if reply.quarantined:
+            self._on_quarantined(reply.quarantined)
         self._publish_relay()
 
     def _publish_relay(self) -> None:
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from wigeonspan.common import DomainName, HostId, ServiceName
+from wigeonspan.quarantine import PartQuarantined
 from wigeonspan.targets import TargetId
 
 BEAT_PATH = "/internal/v1/beat"
@@ -58,6 +59,8 @@
         when there is none.
     limited : list of TargetId
         Targets that limit their requests.
+    quarantined : list of PartQuarantined
+        Verdicts of the quarantine that the entry holds.
     """
 
     entry: EntryInfo
@@ -68,6 +71,7 @@
     stream_s: dict[ServiceName, float] = {}
     relay: str = ""
     limited: list[TargetId] = []
+    quarantined: list[PartQuarantined] = []
 
 
 class BeatReply(Struct, frozen=True):
@@ -90,6 +94,8 @@
         Engines that must not get new work because their phase is changing.
     leads : bool
         Whether the host leads its group; only a leader changes phases.
+    quarantined : list of PartQuarantined
+        Verdicts of other entries that the entry does not hold.
     """
 
     config_version: int
@@ -100,3 +106,4 @@
     domain: DomainName = DomainName("")
     switching: list[TargetId] = []
     leads: bool = True
+    quarantined: list[PartQuarantined] = []
--- a/wigeonspan/quarantine/__init__.py
+++ b/wigeonspan/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Parts of prompts that crash the engines that write answers on them."""
 
 from wigeonspan.quarantine._core import PromptQuarantine
+from wigeonspan.quarantine._memory import VerdictMemory
 from wigeonspan.quarantine._messages import (
     PartQuarantined,
     PartsCleared,
@@ -16,4 +17,5 @@
     "QuarantineMessage",
     "StreamCrashed",
     "Verdict",
+    "VerdictMemory",
 ]
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -283,6 +283,29 @@
         else:
             self._learn(message, now)
 
+    def verdicts(self, now: float) -> list[PartQuarantined]:
+        """Return the verdicts that this entry holds, for a control host to keep."""
+        return [
+            PartQuarantined(
+                key,
+                max(0.0, now - quarantine.began_at),
+                quarantine.trials,
+                max(0.0, now - quarantine.requested_at),
+            )
+            for key, quarantine in self._quarantined.items()
+        ]
+
+    def restore(self, verdicts: Iterable[PartQuarantined], now: float) -> None:
+        """Apply verdicts that a control host has kept.
+
+        The host may not know yet that a part was cleared, so such verdicts are ignored
+        and, unlike those of entries, not answered.
+        """
+        for verdict in verdicts:
+            cleared = self._cleared.get(verdict.part)
+            if cleared is None or now - verdict.age_s > cleared.at:
+                self._learn(verdict, now)
+
     def _learn(self, message: PartQuarantined, now: float) -> None:
         """Apply the verdict of another entry unless the part was cleared later."""
         key, began_at = message.part, now - max(0.0, message.age_s)
