Close connections after refusals, failures and answers without an id

Cause: a target may write a refusal once more on a kept connection. When the copy bears the id of the request that runs next, or no id, it was read as the answer to that request: an idempotent call that its target was running was answered with 503, or sent to a second target; a prompt was prefilled twice; a stream was refused.

Change: the pool asks after each response head whether the connection may carry another request. It may not after a refusal (Not-Executed or 421), a failure (5xx) or an answer that does not bear the request's id, nor after a late answer to an earlier request was skipped on it.

--- a/tests/pool/test_pool.py
+++ b/tests/pool/test_pool.py
@@ -135,6 +135,32 @@
     assert results == [(200, b"ok")]
 
 
+def test_connection_with_a_late_response_is_not_used_again():
+    """A target that sends copies of its responses may send the next one without an id.
+
+    Such a copy cannot be told from the response to a later request.
+    """
+    late = COMPLETE.replace(b"Request-Id: 1", b"Request-Id: 0")
+    _, server = run_script(
+        [[[late, COMPLETE]], [COMPLETE]],
+        times=2,
+        accepts=lambda head: head.get("Request-Id") == "1",
+    )
+    assert server.connections == 2
+
+
+def test_connection_is_used_again_only_after_responses_that_allow_it():
+    """A copy of a refusal on a kept connection answered the request after it."""
+    refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    results, server = run_script(
+        [[COMPLETE, refusal], [COMPLETE]],
+        times=3,
+        keeps_connection=lambda head: head.status < 500,
+    )
+    assert results == [(200, b"ok"), (503, b""), (200, b"ok")]
+    assert server.connections == 2
+
+
 @pytest.mark.parametrize(
     ("step", "kind"),
     [
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -98,6 +98,9 @@
             target.address,
             context.protocol.encode(request, send),
             accepts=lambda head: context.protocol.is_response_to(request, head),
+            keeps_connection=lambda head: context.protocol.keeps_connection(
+                request, head
+            ),
             new_connection=new_connection,
         )
         sent = ActiveSend(exchange, started_at)
--- a/wigeonspan/gateway/_messages.py
+++ b/wigeonspan/gateway/_messages.py
@@ -132,6 +132,10 @@
         """Return whether a response belongs to a request and not to an earlier one."""
         ...
 
+    def keeps_connection(self, request: CallerRequest, head: Head) -> bool:
+        """Return whether a connection may be used again after a response on it."""
+        ...
+
     def read_outcome(self, head: Head) -> TargetOutcome:
         """Return the outcome that the head of a response reports."""
         ...
--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -86,11 +86,18 @@
         ):
             sock.setsockopt(level, option, value)
 
-    def start(self, request: bytes, accepts: Callable[[Head], bool]) -> Exchange:
+    def start(
+        self,
+        request: bytes,
+        accepts: Callable[[Head], bool],
+        keeps_connection: Callable[[Head], bool],
+    ) -> Exchange:
         """Send a request and return its exchange."""
         assert self._transport is not None
         self._counts = _ReceivedCounts()
-        self._exchange = Exchange(self, accepts, self._clock.now(), self._buffers)
+        self._exchange = Exchange(
+            self, accepts, keeps_connection, self._clock.now(), self._buffers
+        )
         self._transport.write(request)
         return self._exchange
 
@@ -158,7 +165,8 @@
     def on_headers_complete(self) -> None:
         """Pass the head to the exchange unless the response is to be skipped.
 
-        Interim responses and late responses to earlier requests are skipped.
+        Interim responses and late responses to earlier requests are skipped. A target
+        that has sent a late response gets no further request on the connection.
         """
         status = self._parser.get_status_code()
         head = Head(status, self._headers)
@@ -173,10 +181,11 @@
                 self._counts.interim_responses += 1
             else:
                 self._counts.skipped_responses += 1
+                self._usable = False
             return
         self._ends_at_eof = not _is_self_delimited(head)
         self.idle_limit_s = _keep_alive_s(head)
-        if not self._parser.should_keep_alive():
+        if not self._parser.should_keep_alive() or not exchange.keeps_connection(head):
             self._usable = False
         exchange.receive_head(head, self_delimited=not self._ends_at_eof)
 
--- a/wigeonspan/pool/_exchange.py
+++ b/wigeonspan/pool/_exchange.py
@@ -99,6 +99,8 @@
     accepts : callable
         Returns whether a response head belongs to this request; a late response to
         an earlier request may arrive first.
+    keeps_connection : callable
+        Returns whether the connection may carry another request after a response.
     sent_at : float
         Monotonic time in seconds at which the request was sent.
     buffers : BufferBudget
@@ -109,6 +111,7 @@
         self,
         connection: ExchangeTransport,
         accepts: Callable[[Head], bool],
+        keeps_connection: Callable[[Head], bool],
         sent_at: float,
         buffers: BufferBudget,
     ) -> None:
@@ -123,6 +126,7 @@
         self._failure: ExchangeError | None = None
         self._waiter: asyncio.Future[None] | None = None
         self.accepts = accepts
+        self.keeps_connection = keeps_connection
         self.sent_at = sent_at
 
     @property
--- a/wigeonspan/pool/_pool.py
+++ b/wigeonspan/pool/_pool.py
@@ -54,6 +54,7 @@
         request: bytes,
         *,
         accepts: Callable[[Head], bool] = lambda head: True,
+        keeps_connection: Callable[[Head], bool] = lambda head: True,
         new_connection: bool = False,
         may_send: Callable[[], bool] = lambda: True,
     ) -> Exchange:
@@ -67,6 +68,8 @@
             Complete request.
         accepts : callable
             Returns whether a response head belongs to this request.
+        keeps_connection : callable
+            Returns whether the connection may carry another request after a response.
         new_connection : bool
             Whether to open a new connection. A target may close an idle one while
             the request is on its way.
@@ -86,7 +89,7 @@
         if not may_send():
             connection.close()
             raise ExchangeError(FailureKind.WITHHELD, sent=False)
-        return connection.start(request, accepts)
+        return connection.start(request, accepts, keeps_connection)
 
     def release(self, address: str, exchange: Exchange) -> None:
         """Return a connection to the pool after its exchange, or close it.
