Send requests with the same id on different connections

Cause: a late copy of an ordinary answer is skipped because it bears the id of an earlier request. The copy could not be told from the expected answer when a caller repeated a request with its id, or when the prefill and the stream of one request went to the same target: the caller got the old answer while the target ran the repeat, and a stream failed on a copy of its prompt's handle.

Change: a connection remembers hashes of the ids that it has carried and is passed over for requests with one of these. It carries at most 128 requests, which bounds that memory.

Measured: before, the repeat got the copy of a 200 or a 404 in 3 of 6 cases, the stream was answered with 502, and the three new pool tests failed; none after.

--- a/tests/platform/test_late_copies.py
+++ b/tests/platform/test_late_copies.py
@@ -4,11 +4,14 @@
 import contextlib
 from http.client import responses
 
+import msgspec
 import pytest
 from tornado.iostream import StreamClosedError
 
 from tests.platform.gateway_harness import (
     IDEMPOTENT,
+    NET,
+    SIGNED,
     STREAM,
     answers,
     echo,
@@ -17,10 +20,12 @@
     prefills,
     route,
     send,
+    shared_state,
     start_gateway,
     status,
     streams,
 )
+from wigeonspan.targets import Listing, Phase
 
 WORK_S = 0.15
 # After the first answer: in the same packet, right after it, and when the connection
@@ -146,3 +151,43 @@
     results = serve_in_turn(STREAM, engines, numbers, usage="600,20")
     assert [status(answer) for answer in results] == [503, 200]
     assert results[1].count(b"data: ") == 3
+
+
+@pytest.mark.parametrize("delay_s", DELAYS_S)
+@pytest.mark.parametrize("code", [200, 404])
+def test_copy_of_an_answer_does_not_answer_a_repeat_with_its_id(code, delay_s):
+    """A caller's repeat got a copy of the answer to its first send.
+
+    The id does not tell the copy from the answer that the target is working on.
+    """
+    first = answers_twice(code, SIGNED, b"old", delay_s=delay_s, names_id=True)
+    engines = plain_engines([first, works(answers(200, b"new"))])
+    results = serve_in_turn(IDEMPOTENT, engines, (0, 0), usage=None)
+    assert results[0].endswith(b"old") and results[1].endswith(b"new")
+
+
+def test_copy_of_a_prefill_does_not_answer_the_stream_of_its_request():
+    """A stream failed because its engine had prefilled the prompt before.
+
+    Both sends have the same id, so a copy of the handle was taken for the stream.
+    """
+    handle = b'{"transfer_handle":"ab"}'
+    prefills_twice = answers_twice(200, [], handle, delay_s=0.03, names_id=True)
+    engines = model_engines([], [streams(3)])
+
+    async def prefills_and_changes_phase(fields, caller):
+        table = shared_state["target_table"]
+        phases = {"p": Phase.DECODE, "d": Phase.PREFILL}
+        changed = (
+            msgspec.structs.replace(t, phase=phases[t.target]) for t in table.all()
+        )
+        table.update(Listing(tuple(changed)), 2.0)
+        await prefills_twice(fields, caller)
+
+    engines[0].script = [prefills_and_changes_phase, works(streams(3))]
+    answer = serve_in_turn(STREAM, engines, (0,), usage="600,20")[0]
+    assert answer.count(b"data: ") == 3
+    assert [fields.get("kv-source") for *_, fields in engines[0].seen] == [
+        None,
+        f"{NET}.0.1:18080/ab",
+    ]
--- a/tests/pool/test_pool.py
+++ b/tests/pool/test_pool.py
@@ -15,6 +15,7 @@
     FailureKind,
     encode_request,
 )
+from wigeonspan.pool._connection import MAX_REQUESTS
 
 REQUEST = encode_request("GET", "/x", [("Host", "h"), ("Request-Id", "1")])
 COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: 1\r\n\r\nok"
@@ -149,6 +150,43 @@
     assert server.connections == 2
 
 
+def test_requests_with_the_same_id_use_different_connections():
+    """A copy of the response to the first of two such requests answered the second."""
+    results, server = run_script(
+        [[COMPLETE, COMPLETE]], times=3, request_id="1", pause_s=0.01
+    )
+    assert results == [(200, b"ok")] * 3
+    assert server.connections == 3
+
+
+def test_request_with_another_id_uses_the_idle_connection():
+    """Connections that a request must not use stay open for the others."""
+
+    async def run():
+        pool = ConnectionPool(SystemClock())
+        async with Server([COMPLETE] * 3) as server:
+            for request_id in ("1", "1", "2", "2"):
+                await exchange(pool, server.address, request_id=request_id)
+            pool.close()
+        return server.connections
+
+    assert asyncio.run(run()) == 2
+
+
+def test_connection_carries_a_limited_number_of_requests():
+    """The ids of all requests on a connection in constant use would fill memory."""
+
+    async def run():
+        pool = ConnectionPool(SystemClock())
+        async with Server([COMPLETE] * (MAX_REQUESTS + 1)) as server:
+            for number in range(MAX_REQUESTS + 1):
+                await exchange(pool, server.address, request_id=str(number))
+            pool.close()
+        return server.connections
+
+    assert asyncio.run(run()) == 2
+
+
 def test_connection_is_used_again_only_after_responses_that_allow_it():
     """A copy of a refusal on a kept connection answered the request after it."""
     refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -97,6 +97,7 @@
         exchange = await context.pool.send(
             target.address,
             context.protocol.encode(request, send),
+            request_id=request.request,
             accepts=lambda head: context.protocol.is_response_to(request, head),
             keeps_connection=lambda head: context.protocol.keeps_connection(
                 request, head
--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -27,6 +27,10 @@
 KEEPALIVE_INTERVAL_S = 1
 """Idle seconds before the first TCP keepalive probe, and seconds between probes."""
 
+MAX_REQUESTS = 128
+"""Largest number of requests that a connection carries. It bounds the memory for their
+ids; a new connection costs a target a millisecond, which is little after so many."""
+
 KEEPALIVE_PROBES = 2
 """Unanswered keepalive probes after which the kernel closes the connection."""
 
@@ -48,6 +52,8 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
+        # Hashes of the ids of the requests that were sent, which may be long.
+        self._sent_ids: set[int] = set()
         self._usable = False
         self._ends_at_eof = False
         self._skip_response = False
@@ -65,6 +71,7 @@
         return (
             self._usable
             and self._exchange is None
+            and len(self._sent_ids) < MAX_REQUESTS
             and transport is not None
             and not transport.is_closing()
             and transport.get_write_buffer_size() == 0
@@ -86,14 +93,21 @@
         ):
             sock.setsockopt(level, option, value)
 
+    def has_sent(self, request_id: str) -> bool:
+        """Return whether a request with an id was sent on this connection."""
+        return hash(request_id) in self._sent_ids
+
     def start(
         self,
         request: bytes,
+        request_id: str,
         accepts: Callable[[Head], bool],
         keeps_connection: Callable[[Head], bool],
     ) -> Exchange:
         """Send a request and return its exchange."""
         assert self._transport is not None
+        if request_id:
+            self._sent_ids.add(hash(request_id))
         self._counts = _ReceivedCounts()
         self._exchange = Exchange(
             self, accepts, keeps_connection, self._clock.now(), self._buffers
--- a/wigeonspan/pool/_pool.py
+++ b/wigeonspan/pool/_pool.py
@@ -53,6 +53,7 @@
         address: str,
         request: bytes,
         *,
+        request_id: str = "",
         accepts: Callable[[Head], bool] = lambda head: True,
         keeps_connection: Callable[[Head], bool] = lambda head: True,
         new_connection: bool = False,
@@ -66,6 +67,10 @@
             IP address and port.
         request : bytes
             Complete request.
+        request_id : str
+            Id that responses to this request bear; empty for none. A connection on
+            which a request with the same id was sent is not used, because a late copy
+            of the earlier response cannot be told from the response to this one.
         accepts : callable
             Returns whether a response head belongs to this request.
         keeps_connection : callable
@@ -83,13 +88,13 @@
             With ``sent`` false when no connection could be established, or with
             ``WITHHELD`` when ``may_send`` returned false.
         """
-        connection = None if new_connection else self._take_idle(address)
+        connection = None if new_connection else self._take_idle(address, request_id)
         if connection is None:
             connection = await self._connect(address)
         if not may_send():
             connection.close()
             raise ExchangeError(FailureKind.WITHHELD, sent=False)
-        return connection.start(request, accepts, keeps_connection)
+        return connection.start(request, request_id, accepts, keeps_connection)
 
     def release(self, address: str, exchange: Exchange) -> None:
         """Return a connection to the pool after its exchange, or close it.
@@ -173,14 +178,21 @@
                 self.release(address, exchange)
         return head, body
 
-    def _take_idle(self, address: str) -> Connection | None:
-        connections = self._idle.get(address)
-        while connections:
-            connection = connections.pop()
-            if self._is_reusable(connection):
-                return connection
-            connection.close()
-        return None
+    def _take_idle(self, address: str, request_id: str) -> Connection | None:
+        connections = self._idle.get(address, deque())
+        passed_over: list[Connection] = []
+        try:
+            while connections:
+                connection = connections.pop()
+                if not self._is_reusable(connection):
+                    connection.close()
+                elif connection.has_sent(request_id):
+                    passed_over.append(connection)
+                else:
+                    return connection
+            return None
+        finally:
+            connections.extend(reversed(passed_over))
 
     def _is_reusable(self, connection: Connection) -> bool:
         advertised_s = connection.idle_limit_s
