Use new connections to engines and services that have refused

Cause: curl keeps the connection of a refusal for the next request. When an engine or a plain service wrote the refusal once more, the copy was read as the answer to that request: an attempt that its engine was running ended as refused, a transfer of a cache failed, and a call that its service was running was answered with 503. These answers bear no id.

Change: after an answer other than 200 of an engine, and after a 503 of a plain service, requests there use new connections until the idle ones have expired, as after a timeout. Calls that may run only once and orders had connections of their own before.

--- a/wigeonspan/engines/_client.py
+++ b/wigeonspan/engines/_client.py
@@ -100,6 +100,8 @@
         listener: StreamListener,
         fresh: bool = False,
     ) -> None:
+        self._connections = connections
+        self._address = address
         self._listener: StreamListener | None = listener
         self._decoder = SseDecoder()
         self._status = 0
@@ -167,9 +169,13 @@
             listener.on_frame(parse_frame(item.data))
 
     def _on_ended(self, future: "asyncio.Future[ExchangeEnd]") -> None:
-        if self._listener is None or future.cancelled():
+        if future.cancelled():
             return
         end = future.result()
+        if end.status not in (0, 200):
+            self._connections.avoid_idle_connections(self._address)
+        if self._listener is None:
+            return
         self._status = self._status or end.status
         if self._status not in (0, 200):
             text = (self._error_body or end.body).decode(errors="replace")
@@ -330,7 +336,7 @@
         except asyncio.CancelledError:
             exchange.close()
             raise
-        if end.timed_out:
+        if end.timed_out or end.status not in (0, 200):
             self._connections.avoid_idle_connections(address)
         return end
 
--- a/wigeonspan/engines/_connections.py
+++ b/wigeonspan/engines/_connections.py
@@ -323,7 +323,8 @@
         """Use new connections to a target until its idle ones have expired.
 
         When one connection has stopped responding, others on the same network path may
-        be dead, too.
+        be dead, too. After a refusal, a target may send it once more on the connection,
+        and the copy would be taken for the answer to the next request there.
         """
         self._fresh_until[address] = self._clock.now() + MAX_IDLE_S + 1
 
--- a/wigeonspan/entryd/_plain.py
+++ b/wigeonspan/entryd/_plain.py
@@ -228,7 +228,7 @@
             return
         call.failed_addresses.add(target.address)
         self._health.record_failure(key, now)
-        if end.timed_out:
+        if end.timed_out or end.status == 503:
             self._connections.avoid_idle_connections(target.address)
 
     def _may_retry(self, call: PlainCall) -> bool:
