Pass on only a continuation once a stream has begun

Cause: a 400, 404, 409 or 302 counts as answered. After a stream had broken off, such an answer of the next engine was relayed: its text stood in the caller's stream, which then ended as if it were complete. The same held for an answer of another media type, and while an engine was only silent: the error of the second engine ended the stream, or replaced it before its head.

Change: once the caller has a head, or an earlier run is still open, only a 2xx answer whose media type is that of the first head or text/event-stream is relayed. Any other answer is a failure of that engine (`stream_not_continued`), and the next one is tried or the stream is cut. The first answer is passed on whole as before.

--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -16,6 +16,7 @@
 )
 from wigeonspan.gateway._candidates import CandidateEngines
 from wigeonspan.gateway._context import GatewayContext
+from wigeonspan.gateway._continuation import may_continue
 from wigeonspan.gateway._events import (
     EventDeduplicator,
     EventTooLarge,
@@ -80,6 +81,8 @@
         self._stream_count = 0
         self._run_count = 0
         self._last_event_at: float | None = None
+        # Head that was sent to the caller.
+        self._sent_head: Head | None = None
         self._runs = OpenRuns()
 
     @property
@@ -435,6 +438,12 @@
                 if await self._handle_failure(caller, run, exchange):
                     return True
                 return await self._after_refusal(run)
+            if not self._may_pass_on(caller, run, head):
+                context.placer.health.record_error(engine.target)
+                self._engines.exclude(
+                    engine, "stream_not_continued", status=head.status
+                )
+                return await self._after_refusal(run)
             self._runs.schedule_takeover(run)
             try:
                 await self._relay_events(caller, run)
@@ -448,6 +457,23 @@
         context.placer.health.record_success(engine.target)
         return True
 
+    def _is_first_answer(self, caller: ResponseWriter, run: OpenRun) -> bool:
+        """Return whether a run's answer need not continue that of another run."""
+        return not caller.head_sent and self._runs.oldest is run
+
+    def _may_pass_on(self, caller: ResponseWriter, run: OpenRun, head: Head) -> bool:
+        """Return whether an answer may be passed on to the caller.
+
+        The first one always may. Once the caller has a part of a stream, or may still
+        get one from a silent engine, the others may only continue it.
+        """
+        if self._is_first_answer(caller, run):
+            return True
+        first_head = self._sent_head
+        if first_head is None and self._runs.oldest is not None:
+            first_head = self._runs.oldest.head
+        return may_continue(head, first_head)
+
     async def _after_refusal(self, run: OpenRun) -> bool:
         """Wait for the successor of a run that has ended without a stream, if any."""
         if run.successor is None:
@@ -613,6 +639,7 @@
         """Send the head once; after a resume it is still that of the first engine."""
         if caller.head_sent or run.head is None:
             return
+        self._sent_head = run.head
         headers = self._context.protocol.response_headers(run.head)
         await caller.send_head(run.head.status, headers)
 
--- a/wigeonspan/gateway/_runs.py
+++ b/wigeonspan/gateway/_runs.py
@@ -92,6 +92,11 @@
     def __len__(self) -> int:
         return len(self._runs)
 
+    @property
+    def oldest(self) -> OpenRun | None:
+        """Run that began first, if any is open."""
+        return self._runs[0] if self._runs else None
+
     def add(self, run: OpenRun) -> None:
         """Add the newest run."""
         self._runs.append(run)
