--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -97,7 +97,11 @@
         exchange = await context.pool.send(
             target.address,
             context.protocol.encode(request, send),
+            request_id=request.request,
             accepts=lambda head: context.protocol.is_response_to(request, head),
+            keeps_connection=lambda head: context.protocol.keeps_connection(
+                request, head
+            ),
             new_connection=new_connection,
         )
         sent = ActiveSend(exchange, started_at)
