Let silent runs and their successors end in any order

Each run now knows whether it has run and whether its engine is silent; a successor that is not refused takes over 0.3 s after it was sent; the search ends with the run that it belongs to; and a second prefill runs beside the silent one.

--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -31,11 +31,14 @@
     completed : bool
         Whether the target has done the work. A refusal is a complete response too,
         but must not be counted as work that was done fast.
+    silence_recorded : bool
+        Whether the silence of the target was recorded before its request timed out.
     """
 
     exchange: Exchange
     sent_at: float
     completed: bool = False
+    silence_recorded: bool = False
 
 
 @asynccontextmanager
@@ -113,7 +116,7 @@
             context.placer.ledger.finished_since(target.target, started_at)
         )
         if failure.sent and failure.kind is FailureKind.TIMEOUT:
-            if not is_busy:
+            if not is_busy and not (sent is not None and sent.silence_recorded):
                 context.record_silence(target.target)
         else:
             context.record_failure(
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -14,6 +14,7 @@
     receive_head,
     with_timeout,
 )
+from wigeonspan.gateway._backup import Backup
 from wigeonspan.gateway._candidates import CandidateEngines
 from wigeonspan.gateway._context import GatewayContext
 from wigeonspan.gateway._continuation import may_continue
@@ -41,6 +42,9 @@
 
 T = TypeVar("T")
 
+PreparedPrompt = tuple[Plan, PromptHandle | None]
+"""Plan of a request with its prefilled prompt, if that is a step of its own."""
+
 MAX_ROUNDS = 5
 """Largest number of rounds of placement, prefill and streaming for one request."""
 
@@ -78,6 +82,7 @@
         self._shared_parts = tuple(p.part for p in self._prompt.shared_parts)
         self._engines = CandidateEngines(active_request, self._prompt)
         self._position = StreamPosition()
+        self._round_count = 0
         self._prefill_count = 0
         self._stream_count = 0
         self._run_count = 0
@@ -118,16 +123,36 @@
         WigeonspanError
             When the request cannot be sent to an engine any more.
         """
-        for _ in range(MAX_ROUNDS):
-            plan = self._plan()
-            handle = None
-            if plan.prefill is not None:
-                handle = await self._prefill_prompt(plan, plan.prefill)
-                if handle is None:
-                    continue
+        while True:
+            plan, handle = await self._place_and_prefill()
             if await self._stream_from(caller, plan, handle):
                 return
             self._check_may_continue()
+
+    async def _place_and_prefill(self, *, as_backup: bool = False) -> PreparedPrompt:
+        """Place the request and have its prompt prefilled, at another engine if needed.
+
+        Parameters
+        ----------
+        as_backup : bool
+            Whether a silent engine may still prefill the prompt, so that a plan without
+            a prefill of its own is of no use.
+
+        Raises
+        ------
+        WigeonspanError
+            When the request cannot be sent to an engine any more.
+        """
+        while self._round_count < MAX_ROUNDS:
+            self._round_count += 1
+            plan = self._plan()
+            if plan.prefill is None and as_backup:
+                raise self._error("no other engine prefills the prompt")
+            if plan.prefill is None:
+                return plan, None
+            prepared = await self._prefill_prompt(plan, plan.prefill)
+            if prepared is not None:
+                return prepared
         raise self._error("no engine answered")
 
     def _plan(self) -> Plan:
@@ -224,8 +249,14 @@
             self._active_request.service, stream_s=self._context.placer.slots.stream_s
         )
 
-    async def _prefill_prompt(self, plan: Plan, engine: Target) -> PromptHandle | None:
-        """Have an engine prefill the prompt; return None if another one must do it."""
+    async def _prefill_prompt(
+        self, plan: Plan, engine: Target
+    ) -> PreparedPrompt | None:
+        """Have an engine prefill the prompt; return None if another one must do it.
+
+        While the engine is silent, another one is tried beside it, because both may be
+        sound. The first prompt that is prefilled is used.
+        """
         context, now = self._context, self._context.clock.now()
         if self._prefill_count:
             self._spend_retry()
@@ -237,6 +268,7 @@
             Phase.PREFILL,
             copy_from=plan.prefill_steps.source,
         )
+        backup = Backup(lambda: self._place_and_prefill(as_backup=True))
         try:
             async with active_send(
                 context,
@@ -247,25 +279,29 @@
                 prompt_parts=self._prompt.parts,
                 new_tokens=plan.prefill_steps.new_tokens,
             ) as sent:
-                head = await self._wait_for_prefill(plan, engine, sent)
+                head = await self._wait_for_prefill(plan, engine, sent, backup)
+                if head is None:
+                    return await backup.result()
                 body = await with_timeout(
                     self._body_timeout_s(),
                     sent.exchange.read_all(MAX_PREFILL_RESPONSE_BYTES),
                 )
                 handle = self._decode_handle(engine, head, body)
                 sent.completed = handle is not None
+            if handle is None:
+                self._engines.exclude(engine, "read_refused", status=head.status)
+                return await backup.result()
         except ExchangeError as failure:
             self._engines.exclude_after_error(engine, "read_broke_off", failure)
-            return None
-        if handle is None:
-            self._engines.exclude(engine, "read_refused", status=head.status)
-            return None
+            return await backup.result()
+        finally:
+            backup.drop()
         took_ms = (context.clock.now() - now) * 1000.0
         context.placer.health.record_success(engine.target)
         context.placer.record_prefill(plan, took_ms)
         context.metrics.observe("prompt_read_seconds", took_ms / 1000.0)
         self._log_event("read", target=engine.target, took_ms=round(took_ms))
-        return handle
+        return plan, handle
 
     def _decode_handle(
         self, engine: Target, head: Head, body: bytes
@@ -275,46 +311,63 @@
         return self._context.protocol.read_handle(engine, body)
 
     async def _wait_for_prefill(
-        self, plan: Plan, engine: Target, sent: ActiveSend
-    ) -> Head:
+        self,
+        plan: Plan,
+        engine: Target,
+        sent: ActiveSend,
+        backup: Backup[PreparedPrompt],
+    ) -> Head | None:
         """Wait for an engine to prefill a prompt, as long as that can still succeed.
 
-        An engine that finishes other prompts is busy, not down. When another
-        request has found the engine unresponsive, waiting ends at once; the request
-        then counts as not run. A silent engine may be sound, so waiting goes on when
-        the prompt cannot be sent to another one.
+        An engine that finishes other prompts is busy, not silent. When another request
+        has found the engine silent, the backup begins at once.
+
+        Returns
+        -------
+        Head or None
+            Head of the engine's response; None when the backup was first.
 
         Raises
         ------
         ExchangeError
-            When another engine should prefill the prompt.
+            When the engine broke off or the caller's time is over.
         WigeonspanError
             When the caller will have left before its first event.
         """
         clock, placer = self._context.clock, self._context.placer
         started_at = progress_at = clock.now()
         limit_s = prefill_timeout_s(plan)
-        while True:
+        while not backup.succeeded:
             remaining_s = self._prefill_deadline() - clock.now()
             try:
                 return await receive_head(
                     self._context, engine, sent, min(POLL_INTERVAL_S, remaining_s)
                 )
             except ExchangeError as failure:
-                if failure.kind is not FailureKind.TIMEOUT:
-                    raise
                 now = clock.now()
-                if placer.ledger.finished_since(engine.target, progress_at):
-                    progress_at = now
-                no_progress = now - progress_at >= limit_s
-                is_suspended = placer.health.suspended_since(engine.target, started_at)
-                is_silent = no_progress or is_suspended
-                if now >= self._active_request.deadline or (
-                    is_silent and self._may_prefill_elsewhere(engine)
-                ):
+                is_over = now >= self._active_request.deadline
+                if failure.kind is not FailureKind.TIMEOUT or is_over:
                     raise
                 if now >= self._prefill_deadline():
                     raise self._late_refusal(plan) from failure
+            if placer.ledger.finished_since(engine.target, progress_at):
+                progress_at = now
+            no_progress = now - progress_at >= limit_s
+            is_suspended = placer.health.suspended_since(engine.target, started_at)
+            if (no_progress or is_suspended) and not backup.begun:
+                self._begin_backup(engine, sent, backup)
+        return None
+
+    def _begin_backup(
+        self, engine: Target, sent: ActiveSend, backup: Backup[PreparedPrompt]
+    ) -> None:
+        """Have another engine prefill the prompt of a silent one, if there is any."""
+        if not self._may_prefill_elsewhere(engine):
+            return
+        sent.silence_recorded = True
+        self._context.record_silence(engine.target)
+        self._engines.exclude(engine, "read_silent")
+        backup.begin()
 
     def _may_prefill_elsewhere(self, engine: Target) -> bool:
         """Return whether another engine may prefill the prompt of a silent one."""
@@ -350,7 +403,7 @@
         self, caller: ResponseWriter, plan: Plan, handle: PromptHandle | None
     ) -> bool:
         """Stream the response; return False when another round may follow."""
-        run_count_before = self._run_count
+        prompt_taken = False
         # The prefill may take seconds; the planned engine may have left meanwhile.
         engine = plan.decode if handle is None else self._engines.choose(handle.source)
         try:
@@ -359,27 +412,50 @@
                 self._spend_retry_after_first_stream()
                 run = self._begin_run(plan, engine)
                 try:
-                    return await self._stream(caller, run, handle)
+                    if await self._stream(caller, run, handle):
+                        return True
                 except ExchangeError as failure:
                     self._log_broken_run(run, failure)
-                    if run.successor is not None:
-                        await run.successor
-                        return True
-                    if failure.sent:
-                        return False
+                    if not failure.sent:
+                        engine = self._next_engine(handle)
+                        continue
                 except Superseded:
-                    assert run.successor is not None
-                    await run.successor
-                    return True
-                finally:
+                    # The successor goes on with the response.
+                    pass
+                except BaseException:
                     run.drop_successor()
+                    raise
+                finally:
                     self._runs.remove(run)
-                engine = None if handle is None else self._engines.choose(handle.source)
+                    prompt_taken |= run.ran
+                return await self._end_with_successor(run)
             return False
         finally:
-            if handle is not None and self._run_count == run_count_before:
+            if handle is not None and not prompt_taken:
                 self._release(handle)
 
+    def _next_engine(self, handle: PromptHandle | None) -> Target | None:
+        """Return another engine for a prompt whose engine took no connection."""
+        return None if handle is None else self._engines.choose(handle.source)
+
+    async def _end_with_successor(self, run: OpenRun) -> bool:
+        """Wait for the successor of a run that has ended; return whether it had one.
+
+        Raises
+        ------
+        WigeonspanError
+            When the successor has not completed the response either.
+        """
+        if run.successor is None:
+            return False
+        try:
+            if self._active_request.remaining_s <= 0.0:
+                raise self._error("the time is over")
+            await run.successor
+        finally:
+            run.drop_successor()
+        return True
+
     def _begin_run(self, plan: Plan, engine: Target) -> OpenRun:
         placer = self._context.placer
         streams = placer.ledger.open_streams(engine.target)
@@ -450,47 +526,73 @@
             prompt_parts=self._prompt.parts,
             new_tokens=context.placer.new_tokens(engine, self._prompt),
         ) as sent:
-            run.exchange = exchange = sent.exchange
+            run.exchange = sent.exchange
             self._runs.add(run)
+            self._runs.schedule_takeover(run)
             self._stream_count += 1
             # The request counts as run unless the engine reports otherwise.
             self._run_count += 1
-            due_at = context.clock.now() + self._stall_timeout_s(run)
-            run.head = head = await self._outlast(caller, run, exchange.head, due_at)
-            process_notice(context, engine, sent, head)
-            outcome = context.protocol.read_outcome(head)
-            if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
-                self._run_count -= 1
-                if handle is not None:
-                    # The prompt may have expired at the engine that prefilled it.
-                    context.placer.health.record_error(handle.source.target)
-                self._engines.exclude(engine, "stream_refused", status=head.status)
-                return await self._after_refusal(run)
-            if outcome is TargetOutcome.UNREADABLE:
-                raise ExchangeError(FailureKind.MALFORMED, sent=True)
-            if outcome is TargetOutcome.FAILED:
-                if await self._handle_failure(caller, run, exchange):
-                    return True
-                return await self._after_refusal(run)
-            if not self._may_pass_on(caller, run, head):
-                context.placer.health.record_error(engine.target)
-                self._engines.exclude(
-                    engine, "stream_not_continued", status=head.status
-                )
-                return await self._after_refusal(run)
-            self._runs.schedule_takeover(run)
+            run.ran = True
             try:
-                await self._relay_events(caller, run)
-                sent.completed = True
-                if run.first_event_at is not None:
-                    duration_s = context.clock.now() - run.first_event_at
-                    context.placer.slots.record_stream(plan.urgency, duration_s)
-            finally:
-                stream_s = context.clock.now() - run.started_at
-                context.add_demand(self._active_request.service, stream_s=stream_s)
+                if not await self._receive(caller, run, sent, handle):
+                    return False
+            except ExchangeError as failure:
+                if run.superseded:
+                    # This entry has closed the connection itself.
+                    raise Superseded from failure
+                sent.silence_recorded = run.is_silent
+                raise
         context.placer.health.record_success(engine.target)
         return True
 
+    async def _receive(
+        self,
+        caller: ResponseWriter,
+        run: OpenRun,
+        sent: ActiveSend,
+        handle: PromptHandle | None,
+    ) -> bool:
+        """Pass on the response of an engine; return whether it is complete.
+
+        Raises
+        ------
+        ExchangeError
+            When the engine broke off or the caller's time is over.
+        Superseded
+            When a successor has continued the stream.
+        """
+        context, engine, exchange = self._context, run.engine, sent.exchange
+        due_at = context.clock.now() + self._stall_timeout_s(run)
+        run.head = head = await self._outlast(caller, run, exchange.head, due_at)
+        process_notice(context, engine, sent, head)
+        outcome = context.protocol.read_outcome(head)
+        if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
+            self._run_count -= 1
+            run.ran = False
+            if handle is not None:
+                # The prompt may have expired at the engine that prefilled it.
+                context.placer.health.record_error(handle.source.target)
+            self._engines.exclude(engine, "stream_refused", status=head.status)
+            return False
+        if outcome is TargetOutcome.UNREADABLE:
+            raise ExchangeError(FailureKind.MALFORMED, sent=True)
+        if outcome is TargetOutcome.FAILED:
+            return await self._handle_failure(caller, run, exchange)
+        if not self._may_pass_on(caller, run, head):
+            context.placer.health.record_error(engine.target)
+            self._engines.exclude(engine, "stream_not_continued", status=head.status)
+            return False
+        try:
+            await self._relay_events(caller, run)
+            sent.completed = True
+            if run.first_event_at is not None:
+                duration_s = context.clock.now() - run.first_event_at
+                context.placer.slots.record_stream(run.plan.urgency, duration_s)
+        finally:
+            stream_s = context.clock.now() - run.started_at
+            context.add_demand(self._active_request.service, stream_s=stream_s)
+        return True
+
     def _is_first_answer(self, caller: ResponseWriter, run: OpenRun) -> bool:
         """Return whether a run's answer need not continue that of another run."""
         return not caller.head_sent and self._runs.oldest is run
@@ -508,13 +610,6 @@
             first_head = self._runs.oldest.head
         return may_continue(head, first_head)
 
-    async def _after_refusal(self, run: OpenRun) -> bool:
-        """Wait for the successor of a run that has ended without a stream, if any."""
-        if run.successor is None:
-            return False
-        await run.successor
-        return True
-
     async def _relay_events(self, caller: ResponseWriter, run: OpenRun) -> None:
         """Pass on complete events until the stream has ended completely.
 
@@ -529,10 +624,10 @@
         while data := await self._outlast(caller, run, exchange.read, due_at):
             try:
                 for new_data in events.feed(data):
-                    self._continue_with(run)
+                    was_silent = self._continue_with(run)
                     await self._ensure_head_sent(caller, run)
                     await caller.send(new_data)
-                    self._record_progress(run)
+                    self._record_progress(run, was_silent=was_silent)
                     due_at = clock.now() + self._stall_timeout_s(run)
             except EventTooLarge as error:
                 raise ExchangeError(
@@ -548,13 +643,20 @@
             await caller.send(remainder)
         await caller.finish()
 
-    def _continue_with(self, run: OpenRun) -> None:
-        """Let the other runs go, now that this one has something for the caller."""
-        if run.searched:
-            run.searched = False
+    def _continue_with(self, run: OpenRun) -> bool:
+        """Let the other runs go, now that this one has something for the caller.
+
+        Returns
+        -------
+        bool
+            Whether its engine was silent before.
+        """
+        was_silent, run.is_silent = run.is_silent, False
+        if was_silent:
             self._context.placer.health.record_success(run.engine.target)
         if run.successor is not None or len(self._runs) > 1:
             self._runs.claim(run)
+        return was_silent
 
     async def _outlast(
         self,
@@ -575,7 +677,7 @@
         Superseded
             When the successor has continued the stream.
         """
-        if not run.searched:
+        if not run.is_silent:
             remaining_s = due_at - self._context.clock.now()
             try:
                 # When bytes are always available, reading never waits, so that the
@@ -583,8 +685,6 @@
                 if remaining_s > 0.0:
                     return await with_timeout(remaining_s, step())
             except ExchangeError as failure:
-                if run.superseded:
-                    raise Superseded from failure
                 if failure.kind is not FailureKind.TIMEOUT:
                     raise
             self._search_successor(caller, run)
@@ -592,7 +692,7 @@
 
     def _search_successor(self, caller: ResponseWriter, run: OpenRun) -> None:
         """Begin to search another engine that continues the stream of a silent one."""
-        run.searched = True
+        run.is_silent = True
         context = self._context
         if not self._may_run_again() or self._active_request.remaining_s <= 0.0:
             return
@@ -622,7 +722,10 @@
                     raise Superseded
                 if waiting.done():
                     return waiting.result()
-                if successor is not None and successor.done():
+                if run.successor is not successor:
+                    # This run has taken over while a successor of its own was searched.
+                    run.is_silent = False
+                elif successor is not None and successor.done():
                     self._end_search(run, successor)
         finally:
             waiting.cancel()
@@ -646,12 +749,16 @@
                 why=error.message,
             )
 
-    def _record_progress(self, run: OpenRun) -> None:
-        """Record the time to the first event, or the pause before a later one."""
+    def _record_progress(self, run: OpenRun, *, was_silent: bool) -> None:
+        """Record the time to the first event, or the pause before a later one.
+
+        The duration of a silence says nothing about the usual time of the engine.
+        """
         context, now = self._context, self._context.clock.now()
         last, self._last_event_at = self._last_event_at, now
         if run.first_event_at is not None and last is not None:
-            context.placer.event_pauses.observe(run.engine.target, now - last)
+            if not was_silent:
+                context.placer.event_pauses.observe(run.engine.target, now - last)
             return
         took_s = now - run.started_at
         run.first_event_at = now
@@ -659,8 +766,8 @@
         context.metrics.observe(
             "first_event_seconds", now - self._active_request.arrived_at
         )
-        has_slot = run.open_streams < run.engine.slots
-        if run.plan.decision is Decision.SPLIT and has_slot:
+        is_sample = run.open_streams < run.engine.slots and not was_silent
+        if run.plan.decision is Decision.SPLIT and is_sample:
             context.placer.record_handoff(took_s * 1000.0)
         self._log_event(
             "first_event",
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -113,17 +113,17 @@
                 if target is None:
                     break
                 limit_s = self._silence_limit_s()
-                attempts.add(asyncio.create_task(self._attempt(target)))
-                pending = len(attempts)
-                response = await self._wait(attempts, limit_s)
+                newest = asyncio.create_task(self._attempt(target))
+                attempts.add(newest)
+                response = await self._wait(attempts, newest, limit_s)
                 if response is not None:
                     return response
-                if len(attempts) == pending:
+                if newest in attempts:
                     self._active_request.context.record_silence(target.target)
                 if not self._may_send_again():
                     break
             while attempts:
-                response = await self._wait(attempts, None)
+                response = await self._wait(attempts, next(iter(attempts)), None)
                 if response is not None:
                     return response
             return None
@@ -140,18 +140,32 @@
         return self._active_request.remaining_s * ATTEMPT_TIME_SHARE
 
     async def _wait(
-        self, attempts: set[_Attempt], limit_s: float | None
+        self, attempts: set[_Attempt], newest: _Attempt, limit_s: float | None
     ) -> _CompleteResponse | None:
-        """Wait until an attempt ends; return its response, or None for another send.
-
-        Attempts that have ended are removed.
+        """Return the first response, or None once the newest attempt gives none.
+
+        Parameters
+        ----------
+        attempts : set of asyncio.Task
+            Attempts in progress; those that have ended are removed.
+        limit_s : float or None
+            Seconds after which the newest attempt counts as silent; None for never.
         """
-        done, _ = await asyncio.wait(
-            attempts, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
-        )
-        attempts -= done
-        responses = (attempt.result() for attempt in done)
-        return next((r for r in responses if r is not None), None)
+        try:
+            async with asyncio.timeout(limit_s):
+                while newest in attempts:
+                    done, _ = await asyncio.wait(
+                        attempts, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    attempts -= done
+                    responses = [attempt.result() for attempt in done]
+                    for response in responses:
+                        if response is not None:
+                            return response
+        except TimeoutError:
+            # The newest target is silent.
+            pass
+        return None
 
     def _choose(self) -> Target | None:
         """Choose a target that has not been tried; None when there is none."""
--- a/wigeonspan/gateway/_runs.py
+++ b/wigeonspan/gateway/_runs.py
@@ -11,9 +11,9 @@
 from wigeonspan.pool import Exchange, Head
 from wigeonspan.targets import Target
 
-TAKEOVER_S = 0.25
-"""Seconds after the head of a successor's response at which the silent run is let go
-even without an event: two engines must not work on one request for long."""
+TAKEOVER_S = 0.3
+"""Seconds after which a successor that its engine has not refused takes over even
+without an event: two engines must not work on one request for long."""
 
 
 class Superseded(Exception):
@@ -54,10 +54,14 @@
         self.exchange: Exchange | None = None
         self.head: Head | None = None
         self.first_event_at: float | None = None
+        # Whether the engine has, or may have, begun to work on the request.
+        self.ran = False
         # Search for a successor and its run; None before the engine is silent and
         # after a search without success.
         self.successor: asyncio.Task[None] | None = None
-        self.searched = False
+        # Whether the engine has been silent for longer than the limit since its last
+        # event, so that a successor was searched.
+        self.is_silent = False
         self.superseded = False
         self._takeover: asyncio.TimerHandle | None = None
 
@@ -75,9 +79,9 @@
 
     def drop_successor(self) -> None:
         """Cancel the search for a successor, or the successor's run."""
-        if self.successor is not None:
-            self.successor.cancel()
-            self.successor = None
+        successor, self.successor = self.successor, None
+        if successor is not None:
+            successor.cancel()
 
 
 class OpenRuns:
@@ -108,7 +112,7 @@
             self._runs.remove(run)
 
     def schedule_takeover(self, run: OpenRun) -> None:
-        """Let the silent runs go soon, now that a successor's response has begun."""
+        """Let the silent runs go soon, unless the engine of a successor refuses it."""
         if self._runs and self._runs[0] is not run:
             loop = asyncio.get_running_loop()
             run.set_takeover(loop.call_later(TAKEOVER_S, self.claim, run))
@@ -117,6 +121,10 @@
         """Continue the stream with one run and let all others go."""
         run.set_takeover(None)
         run.drop_successor()
-        for other in self._runs[: self._runs.index(run)]:
-            other.supersede()
+        older = self._runs[: self._runs.index(run)]
+        for other in self._runs:
+            if other is not run:
+                other.set_takeover(None)
         self._runs = [run]
+        for other in older:
+            other.supersede()
