Go on with a silent run when the search of its successor fails unexpectedly

By review, not seen: an unexpected error of the search ended the request although its engine was sound, a run that was let go could still have written, and a target whose probe was silent once was left out for five seconds. The error is logged and counted now, a superseded run stops, and a silent probe is followed by another one.

--- a/tests/placing/test_target_state.py
+++ b/tests/placing/test_target_state.py
@@ -218,3 +218,14 @@
     # A later silence starts anew.
     assert not health.record_silence(T, 12.0)
     assert health.available(T, 12.0)
+
+
+def test_silent_probe_is_followed_by_another_one():
+    """A target was left out for five seconds when its probe was silent once."""
+    health = TargetAvailability()
+    for _ in range(2):
+        health.record_silence(T, 10.0)
+    health.record_sent(T, 10.8)
+    assert not health.available(T, 10.9)
+    assert health.record_silence(T, 11.7)
+    assert health.available(T, 13.2)
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -650,7 +650,14 @@
         -------
         bool
             Whether its engine was silent before.
+
+        Raises
+        ------
+        Superseded
+            When this run was let go.
         """
+        if run.superseded:
+            raise Superseded
         was_silent, run.is_silent = run.is_silent, False
         if was_silent:
             self._context.placer.health.record_success(run.engine.target)
@@ -731,23 +738,15 @@
             waiting.cancel()
 
     def _end_search(self, run: OpenRun, successor: asyncio.Task[None]) -> None:
-        """Go on with a silent run alone, because no successor was found.
-
-        Raises
-        ------
-        BaseException
-            The unexpected error of the search, if it failed with one.
-        """
+        """Go on with a silent run alone, because no successor was found."""
         run.successor = None
-        try:
-            successor.result()
-        except WigeonspanError as error:
-            self._log_event(
-                "no_successor",
-                failure=True,
-                target=run.engine.target,
-                why=error.message,
-            )
+        error = successor.exception()
+        if not isinstance(error, WigeonspanError):
+            # The silent run does not depend on the search, so it goes on all the same.
+            self._context.metrics.count("unexpected_errors", kind=type(error).__name__)
+        self._log_event(
+            "no_successor", failure=True, target=run.engine.target, why=str(error)
+        )
 
     def _record_progress(self, run: OpenRun, *, was_silent: bool) -> None:
         """Record the time to the first event, or the pause before a later one.
--- a/wigeonspan/placing/_health.py
+++ b/wigeonspan/placing/_health.py
@@ -85,7 +85,7 @@
         """
         state = self._states.setdefault(target, _State())
         state.consecutive_silences += 1
-        if state.consecutive_silences < MAX_FAILURES_IN_ROW:
+        if state.consecutive_silences < MAX_FAILURES_IN_ROW and not state.probing:
             return False
         self._suspend(state, now)
         return True
