Do not resume streams whose events have no ids

Cause: a resumed send names the last event that the caller has. Without ids it named none, so the next engine began at the start, and the caller got the first events twice, after a broken stream as well as beside a silent engine.

Change: once the head has gone out, a stream without a last event id is not sent to another engine.

Measured: both new tests in tests/platform/test_broken_streams.py failed before (events came twice) and pass now.

--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -172,3 +172,38 @@
     other = ("Content-Type", "Text/Event-Stream; charset=utf-8")
     answer = serve_stream([cut, sends(events(1, EVENTS), other)])
     assert event_counts(answer) == [1] * EVENTS and is_complete(answer)
+
+
+def without_ids(pauses_s, *, breaks=False):
+    """Send events without ids, each after its pause in seconds."""
+
+    async def step(fields, caller):
+        await caller.send_head(200, [*SIGNED, echo(fields)])
+        for number, pause_s in enumerate(pauses_s, 1):
+            await asyncio.sleep(pause_s)
+            await caller.send(b"data: %d\n\n" % number)
+        if breaks:
+            caller.abort()
+        else:
+            await caller.finish()
+
+    return step
+
+
+def test_stream_without_ids_is_not_sent_again_from_its_start():
+    """A caller got the events of two runs one after the other.
+
+    No engine can go on with a stream whose events have no ids.
+    """
+    cut = without_ids([0.005] * 3, breaks=True)
+    answer = serve_stream([cut, without_ids([0.005] * 6)])
+    assert [answer.count(b"data: %d\n" % n) for n in range(1, 7)] == [1] * 3 + [0] * 3
+    assert not is_complete(answer)
+
+
+def test_silent_stream_without_ids_is_not_sent_again_from_its_start():
+    """A caller got the events of a second engine while the first was only silent."""
+    silent = without_ids([0.005, SILENCE_S, 0.005])
+    answer = serve_stream([silent, without_ids([0.005] * 6)])
+    assert [answer.count(b"data: %d\n" % n) for n in range(1, 7)] == [1] * 3 + [0] * 3
+    assert is_complete(answer)
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -748,7 +748,12 @@
 
     def _may_run_again(self) -> bool:
         """Return whether the route allows one more run besides those until now."""
-        return self._route.repeatable and self._remaining_runs() > 0
+        has_run_left = self._route.repeatable and self._remaining_runs() > 0
+        return has_run_left and self._can_resume()
+
+    def _can_resume(self) -> bool:
+        """Return whether another engine can go on with what the caller has."""
+        return self._sent_head is None or self._position.last is not None
 
     def _remaining_runs(self) -> int:
         return max(0, self._route.max_attempts - self._run_count)
@@ -765,6 +770,8 @@
             raise self._error("the engine broke off")
         if self._run_count and not self._remaining_runs():
             raise self._error("all attempts broke off")
+        if not self._can_resume():
+            raise self._error("the events of the stream have no ids")
         if self._context.clock.now() >= self._active_request.deadline:
             raise self._error("the time is over")
 
