Test errors of the next engine in streams of wigeonspan-entryd

A stream that broke off after three tokens whose next engine answers with 302, 400, 404, 409, 429 or 500 ends with the error event of the entry, without a text of the engine. All six cases passed without a change: the relay takes only chunks of its own attempt at the next position from a 200.

--- a/tests/entryd/test_faults.py
+++ b/tests/entryd/test_faults.py
@@ -114,6 +114,30 @@
     assert (error["retry_after_s"] > 0) == error["retry"]
 
 
+@pytest.mark.parametrize("status", [302, 400, 404, 409, 429, 500])
+def test_error_of_the_next_engine_is_not_part_of_a_stream(status):
+    """The text of an error stood in the middle of a caller's stream.
+
+    This happened at the entry of the users' platform after a stream had broken off.
+    """
+
+    async def work():
+        async with EntryTestbed(engines=2) as testbed:
+            engine = await _used_engine(testbed)
+            engine.set_faults(EngineFaults(die_after_tokens=3, dead_s=60))
+            for other in testbed.engines:
+                if other is not engine:
+                    other.set_faults(EngineFaults(refuse_status=status))
+            return await testbed.complete(PROMPT, 8)
+
+    response = run(work)
+    *chunks, error = events_of(response)
+    text = "".join(json.loads(chunk)["choices"][0]["text"] for chunk in chunks)
+    assert text and answer_text(PROMPT, 8).startswith(text)
+    assert json.loads(error)["error"]["kind"] == "target_failed"
+    assert "injected" not in text
+
+
 def test_deadline_ends_a_stream_with_an_error_event():
     """Guards against a stream that stays open after its deadline."""
 
