Read the states of engines over new connections

Cause: the sender of orders reads a state to learn whether an order arrived. States have no id, so on a kept connection a late copy of the state before the order was read as the one after it, as if the order had not arrived.

Change: each read uses a connection of its own, as orders do.

Measured: tests/orders/test_sender.py read 'o0' twice before and passes now; tests/orders passes.

--- a/wigeonspan/orders/_sender.py
+++ b/wigeonspan/orders/_sender.py
@@ -83,11 +83,16 @@
         self._read_client = make_client(64)
 
     async def read_state(self, address: str) -> EngineState | None:
-        """Return the state of an engine, or None when it does not respond."""
+        """Return the state of an engine, or None when it does not respond.
+
+        States have no id. On a reused connection a late copy of an earlier state, from
+        before an order, could be mistaken for this one.
+        """
         request = HTTPRequest(
             f"http://{address}/wigeonspan/state",
             connect_timeout=READ_TIMEOUT_S,
             request_timeout=READ_TIMEOUT_S,
+            prepare_curl_callback=use_fresh_connection,
         )
         try:
             response = await self._read_client.fetch(request)
