Read event ids of any length

Cause: the id of an event was converted to a number when all its characters are digits. An id of 5,000 digits, or one with a superscript digit, raised an error that ended the request of a caller unexpectedly.

Change: only ids of up to 18 ASCII digits are numbers; others are names.

--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -145,3 +145,12 @@
     events = EventDeduplicator(position, continues=True)
     data = b"id: 70\ndata: x\n\n"
     assert b"".join(events.feed(data)) == data
+
+
+@pytest.mark.parametrize("event_id", ["9" * 5000, "²", "-1", "1e5"])
+def test_id_that_is_no_usual_number_raises_no_error(event_id):
+    """An id of 5,000 digits, or a superscript digit, ended a request with an error."""
+    position = StreamPosition()
+    events = [StreamEvent(b"", i) for i in ("1", event_id, event_id)]
+    assert [position.advance(event) for event in events] == [True, True, False]
+    assert not position.has_reached(4)
--- a/wigeonspan/gateway/_events.py
+++ b/wigeonspan/gateway/_events.py
@@ -8,6 +8,10 @@
 MAX_EVENT_BYTES = 128 * 1024
 """Largest event in bytes; a chunk of tokens has a few hundred."""
 
+MAX_ID_DIGITS = 18
+"""Digits up to which the id of an event is taken as a number; Python refuses to convert
+several thousand, which a faulty engine may send."""
+
 # A blank line, together with the end of the line before it.
 _BLANK = re.compile(rb"\n\r?\n")
 _BLANK_BYTES = 3
@@ -95,8 +99,8 @@
 
     def has_reached(self, event_count: int) -> bool:
         """Return whether the caller has a number of events, counted from 1."""
-        last = self._last or ""
-        return last.isdecimal() and int(last) >= event_count
+        number = _read_number(self._last or "")
+        return number is not None and number >= event_count
 
     def is_new(self, event: StreamEvent) -> bool:
         """Return whether an event is new to the caller."""
@@ -209,11 +213,18 @@
 
 
 def _is_after(event_id: str, last: str) -> bool:
-    if event_id.isdigit() and last.isdigit():
-        return int(event_id) > int(last)
+    number, last_number = _read_number(event_id), _read_number(last)
+    if number is not None and last_number is not None:
+        return number > last_number
     return event_id != last
 
 
+def _read_number(event_id: str) -> int | None:
+    """Return the number that an id is; None for any other id."""
+    is_number = len(event_id) <= MAX_ID_DIGITS and event_id.isascii()
+    return int(event_id) if is_number and event_id.isdigit() else None
+
+
 def _read_fields(chunk: bytes) -> tuple[str | None, bool]:
     """Return the id of an event and whether it has data."""
     event_id, has_data = None, False
