--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -2,15 +2,17 @@
 
 from typing import TYPE_CHECKING
 
-from wigeonspan.common._addresses import bind_address
+from wigeonspan.common._addresses import bind_address, split_address
 from wigeonspan.common._clock import BootClock, Clock, ManualClock, SystemClock
 from wigeonspan.common._codec import (
+    DECODE_ERRORS,
     PROTOCOL_VERSION,
     VERSION_HEADER,
     check_version,
     decode,
     encode,
 )
+from wigeonspan.common._elements import split_array, split_object
 from wigeonspan.common._errors import (
     ERROR_RESPONSES,
     ErrorBody,
@@ -73,6 +75,7 @@
 )
 
 __all__ = [
+    "DECODE_ERRORS",
     "ERROR_RESPONSES",
     "PROTOCOL_VERSION",
     "VERSION_HEADER",
@@ -115,6 +118,9 @@
     "parse_positive",
     "part_logger",
     "set_up_logs",
+    "split_address",
+    "split_array",
+    "split_object",
     "keep_running",
     "load_on_use",
     "watch_settings",
--- a/wigeonspan/common/_addresses.py
+++ b/wigeonspan/common/_addresses.py
@@ -1,4 +1,8 @@
-"""Helper for listen addresses."""
+"""Helpers for network addresses."""
+
+import re
+
+_ADDRESS_PATTERN = re.compile(r"([!-~]{1,255}):([0-9]{1,5})")
 
 
 def bind_address(address: str, bind: str) -> str:
@@ -15,3 +19,19 @@
     if not bind:
         return address
     return f"{bind}:{address.rpartition(':')[2]}"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split an address ``host:port`` that another process has sent.
+
+    Raises
+    ------
+    ValueError
+        When it does not have this form or the port is not one of 1 to 65535. ``int``
+        also accepts signs, spaces and digits of other scripts, and sockets raise
+        ``OverflowError`` for a port that is too large.
+    """
+    match = _ADDRESS_PATTERN.fullmatch(address)
+    if match is None or not 1 <= int(match[2]) <= 65535:
+        raise ValueError(f"address is {address[:80]!r}, expected host:port")
+    return match[1], int(match[2])
--- a/wigeonspan/common/_codec.py
+++ b/wigeonspan/common/_codec.py
@@ -15,6 +15,10 @@
 VERSION_HEADER = "X-Wigeonspan-Protocol"
 """HTTP header that carries the protocol version."""
 
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""Errors that msgspec raises for data that it cannot decode. Nesting beyond the
+interpreter's recursion limit raises ``RecursionError``."""
+
 _encoder = msgspec.json.Encoder()
 _decoders: dict[Any, msgspec.json.Decoder[Any]] = {}
 
@@ -35,12 +39,12 @@
     return _encoder.encode(message)
 
 
-def decode(data: bytes, message_type: type[T] | Any) -> T:
+def decode(data: bytes | msgspec.Raw, message_type: type[T] | Any) -> T:
     """Decode a JSON message and validate its type.
 
     Parameters
     ----------
-    data : bytes
+    data : bytes or msgspec.Raw
         UTF-8 JSON.
     message_type : type
         Type to decode into.
@@ -53,14 +57,15 @@
     Raises
     ------
     WigeonspanError
-        ``BAD_REQUEST`` when the data is not valid JSON or does not match the type.
+        ``BAD_REQUEST`` when the data is not valid JSON, is nested too deeply or does
+        not match the type.
     """
     decoder = _decoders.get(message_type)
     if decoder is None:
         decoder = _decoders[message_type] = msgspec.json.Decoder(message_type)
     try:
         return decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise WigeonspanError(ErrorKind.BAD_REQUEST, str(error)) from error
 
 
