Count a port out of range as a failed connection

An address with port 99999, which a list may name, raised OverflowError in the pool. Its callers expect ExchangeError and otherwise end: the request got status 500 instead of another target.

The pool now splits addresses strictly; ports that are no decimal number from 1 to 65535 are failed connections with nothing sent.

--- a/tests/pool/test_pool.py
+++ b/tests/pool/test_pool.py
@@ -241,3 +241,19 @@
     failure = asyncio.run(run())
     assert (failure.kind, failure.sent) == (FailureKind.WITHHELD, False)
     assert received in ([], [b""])
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:+80", "127.0.0.1:x", "a\0b:80"],
+)
+def test_address_without_a_usable_port_is_a_failed_connection(address):
+    """A port of 99999 raised ``OverflowError``, which no caller of the pool expects."""
+
+    async def run():
+        with pytest.raises(ExchangeError) as caught:
+            await ConnectionPool(SystemClock()).send(address, REQUEST)
+        return caught.value
+
+    failure = asyncio.run(run())
+    assert (failure.kind, failure.sent) == (FailureKind.CONNECT, False)
--- a/wigeonspan/pool/_pool.py
+++ b/wigeonspan/pool/_pool.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from wigeonspan.common import Clock
+from wigeonspan.common import Clock, split_address
 from wigeonspan.pool._bounds import MAX_BODY_BYTES, BufferBudget
 from wigeonspan.pool._connection import Connection
 from wigeonspan.pool._exchange import Exchange, ExchangeError, FailureKind
@@ -189,12 +189,12 @@
         return connection.usable and self._clock.now() - connection.idle_since < limit
 
     async def _connect(self, address: str) -> Connection:
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._clock, self._buffers), host, int(port)
+                    lambda: Connection(self._clock, self._buffers), host, port
                 )
         except TimeoutError as error:
             raise ExchangeError(FailureKind.TIMEOUT, sent=False) from error
