Read the list of replicas although single entries cannot be decoded

One entry that was nested 5,000 deep, or had a number like 1e999 or of 5,000 digits, a lone surrogate or bytes that are not UTF-8, cost the whole list at each read. Deep nesting raised RecursionError, which the tasks that read the list don't expect. Other entries passed although they cannot be used: ports out of range, ids that no header field carries, and integers that datagrams to other entries cannot carry.

Entries and members of a page are now decoded one by one. An entry that cannot be decoded or used is skipped and logged with at most 200 characters of it. A page that is cut or whose brackets do not match is still no list.

--- /dev/null
+++ b/tests/platform/test_odd_entries.py
@@ -0,0 +1,152 @@
+"""Lists of replicas with single entries that cannot be decoded or used."""
+
+import asyncio
+
+import msgspec
+import pytest
+from adapter._list import ListReader, ListUnavailable
+
+from wigeonspan.pool import Head
+from wigeonspan.sharing import ListRead
+from wigeonspan.sharing._messages import Packet
+from wigeonspan.sharing._wire import encode_packet
+
+VALID_ENTRY = {
+    "id": "i-1",
+    "service": "s",
+    "address": "10.9.0.1:80",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+    "stage": "decode",
+}
+DEEP = b"[" * 5000 + b"]" * 5000
+DEEP_OBJECT = b'{"a":' * 5000 + b"1" + b"}" * 5000
+
+
+class FakePool:
+    """Replacement for the connection pool that answers with pages of the list."""
+
+    def __init__(self, *bodies):
+        self.bodies = list(bodies)
+
+    async def fetch(self, address, request, timeout_s, *, new_connection=False):
+        return Head(200, []), self.bodies.pop(0)
+
+
+class RecordingLog:
+    def __init__(self):
+        self.lines = []
+
+    def write(self, part, event, **fields):
+        self.lines.append((event, msgspec.json.encode(fields)))
+
+
+def entry(name="i-1", **changes):
+    return msgspec.json.encode(VALID_ENTRY | {"id": name} | changes)
+
+
+def with_field(value):
+    return entry()[:-1] + b',"note":' + value + b"}"
+
+
+def page(*entries, rest=b""):
+    return b'{"instances":[' + b",".join(entries) + b"]" + rest + b"}"
+
+
+def read(*bodies):
+    """Return the names of the targets that are read, and the lines of the log."""
+    event_log = RecordingLog()
+    reader = ListReader("10.0.0.1:1")
+    listing = asyncio.run(reader.read(FakePool(*bodies), event_log))
+    return [t.target for t in listing.targets], event_log.lines, listing
+
+
+UNDECODABLE = {
+    "deep_array": DEEP,
+    "deep_object": DEEP_OBJECT,
+    "large_float": b"1e999",
+    "negative_large_float": b"-1e999",
+    "many_digits": b"9" * 5000,
+    "high_surrogate": b'"\\ud800"',
+    "low_surrogate": b'"\\udc00"',
+    "not_utf_8": b'"\xff"',
+    "control_character": b'"\x01"',
+    "not_a_number": b"NaN",
+    "unknown_escape": b'"\\x"',
+}
+
+
+@pytest.mark.parametrize("odd", UNDECODABLE.values(), ids=UNDECODABLE.keys())
+@pytest.mark.parametrize("place", ["entry", "field"])
+def test_undecodable_entry_costs_only_itself(odd, place):
+    """The list was lost, each time it was read, by one such entry."""
+    wrong = odd if place == "entry" else with_field(odd)
+    names, lines, _ = read(page(entry("i-2"), wrong, entry("i-3")))
+    assert names == ["i-2", "i-3"]
+    assert [event for event, _ in lines] == ["entry_skipped"]
+    assert len(lines[0][1]) < 2000
+
+
+UNUSABLE = [
+    *({"address": f"10.9.0.1:{p}"} for p in ("99999", "0", "\u0663", "+80", "8080 ")),
+    {"address": "a\r\nX: y:80"},
+    {"id": "a\r\nX-Injected: y"},
+    {"id": "i-\u0142"},
+    {"id": "i" * 100_000},
+    {"zone": "z" * 100_000},
+    {"slots": -1},
+    {"slots": 10**400},
+    {"born": -1},
+    {"born": 2**63},
+    {"born": 10**400},
+    {"state": ["ready"]},
+    {"stage": ["decode"]},
+]
+
+
+@pytest.mark.parametrize("changes", UNUSABLE)
+def test_unusable_entry_costs_only_itself(changes):
+    """Entries passed whose use failed later.
+
+    Sends to their addresses raised errors, and the list could not be encoded for the
+    other entries.
+    """
+    wrong = entry(**changes)
+    names, lines, listing = read(page(entry("i-2"), wrong, entry("i-3")))
+    assert names == ["i-2", "i-3"]
+    assert [event for event, _ in lines] == ["entry_skipped"]
+    assert len(lines[0][1]) < 2000
+    assert encode_packet(Packet("h", [ListRead(listing.digest, 0.0, listing)]))
+
+
+def test_odd_member_of_a_page_does_not_hide_its_entries():
+    """Members that the reader ignores made a whole page unreadable."""
+    for odd in UNDECODABLE.values():
+        names, _, _ = read(page(entry("i-2"), rest=b',"note":' + odd))
+        assert names == ["i-2"]
+
+
+def test_pages_after_an_odd_entry_are_read():
+    """The token of the next page must be found on a page with an odd entry, too."""
+    first = page(with_field(DEEP), entry("i-2"), rest=b',"next":"p2"')
+    names, _, _ = read(first, page(entry("i-3")))
+    assert names == ["i-2", "i-3"]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        page(entry("i-2"), with_field(DEEP))[:-2],
+        page(entry("i-2"), with_field(DEEP)[:-1]),
+        page(entry("i-2"), rest=b',"next":7'),
+        b'{"instances":{}}',
+        b"{}",
+        DEEP,
+        b"",
+    ],
+)
+def test_page_that_is_cut_is_no_list(body):
+    """A page that is cut must not look like a shorter list."""
+    with pytest.raises(ListUnavailable):
+        read(body)
