--- a/wigeonspan/fleetconfig/_validation.py
+++ b/wigeonspan/fleetconfig/_validation.py
@@ -1,5 +1,6 @@
 """Validation of a configuration before it is stored."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from wigeonspan.common import ErrorKind, WigeonspanError
@@ -23,11 +24,12 @@
     if config.version < 1:
         yield f"version {config.version} is not positive"
     names = [service.name for service in config.services]
-    for name in sorted({n for n in names if names.count(n) > 1}):
+    for name in sorted(n for n, count in Counter(names).items() if count > 1):
         yield f"service {name!r} is defined twice"
+    known_names = set(names)
     seen_prefixes: set[tuple[str, str]] = set()
     for route in config.routes:
-        yield from _find_route_errors(route, set(names))
+        yield from _find_route_errors(route, known_names)
         host_and_prefix = (route.host.lower(), route.prefix)
         if host_and_prefix in seen_prefixes:
             yield f"route {route.name!r} repeats {route.host}{route.prefix}"
