--- a/tests/platform/test_odd_config.py
+++ b/tests/platform/test_odd_config.py
@@ -8,6 +8,7 @@
 import pytest
 from adapter import operator_routes, read_config
 from adapter._config import check_document
+from adapter._control import directory_routes
 
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.serving import RequestServer
@@ -169,3 +170,16 @@
     started_at = time.perf_counter()
     read_config(document(services=services, routes=routes))
     assert time.perf_counter() - started_at < 1.0
+
+
+@pytest.mark.parametrize("target", [b"//[", b"//[x]:99999999/", b"/v1/\xff", b"*"])
+def test_target_that_is_no_url_is_an_unknown_call(target):
+    """``urlsplit`` raises for some targets, which got status 500."""
+    coordinator = FakeCoordinator()
+    requests = [(b"GET " + target, b""), (b"POST " + target, b"{}")]
+    for routes in (
+        operator_routes(coordinator, SETTINGS),
+        directory_routes(coordinator),
+    ):
+        statuses, errors = call(routes, requests)
+        assert (statuses, errors) == ([404, 404], [])
