--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -37,7 +37,7 @@
     Version,
 )
 from wigeonspan.common._lazy import load_on_use
-from wigeonspan.common._numbers import parse_positive
+from wigeonspan.common._numbers import parse_count, parse_decimal, parse_positive
 from wigeonspan.common._supervise import describe_error, keep_running
 from wigeonspan.common._watch import watch_settings
 
@@ -115,6 +115,8 @@
     "load_settings",
     "make_metrics",
     "metric_name",
+    "parse_count",
+    "parse_decimal",
     "parse_positive",
     "part_logger",
     "set_up_logs",
