Compare event ids of thousands of digits and of other scripts

An event id of more than 4,300 digits, or one like a superscript two, raised ValueError when it was compared with another one, which ended the caller's stream: str.isdigit accepts what int refuses.

Numbers of ASCII digits are compared by length and digits; other ids as texts.

--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -77,3 +77,37 @@
 def test_comments_carry_no_data(event, has_data):
     """Comments keep a connection alive but do not count as progress."""
     assert [e.has_data for e in EventSplitter().feed(event)] == [has_data]
+
+
+def are_new(*event_ids):
+    """Return whether each of the events is new to a caller of a stream."""
+    position = StreamPosition()
+    return [position.advance(StreamEvent(b"", event_id)) for event_id in event_ids]
+
+
+@pytest.mark.parametrize("last", ["7", "9" * 5000, "\xb2", "\u0663"])
+@pytest.mark.parametrize(
+    "event_id", ["8" * 5001, "\xb2", "\xb9\xb2", "0" * 6000 + "88"]
+)
+def test_odd_event_id_does_not_end_a_stream(event_id, last):
+    """``int`` refuses thousands of digits and characters that ``isdigit`` accepts."""
+    assert are_new(last, event_id)[0] is True
+    assert are_new(event_id, last)[0] is True
+
+
+@pytest.mark.parametrize(
+    ("last", "event_id", "is_new"),
+    [
+        ("9", "10", True),
+        ("10", "9", False),
+        ("10", "010", False),
+        ("0", "1", True),
+        ("0", "00", False),
+        ("9" * 5000, "1" + "0" * 5000, True),
+        ("a", "b", True),
+        ("a", "a", False),
+    ],
+)
+def test_numbers_of_events_are_compared_by_value(last, event_id, is_new):
+    """A longer number is larger, unless it begins with zeros."""
+    assert are_new(last, event_id) == [True, is_new]
--- a/wigeonspan/gateway/_events.py
+++ b/wigeonspan/gateway/_events.py
@@ -12,6 +12,9 @@
 _BLANK = re.compile(rb"\n\r?\n")
 _BLANK_BYTES = 3
 
+# str.isdigit accepts digits of other scripts and superscripts, too.
+_NUMBER = re.compile(r"[0-9]+")
+
 
 class EventTooLarge(ValueError):
     """Raised when a stream has an event larger than ``MAX_EVENT_BYTES``."""
@@ -146,11 +149,17 @@
 
 
 def _is_after(event_id: str, last: str) -> bool:
-    if event_id.isdigit() and last.isdigit():
-        return int(event_id) > int(last)
+    if _NUMBER.fullmatch(event_id) and _NUMBER.fullmatch(last):
+        return _numeric_order(event_id) > _numeric_order(last)
     return event_id != last
 
 
+def _numeric_order(digits: str) -> tuple[int, str]:
+    """Return a key that orders numbers by value; ``int`` refuses many digits."""
+    significant = digits.lstrip("0")
+    return len(significant), significant
+
+
 def _read_fields(chunk: bytes) -> tuple[str | None, bool]:
     """Return the id of an event and whether it has data."""
     event_id, has_data = None, False
