Ignore idle timeouts of targets that are no decimal number

An answer with Keep-Alive: timeout=\xb2 was lost as malformed, since float refuses a character that str.isdigit accepts.

--- a/tests/pool/test_pool.py
+++ b/tests/pool/test_pool.py
@@ -257,3 +257,13 @@
 
     failure = asyncio.run(run())
     assert (failure.kind, failure.sent) == (FailureKind.CONNECT, False)
+
+
+@pytest.mark.parametrize("timeout", [b"\xb2", b"\xd9\xa3", b"9" * 400, b"", b"x"])
+def test_odd_idle_timeout_does_not_cost_the_response(timeout):
+    """Some characters are digits that ``float`` refuses; the answer was lost."""
+    field = b"\r\nKeep-Alive: timeout=" + timeout + b"\r\n\r\n"
+    step = COMPLETE.replace(b"\r\n\r\n", field)
+    results, server = run_script([[step, step], [step]], times=2)
+    assert results == [(200, b"ok")] * 2
+    assert server.connections == 1
--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -1,6 +1,7 @@
 """Client connection that carries one exchange at a time, parsed by httptools."""
 
 import asyncio
+import re
 import socket
 from collections.abc import Callable
 
@@ -30,6 +31,9 @@
 KEEPALIVE_PROBES = 2
 """Unanswered keepalive probes after which the kernel closes the connection."""
 
+# str.isdigit accepts characters that float refuses, such as superscripts.
+_SECONDS = re.compile(r"[0-9]{1,9}")
+
 
 class Connection(asyncio.Protocol):
     """Connection to one address.
@@ -247,6 +251,6 @@
     """Return the idle timeout of the ``Keep-Alive`` header, in seconds."""
     for part in (head.get("Keep-Alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and _SECONDS.fullmatch(value):
             return float(value)
     return None
