Limit the rates that targets name to a usable range

A limit of 1e-9 kept a target out for decades.

Rates now count as the nearest one from 1e-3 to 1e6.

--- a/tests/ratelimits/test_turns.py
+++ b/tests/ratelimits/test_turns.py
@@ -151,3 +151,26 @@
         schedule.next_return_s(ServiceName("slow"), 0.1, 0.5, 5.0)
     fast = schedule.next_return_s(ServiceName("fast"), 0.1, 0.5, 5.0)
     assert fast == pytest.approx(0.1)
+
+
+@pytest.mark.parametrize(
+    "rate", [1e-320, 1e-300, 1e-9, 1e9, 1e300, 1e308, float("inf")]
+)
+def test_extreme_limit_gives_finite_waits(rate):
+    """The turns of such a rate overflowed, at each request that considers the target.
+
+    A target names its limit itself, and other entries announce it.
+    """
+    limits = SharedRateLimits()
+    limits.set_entries(1, 3, 0.0)
+    limits.learn("t", rate, 0.0)
+    for now in (0.5, 1.0, 1e6):
+        assert 0.0 <= limits.wait_s("t", now) < 1e5
+        limits.take("t", now)
+        assert 0.0 <= limits.wait_s("t", now) < 1e5
+    assert limits.own_rate("t") > 0.0
+    at = ReturnSchedule().next_return_s(
+        ServiceName("s"), 0.0, limits.own_rate("t"), 0.0
+    )
+    assert at == 0.0
+    assert limits.learn("t", rate, 2.0) is False
--- a/wigeonspan/ratelimits/_turns.py
+++ b/wigeonspan/ratelimits/_turns.py
@@ -21,6 +21,14 @@
 it bounds the requests that saved turns add to a span of a few seconds to less than half
 of what the limit allows there."""
 
+MIN_RATE = 1e-3
+"""Smallest limit in requests a second. The time between two turns must be finite, and a
+limit that is lower by mistake must not last for days."""
+
+MAX_RATE = 1e6
+"""Largest limit in requests a second, more than a target can serve. The number of turns
+until now must be finite."""
+
 MIN_INTERVAL_SHARE = 0.5
 """Minimum time between two requests of an entry as a share of the time between its
 turns, which move when the limit or the number of entries changes."""
@@ -88,7 +96,12 @@
         self._update_entries(now)
 
     def learn(self, target: str, rate: float, now: float) -> bool:
-        """Record that a target names a limit; return whether it is new or different."""
+        """Record that a target names a limit; return whether it is new or different.
+
+        A positive rate outside ``MIN_RATE`` to ``MAX_RATE`` counts as the nearest one
+        of them.
+        """
+        rate = min(max(rate, MIN_RATE), MAX_RATE)
         limit = self._limits.get(target)
         if limit is None:
             self._limits[target] = _Limit(rate, now, now)
