--- a/tests/platform/test_odd_answers.py
+++ b/tests/platform/test_odd_answers.py
@@ -84,3 +84,26 @@
     request = PlatformProtocol().read_request("POST", "/", [], b"")
     sent = PlatformProtocol().encode(request, SendOptions(TARGET, 0.5, fetch=handle))
     assert b"Kv-Source: 10.9.0.1:80/3f/a+0-_.~=%:x\r\n" in sent
+
+
+@pytest.mark.parametrize(
+    ("value", "pause_s"),
+    [
+        ("2", 2.0),
+        ("0.5", 0.5),
+        ("3600", 3600.0),
+        ("1e300", 3600.0),
+        ("9" * 300, 3600.0),
+        ("9" * 400, 0.0),
+        ("1e999", 0.0),
+        ("-2", 0.0),
+        ("nan", 0.0),
+        ("inf", 0.0),
+        ("\xb2", 0.0),
+        ("Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+    ],
+)
+def test_pause_of_a_target_is_finite(value, pause_s):
+    """A target with a long pause by mistake got no request for the rest of its life."""
+    head = Head(503, [("Retry-After", value)])
+    assert PlatformProtocol().read_notice(head).pause_s == pause_s
