Decode the parts of datagrams one by one and check their numbers

One part that could not be decoded cost a whole bundle or group, which relays make of the datagrams of many entries, and one event cost its packet. Numbers out of range were applied: after a ListRead with an age of nan or of minus 1e9 seconds an entry never reads the list again, and a work of nan ms makes the load of a target unknown. Bundles in bundles gave a million packets for 263 bytes.

Parts and events that cannot be decoded are left out and reported once a datagram. Numbers have limits, and bundles contain packets only.

--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -3,8 +3,9 @@
 from collections import Counter
 from collections.abc import Collection, Iterable
 from enum import Enum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from wigeonspan.common import HostId
 from wigeonspan.placing._throughput import Throughput
@@ -42,8 +43,8 @@
     host: HostId
     target: TargetId
     kind: WorkKind
-    work_ms: float
-    urgency: int
+    work_ms: Annotated[float, Meta(ge=0.0, le=1e9)]
+    urgency: Annotated[int, Meta(ge=-(10**6), le=10**6)]
 
 
 class _Queue:
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -1,8 +1,9 @@
 """Generation requests, and the placement decisions for them."""
 
 from enum import Enum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from wigeonspan.placing._readings import PrefillSteps
 from wigeonspan.targets import Target
@@ -15,7 +16,7 @@
     """
 
     part: str
-    tokens: int
+    tokens: Annotated[int, Meta(ge=0, le=10**9)]
 
 
 class Prompt(Struct, frozen=True):
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -1,11 +1,20 @@
 """Messages between entries, sent in datagrams that may be lost."""
 
-from msgspec import Struct
+from typing import Annotated
+
+from msgspec import Meta, Struct
 
 from wigeonspan.common import HostId
 from wigeonspan.placing import PromptPart, Work
 from wigeonspan.targets import Listing, TargetId
 
+_BornMs = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+_Tokens = Annotated[int, Meta(ge=0, le=10**9)]
+_Rate = Annotated[float, Meta(ge=0.0, le=1e9)]
+# A list that was read more than a day ago is as good as none. The limit also keeps out
+# infinite ages, and a time in the future would put off all further reads.
+_AgeS = Annotated[float, Meta(ge=0.0, le=86400.0)]
+
 
 class WorkBegun(Struct, frozen=True, tag="begun", array_like=True):
     """An entry sent work to a target.
@@ -21,7 +30,7 @@
 
     work: Work
     parts: tuple[PromptPart, ...] = ()
-    new_tokens: int = 0
+    new_tokens: _Tokens = 0
 
 
 class WorkEnded(Struct, frozen=True, tag="ended", array_like=True):
@@ -54,7 +63,7 @@
     """
 
     target: TargetId
-    born_ms: int
+    born_ms: _BornMs
 
 
 class TargetLimited(Struct, frozen=True, tag="limited", array_like=True):
@@ -70,8 +79,8 @@
     """
 
     target: TargetId
-    born_ms: int
-    max_rate: float
+    born_ms: _BornMs
+    max_rate: _Rate
 
 
 class ListRead(Struct, frozen=True, tag="list", array_like=True):
@@ -87,7 +96,7 @@
     """
 
     digest: str
-    age_s: float
+    age_s: _AgeS
     listing: Listing | None = None
 
 
--- a/wigeonspan/sharing/_wire.py
+++ b/wigeonspan/sharing/_wire.py
@@ -5,10 +5,12 @@
 """
 
 import zlib
+from collections.abc import Callable
 
 import msgspec
 
-from wigeonspan.sharing._messages import Packet
+from wigeonspan.common import DECODE_ERRORS, HostId
+from wigeonspan.sharing._messages import Event, Packet
 
 MAX_DATAGRAM_BYTES = 60_000
 """Maximum size of a datagram in bytes: the limit of UDP with a margin for headers."""
@@ -22,8 +24,18 @@
 """Maximum decompressed size of a bundle in bytes. A relay fills it up to
 ``MAX_DATAGRAM_BYTES``; the limit guards against decompression bombs."""
 
+
+class _SplitPacket(msgspec.Struct, array_like=True):
+    """Packet whose events are still encoded."""
+
+    host: HostId
+    events: list[msgspec.Raw]
+
+
 _encode = msgspec.msgpack.Encoder().encode
 _decode_packet = msgspec.msgpack.Decoder(Packet).decode
+_decode_split_packet = msgspec.msgpack.Decoder(_SplitPacket).decode
+_decode_event = msgspec.msgpack.Decoder(Event).decode
 _decode_bundle = msgspec.msgpack.Decoder(list[bytes]).decode
 
 
@@ -82,26 +94,71 @@
     return data[1:] if data[:1] == _FORWARDED else None
 
 
-def decode_datagram(data: bytes) -> list[Packet]:
+def decode_datagram(
+    data: bytes, report_error: Callable[[str], None] = lambda why: None
+) -> list[Packet]:
     """Return the packets of a datagram.
 
+    Its parts come from many entries, so a part or an event that cannot be decoded is
+    left out.
+
+    Parameters
+    ----------
+    report_error : callable
+        Called once with the reason when something was left out.
+
     Raises
     ------
     InvalidDatagram
-        When it cannot be decoded.
+        When nothing of it can be decoded.
     """
+    packets: list[Packet] = []
+    errors: list[str] = []
+    _collect_packets(data, _PACKET + _BUNDLE + _GROUP, packets, errors)
+    if errors and not packets:
+        raise InvalidDatagram(errors[0])
+    if errors:
+        report_error(f"{len(errors)} parts cannot be read, the first one: {errors[0]}")
+    return packets
+
+
+def _collect_packets(
+    data: bytes, allowed_types: bytes, packets: list[Packet], errors: list[str]
+) -> None:
+    """Decode a datagram or a part of one.
+
+    A group contains bundles, and a bundle contains packets. Other nesting could expand
+    a small datagram without limit.
+    """
+    kind = data[:1]
+    try:
+        if kind == _PACKET and kind in allowed_types:
+            packets.append(_decode_events(data[1:], errors))
+            return
+        if not kind or kind not in allowed_types:
+            raise InvalidDatagram(f"unknown datagram type {kind!r}")
+        content = _decompress(data[1:]) if kind == _BUNDLE else data[1:]
+        inner_types = _PACKET if kind == _BUNDLE else _BUNDLE
+        for part in _decode_bundle(content):
+            _collect_packets(part, inner_types, packets, errors)
+    except (zlib.error, InvalidDatagram, *DECODE_ERRORS) as error:
+        errors.append(str(error))
+
+
+def _decode_events(data: bytes, errors: list[str]) -> Packet:
     try:
-        if data[:1] == _PACKET:
-            return [_decode_packet(data[1:])]
-        if data[:1] == _BUNDLE:
-            inner = _decode_bundle(_decompress(data[1:]))
-            return [packet for part in inner for packet in decode_datagram(part)]
-        if data[:1] == _GROUP:
-            inner = _decode_bundle(data[1:])
-            return [packet for part in inner for packet in decode_datagram(part)]
-    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
-        raise InvalidDatagram(str(error)) from error
-    raise InvalidDatagram(f"unknown datagram type {data[:1]!r}")
+        return _decode_packet(data)
+    except DECODE_ERRORS:
+        split = _decode_split_packet(data)
+    events: list[Event] = []
+    for encoded in split.events:
+        try:
+            events.append(_decode_event(encoded))
+        except DECODE_ERRORS as error:
+            errors.append(str(error))
+    if not events:
+        raise InvalidDatagram("a packet has no event that can be read")
+    return Packet(split.host, events)
 
 
 def _decompress(data: bytes) -> bytes:
