Skip addresses of entries that datagrams cannot be sent to

An entry took the addresses of all others from one reply, and one that had no usable port kept the datagrams from all: int raised ValueError, or sendto raised OverflowError, after which asyncio closes the socket for good. The relay had the same fault for the addresses in heartbeats. Host names would have blocked the process.

Addresses that are no IP address and port are skipped, and the others are used.

--- a/wigeonspan/sharing/_relay.py
+++ b/wigeonspan/sharing/_relay.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from wigeonspan.sharing._addresses import parse_addresses
 from wigeonspan.sharing._wire import (
     encode_bundles,
     encode_groups,
@@ -107,6 +108,5 @@
     def _send(self, data: bytes, addresses: list[str]) -> None:
         if self._transport is None:
             return
-        for address in addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+        for address in parse_addresses(addresses):
+            self._transport.sendto(data, address)
--- a/wigeonspan/sharing/_task.py
+++ b/wigeonspan/sharing/_task.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 from wigeonspan.common import HostId
+from wigeonspan.sharing._addresses import parse_addresses
 from wigeonspan.sharing._messages import Event, Packet
 from wigeonspan.sharing._wire import (
     MAX_DATAGRAM_BYTES,
@@ -61,14 +62,12 @@
         await loop.create_datagram_endpoint(lambda: self, (host, int(port)))
 
     def set_peers(self, addresses: list[str]) -> None:
-        """Set the addresses of the other entries."""
-        parsed = (address.rpartition(":") for address in addresses)
-        self._peers = [(host, int(port)) for host, _, port in parsed]
+        """Set the addresses of the other entries; skip those that cannot be used."""
+        self._peers = parse_addresses(addresses)
 
     def set_relay(self, address: str) -> None:
         """Set the address of the relay; empty when there is none."""
-        host, _, port = address.rpartition(":")
-        self._relay = (host, int(port)) if address else None
+        self._relay = next(iter(parse_addresses([address])), None)
 
     def publish(self, event: Event) -> None:
         """Queue an event for all other entries; drop it when there are none."""
@@ -95,7 +94,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass each event of a datagram on, except those of this entry itself."""
         try:
-            packets = decode_datagram(data)
+            packets = decode_datagram(data, self._report_error)
         except InvalidDatagram as error:
             self._report_error(str(error))
             return
