Split batches of events that exceed a datagram

A batch of up to 24 events above 60,000 bytes was dropped as a whole, so one request with thousands of parts kept the events of others from the other entries. The batch is now halved until its datagrams fit, and only an event that is too large by itself is dropped.

--- a/tests/sharing/test_odd_links.py
+++ b/tests/sharing/test_odd_links.py
@@ -5,7 +5,12 @@
 import pytest
 
 from tests.sharing.test_link import free_address, make_link, wait_until
-from wigeonspan.sharing import Relay, WorkEnded
+from tests.sharing.test_wire import WORK
+from wigeonspan.common import HostId
+from wigeonspan.placing import PromptPart
+from wigeonspan.sharing import Packet, Relay, WorkBegun, WorkEnded
+from wigeonspan.sharing._task import MAX_PACKET_EVENTS
+from wigeonspan.sharing._wire import MAX_DATAGRAM_BYTES, encode_packet
 
 
 @pytest.mark.parametrize(
@@ -34,3 +39,24 @@
         return received
 
     assert [event.work for _, event in asyncio.run(run())] == ["e1/1", "e1/2"]
+
+
+def test_large_events_do_not_cost_the_others_of_their_batch():
+    """A batch above the limit of a datagram was dropped as a whole."""
+    parts = tuple(PromptPart("x" * 40 + str(i), 5) for i in range(300))
+    large = WorkBegun(WORK, parts * 10)
+    assert len(encode_packet(Packet(HostId("e1"), [large]))) > MAX_DATAGRAM_BYTES
+
+    async def run():
+        one, _, errors = await make_link("e1")
+        two, address, received = await make_link("e2")
+        one.set_peers([address])
+        for number in range(MAX_PACKET_EVENTS - 2):
+            one.publish(WorkEnded(f"e1/{number}", True))
+        one.publish(WorkBegun(WORK, parts))
+        one.publish(large)
+        await wait_until(lambda: len(received) == MAX_PACKET_EVENTS - 1)
+        one.close(), two.close()
+        return errors
+
+    assert len(asyncio.run(run())) == 1
--- a/wigeonspan/sharing/_task.py
+++ b/wigeonspan/sharing/_task.py
@@ -117,10 +117,19 @@
             self._timer = None
         if not self._events or self._transport is None:
             return
-        packet, self._events = Packet(self._host, self._events), []
-        data = encode_packet(packet)
+        events, self._events = self._events, []
+        self._send(events)
+
+    def _send(self, events: list[Event]) -> None:
+        """Send events in one datagram, or in several when they are large."""
+        assert self._transport is not None
+        data = encode_packet(Packet(self._host, events))
         if len(data) > MAX_DATAGRAM_BYTES:
-            self._report_error(f"datagram of {len(data)} bytes is over the size limit")
+            if len(events) == 1:
+                self._report_error(f"event of {len(data)} bytes is over the size limit")
+                return
+            self._send(events[: len(events) // 2])
+            self._send(events[len(events) // 2 :])
             return
         if len(self._peers) <= MAX_DIRECT_PEERS:
             for peer in self._peers:
