Start and follow control hosts despite values that cannot be decoded

A copy of the configuration that had a valid checksum but could not be decoded, as one of another version, raised an error at each start of a control host, although the log has the original. A packed value nested deeply in an answer to a heartbeat raised RecursionError, which restarted the heartbeats to the host, and the size of a value was not limited.

Such a copy counts as missing and such a value as invalid; values are limited to 64 MB.

--- a/tests/coordinator/test_cache.py
+++ b/tests/coordinator/test_cache.py
@@ -1,6 +1,8 @@
 """Tests of the cached copy of the committed configuration."""
 
-from wigeonspan.consensus import FolderDisk
+import pytest
+
+from wigeonspan.consensus import FolderDisk, encode_frame
 from wigeonspan.coordinator._cache import CACHE_FILE, CommittedCache
 from wigeonspan.fleetconfig import StoredConfig
 
@@ -30,3 +32,20 @@
 def test_empty_folder_has_no_copy(tmp_path):
     """On the first start there is no cached configuration."""
     assert CommittedCache(FolderDisk(tmp_path / "c")).read() == StoredConfig()
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"x",
+        b"\x91" * 50_000,
+        b"\x81\xa1z" + b"\x91" * 50_000 + b"\xc0",
+        b"\x81\xa7version\xa1\xff",
+        b"\x81\xa7version\xcb\x7f\xf0" + b"\0" * 6,
+    ],
+)
+def test_copy_that_cannot_be_decoded_is_ignored(tmp_path, payload):
+    """A copy with a valid checksum that another version wrote ended the start."""
+    disk = FolderDisk(tmp_path / "c")
+    disk.create(CACHE_FILE, encode_frame(payload))
+    assert CommittedCache(disk).read() == StoredConfig()
--- a/wigeonspan/coordinator/_cache.py
+++ b/wigeonspan/coordinator/_cache.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from wigeonspan.common import DECODE_ERRORS
 from wigeonspan.consensus import (
     Disk,
     encode_frame,
@@ -43,9 +44,12 @@
         """Return the copy, or an empty configuration if it is missing or damaged."""
         if CACHE_FILE not in self._disk.names():
             return StoredConfig()
-        payload = read_frame(self._disk.read(CACHE_FILE), 0)
         # A damaged copy loses no data, because the log has the original.
-        return StoredConfig() if payload is None else _decode(payload)
+        try:
+            payload = read_frame(self._disk.read(CACHE_FILE), 0)
+            return StoredConfig() if payload is None else _decode(payload)
+        except (OSError, *DECODE_ERRORS):
+            return StoredConfig()
 
     def write(self, config: StoredConfig) -> None:
         """Replace the copy.
--- a/wigeonspan/presence/_packing.py
+++ b/wigeonspan/presence/_packing.py
@@ -10,11 +10,17 @@
 
 import msgspec
 
+from wigeonspan.common import DECODE_ERRORS
+
 T = TypeVar("T")
 
 COMPRESSION_LEVEL = 6
 """Compression level of zlib; each value is packed once and sent to all entries."""
 
+MAX_UNPACKED_BYTES = 64 * 1024 * 1024
+"""Largest size of an unpacked value in bytes, four times the largest request body of an
+operator. Compressed data may expand to a thousand times its size."""
+
 _encode = msgspec.msgpack.Encoder().encode
 
 
@@ -35,9 +41,13 @@
     InvalidValue
         When the bytes are not a packed value of this type.
     """
+    decompressor = zlib.decompressobj()
     try:
-        return msgspec.msgpack.decode(zlib.decompress(data), type=kind)
-    except (zlib.error, msgspec.DecodeError) as error:
+        content = decompressor.decompress(data, MAX_UNPACKED_BYTES)
+        if not decompressor.eof:
+            raise InvalidValue("the value is truncated or too large")
+        return msgspec.msgpack.decode(content, type=kind)
+    except (zlib.error, *DECODE_ERRORS) as error:
         raise InvalidValue(str(error)) from error
 
 
