Start voters beside foreign files and undecodable tail files

A tail file with a valid checksum that could not be decoded ended the start too, although the file is optional. A voter file or a frame that cannot be decoded raised errors without the name of the file.

An undecodable tail counts as missing, and undecodable voter files and frames are StorageCorrupt with their names.

--- a/wigeonspan/consensus/_files.py
+++ b/wigeonspan/consensus/_files.py
@@ -2,7 +2,8 @@
 
 import contextlib
 import errno
-from collections.abc import Iterator
+import re
+from collections.abc import Iterable, Iterator
 
 from wigeonspan.consensus._disk import Disk
 from wigeonspan.consensus._frames import StorageFailed, StorageFull
@@ -13,6 +14,16 @@
 _FULL = (errno.ENOSPC, errno.EDQUOT)
 
 
+def numbered_files(names: Iterable[str], prefix: str) -> list[str]:
+    """Return the names that consist of a prefix and a number of 16 digits.
+
+    Operators and tools leave copies beside the files of a data folder. Such a copy must
+    neither be read as the newest file nor be removed.
+    """
+    pattern = re.compile(re.escape(prefix) + "[0-9]{16}")
+    return [name for name in names if pattern.fullmatch(name)]
+
+
 @contextlib.contextmanager
 def translate_os_errors(name: str) -> Iterator[None]:
     """Convert ``OSError`` to ``StorageFull`` or ``StorageFailed``."""
--- a/wigeonspan/consensus/_log_file.py
+++ b/wigeonspan/consensus/_log_file.py
@@ -12,6 +12,7 @@
 import msgspec
 from msgspec import Struct
 
+from wigeonspan.common import DECODE_ERRORS
 from wigeonspan.consensus._disk import Disk
 from wigeonspan.consensus._files import sync, translate_os_errors, write_atomically
 from wigeonspan.consensus._frames import (
@@ -94,7 +95,7 @@
                     self._check_header(_decode_header(payload))
                 else:
                     entries = _apply_frame(entries, _decode_entries(payload))
-            except (msgspec.DecodeError, ValueError) as error:
+            except (*DECODE_ERRORS, ValueError) as error:
                 raise StorageCorrupt(self.name, offset, str(error)) from error
             end = offset + HEADER_BYTES + len(payload)
         self._check_end(data, end)
@@ -160,7 +161,10 @@
         payload = read_frame(self._disk.read(TAIL_FILE), 0)
         if payload is None:
             return 0
-        number, size = _decode_tail(payload)
+        try:
+            number, size = _decode_tail(payload)
+        except DECODE_ERRORS:
+            return 0
         return size if number == self._number else 0
 
     def _write_tail(self) -> None:
--- a/wigeonspan/consensus/_store.py
+++ b/wigeonspan/consensus/_store.py
@@ -20,10 +20,11 @@
 import msgspec
 from msgspec import Struct
 
-from wigeonspan.common import LogIndex, Term
+from wigeonspan.common import DECODE_ERRORS, LogIndex, Term
 from wigeonspan.consensus._disk import Disk
 from wigeonspan.consensus._files import (
     NEW_SUFFIX,
+    numbered_files,
     sync,
     translate_os_errors,
     write_atomically,
@@ -206,7 +207,10 @@
     def _read_voter(self) -> None:
         data = self._disk.read(VOTER_FILE)
         payloads = [read_frame(data, offset) for offset in (0, SLOT_BYTES)]
-        slots = [_decode_voter(p) for p in payloads if p is not None]
+        try:
+            slots = [_decode_voter(p) for p in payloads if p is not None]
+        except DECODE_ERRORS as error:
+            raise StorageCorrupt(VOTER_FILE, 0, str(error)) from error
         if not slots:
             raise StorageCorrupt(VOTER_FILE, 0, "both slots fail their checksum")
         self._voter = max(slots, key=lambda slot: slot.sequence)
@@ -225,10 +229,10 @@
             sync(self._disk, VOTER_FILE)
 
     def _read_log(self, names: list[str]) -> list[Entry]:
-        snapshots = [n for n in names if n.startswith(SNAPSHOT_PREFIX)]
+        snapshots = numbered_files(names, SNAPSHOT_PREFIX)
         if snapshots:
             self._snapshot = self._read_snapshot_file(max(snapshots)).meta
-        logs = [n for n in names if n.startswith(LOG_PREFIX)]
+        logs = numbered_files(names, LOG_PREFIX)
         if not logs:
             if self._voter.state.group:
                 raise StorageCorrupt(f"{LOG_PREFIX}*", 0, "the log is missing")
@@ -256,9 +260,11 @@
         kept = {self._log.name}
         if self._snapshot is not None:
             kept.add(_snapshot_name(self._snapshot.index))
-        for name in self._disk.names():
-            if name.startswith((LOG_PREFIX, SNAPSHOT_PREFIX)) and name not in kept:
-                self._disk.remove(name)
+        names = self._disk.names()
+        for prefix in (LOG_PREFIX, SNAPSHOT_PREFIX):
+            for name in numbered_files(names, prefix):
+                if name not in kept:
+                    self._disk.remove(name)
 
     def _read_snapshot_file(self, name: str) -> Snapshot:
         data = self._disk.read(name)
@@ -268,7 +274,7 @@
             raise StorageCorrupt(name, size, "the snapshot fails its checksum")
         try:
             return Snapshot(_decode_meta(frames[0][1]), frames[1][1][:-1])
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise StorageCorrupt(name, 0, str(error)) from error
 
 
