Read the host list although single entries cannot be decoded

One entry with an unknown state, a lone surrogate or deep nesting cost the whole host list at each poll, so engines on leaving hosts stayed in service. An answer without a body raised TypeError.

Entries are decoded one by one; one that cannot be decoded is skipped and logged with at most 200 bytes of it. Measured: the failing cases are six odd entries and one answer before the change; all pass.

--- a/tests/hostlist/test_hostlist.py
+++ b/tests/hostlist/test_hostlist.py
@@ -1,6 +1,7 @@
 """Tests that engines on leaving hosts are taken out of service permanently."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
@@ -79,3 +80,45 @@
 
     asyncio.run(run())
     assert phases == [EnginePhase.SERVING, EnginePhase.LEAVING, EnginePhase.LEAVING]
+
+
+class FakeClient:
+    def __init__(self, body):
+        self._body = body
+
+    async def fetch(self, request):
+        return SimpleNamespace(body=self._body)
+
+
+ODD_ENTRIES = [
+    b"[" * 5000 + b"]" * 5000,
+    b'{"name":"h","address":"10.0.0.1","state":"unheard"}',
+    b'{"name":"h","address":"10.0.0.1","state":"live","note":"\\ud800"}',
+    b'{"name":"h","address":7,"state":"live"}',
+    b"1e999",
+    b"null",
+]
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES)
+def test_odd_entry_does_not_hide_the_others(odd):
+    """The list was lost, at each poll, by one entry that could not be decoded."""
+    catalog = Catalog()
+    catalog._objects["engine", "e"] = Engine(
+        "e", "127.0.0.1:1", "d", phase=EnginePhase.SERVING, version=5
+    )
+    good = b'{"name":"h","address":"127.0.0.1","state":"leaving"}'
+    client = FakeClient(b"[" + odd + b"," + good + b"]")
+    log = LocalLog(catalog)
+    task = HostListPoller("", 1.0, log, catalog, client, ManualClock())
+    assert asyncio.run(task.poll_once()) == 1
+    assert catalog.engine("e").phase is EnginePhase.LEAVING
+
+
+@pytest.mark.parametrize("body", [None, b"", b"{}", b"[", ODD_ENTRIES[0][:-1]])
+def test_answer_that_is_no_list_causes_no_commands(body):
+    """Any answer may come from a platform in trouble, also one without a body."""
+    poller = HostListPoller(
+        "", 1.0, LocalLog(None), Catalog(), FakeClient(body), ManualClock()
+    )
+    assert asyncio.run(poller.poll_once()) == 0
--- a/wigeonspan/hostlist/_task.py
+++ b/wigeonspan/hostlist/_task.py
@@ -7,7 +7,14 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from wigeonspan.catalog import CatalogObject, Engine
-from wigeonspan.common import Clock, WigeonspanError, decode, encode, part_logger
+from wigeonspan.common import (
+    Clock,
+    WigeonspanError,
+    decode,
+    encode,
+    part_logger,
+    split_array,
+)
 from wigeonspan.consensus import ReplicatedLog
 from wigeonspan.hostlist._core import commands_for_leaving_hosts
 from wigeonspan.hostlist._messages import ListedHost
@@ -15,6 +22,9 @@
 TIMEOUT_S = 2.0
 """Timeout in seconds of a request for the list; the next poll tries again."""
 
+MAX_LOGGED = 200
+"""Most bytes of a skipped entry in a log line."""
+
 _log = part_logger("hostlist")
 
 
@@ -100,7 +110,15 @@
         )
         try:
             response = await self._client.fetch(request)
-            return decode(response.body, list[ListedHost])
+            encoded = split_array(response.body or b"")
         except (OSError, HTTPClientError, WigeonspanError) as error:
             _log.warning("Failed to read the host list: {}.", error)
             return []
+        hosts: list[ListedHost] = []
+        for element in encoded:
+            try:
+                hosts.append(decode(element, ListedHost))
+            except WigeonspanError as error:
+                text = bytes(element)[:MAX_LOGGED].decode(errors="replace")
+                _log.warning("Skipped an entry of the host list: {}: {}.", error, text)
+        return hosts
