Check the numbers of engines and decode their cache events one by one

A load report with a negative age seemed to be measured in the future, and all later reports of the engine were ignored. Integers of hundreds of digits passed and overflow when they are used. One cache event that could not be decoded cost the response, and the poller asked for the same events again each time. A chunk nested deeply raised RecursionError inside of the client's callback.

Numbers of responses are limited to 0 to 1e12, and cache events are decoded one by one.

--- a/wigeonspan/engines/_client.py
+++ b/wigeonspan/engines/_client.py
@@ -12,7 +12,12 @@
     encode,
 )
 from wigeonspan.engines._connections import Exchange, ExchangeEnd, TargetConnections
-from wigeonspan.engines._frames import END_MARKER, FrameError, parse_frame
+from wigeonspan.engines._frames import (
+    END_MARKER,
+    FrameError,
+    parse_cache_events,
+    parse_frame,
+)
 from wigeonspan.engines._messages import (
     CacheEvents,
     CancelRequest,
@@ -230,16 +235,18 @@
 
     async def load(self, address: str) -> LoadReport:
         """Return the engine's load report."""
-        return await self._call(address, "GET", "/wigeonspan/load", LoadReport)
+        return await self._call(address, "GET", "/wigeonspan/load", _reader(LoadReport))
 
     async def cache_events(self, address: str, after: int) -> CacheEvents:
         """Return the cache events after a sequence number."""
         path = f"/wigeonspan/cache-events?after={after}"
-        return await self._call(address, "GET", path, CacheEvents)
+        return await self._call(address, "GET", path, parse_cache_events)
 
     async def state(self, address: str) -> EngineState:
         """Return the engine's state."""
-        return await self._call(address, "GET", "/wigeonspan/state", EngineState)
+        return await self._call(
+            address, "GET", "/wigeonspan/state", _reader(EngineState)
+        )
 
     async def cancel(self, address: str, attempt: AttemptId) -> None:
         """Cancel an attempt.
@@ -268,7 +275,12 @@
         """
         body = encode(KvExportRequest(attempt))
         return await self._call(
-            address, "POST", "/wigeonspan/kv/export", KvHandle, body, KV_TIMEOUT_S
+            address,
+            "POST",
+            "/wigeonspan/kv/export",
+            _reader(KvHandle),
+            body,
+            KV_TIMEOUT_S,
         )
 
     async def import_kv(self, address: str, request: KvImportRequest) -> KvHandle:
@@ -281,7 +293,12 @@
         """
         body = encode(request)
         return await self._call(
-            address, "POST", "/wigeonspan/kv/import", KvHandle, body, KV_TIMEOUT_S
+            address,
+            "POST",
+            "/wigeonspan/kv/import",
+            _reader(KvHandle),
+            body,
+            KV_TIMEOUT_S,
         )
 
     async def _post(self, address: str, path: str, message: Any) -> None:
@@ -292,7 +309,7 @@
         address: str,
         method: str,
         path: str,
-        response_type: Callable[..., T],
+        read: Callable[[bytes], T],
         body: bytes | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> T:
@@ -303,7 +320,7 @@
                 ErrorKind.TARGET_FAILED, f"{address}{path}: {message}"
             )
         try:
-            return decode(end.body, response_type)
+            return read(end.body)
         except WigeonspanError as error:
             raise WigeonspanError(
                 ErrorKind.TARGET_FAILED, f"{address}{path}: {error.message}"
@@ -339,3 +356,8 @@
     if status in _REFUSED_STATUSES or 400 <= status < 500:
         return StreamFault.REFUSED
     return StreamFault.SERVER_ERROR
+
+
+def _reader(response_type: Callable[..., T]) -> Callable[[bytes], T]:
+    """Return the function that decodes a response of a type."""
+    return lambda body: decode(body, response_type)
--- a/wigeonspan/engines/_frames.py
+++ b/wigeonspan/engines/_frames.py
@@ -1,9 +1,24 @@
-"""Parser of the chunks of an engine's stream."""
+"""Parsers of the chunks of an engine's stream and of its cache events."""
+
+import contextlib
 
 import msgspec
 from msgspec import Struct
 
-from wigeonspan.engines._messages import ChunkExtension
+from wigeonspan.common import (
+    DECODE_ERRORS,
+    ErrorKind,
+    WigeonspanError,
+    decode,
+    split_array,
+    split_object,
+)
+from wigeonspan.engines._messages import (
+    CacheEvent,
+    CacheEvents,
+    ChunkExtension,
+    Count,
+)
 from wigeonspan.streams import TokenFrame
 
 END_MARKER = b"[DONE]"
@@ -23,7 +38,7 @@
 
 
 class _Usage(Struct):
-    completion_tokens: int
+    completion_tokens: Count
 
 
 class _Chunk(Struct):
@@ -55,7 +70,7 @@
     """
     try:
         chunk = _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise FrameError(str(error)) from error
     if len(chunk.choices) != 1:
         raise FrameError("a chunk must have one choice")
@@ -71,3 +86,27 @@
         completion_tokens=chunk.usage.completion_tokens if chunk.usage else None,
         size=len(data),
     )
+
+
+def parse_cache_events(body: bytes) -> CacheEvents:
+    """Parse an engine's cache events; leave out those that cannot be decoded.
+
+    The events after them would otherwise be asked for again and again.
+
+    Raises
+    ------
+    WigeonspanError
+        ``BAD_REQUEST`` when the body does not have the form of the response.
+    """
+    members = split_object(body)
+    try:
+        incarnation: str = decode(members["incarnation"], str)
+        encoded = split_array(members["events"])
+    except KeyError as error:
+        message = f"the response lacks the member {error}"
+        raise WigeonspanError(ErrorKind.BAD_REQUEST, message) from error
+    events: list[CacheEvent] = []
+    for element in encoded:
+        with contextlib.suppress(WigeonspanError):
+            events.append(decode(element, CacheEvent))
+    return CacheEvents(incarnation, events)
--- a/wigeonspan/engines/_messages.py
+++ b/wigeonspan/engines/_messages.py
@@ -1,12 +1,20 @@
 """Messages of the engine protocol."""
 
 from enum import Enum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from wigeonspan.catalog import PriorityClass, Role
 from wigeonspan.common import AttemptId, EngineId, ModelName
 
+MAX_NUMBER = 10**12
+"""Largest number in a response. Larger and negative ones would make a measurement seem
+to come from the future, or overflow when they are used."""
+
+Count = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+Quantity = Annotated[float, Meta(ge=0.0, le=MAX_NUMBER)]
+
 
 class RunPhase(Enum):
     """Phases of a request that an engine runs."""
@@ -69,15 +77,15 @@
 
     engine: EngineId
     incarnation: str
-    age_s: float
+    age_s: Quantity
     role: Role
-    queued_prefill_tokens: int
-    running: int
-    batch_limit: int
-    pieces_total: int
-    pieces_free: int
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
+    queued_prefill_tokens: Count
+    running: Count
+    batch_limit: Count
+    pieces_total: Count
+    pieces_free: Count
+    prefill_tokens_per_s: Quantity
+    decode_tokens_per_s: Quantity
 
 
 class CacheEvent(Struct, frozen=True):
@@ -91,9 +99,9 @@
         True when the prefix was stored, false when it was evicted.
     """
 
-    seq: int
+    seq: Count
     prefix: str
-    tokens: int
+    tokens: Count
     stored: bool
 
 
@@ -125,8 +133,8 @@
     adapters: tuple[str, ...]
     busy_order: str
     last_order: str
-    urgent: int
-    batch: int
+    urgent: Count
+    batch: Count
 
 
 class OrderAction(Enum):
@@ -187,7 +195,7 @@
     """
 
     handle: str
-    tokens: int
+    tokens: Count
 
 
 class KvImportRequest(Struct, frozen=True):
