Report odd values of YAML settings as faults of the file

Deep nesting, integers of 5,000 digits and texts that look like a date but are none raised RecursionError, ValueError or AttributeError from the YAML reader instead of SettingsErrors, so a daemon ended with a traceback. Rates of nan or infinity and lone surrogates were accepted; they compare as neither too small nor too large, and cannot be written.

All are faults with file and key now.

--- a/tests/common/test_settings.py
+++ b/tests/common/test_settings.py
@@ -53,3 +53,33 @@
     """A path that does not exist is reported like any other fault."""
     with pytest.raises(SettingsErrors):
         load_settings(tmp_path / "absent.yaml", Outer)
+
+
+class Rates(Struct):
+    name: str = "a"
+    rate: float = 0.0
+    count: int = 0
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "name: " + "[" * 5000 + "]" * 5000,
+        "count: " + "9" * 5000,
+        "name: 0x" + "f" * 5000,
+        "name: 2026-99-99",
+        "name: !!timestamp x",
+        "name: !!int x",
+        "name: !!float x",
+        "rate: .nan",
+        "rate: .inf",
+        "rate: 1e999",
+        'name: "\\ud800"',
+        "&a [*a]",
+    ],
+)
+def test_odd_value_is_a_fault_of_the_file(tmp_path, text):
+    """The YAML reader raises errors of many types, and accepts values of no use."""
+    with pytest.raises(SettingsErrors) as caught:
+        load_settings(write(tmp_path, text), Rates)
+    assert len(str(caught.value.exceptions[0])) < 1000
--- a/wigeonspan/common/_settings.py
+++ b/wigeonspan/common/_settings.py
@@ -1,5 +1,6 @@
 """YAML settings files, which are validated completely before any value is used."""
 
+import math
 from pathlib import Path
 from typing import Any, TypeVar, get_args
 
@@ -45,6 +46,11 @@
         return "\n".join(str(fault) for fault in self.exceptions)
 
 
+# Errors of the constructors of the YAML reader for texts that look like a date or a
+# number but are none, and for deep nesting.
+_CONSTRUCTOR_ERRORS = (ValueError, AttributeError, RecursionError)
+
+
 def load_settings(path: str | Path, kind: type[T]) -> T:
     """Read and validate a settings file.
 
@@ -69,7 +75,7 @@
     try:
         text = Path(path).read_text(encoding="utf-8")
         data = yaml.safe_load(text)
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+    except (OSError, yaml.YAMLError, *_CONSTRUCTOR_ERRORS) as error:
         fault = SettingsFault(file, "", "a readable YAML file", str(error))
         raise SettingsErrors("settings are not valid", [fault]) from error
     faults: list[SettingsFault] = []
@@ -92,8 +98,15 @@
             for index, value in enumerate(data)
         ]
     try:
-        return msgspec.convert(data, kind)
-    except msgspec.ValidationError as error:
+        value = msgspec.convert(data, kind)
+        # Non-finite numbers compare as neither too small nor too large.
+        if isinstance(value, float) and not math.isfinite(value):
+            raise msgspec.ValidationError("Expected a finite number")
+        # YAML can spell lone surrogates, which no file or message can carry.
+        if isinstance(value, str):
+            value.encode()
+        return value
+    except (msgspec.ValidationError, UnicodeEncodeError) as error:
         faults.append(SettingsFault(file, key, str(error), _shorten_repr(data)))
         return None
 
@@ -148,5 +161,9 @@
 
 
 def _shorten_repr(data: Any) -> str:
-    text = repr(data)
+    try:
+        text = repr(data)
+    except ValueError:
+        # Python refuses to print integers of thousands of digits.
+        text = "a number that is too large"
     return text if len(text) <= 60 else text[:57] + "..."
