Evaluate logs beside lines of other programs

One line whose time was no number, that lacked a part or was nested deeply ended the commands on logs with TypeError, KeyError or RecursionError. Lines without the fields of a log line are ignored now. Measured: the new test failed before and passes.

--- a/tests/trail/test_main.py
+++ b/tests/trail/test_main.py
@@ -70,3 +70,25 @@
     text = LogCommands().around(1500, path)
     assert "targets_changed" in text and "r1" not in text
     assert "control_lost" not in text
+
+
+def test_odd_lines_do_not_hide_the_others(tmp_path):
+    """A log may hold lines of other programs, whose fields have other types."""
+    deep = "[" * 5000 + "]" * 5000
+    odd = [
+        '{"event":"refused","wall_ms":2,"host":"e","note":' + deep + "}",
+        '{"event":"refused","wall_ms":"soon","host":"e","part":"serve"}',
+        '{"event":"refused","wall_ms":1e999,"host":"e","part":"serve"}',
+        '{"event":"refused","wall_ms":' + "9" * 5000 + ',"host":"e","part":"serve"}',
+        '{"event":["refused"],"wall_ms":2,"host":"e","part":"serve"}',
+        '{"event":"refused","wall_ms":2,"host":"e"}',
+        '{"event":"refused","host":"e","part":"serve"}',
+        '{"event":"refused","wall_ms":2,"host":"\\ud800","part":"serve"}',
+    ]
+    path = write(tmp_path, "one", line(1, "refused", kind="no_target", request="r1"))
+    with open(path, "a") as file:
+        file.write("\n".join(odd))
+    commands = LogCommands()
+    assert commands.failures(path).split() == ["1", "refused", "no_target"]
+    assert len(commands.way("r1", path).splitlines()) == 1
+    assert commands.around(1, path) == ""
--- a/wigeonspan/trail/main.py
+++ b/wigeonspan/trail/main.py
@@ -4,16 +4,26 @@
 import sys
 from collections import Counter
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import fire
 import msgspec
 
+from wigeonspan.common import WigeonspanError, decode
 from wigeonspan.trail._render import REQUEST_ID, describe_line
 
 _JSON_OBJECT = re.compile(r"\{.*\}\s*$")
 
 
+class _LineHead(msgspec.Struct):
+    """Fields that each line of the log has."""
+
+    wall_ms: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    host: str
+    part: str
+    event: str
+
+
 def read_lines(paths: tuple[str, ...]) -> list[dict[str, Any]]:
     """Read the lines of log files, sorted by time.
 
@@ -32,13 +42,15 @@
             if match is None:
                 continue
             try:
-                line = msgspec.json.decode(match.group())
-            except msgspec.DecodeError:
-                # Incomplete line of a process that was killed while writing it.
+                line: dict[str, Any] = decode(match.group().encode(), dict[str, Any])
+                # What describes each line must be there and have the usual types.
+                msgspec.convert(line, _LineHead)
+            except (WigeonspanError, msgspec.ValidationError):
+                # Incomplete line of a process that was killed while writing it, or a
+                # line of another program.
                 continue
-            if isinstance(line, dict) and "event" in line:
-                lines.append(line)
-    return sorted(lines, key=lambda line: line.get("wall_ms", 0))
+            lines.append(line)
+    return sorted(lines, key=lambda line: line["wall_ms"])
 
 
 class LogCommands:
