Open records beside foreign files, and report lines nested deeply

A copy such as record-old.jsonl beside the segments was read as the newest segment: it was cut at its first bad line or removed. A line nested deeply raised RecursionError, which the commands on records do not report.

Segments need a number in their name, and such a line is a RecordError with its place.

--- a/tests/record/test_store.py
+++ b/tests/record/test_store.py
@@ -327,3 +327,25 @@
     entries, truncated = find_entries(record_files(complete_record), query)
     assert [entry.seq for entry in entries] == expected
     assert truncated == (query.limit == 2)
+
+
+def test_line_that_is_nested_deeply_is_reported_with_its_place(tmp_path):
+    """It raised ``RecursionError``, which the commands on records do not report."""
+    make_record(tmp_path, 3)
+    path = paths(tmp_path)[0]
+    lines = path.read_bytes().splitlines(keepends=True)
+    lines[1] = b'{"note":' + b"[" * 5000 + b"]" * 5000 + b"}\n"
+    path.write_bytes(b"".join(lines))
+    with pytest.raises(RecordError, match="not an entry"):
+        find_entries(record_files(tmp_path), RecordFilter())
+
+
+@pytest.mark.parametrize("name", ["record-old.jsonl", "record-000000000001-copy.jsonl"])
+def test_foreign_file_does_not_keep_a_record_from_opening(tmp_path, name):
+    """A copy beside the segments was read as one of them."""
+    entries = make_record(tmp_path, 3)
+    (tmp_path / name).write_bytes(b"foreign\n")
+    RecordStore(tmp_path, SEGMENT_BYTES)
+    found, _ = find_entries(record_files(tmp_path), RecordFilter())
+    assert sorted(e.seq for e in found) == [e.seq for e in entries]
+    assert (tmp_path / name).read_bytes() == b"foreign\n"
--- a/wigeonspan/record/_chain.py
+++ b/wigeonspan/record/_chain.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from wigeonspan.common import LogIndex
+from wigeonspan.common import DECODE_ERRORS, LogIndex
 from wigeonspan.record._errors import RecordError
 from wigeonspan.record._messages import EntryDraft, RecordEntry, RecordHead
 
@@ -81,7 +81,7 @@
     """
     try:
         entry = _decoder.decode(line)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RecordError(location, f"not an entry: {error}") from None
     if entry_hash(entry) != entry.hash:
         raise RecordError(location, f"entry {entry.seq} does not have its hash")
--- a/wigeonspan/record/_files.py
+++ b/wigeonspan/record/_files.py
@@ -1,6 +1,7 @@
 """Reading and repair of record files on disk."""
 
 import os
+import re
 from collections.abc import Iterator
 from pathlib import Path
 from typing import BinaryIO
@@ -14,6 +15,7 @@
 
 PREFIX = "record-"
 SUFFIX = ".jsonl"
+_SEGMENT_NAME = re.compile(re.escape(PREFIX) + "[0-9]{12,}" + re.escape(SUFFIX))
 
 TAIL_READ_BYTES = 64 * 1024
 """Initial number of bytes to read from the end of a file to find its last line."""
@@ -60,8 +62,12 @@
 
 
 def segment_paths(folder: Path) -> list[Path]:
-    """Return the paths of the segment files of a folder in order."""
-    return sorted(folder.glob(f"{PREFIX}*{SUFFIX}"))
+    """Return the paths of the segment files of a folder in order.
+
+    Copies with other names, which operators leave beside them, are not segments.
+    """
+    paths = folder.glob(f"{PREFIX}*{SUFFIX}")
+    return sorted(path for path in paths if _SEGMENT_NAME.fullmatch(path.name))
 
 
 def record_files(folder: Path) -> list[RecordFile]:
