Refuse messages of voters with integers that files cannot hold

A term or index of 2**70 in a message was taken over, and the voter that then wrote its state got OverflowError on the thread of the disk, after which it stops. Messages with integers beyond 2**62 are refused with 400 now, and what is stored fits into 63 bits.

--- a/wigeonspan/consensus/_messages.py
+++ b/wigeonspan/consensus/_messages.py
@@ -1,12 +1,23 @@
 """Message types, stored types and effects of the replicated log."""
 
 from enum import Enum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from wigeonspan.catalog import Member
 from wigeonspan.common import DomainName, HostId, LogIndex, Term
 
+# Larger integers do not fit into the files of the log, and a voter that cannot write
+# its state stops. The lower limit for messages leaves room to count on.
+_FILE_LIMIT = Meta(ge=0, le=2**63 - 1)
+_MESSAGE_LIMIT = Meta(ge=-(2**62), le=2**62)
+_StoredIndex = Annotated[LogIndex, _FILE_LIMIT]
+_StoredTerm = Annotated[Term, _FILE_LIMIT]
+_Index = Annotated[LogIndex, _MESSAGE_LIMIT]
+_Term = Annotated[Term, _MESSAGE_LIMIT]
+_Integer = Annotated[int, _MESSAGE_LIMIT]
+
 
 class BootstrapMember(Struct, frozen=True):
     """One of the initial voters, as listed in the settings."""
@@ -46,8 +57,8 @@
         as the entry is in the log, before it is committed.
     """
 
-    index: LogIndex
-    term: Term
+    index: _StoredIndex
+    term: _StoredTerm
     command: bytes = b""
     members: tuple[Member, ...] | None = None
 
@@ -60,17 +71,17 @@
     """
 
     group: str = ""
-    term: Term = Term(0)
+    term: _StoredTerm = Term(0)
     vote: HostId = HostId("")
 
 
 class SnapshotMeta(Struct, frozen=True):
     """Last log position that a snapshot covers, and the membership at that position."""
 
-    index: LogIndex
-    term: Term
+    index: _StoredIndex
+    term: _StoredTerm
     members: tuple[Member, ...]
-    size: int = 0
+    size: _Integer = 0
 
 
 class Snapshot(Struct, frozen=True):
@@ -95,8 +106,8 @@
     """
 
     pre: bool
-    last_index: LogIndex
-    last_term: Term
+    last_index: _Index
+    last_term: _Term
     forced: bool = False
 
 
@@ -116,11 +127,11 @@
         Heartbeat round in which the message was sent; the reply repeats it.
     """
 
-    previous_index: LogIndex
-    previous_term: Term
+    previous_index: _Index
+    previous_term: _Term
     entries: list[Entry]
-    commit: LogIndex
-    round: int
+    commit: _Index
+    round: _Integer
 
 
 class AppendReply(Struct, frozen=True, tag="append_reply"):
@@ -136,8 +147,8 @@
     """
 
     accepted: bool
-    match: LogIndex
-    round: int
+    match: _Index
+    round: _Integer
 
 
 class InstallSnapshot(Struct, frozen=True, tag="install_snapshot"):
@@ -148,17 +159,17 @@
     """
 
     meta: SnapshotMeta
-    offset: int
-    round: int
+    offset: _Integer
+    round: _Integer
     data: bytes = b""
 
 
 class SnapshotReply(Struct, frozen=True, tag="snapshot_reply"):
     """Reply to a chunk: the number of snapshot bytes received so far."""
 
-    index: LogIndex
-    received: int
-    round: int
+    index: _Index
+    received: _Integer
+    round: _Integer
 
 
 class TimeoutNow(Struct, frozen=True, tag="timeout_now"):
@@ -221,7 +232,7 @@
     group: str
     source: Peer
     target: Peer
-    term: Term
+    term: _Term
     body: MessageBody
 
 
