--- a/wigeonspan/gateway/_events.py
+++ b/wigeonspan/gateway/_events.py
@@ -12,13 +12,13 @@
 """Digits up to which the id of an event is taken as a number; Python refuses to convert
 several thousand, which a faulty engine may send."""
 
-MAX_ID_DIGITS = 18
-"""Largest number of digits of an event's id that is compared as a number."""
-
 # A blank line, together with the end of the line before it.
 _BLANK = re.compile(rb"\n\r?\n")
 _BLANK_BYTES = 3
 
+# str.isdigit accepts digits of other scripts and superscripts, too.
+_NUMBER = re.compile(r"[0-9]+")
+
 
 class EventTooLarge(ValueError):
     """Raised when a stream has an event larger than ``MAX_EVENT_BYTES``."""
@@ -215,18 +215,18 @@
         )
 
 
-def _is_number(event_id: str) -> bool:
-    """Return whether an id is a number of a size that can be compared."""
-    return event_id.isascii() and event_id.isdigit() and len(event_id) <= MAX_ID_DIGITS
-
-
 def _is_after(event_id: str, last: str) -> bool:
-    number, last_number = _read_number(event_id), _read_number(last)
-    if number is not None and last_number is not None:
-        return number > last_number
+    if _NUMBER.fullmatch(event_id) and _NUMBER.fullmatch(last):
+        return _numeric_order(event_id) > _numeric_order(last)
     return event_id != last
 
 
+def _numeric_order(digits: str) -> tuple[int, str]:
+    """Return a key that orders numbers by value; ``int`` refuses many digits."""
+    significant = digits.lstrip("0")
+    return len(significant), significant
+
+
 def _read_number(event_id: str) -> int | None:
     """Return the number that an id is; None for any other id."""
     is_number = len(event_id) <= MAX_ID_DIGITS and event_id.isascii()
