Tell inner causes of crashes from common parts and flapping engines

In a model fleet the common first part and the sessions of sound requests were quarantined as well, and at flapping engines up to 10 parts in 10,000 requests.

Crashes without a part, at the same target or in the fleet, now show that the part was there by chance; a part that is only broken inside requests with another one is preferred to that; a verdict waits 0.3 s for the answers that clear common parts.

--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -14,7 +14,8 @@
 
 from msgspec import Struct
 
-from wigeonspan.quarantine._evidence import Crash, Evidence, Suspect
+from wigeonspan.quarantine._evidence import Crash, Evidence
+from wigeonspan.quarantine._judgement import find_culprits
 from wigeonspan.quarantine._keys import WrittenParts, part_key
 from wigeonspan.quarantine._messages import (
     PartQuarantined,
@@ -26,25 +27,13 @@
 from wigeonspan.quarantine._trials import ANNOUNCE_INTERVAL_S, Quarantine, Turns
 from wigeonspan.targets import TargetId
 
-CRASHES_TO_QUARANTINE = 3
-"""Number of crashes, without an answer in between, after which a part is quarantined on
-which no answer was written before."""
-
-CRASHES_WHEN_WRITTEN = 4
-"""Number of crashes after which a part is quarantined on which answers were written
-before. Common parts are blamed with each culprit, and while few engines are up, there
-may be no answer that clears them."""
-
-UNEXPLAINED_WHEN_WRITTEN = 2
-"""Minimum number of crashes that no quarantined part explains, for such a part."""
-
 SUSPECT_CRASHES = 2
-"""Number of crashes from which a request is not repeated at another engine; one more
-for parts on which answers were written before."""
+"""Number of crashes from which a request is not repeated at another engine."""
 
-SETTLE_S = 0.2
+SETTLE_S = 0.3
 """Seconds from the news of a crash to the verdict. The reports of other entries arrive
-within about 0.1 s, and the culprit may be named in the last one."""
+within about 0.1 s, the culprit may be named in the last one, and answers on common
+parts clear them meanwhile."""
 
 REPEAT_S = 0.3
 """Seconds after which an entry repeats its own reports and verdicts, since datagrams
@@ -161,7 +150,7 @@
         if (
             len(set(found)) == 1
             and self._turns.may_try(key, quarantine, now)
-            and not self._evidence.flapping_targets(now)
+            and not self._evidence.has_flapping_targets(now)
         ):
             quarantine.trials += 1
             quarantine.trial_at = now
@@ -175,14 +164,22 @@
         for key in map(part_key, parts):
             if key in self._quarantined:
                 return False
-            suspect = self._evidence.get(key)
-            if suspect is None:
-                continue
-            _, unexplained = self._evidence.count(key, now)
-            if unexplained >= SUSPECT_CRASHES + self._has_written(key, suspect):
+            if self._is_suspect(key, now):
                 return False
         return True
 
+    def _is_suspect(self, key: str, now: float) -> bool:
+        """Return whether requests with a part are not to be repeated."""
+        suspect = self._evidence.get(key)
+        if suspect is None:
+            return False
+        if not self._has_written(key):
+            crashes = self._evidence.counted_crashes(key, now, now)
+            return len(crashes) >= SUSPECT_CRASHES
+        # Answers that clear common parts are reported as late as the latest crashes.
+        settled = self._evidence.counted_crashes(key, now - SETTLE_S, now)
+        return len(settled) >= SUSPECT_CRASHES
+
     def record_break(
         self, target: TargetId, parts: Sequence[str], now: float
     ) -> list[QuarantineMessage]:
@@ -298,7 +295,8 @@
         self._remove_surplus()
 
     def _begin(self, key: str, began_at: float) -> Quarantine:
-        quarantine = Quarantine(began_at, blames=self._evidence.discard(key))
+        self._evidence.discard(key)
+        quarantine = Quarantine(began_at)
         self._quarantined[key] = quarantine
         return quarantine
 
@@ -345,37 +343,26 @@
             max(0.0, now - quarantine.requested_at),
         )
 
-    def _has_written(self, key: str, suspect: Suspect) -> bool:
+    def _has_written(self, key: str) -> bool:
         """Return whether an answer on a part was written before its crashes."""
-        return suspect.has_written or key in self._written or key in self._cleared
+        suspect = self._evidence.get(key)
+        return (
+            (suspect is not None and suspect.has_written)
+            or key in self._written
+            or key in self._cleared
+        )
 
     def _judge(self, crash: Crash, now: float) -> None:
-        """Quarantine the part that is most likely the cause of a crash, if any is."""
-        if self._evidence.is_explained(crash):
-            return
-        best: tuple[tuple[int, bool, int], str] | None = None
-        for key, position in crash.suspects.items():
-            suspect = self._evidence.get(key)
-            if suspect is None or len(suspect.blames) < CRASHES_TO_QUARANTINE:
-                continue
-            total, unexplained = self._evidence.count(key, now)
-            has_written = self._has_written(key, suspect)
-            if has_written and (
-                total < CRASHES_WHEN_WRITTEN or unexplained < UNEXPLAINED_WHEN_WRITTEN
-            ):
-                continue
-            if total >= CRASHES_TO_QUARANTINE:
-                order = (total, not has_written, position)
-                best = max(best, (order, key)) if best else (order, key)
-        if best is None:
-            return
-        # It began with the crash, so that a later answer on the part ends it even when
-        # the message about the answer is late.
-        quarantine = self._begin(best[1], crash.at)
-        quarantine.requested_at = now
-        if any(crash is own for _, own, _ in self._reports):
-            quarantine.repeats = VERDICT_REPEATS
-        else:
-            # The first of the other entries announces it at once as well.
-            quarantine.announced_at = now - ANNOUNCE_INTERVAL_S
+        """Quarantine the parts that are the cause of a crash."""
+        is_own = any(crash is own for _, own, _ in self._reports)
+        for key in find_culprits(self._evidence, crash, self._has_written, now):
+            # It began with the crash, so that a later answer on the part ends it even
+            # when the message about the answer is late.
+            quarantine = self._begin(key, crash.at)
+            quarantine.requested_at = now
+            if is_own:
+                quarantine.repeats = VERDICT_REPEATS
+            else:
+                # The first of the other entries announces it at once as well.
+                quarantine.announced_at = now - ANNOUNCE_INTERVAL_S
         self._remove_surplus()
--- a/wigeonspan/quarantine/_evidence.py
+++ b/wigeonspan/quarantine/_evidence.py
@@ -1,7 +1,7 @@
 """Crashes of engines, and the parts that were in requests without an event then."""
 
 from collections import OrderedDict, deque
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 
 from msgspec import Struct, field
 
@@ -12,14 +12,23 @@
 about the same time and are told of it up to 0.1 s later."""
 
 FLAP_WINDOW_S = 10.0
-"""Seconds before and after a crash within which other crashes of the same target
-count."""
+"""Seconds before and after a crash within which other crashes count as signs that
+targets crash by themselves."""
 
 FLAP_CRASHES = 3
 """Number of other crashes within ``FLAP_WINDOW_S``, not explained by quarantined parts,
 that show that a target crashes by itself. Two culprits at few engines cause two such
 crashes each before one of them is quarantined."""
 
+OTHER_CRASHES_SHARE = 3.0
+"""Number of crashes of any target without a part, per crash with it, above which the
+part is taken to be in the crashes by chance. Four culprits that run side by side may
+cause a quarter of the crashes each."""
+
+SIMULTANEOUS_S = 0.3
+"""Seconds within which crashes of several targets count as one, such as the loss of a
+rack."""
+
 MAX_SUSPECTS = 2000
 """Maximum number of suspected parts; the least blamed ones are removed first."""
 
@@ -33,8 +42,11 @@
 """Maximum number of targets whose recent crashes are kept."""
 
 MAX_TARGET_CRASHES = 24
-"""Maximum number of recent crashes that are kept for a target; more than fit into
-``FLAP_WINDOW_S`` twice at ``SAME_CRASH_S`` are not needed to see that it flaps."""
+"""Maximum number of recent crashes that are kept for a target; enough to see that it
+crashes by itself."""
+
+MAX_RECENT_CRASHES = 512
+"""Maximum number of recent crashes of all targets that are kept."""
 
 
 class Crash(Struct, eq=False):
@@ -44,13 +56,13 @@
     ----------
     at : float
         Time of the first break that was seen or reported.
-    suspects : dict
-        Positions in their prompts of the parts that may be the cause, by key.
+    suspects : set of str
+        Parts that may be the cause.
     """
 
     target: TargetId
     at: float
-    suspects: dict[str, int] = field(default_factory=dict)
+    suspects: set[str] = field(default_factory=set)
 
 
 class Blame(Struct, eq=False):
@@ -71,13 +83,23 @@
 
     Parameters
     ----------
+    companions : frozenset of str
+        Parts that were in all broken requests with this one, itself included.
+    position : int
+        Position in the prompt.
     has_written : bool
         Whether answers on the part were written before the first of the crashes.
     """
 
+    companions: frozenset[str]
+    position: int
     blames: list[Blame] = field(default_factory=list)
     has_written: bool = False
 
+    def is_blamed_for(self, crash: Crash) -> bool:
+        """Return whether the part may be the cause of a crash."""
+        return any(blame.crash is crash for blame in self.blames)
+
 
 class Evidence:
     """Recent crashes and suspected parts.
@@ -91,6 +113,7 @@
     def __init__(self, quarantined: Collection[str]) -> None:
         self._quarantined = quarantined
         self._crashes: OrderedDict[TargetId, deque[Crash]] = OrderedDict()
+        self._recent: deque[Crash] = deque(maxlen=MAX_RECENT_CRASHES)
         # Parts with one blame are kept apart because they are removed first.
         self._blamed_once: OrderedDict[str, Suspect] = OrderedDict()
         self._blamed_more: OrderedDict[str, Suspect] = OrderedDict()
@@ -122,6 +145,7 @@
             self._crashes.popitem(last=False)
         crash = Crash(target, at)
         crashes.append(crash)
+        self._recent.append(crash)
         return crash
 
     def blame(
@@ -135,35 +159,50 @@
 
         Parameters
         ----------
+        parts : sequence of str
+            Parts of one request.
         written : iterable of str
             Those of them on which answers were written recently.
         cleared : collection of str
             Those of them on which an answer was written after the crash.
         """
         is_news = False
+        companions = frozenset(parts)
         for position, part in enumerate(parts):
-            if part in crash.suspects or len(crash.suspects) >= MAX_CRASH_SUSPECTS:
-                continue
-            is_news = True
-            crash.suspects[part] = position
-            if part not in self._quarantined and part not in cleared:
-                self._add_blame(part, crash)
+            if part in self._quarantined:
+                crash.suspects.add(part)
+            elif part in crash.suspects:
+                suspect = self.get(part)
+                if suspect is not None:
+                    suspect.companions &= companions
+            elif len(crash.suspects) < MAX_CRASH_SUSPECTS:
+                is_news = True
+                crash.suspects.add(part)
+                if part not in cleared:
+                    self._add_blame(part, crash, companions, position)
         for part in written:
             suspect = self.get(part)
             if suspect is not None:
                 suspect.has_written = True
         return is_news
 
-    def _add_blame(self, part: str, crash: Crash) -> None:
-        suspect = self._blamed_once.pop(part, None) or self._blamed_more.pop(part, None)
-        if suspect is None:
-            suspect = Suspect()
+    def _add_blame(
+        self, part: str, crash: Crash, companions: frozenset[str], position: int
+    ) -> None:
+        suspect = self._pop(part) or Suspect(companions, position)
+        suspect.companions &= companions
         suspect.blames = [*suspect.blames[1 - MAX_BLAMES :], Blame(crash)]
-        kept = self._blamed_once if len(suspect.blames) == 1 else self._blamed_more
-        kept[part] = suspect
+        self._keep(part, suspect)
         while len(self) > MAX_SUSPECTS:
             self._evict()
 
+    def _pop(self, part: str) -> Suspect | None:
+        return self._blamed_once.pop(part, None) or self._blamed_more.pop(part, None)
+
+    def _keep(self, part: str, suspect: Suspect) -> None:
+        kept = self._blamed_once if len(suspect.blames) == 1 else self._blamed_more
+        kept[part] = suspect
+
     def _evict(self) -> None:
         """Remove the part with the fewest blames whose latest one is the oldest."""
         if self._blamed_once:
@@ -172,47 +211,42 @@
         suspects = self._blamed_more
         del suspects[min(suspects, key=lambda part: len(suspects[part].blames))]
 
-    def clear(self, part: str, written_at: float) -> bool:
-        """Remove the blames for crashes up to a time; return whether there were any."""
-        suspect = self._blamed_once.pop(part, None) or self._blamed_more.pop(part, None)
+    def clear(self, part: str, written_at: float) -> None:
+        """Remove the blames for crashes up to a time."""
+        suspect = self._pop(part)
         if suspect is None:
-            return False
-        later = [blame for blame in suspect.blames if blame.crash.at > written_at]
-        if later:
-            kept = self._blamed_once if len(later) == 1 else self._blamed_more
-            kept[part] = Suspect(later, has_written=True)
-        return len(later) < len(suspect.blames)
-
-    def discard(self, part: str) -> list[Blame]:
-        """Remove a part, and return its blames."""
-        suspect = self._blamed_once.pop(part, None) or self._blamed_more.pop(part, None)
-        return [] if suspect is None else suspect.blames
+            return
+        suspect.blames = [b for b in suspect.blames if b.crash.at > written_at]
+        suspect.has_written = True
+        if suspect.blames:
+            self._keep(part, suspect)
+
+    def discard(self, part: str) -> None:
+        """Remove a part."""
+        self._pop(part)
 
     def is_explained(self, crash: Crash) -> bool:
         """Return whether a quarantined part was in a request without an event."""
         return any(part in self._quarantined for part in crash.suspects)
 
-    def count(self, part: str, now: float) -> tuple[int, int]:
-        """Return how many crashes count against a part.
+    def counted_crashes(self, part: str, until: float, now: float) -> list[Crash]:
+        """Return the crashes up to a time that count against a part.
 
-        Returns
-        -------
-        total : int
-            Number of crashes.
-        unexplained : int
-            Number of those that no quarantined part explains.
+        None counts when there were far more crashes without the part.
         """
         suspect = self.get(part)
         if suspect is None:
-            return 0, 0
-        total = unexplained = 0
+            return []
+        crashes = []
         for blame in suspect.blames:
             if now - blame.crash.at <= FLAP_WINDOW_S:
                 blame.counts = not self._was_flapping(blame.crash, part)
-            if blame.counts:
-                total += 1
-                unexplained += not self.is_explained(blame.crash)
-        return total, unexplained
+            if blame.counts and blame.crash.at <= until:
+                crashes.append(blame.crash)
+        limit = OTHER_CRASHES_SHARE * len(crashes)
+        if crashes and self._count_other_times(part, now) > limit:
+            return []
+        return crashes
 
     def _was_flapping(self, crash: Crash, part: str) -> bool:
         """Return whether a target crashed repeatedly without a part around a crash."""
@@ -227,13 +261,23 @@
                 others += 1
         return others >= FLAP_CRASHES
 
-    def flapping_targets(self, now: float) -> int:
-        """Return the number of targets that crash repeatedly by themselves."""
-        return sum(
-            sum(
-                now - crash.at <= FLAP_WINDOW_S and not self.is_explained(crash)
-                for crash in crashes
-            )
-            > FLAP_CRASHES
-            for crashes in self._crashes.values()
-        )
+    def _unexplained(self, now: float) -> Iterator[Crash]:
+        """Yield the recent crashes that no quarantined part explains, latest first."""
+        for crash in reversed(self._recent):
+            if now - crash.at <= FLAP_WINDOW_S and not self.is_explained(crash):
+                yield crash
+
+    def _count_other_times(self, part: str, now: float) -> int:
+        """Return how many times targets crashed without a part recently."""
+        times, latest = 0, float("inf")
+        for crash in self._unexplained(now):
+            if part not in crash.suspects and latest - crash.at > SIMULTANEOUS_S:
+                times, latest = times + 1, crash.at
+        return times
+
+    def has_flapping_targets(self, now: float) -> bool:
+        """Return whether targets crash repeatedly by themselves."""
+        counts: dict[TargetId, int] = {}
+        for crash in self._unexplained(now):
+            counts[crash.target] = counts.get(crash.target, 0) + 1
+        return any(number > FLAP_CRASHES for number in counts.values())
--- a/wigeonspan/quarantine/_trials.py
+++ b/wigeonspan/quarantine/_trials.py
@@ -8,9 +8,7 @@
 import math
 from zlib import crc32
 
-from msgspec import Struct, field
-
-from wigeonspan.quarantine._evidence import Blame
+from msgspec import Struct
 
 TRIAL_AFTER_S = (60.0, 240.0)
 """Seconds from the beginning of the quarantine to the first trial, and from there to
@@ -66,7 +64,6 @@
     requested_at: float = -math.inf
     announced_at: float = -math.inf
     repeats: int = 0
-    blames: list[Blame] = field(default_factory=list)
 
     @property
     def trial_due_at(self) -> float:
