Count only events with data as delivered

Cause: an event with an id but without data is held back until the next one. The position in the stream moved at once, so when the stream broke off in between, the next engine was asked to go on after an event that the caller did not have.

Change: only events with data move the position.

--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -154,3 +154,12 @@
     events = [StreamEvent(b"", i) for i in ("1", event_id, event_id)]
     assert [position.advance(event) for event in events] == [True, True, False]
     assert not position.has_reached(4)
+
+
+def test_event_without_data_does_not_move_the_position():
+    """An event that was held back and dropped with its stream was missing after it."""
+    position = StreamPosition()
+    events = EventDeduplicator(position)
+    data = b"id: 1\ndata: a\n\nid: 2\n\n"
+    assert b"".join(events.feed(data)) == b"id: 1\ndata: a\n\n"
+    assert position.last == "1"
--- a/wigeonspan/gateway/_events.py
+++ b/wigeonspan/gateway/_events.py
@@ -156,11 +156,6 @@
         # Comments and other events that are held back.
         self._held = b""
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether the bytes so far have nothing for the caller."""
-        return not (self._has_new_event or self.remainder())
-
     @property
     def has_new_event(self) -> bool:
         """Whether an event was new to the caller."""
@@ -187,7 +182,8 @@
             is_first = self._continues and not self._has_new_event
             if is_first and self._position.skips_events(event):
                 raise EventGap(f"events are missing before event {event.event_id}")
-            self._position.advance(event)
+            if event.has_data:
+                self._position.advance(event)
             self._held += event.data
             if event.has_data and self._has_place(event):
                 self._has_new_event = True
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -526,9 +526,8 @@
         The engine before may have broken off after its last event. Otherwise the end is
         missing, and the caller would take a part of the stream for the whole.
         """
-        return events.is_empty and self._position.has_reached(
-            self._prompt.output_tokens
-        )
+        has_all = self._position.has_reached(self._prompt.output_tokens)
+        return has_all and not events.remainder()
 
     def _continue_with(self, run: OpenRun) -> None:
         """Let the other runs go, now that this one has something for the caller."""
