Test after which answers a connection to a replica is kept

The rule was tested only by whole requests. The table covers ordinary answers, answers without the id or with another one, refusals and failures.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -252,6 +252,39 @@
     assert PlatformProtocol().read_outcome(Head(status, fields)) is outcome
 
 
+ID = ("Request-Id", "q1")
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "kept"),
+    [
+        (200, [ID, ("Response-Signature", "s")], True),
+        (200, [ID], True),
+        (404, [ID], True),
+        (200, [], False),
+        (404, [], False),
+        (200, [("Request-Id", "q2")], False),
+        (503, [ID, ("Not-Executed", "1")], False),
+        (429, [ID, ("Not-Executed", "1")], False),
+        (421, [ID], False),
+        (500, [ID, ("Response-Signature", "s")], False),
+    ],
+)
+def test_connection_is_kept_after_an_ordinary_answer_with_the_id(status, fields, kept):
+    """A copy of any other answer could refuse or answer the next request."""
+    keeps = PlatformProtocol().keeps_connection
+    assert keeps(request(), Head(status, fields)) is kept
+
+
+def test_connection_is_not_kept_after_a_request_without_an_id():
+    """The answer to such a request cannot be told from that to the next one."""
+    sent = request()
+    sent = msgspec.structs.replace(sent, request="")
+    assert not PlatformProtocol().keeps_connection(
+        sent, Head(200, [("Request-Id", "")])
+    )
+
+
 @pytest.mark.parametrize(
     ("body", "handle"),
     [
