--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -188,3 +188,12 @@
 def test_numbers_of_events_are_compared_by_value(last, event_id, is_new):
     """A longer number is larger, unless it begins with zeros."""
     assert are_new(last, event_id) == [True, is_new]
+
+
+def test_event_without_data_does_not_move_the_position():
+    """An event that was held back and dropped with its stream was missing after it."""
+    position = StreamPosition()
+    events = EventDeduplicator(position)
+    data = b"id: 1\ndata: a\n\nid: 2\n\n"
+    assert b"".join(events.feed(data)) == b"id: 1\ndata: a\n\n"
+    assert position.last == "1"
