Let the stand-in engine fall silent for a while and go on

Tests could freeze an engine until the fault was cleared, but not play a sound engine that pauses for a second and goes on, which must not cost a request its answer.

EngineFaults has silent_s and silent_after_tokens: generation, streams and new requests wait, at once or after a number of tokens of a stream.

Measured: the new test passes for a silence at once, before the first token and in the middle of a stream; tests/standins pass.

--- a/standins/_batch.py
+++ b/standins/_batch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from msgspec import Struct
 
@@ -109,6 +109,8 @@
         Prefix cache; cached tokens need no prefill.
     now : callable
         Returns the monotonic time in seconds.
+    wait_while_silent : callable
+        Waits while the engine does no work.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         token_interval_s: float,
         cache: PrefixCache,
         now: Callable[[], float],
+        wait_while_silent: Callable[[], Awaitable[None]],
     ) -> None:
         self._limit = limit
         self._prefill_rate = prefill_tokens_per_s
@@ -126,6 +129,7 @@
         self._interval_s = token_interval_s
         self._cache = cache
         self._now = now
+        self._wait_while_silent = wait_while_silent
         self._arrival_numbers = itertools.count(1)
         self._waiting: list[Run] = []
         self._running: list[Run] = []
@@ -204,6 +208,7 @@
             reused = max(cached, run.kv_handle_tokens)
             uncached = max(0, len(run.tokens) + run.resumed_tokens - reused)
             await asyncio.sleep(uncached / self._prefill_rate)
+            await self._wait_while_silent()
             self._cache.store(run.tokens, self._now())
             run.prefilled = True
             self._changed.set()
@@ -219,6 +224,7 @@
                 continue
             step_s = max(self._interval_s, len(ready) / self._decode_rate)
             await asyncio.sleep(step_s)
+            await self._wait_while_silent()
             for run in ready:
                 if run in self._running:
                     self._decode_token(run)
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -107,7 +107,9 @@
             settings.token_interval_s,
             self.cache,
             time.monotonic,
+            self.wait_while_silent,
         )
+        self._silent_until = 0.0
         self.handles: dict[str, int] = {}
         self.orders: list[OrderRequest] = []
         self.cut_urgent = 0
@@ -144,6 +146,17 @@
             self.unfrozen.clear()
         else:
             self.unfrozen.set()
+        if faults.silent_after_tokens is None:
+            self.fall_silent()
+
+    def fall_silent(self) -> None:
+        """Send nothing and generate nothing for ``EngineFaults.silent_s`` seconds."""
+        self._silent_until = self.now + self.faults.silent_s
+
+    async def wait_while_silent(self) -> None:
+        """Wait until the engine is not silent."""
+        while (left_s := self._silent_until - self.now) > 0.0:
+            await asyncio.sleep(left_s)
 
     def next_stream_faults(self) -> EngineFaults:
         """Return the faults for the next completion and count it against the limit."""
--- a/standins/_engine_http.py
+++ b/standins/_engine_http.py
@@ -56,6 +56,7 @@
         if self.engine.is_dead:
             self.drop_connection()
         await self.engine.unfrozen.wait()
+        await self.engine.wait_while_silent()
         if self.engine.faults.request_limit:
             self.set_header("X-Request-Limit", self.engine.faults.request_limit)
 
@@ -151,7 +152,10 @@
         sent = 0
         try:
             while True:
+                if sent == faults.silent_after_tokens:
+                    self.engine.fall_silent()
                 event = await self.run.events.get()
+                await self.engine.wait_while_silent()
                 if isinstance(event, Aborted):
                     self.drop_connection()
                 if isinstance(event, Finished):
--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -31,6 +31,11 @@
         or sends with the identifier of another attempt.
     freeze_after_tokens : int or None
         Streams hang, with open connections, after this many tokens.
+    silent_s : float
+        Seconds for which the sound engine sends nothing and then goes on: at once, or
+        when a stream has sent ``silent_after_tokens`` tokens, if that is set.
+    silent_after_tokens : int or None
+        See ``silent_s``.
     frozen : bool
         No request is answered until the fault is cleared.
     refuse_status : int
@@ -53,6 +58,8 @@
     garbage_position: int | None = None
     cross_position: int | None = None
     freeze_after_tokens: int | None = None
+    silent_s: float = 0.0
+    silent_after_tokens: int | None = None
     frozen: bool = False
     refuse_status: int = 0
     request_limit: str = ""
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -117,6 +117,32 @@
         assert chunks[-1]["usage"]["completion_tokens"] == 7
 
 
+@pytest.mark.parametrize("after_tokens", [None, 0, 3])
+def test_silent_engine_goes_on_and_loses_nothing(after_tokens):
+    """A silence that cut streams or dropped requests would be another fault."""
+    silence_s = 0.3
+
+    async def test(engine):
+        faults = EngineFaults(
+            silent_s=silence_s, silent_after_tokens=after_tokens, streams=1
+        )
+        began = engine.now
+        engine.set_faults(faults)
+        first = asyncio.create_task(stream(engine, completion()))
+        await asyncio.sleep(silence_s / 2)
+        state = await call(engine, "/wigeonspan/state")
+        waited_s = engine.now - began
+        second = await stream(engine, completion(attempt="a2"))
+        return await first, second, state.code, waited_s
+
+    first, second, code, waited_s = with_engine(test)
+    assert code == 200
+    assert waited_s >= silence_s
+    for lines in (first, second):
+        assert lines[-1] == b"[DONE]"
+        assert joined_text(lines) == answer_text(completion()["prompt"], 6)
+
+
 @pytest.mark.parametrize(
     ("checks", "fences", "statuses"),
     [(True, [5, 4, 6], [200, 409, 200]), (False, [5, 4, 6], [200, 200, 200])],
