Play and check silences and crashing prompts in the soak test

Planned work begins beside half of the silences. Prompts have a shared first part, a shared middle part and their own last one. Four checks are new: requests lost while a sound target is at work, requests with a crashing part that go on, sound requests beside them, and harmless parts that are held back. A refusal must be true for idempotent and resumable requests as well.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -7,7 +7,7 @@
 
 from standin import Arrival
 
-from soak import _fleet_checks, _request_checks
+from soak import _crash_checks, _fleet_checks, _request_checks
 from soak._check_types import Check, Index, Violation
 from soak._evidence import Evidence
 from wigeonspan.common import RequestId
@@ -20,6 +20,10 @@
     _request_checks.check_retry_budget,
     _request_checks.check_deadlines,
     _request_checks.check_abandoned_requests,
+    _request_checks.check_lost_requests,
+    _crash_checks.check_crashing_parts,
+    _crash_checks.check_sound_prompts,
+    _crash_checks.check_harmless_parts,
     _fleet_checks.check_departures,
     _fleet_checks.check_limits,
     _fleet_checks.check_read_versions,
--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -10,6 +10,10 @@
 deployments."""
 
 
+BY_PROMPT = "crashed by a prompt"
+"""Description of the disturbance of a target by a crashing part of a prompt."""
+
+
 class Scope(Enum):
     """Part of the system that a disturbance affects.
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,8 +11,10 @@
 from soak._evidence import Departure, Scope
 from soak._launch import Impairment
 from soak._operators import Operators
+from soak._prompt_mix import draw_prompt_mix
 from soak._proxy import MAX_DELAY_S, Link
 from soak._schedule import Fault, FaultKind
+from soak._target_faults import INJECTED_FAULTS, SILENT_MOMENTS
 from soak._traffic import Traffic
 from soak._world import Host, World
 
@@ -89,19 +91,12 @@
             FaultKind.LIST_STALE: self._serve_stale_list,
             FaultKind.TARGET_CRASH: self._crash_target,
             FaultKind.TARGET_RESTART: self._crash_target,
+            FaultKind.ZONE_CRASH: self._crash_target,
             FaultKind.TARGET_DRAIN: self._drain_target,
-            FaultKind.TARGET_FAILS: self._set_injected_faults,
-            FaultKind.TARGET_SLOW: self._set_injected_faults,
-            FaultKind.TARGET_UNRESPONSIVE: self._set_injected_faults,
-            FaultKind.TARGET_GARBLES: self._set_injected_faults,
-            FaultKind.TARGET_LOSES: self._set_injected_faults,
-            FaultKind.TARGET_CUTS: self._set_injected_faults,
-            FaultKind.TARGET_REFUSES: self._set_injected_faults,
-            FaultKind.TARGET_ENDLESS: self._set_injected_faults,
-            FaultKind.TARGET_REPEATS: self._set_injected_faults,
-            FaultKind.TARGET_STALLS: self._set_injected_faults,
             FaultKind.TARGET_LIMITS: self._limit_requests,
-            FaultKind.ORDERS_LATE: self._set_injected_faults,
+            FaultKind.TARGET_SILENT: self._silence_targets,
+            FaultKind.PROMPT_CRASH: self._send_crashing_prompts,
+            **dict.fromkeys(INJECTED_FAULTS, self._set_injected_faults),
             FaultKind.BURST: self._burst,
             FaultKind.CONFIG_CHANGE: self._change_config,
             FaultKind.CONFIG_STORM: self._change_config,
@@ -308,15 +303,20 @@
         )
 
     async def _crash_target(self, fault: Fault) -> None:
-        target = self._target(fault)
-        if not target.running:
-            return
-        self._record_target_disturbance(fault, target.name, fault.lasts_s)
-        self._world.crash_target(target)
+        """Crash a target, or all of its zone, and restart what is not running later."""
+        targets = [self._target(fault)]
+        if fault.kind is FaultKind.ZONE_CRASH:
+            zone = targets[0].entry["zone"]
+            targets = [t for t in self._world.targets if t.entry["zone"] == zone]
+        targets = [target for target in targets if target.running]
+        for target in targets:
+            self._record_target_disturbance(fault, target.name, fault.lasts_s)
+            self._world.crash_target(target)
         await asyncio.sleep(fault.lasts_s)
-        if fault.kind is FaultKind.TARGET_CRASH:
-            target.rename()
-        await self._restart(target)
+        for target in targets:
+            if fault.kind is not FaultKind.TARGET_RESTART and not target.running:
+                target.rename()
+            await self._restart(target)
 
     async def _restart(self, target: Replica) -> None:
         if not target.running:
@@ -340,24 +340,37 @@
         target.rename()
         await self._restart(target)
 
+    def _targets(self, fault: Fault) -> list[Replica]:
+        """Return the victim, or with high severity all targets of its service."""
+        victim = self._target(fault)
+        if fault.strength <= SERVICE_WIDE_STRENGTH:
+            return [victim]
+        return [t for t in self._world.targets if t.service == victim.service]
+
+    async def _silence_targets(self, fault: Fault) -> None:
+        """Let sound targets fall silent; this is no disturbance of them."""
+        moment = self._rng.choice(SILENT_MOMENTS[self._target(fault).service])
+        for target in self._targets(fault):
+            target.fall_silent(moment, fault.lasts_s)
+        await asyncio.sleep(fault.lasts_s)
+
+    async def _send_crashing_prompts(self, fault: Fault) -> None:
+        mix = draw_prompt_mix(fault, self._rng)
+        self._world.evidence.journal.crashing_parts.update(mix.culprits)
+        await self._traffic.send_prompts(mix, fault.lasts_s)
+
     async def _set_injected_faults(self, fault: Fault) -> None:
-        victim, severity = self._target(fault), max(0.2, fault.strength)
-        targets = [victim]
-        if fault.strength > SERVICE_WIDE_STRENGTH:
-            targets = [t for t in self._world.targets if t.service == victim.service]
+        targets, severity = self._targets(fault), max(0.2, fault.strength)
         for target in targets:
             self._record_target_disturbance(fault, target.name, fault.lasts_s)
-            target.injected_faults = self._injected_faults(fault.kind, severity)
+            target.injected_faults = INJECTED_FAULTS[fault.kind](severity)
         await asyncio.sleep(fault.lasts_s)
         for target in targets:
             target.injected_faults = InjectedFaults()
 
     async def _limit_requests(self, fault: Fault) -> None:
         """Let a target, or with high severity its service, name a limit."""
-        victim, rate = self._target(fault), 0.5 + MAX_NAMED_LIMIT * fault.strength
-        targets = [victim]
-        if fault.strength > SERVICE_WIDE_STRENGTH:
-            targets = [t for t in self._world.targets if t.service == victim.service]
+        targets, rate = self._targets(fault), 0.5 + MAX_NAMED_LIMIT * fault.strength
         for target in targets:
             self._record_target_disturbance(fault, target.name, fault.lasts_s)
             target.set_limit(rate)
@@ -365,21 +378,6 @@
         for target in targets:
             target.set_limit(0.0)
 
-    def _injected_faults(self, kind: FaultKind, severity: float) -> InjectedFaults:
-        return {
-            FaultKind.TARGET_FAILS: InjectedFaults(error_rate=severity),
-            FaultKind.TARGET_SLOW: InjectedFaults(slowdown_factor=1.0 + 9.0 * severity),
-            FaultKind.TARGET_UNRESPONSIVE: InjectedFaults(unresponsive=True),
-            FaultKind.TARGET_GARBLES: InjectedFaults(malformed_rate=severity),
-            FaultKind.TARGET_LOSES: InjectedFaults(reset_rate=severity),
-            FaultKind.TARGET_CUTS: InjectedFaults(cut_rate=severity),
-            FaultKind.TARGET_REFUSES: InjectedFaults(refusal_rate=severity),
-            FaultKind.TARGET_ENDLESS: InjectedFaults(endless_rate=severity),
-            FaultKind.TARGET_REPEATS: InjectedFaults(duplicate_rate=severity),
-            FaultKind.TARGET_STALLS: InjectedFaults(stall_rate=severity),
-            FaultKind.ORDERS_LATE: InjectedFaults(orders_late_s=8.0 * severity),
-        }[kind]
-
     async def _burst(self, fault: Fault) -> None:
         streams = max(5, round(MAX_BURST_STREAMS * fault.strength))
         await self._traffic.burst(streams, fault.lasts_s)
--- a/soak/_report.py
+++ b/soak/_report.py
@@ -52,12 +52,15 @@
     )
     print(
         f"seed {result.schedule.seed}: {result.served} of {result.requests} requests "
-        f"served, {len(result.breaks)} violations, "
+        f"served, {result.silences} silences, {len(result.prompt_crashes)} crashes by "
+        f"prompts, {len(result.breaks)} violations, "
         f"largest timer delay of the soak test {result.largest_lag_s:.2f} s",
         flush=True,
     )
     if result.breaks:
         print(describe(result.schedule))
+        if result.prompt_crashes:
+            print(f"  crashes by prompts: {', '.join(result.prompt_crashes)}")
         print(f"  logs: {folder}")
         for found in result.breaks[:MAX_SHOWN_VIOLATIONS]:
             print(f"  {found.rule}: {found.subject}: {found.text}")
--- a/soak/_request_checks.py
+++ b/soak/_request_checks.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from msgspec import structs
 from standin import CallEnding, CallRecord, Purpose
 
 from soak._check_types import (
@@ -12,11 +13,18 @@
     Index,
     Violation,
 )
-from soak._evidence import Evidence, Scope
+from soak._evidence import SETTLING_S, Evidence, Scope
 from soak._world import APPS, MODELS
 from wigeonspan.common import ServiceName
 from wigeonspan.fleetconfig import CallKind
 
+DEADLINE_MARGIN_S = 0.25
+"""Seconds before a deadline from which an entry may end a request without an answer."""
+
+LAST_WORK_S = 0.5
+"""Seconds before the end of a request in which a target's work on it may have been
+ended by the entry; with an answer to come, it had to let the target go on."""
+
 REFUSAL_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request has not run and never will."""
 
@@ -55,13 +63,7 @@
 def check_refusals(evidence: Evidence, index: Index) -> Iterator[Violation]:
     """Check that a request did not run if its status guarantees that."""
     for record in evidence.calls:
-        if (
-            record.status not in REFUSAL_STATUSES
-            or record.signature
-            or record.call.resumable
-        ):
-            continue
-        if record.call.kind is CallKind.IDEMPOTENT:
+        if record.status not in REFUSAL_STATUSES or record.signature:
             continue
         ran = [
             a.target
@@ -190,6 +192,51 @@
         yield Violation("caller left", subject, text)
 
 
+def check_lost_requests(evidence: Evidence, index: Index) -> Iterator[Violation]:
+    """Check that silences and planned work alone end no request without an answer.
+
+    While its deadline lasts, a request on which a sound target still works gets a
+    complete answer or a truthful refusal, even if that target is silent for a while.
+    """
+    unplanned = structs.replace(
+        evidence, disturbances=[x for x in evidence.disturbances if not x.planned]
+    )
+    for record in evidence.calls:
+        took_s = record.ended - record.began
+        is_error = record.status >= 500 and record.status not in REFUSAL_STATUSES
+        is_lost = record.ending is CallEnding.CUT or (is_error and not record.signature)
+        if not is_lost or took_s >= record.call.deadline_s - DEADLINE_MARGIN_S:
+            continue
+        working = [
+            arrival
+            for arrival in index.arrivals.get(record.call.request, [])
+            if not arrival.completed
+            and (arrival.ended is None or arrival.ended > record.ended - LAST_WORK_S)
+            and _is_sound(evidence, arrival.target, record)
+        ]
+        host = evidence.host_by_address[record.address]
+        if working and unplanned.is_undisturbed(record.began, record.ended, host=host):
+            how = f"status {record.status}" if is_error else "cut off"
+            text = f"{how} after {took_s:.2f} s, {working[-1].target} was still at work"
+            yield Violation("lost", record.call.request, text)
+
+
+def _is_sound(evidence: Evidence, target: str, record: CallRecord) -> bool:
+    """Whether nothing but silences disturbed a target during a request."""
+    return not any(
+        each.scope is Scope.TARGETS
+        and _host_of(each.name) == _host_of(target)
+        and each.begins <= record.ended
+        and each.until + SETTLING_S >= record.began
+        for each in evidence.disturbances
+    )
+
+
+def _host_of(target: str) -> str:
+    """Return the part of a target's name that stays the same after a restart."""
+    return target.partition("+")[0]
+
+
 def _describe_wrong_answer(record: CallRecord) -> str | None:
     """Describe what is wrong with a successful answer, which may have been cut off."""
     complete = record.ending is CallEnding.ANSWERED
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -40,7 +40,15 @@
 
 
 class Result(Struct):
-    """Result of a run."""
+    """Result of a run.
+
+    Parameters
+    ----------
+    silences : int
+        Silences of sound targets that began.
+    prompt_crashes : list of str
+        Crashes of targets by prompts, with their seconds after the start of traffic.
+    """
 
     schedule: Schedule
     breaks: list[Violation]
@@ -48,6 +56,8 @@
     requests: int
     served: int
     largest_lag_s: float
+    silences: int = 0
+    prompt_crashes: list[str] = []
 
 
 async def run_soak(schedule: Schedule, folder: Path) -> Result:
@@ -72,6 +82,11 @@
         len(evidence.calls),
         sum(record.status == 200 for record in evidence.calls),
         monitor.largest_lag_s,
+        len(evidence.journal.silences),
+        [
+            f"{crash.at - evidence.traffic_began:.1f} s {'/'.join(sorted(crash.parts))}"
+            for crash in evidence.journal.prompt_crashes
+        ],
     )
 
 
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -68,6 +68,11 @@
     TARGET_REPEATS = "target repeats answers late"
     TARGET_STALLS = "target stalls streams but sends bytes"
     TARGET_LIMITS = "target limits its requests"
+    ZONE_CRASH = "targets of a zone crashed together"
+    TARGET_SILENT = "sound target silent"
+    TARGET_RESUME_ERRORS = "target cuts streams and answers resumed ones with errors"
+    TARGET_REFUSES_TWICE = "target repeats refusals late"
+    PROMPT_CRASH = "prompts with a part crash targets"
     ORDERS_LATE = "orders carried out late"
     BURST = "burst of streams"
     CONFIG_CHANGE = "configuration changed"
@@ -84,11 +89,52 @@
 """Kinds that are drawn after all others: they were added later, and seeds from before
 must still give the same other faults."""
 
-LATER_KINDS = (*LAST_DRAWN_KINDS, FaultKind.TARGET_LIMITS)
+NEWEST_KINDS = (
+    FaultKind.TARGET_SILENT,
+    FaultKind.TARGET_RESUME_ERRORS,
+    FaultKind.TARGET_REFUSES_TWICE,
+    FaultKind.ZONE_CRASH,
+)
+"""Kinds that are drawn after the limits of targets, for the same reason."""
+
+NEWEST_KIND_WEIGHTS = (4, 1, 1, 1)
+
+MAX_NEWEST_FAULTS = 5
+"""Largest number of faults of ``NEWEST_KINDS`` in a run, not counting repeats."""
+
+MIN_SILENCE_S = 0.6
+MAX_SILENCE_S = 1.6
+"""Bounds of the duration in seconds for which a sound target is silent."""
+
+PLANNED_KINDS = (
+    FaultKind.ENTRY_STOP,
+    FaultKind.ENTRY_RELOAD,
+    FaultKind.CONFIG_CHANGE,
+)
+"""Planned work, one of which begins at most ``MAX_SILENCE_S`` after half of the
+silences: neither may end a request without an answer, nor both together."""
+
+PROMPT_CRASH_PROBABILITY = 0.4
+SECOND_PROMPT_CRASH_PROBABILITY = 0.2
+"""Probabilities that prompts with a part crash targets, and that another such fault
+runs beside it."""
+
+MAX_PROMPT_CRASH_START_S = 5.0
+MIN_PROMPT_CRASH_S = 20.0
+MAX_PROMPT_CRASH_S = 25.0
+"""Latest start in seconds, and bounds of the duration, of prompts that crash targets:
+five crashes come first, and what follows is checked from 6 s after them."""
+
+LATER_KINDS = (
+    *LAST_DRAWN_KINDS,
+    FaultKind.TARGET_LIMITS,
+    *NEWEST_KINDS,
+    FaultKind.PROMPT_CRASH,
+)
 """Kinds that the first draws leave out."""
 
 LIMIT_PROBABILITY = 0.4
-"""Probability that a target limits its requests. This fault is drawn last of all, and
+"""Probability that a target limits its requests. This fault is drawn after those, and
 lasts longer than others because entries have seconds to learn of the limit."""
 
 MIN_LIMIT_S = 6.0
@@ -195,6 +241,7 @@
         limit = _draw_fault(rng, FaultKind.TARGET_LIMITS, repeats=False)[0]
         lasts_s = rng.uniform(MIN_LIMIT_S, MAX_LIMIT_S)
         faults.append(structs.replace(limit, lasts_s=lasts_s))
+    faults.extend(_draw_newest_faults(rng))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
@@ -203,6 +250,30 @@
     )
 
 
+def _draw_newest_faults(rng: random.Random) -> list[Fault]:
+    """Draw the kinds that were added last; see ``NEWEST_KINDS``."""
+    faults: list[Fault] = []
+    for _ in range(rng.randint(0, MAX_NEWEST_FAULTS)):
+        kind = rng.choices(NEWEST_KINDS, NEWEST_KIND_WEIGHTS)[0]
+        drawn = _draw_fault(rng, kind, repeats=True)
+        if kind is FaultKind.TARGET_SILENT:
+            lasts_s = rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
+            drawn = [structs.replace(fault, lasts_s=lasts_s) for fault in drawn]
+            if rng.random() < 0.5:
+                planned = _draw_fault(rng, rng.choice(PLANNED_KINDS), repeats=False)[0]
+                at = drawn[0].at + rng.uniform(-0.5, MAX_SILENCE_S)
+                drawn.append(structs.replace(planned, at=max(0.0, at)))
+        faults.extend(drawn)
+    for probability in (PROMPT_CRASH_PROBABILITY, SECOND_PROMPT_CRASH_PROBABILITY):
+        if rng.random() >= probability:
+            break
+        fault = _draw_fault(rng, FaultKind.PROMPT_CRASH, repeats=False)[0]
+        at = rng.uniform(0.5, MAX_PROMPT_CRASH_START_S)
+        lasts_s = rng.uniform(MIN_PROMPT_CRASH_S, MAX_PROMPT_CRASH_S)
+        faults.append(structs.replace(fault, at=at, lasts_s=lasts_s))
+    return faults
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, *, repeats: bool) -> list[Fault]:
     at = rng.uniform(0.5, FAULT_WINDOW_S)
     victim = rng.randrange(64)
--- /dev/null
+++ b/soak/_target_faults.py
@@ -0,0 +1,35 @@
+"""What a fault of a schedule means for the targets that have it."""
+
+from collections.abc import Callable
+
+from standin import InjectedFaults, Moment
+
+from soak._schedule import FaultKind
+from soak._world import APPS, MODELS
+
+SILENT_MOMENTS = {
+    MODELS: (Moment.ANY, Moment.PREFILL, Moment.FIRST_EVENT, Moment.LATER_EVENT),
+    APPS: (Moment.ANY, Moment.CALL),
+}
+"""Work in which targets of a service may fall silent."""
+
+INJECTED_FAULTS: dict[FaultKind, Callable[[float], InjectedFaults]] = {
+    FaultKind.TARGET_FAILS: lambda x: InjectedFaults(error_rate=x),
+    FaultKind.TARGET_SLOW: lambda x: InjectedFaults(slowdown_factor=1.0 + 9.0 * x),
+    FaultKind.TARGET_UNRESPONSIVE: lambda x: InjectedFaults(unresponsive=True),
+    FaultKind.TARGET_GARBLES: lambda x: InjectedFaults(malformed_rate=x),
+    FaultKind.TARGET_LOSES: lambda x: InjectedFaults(reset_rate=x),
+    FaultKind.TARGET_CUTS: lambda x: InjectedFaults(cut_rate=x),
+    FaultKind.TARGET_REFUSES: lambda x: InjectedFaults(refusal_rate=x),
+    FaultKind.TARGET_ENDLESS: lambda x: InjectedFaults(endless_rate=x),
+    FaultKind.TARGET_REPEATS: lambda x: InjectedFaults(duplicate_rate=x),
+    FaultKind.TARGET_STALLS: lambda x: InjectedFaults(stall_rate=x),
+    FaultKind.TARGET_RESUME_ERRORS: lambda x: InjectedFaults(
+        cut_rate=x, resume_error_rate=x
+    ),
+    FaultKind.TARGET_REFUSES_TWICE: lambda x: InjectedFaults(
+        refusal_rate=x / 2, refusal_repeat_rate=1.0
+    ),
+    FaultKind.ORDERS_LATE: lambda x: InjectedFaults(orders_late_s=8.0 * x),
+}
+"""Faults to inject into a target, from a severity between 0 and 1."""
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -14,6 +14,7 @@
     Operators,
     marker_path,
 )
+from soak._prompt_mix import PromptMix
 from soak._world import Host, World
 from wigeonspan.common import RequestId
 from wigeonspan.fleetconfig import CallKind
@@ -33,6 +34,12 @@
 MAX_RETRIES = 1
 """Largest number of retries by a caller, as in the documents of the deployments."""
 
+MIDDLE_PARTS = 6
+"""Middle parts that the prompts of all sessions share."""
+
+PROMPT_MIX_RATE = 12.0
+"""Requests a second of a mix of prompts; 20 sound ones must come in a few seconds."""
+
 PROBE_INTERVAL_S = 0.3
 """Seconds between two probes of one entry."""
 
@@ -95,6 +102,16 @@
             self._start_call(self._make_stream(resumable=True, events=60))
             await asyncio.sleep(lasts_s / streams)
 
+    async def send_prompts(self, mix: PromptMix, lasts_s: float) -> None:
+        """Send short streams with the prompts of a mix for a duration."""
+        for _ in range(round(lasts_s * PROMPT_MIX_RATE)):
+            resumable, events = self._rng.random() < 0.5, self._rng.randint(3, 10)
+            call = self._make_stream(
+                resumable=resumable, events=events, shared=mix.draw(self._rng)
+            )
+            self._start_call(call)
+            await asyncio.sleep(1.0 / PROMPT_MIX_RATE)
+
     async def finish(self) -> None:
         """Wait for all open requests."""
         while self._open:
@@ -138,18 +155,24 @@
             return self._make_call(CallKind.NON_IDEMPOTENT, "/book/x")
         return self._make_call(CallKind.IDEMPOTENT, "/read/x")
 
-    def _make_stream(self, *, resumable: bool, events: int) -> Call:
+    def _make_stream(
+        self, *, resumable: bool, events: int, shared: tuple[str, str] | None = None
+    ) -> Call:
+        """Make a stream whose prompt has two shared parts and a last one of its own."""
         tokens = self._rng.choice((300, 1500, 6000))
         session = self._rng.randrange(20)
+        request, number = self._next_request(), next(self._numbers)
+        first, middle = shared or (f"a{session}", f"m{number % MIDDLE_PARTS}")
+        share = tokens // 3
         return Call(
-            self._next_request(),
+            request,
             CallKind.STREAM,
             "/resumable/x" if resumable else "/single/x",
             STREAM_TIMEOUT_S,
             resumable,
             tokens,
             events,
-            f"a{session}:{tokens // 2},b{next(self._numbers):x}:{tokens // 2}",
+            f"{first}:{share},{middle}:{share},b{number:x}:{tokens - 2 * share}",
             self._abandon_after_s(2.0),
         )
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -1,5 +1,6 @@
 """Environment of a run: the programs, their simulated platform, and the links."""
 
+import asyncio
 import random
 import signal
 import socket
@@ -22,7 +23,7 @@
     Role,
 )
 
-from soak._evidence import Disturbance, Evidence, Scope
+from soak._evidence import BY_PROMPT, Disturbance, Evidence, Scope
 from soak._launch import BIND_VARIABLE, IMPAIRMENT_VARIABLE, Impairment
 from soak._proxy import Link
 from soak._schedule import Schedule
@@ -48,6 +49,12 @@
 CRASHED_LISTED_S = 2.0
 """Seconds for which a crashed target stays on the instance list."""
 
+PROMPT_CRASH_DOWN_S = (1.0, 2.5)
+"""Bounds of the seconds for which a target is down after a prompt crashed it."""
+
+NEW_ID_SHARE = 0.8
+"""Share of such targets that come back under a new name, as new starts do."""
+
 MAX_START_S = 6.0
 """Seconds for which a process that does not listen yet counts as starting; loading
 takes that long when several runs share the processors."""
@@ -109,6 +116,7 @@
         self._folder = folder
         self._network = network
         self._rng = random.Random(schedule.seed)
+        self._restarts: set[asyncio.Task[None]] = set()
         self._crashed: dict[str, tuple[Replica, float]] = {}
         self._list_address = f"{network}.2.1:{LIST_PORT}"
         self.list = InstanceList(f"{network}.2.2:{LIST_PORT}", self._list_entries)
@@ -148,6 +156,7 @@
         )
         link = Link(name, outside, inside)
         await link.forward(TARGET_PORT)
+        target.on_prompt_crash = self._crash_by_prompt
         await target.start()
         self.targets.append(target)
         self.links["target"].append(link)
@@ -268,6 +277,25 @@
             target.crash()
             self._crashed[target.name] = (target, time.monotonic() + CRASHED_LISTED_S)
 
+    def _crash_by_prompt(self, target: Replica) -> None:
+        """Crash a target that began to answer a crashing prompt; restart it later."""
+        now, down_s = time.monotonic(), self._rng.uniform(*PROMPT_CRASH_DOWN_S)
+        self.evidence.record_disturbance(
+            Scope.TARGETS, target.name, BY_PROMPT, now, now + down_s
+        )
+        self.crash_target(target)
+        self._restarts.add(asyncio.create_task(self._restart_after(target, down_s)))
+
+    async def _restart_after(self, target: Replica, down_s: float) -> None:
+        await asyncio.sleep(down_s)
+        if not target.running:
+            # Under its name, a target that was leaving would seem to leave still.
+            if target.draining or self._rng.random() < NEW_ID_SHARE:
+                target.rename()
+            target.draining = False
+            # Back in its first stage it would need an order before it can crash again.
+            await target.start(keep_stage=True)
+
     def front_address(self, host: Host) -> str:
         """Return the address of an entry for callers."""
         return f"{host.machine.ip}:{FRONT_PORT}"
@@ -300,6 +328,8 @@
         for host in (*self.controls, *self.entries):
             host.machine.signal(signal.SIGCONT)
             host.machine.kill()
+        for restart in self._restarts:
+            restart.cancel()
         for links in self.links.values():
             for link in links:
                 link.close()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,105 +1,22 @@
 """Tests that each check finds its violations and reports none in a correct run."""
 
 import pytest
-from standin import (
-    Arrival,
-    Call,
-    CallEnding,
-    CallRecord,
-    Journal,
-    NamedLimit,
-    OrderRecord,
-    Purpose,
-)
+from standin import CallEnding, Journal, NamedLimit, OrderRecord
 
 from soak._checks import find_violations
-from soak._evidence import Departure, Evidence, Probe, Scope, SentConfig, VersionRead
-from wigeonspan.fleetconfig import CallKind
-
-ENTRY = "gateway-1"
-ADDRESS = "127.1.1.1:1"
-BOOK, SINGLE, RESUMABLE = "book", "single", "resumable"
-
-
-def make_call(number, path, *, abandon_after_s=None):
-    stream = path != BOOK
-    kind = CallKind.STREAM if stream else CallKind.NON_IDEMPOTENT
-    return Call(
-        f"r{number}",
-        kind,
-        f"/{path}/x",
-        5.0,
-        resumable=path == RESUMABLE,
-        tokens=100 if stream else 0,
-        events=2 if stream else 0,
-        prompt="a:100" if stream else "",
-        abandon_after_s=abandon_after_s,
-    )
-
-
-def make_call_record(call, began=10.0, took_s=0.1, **changes):
-    run = "t#1"
-    events = [f"id: {n}\ndata: {call.request} {n} {run}\n\n" for n in (1, 2)]
-    body = "".join(events) if call.tokens else f"{call.request} {run}"
-    made = CallRecord(
-        call,
-        ADDRESS,
-        began,
-        CallEnding.ANSWERED,
-        began + took_s,
-        sent=True,
-        status=200,
-        signature=run,
-        answered_request_id=call.request,
-        body=body.encode(),
-    )
-    for name, value in changes.items():
-        setattr(made, name, value)
-    return made
-
-
-def make_arrival(call, arrived_at=10.0, **changes):
-    stream = call.tokens
-    made = Arrival(
-        arrived_at,
-        call.request,
-        "t",
-        "models" if stream else "apps",
-        Purpose.RUN if stream else Purpose.CALL,
-        call.path,
-        f"body of {call.request}".encode(),
-        f"{call.tokens},{call.events} {call.prompt}" if stream else " ",
-        4000.0,
-        "",
-        began_execution=True,
-        ended=arrived_at + 0.1,
-    )
-    for name, value in changes.items():
-        setattr(made, name, value)
-    return made
-
-
-def make_evidence(**changes):
-    """Return the evidence of a run without violations."""
-    book, stream = make_call(1, BOOK), make_call(2, SINGLE)
-    made = Evidence(
-        Journal([make_arrival(book), make_arrival(stream)], [], {}),
-        [make_call_record(book), make_call_record(stream)],
-        sent_configs=[SentConfig(1, 0.0, acknowledged_at=0.1)],
-        host_by_address={ADDRESS: ENTRY},
-        last_version=1,
-        recovered_by=5.0,
-        evaluation_ends=50.0,
-        retry_ratio=0.2,
-        retry_minimum=2,
-    )
-    for name, value in changes.items():
-        setattr(made, name, value)
-    return made
-
-
-def rules(evidence):
-    return {found.rule for found in find_violations(evidence)}
+from soak._evidence import Departure, Probe, Scope, SentConfig, VersionRead
+from tests.soak.samples import (
+    BOOK,
+    ENTRY,
+    READ,
+    RESUMABLE,
+    SINGLE,
+    make_arrival,
+    make_call,
+    make_call_record,
+    make_evidence,
+    rules,
+)
 
 
 def test_correct_run_has_no_violations():
@@ -148,11 +65,15 @@
     assert "runs once" in rules(evidence)
 
 
-def test_false_refusal_is_detected():
-    """After such a refusal the caller would retry a request that has already run."""
-    evidence = make_evidence(
-        calls=[make_call_record(make_call(1, BOOK), status=503, signature="")]
-    )
+@pytest.mark.parametrize("path", [BOOK, READ, SINGLE, RESUMABLE])
+def test_false_refusal_is_detected(path):
+    """After such a refusal the caller would retry a request that has already run.
+
+    A late copy of a refusal was read as the answer to an idempotent call that ran.
+    """
+    call = make_call(1, path)
+    evidence = make_evidence(calls=[make_call_record(call, status=503, signature="")])
+    evidence.journal = Journal([make_arrival(call)])
     assert "refusal" in rules(evidence)
 
 
@@ -332,3 +253,31 @@
     if disturbed:
         evidence.record_disturbance(Scope.HOST, disturbed, "killed", 12.0, 12.5)
     assert ("limit" in rules(evidence)) is is_violation
+
+
+@pytest.mark.parametrize(
+    ("record", "arrival", "disturbed", "is_violation"),
+    [
+        ({"ending": CallEnding.CUT}, {}, None, True),
+        ({"status": 502, "signature": ""}, {}, None, True),
+        ({"status": 502, "signature": ""}, {"completed": True}, None, False),
+        ({"status": 503, "signature": ""}, {}, None, False),
+        ({"ending": CallEnding.CUT, "took_s": 5.0}, {}, None, False),
+        ({"ending": CallEnding.CUT}, {"ended": 9.0}, None, False),
+        ({"ending": CallEnding.CUT}, {}, (Scope.TARGETS, "t+7", False), False),
+        ({"ending": CallEnding.CUT}, {}, (Scope.TARGETS, "u", False), True),
+        ({"ending": CallEnding.CUT}, {}, (Scope.HOST, ENTRY, False), False),
+        ({"ending": CallEnding.CUT}, {}, (Scope.HOST, ENTRY, True), True),
+    ],
+)
+def test_request_lost_while_its_target_is_silent_is_detected(
+    record, arrival, disturbed, is_violation
+):
+    """A stream whose target was only silent was cut off with most of its time left."""
+    call = make_call(2, RESUMABLE)
+    evidence = make_evidence(calls=[make_call_record(call, **record)])
+    evidence.journal = Journal([make_arrival(call, **arrival)])
+    if disturbed is not None:
+        scope, name, planned = disturbed
+        evidence.record_disturbance(scope, name, "faulty", 9.0, 9.5, planned=planned)
+    assert ("lost" in rules(evidence)) is is_violation
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -1,7 +1,10 @@
 """Tests of the schedules that are drawn from seeds."""
 
+import zlib
+
 import pytest
 
+from soak import _schedule
 from soak._schedule import FaultKind, make_schedule
 
 
@@ -24,3 +27,28 @@
     disks = (FaultKind.CONTROL_WIPE, FaultKind.CONTROL_REPLACE)
     lost = sum(fault.kind in disks for fault in schedule.faults)
     assert lost <= schedule.losses
+
+
+@pytest.mark.parametrize(
+    ("seed", "checksum"),
+    [
+        (104, 1178172303),
+        (205, 3338866671),
+        (501, 181689434),
+        (610, 2354455311),
+        (625, 925213956),
+        (804, 2622574832),
+        (1187, 2705952092),
+        (4207, 2968315575),
+    ],
+)
+def test_seeds_keep_the_faults_that_they_had(monkeypatch, seed, checksum):
+    """With other faults, the seeds that failed before would no longer be repeated.
+
+    The checksums were taken before the newest kinds were added.
+    """
+    newest = set(make_schedule(seed).faults)
+    monkeypatch.setattr(_schedule, "_draw_newest_faults", lambda rng: [])
+    schedule = make_schedule(seed)
+    assert set(schedule.faults) <= newest
+    assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
