Read the soak's impairment of a disk before it counts as read

Cause: the time of the last read was set before the file was read. The thread of the clock, which logs a candidacy, was reading it while the thread of the disk wrote the vote and took the old impairment for one that was just read. The time is set last now.

Measured: the new test fails without the change and passes with it.

--- a/soak/_launch.py
+++ b/soak/_launch.py
@@ -71,11 +71,14 @@
     @property
     def current(self) -> Impairment:
         """Current impairment, read at most every ``CACHE_TTL_S`` seconds."""
-        if time.monotonic() - self._read_at > CACHE_TTL_S:
-            self._read_at = time.monotonic()
+        now = time.monotonic()
+        if now - self._read_at > CACHE_TTL_S:
             if self._path.exists():
                 text = self._path.read_bytes()
                 self._impairment = msgspec.json.decode(text, type=Impairment)
+            # Set last: the threads of the clock and of the disk both read here, and
+            # neither may take an old impairment for one that was just read.
+            self._read_at = now
         return self._impairment
 
 
--- a/tests/soak/test_launch.py
+++ b/tests/soak/test_launch.py
@@ -91,3 +91,29 @@
     clock = SteppedClock(ManualClock(5.0, 1000), impairment)
     set_impairment(impairment, clock_ahead_s=-0.5)
     assert (clock.now(), clock.wall_ms()) == (5.0, 500)
+
+
+def test_impairment_is_not_stale_while_another_thread_reads_it(impairment):
+    """A write took a full disk for an empty one and its sync then failed (seed 721).
+
+    The clock's thread was reading the file at that moment.
+    """
+
+    class PathReadTwice:
+        def __init__(self, path):
+            self.path = path
+            self.seen_meanwhile = None
+
+        def exists(self):
+            return True
+
+        def read_bytes(self):
+            if self.seen_meanwhile is None:
+                self.seen_meanwhile = ()
+                self.seen_meanwhile = impairment.current
+            return self.path.read_bytes()
+
+    set_impairment(impairment, disk_full=True)
+    path = impairment._path = PathReadTwice(impairment._path)
+    assert impairment.current.disk_full
+    assert path.seen_meanwhile.disk_full
