Compare served streams in the soak with others of the same time

A harmless part now counts as held back when ten or more of its requests in a row are unserved and that is not chance beside the others of the same time. The comparison of sound prompts leaves out streams from before the first served one, which makes it stricter.

--- a/soak/_crash_checks.py
+++ b/soak/_crash_checks.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator
+from itertools import groupby
 
 from msgspec import structs
 from standin import CallEnding, CallRecord, Journal
@@ -19,11 +20,13 @@
 MIN_COMPARED = 20
 """Number of requests, in and outside disruptions, below which nothing is compared."""
 
-MIN_WITH_PART = 10
-"""Number of requests with a part below which it is not compared with the others."""
+MIN_IN_A_ROW = 10
+MAX_CHANCE = 1e-6
+"""Number of requests with a part in a row that must be unserved to count, and largest
+probability that this is chance, from the share of others served in the same time."""
 
 MIN_SERVED_RATIO = 0.5
-"""Smallest share of served requests with a part that is sound, relative to others."""
+"""Smallest share of served requests beside such prompts, relative to other times."""
 
 
 def check_crashing_parts(evidence: Evidence, index: Index) -> Iterator[Violation]:
@@ -94,10 +97,21 @@
         for part in record.call.parts[:-1]:
             by_part[part].append(record)
     for part, records in by_part.items():
-        share, usual = _served_share(records), _served_share(calm)
-        if len(records) >= MIN_WITH_PART and share < MIN_SERVED_RATIO * usual:
-            text = f"{share:.2f} of {len(records)} served, {usual:.2f} of all parts"
-            yield Violation("harmless part", part, text)
+        records.sort(key=lambda record: record.began)
+        for is_served, group in groupby(records, _is_served):
+            row = list(group)
+            if is_served or len(row) < MIN_IN_A_ROW:
+                continue
+            others = [
+                record
+                for record in calm
+                if row[0].began <= record.began <= row[-1].began
+                and part not in record.call.parts
+            ]
+            if others and (1.0 - _served_share(others)) ** len(row) < MAX_CHANCE:
+                share = _served_share(others)
+                text = f"{len(row)} in a row unserved, {share:.2f} of others served"
+                yield Violation("harmless part", part, text)
 
 
 def _split_streams(evidence: Evidence) -> tuple[list[CallRecord], list[CallRecord]]:
@@ -115,14 +129,19 @@
 
 
 def _calm_streams(evidence: Evidence) -> list[CallRecord]:
-    """Return the sound streams outside disruptions, crashing requests among them."""
+    """Return the sound streams outside disruptions, crashing requests among them.
+
+    Streams from before the first served one are left out: no engine decodes at first.
+    """
     crashing, sound = _split_streams(evidence)
+    first_served = min((x.ended for x in sound if _is_served(x)), default=0.0)
     times = [record.began for record in crashing]
     begins, until = min(times, default=0.0), max(times, default=0.0) + SETTLING_S
     return [
         record
         for record in sound
-        if not begins <= record.began <= until
+        if record.began >= first_served
+        and not begins <= record.began <= until
         and _is_undisturbed(evidence, record, Scope.TARGETS, Scope.LIST)
     ]
 
@@ -154,10 +173,9 @@
     return evidence.is_undisturbed(record.began, record.ended, host=host, scopes=scopes)
 
 
+def _is_served(record: CallRecord) -> bool:
+    return record.status == 200 and record.ending is CallEnding.ANSWERED
+
+
 def _served_share(records: list[CallRecord]) -> float:
-    served = [
-        record
-        for record in records
-        if record.status == 200 and record.ending is CallEnding.ANSWERED
-    ]
-    return len(served) / len(records)
+    return sum(map(_is_served, records)) / len(records)
