--- a/tests/entryd/test_bad_input.py
+++ b/tests/entryd/test_bad_input.py
@@ -51,6 +51,15 @@
     ({**VALID_BODY, "logprobs": 3}, "bad_request"),
     ({**VALID_BODY, "wigeonspan": {"attempt": "x"}}, "bad_request"),
     ({**VALID_BODY, "prompt": "x" * MAX_BODY_BYTES}, "too_large"),
+    (b'{"model":' + b"[" * 5000 + b"]" * 5000 + b"}", "bad_request"),
+    (b'{"stop":' + b"[" * 5000 + b"]" * 5000 + b"}", "bad_request"),
+    (b'{"other":' + b"[" * 5000 + b"]" * 5000 + b"}", "bad_request"),
+    (b"[" * 5000 + b"]" * 5000, "bad_request"),
+    (b'{"model":"note","prompt":"a","max_tokens":' + b"9" * 5000 + b"}", "bad_request"),
+    (b'{"model":"note","prompt":"a","seed":' + b"9" * 5000 + b"}", "bad_request"),
+    (b'{"model":"note","prompt":"a","temperature":1e999}', "bad_request"),
+    (b'{"model":"note","prompt":"a","temperature":NaN}', "bad_request"),
+    (b'{"model":"note","prompt":"\\ud800"}', "bad_request"),
 ]
 
 HEADERS = [
