Plan phases by the median number of slots

The plan took the smallest number of slots of any listed engine for all of them. One entry without its slots, which then count as one, made 15 of 16 engines decode where 8 were needed, and phases changed at once as in a shortage. The median counts now.

--- a/tests/staging/test_plan.py
+++ b/tests/staging/test_plan.py
@@ -1,6 +1,7 @@
 """Tests of the number of decode engines and the choice of engines to change."""
 
 import pytest
+from msgspec.structs import replace
 
 from wigeonspan.common import DomainName, HostId, ServiceName
 from wigeonspan.staging import (
@@ -158,3 +159,17 @@
     demand = meter.demand(SERVICE, 4.0)
     assert demand is not None and not demand.is_settled
     assert demand.recent_streams == pytest.approx(40.0, rel=0.2)
+
+
+@pytest.mark.parametrize("slots", [0, 1, 10_000])
+def test_wrong_slots_of_one_engine_change_no_other_engine(slots):
+    """The smallest number of slots counted for all engines.
+
+    An entry of the list without its slots, which then count as one, made 15 of 16
+    engines decode where 8 were needed.
+    """
+    fleet = engines(*[D] * 8, *[P] * 8)
+    fleet[0] = replace(fleet[0], slots=slots)
+    demand = EngineDemand(5.0, 200.0, 200.0, True)
+    changes = allowed_changes(fleet, demand, 100.0)
+    assert next_changes(fleet, demand, changes) == []
--- a/wigeonspan/staging/_plan.py
+++ b/wigeonspan/staging/_plan.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Sequence
+from statistics import median_low
 
 from wigeonspan.staging._messages import EngineDemand
 from wigeonspan.targets import Phase, Target
@@ -142,9 +143,12 @@
 
 
 def _slots(targets: Sequence[Target]) -> int:
-    """Return the slots of an engine, the smallest number if they differ."""
-    engines = (t.slots for t in targets if t.phase is not Phase.NONE)
-    return max(1, min(engines, default=1))
+    """Return the slots of an engine, the median if they differ.
+
+    One entry of the list with a wrong number of slots must not replan all engines.
+    """
+    slots = [t.slots for t in targets if t.phase is not Phase.NONE]
+    return max(1, median_low(slots)) if slots else 1
 
 
 def next_changes(
