--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -6,7 +6,9 @@
 import pytest
 from adapter._list import ListReader, ListUnavailable
 
-from wigeonspan.pool import Head
+from wigeonspan.common import SystemClock
+from wigeonspan.pool import ConnectionPool, Head
+from wigeonspan.serving import RequestServer
 from wigeonspan.sharing import ListRead
 from wigeonspan.sharing._messages import Packet
 from wigeonspan.sharing._wire import encode_packet
@@ -150,3 +152,23 @@
     """A page that is cut must not look like a shorter list."""
     with pytest.raises(ListUnavailable):
         read(body)
+
+
+def test_list_with_odd_entries_is_read_over_a_connection():
+    """The tasks that read the list ended with ``RecursionError`` at each read."""
+    body = page(entry("i-2"), *map(with_field, UNDECODABLE.values()), entry("i-3"))
+
+    async def serve(method, target, headers, body_, caller):
+        await caller.send_response(200, [("Content-Type", "application/json")], body)
+
+    async def run():
+        server = RequestServer(serve, lambda error: None)
+        server.listen("127.0.0.1:0")
+        address = f"127.0.0.1:{server._sockets[0].getsockname()[1]}"
+        pool = ConnectionPool(SystemClock())
+        listing = await ListReader(address).read(pool, RecordingLog())
+        pool.close()
+        await server.close()
+        return [t.target for t in listing.targets]
+
+    assert asyncio.run(run()) == ["i-2", "i-3"]
