Limit the totals in heartbeats

Totals of 1e300 or below zero in a heartbeat passed. Their sums over the entries are infinite, and the leader plans the phases of engines with them. They are refused with 400 now.

--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -1,8 +1,9 @@
 """Heartbeats between entries and control hosts."""
 
 from enum import Enum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from wigeonspan.common import DomainName, HostId, ServiceName
 from wigeonspan.targets import TargetId
@@ -10,6 +11,9 @@
 BEAT_PATH = "/internal/v1/beat"
 """Path of heartbeats at a control host."""
 
+# Totals since the start of an entry. The sums over all entries must be finite.
+_Total = Annotated[float, Meta(ge=0.0, le=1e15)]
+
 
 class EntryState(Enum):
     """State of an entry; only ready ones are listed for callers."""
@@ -64,8 +68,8 @@
     config_version: int
     entries_digest: str
     wants_changes: bool = True
-    read_ms: dict[ServiceName, float] = {}
-    stream_s: dict[ServiceName, float] = {}
+    read_ms: dict[ServiceName, _Total] = {}
+    stream_s: dict[ServiceName, _Total] = {}
     relay: str = ""
     limited: list[TargetId] = []
 
