Repeat requests whose common part is suspected with a culprit

With few engines, a common part has no answer that clears it while all of them are down, and sound requests were not repeated for it.

A part whose crashes all have a likely cause inside it is no reason not to repeat; parts need two crashes that no quarantined part explains.

--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -15,7 +15,7 @@
 from msgspec import Struct
 
 from wigeonspan.quarantine._evidence import Crash, Evidence
-from wigeonspan.quarantine._judgement import find_culprits
+from wigeonspan.quarantine._judgement import SETTLE_S, find_culprits, is_suspect
 from wigeonspan.quarantine._keys import WrittenParts, part_key
 from wigeonspan.quarantine._messages import (
     PartQuarantined,
@@ -27,14 +27,6 @@
 from wigeonspan.quarantine._trials import ANNOUNCE_INTERVAL_S, Quarantine, Turns
 from wigeonspan.targets import TargetId
 
-SUSPECT_CRASHES = 2
-"""Number of crashes from which a request is not repeated at another engine."""
-
-SETTLE_S = 0.3
-"""Seconds from the news of a crash to the verdict. The reports of other entries arrive
-within about 0.1 s, the culprit may be named in the last one, and answers on common
-parts clear them meanwhile."""
-
 REPEAT_S = 0.3
 """Seconds after which an entry repeats its own reports and verdicts, since datagrams
 are lost."""
@@ -164,22 +156,10 @@
         for key in map(part_key, parts):
             if key in self._quarantined:
                 return False
-            if self._is_suspect(key, now):
+            if is_suspect(self._evidence, key, self._has_written(key), now):
                 return False
         return True
 
-    def _is_suspect(self, key: str, now: float) -> bool:
-        """Return whether requests with a part are not to be repeated."""
-        suspect = self._evidence.get(key)
-        if suspect is None:
-            return False
-        if not self._has_written(key):
-            crashes = self._evidence.counted_crashes(key, now, now)
-            return len(crashes) >= SUSPECT_CRASHES
-        # Answers that clear common parts are reported as late as the latest crashes.
-        settled = self._evidence.counted_crashes(key, now - SETTLE_S, now)
-        return len(settled) >= SUSPECT_CRASHES
-
     def record_break(
         self, target: TargetId, parts: Sequence[str], now: float
     ) -> list[QuarantineMessage]:
@@ -354,8 +334,11 @@
 
     def _judge(self, crash: Crash, now: float) -> None:
         """Quarantine the parts that are the cause of a crash."""
+        found = find_culprits(self._evidence, crash, self._has_written, now)
+        if not found:
+            return
         is_own = any(crash is own for _, own, _ in self._reports)
-        for key in find_culprits(self._evidence, crash, self._has_written, now):
+        for key in found:
             # It began with the crash, so that a later answer on the part ends it even
             # when the message about the answer is late.
             quarantine = self._begin(key, crash.at)
--- a/wigeonspan/quarantine/_evidence.py
+++ b/wigeonspan/quarantine/_evidence.py
@@ -261,7 +261,7 @@
                 others += 1
         return others >= FLAP_CRASHES
 
-    def _unexplained(self, now: float) -> Iterator[Crash]:
+    def unexplained(self, now: float) -> Iterator[Crash]:
         """Yield the recent crashes that no quarantined part explains, latest first."""
         for crash in reversed(self._recent):
             if now - crash.at <= FLAP_WINDOW_S and not self.is_explained(crash):
@@ -270,7 +270,7 @@
     def _count_other_times(self, part: str, now: float) -> int:
         """Return how many times targets crashed without a part recently."""
         times, latest = 0, float("inf")
-        for crash in self._unexplained(now):
+        for crash in self.unexplained(now):
             if part not in crash.suspects and latest - crash.at > SIMULTANEOUS_S:
                 times, latest = times + 1, crash.at
         return times
@@ -278,6 +278,6 @@
     def has_flapping_targets(self, now: float) -> bool:
         """Return whether targets crash repeatedly by themselves."""
         counts: dict[TargetId, int] = {}
-        for crash in self._unexplained(now):
+        for crash in self.unexplained(now):
             counts[crash.target] = counts.get(crash.target, 0) + 1
         return any(number > FLAP_CRASHES for number in counts.values())
--- a/wigeonspan/quarantine/_judgement.py
+++ b/wigeonspan/quarantine/_judgement.py
@@ -15,8 +15,16 @@
 before. Common parts are blamed with each culprit, and while few engines are up, there
 may be no answer that clears them."""
 
-UNEXPLAINED_WHEN_WRITTEN = 2
-"""Minimum number of crashes that no quarantined part explains, for such a part."""
+SUSPECT_CRASHES = 2
+"""Number of crashes from which a request is not repeated at another engine."""
+
+SETTLE_S = 0.3
+"""Seconds from the news of a crash to the verdict. The reports of other entries arrive
+within about 0.1 s, the culprit may be named in the last one, and answers on common
+parts clear them meanwhile."""
+
+MIN_UNEXPLAINED = 2
+"""Minimum number of crashes that no quarantined part explains."""
 
 CRASHES_WITHOUT_DOUBT = 5
 """Number of crashes after which a part is quarantined although other parts may be the
@@ -45,7 +53,10 @@
 
 
 def find_culprits(
-    evidence: Evidence, crash: Crash, has_written: Callable[[str], bool], now: float
+    evidence: Evidence,
+    crash: Crash,
+    has_written: Callable[[str], bool],
+    now: float,
 ) -> list[str]:
     """Return the parts that are to be quarantined for a crash; usually none.
 
@@ -88,22 +99,36 @@
 def _has_enough(evidence: Evidence, candidate: _Candidate, has_written: bool) -> bool:
     """Return whether a part was in enough crashes to be the cause."""
     crashes = candidate.crashes
-    if has_written:
-        unexplained = sum(not evidence.is_explained(crash) for crash in crashes)
-        if (
-            len(crashes) < CRASHES_WHEN_WRITTEN
-            or unexplained < UNEXPLAINED_WHEN_WRITTEN
-        ):
-            return False
-    if len(crashes) < CRASHES_TO_QUARANTINE:
+    unexplained = sum(not evidence.is_explained(crash) for crash in crashes)
+    required = CRASHES_WHEN_WRITTEN if has_written else CRASHES_TO_QUARANTINE
+    if len(crashes) < required or unexplained < MIN_UNEXPLAINED:
         return False
     if len(crashes) >= CRASHES_WITHOUT_DOUBT:
         return True
     # Two culprits may share their first part, which is then in all crashes.
-    alone = sum(not _has_inner_cause(evidence, candidate, c) for c in crashes)
+    alone = _count_alone(evidence, candidate)
     return alone in (len(crashes), 0) or alone >= CRASHES_TO_QUARANTINE
 
 
+def is_suspect(evidence: Evidence, key: str, has_written: bool, now: float) -> bool:
+    """Return whether requests with a part are not to be repeated."""
+    suspect = evidence.get(key)
+    if suspect is None or len(suspect.blames) < SUSPECT_CRASHES:
+        return False
+    # Answers that clear common parts are reported as late as the latest crashes.
+    until = now - SETTLE_S if has_written else now
+    crashes = evidence.counted_crashes(key, until, now)
+    return (
+        len(crashes) >= SUSPECT_CRASHES
+        and _count_alone(evidence, _Candidate(key, suspect, crashes)) > 0
+    )
+
+
+def _count_alone(evidence: Evidence, candidate: _Candidate) -> int:
+    """Return how many crashes of a part have no likely cause inside it."""
+    return sum(not _has_inner_cause(evidence, candidate, c) for c in candidate.crashes)
+
+
 def _has_inner_cause(evidence: Evidence, candidate: _Candidate, crash: Crash) -> bool:
     """Return whether a part inside another one may have caused several crashes."""
     for key in crash.suspects:
