Quarantine new parts without regard to parts that repeat inside them

A request that is repeated once blames all its parts twice. Its own parts then seemed to be the cause inside the culprit, which was quarantined late or after a sound part.

Only parts on which answers were written before need crashes without an inner cause, and among equals the parts without an answer are preferred.

--- a/wigeonspan/quarantine/_judgement.py
+++ b/wigeonspan/quarantine/_judgement.py
@@ -35,6 +35,7 @@
     key: str
     suspect: Suspect
     crashes: list[Crash]
+    has_written: bool
 
     def is_inside(self, other: "_Candidate") -> bool:
         return _is_inside(self.key, self.suspect, other.key, other.suspect)
@@ -81,10 +82,9 @@
             or not suspect.is_blamed_for(crash)
         ):
             continue
-        candidate = _Candidate(
-            key, suspect, evidence.counted_crashes(key, crash.at, now)
-        )
-        if _has_enough(evidence, candidate, has_written(key)):
+        crashes = evidence.counted_crashes(key, crash.at, now)
+        candidate = _Candidate(key, suspect, crashes, has_written(key))
+        if _has_enough(evidence, candidate):
             candidates.append(candidate)
     inner = [
         candidate
@@ -92,22 +92,26 @@
         if not any(other.is_inside(candidate) for other in candidates)
     ]
     most = max((len(candidate.crashes) for candidate in inner), default=0)
-    chosen = [c.key for c in inner if len(c.crashes) == most]
-    return chosen if len(chosen) == 1 or most >= CRASHES_WITHOUT_DOUBT else []
+    likely = [c for c in inner if len(c.crashes) == most]
+    likely = [c for c in likely if not c.has_written] or likely
+    if len(likely) > 1 and most < CRASHES_WITHOUT_DOUBT:
+        return []
+    return [candidate.key for candidate in likely]
 
 
-def _has_enough(evidence: Evidence, candidate: _Candidate, has_written: bool) -> bool:
+def _has_enough(evidence: Evidence, candidate: _Candidate) -> bool:
     """Return whether a part was in enough crashes to be the cause."""
     crashes = candidate.crashes
     unexplained = sum(not evidence.is_explained(crash) for crash in crashes)
-    required = CRASHES_WHEN_WRITTEN if has_written else CRASHES_TO_QUARANTINE
-    if len(crashes) < required or unexplained < MIN_UNEXPLAINED:
+    if unexplained < MIN_UNEXPLAINED or len(crashes) < CRASHES_TO_QUARANTINE:
         return False
-    if len(crashes) >= CRASHES_WITHOUT_DOUBT:
+    if not candidate.has_written or len(crashes) >= CRASHES_WITHOUT_DOUBT:
         return True
     # Two culprits may share their first part, which is then in all crashes.
-    alone = _count_alone(evidence, candidate)
-    return alone in (len(crashes), 0) or alone >= CRASHES_TO_QUARANTINE
+    return (
+        len(crashes) >= CRASHES_WHEN_WRITTEN
+        and _count_alone(evidence, candidate) >= CRASHES_TO_QUARANTINE
+    )
 
 
 def is_suspect(evidence: Evidence, key: str, has_written: bool, now: float) -> bool:
@@ -120,7 +124,7 @@
     crashes = evidence.counted_crashes(key, until, now)
     return (
         len(crashes) >= SUSPECT_CRASHES
-        and _count_alone(evidence, _Candidate(key, suspect, crashes)) > 0
+        and _count_alone(evidence, _Candidate(key, suspect, crashes, has_written)) > 0
     )
 
 
