--- a/wigeonspan/quarantine/_judgement.py
+++ b/wigeonspan/quarantine/_judgement.py
@@ -15,8 +15,16 @@
 before. Common parts are blamed with each culprit, and while few engines are up, there
 may be no answer that clears them."""
 
-UNEXPLAINED_WHEN_WRITTEN = 2
-"""Minimum number of crashes that no quarantined part explains, for such a part."""
+SUSPECT_CRASHES = 2
+"""Number of crashes from which a request is not repeated at another engine."""
+
+SETTLE_S = 0.3
+"""Seconds from the news of a crash to the verdict. The reports of other entries arrive
+within about 0.1 s, the culprit may be named in the last one, and answers on common
+parts clear them meanwhile."""
+
+MIN_UNEXPLAINED = 2
+"""Minimum number of crashes that no quarantined part explains."""
 
 CRASHES_WITHOUT_DOUBT = 5
 """Number of crashes after which a part is quarantined although other parts may be the
@@ -27,6 +35,7 @@
     key: str
     suspect: Suspect
     crashes: list[Crash]
+    has_written: bool
 
     def is_inside(self, other: "_Candidate") -> bool:
         return _is_inside(self.key, self.suspect, other.key, other.suspect)
@@ -45,7 +54,10 @@
 
 
 def find_culprits(
-    evidence: Evidence, crash: Crash, has_written: Callable[[str], bool], now: float
+    evidence: Evidence,
+    crash: Crash,
+    has_written: Callable[[str], bool],
+    now: float,
 ) -> list[str]:
     """Return the parts that are to be quarantined for a crash; usually none.
 
@@ -70,10 +82,9 @@
             or not suspect.is_blamed_for(crash)
         ):
             continue
-        candidate = _Candidate(
-            key, suspect, evidence.counted_crashes(key, crash.at, now)
-        )
-        if _has_enough(evidence, candidate, has_written(key)):
+        crashes = evidence.counted_crashes(key, crash.at, now)
+        candidate = _Candidate(key, suspect, crashes, has_written(key))
+        if _has_enough(evidence, candidate):
             candidates.append(candidate)
     inner = [
         candidate
@@ -81,27 +92,45 @@
         if not any(other.is_inside(candidate) for other in candidates)
     ]
     most = max((len(candidate.crashes) for candidate in inner), default=0)
-    chosen = [c.key for c in inner if len(c.crashes) == most]
-    return chosen if len(chosen) == 1 or most >= CRASHES_WITHOUT_DOUBT else []
+    likely = [c for c in inner if len(c.crashes) == most]
+    likely = [c for c in likely if not c.has_written] or likely
+    if len(likely) > 1 and most < CRASHES_WITHOUT_DOUBT:
+        return []
+    return [candidate.key for candidate in likely]
 
 
-def _has_enough(evidence: Evidence, candidate: _Candidate, has_written: bool) -> bool:
+def _has_enough(evidence: Evidence, candidate: _Candidate) -> bool:
     """Return whether a part was in enough crashes to be the cause."""
     crashes = candidate.crashes
-    if has_written:
-        unexplained = sum(not evidence.is_explained(crash) for crash in crashes)
-        if (
-            len(crashes) < CRASHES_WHEN_WRITTEN
-            or unexplained < UNEXPLAINED_WHEN_WRITTEN
-        ):
-            return False
-    if len(crashes) < CRASHES_TO_QUARANTINE:
+    unexplained = sum(not evidence.is_explained(crash) for crash in crashes)
+    if unexplained < MIN_UNEXPLAINED or len(crashes) < CRASHES_TO_QUARANTINE:
         return False
-    if len(crashes) >= CRASHES_WITHOUT_DOUBT:
+    if not candidate.has_written or len(crashes) >= CRASHES_WITHOUT_DOUBT:
         return True
     # Two culprits may share their first part, which is then in all crashes.
-    alone = sum(not _has_inner_cause(evidence, candidate, c) for c in crashes)
-    return alone in (len(crashes), 0) or alone >= CRASHES_TO_QUARANTINE
+    return (
+        len(crashes) >= CRASHES_WHEN_WRITTEN
+        and _count_alone(evidence, candidate) >= CRASHES_TO_QUARANTINE
+    )
+
+
+def is_suspect(evidence: Evidence, key: str, has_written: bool, now: float) -> bool:
+    """Return whether requests with a part are not to be repeated."""
+    suspect = evidence.get(key)
+    if suspect is None or len(suspect.blames) < SUSPECT_CRASHES:
+        return False
+    # Answers that clear common parts are reported as late as the latest crashes.
+    until = now - SETTLE_S if has_written else now
+    crashes = evidence.counted_crashes(key, until, now)
+    return (
+        len(crashes) >= SUSPECT_CRASHES
+        and _count_alone(evidence, _Candidate(key, suspect, crashes, has_written)) > 0
+    )
+
+
+def _count_alone(evidence: Evidence, candidate: _Candidate) -> int:
+    """Return how many crashes of a part have no likely cause inside it."""
+    return sum(not _has_inner_cause(evidence, candidate, c) for c in candidate.crashes)
 
 
 def _has_inner_cause(evidence: Evidence, candidate: _Candidate, crash: Crash) -> bool:
