Do not blame prompts for streams that break off alone

A target may lose a single answer or connection and go on with its other streams.

An event of the target between 0.2 s and 0.8 s after the break refutes the crash, at all entries. A started engine is not taken for it, since it takes longer to come back.

Measured: the new tests fail without the change and pass with it; tests/quarantine pass.

--- /dev/null
+++ b/tests/quarantine/test_alive.py
@@ -0,0 +1,67 @@
+"""Tests of breaks at targets that have not crashed."""
+
+import pytest
+
+from wigeonspan.quarantine import PromptQuarantine, TargetAlive
+from wigeonspan.quarantine._evidence import ALIVE_FROM_S, ALIVE_UNTIL_S
+from wigeonspan.targets import TargetId
+
+TARGETS = [TargetId(f"t{n}") for n in range(8)]
+
+
+def break_off(quarantine, number, now):
+    quarantine.record_break(TARGETS[number], ["first", "part"], now)
+
+
+@pytest.mark.parametrize("others_go_on", [True, False])
+def test_streams_that_break_off_alone_put_no_part_under_quarantine(others_go_on):
+    """A part was quarantined because targets had lost the answers of its requests.
+
+    The targets went on with other streams, so they had not crashed.
+    """
+    quarantine = PromptQuarantine()
+    for number in range(6):
+        now = 100.0 + number
+        break_off(quarantine, number, now)
+        quarantine.tick(now + 0.1)
+        if others_go_on:
+            assert quarantine.record_alive(TARGETS[number], now + 0.25)
+        quarantine.tick(now + 0.5)
+    verdict = quarantine.check(["first", "part"], 106.0)
+    assert (verdict is None) is others_go_on
+    assert (quarantine.suspects == 0) is others_go_on
+
+
+@pytest.mark.parametrize(
+    ("after_s", "refutes"),
+    [
+        (ALIVE_FROM_S - 0.01, False),
+        (ALIVE_FROM_S + 0.01, True),
+        (ALIVE_UNTIL_S - 0.01, True),
+        (ALIVE_UNTIL_S + 0.01, False),
+    ],
+)
+def test_event_refutes_a_crash_only_between_two_starts(after_s, refutes):
+    """Events from before a crash may be late, and those of the next start show nothing.
+
+    Then the blame for a real crash would be lost.
+    """
+    quarantine = PromptQuarantine()
+    break_off(quarantine, 0, 100.0)
+    assert bool(quarantine.record_alive(TARGETS[0], 100.0 + after_s)) is refutes
+    assert (quarantine.suspects == 0) is refutes
+
+
+def test_other_entries_learn_that_a_target_has_not_crashed():
+    """The entry whose stream broke off may have no other stream at the target."""
+    here, there = PromptQuarantine(), PromptQuarantine()
+    for message in here.record_break(TARGETS[0], ["part"], 100.0):
+        there.apply(message, 100.02)
+    (alive,) = there.record_alive(TARGETS[0], 100.3)
+    assert alive == TargetAlive(TARGETS[0])
+    here.apply(alive, 100.32)
+    assert here.suspects == there.suspects == 0
+    # A report that is repeated later does not bring the blame back.
+    for message in here.record_break(TARGETS[0], ["part"], 100.35):
+        there.apply(message, 100.37)
+    assert here.suspects == there.suspects == 0
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -17,6 +17,7 @@
     PromptQuarantine,
     QuarantineMessage,
     StreamCrashed,
+    TargetAlive,
     Verdict,
 )
 from wigeonspan.sharing import (
@@ -118,7 +119,7 @@
                 self.target_table.record_leaving(event.target, event.born_ms)
             case TargetLimited():
                 self.apply_announced_limit(event)
-            case StreamCrashed() | PartsCleared() | PartQuarantined():
+            case StreamCrashed() | TargetAlive() | PartsCleared() | PartQuarantined():
                 self.quarantine.apply(event, now)
 
     def check_quarantine(
@@ -149,6 +150,11 @@
         now = self.clock.now()
         self._publish_quarantine(self.quarantine.record_break(target, parts, now))
 
+    def record_alive(self, target: TargetId) -> None:
+        """Record an event of a target, which may refute that it has crashed."""
+        now = self.clock.now()
+        self._publish_quarantine(self.quarantine.record_alive(target, now))
+
     def record_written(self, parts: tuple[str, ...]) -> None:
         """Record the first event of a run, which clears the parts of its prompt."""
         now = self.clock.now()
--- a/wigeonspan/quarantine/__init__.py
+++ b/wigeonspan/quarantine/__init__.py
@@ -7,6 +7,7 @@
     PartsCleared,
     QuarantineMessage,
     StreamCrashed,
+    TargetAlive,
     Verdict,
 )
 
@@ -16,6 +17,7 @@
     "PromptQuarantine",
     "QuarantineMessage",
     "StreamCrashed",
+    "TargetAlive",
     "Verdict",
     "VerdictMemory",
 ]
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -22,6 +22,7 @@
     PartsCleared,
     QuarantineMessage,
     StreamCrashed,
+    TargetAlive,
     Verdict,
 )
 from wigeonspan.quarantine._trials import ANNOUNCE_INTERVAL_S, Quarantine, Turns
@@ -213,6 +214,29 @@
             return crash
         return crash if is_new else None
 
+    def record_alive(self, target: TargetId, now: float) -> list[QuarantineMessage]:
+        """Record an event of a target; return what to publish, usually nothing.
+
+        An event soon after a break shows that only a single stream had broken off.
+        """
+        if self._evidence.find_refuted(target, now) is None:
+            return []
+        self._refute(target, now)
+        return [TargetAlive(target)]
+
+    def _refute(self, target: TargetId, alive_at: float) -> None:
+        """Remove what follows from a crash that did not happen."""
+        crash = self._evidence.find_refuted(target, alive_at)
+        if crash is None:
+            return
+        self._evidence.refute(crash)
+        self._judge_at.pop(crash, None)
+        for key in crash.suspects:
+            quarantine = self._quarantined.get(key)
+            if quarantine is not None and quarantine.began_at == crash.at:
+                # The verdict was due to this crash.
+                self._clear(key, alive_at, 0.0)
+
     def record_written(
         self, parts: Iterable[str], now: float
     ) -> list[QuarantineMessage]:
@@ -254,6 +278,8 @@
         """Apply a message of another entry."""
         if isinstance(message, StreamCrashed):
             self._record_crash(message, now - max(0.0, message.age_s), now)
+        elif isinstance(message, TargetAlive):
+            self._refute(message.target, now - max(0.0, message.age_s))
         elif isinstance(message, PartsCleared):
             for key in message.parts:
                 self._clear(key, now - max(0.0, message.age_s), CLOCK_ERROR_S)
--- a/wigeonspan/quarantine/_evidence.py
+++ b/wigeonspan/quarantine/_evidence.py
@@ -11,6 +11,11 @@
 """Seconds within which all breaks at a target are one crash. The entries see it at
 about the same time and are told of it up to 0.1 s later."""
 
+ALIVE_FROM_S, ALIVE_UNTIL_S = 0.2, 0.8
+"""Seconds after a supposed crash within which an event of the target shows that it has
+not crashed: events sent before have arrived by then, and targets take longer to start.
+Targets also lose single answers and connections while they go on with others."""
+
 FLAP_WINDOW_S = 10.0
 """Seconds before and after a crash within which other crashes count as signs that
 targets crash by themselves."""
@@ -58,11 +63,14 @@
         Time of the first break that was seen or reported.
     suspects : set of str
         Parts that may be the cause.
+    refuted : bool
+        Whether the target went on with other streams, so that it has not crashed.
     """
 
     target: TargetId
     at: float
     suspects: set[str] = field(default_factory=set)
+    refuted: bool = False
 
 
 class Blame(Struct, eq=False):
@@ -148,6 +156,26 @@
         self._recent.append(crash)
         return crash
 
+    def find_refuted(self, target: TargetId, alive_at: float) -> Crash | None:
+        """Return a supposed crash that an event of the target refutes, if any."""
+        crashes = self._crashes.get(target)
+        if not crashes:
+            return None
+        crash = crashes[-1]
+        is_shown = ALIVE_FROM_S <= alive_at - crash.at <= ALIVE_UNTIL_S
+        return crash if is_shown and not crash.refuted else None
+
+    def refute(self, crash: Crash) -> None:
+        """Remove the blames for a crash that did not happen."""
+        crash.refuted = True
+        for part in crash.suspects:
+            suspect = self._pop(part)
+            if suspect is None:
+                continue
+            suspect.blames = [b for b in suspect.blames if b.crash is not crash]
+            if suspect.blames:
+                self._keep(part, suspect)
+
     def blame(
         self,
         crash: Crash,
@@ -166,6 +194,8 @@
         cleared : collection of str
             Those of them on which an answer was written after the crash.
         """
+        if crash.refuted:
+            return False
         is_news = False
         companions = frozenset(parts)
         for position, part in enumerate(parts):
@@ -254,6 +284,7 @@
         for other in self._crashes.get(crash.target, ()):
             if (
                 other is not crash
+                and not other.refuted
                 and abs(other.at - crash.at) <= FLAP_WINDOW_S
                 and part not in other.suspects
                 and not self.is_explained(other)
@@ -264,7 +295,8 @@
     def unexplained(self, now: float) -> Iterator[Crash]:
         """Yield the recent crashes that no quarantined part explains, latest first."""
         for crash in reversed(self._recent):
-            if now - crash.at <= FLAP_WINDOW_S and not self.is_explained(crash):
+            is_recent = now - crash.at <= FLAP_WINDOW_S and not crash.refuted
+            if is_recent and not self.is_explained(crash):
                 yield crash
 
     def _count_other_times(self, part: str, now: float) -> int:
--- a/wigeonspan/quarantine/_messages.py
+++ b/wigeonspan/quarantine/_messages.py
@@ -25,6 +25,19 @@
     age_s: float = 0.0
 
 
+class TargetAlive(Struct, frozen=True, tag="alive", array_like=True):
+    """A target went on with a stream after a break that looked like its crash.
+
+    Parameters
+    ----------
+    age_s : float
+        Seconds from the event of the stream to the sending of this message.
+    """
+
+    target: TargetId
+    age_s: float = 0.0
+
+
 class PartsCleared(Struct, frozen=True, tag="cleared", array_like=True):
     """Answers were written on parts that had been suspected or quarantined.
 
@@ -58,7 +71,7 @@
     idle_s: float = 0.0
 
 
-QuarantineMessage = StreamCrashed | PartsCleared | PartQuarantined
+QuarantineMessage = StreamCrashed | TargetAlive | PartsCleared | PartQuarantined
 """Any message of the quarantine."""
 
 
