Refuse candidates without a usable address

A host that asked to join the control group with port 99999, or without a port, became a candidate that the other members cannot connect to. It gets 400 now.

--- a/tests/coordinator/test_odd_messages.py
+++ b/tests/coordinator/test_odd_messages.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from wigeonspan.common import ErrorKind, WigeonspanError, decode
+from wigeonspan.common import ErrorKind, ManualClock, WigeonspanError, decode
+from wigeonspan.coordinator._group import GroupMembership
+from wigeonspan.coordinator._membership import Candidate
 from wigeonspan.presence import Beat
 
 BEAT = (
@@ -12,6 +14,13 @@
 )
 
 
+class LeadingLog:
+    members = ()
+
+    def check_leader(self):
+        pass
+
+
 @pytest.mark.parametrize("value", [b"-1", b"1e300", b"1e999", b"9" * 400, b"NaN"])
 @pytest.mark.parametrize("name", [b"read_ms", b"stream_s"])
 def test_total_out_of_range_is_refused(name, value):
@@ -33,3 +42,20 @@
     with pytest.raises(WigeonspanError) as caught:
         decode(BEAT + b',"note":' + nested + b"}", Beat)
     assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+@pytest.mark.parametrize("address", ["", "x", "10.0.0.1:99999", "10.0.0.1:0", "a b:1"])
+def test_candidate_without_a_usable_address_is_refused(address):
+    """It became a member of the group that no other one can reach."""
+    group = GroupMembership(
+        Candidate("c1", "10.0.0.9:1", "d", ""),
+        LeadingLog(),
+        ManualClock(),
+        None,
+        None,
+        3,
+    )
+    with pytest.raises(WigeonspanError) as caught:
+        group.receive_join_request(Candidate("c2", address, "d", "disk"))
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+    group.receive_join_request(Candidate("c2", "10.0.0.1:1", "d", "disk"))
--- a/wigeonspan/coordinator/_group.py
+++ b/wigeonspan/coordinator/_group.py
@@ -10,9 +10,11 @@
 from wigeonspan.common import (
     Clock,
     ErrorBody,
+    ErrorKind,
     HostId,
     WigeonspanError,
     decode,
+    split_address,
 )
 from wigeonspan.consensus import LogTask
 from wigeonspan.coordinator._membership import Candidate, MembershipView, next_step
@@ -82,9 +84,14 @@
         Raises
         ------
         WigeonspanError
-            ``NOT_LEADER`` with the leader's address if it is known.
+            ``NOT_LEADER`` with the leader's address if it is known, or ``BAD_REQUEST``
+            when the members could not connect to the candidate.
         """
         self._log.check_leader()
+        try:
+            split_address(candidate.address)
+        except ValueError as error:
+            raise WigeonspanError(ErrorKind.BAD_REQUEST, str(error)) from error
         self._join_requests[candidate.name] = (candidate, self._clock.now())
         return JoinReply(len(self._log.members))
 
