--- a/tests/platform/test_odd_config.py
+++ b/tests/platform/test_odd_config.py
@@ -31,6 +31,7 @@
 
     def record_refusal(self, interface, call, error):
         self.refused.append(error.kind)
+        assert len(error.message) <= 2000
 
     def addresses(self, domain):
         return ["10.0.0.1:80"]
@@ -131,6 +132,14 @@
     assert coordinator.refused == [ErrorKind.BAD_REQUEST]
 
 
+def test_refusal_of_a_large_document_is_short():
+    """The answer and the line of the log quoted megabytes of what was wrong."""
+    route = split(1.0) | {"name": "r" * 1_000_000}
+    for routes in ([route | {"kind": "k"}], [route, route], [split(-1.0)] * 20_000):
+        status, errors, coordinator = replace(document(routes=routes))
+        assert (status, errors, coordinator.stored) == (400, [], [])
+
+
 def test_refusal_names_the_repeated_member():
     """An operator must see what to correct."""
     with pytest.raises(WigeonspanError, match="'version' is repeated"):
