Test the quarantine against a model fleet and floods of parts

No test showed whether all entries hold back after the fifth crash, nor how often sound parts are quarantined. A lost rack blamed a part at several engines at once.

Verdicts need crashes that are apart, and a request is repeated after its first break although others with its parts broke at the same time.

--- a/tests/quarantine/fleet.py
+++ b/tests/quarantine/fleet.py
@@ -12,7 +12,7 @@
 
 from msgspec import Struct, field
 
-from wigeonspan.quarantine import PromptQuarantine
+from wigeonspan.quarantine import PartQuarantined, PromptQuarantine
 
 TICK_S = 0.1
 FLAP_S = 0.7
@@ -31,8 +31,10 @@
         Returns the shared parts of a request, with the random numbers and the time.
     crash_after, first_event : tuple of float
         Range of the time from the send to the crash, and to the first event.
+    patience : float
+        Time for which a request waits for an engine.
     flapping : tuple of int
-        Engines that drop all streams every ``FLAP_S`` and go on.
+        Engines that drop all streams every ``flap_s`` and go on.
     outages : tuple of (float, int, float)
         Time, engine and duration of plain crashes.
     restarts : tuple of (float, int)
@@ -55,6 +57,7 @@
     patience: float = 3.0
     flapping: tuple[int, ...] = ()
     flap_s: float = FLAP_S
+    flap_from: float = 0.0
     outages: tuple[tuple[float, int, float], ...] = ()
     restarts: tuple[tuple[float, int], ...] = ()
     lag: tuple[float, float] = (0.01, 0.1)
@@ -75,6 +78,11 @@
         Time of the first verdict by part.
     held : dict
         Time at which all entries had the verdict, by part.
+    not_repeated, refused : int
+        Number of breaks of sound requests that were not repeated, and of sound requests
+        that were refused; ``not_repeated_once`` counts those after their first break.
+    announcements : list of (float, str)
+        Time and part of each announcement of a verdict.
     """
 
     requests: int = 0
@@ -86,7 +94,9 @@
     verdicts: dict[str, float] = field(default_factory=dict)
     held: dict[str, float] = field(default_factory=dict)
     messages: int = 0
+    announcements: list[tuple[float, str]] = field(default_factory=list)
     not_repeated: int = 0
+    not_repeated_once: int = 0
     refused: int = 0
 
     def late_sends(self) -> int:
@@ -111,6 +121,7 @@
     had_event: bool = False
     ever: bool = False
     trial: bool = False
+    breaks: int = 0
 
 
 class Fleet:
@@ -137,7 +148,8 @@
             self._after(TICK_S * self._rng.random(), lambda rank=rank: self._tick(rank))
         for engine in scenario.flapping:
             self._after(
-                scenario.flap_s * self._rng.random(), lambda e=engine: self._flap(e)
+                scenario.flap_from + scenario.flap_s * self._rng.random(),
+                lambda e=engine: self._flap(e),
             )
         for at, engine, down_s in scenario.outages:
             self._after(at, lambda e=engine, d=down_s: self._crash(e, d))
@@ -172,6 +184,8 @@
         rng, scenario = self._rng, self.scenario
         for message in messages:
             self.result.messages += 1
+            if isinstance(message, PartQuarantined):
+                self.result.announcements.append((self.now, message.part))
             if rng.random() < scenario.correlated_loss:
                 continue
             for other in range(scenario.entries):
@@ -266,8 +280,12 @@
             parts = () if stream.had_event else stream.parts
             target = f"engine-{engine}"
             self._publish(stream.entry, entry.record_break(target, parts, self.now))
-            if stream.had_event or entry.may_repeat(stream.parts, self.now):
+            stream.breaks += not stream.had_event
+            if stream.had_event or entry.may_repeat(
+                stream.parts, self.now, stream.breaks
+            ):
                 if not stream.trial:
                     self._start(stream)
             elif scenario.culprits.isdisjoint(stream.parts):
                 self.result.not_repeated += 1
+                self.result.not_repeated_once += stream.breaks < 2
--- a/tests/quarantine/test_core.py
+++ b/tests/quarantine/test_core.py
@@ -1,6 +1,8 @@
 """Tests of the decisions on parts of prompts that crash engines."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from wigeonspan.quarantine import (
     PartQuarantined,
@@ -99,3 +101,100 @@
     assert quarantine.may_repeat(["x"], 11.0)
     quarantine.apply(StreamCrashed("t", ("x",)), 10.8)
     assert not quarantine.may_repeat(["x"], 11.0)
+
+
+def test_flood_of_new_parts_keeps_blamed_and_quarantined_ones():
+    """A caller with a new part in each request pushed out the evidence of others."""
+    quarantine = quarantine_of("x")
+    for number in range(2):
+        crash(quarantine, f"t{number}", ["y"], 20.0 + number)
+    for number in range(5000):
+        quarantine.record_break(f"f{number % 50}", [f"n{number}"], 30.0 + number)
+    assert quarantine.quarantined == ("x",)
+    assert quarantine.suspects <= 2000
+    crash(quarantine, "t2", ["y"], 6000.0)
+    assert set(quarantine.quarantined) == {"x", "y"}
+
+
+def test_number_of_quarantined_parts_is_bounded():
+    """Verdicts of other entries were kept without a limit."""
+    quarantine = quarantine_of("x")
+    for number in range(400):
+        quarantine.apply(PartQuarantined(f"p{number}", 5.0, 0, 1000.0), 20.0)
+    assert len(quarantine.quarantined) == 250 and "x" in quarantine.quarantined
+
+
+def test_long_ids_are_kept_as_digests():
+    """Ids of a megabyte each were kept in memory and sent to all entries."""
+    quarantine, name = PromptQuarantine(), "x" * 1_000_000
+    for number in range(3):
+        for message in crash(quarantine, f"t{number}", [name], float(number)):
+            assert all(len(p) <= 32 for p in getattr(message, "parts", ()))
+    assert quarantine.check([name], 5.0) and len(quarantine.quarantined[0]) <= 32
+
+
+def test_messages_of_a_prompt_with_many_parts_are_small():
+    """One message with thousands of parts did not fit into a datagram."""
+    quarantine = PromptQuarantine()
+    messages = quarantine.record_break("t", [f"p{n}" for n in range(5000)], 0.0)
+    assert all(len(message.parts) <= 64 for message in messages)
+    assert len(messages) == 4
+
+
+def test_entry_without_a_rank_lets_no_trial_through():
+    """An entry that had just started took itself for the only one."""
+    quarantine = PromptQuarantine()
+    quarantine.apply(PartQuarantined("x", 100.0), 50.0)
+    assert not any(quarantine.check(["x"], 51.0 + n).trial for n in range(20))
+
+
+@settings(max_examples=50, deadline=None)
+@given(st.integers(1, 195), st.floats(50.0, 4000.0), st.text(min_size=1, max_size=20))
+def test_no_two_entries_try_at_once(count, age_s, part):
+    """Two entries let a trial through before they knew of each other."""
+    entries = []
+    for rank in range(count):
+        entry = PromptQuarantine()
+        entry.set_entries(rank, count, 0.0)
+        entry.apply(PartQuarantined(part, 0.0), 100.0 + 0.1 * (rank % 2))
+        entries.append(entry)
+    if age_s < 60.0:
+        assert not any(e.check([part], 100.0 + age_s).trial for e in entries)
+    age_s = max(age_s, 60.2) % 28.0 + 61.0
+    assert sum(e.check([part], 100.0 + age_s).trial for e in entries) <= 1
+
+
+MESSAGES = st.one_of(
+    st.builds(
+        StreamCrashed,
+        st.sampled_from("tuv"),
+        st.lists(st.sampled_from("abcx"), max_size=3).map(tuple),
+        st.lists(st.integers(-2, 5), max_size=2).map(tuple),
+        st.floats(0.0, 2.0),
+    ),
+    st.builds(PartsCleared, st.sampled_from([("a",), ("x", "b")]), st.floats(0, 9)),
+    st.builds(
+        PartQuarantined,
+        st.sampled_from("abcx"),
+        st.floats(0.0, 900.0),
+        st.integers(0, 3),
+        st.floats(0.0, 900.0),
+    ),
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(st.tuples(MESSAGES, st.floats(0.0, 3.0)), max_size=30))
+def test_part_that_has_just_written_is_never_refused(messages):
+    """Messages that arrive late or twice kept a part in quarantine."""
+    quarantine, now = PromptQuarantine(), 1000.0
+    quarantine.set_entries(0, 3, 0.0)
+    for message, wait_s in messages:
+        now += wait_s
+        quarantine.apply(message, now)
+        quarantine.tick(now)
+    quarantine.record_written("abcx", now)
+    assert quarantine.check("abcx", now) is None
+    assert quarantine.may_repeat("abcx", now)
+    quarantine.tick(now + 1.0)
+    assert quarantine.check("abcx", now + 1.0) is None
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -151,12 +151,24 @@
             return Verdict(key, quarantine.return_s(now), True, (message,))
         return Verdict(key, quarantine.return_s(now))
 
-    def may_repeat(self, parts: Iterable[str], now: float) -> bool:
-        """Return whether a broken request may be sent to another engine."""
+    def may_repeat(self, parts: Iterable[str], now: float, breaks: int = 2) -> bool:
+        """Return whether a broken request may be sent to another engine.
+
+        Parameters
+        ----------
+        breaks : int
+            Number of times that the request was broken without an event.
+        """
         for key in map(part_key, parts):
             if key in self._quarantined:
                 return False
-            if is_suspect(self._evidence, key, self._has_written(key), now):
+            if is_suspect(
+                self._evidence,
+                key,
+                self._has_written(key),
+                first_break=breaks < 2,
+                now=now,
+            ):
                 return False
         return True
 
--- a/wigeonspan/quarantine/_evidence.py
+++ b/wigeonspan/quarantine/_evidence.py
@@ -20,14 +20,23 @@
 that show that a target crashes by itself. Two culprits at few engines cause two such
 crashes each before one of them is quarantined."""
 
-OTHER_CRASHES_SHARE = 3.0
+OTHER_CRASHES_SHARE = 2.0
 """Number of crashes of any target without a part, per crash with it, above which the
-part is taken to be in the crashes by chance. Four culprits that run side by side may
-cause a quarter of the crashes each."""
+part is taken to be in the crashes by chance. Three culprits that run side by side may
+cause a third of the crashes each."""
 
-SIMULTANEOUS_S = 0.3
+PLAIN_CRASHES_SHARE = 2.0
+"""Number of crashes that no part has caused, per crash with a part, above which the
+part is taken to be in the crashes by chance. A release restarts one engine after the
+other while a culprit crashes others."""
+
+PLAIN_AFTER_S = 0.3
+"""Seconds after which a crash without a remaining suspect is taken to be no part's
+fault; by then the reports of the other entries have arrived."""
+
+SIMULTANEOUS_S = 0.1
 """Seconds within which crashes of several targets count as one, such as the loss of a
-rack."""
+rack; at most about the delay of the reports, so that flapping targets count singly."""
 
 MAX_SUSPECTS = 2000
 """Maximum number of suspected parts; the least blamed ones are removed first."""
@@ -35,7 +44,7 @@
 MAX_BLAMES = 8
 """Maximum number of crashes that are kept for a part; a verdict needs fewer."""
 
-MAX_CRASH_SUSPECTS = 1024
+MAX_CRASH_SUSPECTS = 512
 """Maximum number of parts that are kept for a crash."""
 
 MAX_TARGETS = 1000
@@ -45,7 +54,7 @@
 """Maximum number of recent crashes that are kept for a target; enough to see that it
 crashes by itself."""
 
-MAX_RECENT_CRASHES = 512
+MAX_RECENT_CRASHES = 256
 """Maximum number of recent crashes of all targets that are kept."""
 
 
@@ -57,12 +66,15 @@
     at : float
         Time of the first break that was seen or reported.
     suspects : set of str
-        Parts that may be the cause.
+        Parts of the requests without an event.
+    remaining : set of str
+        Those of them on which no answer was written later; one may be the cause.
     """
 
     target: TargetId
     at: float
     suspects: set[str] = field(default_factory=set)
+    remaining: set[str] = field(default_factory=set)
 
 
 class Blame(Struct, eq=False):
@@ -171,6 +183,7 @@
         for position, part in enumerate(parts):
             if part in self._quarantined:
                 crash.suspects.add(part)
+                crash.remaining.add(part)
             elif part in crash.suspects:
                 suspect = self.get(part)
                 if suspect is not None:
@@ -179,6 +192,7 @@
                 is_news = True
                 crash.suspects.add(part)
                 if part not in cleared:
+                    crash.remaining.add(part)
                     self._add_blame(part, crash, companions, position)
         for part in written:
             suspect = self.get(part)
@@ -216,6 +230,9 @@
         suspect = self._pop(part)
         if suspect is None:
             return
+        for blame in suspect.blames:
+            if blame.crash.at <= written_at:
+                blame.crash.remaining.discard(part)
         suspect.blames = [b for b in suspect.blames if b.crash.at > written_at]
         suspect.has_written = True
         if suspect.blames:
@@ -238,14 +255,19 @@
         if suspect is None:
             return []
         crashes = []
+        recent = [c for c in self.unexplained(now) if now - c.at > PLAIN_AFTER_S]
         for blame in suspect.blames:
             if now - blame.crash.at <= FLAP_WINDOW_S:
                 blame.counts = not self._was_flapping(blame.crash, part)
             if blame.counts and blame.crash.at <= until:
                 crashes.append(blame.crash)
-        limit = OTHER_CRASHES_SHARE * len(crashes)
-        if crashes and self._count_other_times(part, now) > limit:
-            return []
+        if crashes:
+            others = self._count_times(c for c in recent if part not in c.suspects)
+            plain = self._count_times(c for c in recent if not c.remaining)
+            if others > OTHER_CRASHES_SHARE * len(
+                crashes
+            ) or plain > PLAIN_CRASHES_SHARE * len(crashes):
+                return []
         return crashes
 
     def _was_flapping(self, crash: Crash, part: str) -> bool:
@@ -267,11 +289,11 @@
             if now - crash.at <= FLAP_WINDOW_S and not self.is_explained(crash):
                 yield crash
 
-    def _count_other_times(self, part: str, now: float) -> int:
-        """Return how many times targets crashed without a part recently."""
+    def _count_times(self, crashes: Iterable[Crash]) -> int:
+        """Return how many times targets crashed, from the crashes, latest first."""
         times, latest = 0, float("inf")
-        for crash in self.unexplained(now):
-            if part not in crash.suspects and latest - crash.at > SIMULTANEOUS_S:
+        for crash in crashes:
+            if latest - crash.at > SIMULTANEOUS_S:
                 times, latest = times + 1, crash.at
         return times
 
--- a/wigeonspan/quarantine/_judgement.py
+++ b/wigeonspan/quarantine/_judgement.py
@@ -18,6 +18,11 @@
 SUSPECT_CRASHES = 2
 """Number of crashes from which a request is not repeated at another engine."""
 
+APART_S = 0.2
+"""Seconds by which the first and the last crash of a part must be apart. A rack that is
+lost breaks off streams of the same part at several engines at once, and the reports of
+that arrive up to 0.1 s apart."""
+
 SETTLE_S = 0.3
 """Seconds from the news of a crash to the verdict. The reports of other entries arrive
 within about 0.1 s, the culprit may be named in the last one, and answers on common
@@ -103,7 +108,11 @@
     """Return whether a part was in enough crashes to be the cause."""
     crashes = candidate.crashes
     unexplained = sum(not evidence.is_explained(crash) for crash in crashes)
-    if unexplained < MIN_UNEXPLAINED or len(crashes) < CRASHES_TO_QUARANTINE:
+    if (
+        unexplained < MIN_UNEXPLAINED
+        or len(crashes) < CRASHES_TO_QUARANTINE
+        or not _are_apart(crashes)
+    ):
         return False
     if not candidate.has_written or len(crashes) >= CRASHES_WITHOUT_DOUBT:
         return True
@@ -114,8 +123,17 @@
     )
 
 
-def is_suspect(evidence: Evidence, key: str, has_written: bool, now: float) -> bool:
-    """Return whether requests with a part are not to be repeated."""
+def is_suspect(
+    evidence: Evidence, key: str, has_written: bool, *, first_break: bool, now: float
+) -> bool:
+    """Return whether a broken request with a part is not to be repeated.
+
+    Parameters
+    ----------
+    first_break : bool
+        Whether the request was broken for the first time. Then crashes at the same time
+        as those of a lost rack do not count as several.
+    """
     suspect = evidence.get(key)
     if suspect is None or len(suspect.blames) < SUSPECT_CRASHES:
         return False
@@ -124,10 +142,17 @@
     crashes = evidence.counted_crashes(key, until, now)
     return (
         len(crashes) >= SUSPECT_CRASHES
+        and (_are_apart(crashes) or not first_break)
         and _count_alone(evidence, _Candidate(key, suspect, crashes, has_written)) > 0
     )
 
 
+def _are_apart(crashes: list[Crash]) -> bool:
+    """Return whether crashes were not all at the same time."""
+    times = [crash.at for crash in crashes]
+    return max(times) - min(times) > APART_S
+
+
 def _count_alone(evidence: Evidence, candidate: _Candidate) -> int:
     """Return how many crashes of a part have no likely cause inside it."""
     return sum(not _has_inner_cause(evidence, candidate, c) for c in candidate.crashes)
