Count at most one crash for each start of a target

A target that is down may take connections and reset them.

Reports of breaks have the start of the target, which crashes at most once.

--- a/tests/quarantine/test_alive.py
+++ b/tests/quarantine/test_alive.py
@@ -65,3 +65,17 @@
     for message in here.record_break(TARGETS[0], ["part"], 100.35):
         there.apply(message, 100.37)
     assert here.suspects == there.suspects == 0
+
+
+def test_target_that_is_down_does_not_crash_again():
+    """A sound part was held back after the breaks of connections to a target that was
+    down: each counted as a further crash (soak seed 733)."""
+    quarantine = PromptQuarantine()
+    for n in range(8):
+        quarantine.record_break(TARGETS[n % 2], ["part"], 100.0 + n, born_ms=n % 2 + 1)
+        quarantine.tick(100.9 + n)
+    assert quarantine.check(["part"], 110.0) is None
+    # The next start of the target may crash.
+    quarantine.record_break(TARGETS[0], ["part"], 111.0, born_ms=9)
+    quarantine.tick(112.0)
+    assert quarantine.check(["part"], 112.0) is not None
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -139,7 +139,7 @@
             self._publish_quarantine(verdict.publish)
         return verdict
 
-    def record_break(self, target: TargetId, parts: tuple[str, ...]) -> None:
+    def record_break(self, target: Target, parts: tuple[str, ...]) -> None:
         """Record that a target broke off a run, and tell the other entries.
 
         Parameters
@@ -148,7 +148,9 @@
             Shared parts of its prompt; empty when the run had had an event.
         """
         now = self.clock.now()
-        self._publish_quarantine(self.quarantine.record_break(target, parts, now))
+        self._publish_quarantine(
+            self.quarantine.record_break(target.target, parts, now, target.born_ms)
+        )
 
     def record_alive(self, target: TargetId) -> None:
         """Record an event of a target, which may refute that it has crashed."""
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -140,8 +140,9 @@
                 "streams_broken", had_event=str(had_event)
             )
         if failure.sent and failure.kind in (FailureKind.CLOSED, FailureKind.RESET):
+            self._progress.break_count += not had_event
             suspects = () if had_event else self._progress.shared_parts
-            self._progress.context.record_break(run.engine.target, suspects)
+            self._progress.context.record_break(run.engine, suspects)
         self._progress.engines.exclude_after_error(
             run.engine,
             "stream_broke_off",
--- a/wigeonspan/gateway/_progress.py
+++ b/wigeonspan/gateway/_progress.py
@@ -36,6 +36,8 @@
     round_count, prefill_count, stream_count, run_count : int
         Placements, sends for a prefill, sends for a stream, and those of the latter
         that may have run.
+    break_count : int
+        Runs that their engine broke off without an event.
     last_event_at : float or None
         Time of the last event.
     is_trial : bool
@@ -57,6 +59,7 @@
         self.prefill_count = 0
         self.stream_count = 0
         self.run_count = 0
+        self.break_count = 0
         self.last_event_at: float | None = None
         self.is_trial = False
         self.sent_head: Head | None = None
@@ -141,7 +144,7 @@
         if not self.can_resume():
             raise self.error("the events of the stream have no ids")
         if self.is_trial or not self.context.quarantine.may_repeat(
-            self.shared_parts, self.context.clock.now()
+            self.shared_parts, self.context.clock.now(), self.break_count
         ):
             raise self.error("engines may crash on a part of the prompt")
         if self.context.clock.now() >= self.active_request.deadline:
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -160,17 +160,29 @@
             return Verdict(key, quarantine.return_s(now), True, (message,))
         return Verdict(key, quarantine.return_s(now))
 
-    def may_repeat(self, parts: Iterable[str], now: float) -> bool:
-        """Return whether a broken request may be sent to another engine."""
+    def may_repeat(self, parts: Iterable[str], now: float, breaks: int = 2) -> bool:
+        """Return whether a broken request may be sent to another engine.
+
+        Parameters
+        ----------
+        breaks : int
+            Number of times that the request was broken without an event.
+        """
         for key in map(part_key, parts):
             if key in self._quarantined:
                 return False
-            if is_suspect(self._evidence, key, self._has_written(key), now):
+            if is_suspect(
+                self._evidence,
+                key,
+                self._has_written(key),
+                first_break=breaks < 2,
+                now=now,
+            ):
                 return False
         return True
 
     def record_break(
-        self, target: TargetId, parts: Sequence[str], now: float
+        self, target: TargetId, parts: Sequence[str], now: float, born_ms: int = 0
     ) -> list[QuarantineMessage]:
         """Record that a target broke off a stream; return what to publish.
 
@@ -179,13 +191,17 @@
         parts : sequence of str
             Parts of the prompt; empty when the stream had had an event. Such a break
             shows a crash without a suspect.
+        born_ms : int
+            Start of the target as in the list; 0 if unknown.
         """
         keys = list(dict.fromkeys(map(part_key, parts[:MAX_REQUEST_PARTS])))
         messages: list[QuarantineMessage] = []
         for start in range(0, max(1, len(keys)), MAX_MESSAGE_PARTS):
             chunk = keys[start : start + MAX_MESSAGE_PARTS]
             written = [i for i, key in enumerate(chunk) if key in self._written]
-            report = StreamCrashed(target, tuple(chunk), tuple(written))
+            report = StreamCrashed(
+                target, tuple(chunk), tuple(written), born_ms=born_ms
+            )
             crash = self._record_crash(report, now, now)
             if crash is None:
                 continue
@@ -198,10 +214,10 @@
         self, report: StreamCrashed, at: float, now: float
     ) -> Crash | None:
         """Record a report of a crash; return the crash if there is anything new."""
-        crash = self._evidence.find_crash(report.target, at)
+        crash = self._evidence.find_crash(report.target, at, report.born_ms)
         is_new = crash is None
         if crash is None:
-            crash = self._evidence.record_crash(report.target, at)
+            crash = self._evidence.record_crash(report.target, at, report.born_ms)
         parts = report.parts[:MAX_REQUEST_PARTS]
         written = [parts[i] for i in report.written if 0 <= i < len(parts)]
         cleared = {
@@ -353,7 +369,9 @@
             _, crash, report = self._reports.popleft()
             age_s = max(0.0, now - crash.at)
             messages.append(
-                StreamCrashed(report.target, report.parts, report.written, age_s)
+                StreamCrashed(
+                    report.target, report.parts, report.written, age_s, report.born_ms
+                )
             )
         for key, quarantine in list(self._quarantined.items()):
             if now - quarantine.requested_at > FORGET_S:
--- a/wigeonspan/quarantine/_evidence.py
+++ b/wigeonspan/quarantine/_evidence.py
@@ -25,14 +25,23 @@
 that show that a target crashes by itself. Two culprits at few engines cause two such
 crashes each before one of them is quarantined."""
 
-OTHER_CRASHES_SHARE = 3.0
+OTHER_CRASHES_SHARE = 2.0
 """Number of crashes of any target without a part, per crash with it, above which the
-part is taken to be in the crashes by chance. Four culprits that run side by side may
-cause a quarter of the crashes each."""
+part is taken to be in the crashes by chance. Three culprits that run side by side may
+cause a third of the crashes each."""
 
-SIMULTANEOUS_S = 0.3
+PLAIN_CRASHES_SHARE = 2.0
+"""Number of crashes that no part has caused, per crash with a part, above which the
+part is taken to be in the crashes by chance. A release restarts one engine after the
+other while a culprit crashes others."""
+
+PLAIN_AFTER_S = 0.3
+"""Seconds after which a crash without a remaining suspect is taken to be no part's
+fault; by then the reports of the other entries have arrived."""
+
+SIMULTANEOUS_S = 0.1
 """Seconds within which crashes of several targets count as one, such as the loss of a
-rack."""
+rack; at most about the delay of the reports, so that flapping targets count singly."""
 
 MAX_SUSPECTS = 2000
 """Maximum number of suspected parts; the least blamed ones are removed first."""
@@ -40,7 +49,7 @@
 MAX_BLAMES = 8
 """Maximum number of crashes that are kept for a part; a verdict needs fewer."""
 
-MAX_CRASH_SUSPECTS = 1024
+MAX_CRASH_SUSPECTS = 512
 """Maximum number of parts that are kept for a crash."""
 
 MAX_TARGETS = 1000
@@ -50,7 +59,7 @@
 """Maximum number of recent crashes that are kept for a target; enough to see that it
 crashes by itself."""
 
-MAX_RECENT_CRASHES = 512
+MAX_RECENT_CRASHES = 256
 """Maximum number of recent crashes of all targets that are kept."""
 
 
@@ -61,15 +70,21 @@
     ----------
     at : float
         Time of the first break that was seen or reported.
+    born_ms : int
+        Start of the target, which crashes at most once; 0 if unknown.
     suspects : set of str
-        Parts that may be the cause.
+        Parts of the requests without an event.
+    remaining : set of str
+        Those of them on which no answer was written later; one may be the cause.
     refuted : bool
         Whether the target went on with other streams, so that it has not crashed.
     """
 
     target: TargetId
     at: float
+    born_ms: int = 0
     suspects: set[str] = field(default_factory=set)
+    remaining: set[str] = field(default_factory=set)
     refuted: bool = False
 
 
@@ -136,14 +151,18 @@
         """Return the evidence against a part."""
         return self._blamed_once.get(part) or self._blamed_more.get(part)
 
-    def find_crash(self, target: TargetId, at: float) -> Crash | None:
-        """Return the known crash of a target at a time."""
+    def find_crash(self, target: TargetId, at: float, born_ms: int = 0) -> Crash | None:
+        """Return the known crash of a target at a time, or of the same start of it.
+
+        A target that is down may still take connections and reset them.
+        """
         for crash in reversed(self._crashes.get(target, ())):
-            if abs(crash.at - at) <= SAME_CRASH_S:
+            same_start = born_ms and crash.born_ms == born_ms and not crash.refuted
+            if same_start or abs(crash.at - at) <= SAME_CRASH_S:
                 return crash
         return None
 
-    def record_crash(self, target: TargetId, at: float) -> Crash:
+    def record_crash(self, target: TargetId, at: float, born_ms: int = 0) -> Crash:
         """Record a crash that is not known yet."""
         crashes = self._crashes.get(target)
         if crashes is None:
@@ -151,7 +170,7 @@
         self._crashes.move_to_end(target)
         while len(self._crashes) > MAX_TARGETS:
             self._crashes.popitem(last=False)
-        crash = Crash(target, at)
+        crash = Crash(target, at, born_ms)
         crashes.append(crash)
         self._recent.append(crash)
         return crash
@@ -201,6 +220,7 @@
         for position, part in enumerate(parts):
             if part in self._quarantined:
                 crash.suspects.add(part)
+                crash.remaining.add(part)
             elif part in crash.suspects:
                 suspect = self.get(part)
                 if suspect is not None:
@@ -209,6 +229,7 @@
                 is_news = True
                 crash.suspects.add(part)
                 if part not in cleared:
+                    crash.remaining.add(part)
                     self._add_blame(part, crash, companions, position)
         for part in written:
             suspect = self.get(part)
@@ -246,6 +267,9 @@
         suspect = self._pop(part)
         if suspect is None:
             return
+        for blame in suspect.blames:
+            if blame.crash.at <= written_at:
+                blame.crash.remaining.discard(part)
         suspect.blames = [b for b in suspect.blames if b.crash.at > written_at]
         suspect.has_written = True
         if suspect.blames:
@@ -268,14 +292,19 @@
         if suspect is None:
             return []
         crashes = []
+        recent = [c for c in self.unexplained(now) if now - c.at > PLAIN_AFTER_S]
         for blame in suspect.blames:
             if now - blame.crash.at <= FLAP_WINDOW_S:
                 blame.counts = not self._was_flapping(blame.crash, part)
             if blame.counts and blame.crash.at <= until:
                 crashes.append(blame.crash)
-        limit = OTHER_CRASHES_SHARE * len(crashes)
-        if crashes and self._count_other_times(part, now) > limit:
-            return []
+        if crashes:
+            others = self._count_times(c for c in recent if part not in c.suspects)
+            plain = self._count_times(c for c in recent if not c.remaining)
+            if others > OTHER_CRASHES_SHARE * len(
+                crashes
+            ) or plain > PLAIN_CRASHES_SHARE * len(crashes):
+                return []
         return crashes
 
     def _was_flapping(self, crash: Crash, part: str) -> bool:
@@ -299,11 +328,11 @@
             if is_recent and not self.is_explained(crash):
                 yield crash
 
-    def _count_other_times(self, part: str, now: float) -> int:
-        """Return how many times targets crashed without a part recently."""
+    def _count_times(self, crashes: Iterable[Crash]) -> int:
+        """Return how many times targets crashed, from the crashes, latest first."""
         times, latest = 0, float("inf")
-        for crash in self.unexplained(now):
-            if part not in crash.suspects and latest - crash.at > SIMULTANEOUS_S:
+        for crash in crashes:
+            if latest - crash.at > SIMULTANEOUS_S:
                 times, latest = times + 1, crash.at
         return times
 
--- a/wigeonspan/quarantine/_messages.py
+++ b/wigeonspan/quarantine/_messages.py
@@ -17,12 +17,15 @@
         Indices of the parts on which the entry has recently seen an answer.
     age_s : float
         Seconds from the crash to the sending of this message.
+    born_ms : int
+        Start of the target as in the list; 0 if unknown.
     """
 
     target: TargetId
     parts: tuple[str, ...] = ()
     written: tuple[int, ...] = ()
     age_s: float = 0.0
+    born_ms: int = 0
 
 
 class TargetAlive(Struct, frozen=True, tag="alive", array_like=True):
