Let a silent engine go on until its successor has a token

At its progress timer, the entry ended the attempt, recorded a failure of the engine and only then looked for another one. A sound engine that pauses for longer than the limit lost its stream when no other engine could run it, when all of them paused, or when the retry budget was used up.

A silence now ends nothing. The relay looks for a successor (lease, route, limit of attempts, budget) and starts it beside the silent attempt; the first of the two with a new token goes on, and the other one ends without a fault. A successor that is refused, unreachable or faulty leaves the silent attempt, which waits until the deadline; the search is repeated at each timeout. 0.25 s after the successor has a connection, the silent attempt ends in any case, so that two engines work on one request for less than 0.4 s. A silence counts as no failure: three in a row keep new work away until the engine sends a token, completes a response or answers a probe, without backoff. Attempts, charges to the budget and the reported state of execution follow the same rules as before.

Weighed: choosing a successor before the silent attempt is abandoned and keeping the latter after a refusal needs both attempts at once as well, because a refusal comes after the request was sent. So the tracker accepts both until the first new token, which is a check of one dictionary. A successor uses no separate prefill engine, so that a refusal comes before the takeover.

After: tests/entryd, streams, routing, calls, engines and standins pass.

--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -31,6 +31,8 @@
         or sends with the identifier of another attempt.
     freeze_after_tokens : int or None
         Streams hang, with open connections, after this many tokens.
+    freeze_s : float
+        Seconds after which these streams go on; 0 for never.
     frozen : bool
         No request is answered until the fault is cleared.
     refuse_status : int
@@ -53,6 +55,7 @@
     garbage_position: int | None = None
     cross_position: int | None = None
     freeze_after_tokens: int | None = None
+    freeze_s: float = 0.0
     frozen: bool = False
     refuse_status: int = 0
     request_limit: str = ""
--- a/tests/entryd/test_relay.py
+++ b/tests/entryd/test_relay.py
@@ -62,6 +62,7 @@
     """Engine stream without a connection."""
 
     reused = False
+    connected = True
 
     def close(self):
         pass
--- a/tests/routing/test_health_and_prefixes.py
+++ b/tests/routing/test_health_and_prefixes.py
@@ -148,3 +148,62 @@
     routes = router.routes(make_request(prefixes=PREFIXES), 0.1)
     assert len(routes) <= 13
     assert "e399" in {route.engine for route in routes}
+
+
+def make_health(targets=4):
+    """Return the health of some targets of one group."""
+    health = TargetHealth(RoutingSettings())
+    health.update_targets({f"t{n}": "sheets" for n in range(targets)})
+    return health
+
+
+@pytest.mark.parametrize("end", ["activity", "success", "probe"])
+def test_silences_only_keep_new_work_away(end):
+    """Silences of a sound target once counted as failures of it."""
+    health = make_health()
+    limit = RoutingSettings().failures_to_eject
+    for _ in range(limit - 1):
+        health.record_silence("t0", 0.0)
+    assert not health.is_ejected("t0")
+    health.record_silence("t0", 0.0)
+    assert health.is_ejected("t0")
+    if end == "activity":
+        health.record_activity("t0")
+    elif end == "success":
+        health.record_success("t0", 0.1, 1.0)
+    else:
+        assert health.probe_targets(RoutingSettings().eject_s) == ["t0"]
+        health.record_probe("t0", True, RoutingSettings().eject_s)
+    assert not health.is_ejected("t0")
+    for _ in range(limit - 1):
+        health.record_failure("t0", 9.0)
+        assert not health.is_ejected("t0")
+    health.record_failure("t0", 9.0)
+    assert health.is_ejected("t0")
+    # The first ejection after failures has not been doubled by the silence.
+    assert not health.probe_targets(8.9 + RoutingSettings().eject_s)
+    assert health.probe_targets(9.0 + RoutingSettings().eject_s) == ["t0"]
+
+
+def test_activity_does_not_end_an_ejection_after_failures():
+    """A late token of a failing engine must not bring it new work."""
+    health = make_health()
+    for _ in range(RoutingSettings().failures_to_eject):
+        health.record_failure("t1", 0.0)
+        health.record_silence("t0", 0.0)
+    health.record_activity("t1")
+    assert health.is_ejected("t1")
+    # At most a third of the targets may be without new work.
+    assert not health.is_ejected("t0")
+
+
+def test_silent_target_is_ejected_again_after_its_probe():
+    """A target that answers probes but no request must not get requests for long."""
+    health = make_health()
+    settings = RoutingSettings()
+    for _ in range(settings.failures_to_eject):
+        health.record_silence("t0", 0.0)
+    health.probe_targets(settings.eject_s)
+    health.record_probe("t0", True, settings.eject_s)
+    health.record_silence("t0", settings.eject_s)
+    assert health.is_ejected("t0")
--- a/wigeonspan/engines/_client.py
+++ b/wigeonspan/engines/_client.py
@@ -122,6 +122,11 @@
         """Whether the attempt uses a connection that was already open."""
         return self._exchange.reused
 
+    @property
+    def connected(self) -> bool:
+        """Whether the engine may have received a part of the request."""
+        return self._exchange.connected
+
     def close(self) -> None:
         """Close the connection and send the listener no further events."""
         self._listener = None
--- a/wigeonspan/engines/_connections.py
+++ b/wigeonspan/engines/_connections.py
@@ -151,6 +151,13 @@
             return False
         return int(self._curl.getinfo(pycurl.NUM_CONNECTS)) == 0
 
+    @property
+    def connected(self) -> bool:
+        """Whether a part of the request may have been sent."""
+        if self._curl is None:
+            return self.ended.done()
+        return float(self._curl.getinfo(pycurl.PRETRANSFER_TIME)) > 0.0
+
     @property
     def status(self) -> int:
         """HTTP status, or 0 before the response head has arrived."""
--- a/wigeonspan/entryd/_attempt.py
+++ b/wigeonspan/entryd/_attempt.py
@@ -3,121 +3,44 @@
 import asyncio
 from collections.abc import Callable
 
-from msgspec import Struct
-
 from wigeonspan.common import AttemptId, EngineId, WigeonspanError
 from wigeonspan.engines import CompletionExtension, KvImportRequest, RunPhase
-from wigeonspan.engines.tasks import EngineStream
 from wigeonspan.entryd._completion_job import CompletionJob, RelayContext
 from wigeonspan.entryd._requests import engine_fields
+from wigeonspan.entryd._stage import (
+    AttemptOutcome,
+    RunningStage,
+    Silence,
+    Stage,
+    StageListener,
+)
 from wigeonspan.routing import AttemptEnd, AttemptResult, EngineRoute, RouteRequest
 from wigeonspan.streams import (
     ResumePoint,
     StreamFault,
     StreamTracker,
     Token,
-    TokenFrame,
     TrackerResult,
 )
 
 FIRST_TOKEN_FACTOR = 3.0
-"""An attempt fails when its first token takes longer than this multiple of the expected
-time, which is computed from reports that may be out of date."""
-
-_CONNECTION_FAULTS = frozenset({StreamFault.SILENT, StreamFault.STALLED})
-
-_CANCEL_FAULTS = frozenset(
-    {
-        StreamFault.SILENT,
-        StreamFault.STALLED,
-        StreamFault.GARBAGE,
-        StreamFault.POSITION,
-        StreamFault.COUNT,
-    }
-)
-
-
-class AttemptOutcome(Struct, frozen=True):
-    """Result of an attempt.
-
-    Parameters
-    ----------
-    tracker_result : TrackerResult
-        Last result of the tracker: a fault, a pause or the complete response.
-    status : int
-        HTTP status of the engine, 0 when there was none.
-    message : str
-        Error message of the engine or the connection.
-    stale_connection : bool
-        Whether nothing was received over a reused connection. The connection may have
-        died while it was idle, so this does not count as a failure of the engine.
-    """
-
-    tracker_result: TrackerResult
-    status: int = 0
-    message: str = ""
-    stale_connection: bool = False
-
-
-class _Stage(Struct, frozen=True):
-    """Part of an attempt that one engine runs: prefill, decode or both."""
+"""An engine counts as silent when its first token takes longer than this multiple of
+the expected time, which is computed from reports that may be out of date."""
 
-    attempt: AttemptId
-    engine: EngineId
-    address: str
-    phase: RunPhase
-    kv_handle: str = ""
-    decode_engine: EngineId | None = None
+_SILENCE_FAULTS = frozenset({StreamFault.SILENT, StreamFault.STALLED})
 
-
-class _Listener:
-    """Stream listener that passes the events of one attempt to the tracker."""
-
-    def __init__(
-        self,
-        attempt: AttemptId,
-        tracker: StreamTracker,
-        now: Callable[[], float],
-        on_token: Callable[[Token], None],
-    ) -> None:
-        self._attempt = attempt
-        self._tracker = tracker
-        self._now = now
-        self._on_token = on_token
-        self.ended: asyncio.Future[AttemptOutcome] = asyncio.Future()
-
-    def on_frame(self, frame: TokenFrame) -> None:
-        """Handle a chunk."""
-        tracker_result = self._tracker.on_frame(frame, self._attempt, self._now())
-        if tracker_result.token is not None:
-            self._on_token(tracker_result.token)
-        if tracker_result.fault is not None or tracker_result.pause:
-            self.end(AttemptOutcome(tracker_result, 200))
-
-    def on_comment(self) -> None:
-        """Handle a keep-alive comment."""
-        self._tracker.on_comment(self._attempt, self._now())
-
-    def on_end_marker(self) -> None:
-        """Handle the end marker."""
-        tracker_result = self._tracker.on_end_marker(self._attempt, self._now())
-        if tracker_result.complete or tracker_result.fault is not None:
-            self.end(AttemptOutcome(tracker_result, 200))
-
-    def on_ended(self, fault: StreamFault, status: int, message: str) -> None:
-        """Handle the end of the connection."""
-        tracker_result = self._tracker.on_ended(self._attempt, fault)
-        if tracker_result.fault is not None:
-            self.end(AttemptOutcome(tracker_result, status, message))
-
-    def end(self, outcome: AttemptOutcome) -> None:
-        """Set the outcome of the attempt unless it has ended."""
-        if not self.ended.done():
-            self.ended.set_result(outcome)
+_CANCEL_FAULTS = _SILENCE_FAULTS | {
+    StreamFault.GARBAGE,
+    StreamFault.POSITION,
+    StreamFault.COUNT,
+}
 
 
 class AttemptRunner:
-    """Runs the attempts of a job, one at a time, and tracks the response.
+    """Runs the attempts of a job and tracks the response.
+
+    One attempt runs at a time, or a silent one and its successor. When one of them has
+    a new token, the other one ends without a fault.
 
     Parameters
     ----------
@@ -143,36 +66,93 @@
         self._tracker = tracker
         self._on_token = on_token
         self._use_fresh_connection = False
-        self._stage: _Stage | None = None
-        self._listener: _Listener | None = None
+        # The newest stage is the last one.
+        self._running: list[RunningStage] = []
+        # Attempt and position of the last silence.
+        self._silent_since: tuple[AttemptId, int] | None = None
 
     @property
     def engine(self) -> EngineId | None:
-        """Engine that runs the job now, or None."""
-        return self._stage.engine if self._stage is not None else None
+        """Engine that runs the newest attempt now, or None."""
+        return self._running[-1].stage.engine if self._running else None
+
+    @property
+    def newest_connected(self) -> bool:
+        """Whether the engine of the newest attempt may have received the request."""
+        return bool(self._running) and self._running[-1].stream.connected
 
     def reroute(self) -> None:
-        """End the running stage without a fault, so that another engine continues."""
-        if self._listener is not None:
-            self._listener.end(AttemptOutcome(TrackerResult(), 200, "moved"))
+        """End the newest stage without a fault, so that another engine continues."""
+        if self._running:
+            self._end_without_fault(self._running[-1], "moved")
+
+    def end_silent(self) -> None:
+        """End all attempts but the newest one without a fault."""
+        if not self._running or self._running[-1].listener.ended.done():
+            # The newest attempt has just ended, so a silent one may be needed.
+            return
+        for running in self._running[:-1]:
+            self._end_without_fault(running, "superseded")
 
-    async def run(
-        self, route: EngineRoute, request: RouteRequest
-    ) -> AttemptOutcome | None:
-        """Run one attempt on the engines of a route.
+    def check_silence(self) -> Silence | None:
+        """Return whether a timeout of the newest attempt has expired.
+
+        The attempt goes on. The router keeps new work away from an engine that is
+        silent repeatedly.
+        """
+        context, now = self._context, self._context.clock.now()
+        fault = self._tracker.check_silence(now)
+        if fault is None:
+            return None
+        newest = self._running[-1]
+        stale = fault is StreamFault.SILENT and newest.stream.reused
+        # Other idle connections to the engine may be dead, too.
+        self._use_fresh_connection |= stale
+        context.engines.avoid_idle_connections(newest.stage.address)
+        silent_since = (newest.stage.attempt, self._tracker.position)
+        is_new = silent_since != self._silent_since
+        self._silent_since = silent_since
+        if is_new and not stale:
+            context.router.record_silence(newest.stage.attempt, now)
+        return Silence(fault, stale, is_new)
+
+    def start(
+        self, route: EngineRoute, request: RouteRequest, *, beside_silent: bool = False
+    ) -> "asyncio.Task[AttemptOutcome | None]":
+        """Start one attempt on the engines of a route.
+
+        Parameters
+        ----------
+        beside_silent : bool
+            Whether the attempt is the successor of a silent one that goes on. It skips
+            the prefill engine: the silent attempt ends soon after its successor has
+            begun, so the only engine that may refuse must do so at once.
 
         Returns
         -------
-        AttemptOutcome or None
-            None when the deadline passed first.
+        asyncio.Task
+            Its result is None when the deadline passed first.
         """
-        handle = ""
-        if route.prefill_engine is not None:
-            handle = await self._prefill(route, request)
-        phase = RunPhase.DECODE if handle else RunPhase.FULL
+        if route.prefill_engine is not None and not beside_silent:
+            return asyncio.create_task(self._run_with_prefill(route, request))
+        stage = self._last_stage(route, "")
+        begun = self._begin_stage(
+            stage, self._tracker, request, route.first_token_s, beside_silent
+        )
+        return asyncio.create_task(self._finish_stage(begun))
+
+    def _last_stage(self, route: EngineRoute, kv_handle: str) -> Stage:
+        """Return the stage that generates the output."""
+        phase = RunPhase.DECODE if kv_handle else RunPhase.FULL
         attempt = self._context.next_attempt()
-        stage = _Stage(attempt, route.engine, route.address, phase, handle)
-        return await self._run_stage(stage, self._tracker, request, route.first_token_s)
+        return Stage(attempt, route.engine, route.address, phase, kv_handle)
+
+    async def _run_with_prefill(
+        self, route: EngineRoute, request: RouteRequest
+    ) -> AttemptOutcome | None:
+        stage = self._last_stage(route, await self._prefill(route, request))
+        begun = self._begin_stage(stage, self._tracker, request, route.first_token_s)
+        return await self._finish_stage(begun)
 
     async def _prefill(self, route: EngineRoute, request: RouteRequest) -> str:
         """Compute the prompt on the prefill engine and transfer its KV cache.
@@ -184,7 +164,7 @@
             the decode engine then computes the prompt itself.
         """
         assert route.prefill_engine is not None
-        stage = _Stage(
+        stage = Stage(
             self._context.next_attempt(),
             route.prefill_engine,
             route.prefill_address,
@@ -193,7 +173,8 @@
         )
         start = ResumePoint(self._tracker.position, self._tracker.text)
         tracker = StreamTracker(self._context.limits, start)
-        outcome = await self._run_stage(stage, tracker, request, route.first_token_s)
+        begun = self._begin_stage(stage, tracker, request, route.first_token_s)
+        outcome = await self._finish_stage(begun)
         if outcome is None or not outcome.tracker_result.complete:
             return ""
         engines = self._context.engines
@@ -205,29 +186,37 @@
             self._context.metrics.count("kv_transfer_failed")
             return ""
 
-    async def _run_stage(
+    def _begin_stage(
         self,
-        stage: _Stage,
+        stage: Stage,
         tracker: StreamTracker,
         request: RouteRequest,
         first_token_s: float,
-    ) -> AttemptOutcome | None:
-        """Run one stage on its engine and report it to the router."""
+        beside_silent: bool = False,
+    ) -> RunningStage | AttemptOutcome:
+        """Begin one stage on its engine; return the outcome if it may not begin."""
         context = self._context
         if not context.has_lease() or not context.accepts_new_work(stage.engine):
             # The lease and the engine's phase can change during the prefill.
             tracker_result = TrackerResult(fault=StreamFault.REFUSED)
             return AttemptOutcome(tracker_result, 0, "the engine accepts no new work")
         now = context.clock.now()
-        point = tracker.begin(stage.attempt, now, FIRST_TOKEN_FACTOR * first_token_s)
+        point = tracker.begin(
+            stage.attempt,
+            now,
+            FIRST_TOKEN_FACTOR * first_token_s,
+            beside_silent=beside_silent,
+        )
 
         def on_token(token: Token) -> None:
             # The router estimates rates from the times of the first and last token.
             tokens = token.position + 1 - point.position
             context.router.record_progress(stage.attempt, tokens, context.clock.now())
+            if len(self._running) > 1:
+                self._end_others(stage.attempt)
             self._on_token(token)
 
-        listener = _Listener(stage.attempt, tracker, context.clock.now, on_token)
+        listener = StageListener(stage.attempt, tracker, context.clock.now, on_token)
         context.router.record_start(
             stage.attempt,
             stage.engine,
@@ -236,9 +225,7 @@
             decode_engine=stage.decode_engine,
             prefilled=bool(stage.kv_handle),
         )
-        self._stage, self._listener = stage, listener
         context.target_limits.record_sent(stage.address)
-        result = AttemptResult.CANCELLED
         stream = context.engines.stream(
             stage.address,
             engine_fields(self._job.body, self._job.model),
@@ -246,21 +233,31 @@
             listener,
             self._use_fresh_connection,
         )
+        running = RunningStage(stage, tracker, listener, stream)
+        self._running.append(running)
+        return running
+
+    async def _finish_stage(
+        self, running: RunningStage | AttemptOutcome
+    ) -> AttemptOutcome | None:
+        """Wait until a stage ends and report it to the router."""
+        if isinstance(running, AttemptOutcome):
+            return running
+        context, attempt = self._context, running.stage.attempt
+        result = AttemptResult.CANCELLED
         outcome = None
         try:
-            outcome = await self._wait_for_end(listener, tracker, stream)
+            outcome = await self._wait_for_end(running)
             result = _attempt_result(outcome)
         finally:
-            self._stage = self._listener = None
-            tracker.abandon(stage.attempt)
-            self._end_stream(stage, stream, outcome)
-            context.router.record_end(
-                stage.attempt, AttemptEnd(result), context.clock.now()
-            )
+            self._running.remove(running)
+            running.tracker.abandon(attempt)
+            self._end_stream(running, outcome)
+            context.router.record_end(attempt, AttemptEnd(result), context.clock.now())
         return outcome
 
     def _extension(
-        self, stage: _Stage, point: ResumePoint, now: float
+        self, stage: Stage, point: ResumePoint, now: float
     ) -> CompletionExtension:
         return CompletionExtension(
             attempt=stage.attempt,
@@ -272,19 +269,36 @@
             phase=stage.phase,
         )
 
-    async def _wait_for_end(
-        self, listener: _Listener, tracker: StreamTracker, stream: EngineStream
-    ) -> AttemptOutcome | None:
-        """Wait until the attempt ends, times out, or reaches the deadline.
+    def _end_others(self, attempt: AttemptId) -> None:
+        """End all attempts but one, which has a new token."""
+        for running in self._running:
+            if running.stage.attempt != attempt:
+                self._end_without_fault(running, "superseded")
+
+    def _end_without_fault(self, running: RunningStage, message: str) -> None:
+        # Without this, a token that arrives before the attempt's task runs would end
+        # the other attempt as well.
+        self._tracker.abandon(running.stage.attempt)
+        running.listener.end(AttemptOutcome(TrackerResult(), 200, message))
+
+    async def _wait_for_end(self, running: RunningStage) -> AttemptOutcome | None:
+        """Wait until the stage ends or reaches the deadline.
+
+        A prefill also ends when it times out, because the decode engine can compute
+        the prompt itself. Otherwise the relay checks the timeouts.
 
         Returns
         -------
         AttemptOutcome or None
             None when the deadline passed first.
         """
-        clock = self._context.clock
+        clock, listener = self._context.clock, running.listener
+        tracker = running.tracker
+        is_prefill = tracker is not self._tracker
         while True:
-            due = min(tracker.next_check, self._job.deadline)
+            due = self._job.deadline
+            if is_prefill:
+                due = min(due, tracker.next_check)
             wait_s = max(0.0, due - clock.now())
             await asyncio.wait({listener.ended}, timeout=wait_s)
             if listener.ended.done():
@@ -292,25 +306,29 @@
             now = clock.now()
             if now >= self._job.deadline:
                 return None
+            if not is_prefill:
+                continue
             tracker_result = tracker.check(now)
             if tracker_result.fault is not None:
-                stale = tracker_result.fault is StreamFault.SILENT and stream.reused
+                silent = tracker_result.fault is StreamFault.SILENT
+                stale = silent and running.stream.reused
                 # Other idle connections to the engine may be dead, too.
                 self._use_fresh_connection |= stale
-                return AttemptOutcome(
-                    tracker_result, 0, "no token arrived in time", stale
-                )
+                if not stale:
+                    self._context.router.record_silence(running.stage.attempt, now)
+                return AttemptOutcome(tracker_result, 0, "no token arrived in time")
 
     def _end_stream(
-        self, stage: _Stage, stream: EngineStream, outcome: AttemptOutcome | None
+        self, running: RunningStage, outcome: AttemptOutcome | None
     ) -> None:
         """Keep the connection after a complete response; close it otherwise."""
+        stage, stream = running.stage, running.stream
         if outcome is not None and outcome.tracker_result.complete:
             stream.release()
             return
         stream.close()
         fault = outcome.tracker_result.fault if outcome is not None else None
-        if fault in _CONNECTION_FAULTS:
+        if fault in _SILENCE_FAULTS:
             self._context.engines.avoid_idle_connections(stage.address)
         if fault is None or fault in _CANCEL_FAULTS:
             # The engine may not notice that a dead connection was closed.
@@ -320,7 +338,8 @@
 def _attempt_result(outcome: AttemptOutcome | None) -> AttemptResult:
     if outcome is not None and outcome.tracker_result.complete:
         return AttemptResult.OK
-    has_fault = outcome is not None and outcome.tracker_result.fault is not None
-    if has_fault and not outcome.stale_connection:
-        return AttemptResult.FAILED
-    return AttemptResult.CANCELLED
+    fault = outcome.tracker_result.fault if outcome is not None else None
+    if fault is None or fault in _SILENCE_FAULTS:
+        # A silent engine may be sound.
+        return AttemptResult.CANCELLED
+    return AttemptResult.FAILED
--- a/wigeonspan/entryd/_relay.py
+++ b/wigeonspan/entryd/_relay.py
@@ -1,8 +1,14 @@
-"""Relay of an admitted completion, which is retried after faults."""
+"""Relay of an admitted completion, which is retried after faults.
+
+A silent engine may be sound, so its attempt goes on while a successor begins: a hedged
+request (Dean and Barroso, "The Tail at Scale", Communications of the ACM, 2013).
+"""
 
 import asyncio
 from collections.abc import Callable
 
+from msgspec import Struct
+
 from wigeonspan.catalog import URGENT_CLASSES
 from wigeonspan.common import (
     EngineId,
@@ -11,8 +17,9 @@
     WigeonspanError,
     part_logger,
 )
-from wigeonspan.entryd._attempt import AttemptOutcome, AttemptRunner
+from wigeonspan.entryd._attempt import AttemptRunner
 from wigeonspan.entryd._completion_job import CompletionJob, RelayContext
+from wigeonspan.entryd._stage import AttemptOutcome, Silence
 from wigeonspan.routing import EngineRoute, RouteRequest
 from wigeonspan.streams import StreamFault, StreamTracker, Token
 
@@ -23,6 +30,14 @@
 """Number of tokens after which the time between two tokens is reported again. A metrics
 datagram for each token would cost more than relaying the token."""
 
+TAKEOVER_S = 0.25
+"""Seconds after which a silent attempt ends although its successor has no token either:
+two engines must not work on one request for longer than 0.4 s."""
+
+CONNECTION_CHECK_S = 0.05
+"""Interval in seconds of the checks whether a successor has a connection. Before, its
+engine does not work on the request, and may be unreachable."""
+
 _NOT_RUN_FAULTS = frozenset({StreamFault.UNREACHABLE, StreamFault.REFUSED})
 
 _BAD_REQUEST_STATUSES = frozenset({400, 413, 422})
@@ -30,6 +45,13 @@
 _log = part_logger("relay")
 
 
+class _Attempt(Struct, frozen=True, eq=False):
+    """Attempt in progress."""
+
+    route: EngineRoute
+    task: "asyncio.Task[AttemptOutcome | None]"
+
+
 class CompletionRelay:
     """Runs one completion until its response is complete.
 
@@ -56,7 +78,13 @@
         self._buffer_drained = asyncio.Event()
         self._faults_by_engine: dict[EngineId, set[StreamFault]] = {}
         self._may_have_run = False
-        self._attempts_without_progress = 0
+        # Two while a silent attempt and its successor run; the newest is the last one.
+        self._attempts: list[_Attempt] = []
+        # Time at which the silent attempt ends; None before its successor has a
+        # connection.
+        self._takeover_at: float | None = None
+        self._last_start_position = 0
+        self._retries_without_progress = 0
         self._last_token_at = 0.0
         self._attempt_runner = AttemptRunner(
             context, job, self._tracker, self._on_token
@@ -98,18 +126,122 @@
         """
         self._context.budget.record_first_attempt()
         fault: StreamFault | None = None
-        while not self._tracker.complete:
-            if self._tracker.paused:
-                await self._wait_for_buffer()
-            route = self._choose(fault)
-            position = self._tracker.position
-            outcome = await self._attempt_runner.run(route, self._request(frozenset()))
+        try:
+            while not self._tracker.complete:
+                if not self._attempts:
+                    if self._tracker.paused:
+                        await self._wait_for_buffer()
+                    self._start(self._choose(fault))
+                await self._wait_for_event()
+                fault = self._handle_ended_attempts()
+        finally:
+            await self._cancel_attempts()
+
+    def _start(self, route: EngineRoute) -> None:
+        """Start an attempt, beside the silent one if there is one."""
+        self._last_start_position = self._tracker.position
+        self._takeover_at = None
+        task = self._attempt_runner.start(
+            route, self._request(frozenset()), beside_silent=bool(self._attempts)
+        )
+        self._attempts.append(_Attempt(route, task))
+
+    async def _cancel_attempts(self) -> None:
+        tasks = [attempt.task for attempt in self._attempts]
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _wait_for_event(self) -> None:
+        """Wait until an attempt ends or a timeout expires, and handle the timeout."""
+        now = self._context.clock.now()
+        if len(self._attempts) == 1:
+            # An attempt with a prefill engine begins its last stage later. No timeout
+            # of it can expire earlier than the shortest one.
+            limits = self._context.limits
+            shortest_s = min(limits.progress_timeout_s, limits.silence_timeout_s)
+            due = min(self._tracker.next_check, now + shortest_s)
+        elif self._takeover_at is None:
+            due = now + CONNECTION_CHECK_S
+        else:
+            due = self._takeover_at
+        tasks = {attempt.task for attempt in self._attempts}
+        done, _ = await asyncio.wait(
+            tasks,
+            timeout=max(0.0, due - now),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if done:
+            return
+        if len(self._attempts) == 1:
+            silence = self._attempt_runner.check_silence()
+            if silence is not None:
+                self._handle_silence(self._attempts[0], silence)
+        elif self._takeover_at is not None:
+            self._attempt_runner.end_silent()
+        elif self._attempt_runner.newest_connected:
+            self._takeover_at = self._context.clock.now() + TAKEOVER_S
+
+    def _handle_ended_attempts(self) -> StreamFault | None:
+        """Handle the ends of attempts; return the fault of the last one.
+
+        Raises
+        ------
+        WigeonspanError
+            When no attempt goes on and no further one is allowed.
+        """
+        fault: StreamFault | None = None
+        for attempt in [a for a in self._attempts if a.task.done()]:
+            if self._tracker.complete:
+                return None
+            self._attempts.remove(attempt)
+            outcome = attempt.task.result()
             if outcome is None:
                 self._may_have_run = True
                 raise self._deadline_error()
             fault = outcome.tracker_result.fault
             if fault is not None:
-                self._handle_fault(route, outcome, self._tracker.position > position)
+                self._handle_fault(attempt.route, outcome)
+        if fault is not None and self._attempts:
+            self._start_successor(fault)
+        return fault
+
+    def _handle_silence(self, attempt: _Attempt, silence: Silence) -> None:
+        """Start a successor of a silent attempt, which goes on."""
+        if silence.is_new:
+            message = "no token arrived in time"
+            self._log_fault(attempt.route, silence.fault, message)
+        self._may_have_run = True
+        if not silence.stale_connection:
+            self._add_fault(attempt.route, silence.fault)
+        self._start_successor(silence.fault, silence.stale_connection)
+
+    def _start_successor(
+        self, fault: StreamFault, stale_connection: bool = False
+    ) -> None:
+        """Start an attempt beside the one that goes on, if another engine may run it.
+
+        Parameters
+        ----------
+        fault : StreamFault
+            Fault of the attempt that was started last.
+        stale_connection : bool
+            Whether the connection may be dead, so that the same engine may run the
+            successor if no other one may.
+        """
+        if self._tracker.active is None or not self._context.has_lease():
+            # Without an active attempt, the one that went on has just ended.
+            return
+        now = self._context.clock.now()
+        busy = frozenset(attempt.route.engine for attempt in self._attempts)
+        route = self._find_route(fault, busy, now)
+        if route is None and stale_connection:
+            route = self._find_route(fault, frozenset(), now)
+        if route is None or now + route.first_token_s >= self._job.deadline:
+            return
+        if self._take_retry() is None:
+            self._start(route)
 
     def _on_token(self, token: Token) -> None:
         now = self._context.clock.now()
@@ -141,8 +273,10 @@
     def _choose(self, fault: StreamFault | None) -> EngineRoute:
         """Choose a route.
 
-        An engine that has failed is chosen again only when no other one is available
-        and it has not failed with the same fault as the last attempt.
+        Raises
+        ------
+        WigeonspanError
+            When no engine can run the request in time.
         """
         if not self._context.has_lease():
             raise self._make_error(
@@ -151,21 +285,10 @@
         now = self._context.clock.now()
         if now >= self._job.deadline:
             raise self._deadline_error()
-        limited = self._context.limited_engines()
-        failed = frozenset(self._faults_by_engine)
-        route = self._context.router.choose(self._request(failed | set(limited)), now)
-        if route is None and failed:
-            same_fault = {
-                name
-                for name, faults in self._faults_by_engine.items()
-                if fault in faults
-            }
-            route = self._context.router.choose(
-                self._request(frozenset(same_fault | set(limited))), now
-            )
+        route = self._find_route(fault, frozenset(), now)
         if route is None:
             after_s = self._context.target_limits.return_after_s(
-                self._job.service.name, limited.values()
+                self._job.service.name, self._context.limited_engines().values()
             )
             message = "no engine can run the request"
             raise self._make_error(ErrorKind.NO_TARGET, message, after_s)
@@ -174,38 +297,74 @@
             raise self._deadline_error()
         return route
 
-    def _handle_fault(
-        self, route: EngineRoute, outcome: AttemptOutcome, progressed: bool
-    ) -> None:
-        """Record a fault, and raise an error when no further attempt is allowed."""
-        fault = outcome.tracker_result.fault
-        assert fault is not None
+    def _find_route(
+        self, fault: StreamFault | None, busy: frozenset[EngineId], now: float
+    ) -> EngineRoute | None:
+        """Return a route without the engines in ``busy``, or None.
+
+        An engine that has failed is chosen again only when no other one is available
+        and it has not failed with the same fault as the last attempt.
+        """
+        router = self._context.router
+        avoided = busy | frozenset(self._context.limited_engines())
+        failed = frozenset(self._faults_by_engine)
+        route = router.choose(self._request(failed | avoided), now)
+        if route is None and failed:
+            same_fault = {
+                name
+                for name, faults in self._faults_by_engine.items()
+                if fault in faults
+            }
+            route = router.choose(self._request(avoided | same_fault), now)
+        return route
+
+    def _log_fault(self, route: EngineRoute, fault: StreamFault, message: str) -> None:
         _log.info(
-            "Request {}: engine {} ended at position {}: {} {}.",
+            "Request {}: engine {} at position {}: {} {}.",
             self._job.request,
             route.engine,
             self._tracker.position,
             fault.value,
-            outcome.message,
+            message,
         )
         self._context.metrics.count(f"attempt_faults.{fault.value}")
+
+    def _add_fault(self, route: EngineRoute, fault: StreamFault) -> None:
+        self._faults_by_engine.setdefault(route.engine, set()).add(fault)
+
+    def _handle_fault(self, route: EngineRoute, outcome: AttemptOutcome) -> None:
+        """Record a fault, and raise an error when no attempt goes on or may follow."""
+        fault = outcome.tracker_result.fault
+        assert fault is not None
+        self._log_fault(route, fault, outcome.message)
         self._may_have_run |= fault not in _NOT_RUN_FAULTS
-        if not outcome.stale_connection:
-            self._faults_by_engine.setdefault(route.engine, set()).add(fault)
+        self._add_fault(route, fault)
+        if self._attempts:
+            return
         if outcome.status in _BAD_REQUEST_STATUSES and not self._tracker.position:
             raise WigeonspanError(
                 ErrorKind.BAD_REQUEST,
                 f"the engine refused: {outcome.message[:200]}",
             )
-        self._attempts_without_progress = (
-            0 if progressed else self._attempts_without_progress + 1
-        )
-        if self._attempts_without_progress >= MAX_ATTEMPTS_WITHOUT_PROGRESS:
-            raise self._make_error(ErrorKind.NO_TARGET, "every attempt failed")
-        # Only attempts without a new token are charged to the budget, so that a caller
-        # that has received part of its response also gets the rest.
-        if not progressed and not self._context.budget.try_spend():
-            raise self._make_error(ErrorKind.NO_TARGET, "the retry budget is used up")
+        message = self._take_retry()
+        if message is not None:
+            raise self._make_error(ErrorKind.NO_TARGET, message)
+
+    def _take_retry(self) -> str | None:
+        """Take a retry from the budget; return why none is allowed, or None.
+
+        Only attempts without a new token are charged to the budget, so that a caller
+        that has received part of its response also gets the rest.
+        """
+        if self._tracker.position > self._last_start_position:
+            self._retries_without_progress = 0
+            return None
+        if self._retries_without_progress + 1 >= MAX_ATTEMPTS_WITHOUT_PROGRESS:
+            return "every attempt failed"
+        if not self._context.budget.try_spend():
+            return "the retry budget is used up"
+        self._retries_without_progress += 1
+        return None
 
     def _make_error(
         self, kind: ErrorKind, message: str, retry_after_s: float | None = None
--- a/wigeonspan/entryd/_settings.py
+++ b/wigeonspan/entryd/_settings.py
@@ -11,7 +11,8 @@
     Parameters
     ----------
     progress_timeout_s : float
-        Longest time without a token; an attempt that exceeds it has failed.
+        Longest time without a token before an attempt counts as silent, so that a
+        successor begins beside it.
     connect_timeout_s : float
         Timeout of connecting to a target. Within a deployment, connecting takes
         milliseconds.
--- a/wigeonspan/routing/_core.py
+++ b/wigeonspan/routing/_core.py
@@ -229,6 +229,13 @@
         state = self._attempts.get(attempt)
         if state is not None:
             self._loads[state.engine].record_progress(state, tokens, now)
+            self.health.record_activity(state.engine)
+
+    def record_silence(self, attempt: AttemptId, now: float) -> None:
+        """Record that an attempt, which goes on, has produced no token for long."""
+        state = self._attempts.get(attempt)
+        if state is not None:
+            self.health.record_silence(state.engine, now)
 
     def record_end(self, attempt: AttemptId, end: AttemptEnd, now: float) -> None:
         """Record the end of an attempt."""
--- a/wigeonspan/routing/_health.py
+++ b/wigeonspan/routing/_health.py
@@ -20,7 +20,15 @@
 class _TargetState:
     """Failures, latency and ejections of one target."""
 
-    __slots__ = ("answers", "ejections", "failures", "mean_latency", "ejected_until")
+    __slots__ = (
+        "answers",
+        "ejected_until",
+        "ejections",
+        "failures",
+        "is_silent",
+        "mean_latency",
+        "silences",
+    )
 
     def __init__(self) -> None:
         self.failures = 0
@@ -28,6 +36,9 @@
         self.mean_latency = 0.0
         self.ejections = 0
         self.ejected_until: float | None = None
+        self.silences = 0
+        # Whether the target is ejected only because it was silent.
+        self.is_silent = False
 
 
 class TargetHealth(Generic[Target]):
@@ -91,6 +102,7 @@
         if state is None:
             return
         state.failures = 0
+        self._end_silence(target, state)
         if latency is None:
             return
         state.answers += 1
@@ -108,6 +120,30 @@
         if state.failures >= self._settings.failures_to_eject:
             self._eject(target, state, now)
 
+    def record_silence(self, target: Target, now: float) -> None:
+        """Record a target that does not respond in time but may still do so.
+
+        It is no failure. After ``failures_to_eject`` silences in a row, the target
+        receives no new requests until it responds or a probe of it succeeds.
+        """
+        state = self._states.get(target)
+        if state is None:
+            return
+        state.silences += 1
+        ejected = state.ejected_until is not None
+        if ejected or state.silences < self._settings.failures_to_eject:
+            return
+        if self._may_eject(target):
+            state.ejected_until = now + self._settings.eject_s
+            state.is_silent = True
+            self._ejected[self._group_of[target]].add(target)
+
+    def record_activity(self, target: Target) -> None:
+        """Record a part of a response, which ends a silence."""
+        state = self._states.get(target)
+        if state is not None and state.silences:
+            self._end_silence(target, state)
+
     def probe_targets(self, now: float) -> list[Target]:
         """Return ejected targets that are due for a probe.
 
@@ -134,12 +170,25 @@
         if not ok:
             state.ejected_until = now + self._backoff(state)
             state.ejections += 1
+            state.is_silent = False
+            return
+        if state.is_silent:
+            self._end_silence(target, state)
+            state.silences = self._settings.failures_to_eject - 1
             return
         state.ejected_until = None
         state.failures = self._settings.failures_to_eject - 1
         state.answers = 0
         self._ejected[self._group_of[target]].discard(target)
 
+    def _end_silence(self, target: Target, state: _TargetState) -> None:
+        """Forget the silences of a target and end an ejection because of them."""
+        state.silences = 0
+        if state.is_silent:
+            state.is_silent = False
+            state.ejected_until = None
+            self._ejected[self._group_of[target]].discard(target)
+
     def _eject_if_slow(self, target: Target, state: _TargetState, now: float) -> None:
         """Eject a target whose latency is far above the median of its peers."""
         peers = self._members[self._group_of[target]]
@@ -156,15 +205,17 @@
 
     def _eject(self, target: Target, state: _TargetState, now: float) -> None:
         """Eject a target unless too many of its group are ejected already."""
-        if state.ejected_until is not None:
-            return
-        group = self._group_of[target]
-        limit = int(self._settings.max_ejected_share * len(self._members[group]))
-        if len(self._ejected[group]) >= limit:
+        if state.ejected_until is not None or not self._may_eject(target):
             return
         state.ejected_until = now + self._backoff(state)
         state.ejections += 1
-        self._ejected[group].add(target)
+        self._ejected[self._group_of[target]].add(target)
+
+    def _may_eject(self, target: Target) -> bool:
+        """Return whether one more target of the group of ``target`` may be ejected."""
+        group = self._group_of[target]
+        limit = int(self._settings.max_ejected_share * len(self._members[group]))
+        return len(self._ejected[group]) < limit
 
     def _backoff(self, state: _TargetState) -> float:
         """Return the seconds of the next ejection, doubled for each earlier one."""
