Let a slow plain target respond beside the second send

A call that may be repeated gave up its first target at half of its time. When the other targets refused, closed the connection, were unreachable or slow as well, or the retry budget was used up, the caller got their 503 or an error, although the first target would have responded in time, and the first target was recorded as failed.

The first send now goes on beside the next one, and the first response that can be passed on is returned. A silence at half of the time, or a timeout at the caller's deadline, is recorded as a silence and not as a failure. Retries are charged to the budget as before; calls that must not be repeated are sent once. When the last send ends without a response, the error says that the call may have run, also if another target has refused it with 503.

--- a/wigeonspan/entryd/_plain.py
+++ b/wigeonspan/entryd/_plain.py
@@ -1,5 +1,6 @@
 """Relay of calls to plain services."""
 
+import asyncio
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -52,8 +53,18 @@
 )
 """Response headers that are returned to the caller."""
 
+SILENCE_SHARE = 0.5
+"""Share of the remaining time after which a call that may be repeated is also sent to
+another target. It leaves the other one as much time as the first one had."""
+
+DEADLINE_TOLERANCE_S = 0.01
+"""Seconds before the deadline from which a timeout is one of the deadline and not one
+of connecting. The HTTP client counts milliseconds."""
+
 _Target = tuple[ServiceName, str]
 
+_Send = asyncio.Task[ExchangeEnd]
+
 
 @dataclass
 class PlainCall:
@@ -65,8 +76,10 @@
         Path and query as the caller sent them.
     deadline : float
         Monotonic time in seconds.
-    failed_addresses : set of str
-        Addresses of targets that have failed for this call.
+    tried_addresses : set of str
+        Addresses of targets to which the call was sent.
+    silent_addresses : set of str
+        Addresses of targets whose silence was recorded.
     """
 
     service: PlainService
@@ -75,7 +88,8 @@
     headers: dict[str, str]
     body: bytes | None
     deadline: float
-    failed_addresses: set[str] = field(default_factory=set)
+    tried_addresses: set[str] = field(default_factory=set)
+    silent_addresses: set[str] = field(default_factory=set)
 
 
 def forwarded_headers(headers: Mapping[str, str]) -> dict[str, str]:
@@ -142,6 +156,9 @@
     async def call(self, call: PlainCall) -> ExchangeEnd:
         """Send a call that may be repeated, with retries on other targets.
 
+        A silent target may be sound, so its send goes on beside the next one. The first
+        response that can be passed on is returned.
+
         Returns
         -------
         ExchangeEnd
@@ -153,20 +170,47 @@
             When no target responded in time.
         """
         self._budget.record_first_attempt()
+        target = self._choose(call)
+        if target is None:
+            message = "no target of the service answers"
+            raise _give_up_error(False, message, self._return_after_s(call))
         may_have_run = False
-        while True:
-            target = self._choose(call)
-            if target is None:
-                message = "no target of the service answers"
-                raise _give_up_error(may_have_run, message, self._return_after_s(call))
-            end = await self._send(call, target, fresh=False)
-            if end.status and end.status != 503:
-                return end
-            may_have_run |= not end.sent_nothing and not end.status
-            if not self._may_retry(call):
-                if end.status:
-                    return end
-                raise _give_up_error(may_have_run, f"the target failed: {end.message}")
+        sends: set[_Send] = set()
+        try:
+            while True:
+                newest = asyncio.create_task(self._send(call, target, fresh=False))
+                sends.add(newest)
+                next_target: PlainTarget | None = None
+                limit_s = self._remaining_s(call) * SILENCE_SHARE
+                silent_at: float | None = self._clock.now() + limit_s
+                while next_target is None:
+                    wait_s = None
+                    if silent_at is not None:
+                        wait_s = max(0.0, silent_at - self._clock.now())
+                    done, _ = await asyncio.wait(
+                        sends, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    sends -= done
+                    ends = [send.result() for send in done]
+                    for end in ends:
+                        if _can_pass_on(end):
+                            return end
+                        may_have_run |= not end.sent_nothing and not end.status
+                    if not done:
+                        self._record_silence(call, target)
+                    elif newest in sends:
+                        # An older send has ended.
+                        continue
+                    silent_at = None
+                    next_target = self._next_target(call)
+                    if next_target is None and not sends:
+                        return _last_response(ends[-1], may_have_run)
+                target = next_target
+        finally:
+            for send in sends:
+                send.cancel()
+            if sends:
+                await asyncio.gather(*sends, return_exceptions=True)
 
     async def send_once(self, call: PlainCall) -> ExecutionResult:
         """Send a call that must not be repeated, over a new connection.
@@ -195,11 +239,8 @@
         self, call: PlainCall, target: PlainTarget, fresh: bool
     ) -> ExchangeEnd:
         started_at = self._clock.now()
-        remaining_s = max(0.001, call.deadline - started_at)
-        # When the call may be repeated, a target that does not respond must leave time
-        # for an attempt on another one.
-        others = len(call.service.targets) - len(call.failed_addresses) - 1
-        timeout_s = remaining_s if fresh or others <= 0 else remaining_s / 2
+        remaining_s = self._remaining_s(call)
+        call.tried_addresses.add(target.address)
         self._limits.record_sent(target.address)
         headers = {**call.headers, "X-Deadline-Ms": str(round(remaining_s * 1000))}
         exchange = self._connections.open(
@@ -208,7 +249,7 @@
             call.path,
             headers=headers,
             body=call.body,
-            timeout_s=timeout_s,
+            timeout_s=remaining_s,
             fresh=fresh,
         )
         try:
@@ -218,23 +259,42 @@
         self._record_result(call, target, end, self._clock.now() - started_at)
         return end
 
+    def _remaining_s(self, call: PlainCall) -> float:
+        return max(0.001, call.deadline - self._clock.now())
+
+    def _record_silence(self, call: PlainCall, target: PlainTarget) -> None:
+        """Record, once per call, that a target has not responded in time."""
+        if target.address in call.silent_addresses:
+            return
+        call.silent_addresses.add(target.address)
+        self._health.record_silence(
+            (call.service.name, target.address), self._clock.now()
+        )
+        self._connections.avoid_idle_connections(target.address)
+
     def _record_result(
         self, call: PlainCall, target: PlainTarget, end: ExchangeEnd, elapsed_s: float
     ) -> None:
         key = (call.service.name, target.address)
         now = self._clock.now()
-        if end.status and end.status != 503:
+        if _can_pass_on(end):
             self._health.record_success(key, elapsed_s, now)
             return
-        call.failed_addresses.add(target.address)
+        if end.timed_out and now >= call.deadline - DEADLINE_TOLERANCE_S:
+            self._record_silence(call, target)
+            return
         self._health.record_failure(key, now)
         if end.timed_out or end.status == 503:
             self._connections.avoid_idle_connections(target.address)
 
-    def _may_retry(self, call: PlainCall) -> bool:
-        if self._clock.now() >= call.deadline or self._choose(call) is None:
-            return False
-        return self._budget.try_spend()
+    def _next_target(self, call: PlainCall) -> PlainTarget | None:
+        """Return a target for a retry, which is charged to the budget, or None."""
+        if self._clock.now() >= call.deadline:
+            return None
+        target = self._choose(call)
+        if target is None or not self._budget.try_spend():
+            return None
+        return target
 
     def _return_after_s(self, call: PlainCall) -> float | None:
         """Return when to retry a call that the limits of its targets prevented."""
@@ -254,7 +314,7 @@
         targets = [
             target
             for target in call.service.targets
-            if target.address not in call.failed_addresses
+            if target.address not in call.tried_addresses
             and (name, target.address) in self._targets
             and self._limits.may_send(target.address)
         ]
@@ -264,6 +324,24 @@
         return self._rng.choice(candidates) if candidates else None
 
 
+def _can_pass_on(end: ExchangeEnd) -> bool:
+    """Whether the target has responded otherwise than that it is unavailable."""
+    return end.status not in (0, 503)
+
+
+def _last_response(end: ExchangeEnd, may_have_run: bool) -> ExchangeEnd:
+    """Return the last end of a call if it is a response.
+
+    Raises
+    ------
+    WigeonspanError
+        When it is none.
+    """
+    if end.status:
+        return end
+    raise _give_up_error(may_have_run, f"the target failed: {end.message}")
+
+
 def _give_up_error(
     may_have_run: bool, message: str, retry_after_s: float | None = None
 ) -> WigeonspanError:
