--- a/standins/_faults.py
+++ b/standins/_faults.py
@@ -36,6 +36,8 @@
         when a stream has sent ``silent_after_tokens`` tokens, if that is set.
     silent_after_tokens : int or None
         See ``silent_s``.
+    freeze_s : float
+        Seconds after which these streams go on; 0 for never.
     frozen : bool
         No request is answered until the fault is cleared.
     refuse_status : int
@@ -60,6 +62,7 @@
     freeze_after_tokens: int | None = None
     silent_s: float = 0.0
     silent_after_tokens: int | None = None
+    freeze_s: float = 0.0
     frozen: bool = False
     refuse_status: int = 0
     request_limit: str = ""
