Play parts of prompts that crash engines in the replay

The quarantine was only tried in a small model of its own, without placement, phases and the retry budget.

A pattern may have culprits, which replace a part of some prompts and crash the engines that begin to write on them; the entries decide with the product's quarantine. Random numbers for this are drawn apart.

--- a/replay/_engine.py
+++ b/replay/_engine.py
@@ -60,6 +60,12 @@
     pending_delay_s : float
         Length of past pauses by which the next event of the stream must still be
         delayed.
+    crash_after_s : float or None
+        Seconds from the beginning of the stream until the engine crashes under it.
+    on_crash : callable or None
+        Called to crash the engine.
+    was_reached : bool
+        Whether the engine was up when the job arrived.
     """
 
     tokens: int
@@ -68,6 +74,9 @@
     on_end: Callable[[bool], None]
     on_pause: Callable[[float], None]
     pending_delay_s: float = 0.0
+    crash_after_s: float | None = None
+    on_crash: Callable[[], None] | None = None
+    was_reached: bool = True
 
 
 Schedule = Callable[[float, Callable[[], None]], None]
@@ -260,6 +269,13 @@
                 job.on_end(True)
                 self._start_queued_streams()
 
+        def crash() -> None:
+            if is_running() and job.on_crash is not None:
+                job.on_crash()
+
+        if job.crash_after_s is not None:
+            self._schedule(job.crash_after_s, crash)
+            return
         self._schedule(step_s, send_first_event)
         self._schedule(step_s * max(1, job.tokens), finish)
 
--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -8,7 +8,7 @@
 
 import heapq
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from itertools import count
 
 from msgspec.structs import replace
@@ -17,12 +17,13 @@
 from replay._load import (
     SERVICE,
     Arrival,
+    Culprit,
     Deployment,
     EngineFault,
     Pattern,
     draw_arrivals,
 )
-from replay._messages import Entry, Outcome
+from replay._messages import CulpritRecord, Entry, Outcome
 from replay._request import Request
 from wigeonspan.common import Clock, DomainName, HostId, ManualClock
 from wigeonspan.placing import (
@@ -30,6 +31,7 @@
     RetryBudget,
     Work,
 )
+from wigeonspan.quarantine import PromptQuarantine, QuarantineMessage
 from wigeonspan.staging import DemandMeter, allowed_changes, next_changes
 from wigeonspan.staging._plan import initial_decode_engines
 from wigeonspan.targets import Phase, Target, TargetId
@@ -48,6 +50,9 @@
 DRAIN_S = 8.0
 """Seconds that are simulated after the last request."""
 
+QUARANTINE_INTERVAL_S = 0.1
+"""Interval at which the entries judge crashes."""
+
 RETRY_BUDGET = (0.2, 56.0, 10.0)
 """Retry budget from the users' data sheets: ratio, minimum, and window in seconds."""
 
@@ -87,9 +92,20 @@
             placer = Placer(self._domain(number), rng)
             placer.prefixes.set_memory(deployment.memory_tokens)
             change_placer(placer)
-            entry = Entry(HostId(f"e{number}"), placer, RetryBudget(*RETRY_BUDGET))
+            quarantine = PromptQuarantine()
+            quarantine.set_entries(
+                number, pattern.entries or deployment.entries, START_S
+            )
+            entry = Entry(
+                HostId(f"e{number}"), placer, RetryBudget(*RETRY_BUDGET), quarantine
+            )
             entry.budget.set_entries(pattern.entries or deployment.entries)
             self._entries.append(entry)
+        # Random numbers of their own keep those of other reports unchanged.
+        self._quarantine_rng = random.Random(f"quarantine {seed}")
+        self.culprits = {culprit.part: CulpritRecord() for culprit in pattern.culprits}
+        # Time of the first verdict by part.
+        self.verdicts: dict[str, float] = {}
         self._meter = DemandMeter()
         self._phase_changed_at = float("-inf")
 
@@ -118,9 +134,15 @@
         arrivals = draw_arrivals(self._deployment, self._pattern, load, seconds, seed)
         self._schedule_next_arrival(arrivals)
         for fault in self._pattern.faults:
-            self.schedule(fault.at, lambda fault=fault: self._apply_fault(fault))
+            self.schedule(
+                fault.at,
+                lambda fault=fault: self._apply_fault(
+                    fault, self.engines[fault.engine]
+                ),
+            )
         self._repeat(REPORT_INTERVAL_S, seconds, self._report_demand)
         self._repeat(PHASE_CHECK_INTERVAL_S, seconds, self._check_phases)
+        self._repeat(QUARANTINE_INTERVAL_S, seconds, self._tick_quarantines)
         while self._events and self._events[0][0] <= START_S + seconds + DRAIN_S:
             due, _, event = heapq.heappop(self._events)
             self._clock.advance(max(0.0, due - self._clock.now()))
@@ -195,6 +217,33 @@
 
         self.schedule(lag_s, receive)
 
+    def publish_quarantine(
+        self, entry: Entry, messages: Iterable[QuarantineMessage]
+    ) -> None:
+        """Send messages about crashes to the other entries, late or not at all."""
+        rng = self._quarantine_rng
+        for message in messages:
+            for other in self._entries:
+                if other is entry or rng.random() < self._pattern.loss:
+                    continue
+                lag_s = self._pattern.report_lag_s * (0.1 + 0.9 * rng.random())
+                self.schedule(
+                    lag_s,
+                    lambda o=other, m=message: o.quarantine.apply(m, self._clock.now()),
+                )
+
+    def _tick_quarantines(self) -> None:
+        for entry in self._entries:
+            messages = entry.quarantine.tick(self._clock.now())
+            self.publish_quarantine(entry, messages)
+            for part in entry.quarantine.quarantined:
+                self.verdicts.setdefault(part, self.now)
+
+    def crash_engine(self, engine: Engine, culprit: Culprit) -> None:
+        """Crash an engine that has begun to write an answer on a culprit."""
+        self.culprits[culprit.part].crashes.append(self.now)
+        self._apply_fault(EngineFault(0.0, 0, "crash", culprit.down_s), engine)
+
     def _domain(self, number: int) -> DomainName:
         return DomainName(f"z{number % self._deployment.domains}")
 
@@ -244,8 +293,7 @@
 
         self.schedule(arrival.arrival_s - self.now, arrive)
 
-    def _apply_fault(self, fault: EngineFault) -> None:
-        engine = self.engines[fault.engine]
+    def _apply_fault(self, fault: EngineFault, engine: Engine) -> None:
         if fault.what == "crash":
             engine.crash()
         else:
--- a/replay/_load.py
+++ b/replay/_load.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import yaml
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from wigeonspan.common import ServiceName
 from wigeonspan.fleetconfig import CallKind, Route, WeightedService
@@ -169,6 +169,31 @@
     times: float = 1.0
 
 
+class Culprit(Struct, frozen=True):
+    """Part of some prompts under which decode engines crash.
+
+    Parameters
+    ----------
+    share : float
+        Share of the requests that have the part.
+    position : int
+        Position in the prompt, which is not the last one.
+    from_s : float
+        Time of the first requests with the part.
+    crash_after_s : float
+        Seconds from the beginning of the stream to the crash.
+    down_s : float
+        Seconds until the engine is back.
+    """
+
+    part: str
+    share: float
+    position: int = 1
+    from_s: float = 5.0
+    crash_after_s: float = 0.1
+    down_s: float = 5.0
+
+
 class Pattern(Struct, frozen=True):
     """Deviations of a run from the deployment's steady load.
 
@@ -182,6 +207,8 @@
         Share of these reports that is lost.
     entries : int or None
         Number of entries instead of the deployment's.
+    culprits : list of Culprit
+        Parts that replace those of some requests.
     """
 
     bursts: list[Burst] = []
@@ -190,6 +217,7 @@
     report_lag_s: float = 0.01
     loss: float = 0.002
     entries: int | None = None
+    culprits: list[Culprit] = []
 
 
 class Arrival(Struct, frozen=True):
@@ -203,6 +231,8 @@
         Index of the entry that receives the request.
     impatient : bool
         Whether the caller repeats the request at once when it is refused.
+    culprit : Culprit or None
+        Part of the prompt under which engines crash.
     """
 
     arrival_s: float
@@ -211,6 +241,7 @@
     entry: int
     prompt: Prompt
     impatient: bool
+    culprit: Culprit | None = None
 
 
 def read_deployments() -> dict[str, Deployment]:
@@ -232,6 +263,8 @@
 ) -> Iterator[Arrival]:
     """Yield requests in order of arrival; the same seed yields the same requests."""
     rng = random.Random(seed)
+    # Patterns without culprits keep their random numbers.
+    culprit_rng = random.Random(f"culprits {seed}")
     names = list(deployment.kinds)
     entries = pattern.entries or deployment.entries
     now, number = 0.0, 0
@@ -246,7 +279,10 @@
         name = rng.choices(names, rates)[0]
         prompt = _draw_prompt(name, deployment.kinds[name], number, rng)
         entry, impatient = rng.randrange(entries), rng.random() < pattern.impatient
-        yield Arrival(now, number, name, entry, prompt, impatient)
+        culprit = _draw_culprit(pattern, now, culprit_rng)
+        if culprit is not None:
+            prompt = _insert_culprit(prompt, culprit)
+        yield Arrival(now, number, name, entry, prompt, impatient, culprit)
         number += 1
 
 
@@ -259,6 +295,21 @@
     return factor
 
 
+def _draw_culprit(pattern: Pattern, now: float, rng: random.Random) -> Culprit | None:
+    """Return the culprit of a request; usually none."""
+    for culprit in pattern.culprits:
+        if now >= culprit.from_s and rng.random() < culprit.share:
+            return culprit
+    return None
+
+
+def _insert_culprit(prompt: Prompt, culprit: Culprit) -> Prompt:
+    parts = list(prompt.parts)
+    tokens = parts[culprit.position].tokens
+    parts[culprit.position] = PromptPart(culprit.part, tokens)
+    return structs.replace(prompt, parts=tuple(parts))
+
+
 def _draw_prompt(
     name: str, kind: RequestKind, number: int, rng: random.Random
 ) -> Prompt:
--- a/replay/_messages.py
+++ b/replay/_messages.py
@@ -6,6 +6,7 @@
 
 from wigeonspan.common import HostId
 from wigeonspan.placing import Placer, RetryBudget
+from wigeonspan.quarantine import PromptQuarantine
 
 
 class Ending(Enum):
@@ -44,8 +45,29 @@
     arrival_s: float
 
 
+class CulpritRecord(Struct):
+    """What happened to the requests with a culprit.
+
+    Parameters
+    ----------
+    crashes : list of float
+        Times of the crashes.
+    sends : list of float
+        Times of the requests that reached an engine, prefills and streams.
+    """
+
+    crashes: list[float] = []
+    sends: list[float] = []
+
+    def late_sends(self, crashes: int = 5, hold_s: float = 3.0) -> int:
+        """Return the number of sends later than some seconds after a crash."""
+        if len(self.crashes) < crashes:
+            return 0
+        return sum(at > self.crashes[crashes - 1] + hold_s for at in self.sends)
+
+
 class Entry(Struct):
-    """Placer and retry budget of one entry, and the totals of its work.
+    """Placer, retry budget and quarantine of one entry, and the totals of its work.
 
     Parameters
     ----------
@@ -58,5 +80,6 @@
     host: HostId
     placer: Placer
     budget: RetryBudget
+    quarantine: PromptQuarantine
     read_ms: float = 0.0
     stream_s: float = 0.0
--- a/replay/_request.py
+++ b/replay/_request.py
@@ -56,6 +56,8 @@
         self._arrived = simulation.now
         self._attempt_started = simulation.now
         self._excluded: set[TargetId] = set()
+        self._shared_parts = [part.part for part in arrival.prompt.shared_parts]
+        self._breaks = 0
         # Submitted jobs with their engine and the identifier of their work.
         self._jobs: list[tuple[Engine, PrefillJob | StreamJob, str]] = []
         self._remaining_retries = (
@@ -92,9 +94,21 @@
         """Seconds until the deadline."""
         return self._arrived + self._kind.deadline_s - self._simulation.now
 
+    def _is_refused(self) -> bool:
+        """End a request with a quarantined part; return whether it has one."""
+        simulation, quarantine = self._simulation, self._entry.quarantine
+        verdict = quarantine.check(self._shared_parts, simulation.clock.now())
+        if verdict is None:
+            return False
+        # The runs are shorter than the time until the first trial.
+        self._finish(Ending.REFUSED)
+        return True
+
     def _place(self) -> None:
         simulation, placer = self._simulation, self._entry.placer
         now = simulation.clock.now()
+        if self._is_refused():
+            return
         self._placements += 1
         plan = placer.plan(
             self._route,
@@ -176,9 +190,15 @@
             if not any(submitted[1] is job for submitted in self._jobs):
                 return
             if not engine.is_up:
+                if isinstance(job, StreamJob):
+                    job.was_reached = False
                 simulation.record_unreachable(self._entry, engine.target.target)
                 job.on_end(False)
-            elif isinstance(job, PrefillJob):
+                return
+            if self._arrival.culprit is not None:
+                record = simulation.culprits[self._arrival.culprit.part]
+                record.sends.append(simulation.now)
+            if isinstance(job, PrefillJob):
                 engine.submit_prefill(job)
             else:
                 engine.submit_stream(job)
@@ -236,11 +256,20 @@
 
     def _start_stream(self, plan: Plan, engine: Engine, work_id: str) -> None:
         simulation, started = self._simulation, self._simulation.now
+        if self._is_refused():
+            simulation.end_work(self._entry, work_id, completed=False)
+            return
         stream_began_s: float | None = None
 
         def record_first_event() -> None:
             nonlocal stream_began_s
             stream_began_s = simulation.now
+            simulation.publish_quarantine(
+                self._entry,
+                self._entry.quarantine.record_written(
+                    self._shared_parts, simulation.clock.now()
+                ),
+            )
             if self._first_event_s is None:
                 self._first_event_s = simulation.now - self._arrived
 
@@ -255,6 +284,9 @@
                 duration_s = simulation.now - stream_began_s
                 self._entry.placer.slots.record_stream(plan.urgency, duration_s)
             simulation.end_work(self._entry, work_id, completed=completed)
+            may_repeat = True
+            if not completed and job.was_reached:
+                may_repeat = self._record_break(engine, stream_began_s is not None)
             if self._has_ended:
                 return
             if completed:
@@ -263,13 +295,30 @@
                     and self._longest_pause_s <= self._kind.pause_s
                 )
                 self._finish(Ending.ON_TIME if on_time else Ending.LATE)
-            else:
+            elif may_repeat:
                 self._place_again(engine)
+            else:
+                self._finish(Ending.FAILED)
 
         tokens = self._arrival.prompt.output_tokens
         job = StreamJob(tokens, plan.urgency, record_first_event, end, record_pause)
+        culprit = self._arrival.culprit
+        if culprit is not None:
+            job.crash_after_s = culprit.crash_after_s
+            job.on_crash = lambda: simulation.crash_engine(engine, culprit)
         self._submit(engine, job, work_id)
 
+    def _record_break(self, engine: Engine, had_event: bool) -> bool:
+        """Record that an engine broke off a stream; return whether to repeat it."""
+        simulation, quarantine = self._simulation, self._entry.quarantine
+        now, target = simulation.clock.now(), engine.target.target
+        parts = [] if had_event else self._shared_parts
+        simulation.publish_quarantine(
+            self._entry, quarantine.record_break(target, parts, now)
+        )
+        self._breaks += not had_event
+        return had_event or quarantine.may_repeat(self._shared_parts, now, self._breaks)
+
     def _place_again(self, failed_engine: Engine) -> None:
         """Place the request on another engine, or end it as failed.
 
