Blame only what an engine broke off when it crashed

Breaks later than 0.25 s after the crash of a start blame nobody, and an event of the same start refutes its crash also after 3 s, when the list shows later starts.

--- a/tests/quarantine/test_alive.py
+++ b/tests/quarantine/test_alive.py
@@ -79,3 +79,26 @@
     quarantine.record_break(TARGETS[0], ["part"], 111.0, born_ms=9)
     quarantine.tick(112.0)
     assert quarantine.check(["part"], 112.0) is not None
+
+
+def test_request_to_a_target_that_is_down_is_no_suspect():
+    """Sound parts were held back that had come to targets after their crashes (soak
+    seed 718)."""
+    quarantine = PromptQuarantine()
+    for n in range(6):
+        quarantine.record_break(TARGETS[n], ["culprit"], 100.0 + n, born_ms=1)
+        quarantine.record_break(TARGETS[n], ["sound"], 100.5 + n, born_ms=1)
+        quarantine.tick(100.9 + n)
+    assert quarantine.check(["sound"], 110.0) is None
+    assert quarantine.check(["culprit"], 110.0) is not None
+
+
+def test_event_of_the_same_start_refutes_a_crash_at_any_time():
+    """A lost answer hid the later crash of the same start of its target."""
+    quarantine = PromptQuarantine()
+    quarantine.record_break(TARGETS[0], ["part"], 100.0, born_ms=1)
+    assert not quarantine.record_alive(TARGETS[0], 102.0, born_ms=1)
+    assert quarantine.record_alive(TARGETS[0], 104.0, born_ms=1)
+    assert quarantine.suspects == 0
+    quarantine.record_break(TARGETS[0], ["part"], 105.0, born_ms=1)
+    assert quarantine.suspects == 1
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -152,10 +152,12 @@
             self.quarantine.record_break(target.target, parts, now, target.born_ms)
         )
 
-    def record_alive(self, target: TargetId) -> None:
+    def record_alive(self, target: Target) -> None:
         """Record an event of a target, which may refute that it has crashed."""
         now = self.clock.now()
-        self._publish_quarantine(self.quarantine.record_alive(target, now))
+        self._publish_quarantine(
+            self.quarantine.record_alive(target.target, now, target.born_ms)
+        )
 
     def record_written(self, parts: tuple[str, ...]) -> None:
         """Record the first event of a run, which clears the parts of its prompt."""
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -14,7 +14,7 @@
 
 from msgspec import Struct
 
-from wigeonspan.quarantine._evidence import Crash, Evidence
+from wigeonspan.quarantine._evidence import BLAME_S, Crash, Evidence
 from wigeonspan.quarantine._judgement import SETTLE_S, find_culprits, is_suspect
 from wigeonspan.quarantine._keys import WrittenParts, part_key
 from wigeonspan.quarantine._messages import (
@@ -218,6 +218,8 @@
         is_new = crash is None
         if crash is None:
             crash = self._evidence.record_crash(report.target, at, report.born_ms)
+        elif at - crash.at > BLAME_S:
+            return None
         parts = report.parts[:MAX_REQUEST_PARTS]
         written = [parts[i] for i in report.written if 0 <= i < len(parts)]
         cleared = {
@@ -230,19 +232,26 @@
             return crash
         return crash if is_new else None
 
-    def record_alive(self, target: TargetId, now: float) -> list[QuarantineMessage]:
+    def record_alive(
+        self, target: TargetId, now: float, born_ms: int = 0
+    ) -> list[QuarantineMessage]:
         """Record an event of a target; return what to publish, usually nothing.
 
         An event soon after a break shows that only a single stream had broken off.
+
+        Parameters
+        ----------
+        born_ms : int
+            Start of the target as in the list; 0 if unknown.
         """
-        if self._evidence.find_refuted(target, now) is None:
+        if self._evidence.find_refuted(target, now, born_ms) is None:
             return []
-        self._refute(target, now)
-        return [TargetAlive(target)]
+        self._refute(target, now, born_ms)
+        return [TargetAlive(target, born_ms=born_ms)]
 
-    def _refute(self, target: TargetId, alive_at: float) -> None:
+    def _refute(self, target: TargetId, alive_at: float, born_ms: int) -> None:
         """Remove what follows from a crash that did not happen."""
-        crash = self._evidence.find_refuted(target, alive_at)
+        crash = self._evidence.find_refuted(target, alive_at, born_ms)
         if crash is None:
             return
         self._evidence.refute(crash)
@@ -295,7 +304,8 @@
         if isinstance(message, StreamCrashed):
             self._record_crash(message, now - max(0.0, message.age_s), now)
         elif isinstance(message, TargetAlive):
-            self._refute(message.target, now - max(0.0, message.age_s))
+            alive_at = now - max(0.0, message.age_s)
+            self._refute(message.target, alive_at, message.born_ms)
         elif isinstance(message, PartsCleared):
             for key in message.parts:
                 self._clear(key, now - max(0.0, message.age_s), CLOCK_ERROR_S)
--- a/wigeonspan/quarantine/_evidence.py
+++ b/wigeonspan/quarantine/_evidence.py
@@ -16,6 +16,14 @@
 not crashed: events sent before have arrived by then, and targets take longer to start.
 Targets also lose single answers and connections while they go on with others."""
 
+SURELY_LISTED_S = 3.0
+"""Seconds after a crash from which the list shows the next start of the target, so that
+an event of the same start refutes the crash."""
+
+BLAME_S = 0.25
+"""Seconds after a crash within which its broken streams are reported. Later breaks at
+the same start are of connections to a target that is down."""
+
 FLAP_WINDOW_S = 10.0
 """Seconds before and after a crash within which other crashes count as signs that
 targets crash by themselves."""
@@ -175,13 +183,19 @@
         self._recent.append(crash)
         return crash
 
-    def find_refuted(self, target: TargetId, alive_at: float) -> Crash | None:
+    def find_refuted(
+        self, target: TargetId, alive_at: float, born_ms: int = 0
+    ) -> Crash | None:
         """Return a supposed crash that an event of the target refutes, if any."""
         crashes = self._crashes.get(target)
         if not crashes:
             return None
         crash = crashes[-1]
-        is_shown = ALIVE_FROM_S <= alive_at - crash.at <= ALIVE_UNTIL_S
+        after_s = alive_at - crash.at
+        is_same_start = born_ms and born_ms == crash.born_ms
+        is_shown = ALIVE_FROM_S <= after_s <= ALIVE_UNTIL_S or (
+            is_same_start and after_s > SURELY_LISTED_S
+        )
         return crash if is_shown and not crash.refuted else None
 
     def refute(self, crash: Crash) -> None:
--- a/wigeonspan/quarantine/_messages.py
+++ b/wigeonspan/quarantine/_messages.py
@@ -35,10 +35,13 @@
     ----------
     age_s : float
         Seconds from the event of the stream to the sending of this message.
+    born_ms : int
+        Start of the target as in the list; 0 if unknown.
     """
 
     target: TargetId
     age_s: float = 0.0
+    born_ms: int = 0
 
 
 class PartsCleared(Struct, frozen=True, tag="cleared", array_like=True):
