Tell requests that were sent after a crash from its suspects

Reports of breaks and of events have the time since the request was sent. A request sent after a crash is no suspect of it, only an event of such a request refutes it, and a refuted crash ends no quarantine any more.

--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -139,7 +139,9 @@
             self._publish_quarantine(verdict.publish)
         return verdict
 
-    def record_break(self, target: Target, parts: tuple[str, ...]) -> None:
+    def record_break(
+        self, target: Target, parts: tuple[str, ...], sent_at: float
+    ) -> None:
         """Record that a target broke off a run, and tell the other entries.
 
         Parameters
@@ -149,14 +151,16 @@
         """
         now = self.clock.now()
         self._publish_quarantine(
-            self.quarantine.record_break(target.target, parts, now, target.born_ms)
+            self.quarantine.record_break(
+                target.target, parts, now, target.born_ms, now - sent_at
+            )
         )
 
-    def record_alive(self, target: Target) -> None:
+    def record_alive(self, target: Target, sent_at: float) -> None:
         """Record an event of a target, which may refute that it has crashed."""
         now = self.clock.now()
         self._publish_quarantine(
-            self.quarantine.record_alive(target.target, now, target.born_ms)
+            self.quarantine.record_alive(target.target, sent_at, now, target.born_ms)
         )
 
     def record_written(self, parts: tuple[str, ...]) -> None:
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -142,7 +142,7 @@
         if failure.sent and failure.kind in (FailureKind.CLOSED, FailureKind.RESET):
             self._progress.break_count += not had_event
             suspects = () if had_event else self._progress.shared_parts
-            self._progress.context.record_break(run.engine, suspects)
+            self._progress.context.record_break(run.engine, suspects, run.started_at)
         self._progress.engines.exclude_after_error(
             run.engine,
             "stream_broke_off",
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -220,7 +220,7 @@
                 self._run_count -= 1
             elif failure.kind in (FailureKind.CLOSED, FailureKind.RESET):
                 if self._shared_parts:
-                    context.record_break(target, self._shared_parts)
+                    context.record_break(target, self._shared_parts, now)
             self._log_event("broke_off", target.target, why=str(failure))
             return None
         took_ms = (context.clock.now() - now) * 1000.0
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -14,7 +14,12 @@
 
 from msgspec import Struct
 
-from wigeonspan.quarantine._evidence import BLAME_S, Crash, Evidence
+from wigeonspan.quarantine._evidence import (
+    BLAME_S,
+    REPORT_DELAY_S,
+    Crash,
+    Evidence,
+)
 from wigeonspan.quarantine._judgement import SETTLE_S, find_culprits, is_suspect
 from wigeonspan.quarantine._keys import WrittenParts, part_key
 from wigeonspan.quarantine._messages import (
@@ -182,7 +187,12 @@
         return True
 
     def record_break(
-        self, target: TargetId, parts: Sequence[str], now: float, born_ms: int = 0
+        self,
+        target: TargetId,
+        parts: Sequence[str],
+        now: float,
+        born_ms: int = 0,
+        sent_s: float = 60.0,
     ) -> list[QuarantineMessage]:
         """Record that a target broke off a stream; return what to publish.
 
@@ -193,6 +203,8 @@
             shows a crash without a suspect.
         born_ms : int
             Start of the target as in the list; 0 if unknown.
+        sent_s : float
+            Seconds since the request was sent.
         """
         keys = list(dict.fromkeys(map(part_key, parts[:MAX_REQUEST_PARTS])))
         messages: list[QuarantineMessage] = []
@@ -200,7 +212,7 @@
             chunk = keys[start : start + MAX_MESSAGE_PARTS]
             written = [i for i, key in enumerate(chunk) if key in self._written]
             report = StreamCrashed(
-                target, tuple(chunk), tuple(written), born_ms=born_ms
+                target, tuple(chunk), tuple(written), 0.0, born_ms, sent_s
             )
             crash = self._record_crash(report, now, now)
             if crash is None:
@@ -218,7 +230,7 @@
         is_new = crash is None
         if crash is None:
             crash = self._evidence.record_crash(report.target, at, report.born_ms)
-        elif at - crash.at > BLAME_S:
+        elif at - crash.at > BLAME_S or at - report.sent_s > crash.at + REPORT_DELAY_S:
             return None
         parts = report.parts[:MAX_REQUEST_PARTS]
         written = [parts[i] for i in report.written if 0 <= i < len(parts)]
@@ -233,34 +245,34 @@
         return crash if is_new else None
 
     def record_alive(
-        self, target: TargetId, now: float, born_ms: int = 0
+        self, target: TargetId, sent_at: float, now: float, born_ms: int = 0
     ) -> list[QuarantineMessage]:
         """Record an event of a target; return what to publish, usually nothing.
 
-        An event soon after a break shows that only a single stream had broken off.
+        An event of a request that was sent after a break shows that only a single
+        stream had broken off. Verdicts hold on: they rest on several crashes.
 
         Parameters
         ----------
+        sent_at : float
+            Time at which the request was sent.
         born_ms : int
             Start of the target as in the list; 0 if unknown.
         """
-        if self._evidence.find_refuted(target, now, born_ms) is None:
+        if not self._refute(target, sent_at, now, born_ms):
             return []
-        self._refute(target, now, born_ms)
-        return [TargetAlive(target, born_ms=born_ms)]
+        return [TargetAlive(target, born_ms=born_ms, sent_s=now - sent_at)]
 
-    def _refute(self, target: TargetId, alive_at: float, born_ms: int) -> None:
-        """Remove what follows from a crash that did not happen."""
-        crash = self._evidence.find_refuted(target, alive_at, born_ms)
+    def _refute(
+        self, target: TargetId, sent_at: float, alive_at: float, born_ms: int
+    ) -> bool:
+        """Remove the blames for a crash that did not happen, if there is one."""
+        crash = self._evidence.find_refuted(target, sent_at, alive_at, born_ms)
         if crash is None:
-            return
+            return False
         self._evidence.refute(crash)
         self._judge_at.pop(crash, None)
-        for key in crash.suspects:
-            quarantine = self._quarantined.get(key)
-            if quarantine is not None and quarantine.began_at == crash.at:
-                # The verdict was due to this crash.
-                self._clear(key, alive_at, 0.0)
+        return True
 
     def record_written(
         self, parts: Iterable[str], now: float
@@ -305,7 +317,8 @@
             self._record_crash(message, now - max(0.0, message.age_s), now)
         elif isinstance(message, TargetAlive):
             alive_at = now - max(0.0, message.age_s)
-            self._refute(message.target, alive_at, message.born_ms)
+            sent_at = alive_at - max(0.0, message.sent_s)
+            self._refute(message.target, sent_at, alive_at, message.born_ms)
         elif isinstance(message, PartsCleared):
             for key in message.parts:
                 self._clear(key, now - max(0.0, message.age_s), CLOCK_ERROR_S)
@@ -380,7 +393,12 @@
             age_s = max(0.0, now - crash.at)
             messages.append(
                 StreamCrashed(
-                    report.target, report.parts, report.written, age_s, report.born_ms
+                    report.target,
+                    report.parts,
+                    report.written,
+                    age_s,
+                    report.born_ms,
+                    report.sent_s,
                 )
             )
         for key, quarantine in list(self._quarantined.items()):
--- a/wigeonspan/quarantine/_evidence.py
+++ b/wigeonspan/quarantine/_evidence.py
@@ -11,10 +11,10 @@
 """Seconds within which all breaks at a target are one crash. The entries see it at
 about the same time and are told of it up to 0.1 s later."""
 
-ALIVE_FROM_S, ALIVE_UNTIL_S = 0.2, 0.8
-"""Seconds after a supposed crash within which an event of the target shows that it has
-not crashed: events sent before have arrived by then, and targets take longer to start.
-Targets also lose single answers and connections while they go on with others."""
+ALIVE_UNTIL_S = 0.8
+"""Seconds after a supposed crash within which an event of a stream sent after it
+shows that the target has not crashed, since targets take longer to start. Targets also
+lose single answers and connections while they go on with others."""
 
 SURELY_LISTED_S = 3.0
 """Seconds after a crash from which the list shows the next start of the target, so that
@@ -24,6 +24,10 @@
 """Seconds after a crash within which its broken streams are reported. Later breaks at
 the same start are of connections to a target that is down."""
 
+REPORT_DELAY_S = 0.03
+"""Usual delay in seconds of a report of another entry. A request that was sent later
+than this after a crash is no suspect."""
+
 FLAP_WINDOW_S = 10.0
 """Seconds before and after a crash within which other crashes count as signs that
 targets crash by themselves."""
@@ -184,19 +188,25 @@
         return crash
 
     def find_refuted(
-        self, target: TargetId, alive_at: float, born_ms: int = 0
+        self, target: TargetId, sent_at: float, alive_at: float, born_ms: int = 0
     ) -> Crash | None:
-        """Return a supposed crash that an event of the target refutes, if any."""
+        """Return a supposed crash that an event of a stream refutes, if any.
+
+        Parameters
+        ----------
+        sent_at, alive_at : float
+            Times at which the request of the stream was sent, and of the event.
+        """
         crashes = self._crashes.get(target)
         if not crashes:
             return None
         crash = crashes[-1]
+        if crash.refuted or sent_at <= crash.at:
+            return None
         after_s = alive_at - crash.at
         is_same_start = born_ms and born_ms == crash.born_ms
-        is_shown = ALIVE_FROM_S <= after_s <= ALIVE_UNTIL_S or (
-            is_same_start and after_s > SURELY_LISTED_S
-        )
-        return crash if is_shown and not crash.refuted else None
+        is_listed = is_same_start and sent_at - crash.at > SURELY_LISTED_S
+        return crash if after_s <= ALIVE_UNTIL_S or is_listed else None
 
     def refute(self, crash: Crash) -> None:
         """Remove the blames for a crash that did not happen."""
--- a/wigeonspan/quarantine/_messages.py
+++ b/wigeonspan/quarantine/_messages.py
@@ -19,6 +19,8 @@
         Seconds from the crash to the sending of this message.
     born_ms : int
         Start of the target as in the list; 0 if unknown.
+    sent_s : float
+        Seconds from the sending of the request to its break.
     """
 
     target: TargetId
@@ -26,6 +28,7 @@
     written: tuple[int, ...] = ()
     age_s: float = 0.0
     born_ms: int = 0
+    sent_s: float = 0.0
 
 
 class TargetAlive(Struct, frozen=True, tag="alive", array_like=True):
@@ -37,11 +40,14 @@
         Seconds from the event of the stream to the sending of this message.
     born_ms : int
         Start of the target as in the list; 0 if unknown.
+    sent_s : float
+        Seconds from the sending of the request to the event.
     """
 
     target: TargetId
     age_s: float = 0.0
     born_ms: int = 0
+    sent_s: float = 0.0
 
 
 class PartsCleared(Struct, frozen=True, tag="cleared", array_like=True):
