--- a/replay/_engine.py
+++ b/replay/_engine.py
@@ -126,6 +126,9 @@
         self._schedule = schedule
         self._read_fixed_ms = read_fixed_ms
         self._read_latency_ms = read_latency_ms
+        self._is_silent = False
+        # Ends of prefills that fell into a silence.
+        self._held: list[Callable[[], None]] = []
         # Number of crashes; events that were scheduled before a crash are ignored.
         self._generation = 0
         self._prefill_queue: list[PrefillJob] = []
@@ -180,8 +183,24 @@
         for job in lost:
             job.on_end(False)
 
+    def fall_silent(self, for_s: float) -> None:
+        """Stop for some seconds, lose nothing, and go on."""
+        self._is_silent = True
+        for stream in self._streams:
+            stream.pending_delay_s += for_s
+            stream.on_pause(for_s)
+        self._schedule(for_s, self._go_on)
+
+    def _go_on(self) -> None:
+        self._is_silent = False
+        held, self._held = self._held, []
+        for finish in held:
+            finish()
+        self._start_next_prefill()
+        self._start_queued_streams()
+
     def _start_next_prefill(self) -> None:
-        if self._prefill is not None:
+        if self._prefill is not None or self._is_silent:
             return
         if not self._prefill_queue:
             self._delay_streams()
@@ -195,6 +214,9 @@
         generation = self._generation
 
         def finish() -> None:
+            if self._is_silent:
+                self._held.append(finish)
+                return
             if self._prefill is job and self._generation == generation:
                 self._prefill = None
                 self._schedule(
@@ -240,7 +262,11 @@
         )
 
     def _start_queued_streams(self) -> None:
-        while self._stream_queue and len(self._streams) < self.target.slots:
+        while (
+            not self._is_silent
+            and self._stream_queue
+            and len(self._streams) < self.target.slots
+        ):
             job = min(self._stream_queue, key=lambda queued: queued.urgency)
             self._stream_queue.remove(job)
             self._streams.append(job)
--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -294,6 +294,9 @@
         self.schedule(arrival.arrival_s - self.now, arrive)
 
     def _apply_fault(self, fault: EngineFault, engine: Engine) -> None:
+        if fault.what == "silence":
+            engine.fall_silent(fault.for_s)
+            return
         if fault.what == "crash":
             engine.crash()
         else:
--- a/replay/_load.py
+++ b/replay/_load.py
@@ -148,7 +148,7 @@
 
 
 class EngineFault(Struct, frozen=True):
-    """Crash or slowdown of an engine.
+    """Crash, silence or slowdown of an engine.
 
     Parameters
     ----------
@@ -157,7 +157,8 @@
     engine : int
         Index of the engine.
     what : str
-        ``"crash"`` for a crash; anything else is a slowdown.
+        ``"crash"``, ``"silence"`` for an engine that stops for a while and then goes
+        on, or ``"slow"``.
     times : float
         Factor on the engine's times during a slowdown.
     """
