Move cleared parts into a module of their own

The core of the quarantine held their times, answers and bounds beside the verdicts, and built the same message in two places.

--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -12,8 +12,9 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 
-from msgspec import Struct
+from msgspec.structs import replace
 
+from wigeonspan.quarantine._cleared import ClearedParts
 from wigeonspan.quarantine._evidence import (
     BLAME_S,
     REPORT_DELAY_S,
@@ -47,9 +48,6 @@
 """Maximum number of quarantined parts; those without requests for the longest time are
 removed first."""
 
-MAX_CLEARED = 1000
-"""Maximum number of cleared parts that are remembered."""
-
 MAX_REPORTS = 256
 """Maximum number of own reports that wait to be repeated."""
 
@@ -70,21 +68,6 @@
 """Maximum seconds until an entry answers an outdated verdict."""
 
 
-class _Cleared(Struct, eq=False):
-    """Part on which an answer was written after it had been suspected.
-
-    Parameters
-    ----------
-    at : float
-        Time of the answer.
-    answer_at : float or None
-        Time to repeat this to an entry that still announces a quarantine.
-    """
-
-    at: float
-    answer_at: float | None = None
-
-
 class PromptQuarantine:
     """Suspected and quarantined parts, as one entry knows them.
 
@@ -97,7 +80,7 @@
         self._quarantined: OrderedDict[str, Quarantine] = OrderedDict()
         self._evidence = Evidence(self._quarantined.keys())
         self._written = WrittenParts()
-        self._cleared: OrderedDict[str, _Cleared] = OrderedDict()
+        self._cleared = ClearedParts()
         self._turns = Turns()
         # Time at which to judge each crash of which there is news.
         self._judge_at: dict[Crash, float] = {}
@@ -234,11 +217,7 @@
             return None
         parts = report.parts[:MAX_REQUEST_PARTS]
         written = [parts[i] for i in report.written if 0 <= i < len(parts)]
-        cleared = {
-            key
-            for key in parts
-            if key in self._cleared and self._cleared[key].at >= crash.at
-        }
+        cleared = {k for k in parts if self._cleared.is_cleared_since(k, crash.at)}
         if self._evidence.blame(crash, parts, written, cleared):
             self._judge_at.setdefault(crash, now + SETTLE_S)
             return crash
@@ -305,11 +284,7 @@
         quarantine = self._quarantined.get(key)
         if quarantine is not None and quarantine.began_at <= written_at + error_s:
             del self._quarantined[key]
-        cleared = self._cleared.pop(key, None)
-        at = written_at if cleared is None else max(cleared.at, written_at)
-        self._cleared[key] = _Cleared(at)
-        while len(self._cleared) > MAX_CLEARED:
-            self._cleared.popitem(last=False)
+        self._cleared.record(key, written_at)
 
     def apply(self, message: QuarantineMessage, now: float) -> None:
         """Apply a message of another entry."""
@@ -327,15 +302,7 @@
 
     def verdicts(self, now: float) -> list[PartQuarantined]:
         """Return the verdicts that this entry holds, for a control host to keep."""
-        return [
-            PartQuarantined(
-                key,
-                max(0.0, now - quarantine.began_at),
-                quarantine.trials,
-                max(0.0, now - quarantine.requested_at),
-            )
-            for key, quarantine in self._quarantined.items()
-        ]
+        return [q.verdict(key, now) for key, q in self._quarantined.items()]
 
     def restore(self, verdicts: Iterable[PartQuarantined], now: float) -> None:
         """Apply verdicts that a control host has kept.
@@ -344,18 +311,15 @@
         and, unlike those of entries, not answered.
         """
         for verdict in verdicts:
-            cleared = self._cleared.get(verdict.part)
-            if cleared is None or now - verdict.age_s > cleared.at:
+            if not self._cleared.is_cleared_since(verdict.part, now - verdict.age_s):
                 self._learn(verdict, now)
 
     def _learn(self, message: PartQuarantined, now: float) -> None:
         """Apply the verdict of another entry unless the part was cleared later."""
         key, began_at = message.part, now - max(0.0, message.age_s)
-        cleared = self._cleared.get(key)
-        if cleared is not None and began_at <= cleared.at:
-            if cleared.answer_at is None:
-                wait_s = ANSWER_STEP_S * self._turns.position(key)
-                cleared.answer_at = now + min(wait_s, MAX_ANSWER_S)
+        if self._cleared.is_cleared_since(key, began_at):
+            wait_s = min(ANSWER_STEP_S * self._turns.position(key), MAX_ANSWER_S)
+            self._cleared.schedule_answer(key, now + wait_s)
             return
         quarantine = self._quarantined.get(key)
         if quarantine is None:
@@ -390,17 +354,7 @@
         messages: list[QuarantineMessage] = []
         while self._reports and self._reports[0][0] <= now:
             _, crash, report = self._reports.popleft()
-            age_s = max(0.0, now - crash.at)
-            messages.append(
-                StreamCrashed(
-                    report.target,
-                    report.parts,
-                    report.written,
-                    age_s,
-                    report.born_ms,
-                    report.sent_s,
-                )
-            )
+            messages.append(replace(report, age_s=max(0.0, now - crash.at)))
         for key, quarantine in list(self._quarantined.items()):
             if now - quarantine.requested_at > FORGET_S:
                 del self._quarantined[key]
@@ -408,10 +362,8 @@
                 quarantine.repeats and now - quarantine.announced_at >= REPEAT_S
             ):
                 messages.append(self._announce(key, quarantine, now))
-        for key, cleared in self._cleared.items():
-            if cleared.answer_at is not None and cleared.answer_at <= now:
-                cleared.answer_at = None
-                messages.append(PartsCleared((key,), max(0.0, now - cleared.at)))
+        for key, age_s in self._cleared.due_answers(now):
+            messages.append(PartsCleared((key,), age_s))
         return messages
 
     def _announce(
@@ -419,12 +371,7 @@
     ) -> PartQuarantined:
         quarantine.announced_at = now
         quarantine.repeats = max(0, quarantine.repeats - 1)
-        return PartQuarantined(
-            key,
-            max(0.0, now - quarantine.began_at),
-            quarantine.trials,
-            max(0.0, now - quarantine.requested_at),
-        )
+        return quarantine.verdict(key, now)
 
     def _has_written(self, key: str) -> bool:
         """Return whether an answer on a part was written before its crashes."""
--- a/wigeonspan/quarantine/_trials.py
+++ b/wigeonspan/quarantine/_trials.py
@@ -10,6 +10,8 @@
 
 from msgspec import Struct
 
+from wigeonspan.quarantine._messages import PartQuarantined
+
 TRIAL_AFTER_S = (60.0, 240.0)
 """Seconds from the beginning of the quarantine to the first trial, and from there to
 the second one. There is no third: after the verdict at most three requests with the
@@ -73,6 +75,15 @@
         wait_s = TRIAL_AFTER_S[self.trials]
         return (self.trial_at if self.trials else self.began_at) + wait_s
 
+    def verdict(self, part: str, now: float) -> PartQuarantined:
+        """Return the message about this quarantine of a part."""
+        return PartQuarantined(
+            part,
+            max(0.0, now - self.began_at),
+            self.trials,
+            max(0.0, now - self.requested_at),
+        )
+
     def return_s(self, now: float) -> float:
         """Return the seconds after which a refused caller may return."""
         return min(max(self.trial_due_at - now, RETURN_S[0]), RETURN_S[1])
