--- a/review/kit.py
+++ b/review/kit.py
@@ -347,7 +347,7 @@
         while (await read_message(reader)) is not None:
             entries = [json.dumps(r.entry).encode() for r in self.replicas]
             if self.other_entry:
-                entries.insert(1, self.other_entry)
+                entries.append(self.other_entry)
             body = b'{"instances":[' + b",".join(entries) + b'],"next":null}'
             send(writer, "200 OK", {}, body)
             await writer.drain()
