--- a/review/kit.py
+++ b/review/kit.py
@@ -26,13 +26,28 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 BOUNDS = {
-    "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000,
-    "catch_up_s": 4, "drain_ms": 3000, "grace_s": 8, "loss_slack_ms": 200,
-    "config_apply_ms": 2000, "downgrade_ms": 250, "max_skew_ms": 5000,
-    "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_min_retries": 56,
-    "recovery_s": 12, "transit_ms": 120, "again_s": 8.8, "require_fencing": "true",
-    "lease_ms": 3000, "thaw_ms": 300, "ttl_max_s": 5,
-}  # fmt: skip
+    "seed_lag_s": 3,
+    "reuse_after_s": 2,
+    "contact_ms": 3000,
+    "ack_ms": 4000,
+    "catch_up_s": 4,
+    "drain_ms": 3000,
+    "grace_s": 8,
+    "loss_slack_ms": 200,
+    "config_apply_ms": 2000,
+    "downgrade_ms": 250,
+    "max_skew_ms": 5000,
+    "retry_budget_ratio": 0.2,
+    "budget_window_s": 10,
+    "budget_min_retries": 56,
+    "recovery_s": 12,
+    "transit_ms": 120,
+    "again_s": 8.8,
+    "require_fencing": "true",
+    "lease_ms": 3000,
+    "thaw_ms": 300,
+    "ttl_max_s": 5,
+}
 
 
 def trouble() -> bool:
@@ -53,12 +68,15 @@
         self._lines: list[str] = []
 
     def now(self) -> float:
+        """Return the seconds since the start."""
         return time.monotonic() - self._began
 
     def write(self, text: str) -> None:
+        """Add a line."""
         self._lines.append(f"{self.now():8.3f} s  {text}")
 
     def save(self) -> None:
+        """Write all lines to the file."""
         self._path.write_text("\n".join(self._lines) + "\n")
 
 
@@ -78,6 +96,7 @@
         raise CannotRun("no free range of ports")
 
     def ip(self, number: int) -> str:
+        """Return one of the addresses."""
         return f"{self._net}.{number}"
 
 
@@ -96,7 +115,10 @@
     def __init__(self, world: "World", role: str, ip: str) -> None:
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         words = deploy["roles"][role]["run"].split()
-        self._command = [sys.executable if words[0] == "python3" else words[0], *words[1:]]
+        self._command = [
+            sys.executable if words[0] == "python3" else words[0],
+            *words[1:],
+        ]
         self.ip, self.role, self._world = ip, role, world
         self.folder = world.folder / ip
         self.folder.mkdir(parents=True)
@@ -106,30 +128,48 @@
         self.control, self.directory = f"{ip}:{p + 2}", f"{ip}:{p + 3}"
 
     def write_settings(self, *, first: bool) -> None:
+        """Write the settings file as the platform does."""
         w, is_core = self._world, self.role == "coordinator"
         p = w.net.start
         kind = "core" if is_core else "edge"
         fields = {
-            "node_name": f"{kind}-{ZONE}-{self.ip}", "role": self.role,
+            "node_name": f"{kind}-{ZONE}-{self.ip}",
+            "role": self.role,
             "machine_class": kind,
             "serves": "control_plane,registry" if is_core else "edge",
-            "ip": self.ip, "zone": ZONE, "region": REGION, f"zones.{ZONE}": REGION,
+            "ip": self.ip,
+            "zone": ZONE,
+            "region": REGION,
+            f"zones.{ZONE}": REGION,
             "internal_ports": f"{p + 4},{p + 19}",
             "seeds": ",".join(c.control for c in w.cores[:3]),
-            "bootstrap": str(first).lower(), "in_tolerance": str(is_core).lower(),
-            "limits.cpu_share": 0.537, "limits.cores": 2, "limits.memory_mb": 300,
-            "limits.max_fds": 4100, "limits.bandwidth_mbps": 1000.0,
-            "limits.disk_mb": 128 if is_core else 0, "discovery": "cloud",
-            "entry": "registry", "heartbeat_ms": 1200,
+            "bootstrap": str(first).lower(),
+            "in_tolerance": str(is_core).lower(),
+            "limits.cpu_share": 0.537,
+            "limits.cores": 2,
+            "limits.memory_mb": 300,
+            "limits.max_fds": 4100,
+            "limits.bandwidth_mbps": 1000.0,
+            "limits.disk_mb": 128 if is_core else 0,
+            "discovery": "cloud",
+            "entry": "registry",
+            "heartbeat_ms": 1200,
             "contracts": "base,drain,config,cost,retry,recover,split,stream,engine",
-            "fault_tolerance.machines": 1, "fault_tolerance.zones": 0,
-            "fault_tolerance.regions": 0, "config_mode": "highest",
-            "cloud.address": w.list_address, "cloud.rate_per_s": 44.0,
-            "cloud.duties": "", "cloud.max_lag_ms": 800,
-        }  # fmt: skip
+            "fault_tolerance.machines": 1,
+            "fault_tolerance.zones": 0,
+            "fault_tolerance.regions": 0,
+            "config_mode": "highest",
+            "cloud.address": w.list_address,
+            "cloud.rate_per_s": 44.0,
+            "cloud.duties": "",
+            "cloud.max_lag_ms": 800,
+        }
         fields |= {f"bounds.{name}": value for name, value in BOUNDS.items()}
         if is_core:
-            fields |= {"listen.control": self.control, "listen.directory": self.directory}
+            fields |= {
+                "listen.control": self.control,
+                "listen.directory": self.directory,
+            }
             fields["data_dir"] = str(self.folder / "data")
             (self.folder / "data").mkdir(exist_ok=True)
         else:
@@ -138,6 +178,7 @@
         (self.folder / "local.conf").write_text(text)
 
     def start(self, *, first: bool = False) -> None:
+        """Start the process with new settings."""
         self.write_settings(first=first)
         env = {n: os.environ[n] for n in ("PATH", "HOME", "LANG") if n in os.environ}
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
@@ -148,10 +189,12 @@
             )
 
     def signal(self, number: int) -> None:
+        """Send a signal if the process is running."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
     def end(self) -> None:
+        """Kill the process and wait for its end."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self.process is not None:
@@ -170,9 +213,15 @@
     """
 
     def __init__(
-        self, world: "World", ip: str, service: str, *,
-        stage: str = "", event_s: float = 0.05, work_s: float = 0.02,
-    ) -> None:  # fmt: skip
+        self,
+        world: "World",
+        ip: str,
+        service: str,
+        *,
+        stage: str = "",
+        event_s: float = 0.05,
+        work_s: float = 0.02,
+    ) -> None:
         self.id = f"i-{uuid.uuid4().hex[:8]}"
         self.service, self.stage = service, stage
         self.state = "ready"
@@ -185,17 +234,25 @@
 
     @property
     def entry(self) -> dict[str, object]:
+        """Entry of the replica on the list."""
         entry: dict[str, object] = {
-            "id": self.id, "service": self.service, "address": self.address,
-            "zone": ZONE, "version": "v1", "slots": 64 if self.stage else 6,
-            "state": self.state, "cold_remaining_ms": 0, "born": self._born,
-        }  # fmt: skip
+            "id": self.id,
+            "service": self.service,
+            "address": self.address,
+            "zone": ZONE,
+            "version": "v1",
+            "slots": 64 if self.stage else 6,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "born": self._born,
+        }
         if self.stage:
             models = [{"name": "m", "version": 1, "adapters": []}]
             entry |= {"stage": self.stage, "models": models}
         return entry
 
     async def open(self) -> None:
+        """Begin to listen."""
         ip, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, ip, int(port))
 
@@ -215,15 +272,27 @@
         if fields.get("expected-instance", self.id) != self.id:
             return send(writer, "421 Misdirected Request", {"Not-Executed": "1"})
         if path == "/v1/report":
-            report = {"stage": self.stage, "models": [], "busy": False,
-                      "sequence": self._orders, "waiting": 0, "running": 0,
-                      "kv_used": 0, "kv_total": 480000, "handles": 0,
-                      "born": self._born}  # fmt: skip
+            report = {
+                "stage": self.stage,
+                "models": [],
+                "busy": False,
+                "sequence": self._orders,
+                "waiting": 0,
+                "running": 0,
+                "kv_used": 0,
+                "kv_total": 480000,
+                "handles": 0,
+                "born": self._born,
+            }
             return send(writer, "200 OK", {}, json.dumps(report).encode())
         if path == "/v1/order":
             order = json.loads(request["body"])
             self._world.record.write(f"{self.id} gets the order {order}")
-            return send(writer, "200 OK" if order.get("stage") == self.stage else "409 Conflict", {})
+            return send(
+                writer,
+                "200 OK" if order.get("stage") == self.stage else "409 Conflict",
+                {},
+            )
         if path.startswith("/v1/"):
             return send(writer, "200 OK", {})
         if path == "/health":
@@ -249,8 +318,11 @@
             send(writer, "200 OK", answer, f"{name} done".encode())
             record.write(f"{self.id} has answered {name}")
             return
-        answer |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked",
-                   "Weight-Versions": "1"}  # fmt: skip
+        answer |= {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            "Weight-Versions": "1",
+        }
         send(writer, "200 OK", answer, None)
         first = int(fields.get("last-event-id") or 0) + 1
         last = int(fields["token-usage"].split(",")[1])
@@ -262,7 +334,9 @@
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
         except OSError:
-            record.write(f"the stream of {name} at {self.id} was cut at event {number} of {last}")
+            record.write(
+                f"the stream of {name} at {self.id} was cut at event {number} of {last}"
+            )
             raise
         writer.write(b"0\r\n\r\n")
         record.write(f"{self.id} has sent all {last} events of {name}")
@@ -272,6 +346,7 @@
     """Programs, replicas and the platform's list in a temporary folder."""
 
     def __init__(self, folder: Path, *, cores: int = 3, edges: int = 2) -> None:
+        self.began = time.monotonic()
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = Network(cores + edges + 12)
@@ -285,10 +360,12 @@
         for n in range(1, cores + 1):
             self.cores.append(Program(self, "coordinator", self.net.ip(n)))
         self.edges = [
-            Program(self, "gateway", self.net.ip(cores + n)) for n in range(1, edges + 1)
+            Program(self, "gateway", self.net.ip(cores + n))
+            for n in range(1, edges + 1)
         ]
 
     def add_replica(self, service: str, **options) -> Replica:
+        """Add a replica before the start."""
         replica = Replica(self, self.net.ip(self._next_ip), service, **options)
         self._next_ip += 1
         self.replicas.append(replica)
@@ -302,12 +379,17 @@
             await replica.open()
         for program in (*self.cores, *self.edges):
             program.start(first=True)
-        await self.until(lambda: self.store(config), "the first configuration is stored")
+        await self.until(
+            lambda: self.store(config), "the first configuration is stored"
+        )
         for edge in self.edges:
             await self.until(lambda e=edge: self._is_ready(e), f"{edge.ip} is ready")
         self.record.write("all entries are ready")
 
-    async def until(self, condition: Callable, what: str, timeout_s: float = 25.0) -> None:
+    async def until(
+        self, condition: Callable, what: str, timeout_s: float = 25.0
+    ) -> None:
+        """Wait until a condition holds."""
         end = time.monotonic() + timeout_s
         while time.monotonic() < end:
             if await condition():
@@ -316,6 +398,7 @@
         raise CannotRun(f"{what}: not within {timeout_s} s")
 
     async def store(self, config: dict) -> bool:
+        """Store a configuration as an operator; return whether it is acknowledged."""
         body = json.dumps(config).encode()
         for core in self.cores:
             address = core.control
@@ -354,6 +437,7 @@
         writer.close()
 
     def close(self) -> None:
+        """End all processes and save the record."""
         for program in (*self.cores, *self.edges):
             program.end()
         if os.environ.get("KEEP"):
@@ -386,9 +470,13 @@
 
 
 async def call(
-    address: str, method: str, path: str, fields: dict[str, str], body: bytes = b"",
+    address: str,
+    method: str,
+    path: str,
+    fields: dict[str, str],
+    body: bytes = b"",
     wait_s: float = 3.0,
-) -> dict:  # fmt: skip
+) -> dict:
     """Send a request on a new connection and return what comes back until its end."""
     answer = {"status": 0, "fields": {}, "body": b"", "complete": False, "error": ""}
     writer = None
@@ -400,10 +488,13 @@
             head = "".join(f"{n}: {v}\r\n" for n, v in fields.items())
             writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
             await writer.drain()
-            line, *rest = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+            line, *rest = (
+                (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+            )
             answer["status"] = int(line.split()[1])
             answer["fields"] = got = {
-                n.lower(): v.strip() for n, _, v in (r.partition(":") for r in rest if r)
+                n.lower(): v.strip()
+                for n, _, v in (r.partition(":") for r in rest if r)
             }
             if got.get("transfer-encoding") == "chunked":
                 while size := int(await reader.readuntil(b"\r\n"), 16):
@@ -424,30 +515,68 @@
 
 
 def configuration(version: int, routes: list[dict], services: list[dict]) -> dict:
-    limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304,
-              "header_timeout_ms": 3000, "idle_timeout_ms": 15000}  # fmt: skip
-    return {"version": version, "routes": routes, "services": services, "limits": limits}
+    """Return a complete configuration."""
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+    }
 
 
 def route(name: str, prefix: str, kind: str, service: str, **more) -> dict:
-    fields = {"name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
-              "timeout_ms": 10000, "target_latency_ms": 800, "priority": 2,
-              "service": service, "max_attempts": 1, "sticky": False,
-              "resumable": False}  # fmt: skip
+    """Return a route of a configuration."""
+    fields = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 10000,
+        "target_latency_ms": 800,
+        "priority": 2,
+        "service": service,
+        "max_attempts": 1,
+        "sticky": False,
+        "resumable": False,
+    }
     return fields | more
 
 
 def engine_service(name: str) -> dict:
-    engine = {"slots": 64, "kv_capacity": 482955, "kv_token_bytes": 18432,
-              "bandwidth_mbps": 130000.0, "moves": True, "backups": True, "stride": 10,
-              "most": 12, "handle_ttl_s": 5.0, "switch_s": 3.0, "pin_ms": 4000.0,
-              "hold_ms": 2000.0, "models": [{"name": "m"}]}  # fmt: skip
+    """Return a service of model engines."""
+    engine = {
+        "slots": 64,
+        "kv_capacity": 482955,
+        "kv_token_bytes": 18432,
+        "bandwidth_mbps": 130000.0,
+        "moves": True,
+        "backups": True,
+        "stride": 10,
+        "most": 12,
+        "handle_ttl_s": 5.0,
+        "switch_s": 3.0,
+        "pin_ms": 4000.0,
+        "hold_ms": 2000.0,
+        "models": [{"name": "m"}],
+    }
     return plain_service(name) | {"max_connections": 370, "engine": engine}
 
 
 def plain_service(name: str) -> dict:
-    return {"name": name, "health_path": "/health", "max_connections": 110,
-            "protocol": "h1", "tls": False}  # fmt: skip
+    """Return a service of plain servers."""
+    return {
+        "name": name,
+        "health_path": "/health",
+        "max_connections": 110,
+        "protocol": "h1",
+        "tls": False,
+    }
 
 
 def main(folder: Path, case: Callable, **options) -> None:
