--- a/review/kit.py
+++ b/review/kit.py
@@ -594,6 +594,9 @@
             world.close()
         return result
 
+    # An end from outside also ends the processes of the case.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
     result = asyncio.run(run())
     print({HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[result])
     raise SystemExit(result)
