Log when an entry first hears of a version of the configuration

Only config_in_force named the host whose reply carried it. version_reported adds the first report, the version held then and the relay, one line a version and entry, so that a wait for the relay, for the fall-back and for the reply can be told apart.

No behaviour changes; tests/gateway pass.

--- a/wigeonspan/gateway/_controls.py
+++ b/wigeonspan/gateway/_controls.py
@@ -48,6 +48,12 @@
         self._controls: dict[str, _Control] = {}
         self._seeds: set[str] = set()
         self._relay = ""
+        self._newest_version = 0
+
+    @property
+    def newest_version(self) -> int:
+        """Highest version that any control host has reported."""
+        return self._newest_version
 
     @property
     def relay(self) -> str:
@@ -101,6 +107,7 @@
         """Record a reply; return whether the host was unreachable before."""
         control = self._controls[address]
         was_unreachable = not control.reachable
+        self._newest_version = max(self._newest_version, version)
         if version != control.version:
             control.version, control.version_since = version, now
         control.replied_at, control.reachable = now, True
--- a/wigeonspan/gateway/_heartbeats.py
+++ b/wigeonspan/gateway/_heartbeats.py
@@ -177,6 +177,16 @@
     def _record_reply(self, address: str, reply: BeatReply) -> None:
         self._replied_hosts.add(address)
         version, now = reply.config_version, self._clock.now()
+        if version > self._controls.newest_version:
+            self._event_log.write(
+                "beats",
+                "version_reported",
+                version=version,
+                held=self._config.version,
+                control=address,
+                leads=reply.leads,
+                relay=self._controls.relay,
+            )
         if self._controls.record_reply(
             address,
             reply.domain,
