Refuse requests that a stopping entry cannot finish

Cause: a stopping entry accepts requests for 6.2 s, as long as callers keep an answer of the directory, and ended whatever was open at 7.2 s. Nothing compared the time that a request may take with the time that was left.

Evidence: the entry's log names 'this entry stops' for each cut stream; the lost ones were sent 3.2 to 6 s after SIGTERM and ended at 7.2 s, also with sound engines and fast readers (ruled out: silent engines and slow readers, which the test has none of).

Change: an entry forecasts how long a request takes from the recent requests of its route (time to the first event against the plan, seconds by output token, seconds of a call; requests in progress count as well). A request that does not fit into the time until the process is killed is refused with 503 before it is sent to an engine. The caller returns at once if another entry is ready, else after the restart. The time until the kill is the platform's setting (bounds.grace_s), not a constant, and requests run until half a second before it instead of 0.8 s.

--- /dev/null
+++ b/tests/platform/test_planned_stop.py
@@ -0,0 +1,110 @@
+"""Tests of the requests that a stopping entry accepts, with the real programs."""
+
+import signal
+import threading
+import time
+import uuid
+from http.client import HTTPConnection, HTTPException
+
+import pytest
+from standin import FRONT_PORT, InjectedFaults
+from standin._replicas import EVENT_INTERVAL_S
+
+from tests.platform.process_harness import wait_until
+from tests.platform.test_whole_path import Deployment
+
+EVENTS, EVENT_S = 40, 0.1
+"""Events of a stream, and seconds between two of them."""
+
+SEND_INTERVAL_S = 0.4
+KEEP_S = 7.0
+"""Seconds after the stop for which callers send to the address that they keep."""
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    new_deployment = Deployment(tmp_path)
+    try:
+        new_deployment.store_config(1)
+        for entry in new_deployment.entries:
+            wait_until(
+                "an entry to be ready",
+                lambda entry=entry: new_deployment.is_ready(entry),
+            )
+        yield new_deployment
+    finally:
+        new_deployment.stop()
+
+
+class Caller(threading.Thread):
+    """Send one request and read its answer."""
+
+    def __init__(self, ip, path, usage):
+        super().__init__(daemon=True)
+        self.connection = HTTPConnection(ip, FRONT_PORT, timeout=10)
+        self.path, self.usage = path, usage
+        self.sent_at = time.monotonic()
+        self.status, self.complete = 0, False
+        self.start()
+
+    def run(self):
+        headers = {"Host": "h.example", "Request-Id": uuid.uuid4().hex[:16]}
+        headers["Deadline-Ms"] = "8000"
+        if self.usage:
+            headers["Token-Usage"] = self.usage
+        try:
+            self.connection.request("POST", self.path, b"body", headers)
+            answer = self.connection.getresponse()
+            self.status = answer.status
+            answer.read()
+            self.complete = True
+        except (HTTPException, OSError):
+            # The test tells by the status whether an answer was cut.
+            pass
+        self.ended_at = time.monotonic()
+
+    @property
+    def was_cut(self):
+        return self.status == 200 and not self.complete
+
+
+def send_for(ip, seconds):
+    """Begin a stream and a plain call at one entry at each interval."""
+    streams, calls, end = [], [], time.monotonic() + seconds
+    while time.monotonic() < end:
+        streams.append(Caller(ip, "/stream/x", f"600,{EVENTS}"))
+        calls.append(Caller(ip, "/plain/x", None))
+        time.sleep(SEND_INTERVAL_S)
+    return streams, calls
+
+
+@pytest.mark.timeout(60)
+def test_stopping_entry_finishes_or_refuses_what_it_accepts(deployment):
+    """Streams that came 3 to 6 s after SIGTERM were cut in the middle.
+
+    Callers keep an address of the directory for seconds. The entry took their streams
+    although they last longer than the time until it ends.
+    """
+    entry = deployment.entries[0]
+    for replica in deployment.platform.replicas:
+        if replica.service == "models":
+            faults = InjectedFaults(slowdown_factor=EVENT_S / EVENT_INTERVAL_S)
+            replica.injected_faults = faults
+    # The entry has served both routes for a while when it is told to stop.
+    before, _ = send_for(entry.ip, EVENTS * EVENT_S)
+    entry.signal(signal.SIGTERM)
+    stopped_at = time.monotonic()
+    streams, calls = send_for(entry.ip, KEEP_S)
+    for caller in (*before, *streams, *calls):
+        caller.join()
+    cut = [round(s.sent_at - stopped_at, 1) for s in (*before, *streams) if s.was_cut]
+    assert not cut, f"streams sent {cut} s after SIGTERM were cut"
+    assert all(s.complete for s in before)
+    refused = [s for s in streams if s.complete and s.status == 503]
+    assert refused and all(s.ended_at - s.sent_at < 0.5 for s in refused)
+    # What can be finished is still served, and other requests are not refused with it.
+    served = [s.sent_at - stopped_at for s in streams if s.complete and s.status == 200]
+    assert max(served) > 1.0
+    late_calls = [c for c in calls if 4.0 < c.sent_at - stopped_at < 6.0]
+    assert late_calls and all(c.status == 200 for c in late_calls)
+    assert entry.process.wait(timeout=5) == 0
--- a/wigeonspan/gateway/__init__.py
+++ b/wigeonspan/gateway/__init__.py
@@ -1,6 +1,11 @@
 """Gateway process: serves callers, places their requests and relays the responses."""
 
-from wigeonspan.gateway._daemon import Gateway, GatewaySettings, run_gateway
+from wigeonspan.gateway._daemon import (
+    STOP_TIMEOUT_S,
+    Gateway,
+    GatewaySettings,
+    run_gateway,
+)
 from wigeonspan.gateway._messages import (
     CallerRequest,
     PromptHandle,
@@ -11,6 +16,7 @@
 )
 
 __all__ = [
+    "STOP_TIMEOUT_S",
     "CallerRequest",
     "Gateway",
     "GatewaySettings",
--- a/wigeonspan/gateway/_active_request.py
+++ b/wigeonspan/gateway/_active_request.py
@@ -6,6 +6,7 @@
 
 from wigeonspan.common import ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import Route
+from wigeonspan.gateway._completions import RequestTimer
 from wigeonspan.gateway._context import GatewayContext
 from wigeonspan.gateway._failures import failure_error
 from wigeonspan.gateway._messages import CallerRequest
@@ -25,6 +26,8 @@
     deadline : float
         Monotonic time in seconds after which the caller no longer waits for the
         response.
+    timer : RequestTimer
+        Times of the request, for forecasts.
     """
 
     context: GatewayContext
@@ -33,12 +36,33 @@
     service: ServiceName
     arrived_at: float
     deadline: float
+    timer: RequestTimer
 
     @property
     def remaining_s(self) -> float:
         """Seconds until the deadline."""
         return self.deadline - self.context.clock.now()
 
+    def check_time_left(self, expected_s: float) -> None:
+        """Check that a request can be completed before this entry has stopped.
+
+        Parameters
+        ----------
+        expected_s : float
+            Seconds until the response is complete. The deadline ends it in any case.
+
+        Raises
+        ------
+        WigeonspanError
+            ``DRAINING`` when it cannot.
+        """
+        context, now = self.context, self.context.clock.now()
+        try:
+            context.stop.check(min(expected_s, self.remaining_s), now)
+        except WigeonspanError:
+            context.metrics.count("refusals", limit="stopping")
+            raise
+
     def error(self, message: str, *, ran: bool) -> WigeonspanError:
         """Return the error for the caller when there is no response from a target.
 
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -60,9 +60,13 @@
 """Seconds after the stop signal during which connections are still accepted: callers
 cache a response of the directory for two seconds, some of them three times as long."""
 
-FINAL_RESPONSES_TIMEOUT_S = 1.0
-"""Seconds after ``DRAIN_S`` for requests in progress to finish; requests that are still
-open then are refused. The platform kills a process eight seconds after the signal."""
+STOP_TIMEOUT_S = 8.0
+"""Seconds from the stop signal until the process is killed, unless the settings say
+otherwise."""
+
+FINAL_RESPONSES_S = 0.5
+"""Seconds before the process is killed at which open requests are ended, so that their
+final responses are sent in time."""
 
 MAX_ENTRIES_SEEN = 64
 """Largest number of entry addresses in one response of the directory."""
@@ -80,6 +84,8 @@
         Internal addresses of control hosts.
     retry_ratio, retry_minimum, retry_window_s : float
         Parameters of the retry budget.
+    stop_timeout_s : float
+        Seconds from the stop signal until the process is killed.
     bind : str
         Address of the interface to listen on when a forwarder relays traffic from the
         other addresses to it; empty when they are this host's own addresses.
@@ -95,6 +101,7 @@
     retry_ratio: float
     retry_minimum: float
     retry_window_s: float
+    stop_timeout_s: float = STOP_TIMEOUT_S
     bind: str = ""
 
 
@@ -207,26 +214,37 @@
         ]
 
     def reload(self, settings: GatewaySettings) -> None:
-        """Apply the settings that may change at run time: the control hosts."""
-        if settings.controls == self._settings.controls:
-            return
+        """Apply the settings that may change at run time.
+
+        These are the control hosts and the time until a stopping process is killed.
+        """
+        controls_before = self._settings.controls
         self._settings = settings
+        if settings.controls == controls_before:
+            return
         self._context.event_log.write("process", "reloaded", controls=settings.controls)
         self._heartbeats.set_seeds(settings.controls)
 
     async def stop(self) -> None:
         """Announce the stop, finish open requests, and close."""
         self._state = EntryState.LEAVING
+        stopped_at = self._clock.now()
+        end_at = stopped_at + max(
+            0.0, self._settings.stop_timeout_s - FINAL_RESPONSES_S
+        )
+        drain_until = min(stopped_at + DRAIN_S, end_at)
         self._context.event_log.write(
-            "process", "stopping", open=self._front_server.open_requests
+            "process",
+            "stopping",
+            open=self._front_server.open_requests,
+            ends_in_ms=round((end_at - stopped_at) * 1000),
         )
+        self._context.stop.begin(end_at)
         self._front_server.close_after_responses()
-        drain_until = self._clock.now() + DRAIN_S
         await self._heartbeats.send_now()
         await asyncio.sleep(max(0.0, drain_until - self._clock.now()))
         self._front_server.stop_accepting()
-        cancel_at = self._clock.now() + FINAL_RESPONSES_TIMEOUT_S
-        while self._front_server.open_requests and self._clock.now() < cancel_at:
+        while self._front_server.open_requests and self._clock.now() < end_at:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S / 2)
         await self._front_server.end_requests()
         for task in self._tasks:
@@ -294,6 +312,9 @@
                 "entries", "entries_changed", hosts=[e.host for e in entries]
             )
         self._entries = entries
+        self._context.stop.set_ready_peer(
+            any(e.state is EntryState.READY and e.host != own for e in entries)
+        )
         self._context.link.set_peers([e.peer_address for e in entries if e.host != own])
         self._context.budget.set_entries(len(entries))
         hosts = sorted({own, *(e.host for e in entries)})
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -63,6 +63,7 @@
             When no target has sent a response that can be passed on.
         """
         self._check_quarantine()
+        self._check_time_left()
         response = await self._first_response() or self._failure
         if response is None:
             raise self._error("no target answered")
@@ -93,6 +94,21 @@
             retry_after_s=verdict.retry_after_s,
         )
 
+    def _check_time_left(self) -> None:
+        """Check that the call can be completed before this entry has stopped.
+
+        Raises
+        ------
+        WigeonspanError
+            When it cannot.
+        """
+        request, context = self._active_request, self._active_request.context
+        if context.stop.begun:
+            expected_s = context.completions.call_s(
+                request.route.name, context.clock.now()
+            )
+            request.check_time_left(expected_s)
+
     async def _first_response(self) -> _CompleteResponse | None:
         """Return the first response of a target that can be passed on, if any.
 
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -94,6 +94,7 @@
             )
             self._add_refused_demand(plan)
             raise self._progress.refusal(plan)
+        self._progress.check_time_left(plan)
         self._add_prefill_demand(plan.work_ms)
         context.metrics.observe("expected_wait_seconds", plan.wait_ms / 1000.0)
         context.metrics.observe(
--- a/wigeonspan/gateway/_progress.py
+++ b/wigeonspan/gateway/_progress.py
@@ -7,7 +7,7 @@
 from wigeonspan.gateway._context import GatewayContext
 from wigeonspan.gateway._events import StreamPosition
 from wigeonspan.gateway._runs import OpenRuns
-from wigeonspan.placing import Limit, Prompt, Refusal
+from wigeonspan.placing import Limit, Plan, Prompt, Refusal
 from wigeonspan.pool import Head
 
 BODY_TIMEOUT_S = 1.0
@@ -101,6 +101,29 @@
         reason = "engines crashed on a part of the prompt"
         raise self.refusal(Refusal(Limit.QUARANTINE, reason, verdict.retry_after_s))
 
+    def check_time_left(self, plan: Plan) -> None:
+        """Check that a stream can be completed before this entry has stopped.
+
+        A request that was already sent to an engine goes on as long as possible.
+
+        Raises
+        ------
+        WigeonspanError
+            When it cannot.
+        """
+        request = self.active_request
+        planned_s, timer = plan.first_ms / 1000.0, request.timer
+        timer.planned_s = timer.planned_s or planned_s
+        if not self.context.stop.begun or self.stream_count:
+            return
+        expected_s = self.context.completions.stream_s(
+            self.route.name,
+            planned_s,
+            self.prompt.output_tokens,
+            self.context.clock.now(),
+        )
+        request.check_time_left(expected_s)
+
     def body_timeout_s(self) -> float:
         """Return the seconds to wait for the body of an unstreamed response."""
         return min(BODY_TIMEOUT_S, self.active_request.remaining_s)
--- a/wigeonspan/gateway/_relay.py
+++ b/wigeonspan/gateway/_relay.py
@@ -274,6 +274,7 @@
         """
         context, now = self._progress.context, self._progress.context.clock.now()
         last, self._progress.last_event_at = self._progress.last_event_at, now
+        self._progress.active_request.timer.record_event(now)
         context.record_alive(run.engine, run.started_at)
         if run.first_event_at is not None and last is not None:
             if not was_silent:
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -155,17 +155,24 @@
             config_version=config.version,
             waits_ms=round(timeout_s * 1000),
         )
+        now = context.clock.now()
+        output_tokens = 0 if request.prompt is None else request.prompt.output_tokens
+        timer = context.completions.begin(route.name, output_tokens, now)
         active_request = ActiveRequest(
-            context, request, route, service, context.clock.now(), deadline
+            context, request, route, service, now, deadline, timer
         )
         handler = self._make_handler(config, active_request)
+        completed = False
         try:
             await handler.serve(caller)
+            completed = caller.status < 300
         except asyncio.CancelledError:
             if caller.disconnected:
                 raise
             # This process is stopping; the error says whether the request has run.
             raise handler.abort_error("this entry stops") from None
+        finally:
+            context.completions.end(timer, context.clock.now(), completed=completed)
         took_s = context.clock.now() - arrived_at
         context.metrics.observe("request_seconds", took_s, route=route.name)
         context.event_log.write(
