Bring versions into force in time behind a control host that is cut off

Cause, two parts and an aggravation. (1) The wait of 0.6 s, after which another host is asked for a version that the relay has not delivered, began anew with each version of a host: the leader, whose version differs in each reply, was never asked. (2) A host that had the version was asked only in its next regular heartbeat, 0.8 to 1.2 s later at the third host. (3) A host that is cut off did not say so and remained the relay, also for datagrams between entries.

Change: the wait counts from the first report of the oldest version that is not in force; the heartbeat that asks is sent when the wait ends; a host reports whether it is in contact with its group, and entries prefer relays that are. The wait is 0.8 s, so that the relay, whose copy may be 0.25 s behind the leader's, keeps its chance.

--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -379,3 +379,21 @@
     acknowledge(node, now, 3, source="d")
     node.change_member(member("d"), True, b"", now)
     assert member("d") in node.members
+
+
+def test_voter_that_hears_no_leader_is_not_in_contact():
+    """A host that is cut off must not tell entries that it has the newest state."""
+    node = make_node()
+    assert not node.in_contact(START)
+    node.handle(message(Append(1, 1, [], 1, 1), term=2), START)
+    assert node.in_contact(START + 1.0)
+    assert not node.in_contact(START + VOTE_GUARD_S)
+
+
+def test_leader_without_answers_is_not_in_contact():
+    """It leads for two seconds more, and cannot commit anything."""
+    node = make_node()
+    now = make_leader(node, START)
+    acknowledge(node, now, 1)
+    assert node.in_contact(now + LEASE_S - 0.1)
+    assert not node.in_contact(now + LEASE_S)
--- a/tests/gateway/test_controls.py
+++ b/tests/gateway/test_controls.py
@@ -61,6 +61,31 @@
     assert not controls.wants_changes("a", 2, 5.0 + after_s)
 
 
+def test_versions_that_follow_each_other_do_not_restart_the_wait():
+    """The leader was never asked: each of its replies had another version."""
+    controls = make_controls(("a", FAR), ("b", OWN))
+    for n in range(4):
+        controls.record_reply("a", FAR, 2 + n, [], 5.0 + 0.5 * n)
+    assert not controls.wants_changes("a", 1, 5.0 + FALLBACK_DELAY_S - 0.1)
+    assert controls.wants_changes("a", 1, 5.0 + FALLBACK_DELAY_S)
+    # Version 3 was reported later, so the relay has more time for it.
+    assert controls.fallback_at("a", 2) == 5.5 + FALLBACK_DELAY_S
+    assert controls.fallback_at("b", 2) is None
+    assert controls.fallback_at("a", 5) is None
+
+
+def test_host_that_is_cut_off_from_its_group_is_no_relay():
+    """It gets no new configuration and no datagrams from the other domains."""
+    controls = make_controls(("a", FAR), ("b", OWN))
+    controls.record_reply("b", OWN, 1, [], 1.0, in_group=False)
+    assert controls.relay == "a"
+    controls.record_reply("a", FAR, 1, [], 1.0, in_group=False)
+    assert controls.relay == "b"
+    controls.record_reply("a", FAR, 1, [], 2.0)
+    controls.record_reply("b", OWN, 1, [], 2.0)
+    assert controls.relay == "b"
+
+
 def test_silent_host_is_forgotten_unless_it_is_a_seed():
     """Heartbeats must stop for removed hosts, but not for those in the settings."""
     controls = make_controls(("a", OWN), ("b", OWN))
--- a/wigeonspan/consensus/_core.py
+++ b/wigeonspan/consensus/_core.py
@@ -34,6 +34,7 @@
     VoteReply,
 )
 from wigeonspan.consensus._state import NEVER, NodeState
+from wigeonspan.consensus._timing import VOTE_GUARD_S
 
 RETAINED_ENTRIES = 500
 """Number of entries before a snapshot that stay in memory, so that a follower which is
@@ -89,6 +90,13 @@
         """Return the leader of the current term, or None when it is not known."""
         return self._state.leader
 
+    def in_contact(self, now: float) -> bool:
+        """Return whether a leader was heard recently, or a majority as a leader."""
+        state = self._state
+        if state.role is LogRole.LEADER:
+            return self.lease_valid_until > now
+        return state.last_leader_contact + VOTE_GUARD_S > now
+
     @property
     def members(self) -> tuple[Member, ...]:
         """Return the membership in force, committed or not."""
--- a/wigeonspan/consensus/_task.py
+++ b/wigeonspan/consensus/_task.py
@@ -141,6 +141,15 @@
         """Return the members; empty while this disk belongs to no group."""
         return list(self._driver.node.members) if self._driver.started else []
 
+    @property
+    def in_contact(self) -> bool:
+        """Whether this host hears of new entries.
+
+        It does while it follows a leader, or leads with a majority.
+        """
+        driver = self._driver
+        return driver.running and driver.node.in_contact(self._clock.now())
+
     @property
     def disk_id(self) -> str:
         """Return the random identity of this host's disk; available after the start."""
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -303,6 +303,7 @@
             [member.address for member in self._log.members],
             self._staging.switching,
             leads=self._log.is_leader,
+            in_group=self._log.in_contact,
         )
 
     def _authority(self) -> Authority | None:
--- a/wigeonspan/coordinator/_heartbeats.py
+++ b/wigeonspan/coordinator/_heartbeats.py
@@ -51,6 +51,7 @@
         switching: list[TargetId],
         *,
         leads: bool = False,
+        in_group: bool = True,
     ) -> BeatReply:
         """Record a heartbeat and return the reply.
 
@@ -69,6 +70,8 @@
             Engines whose phase is changing.
         leads : bool
             Whether this host leads its group.
+        in_group : bool
+            Whether this host is in contact with the other members of its group.
         """
         now = self._clock.now()
         self._entries.record(beat, now)
@@ -91,6 +94,7 @@
             domain=self._domain,
             switching=switching,
             leads=leads,
+            in_group=in_group,
             quarantined=self._verdicts.missing(beat.quarantined, now),
         )
 
--- a/wigeonspan/gateway/_controls.py
+++ b/wigeonspan/gateway/_controls.py
@@ -1,5 +1,7 @@
 """State of the control hosts as an entry sees them, without I/O."""
 
+from collections import deque
+
 from msgspec import Struct
 
 from wigeonspan.common import DomainName
@@ -9,10 +11,13 @@
 """Seconds without a reply after which heartbeats to a control host stop, unless the
 settings name it."""
 
-FALLBACK_DELAY_S = 0.6
+FALLBACK_DELAY_S = 0.8
 """Seconds after which a newer configuration is requested from any host that has it; by
 then the relay has had time to deliver it in the reply to a heartbeat."""
 
+MAX_PENDING_VERSIONS = 256
+"""Largest number of reported versions that are remembered until one is in force."""
+
 
 class _Control(Struct):
     """State of one control host.
@@ -21,15 +26,15 @@
     ----------
     replied_at : float
         Monotonic time in seconds of its last reply, or of the time it was added.
-    version_since : float
-        Monotonic time in seconds at which it first reported its current version.
+    in_group : bool
+        Whether it is in contact with the other members of its group.
     """
 
     replied_at: float
     domain: DomainName | None = None
     reachable: bool = True
     version: int = 0
-    version_since: float = 0.0
+    in_group: bool = True
     switching: list[TargetId] = []
     leads: bool = True
 
@@ -49,6 +54,9 @@
         self._seeds: set[str] = set()
         self._relay = ""
         self._newest_version = 0
+        # Versions that are not in force yet, with the time of the first report. While
+        # versions follow each other, the wait for the oldest one goes on.
+        self._pending: deque[tuple[int, float]] = deque()
 
     @property
     def newest_version(self) -> int:
@@ -103,16 +111,19 @@
         now: float,
         *,
         leads: bool = True,
+        in_group: bool = True,
     ) -> bool:
         """Record a reply; return whether the host was unreachable before."""
         control = self._controls[address]
         was_unreachable = not control.reachable
-        self._newest_version = max(self._newest_version, version)
-        if version != control.version:
-            control.version, control.version_since = version, now
+        if version > self._newest_version:
+            self._newest_version = version
+            if len(self._pending) < MAX_PENDING_VERSIONS:
+                self._pending.append((version, now))
+        control.version = version
         control.replied_at, control.reachable = now, True
         control.domain, control.switching = domain, switching
-        control.leads = leads
+        control.leads, control.in_group = leads, in_group
         self._choose_relay()
         return was_unreachable
 
@@ -150,17 +161,31 @@
         """
         if not held_version or not self._relay or address == self._relay:
             return True
-        control = self._controls[address]
-        return (
-            control.version > held_version
-            and now - control.version_since >= FALLBACK_DELAY_S
-        )
+        due_at = self.fallback_at(address, held_version)
+        return due_at is not None and now >= due_at
+
+    def fallback_at(self, address: str, held_version: int) -> float | None:
+        """Return the time from which a host should include changes in its replies.
+
+        It is None while the host has no configuration that the relay is late with.
+        """
+        while self._pending and self._pending[0][0] <= held_version:
+            self._pending.popleft()
+        if not self._pending:
+            return None
+        version, reported_at = self._pending[0]
+        has_it = self._controls[address].version >= version
+        return reported_at + FALLBACK_DELAY_S if has_it else None
 
     def _choose_relay(self) -> None:
-        """Choose the first reachable host by address, hosts of this domain first."""
+        """Choose the first reachable host by address, hosts of this domain first.
+
+        A host that is cut off from its group gets neither versions nor datagrams of the
+        other domains, so it is chosen only if there is no other one.
+        """
         candidates = [
-            (control.domain != self._domain, address)
+            (not control.in_group, control.domain != self._domain, address)
             for address, control in self._controls.items()
             if control.reachable and control.domain is not None
         ]
-        self._relay = min(candidates)[1] if candidates else ""
+        self._relay = min(candidates)[-1] if candidates else ""
--- a/wigeonspan/gateway/_heartbeats.py
+++ b/wigeonspan/gateway/_heartbeats.py
@@ -126,19 +126,32 @@
 
     async def _run(self, address: str) -> None:
         while self._controls.should_send_heartbeats(address, self._clock.now()):
-            await self._send_heartbeat(address)
-            pause = (
-                HEARTBEAT_INTERVAL_S
-                if self._controls.needs_frequent_heartbeats(address)
-                else SLOW_HEARTBEAT_INTERVAL_S
-            )
-            if not self._config.version:
-                pause = STARTUP_HEARTBEAT_INTERVAL_S
-            await asyncio.sleep(pause * (0.8 + 0.4 * self._rng.random()))
+            asked_for_changes = await self._send_heartbeat(address)
+            pause = self._pause_s(address)
+            fallback_at = self._controls.fallback_at(address, self._config.version)
+            if fallback_at is not None and not asked_for_changes:
+                # Waiting for the next regular heartbeat would make the change late.
+                pause = min(pause, max(0.0, fallback_at - self._clock.now()))
+            await asyncio.sleep(pause)
         self._controls.drop(address)
         del self._tasks[address]
 
-    async def _send_heartbeat(self, address: str) -> None:
+    def _pause_s(self, address: str) -> float:
+        """Return the seconds until the next regular heartbeat to a host."""
+        interval_s = (
+            HEARTBEAT_INTERVAL_S
+            if self._controls.needs_frequent_heartbeats(address)
+            else SLOW_HEARTBEAT_INTERVAL_S
+        )
+        if not self._config.version:
+            interval_s = STARTUP_HEARTBEAT_INTERVAL_S
+        return interval_s * (0.8 + 0.4 * self._rng.random())
+
+    async def _send_heartbeat(self, address: str) -> bool:
+        """Send a heartbeat and process the reply; return whether it asked for changes.
+
+        The time of the next one depends on it.
+        """
         held_version, now = self._config.version, self._clock.now()
         wants_changes = self._controls.wants_changes(address, held_version, now)
         digest = self._digests.get(address, "")
@@ -157,8 +170,9 @@
                     "beats", "control_lost", control=address, why=str(error)
                 )
             self._publish_relay()
-            return
+            return wants_changes
         self._record_reply(address, reply)
+        return wants_changes
 
     def _apply_changes(self, address: str, reply: BeatReply) -> None:
         """Apply the configuration and the list of entries of a reply, if it has any.
@@ -194,6 +208,7 @@
             reply.switching,
             now,
             leads=reply.leads,
+            in_group=reply.in_group,
         ):
             self._event_log.write("beats", "control_back", control=address)
         for control in reply.controls:
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -98,6 +98,9 @@
         Engines that must not get new work because their phase is changing.
     leads : bool
         Whether the host leads its group; only a leader changes phases.
+    in_group : bool
+        Whether the host is in contact with the leader of its group, or leads it with
+        a majority. Otherwise it gets no new configuration.
     quarantined : list of PartQuarantined
         Verdicts of other entries that the entry does not hold.
     """
@@ -110,4 +113,5 @@
     domain: DomainName = DomainName("")
     switching: list[TargetId] = []
     leads: bool = True
+    in_group: bool = True
     quarantined: list[PartQuarantined] = []
