Answer calls that a stopping control host has in hand

Cause: Coordinator.stop handed leadership over and closed all connections at once. A call that was being read or answered ended with them, and connections that only the kernel had accepted were reset. The entry had the same gap at its end: only requests that were read completely counted as open.

Change: RequestServer.drain accepts what the kernel holds, gives the callers of these connections 0.2 s to send their request, and waits for the responses; the entry and the control host both end through it. Responses of a stopping control host announce that their connection closes.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -5,13 +5,14 @@
 import time
 import uuid
 from http.client import HTTPConnection, HTTPException
+from itertools import count
 
 import pytest
-from standin import FRONT_PORT, InjectedFaults
+from standin import CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, InjectedFaults
 from standin._replicas import EVENT_INTERVAL_S
 
-from tests.platform.process_harness import wait_until
-from tests.platform.test_whole_path import Deployment
+from tests.platform.process_harness import log_lines, wait_until
+from tests.platform.test_whole_path import Deployment, document
 
 EVENTS, EVENT_S = 40, 0.1
 """Events of a stream, and seconds between two of them."""
@@ -108,3 +109,61 @@
     late_calls = [c for c in calls if 4.0 < c.sent_at - stopped_at < 6.0]
     assert late_calls and all(c.status == 200 for c in late_calls)
     assert entry.process.wait(timeout=5) == 0
+
+
+def call_until_refused(url, method, make_body, results):
+    """Call a control host until it accepts no connection; note cut calls."""
+    host, _, rest = url.removeprefix("http://").partition("/")
+    while True:
+        connection = HTTPConnection(*host.split(":"), timeout=5)
+        try:
+            connection.connect()
+        except OSError:
+            return
+        try:
+            connection.request(method, f"/{rest}", make_body())
+            results.append(connection.getresponse().status)
+        except (HTTPException, OSError) as error:
+            results.append(repr(error))
+        finally:
+            connection.close()
+
+
+@pytest.mark.timeout(60)
+def test_stopping_control_host_answers_what_it_reads(deployment):
+    """An operator's change or a look-up in hand must not end without an answer."""
+    versions = count(2)
+
+    def leader():
+        for machine in deployment.controls:
+            lines = [x for x in log_lines(machine) if x["event"] == "role"]
+            if lines and lines[-1]["leads"]:
+                return machine
+        return None
+
+    stopped = wait_until("a leader", leader)
+    changes, lookups = [], []
+    control = f"http://{stopped.ip}:{CONTROL_PORT}/v1/config/replace"
+    directory = f"http://{stopped.ip}:{DIRECTORY_PORT}/v1/resolve?name=h&zone=z1"
+    threads = [
+        threading.Thread(
+            target=call_until_refused,
+            args=(control, "POST", lambda: document(next(versions)), changes),
+        )
+        for _ in range(4)
+    ] + [
+        threading.Thread(
+            target=call_until_refused,
+            args=(directory, "GET", lambda: None, lookups),
+        )
+        for _ in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    stopped.signal(signal.SIGTERM)
+    for thread in threads:
+        thread.join()
+    assert 200 in changes and 200 in lookups
+    assert not [x for x in (*changes, *lookups) if isinstance(x, str)]
+    assert stopped.process.wait(timeout=5) == 0
--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -212,6 +212,33 @@
     assert len(served) == 100
 
 
+def test_requests_of_the_last_connections_are_read_before_the_stop():
+    """A connection was closed although its caller's request was under way.
+
+    Only requests that were read completely counted as open.
+    """
+
+    async def serve(method, target, headers, body, caller):
+        await caller.send_response(200, [], b"x")
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        stop = asyncio.create_task(server.drain(2.0))
+        await asyncio.sleep(0.1)
+        writer.write(REQUEST)
+        await stop
+        await server.close()
+        async with asyncio.timeout(2):
+            response = await reader.read()
+        writer.close()
+        return response
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
+
+
 def test_requests_open_at_the_stop_still_get_a_response():
     """Requests that are cancelled when the process stops must get a response."""
 
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -66,6 +66,9 @@
 engines keep for the previous sender of orders, and the time until the connection of an
 unanswered order is closed."""
 
+FINAL_RESPONSES_TIMEOUT_S = 1.0
+"""Seconds at the stop for responses to the last calls of operators and look-ups."""
+
 ORDER_LEASE_MARGIN_S = 0.3
 """Minimum remaining seconds of the leader's lease when an order is sent."""
 
@@ -211,13 +214,18 @@
         await self._log.wait_until_failed()
 
     async def stop(self) -> None:
-        """Hand over leadership, close all connections and stop."""
+        """Hand over leadership, respond to all calls in progress and stop."""
         self._event_log.write("process", "stopping", leader=self._log.is_leader)
         for task in self._tasks:
             task.cancel()
+        for server in self._servers:
+            server.close_after_responses()
         await self._log.stop()
         self._cache.close()
         self._relay.close()
+        await asyncio.gather(
+            *(server.drain(FINAL_RESPONSES_TIMEOUT_S) for server in self._servers)
+        )
         for server in self._servers:
             await server.close()
         self._http.stop()
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -243,10 +243,7 @@
         self._front_server.close_after_responses()
         await self._heartbeats.send_now()
         await asyncio.sleep(max(0.0, drain_until - self._clock.now()))
-        self._front_server.stop_accepting()
-        while self._front_server.open_requests and self._clock.now() < end_at:
-            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S / 2)
-        await self._front_server.end_requests()
+        await self._front_server.drain(max(0.0, end_at - self._clock.now()))
         for task in self._tasks:
             task.cancel()
         self._heartbeats.close()
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -35,6 +35,10 @@
 """Seconds to wait for the responses to requests that are cancelled when the process
 stops."""
 
+LAST_REQUESTS_S = 0.2
+"""Seconds in which the callers of the connections that were accepted last send their
+requests."""
+
 # Value of SO_LINGER (on, 0 seconds) with which a close resets the connection.
 _RESET = struct.pack("ii", 1, 0)
 
@@ -206,6 +210,26 @@
         self._server.stop()
         self._sockets = []
 
+    async def drain(self, timeout_s: float) -> None:
+        """Stop accepting, and respond to all requests of the open connections.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds after which requests that are still open are cancelled.
+        """
+        self.close_after_responses()
+        self.stop_accepting()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(LAST_REQUESTS_S)
+                while self._open_tasks:
+                    await asyncio.wait(self._open_tasks)
+        except TimeoutError:
+            # The remaining requests get their final response below.
+            pass
+        await self.end_requests()
+
     async def end_requests(self) -> None:
         """Cancel the open requests and wait until their responses are sent.
 
