Serve the last connections of a stopping wigeonspan-entryd

Callers that connected while a drain ended got a reset instead of an answer: the same gap as at a stopping control host, found while looking for related paths.

Cause: EntryDaemon.serve closed the listening socket and all connections as soon as no request was open. The kernel resets connections that it has accepted and the daemon has not, and requests that were being read ended with their connection.

Change: the daemon accepts what the kernel holds, gives these callers 0.2 s to send their request, and waits for the responses. accept_pending moves from the request server to wigeonspan.http, which both use. wigeonspan-controld needs no change here: its operators' calls get the grace time of the gRPC server, and entries send calls again to the new leader, which knows their outcome. The daemon itself never ends a request, so that a late one is not cut by it.

--- a/tests/entryd/test_drain.py
+++ b/tests/entryd/test_drain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 
@@ -53,6 +54,33 @@
     assert in_flight == 0
 
 
+def test_connections_made_before_the_end_are_served():
+    """Guards against resetting connections that only the kernel has accepted."""
+
+    async def work():
+        async with EntryTestbed() as testbed:
+            host, port = testbed.daemon.address.split(":")
+            testbed.daemon.request_stop()
+            # The second stop request ends the wait for cached directory responses.
+            testbed.daemon.request_stop()
+            callers = []
+            for _ in range(20):
+                caller = socket.create_connection((host, int(port)))
+                caller.sendall(b"GET /v1/directory HTTP/1.1\r\nHost: e\r\n\r\n")
+                callers.append(caller)
+            await testbed.daemon.serve()
+            # The daemon has closed itself; the testbed must not do it once more.
+            testbed.daemon.close = testbed.daemon.entry.wait_drained
+            responses = []
+            for caller in callers:
+                caller.settimeout(2)
+                responses.append(caller.recv(4096)[:12])
+                caller.close()
+            return responses
+
+    assert run(work) == [b"HTTP/1.1 200"] * 20
+
+
 def test_entry_without_lease_refuses_requests():
     """Guards against an entry that sends work without a routing lease.
 
--- a/wigeonspan/entryd/_daemon.py
+++ b/wigeonspan/entryd/_daemon.py
@@ -28,7 +28,7 @@
 from wigeonspan.entryd._http import DirectoryHandler, UnknownPathHandler
 from wigeonspan.entryd._services import ServiceHandler
 from wigeonspan.entryd._settings import EntrySettings, split_address
-from wigeonspan.http import make_client
+from wigeonspan.http import LAST_REQUESTS_S, accept_pending, make_client
 
 MAX_CONTROL_REQUESTS = 64
 """Largest number of concurrent messages to control hosts. Each non-idempotent call
@@ -113,13 +113,14 @@
             metrics or make_metrics(settings.metrics),
         )
         self._server: HTTPServer | None = None
+        self._sockets: list[socket.socket] = []
         self._tasks: list[asyncio.Task[None]] = []
         self.address = settings.address
 
     def start(self) -> None:
         """Start to listen for callers and to sync the configuration."""
         host, port = split_address(self._settings.address)
-        sockets = bind_sockets(port, host, backlog=1024)
+        self._sockets = sockets = bind_sockets(port, host, backlog=1024)
         for item in sockets:
             item.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.address = f"{host}:{sockets[0].getsockname()[1]}"
@@ -150,9 +151,20 @@
     async def serve(self) -> None:
         """Wait until a graceful stop is complete."""
         await self.entry.wait_drained()
+        await self._serve_last_connections()
         await self.close()
         _log.info("Entry {} has stopped.", self._settings.host)
 
+    async def _serve_last_connections(self) -> None:
+        """Stop accepting, and respond to callers that connected until then."""
+        if self._server is None:
+            return
+        for item in self._sockets:
+            accept_pending(self._server, item, UNLIMITED_BODY_BYTES, self._record_error)
+        self._server.stop()
+        await asyncio.sleep(LAST_REQUESTS_S)
+        await self.entry.wait_drained()
+
     async def close(self) -> None:
         """Stop the server, the background tasks and all connections immediately."""
         if self._server is not None:
--- a/wigeonspan/http/__init__.py
+++ b/wigeonspan/http/__init__.py
@@ -6,7 +6,9 @@
 
 from wigeonspan.http._helpers import (
     JSON_TYPE,
+    LAST_REQUESTS_S,
     JsonHandler,
+    accept_pending,
     check_json,
     make_client,
     post_message,
@@ -15,7 +17,9 @@
 
 __all__ = [
     "JSON_TYPE",
+    "LAST_REQUESTS_S",
     "JsonHandler",
+    "accept_pending",
     "check_json",
     "make_client",
     "post_message",
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -15,10 +15,11 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
 from wigeonspan.common import ErrorKind, WigeonspanError, encode
+from wigeonspan.http import LAST_REQUESTS_S, accept_pending
 
 MAX_HEADER_BYTES = 64 * 1024
 """Largest request head in bytes; configurations set lower limits."""
@@ -35,10 +36,6 @@
 """Seconds to wait for the responses to requests that are cancelled when the process
 stops."""
 
-LAST_REQUESTS_S = 0.2
-"""Seconds in which the callers of the connections that were accepted last send their
-requests."""
-
 # Value of SO_LINGER (on, 0 seconds) with which a close resets the connection.
 _RESET = struct.pack("ii", 1, 0)
 
@@ -206,7 +203,9 @@
         listening socket is closed.
         """
         for listening_socket in self._sockets:
-            self._accept_pending(listening_socket)
+            accept_pending(
+                self._server, listening_socket, MAX_BODY_BYTES, self._record_error
+            )
         self._server.stop()
         self._sockets = []
 
@@ -246,20 +245,6 @@
         self._server.stop()
         await self._server.close_all_connections()
 
-    def _accept_pending(self, listening_socket: socket.socket) -> None:
-        while True:
-            try:
-                accepted, address = listening_socket.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                # The caller has disconnected, or no file descriptor is available.
-                self._record_error(error)
-                return
-            accepted.setblocking(False)
-            stream = IOStream(accepted, max_buffer_size=MAX_BODY_BYTES)
-            self._server.handle_stream(stream, address)
-
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
