--- a/tests/platform/process_harness.py
+++ b/tests/platform/process_harness.py
@@ -121,6 +121,7 @@
 
     def __init__(self, address, path, request_id, *, usage=None):
         host, _, port = address.rpartition(":")
+        self.usage = usage
         self.connection = HTTPConnection(host, int(port), timeout=10)
         headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "8000"}
         if usage:
