Forecast requests of a stopping entry by service

The time of a call and the seconds by token are properties of the service, so its samples count for all of its routes; 128 of them instead of 64, since routes share them.

--- a/tests/gateway/test_completions.py
+++ b/tests/gateway/test_completions.py
@@ -25,7 +25,7 @@
 
 
 def test_unknown_requests_have_no_bound():
-    """Only its deadline bounds a request of a route that was never served."""
+    """Only its deadline bounds a request of a service that was never called."""
     forecast = CompletionForecast()
     assert forecast.call_s("r", 0.0) == math.inf
     assert forecast.stream_s("r", 0.1, 40, 0.0) == math.inf
--- a/wigeonspan/gateway/_completions.py
+++ b/wigeonspan/gateway/_completions.py
@@ -4,11 +4,13 @@
 from collections import deque
 from collections.abc import Iterable
 
-SAMPLE_COUNT = 64
-"""Number of completed requests of a route that a forecast considers."""
+from wigeonspan.common import ServiceName
+
+SAMPLE_COUNT = 128
+"""Number of completed requests of a service that a forecast considers."""
 
 MIN_SAMPLES = 4
-"""Completed requests of a route from which their times count as known."""
+"""Completed requests of a service from which their times count as known."""
 
 MIN_EVENTS = 4
 """Events of a stream in progress from which its pace is measured."""
@@ -27,8 +29,8 @@
 """Output tokens that a stream counts as at least, because the time of shorter ones does
 not depend on their number."""
 
-MAX_ROUTES = 1024
-"""Largest number of routes whose samples are kept; the oldest is dropped first."""
+MAX_SERVICES = 256
+"""Largest number of services whose samples are kept; the oldest is dropped first."""
 
 
 class RequestTimer:
@@ -36,16 +38,18 @@
 
     Parameters
     ----------
-    route : str
-        Name of the route.
+    service : ServiceName
+        Service that the request is for.
     output_tokens : int
         Maximum number of tokens of the response; 0 for a plain call.
     begun_at : float
         Monotonic time in seconds at which serving began.
     """
 
-    def __init__(self, route: str, output_tokens: int, begun_at: float) -> None:
-        self.route = route
+    def __init__(
+        self, service: ServiceName, output_tokens: int, begun_at: float
+    ) -> None:
+        self.service = service
         self.output_tokens = max(MIN_TOKENS, output_tokens)
         self.begun_at = begun_at
         # Seconds to the first event that the placement expected; 0 before it.
@@ -70,8 +74,8 @@
         return (until - self.begun_at) / self.planned_s
 
 
-class _RouteSamples:
-    """Times of the recent requests of one route.
+class _ServiceSamples:
+    """Times of the recent requests of one service.
 
     Attributes
     ----------
@@ -90,31 +94,33 @@
 
 
 class CompletionForecast:
-    """Upper bounds of the time that requests take, from recent ones of their route.
+    """Upper bounds of the time that requests take, from recent ones of their service.
 
     Requests in progress count with the time that they have taken until now, so that
     the bounds also hold when requests become slower or none has been completed yet.
     """
 
     def __init__(self) -> None:
-        self._samples: dict[str, _RouteSamples] = {}
-        self._open: dict[str, set[RequestTimer]] = {}
+        self._samples: dict[ServiceName, _ServiceSamples] = {}
+        self._open: dict[ServiceName, set[RequestTimer]] = {}
 
-    def begin(self, route: str, output_tokens: int, now: float) -> RequestTimer:
+    def begin(
+        self, service: ServiceName, output_tokens: int, now: float
+    ) -> RequestTimer:
         """Begin to time a request; see :class:`RequestTimer` for the parameters."""
-        timer = RequestTimer(route, output_tokens, now)
-        self._open.setdefault(route, set()).add(timer)
+        timer = RequestTimer(service, output_tokens, now)
+        self._open.setdefault(service, set()).add(timer)
         return timer
 
     def end(self, timer: RequestTimer, now: float, *, completed: bool) -> None:
         """End the timing of a request; only a complete response is a sample."""
-        still_open = self._open[timer.route]
+        still_open = self._open[timer.service]
         still_open.discard(timer)
         if not still_open:
-            del self._open[timer.route]
+            del self._open[timer.service]
         if not completed:
             return
-        samples = self._route_samples(timer.route)
+        samples = self._service_samples(timer.service)
         if timer.first_event_at is None:
             samples.call_s.append(now - timer.begun_at)
             return
@@ -122,16 +128,16 @@
         if (ratio := timer.start_ratio(now)) is not None:
             samples.start_ratios.append(ratio)
 
-    def call_s(self, route: str, now: float) -> float:
+    def call_s(self, service: ServiceName, now: float) -> float:
         """Return the seconds within which a plain call ends; infinity if unknown."""
-        samples = self._samples.get(route)
+        samples = self._samples.get(service)
         if samples is None or len(samples.call_s) < MIN_SAMPLES:
             return math.inf
-        taken = [now - timer.begun_at for timer in self._open.get(route, ())]
+        taken = [now - timer.begun_at for timer in self._open.get(service, ())]
         return _with_margin(_upper([*samples.call_s, *taken]))
 
     def stream_s(
-        self, route: str, planned_s: float, output_tokens: int, now: float
+        self, service: ServiceName, planned_s: float, output_tokens: int, now: float
     ) -> float:
         """Return the seconds within which a stream ends; infinity if unknown.
 
@@ -142,8 +148,8 @@
         output_tokens : int
             Maximum number of tokens of the response.
         """
-        samples = self._samples.get(route) or _RouteSamples()
-        timers = self._open.get(route, set())
+        samples = self._samples.get(service) or _ServiceSamples()
+        timers = self._open.get(service, set())
         pace = self._pace(samples, timers, now)
         if pace is None:
             return math.inf
@@ -153,7 +159,7 @@
         return _with_margin(start_s + pace * max(MIN_TOKENS, output_tokens))
 
     def _pace(
-        self, samples: _RouteSamples, timers: Iterable[RequestTimer], now: float
+        self, samples: _ServiceSamples, timers: Iterable[RequestTimer], now: float
     ) -> float | None:
         """Return the seconds by output token after the first event, if known."""
         known = len(samples.paces) >= MIN_SAMPLES
@@ -166,12 +172,12 @@
             paces.append((now - timer.first_event_at) / tokens)
         return _upper(paces) if paces else None
 
-    def _route_samples(self, route: str) -> _RouteSamples:
-        samples = self._samples.get(route)
+    def _service_samples(self, service: ServiceName) -> _ServiceSamples:
+        samples = self._samples.get(service)
         if samples is None:
-            if len(self._samples) >= MAX_ROUTES:
+            if len(self._samples) >= MAX_SERVICES:
                 del self._samples[next(iter(self._samples))]
-            samples = self._samples[route] = _RouteSamples()
+            samples = self._samples[service] = _ServiceSamples()
         return samples
 
 
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -105,7 +105,7 @@
         request, context = self._active_request, self._active_request.context
         if context.stop.begun:
             expected_s = context.completions.call_s(
-                request.route.name, context.clock.now()
+                request.service, context.clock.now()
             )
             request.check_time_left(expected_s)
 
--- a/wigeonspan/gateway/_progress.py
+++ b/wigeonspan/gateway/_progress.py
@@ -117,7 +117,7 @@
         if not self.context.stop.begun or self.stream_count:
             return
         expected_s = self.context.completions.stream_s(
-            self.route.name,
+            request.service,
             planned_s,
             self.prompt.output_tokens,
             self.context.clock.now(),
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -157,7 +157,7 @@
         )
         now = context.clock.now()
         output_tokens = 0 if request.prompt is None else request.prompt.output_tokens
-        timer = context.completions.begin(route.name, output_tokens, now)
+        timer = context.completions.begin(service, output_tokens, now)
         active_request = ActiveRequest(
             context, request, route, service, now, deadline, timer
         )
