Let callers keep the addresses of entries for one second

A stopping entry served for 6.2 s, because callers keep an answer of the directory for two seconds, some of them for six.

Change: the directory's answers are valid for one second, so that an entry accepts for 3.2 s, ends sooner and is back sooner. The time is one constant, from which the drain follows, instead of two in two packages.

--- a/wigeonspan/coordinator/__init__.py
+++ b/wigeonspan/coordinator/__init__.py
@@ -4,7 +4,6 @@
 """
 
 from wigeonspan.coordinator._daemon import (
-    DIRECTORY_KEEP_S,
     Coordinator,
     run_coordinator,
 )
@@ -17,7 +16,6 @@
 from wigeonspan.coordinator._settings import CoordinatorSettings
 
 __all__ = [
-    "DIRECTORY_KEEP_S",
     "Candidate",
     "Coordinator",
     "CoordinatorSettings",
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -57,10 +57,6 @@
 """Seconds after the start in which the directory refuses callers, so that every entry
 has time to send a heartbeat first."""
 
-DIRECTORY_KEEP_S = 2.0
-"""Seconds for which a caller caches an answer of the directory. A stopping entry keeps
-serving for three times as long."""
-
 NEW_LEADER_ORDER_DELAY_S = 3.5
 """Seconds for which a new leader sends no orders to engines. It covers the lease that
 engines keep for the previous sender of orders, and the time until the connection of an
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -27,7 +27,7 @@
 from wigeonspan.gateway._serve import Server
 from wigeonspan.placing import Placer, RetryBudget
 from wigeonspan.pool import ConnectionPool
-from wigeonspan.presence import Beat, EntryInfo, EntryState
+from wigeonspan.presence import ADDRESS_KEEP_S, Beat, EntryInfo, EntryState
 from wigeonspan.serving import RequestServer, ResponseWriter
 from wigeonspan.sharing import (
     Event,
@@ -56,9 +56,9 @@
 """Number of control hosts whose replies this entry waits for before it serves, because
 a single one may lag."""
 
-DRAIN_S = 6.2
-"""Seconds after the stop signal during which connections are still accepted: callers
-cache a response of the directory for two seconds, some of them three times as long."""
+DRAIN_S = 3.0 * ADDRESS_KEEP_S + 0.2
+"""Seconds after the stop signal during which connections are still accepted: some
+callers keep a response of the directory for three times ``ADDRESS_KEEP_S``."""
 
 STOP_TIMEOUT_S = 8.0
 """Seconds from the stop signal until the process is killed, unless the settings say
--- a/wigeonspan/presence/__init__.py
+++ b/wigeonspan/presence/__init__.py
@@ -2,6 +2,7 @@
 
 from wigeonspan.presence._heartbeats import EntryHeartbeats
 from wigeonspan.presence._messages import (
+    ADDRESS_KEEP_S,
     BEAT_PATH,
     Beat,
     BeatReply,
@@ -11,6 +12,7 @@
 from wigeonspan.presence._packing import InvalidValue, pack, pack_once, unpack
 
 __all__ = [
+    "ADDRESS_KEEP_S",
     "BEAT_PATH",
     "InvalidValue",
     "Beat",
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -12,6 +12,10 @@
 BEAT_PATH = "/internal/v1/beat"
 """Path of heartbeats at a control host."""
 
+ADDRESS_KEEP_S = 1.0
+"""Seconds for which a caller may keep the addresses of entries. Some keep them three
+times as long; a stopping entry serves them until then."""
+
 # Totals since the start of an entry. The sums over all entries must be finite.
 _Total = Annotated[float, Meta(ge=0.0, le=1e15)]
 
