--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -9,6 +9,8 @@
 """Seconds after a disturbance until time limits apply to a host again, as in the first
 deployments."""
 
+MAX_APPLY_S = 2.0
+"""Seconds within which an acknowledged configuration must be in force everywhere."""
 
 BY_PROMPT = "crashed by a prompt"
 """Description of the disturbance of a target by a crashing part of a prompt."""
@@ -162,3 +164,16 @@
             if each.begins <= until and each.until + SETTLING_S >= begins:
                 return False
         return True
+
+
+def newest_required_version(evidence: Evidence, at: float) -> int:
+    """Return the newest version that must be in force everywhere at a time."""
+    return max(
+        (
+            each.version
+            for each in evidence.sent_configs
+            if each.acknowledged_at is not None
+            and each.acknowledged_at + MAX_APPLY_S < at
+        ),
+        default=0,
+    )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,6 +17,7 @@
 from soak._target_faults import INJECTED_FAULTS, SILENT_MOMENTS
 from soak._traffic import Traffic
 from soak._world import Host, World
+from wigeonspan.consensus._transport import RAFT_PATH
 
 STOP_TIMEOUT_S = 10.0
 """Seconds after which a stopping process is killed; the platform allows eight, and the
@@ -47,6 +48,16 @@
 STORM_CONFIGS = 5
 """Number of configurations sent in quick succession."""
 
+SERIES_INTERVAL_S = 0.35
+"""Seconds between the versions that are sent while a control host is cut off."""
+
+MAX_ROLL_GAP_S = 4.0
+"""Largest time in seconds between two stops of entries in turn; a stop takes up to
+eight, so that they overlap."""
+
+LONG_STREAMS_S = 18.0
+"""Seconds for which long streams are sent around the stops."""
+
 FaultHandler = Callable[[Fault], Awaitable[None]]
 
 
@@ -70,6 +81,7 @@
             FaultKind.ENTRY_KILL: self._kill,
             FaultKind.ENTRY_FREEZE: self._freeze,
             FaultKind.ENTRY_STOP: self._stop,
+            FaultKind.ENTRY_ROLL: self._roll_entries,
             FaultKind.ENTRY_RELOAD: self._reload,
             FaultKind.ENTRY_ADD: self._add_entry,
             FaultKind.CONTROL_KILL: self._kill,
@@ -79,6 +91,7 @@
             FaultKind.CONTROL_WIPE: self._wipe,
             FaultKind.CONTROL_REPLACE: self._replace,
             FaultKind.CORE_KILL: self._kill_core,
+            FaultKind.CONTROL_CUT: self._cut_from_group,
             FaultKind.DISK_SLOW: self._disturb_disk,
             FaultKind.DISK_FULL: self._disturb_disk,
             FaultKind.CLOCK_STEP: self._step_clock,
@@ -164,7 +177,39 @@
         host.machine.signal(signal.SIGCONT)
 
     async def _stop(self, fault: Fault) -> None:
-        host, now = self._host(fault), time.monotonic()
+        await self._stop_host(self._host(fault))
+
+    async def _roll_entries(self, fault: Fault) -> None:
+        """Stop all entries but one in turn while callers send long streams."""
+        streams = asyncio.create_task(self._traffic.send_long_streams(LONG_STREAMS_S))
+        stops = []
+        for host in self._hosts(Role.ENTRY)[1:]:
+            stops.append(asyncio.create_task(self._stop_host(host)))
+            await asyncio.sleep(0.5 + MAX_ROLL_GAP_S * fault.strength)
+        await asyncio.gather(streams, *stops)
+
+    async def _cut_from_group(self, fault: Fault) -> None:
+        """Cut a control host off from the others while versions follow each other.
+
+        Entries, callers and operators reach it all the time.
+        """
+        host = self._host(fault)
+        self._record_cut(host, "cut off from its group")
+        host.link.state.cut_request = f"POST {RAFT_PATH} ".encode()
+        end = time.monotonic() + fault.lasts_s
+        while time.monotonic() < end:
+            await asyncio.gather(
+                self._operators.change(), asyncio.sleep(SERIES_INTERVAL_S)
+            )
+        host.link.state.cut_request = b""
+        self._record_cut(host, "joined with its group")
+
+    def _record_cut(self, host: Host, what: str) -> None:
+        now = time.monotonic()
+        self._world.record_host_disturbance(host, what, now, now)
+
+    async def _stop_host(self, host: Host) -> None:
+        now = time.monotonic()
         if host.planned_end:
             return
         self._world.record_host_disturbance(
--- a/soak/_fleet_checks.py
+++ b/soak/_fleet_checks.py
@@ -6,7 +6,13 @@
 from standin import Arrival, CallEnding, NamedLimit
 
 from soak._check_types import Index, Violation
-from soak._evidence import SETTLING_S, Evidence, Probe, Scope
+from soak._evidence import (
+    SETTLING_S,
+    Evidence,
+    Probe,
+    Scope,
+    newest_required_version,
+)
 
 MAX_DEPARTURE_LAG_S = 3.0
 """Seconds after a target is listed as leaving within which entries must stop sending
@@ -18,9 +24,6 @@
 """Span in seconds, and factor and number of requests by which a target may get more in
 it than the limit that it names; these are the limits of the deployments."""
 
-MAX_APPLY_S = 2.0
-"""Seconds within which an acknowledged configuration must be in force everywhere."""
-
 DOWNGRADE_TOLERANCE_S = 0.25
 """Seconds after a process applied a version from which it must apply no older one."""
 
@@ -113,7 +116,7 @@
     """Check that control hosts report no version older than an acknowledged one."""
     invalid = {each.version for each in evidence.sent_configs if not each.valid}
     for read in evidence.reads:
-        required = _newest_required_version(evidence, read.sent_at)
+        required = newest_required_version(evidence, read.sent_at)
         if read.version < required:
             text = f"reported version {read.version} after {required} was acknowledged"
             yield Violation("configuration", read.control, text)
@@ -128,7 +131,7 @@
     for probe in evidence.probes:
         if probe.in_force is not None:
             seen[probe.host, probe.start].append(probe)
-        required = _newest_required_version(evidence, probe.sent_at)
+        required = newest_required_version(evidence, probe.sent_at)
         if probe.in_force is False and probe.version <= required:
             if evidence.is_undisturbed(probe.sent_at, probe.ended_at, host=probe.host):
                 text = f"has not applied {probe.version}, acknowledged is {required}"
@@ -254,19 +257,6 @@
         yield Violation("own end", text.partition(" ")[0], text)
 
 
-def _newest_required_version(evidence: Evidence, at: float) -> int:
-    """Return the newest version that must be in force everywhere at a time."""
-    return max(
-        (
-            each.version
-            for each in evidence.sent_configs
-            if each.acknowledged_at is not None
-            and each.acknowledged_at + MAX_APPLY_S < at
-        ),
-        default=0,
-    )
-
-
 def _was_disturbed(evidence: Evidence, at: float) -> bool:
     """Whether control hosts or targets were disturbed at or shortly before a time."""
     scopes = (Scope.CORE, Scope.TARGETS)
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -30,12 +30,16 @@
         Whether bytes towards the host, or from it, are dropped.
     resets : bool
         Whether new connections are reset.
+    cut_request : bytes
+        Beginning of the requests whose connections are cut towards the host; empty for
+        none.
     """
 
     delay_s: float = 0.0
     cut_in: bool = False
     cut_out: bool = False
     resets: bool = False
+    cut_request: bytes = b""
 
 
 class Link:
@@ -136,7 +140,9 @@
 
     def _to_host(self, data: bytes) -> None:
         # TCP delivers no bytes after bytes that were lost.
-        self._lost_in = self._lost_in or self.silent or self._link.state.cut_in
+        state = self._link.state
+        cut_request = bool(state.cut_request) and data.startswith(state.cut_request)
+        self._lost_in = self._lost_in or self.silent or state.cut_in or cut_request
         if not self._lost_in:
             self._run_delayed(self.inner, self._write_inner, data)
 
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -75,6 +75,8 @@
     PROMPT_CRASH = "prompts with a part crash targets"
     ORDERS_LATE = "orders carried out late"
     BURST = "burst of streams"
+    ENTRY_ROLL = "entries stopped in turn under long streams"
+    CONTROL_CUT = "control cut off from its group under a series of versions"
     CONFIG_CHANGE = "configuration changed"
     CONFIG_STORM = "configurations in quick succession"
     CONFIG_RACE = "two operators"
@@ -125,11 +127,27 @@
 """Latest start in seconds, and bounds of the duration, of prompts that crash targets:
 five crashes come first, and what follows is checked from 6 s after them."""
 
+ENTRY_ROLL_PROBABILITY = 0.35
+CONTROL_CUT_PROBABILITY = 0.35
+"""Probabilities of these faults, which are drawn last."""
+
+MIN_ROLL_START_S = 8.0
+MAX_ROLL_START_S = 13.0
+"""Bounds of the start of stops in turn in seconds. Before, most streams are refused,
+since engines are still changing to the decode phase."""
+
+MIN_CUT_S = 6.0
+MAX_CUT_S = 10.0
+"""Bounds of the duration of a cut in seconds; hosts are not checked in the first and
+last three seconds of it."""
+
 LATER_KINDS = (
     *LAST_DRAWN_KINDS,
     FaultKind.TARGET_LIMITS,
     *NEWEST_KINDS,
     FaultKind.PROMPT_CRASH,
+    FaultKind.ENTRY_ROLL,
+    FaultKind.CONTROL_CUT,
 )
 """Kinds that the first draws leave out."""
 
@@ -242,6 +260,7 @@
         lasts_s = rng.uniform(MIN_LIMIT_S, MAX_LIMIT_S)
         faults.append(structs.replace(limit, lasts_s=lasts_s))
     faults.extend(_draw_newest_faults(rng))
+    faults.extend(_draw_rolls_and_cuts(rng))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
@@ -274,6 +293,19 @@
     return faults
 
 
+def _draw_rolls_and_cuts(rng: random.Random) -> list[Fault]:
+    faults: list[Fault] = []
+    if rng.random() < ENTRY_ROLL_PROBABILITY:
+        fault = _draw_fault(rng, FaultKind.ENTRY_ROLL, repeats=False)[0]
+        at = rng.uniform(MIN_ROLL_START_S, MAX_ROLL_START_S)
+        faults.append(structs.replace(fault, at=at))
+    if rng.random() < CONTROL_CUT_PROBABILITY:
+        fault = _draw_fault(rng, FaultKind.CONTROL_CUT, repeats=False)[0]
+        lasts_s = rng.uniform(MIN_CUT_S, MAX_CUT_S)
+        faults.append(structs.replace(fault, lasts_s=lasts_s))
+    return faults
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, *, repeats: bool) -> list[Fault]:
     at = rng.uniform(0.5, FAULT_WINDOW_S)
     victim = rng.randrange(64)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -7,7 +7,7 @@
 
 from standin import Call, CallEnding, CallRecord, Connection, is_ready, resolve
 
-from soak._evidence import Probe
+from soak._evidence import Probe, newest_required_version
 from soak._operators import (
     CALL_TIMEOUT_S,
     STREAM_TIMEOUT_S,
@@ -40,6 +40,12 @@
 PROMPT_MIX_RATE = 12.0
 """Requests a second of a mix of prompts; 20 sound ones must come in a few seconds."""
 
+LONG_STREAM_RATE = 4.0
+"""Long streams a second around stops of entries."""
+
+LONG_STREAM_EVENTS = (50, 130)
+"""Bounds of their number of events; they take two to five seconds and more."""
+
 PROBE_INTERVAL_S = 0.3
 """Seconds between two probes of one entry."""
 
@@ -112,16 +118,35 @@
             self._start_call(call)
             await asyncio.sleep(1.0 / PROMPT_MIX_RATE)
 
+    async def send_long_streams(self, lasts_s: float) -> None:
+        """Send long streams, some of which may not be repeated, for a duration.
+
+        Their callers keep the addresses of entries for as long as callers may.
+        """
+        callers = [c for c in self._callers if c.ttl_factor > 1.0] or self._callers
+        for _ in range(round(lasts_s * LONG_STREAM_RATE)):
+            resumable = self._rng.random() < 0.5
+            events = self._rng.randint(*LONG_STREAM_EVENTS)
+            call = self._make_stream(resumable=resumable, events=events)
+            self._spawn(self._send_with_retries(self._rng.choice(callers), call))
+            await asyncio.sleep(1.0 / LONG_STREAM_RATE)
+
     async def finish(self) -> None:
         """Wait for all open requests."""
         while self._open:
             await asyncio.gather(*self._open)
 
     async def probe(self, operators: Operators, until: float) -> None:
-        """Probe every entry for the route of the newest version until a given time."""
+        """Probe every entry for the routes of versions until a given time.
+
+        They are the newest one, and the newest one that must be in force: while
+        versions follow each other, the newest one may be missing everywhere.
+        """
         while time.monotonic() < until:
+            due = newest_required_version(self._world.evidence, time.monotonic())
             for host in self._world.entries:
-                self._spawn(self._probe_once(host, operators.newest))
+                for version in {operators.newest, due or operators.newest}:
+                    self._spawn(self._probe_once(host, version))
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def wait_ready(self, timeout_s: float) -> bool:
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -49,6 +49,29 @@
     """
     newest = set(make_schedule(seed).faults)
     monkeypatch.setattr(_schedule, "_draw_newest_faults", lambda rng: [])
+    monkeypatch.setattr(_schedule, "_draw_rolls_and_cuts", lambda rng: [])
+    schedule = make_schedule(seed)
+    assert set(schedule.faults) <= newest
+    assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
+
+
+@pytest.mark.parametrize(
+    ("seed", "checksum"),
+    [
+        (104, 2548438968),
+        (205, 218085574),
+        (501, 166132549),
+        (610, 494154464),
+        (625, 1295589308),
+        (804, 1327655618),
+        (1187, 2948758006),
+        (4207, 4213846907),
+    ],
+)
+def test_seeds_keep_their_faults_beside_rolls_and_cuts(monkeypatch, seed, checksum):
+    """Stops in turn and cuts from the group were added after all other kinds."""
+    newest = set(make_schedule(seed).faults)
+    monkeypatch.setattr(_schedule, "_draw_rolls_and_cuts", lambda rng: [])
     schedule = make_schedule(seed)
     assert set(schedule.faults) <= newest
     assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
