--- a/tests/gateway/test_controls.py
+++ b/tests/gateway/test_controls.py
@@ -3,7 +3,12 @@
 import pytest
 
 from wigeonspan.common import DomainName
-from wigeonspan.gateway._controls import FALLBACK_DELAY_S, FORGET_AFTER_S, ControlHosts
+from wigeonspan.gateway._controls import (
+    FALLBACK_DELAY_S,
+    FORGET_AFTER_S,
+    MAX_PENDING_VERSIONS,
+    ControlHosts,
+)
 
 OWN, FAR = DomainName("own"), DomainName("far")
 
@@ -74,6 +79,16 @@
     assert controls.fallback_at("a", 5) is None
 
 
+def test_newest_version_is_requested_after_hundreds_that_were_not_delivered():
+    """Reports beyond the remembered number must not hide the newest version."""
+    controls = make_controls(("a", FAR), ("b", OWN))
+    last = MAX_PENDING_VERSIONS + 50
+    for version in range(2, last + 1):
+        controls.record_reply("a", FAR, version, [], 5.0 + version)
+    assert controls.wants_changes("a", last - 1, 10.0 + last)
+    assert not controls.wants_changes("a", last, 10.0 + last)
+
+
 def test_host_that_is_cut_off_from_its_group_is_no_relay():
     """It gets no new configuration and no datagrams from the other domains."""
     controls = make_controls(("a", FAR), ("b", OWN))
--- a/wigeonspan/coordinator/__init__.py
+++ b/wigeonspan/coordinator/__init__.py
@@ -3,10 +3,7 @@
 The control hosts add, promote and remove members of their group without an operator.
 """
 
-from wigeonspan.coordinator._daemon import (
-    Coordinator,
-    run_coordinator,
-)
+from wigeonspan.coordinator._daemon import Coordinator, run_coordinator
 from wigeonspan.coordinator._membership import (
     Candidate,
     MembershipStep,
--- a/wigeonspan/gateway/_controls.py
+++ b/wigeonspan/gateway/_controls.py
@@ -118,8 +118,7 @@
         was_unreachable = not control.reachable
         if version > self._newest_version:
             self._newest_version = version
-            if len(self._pending) < MAX_PENDING_VERSIONS:
-                self._pending.append((version, now))
+            self._add_pending(version, now)
         control.version = version
         control.replied_at, control.reachable = now, True
         control.domain, control.switching = domain, switching
@@ -177,6 +176,13 @@
         has_it = self._controls[address].version >= version
         return reported_at + FALLBACK_DELAY_S if has_it else None
 
+    def _add_pending(self, version: int, now: float) -> None:
+        if len(self._pending) < MAX_PENDING_VERSIONS:
+            self._pending.append((version, now))
+        else:
+            # The newest version must not be forgotten; it counts as reported earlier.
+            self._pending[-1] = (version, self._pending[-1][1])
+
     def _choose_relay(self) -> None:
         """Choose the first reachable host by address, hosts of this domain first.
 
