Name the forecast of durations after what it holds; share the test deployment

Completions are a kind of request in wigeonspan-entryd, so DurationForecast in _durations.py replaces CompletionForecast. The deployment of real programs, which three test modules use, moves from a test module to the process harness, with a fixture for tests that need one of their own; EVENT_INTERVAL_S is public in the stand-ins.

No behaviour changes; tests/gateway and the four modules of tests/platform that changed pass.

--- a/tests/gateway/test_completions.py
+++ b/tests/gateway/test_durations.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from wigeonspan.gateway._completions import (
+from wigeonspan.gateway._durations import (
     MARGIN_FACTOR,
     MARGIN_S,
     MIN_EVENTS,
     MIN_SAMPLES,
-    CompletionForecast,
+    DurationForecast,
 )
 
 
@@ -26,14 +26,14 @@
 
 def test_unknown_requests_have_no_bound():
     """Only its deadline bounds a request of a service that was never called."""
-    forecast = CompletionForecast()
+    forecast = DurationForecast()
     assert forecast.call_s("r", 0.0) == math.inf
     assert forecast.stream_s("r", 0.1, 40, 0.0) == math.inf
 
 
 def test_forecast_follows_size_and_plan():
     """A long answer must not count as long as the average one."""
-    forecast = CompletionForecast()
+    forecast = DurationForecast()
     for n in range(MIN_SAMPLES):
         add_stream(forecast, at=float(n), start_s=0.1, stream_s=0.4)
     assert forecast.stream_s("r", 0.1, 40, 9.0) == with_margin(0.5)
@@ -42,7 +42,7 @@
 
 def test_late_first_events_count():
     """Placement may expect the first event too early while engines are slow."""
-    forecast = CompletionForecast()
+    forecast = DurationForecast()
     for n in range(MIN_SAMPLES):
         add_stream(forecast, at=float(n), start_s=0.4, stream_s=0.4)
     assert forecast.stream_s("r", 0.1, 40, 9.0) == with_margin(0.8)
@@ -50,7 +50,7 @@
 
 def test_streams_in_progress_give_the_pace_before_any_has_ended():
     """An entry that stops soon after its start has not seen a stream end."""
-    forecast = CompletionForecast()
+    forecast = DurationForecast()
     timer = forecast.begin("r", 40, 0.0)
     timer.planned_s = 0.1
     for n in range(MIN_EVENTS):
@@ -61,7 +61,7 @@
 
 def test_streams_that_take_longer_than_earlier_ones_raise_the_forecast():
     """Engines turn slow while an entry stops; completed streams do not show it yet."""
-    forecast = CompletionForecast()
+    forecast = DurationForecast()
     for n in range(MIN_SAMPLES):
         add_stream(forecast, at=float(n), start_s=0.1, stream_s=0.4)
     timer = forecast.begin("r", 40, 10.0)
@@ -74,7 +74,7 @@
 
 def test_slow_calls_in_progress_raise_the_forecast():
     """A call that may not be repeated must not begin if it may be cut."""
-    forecast = CompletionForecast()
+    forecast = DurationForecast()
     for n in range(MIN_SAMPLES):
         forecast.end(forecast.begin("r", 0, float(n)), n + 0.1, completed=True)
     assert forecast.call_s("r", 9.0) == with_margin(0.1)
@@ -84,7 +84,7 @@
 
 def test_failed_requests_are_no_samples():
     """Failures are fast and would make the forecast too low."""
-    forecast = CompletionForecast()
+    forecast = DurationForecast()
     for n in range(MIN_SAMPLES):
         forecast.end(forecast.begin("r", 0, float(n)), n + 0.01, completed=False)
     assert forecast.call_s("r", 9.0) == math.inf
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -4,7 +4,6 @@
 from standin import InjectedFaults
 
 from tests.platform.process_harness import EVENTS, Request, wait_until
-from tests.platform.test_planned_stop import deployment  # noqa: F401
 
 MEMORY_KB = 300 * 1024
 """Memory of an entry's machine in the deployments."""
@@ -19,13 +18,13 @@
 
 
 @pytest.mark.timeout(120)
-def test_endless_answers_end_no_other_request(deployment):  # noqa: F811
+def test_endless_answers_end_no_other_request(fresh_deployment):
     """An entry kept bytes without end, ran out of memory and was killed.
 
     The requests of other clients at this entry ended with it.
     """
-    entry, replicas = deployment.entries[0], deployment.platform.replicas
-    front = deployment.front_address(entry)
+    entry, replicas = fresh_deployment.entries[0], fresh_deployment.platform.replicas
+    front = fresh_deployment.front_address(entry)
     endless = InjectedFaults(endless_rate=1.0)
     faulty = [replica for replica in replicas if replica.entry.get("stage") is None]
     faulty += [r for r in replicas if r.entry.get("stage") == "decode"][:1]
--- a/tests/platform/test_log_diagnosis.py
+++ b/tests/platform/test_log_diagnosis.py
@@ -23,9 +23,9 @@
     Platform,
     Request,
     call,
+    document,
     wait_until,
 )
-from tests.platform.test_whole_path import document
 from wigeonspan.trail.main import LogCommands, read_lines
 
 CONTROL = f"{NET}.0.9"
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -8,11 +8,15 @@
 from itertools import count
 
 import pytest
-from standin import CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, InjectedFaults
-from standin._replicas import EVENT_INTERVAL_S
-
-from tests.platform.process_harness import log_lines, wait_until
-from tests.platform.test_whole_path import Deployment, document
+from standin import (
+    CONTROL_PORT,
+    DIRECTORY_PORT,
+    EVENT_INTERVAL_S,
+    FRONT_PORT,
+    InjectedFaults,
+)
+
+from tests.platform.process_harness import document, log_lines, wait_until
 from wigeonspan.presence import ADDRESS_KEEP_S
 
 EVENTS, EVENT_S = 40, 0.1
@@ -23,21 +27,6 @@
 """Seconds after the stop for which callers send; some cannot get a new address."""
 
 
-@pytest.fixture
-def deployment(tmp_path):
-    new_deployment = Deployment(tmp_path)
-    try:
-        new_deployment.store_config(1)
-        for entry in new_deployment.entries:
-            wait_until(
-                "an entry to be ready",
-                lambda entry=entry: new_deployment.is_ready(entry),
-            )
-        yield new_deployment
-    finally:
-        new_deployment.stop()
-
-
 class Caller(threading.Thread):
     """Send one request and read its answer."""
 
@@ -81,14 +70,14 @@
 
 
 @pytest.mark.timeout(60)
-def test_stopping_entry_finishes_or_refuses_what_it_accepts(deployment):
+def test_stopping_entry_finishes_or_refuses_what_it_accepts(fresh_deployment):
     """Streams that came 3 to 6 s after SIGTERM were cut in the middle.
 
     Callers keep an address of the directory for seconds. The entry took their streams
     although they last longer than the time until it ends.
     """
-    entry = deployment.entries[0]
-    for replica in deployment.platform.replicas:
+    entry = fresh_deployment.entries[0]
+    for replica in fresh_deployment.platform.replicas:
         if replica.service == "models":
             faults = InjectedFaults(slowdown_factor=EVENT_S / EVENT_INTERVAL_S)
             replica.injected_faults = faults
@@ -131,12 +120,12 @@
 
 
 @pytest.mark.timeout(60)
-def test_stopping_control_host_answers_what_it_reads(deployment):
+def test_stopping_control_host_answers_what_it_reads(fresh_deployment):
     """An operator's change or a look-up in hand must not end without an answer."""
     versions = count(2)
 
     def leader():
-        for machine in deployment.controls:
+        for machine in fresh_deployment.controls:
             lines = [x for x in log_lines(machine) if x["event"] == "role"]
             if lines and lines[-1]["leads"]:
                 return machine
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -7,8 +7,6 @@
 from standin import (
     CONTROL_PORT,
     DIRECTORY_PORT,
-    FRONT_PORT,
-    READY_PORT,
     DeploymentLimits,
     InjectedFaults,
     Machine,
@@ -16,100 +14,17 @@
 )
 
 from tests.platform.process_harness import (
+    CONTROLS,
     EVENTS,
     LIST_ADDRESS,
     NET,
-    Platform,
+    Deployment,
     Request,
     call,
     log_lines,
     wait_until,
 )
 
-CONTROLS = [f"{NET}.0.{n}" for n in (1, 2, 3)]
-ENTRIES = [f"{NET}.1.{n}" for n in (1, 2)]
-
-
-def document(version, *, timeout_ms=8000, extra=()):
-    stream = {
-        "name": "stream",
-        "host": "h.example",
-        "path_prefix": "/stream/",
-        "kind": "streaming",
-        "timeout_ms": timeout_ms,
-        "target_latency_ms": 800,
-        "target_gap_ms": 250,
-        "service": "models",
-        "max_attempts": 2,
-        "resumable": True,
-    }
-    plain = {
-        "name": "plain",
-        "host": "h.example",
-        "path_prefix": "/plain/",
-        "kind": "non_idempotent",
-        "timeout_ms": 1000,
-        "target_latency_ms": 100,
-        "service": "app",
-    }
-    services = [
-        {"name": "models", "engine": {"slots": 8, "kv_capacity": 100000}},
-        {"name": "app"},
-    ]
-    routes = [stream, plain, *extra]
-    return json.dumps({"version": version, "routes": routes, "services": services})
-
-
-class Deployment:
-    """Three control hosts and two entries, with the simulated platform."""
-
-    def __init__(self, folder):
-        self.platform = Platform()
-        self.platform.start()
-        limits = DeploymentLimits()
-        self.controls = [
-            Machine(folder, Role.CONTROL, ip, "z1", LIST_ADDRESS, limits)
-            for ip in CONTROLS
-        ]
-        self.entries = [
-            Machine(folder, Role.ENTRY, ip, "z1", LIST_ADDRESS, limits)
-            for ip in ENTRIES
-        ]
-        for machine in (*self.controls, *self.entries):
-            machine.write_settings(CONTROLS, first=True)
-            machine.start()
-
-    def stop(self):
-        for machine in (*self.controls, *self.entries):
-            machine.kill()
-        self.platform.stop()
-
-    def store_config(self, version, **changes):
-        body = document(version, **changes).encode()
-
-        def stored():
-            for ip in CONTROLS:
-                url = f"http://{ip}:{CONTROL_PORT}/v1/config/replace"
-                if call("POST", url, body)[0] == 200:
-                    return True
-            return False
-
-        wait_until(f"version {version} to be stored", stored)
-
-    def stored_version(self):
-        for ip in CONTROLS:
-            url = f"http://{ip}:{CONTROL_PORT}/v1/config/describe"
-            status, body = call("GET", url)
-            if status == 200:
-                return json.loads(body)["version"]
-        return None
-
-    def is_ready(self, entry):
-        return call("GET", f"http://{entry.ip}:{READY_PORT}/v1/ready")[0] == 200
-
-    def front_address(self, entry):
-        return f"{entry.ip}:{FRONT_PORT}"
-
 
 @pytest.fixture(scope="module")
 def deployment(tmp_path_factory):
--- a/wigeonspan/gateway/_active_request.py
+++ b/wigeonspan/gateway/_active_request.py
@@ -6,8 +6,8 @@
 
 from wigeonspan.common import ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import Route
-from wigeonspan.gateway._completions import RequestTimer
 from wigeonspan.gateway._context import GatewayContext
+from wigeonspan.gateway._durations import RequestTimer
 from wigeonspan.gateway._failures import failure_error
 from wigeonspan.gateway._messages import CallerRequest
 
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -7,8 +7,8 @@
 from msgspec import Struct, field
 
 from wigeonspan.common import Clock, HostId, ServiceName
-from wigeonspan.gateway._completions import CompletionForecast
 from wigeonspan.gateway._config import ConfigHolder
+from wigeonspan.gateway._durations import DurationForecast
 from wigeonspan.gateway._messages import TargetNotice, TargetProtocol
 from wigeonspan.gateway._stopping import StopWindow
 from wigeonspan.placing import Placer, PromptPart, RetryBudget, Work
@@ -62,7 +62,7 @@
     read_ms: dict[ServiceName, float] = {}
     stream_s: dict[ServiceName, float] = {}
     quarantine: PromptQuarantine = field(default_factory=PromptQuarantine)
-    completions: CompletionForecast = field(default_factory=CompletionForecast)
+    durations: DurationForecast = field(default_factory=DurationForecast)
     stop: StopWindow = field(default_factory=StopWindow)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
--- a/wigeonspan/gateway/_completions.py
+++ b/wigeonspan/gateway/_durations.py
@@ -93,7 +93,7 @@
         self.call_s: deque[float] = deque(maxlen=SAMPLE_COUNT)
 
 
-class CompletionForecast:
+class DurationForecast:
     """Upper bounds of the time that requests take, from recent ones of their service.
 
     Requests in progress count with the time that they have taken until now, so that
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -104,9 +104,7 @@
         """
         request, context = self._active_request, self._active_request.context
         if context.stop.begun:
-            expected_s = context.completions.call_s(
-                request.service, context.clock.now()
-            )
+            expected_s = context.durations.call_s(request.service, context.clock.now())
             request.check_time_left(expected_s)
 
     async def _first_response(self) -> _CompleteResponse | None:
--- a/wigeonspan/gateway/_progress.py
+++ b/wigeonspan/gateway/_progress.py
@@ -116,7 +116,7 @@
         timer.planned_s = timer.planned_s or planned_s
         if not self.context.stop.begun or self.stream_count:
             return
-        expected_s = self.context.completions.stream_s(
+        expected_s = self.context.durations.stream_s(
             request.service,
             planned_s,
             self.prompt.output_tokens,
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -157,7 +157,7 @@
         )
         now = context.clock.now()
         output_tokens = 0 if request.prompt is None else request.prompt.output_tokens
-        timer = context.completions.begin(service, output_tokens, now)
+        timer = context.durations.begin(service, output_tokens, now)
         active_request = ActiveRequest(
             context, request, route, service, now, deadline, timer
         )
@@ -172,7 +172,7 @@
             # This process is stopping; the error says whether the request has run.
             raise handler.abort_error("this entry stops") from None
         finally:
-            context.completions.end(timer, context.clock.now(), completed=completed)
+            context.durations.end(timer, context.clock.now(), completed=completed)
         took_s = context.clock.now() - arrived_at
         context.metrics.observe("request_seconds", took_s, route=route.name)
         context.event_log.write(
