Keep the HTTP client out of the entry's process

Cause: put accept_pending into wigeonspan.http, whose import loads the HTTP client and the request handlers, and the request server imported it from there.

Change: it stands in wigeonspan.serving now, which wigeonspan-entryd imports too. The three tests pass again, as do tests/serving and tests/entryd/test_drain.py.

--- a/wigeonspan/entryd/_daemon.py
+++ b/wigeonspan/entryd/_daemon.py
@@ -28,7 +28,8 @@
 from wigeonspan.entryd._http import DirectoryHandler, UnknownPathHandler
 from wigeonspan.entryd._services import ServiceHandler
 from wigeonspan.entryd._settings import EntrySettings, split_address
-from wigeonspan.http import LAST_REQUESTS_S, accept_pending, make_client
+from wigeonspan.http import make_client
+from wigeonspan.serving import LAST_REQUESTS_S, accept_pending
 
 MAX_CONTROL_REQUESTS = 64
 """Largest number of concurrent messages to control hosts. Each non-idempotent call
--- a/wigeonspan/http/__init__.py
+++ b/wigeonspan/http/__init__.py
@@ -6,9 +6,7 @@
 
 from wigeonspan.http._helpers import (
     JSON_TYPE,
-    LAST_REQUESTS_S,
     JsonHandler,
-    accept_pending,
     check_json,
     make_client,
     post_message,
@@ -17,9 +15,7 @@
 
 __all__ = [
     "JSON_TYPE",
-    "LAST_REQUESTS_S",
     "JsonHandler",
-    "accept_pending",
     "check_json",
     "make_client",
     "post_message",
--- a/wigeonspan/http/_helpers.py
+++ b/wigeonspan/http/_helpers.py
@@ -1,16 +1,12 @@
 """Helpers for the tornado server and its curl client."""
 
-import socket
-from collections.abc import Callable
 from typing import Any, TypeVar
 
 import pycurl
 from tornado import web
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
-from tornado.iostream import IOStream
 
 from wigeonspan.common._codec import (
     PROTOCOL_VERSION,
@@ -27,10 +23,6 @@
 JSON_TYPE = "application/json"
 """Content type of the messages between processes and of JSON responses."""
 
-LAST_REQUESTS_S = 0.2
-"""Seconds in which the callers of the connections that were accepted last send their
-requests."""
-
 _log = part_logger("http")
 
 
@@ -45,37 +37,6 @@
     return CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
 
 
-def accept_pending(
-    server: HTTPServer,
-    listening_socket: socket.socket,
-    max_buffer_size: int,
-    record_error: Callable[[Exception], None],
-) -> None:
-    """Accept the connections that only the kernel has accepted.
-
-    The kernel would reset them when their listening socket is closed.
-
-    Parameters
-    ----------
-    max_buffer_size : int
-        Largest number of bytes that are buffered for a connection.
-    record_error : callable
-        Called with the error that ends the accepting early.
-    """
-    while True:
-        try:
-            accepted, address = listening_socket.accept()
-        except BlockingIOError:
-            return
-        except OSError as error:
-            # The caller has disconnected, or no file descriptor is available.
-            record_error(error)
-            return
-        accepted.setblocking(False)
-        stream = IOStream(accepted, max_buffer_size=max_buffer_size)
-        server.handle_stream(stream, address)
-
-
 def use_fresh_connection(curl: pycurl.Curl) -> None:
     """Make a curl handle open a new connection and close it after the request.
 
--- a/wigeonspan/serving/__init__.py
+++ b/wigeonspan/serving/__init__.py
@@ -1,5 +1,12 @@
 """HTTP server for complete requests, built on tornado's connections."""
 
+from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
 from wigeonspan.serving._server import RequestServer, ResponseWriter, ServeRequest
 
-__all__ = ["ResponseWriter", "RequestServer", "ServeRequest"]
+__all__ = [
+    "LAST_REQUESTS_S",
+    "RequestServer",
+    "ResponseWriter",
+    "ServeRequest",
+    "accept_pending",
+]
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -19,7 +19,7 @@
 from tornado.netutil import bind_sockets
 
 from wigeonspan.common import ErrorKind, WigeonspanError, encode
-from wigeonspan.http import LAST_REQUESTS_S, accept_pending
+from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
 
 MAX_HEADER_BYTES = 64 * 1024
 """Largest request head in bytes; configurations set lower limits."""
