Log what each request waits for when a stopping entry ends it

The logs of lost requests around a stop could not tell three causes apart: a request that was accepted too late, an answer that its target has completed, and a time that is counted from the wrong moment.

Change: before an entry ends open requests it writes a line 'open_at_end' for each, with the time of its last byte after the signal, the time that its body took, whether its target has ended, its last event and whether bytes for the caller are left. 'stopping' says how long after the signal it was handled.

--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -38,6 +38,7 @@
 )
 from wigeonspan.common._lazy import load_on_use
 from wigeonspan.common._numbers import parse_count, parse_decimal, parse_positive
+from wigeonspan.common._signals import on_stop_signal
 from wigeonspan.common._supervise import describe_error, keep_running
 from wigeonspan.common._watch import watch_settings
 
@@ -115,6 +116,7 @@
     "load_settings",
     "make_metrics",
     "metric_name",
+    "on_stop_signal",
     "parse_count",
     "parse_decimal",
     "parse_positive",
--- a/wigeonspan/gateway/_active_request.py
+++ b/wigeonspan/gateway/_active_request.py
@@ -12,7 +12,7 @@
 from wigeonspan.gateway._messages import CallerRequest
 
 
-class ActiveRequest(Struct, frozen=True):
+class ActiveRequest(Struct, frozen=True, eq=False):
     """One request that is being served, with its route, service and times.
 
     Parameters
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -15,6 +15,7 @@
     ServiceName,
     bind_address,
     keep_running,
+    on_stop_signal,
     watch_settings,
 )
 from wigeonspan.fleetconfig import FleetConfig
@@ -155,7 +156,9 @@
         context = self._context
         self._record_error = make_error_reporter(event_log, context.metrics)
         self._server = Server(context, rng)
-        self._front_server = RequestServer(self._server.serve, self._record_error)
+        self._front_server = RequestServer(
+            self._server.serve, self._record_error, clock
+        )
         self._monitoring_server = RequestServer(
             self._serve_monitoring, self._record_error
         )
@@ -225,8 +228,14 @@
         self._context.event_log.write("process", "reloaded", controls=settings.controls)
         self._heartbeats.set_seeds(settings.controls)
 
-    async def stop(self) -> None:
-        """Announce the stop, finish open requests, and close."""
+    async def stop(self, signalled_at: float) -> None:
+        """Announce the stop, finish open requests, and close.
+
+        Parameters
+        ----------
+        signalled_at : float
+            Monotonic time in seconds of the stop signal.
+        """
         self._state = EntryState.LEAVING
         stopped_at = self._clock.now()
         end_at = stopped_at + max(
@@ -238,12 +247,16 @@
             "stopping",
             open=self._front_server.open_requests,
             ends_in_ms=round((end_at - stopped_at) * 1000),
+            handled_after_ms=round((stopped_at - signalled_at) * 1000),
         )
         self._context.stop.begin(end_at)
         self._front_server.close_after_responses()
         await self._heartbeats.send_now()
         await asyncio.sleep(max(0.0, drain_until - self._clock.now()))
-        await self._front_server.drain(max(0.0, end_at - self._clock.now()))
+        await self._front_server.drain(
+            max(0.0, end_at - self._clock.now()),
+            lambda: self._server.log_open_requests(signalled_at),
+        )
         for task in self._tasks:
             task.cancel()
         self._heartbeats.close()
@@ -417,11 +430,9 @@
         Source of time.
     """
     gateway = make(clock, random.Random())
-    stop, reload = asyncio.Event(), asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    stop, reload = asyncio.Queue[float](), asyncio.Event()
+    on_stop_signal(clock, stop.put_nowait)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload.set)
     await gateway.start()
     watch = asyncio.create_task(
         watch_settings(
@@ -431,6 +442,6 @@
             gateway.record_error,
         )
     )
-    await stop.wait()
+    signalled_at = await stop.get()
     watch.cancel()
-    await gateway.stop()
+    await gateway.stop(signalled_at)
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -1,5 +1,7 @@
 """Generations: one engine prefills the prompt, another one streams the response."""
 
+from typing import Any
+
 from wigeonspan.common import WigeonspanError
 from wigeonspan.gateway._active_request import ActiveRequest
 from wigeonspan.gateway._attempt import active_send
@@ -35,6 +37,18 @@
         """Return the error for the caller when serving the request is aborted."""
         return self._progress.error(message)
 
+    def describe_progress(self) -> dict[str, Any]:
+        """Return fields for the log that show what the request waits for."""
+        progress = self._progress
+        exchanges = [run.exchange for run in progress.runs if run.exchange is not None]
+        return {
+            "targets": [run.engine.target for run in progress.runs],
+            "target_done": any(exchange.done for exchange in exchanges),
+            "prefills": progress.prefill_count,
+            "streams": progress.stream_count,
+            "last_event": progress.position.last,
+        }
+
     async def serve(self, caller: ResponseWriter) -> None:
         """Stream the response to the caller.
 
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -1,6 +1,7 @@
 """Plain calls, sent to other targets after a refusal or, if repeatable, a failure."""
 
 import asyncio
+from typing import Any
 
 from msgspec import Struct
 
@@ -54,6 +55,15 @@
         """Return the error for the caller when serving the request is aborted."""
         return self._error(message)
 
+    def describe_progress(self) -> dict[str, Any]:
+        """Return fields for the log that show what the request waits for."""
+        return {
+            "targets": sorted(self._tried_targets),
+            "target_done": self._failure is not None,
+            "sends": self._send_count,
+            "runs": self._run_count,
+        }
+
     async def serve(self, caller: ResponseWriter) -> None:
         """Send the response of a target to the caller.
 
--- a/wigeonspan/gateway/_runs.py
+++ b/wigeonspan/gateway/_runs.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Iterator
 
 from wigeonspan.placing import Plan
 from wigeonspan.pool import Exchange, Head
@@ -96,6 +97,9 @@
     def __len__(self) -> int:
         return len(self._runs)
 
+    def __iter__(self) -> Iterator[OpenRun]:
+        return iter(self._runs)
+
     @property
     def oldest(self) -> OpenRun | None:
         """Run that began first, if any is open."""
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -16,6 +16,8 @@
 """Seconds by which the internal deadline precedes the caller's, so that the response
 reaches the caller in time."""
 
+_Handler = PlainCall | Generation
+
 
 class Server:
     """Serves requests of callers.
@@ -32,11 +34,35 @@
         self._context = context
         self._rng = rng
         self._accepting = False
+        self._open: dict[ActiveRequest, tuple[_Handler, ResponseWriter]] = {}
 
     def open(self) -> None:
         """Begin to serve; until then, requests are refused."""
         self._accepting = True
 
+    def log_open_requests(self, signalled_at: float) -> None:
+        """Log what each open request waits for, before all of them are ended.
+
+        Parameters
+        ----------
+        signalled_at : float
+            Monotonic time in seconds of the stop signal.
+        """
+        now = self._context.clock.now()
+        for active_request, (handler, caller) in self._open.items():
+            active_request.log_event(
+                "serve",
+                "open_at_end",
+                failure=True,
+                read_after_stop_ms=_to_ms(active_request.arrived_at - signalled_at),
+                body_ms=_to_ms(caller.body_s),
+                took_ms=_to_ms(now - active_request.arrived_at),
+                left_ms=_to_ms(active_request.remaining_s),
+                head_sent=caller.head_sent,
+                unsent_bytes=caller.has_unsent_bytes,
+                **handler.describe_progress(),
+            )
+
     async def serve(
         self,
         method: str,
@@ -163,6 +189,7 @@
         )
         handler = self._make_handler(config, active_request)
         completed = False
+        self._open[active_request] = handler, caller
         try:
             await handler.serve(caller)
             completed = caller.status < 300
@@ -172,6 +199,7 @@
             # This process is stopping; the error says whether the request has run.
             raise handler.abort_error("this entry stops") from None
         finally:
+            del self._open[active_request]
             context.durations.end(timer, context.clock.now(), completed=completed)
         took_s = context.clock.now() - arrived_at
         context.metrics.observe("request_seconds", took_s, route=route.name)
@@ -185,7 +213,7 @@
 
     def _make_handler(
         self, config: FleetConfig, active_request: ActiveRequest
-    ) -> PlainCall | Generation:
+    ) -> _Handler:
         spec = config.service(active_request.service)
         engine = None if spec is None else spec.engine
         if engine is None:
@@ -203,4 +231,8 @@
         return self._rng.choices(names, weights)[0]
 
     def _took_ms(self, arrived_at: float) -> int:
-        return round((self._context.clock.now() - arrived_at) * 1000)
+        return _to_ms(self._context.clock.now() - arrived_at)
+
+
+def _to_ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -18,7 +18,13 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-from wigeonspan.common import ErrorKind, WigeonspanError, encode
+from wigeonspan.common import (
+    Clock,
+    ErrorKind,
+    SystemClock,
+    WigeonspanError,
+    encode,
+)
 from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
 
 MAX_HEADER_BYTES = 64 * 1024
@@ -49,12 +55,19 @@
         Connection to the caller.
     supports_chunked : bool
         Whether the caller supports chunked transfer encoding, which HTTP/1.0 lacks.
+    body_s : float
+        Seconds from the head of the request to the last byte of its body.
     """
 
     def __init__(
-        self, connection: HTTPConnection, *, supports_chunked: bool = True
+        self,
+        connection: HTTPConnection,
+        *,
+        supports_chunked: bool = True,
+        body_s: float = 0.0,
     ) -> None:
         self._connection = connection
+        self._body_s = body_s
         self._supports_chunked = supports_chunked
         self._head_sent = False
         self._finished = False
@@ -66,6 +79,17 @@
         """HTTP status that was sent; 0 before."""
         return self._status
 
+    @property
+    def body_s(self) -> float:
+        """Seconds from the head of the request to the last byte of its body."""
+        return self._body_s
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether the kernel has not taken all bytes of the response yet."""
+        connection = self._connection
+        return isinstance(connection, HTTP1Connection) and connection.stream.writing()
+
     @property
     def head_sent(self) -> bool:
         """Whether the head was sent."""
@@ -164,13 +188,19 @@
     record_error : callable
         Called with an unexpected error of ``serve`` or of accepting a connection; the
         caller of a request that fails gets an error response.
+    clock : Clock or None
+        Source of time; None for the system's clock.
     """
 
     def __init__(
-        self, serve: ServeRequest, record_error: Callable[[Exception], None]
+        self,
+        serve: ServeRequest,
+        record_error: Callable[[Exception], None],
+        clock: Clock | None = None,
     ) -> None:
         self._serve = serve
         self._record_error = record_error
+        self._clock = clock or SystemClock()
         self._open_tasks: set[asyncio.Task[None]] = set()
         self._sockets: list[socket.socket] = []
         self._server = HTTPServer(
@@ -209,13 +239,17 @@
         self._server.stop()
         self._sockets = []
 
-    async def drain(self, timeout_s: float) -> None:
+    async def drain(
+        self, timeout_s: float, before_end: Callable[[], None] | None = None
+    ) -> None:
         """Stop accepting, and respond to all requests of the open connections.
 
         Parameters
         ----------
         timeout_s : float
             Seconds after which requests that are still open are cancelled.
+        before_end : callable or None
+            Called before these requests are cancelled.
         """
         self.close_after_responses()
         self.stop_accepting()
@@ -226,7 +260,8 @@
                     await asyncio.wait(self._open_tasks)
         except TimeoutError:
             # The remaining requests get their final response below.
-            pass
+            if before_end is not None:
+                before_end()
         await self.end_requests()
 
     async def end_requests(self) -> None:
@@ -249,7 +284,7 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the collector of a new request."""
-        return _RequestCollector(request_conn, self._begin)
+        return _RequestCollector(request_conn, self._begin, self._clock)
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing: each request has its own callback for a closed connection."""
@@ -260,8 +295,11 @@
         headers: HTTPHeaders,
         body: bytes,
         connection: HTTPConnection,
+        body_s: float,
     ) -> None:
-        caller = ResponseWriter(connection, supports_chunked=line.version != "HTTP/1.0")
+        caller = ResponseWriter(
+            connection, supports_chunked=line.version != "HTTP/1.0", body_s=body_s
+        )
         fields = list(headers.get_all())
         coroutine = self._serve(line.method, line.path, fields, body, caller)
         task = asyncio.ensure_future(self._run_request(coroutine, caller))
@@ -296,10 +334,15 @@
     def __init__(
         self,
         connection: HTTPConnection,
-        begin: Callable[[RequestStartLine, HTTPHeaders, bytes, HTTPConnection], None],
+        begin: Callable[
+            [RequestStartLine, HTTPHeaders, bytes, HTTPConnection, float], None
+        ],
+        clock: Clock,
     ) -> None:
         self._connection = connection
         self._begin = begin
+        self._clock = clock
+        self._head_at = clock.now()
         self._chunks: list[bytes] = []
         self._line: RequestStartLine
         self._headers: HTTPHeaders
@@ -311,6 +354,7 @@
         assert isinstance(start_line, RequestStartLine)
         self._line = start_line
         self._headers = headers
+        self._head_at = self._clock.now()
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -320,7 +364,9 @@
 
     def finish(self) -> None:
         """Start to handle the request, which is now complete."""
-        self._begin(self._line, self._headers, b"".join(self._chunks), self._connection)
+        body = b"".join(self._chunks)
+        body_s = self._clock.now() - self._head_at
+        self._begin(self._line, self._headers, body, self._connection, body_s)
 
     def on_connection_close(self) -> None:
         """Do nothing: an incomplete request is not handled."""
