Wait until the kernel has the last bytes of a response

A response counted as done when its end was handed to the buffer of the process. A stopping process ends when no request is open, so that a slow reader could lose the last chunk of a complete stream. No report names such a case; it was found by reading, as the second hypothesis on requests lost around a stop.

Cause: finishing a response does not wait for the write that ends it.

Change: the request stays open until the kernel has taken all of it; a caller that disconnects, and the end of the process, still end the wait.

--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -269,3 +269,43 @@
 
     responses = asyncio.run(run())
     assert [response[:12] for response in responses] == [b"HTTP/1.1 503"] * 20
+
+
+def test_response_ends_only_when_the_kernel_has_its_last_bytes():
+    """A process that stopped after its last response dropped the end of it.
+
+    The last chunk of a stream was still in the buffer of the process when its reader
+    was slow.
+    """
+    finished = asyncio.Event()
+
+    async def serve(method, target, headers, body, caller):
+        await caller.send_head(200, [])
+        sending = asyncio.ensure_future(caller.send(b"x" * 16_000_000))
+        await asyncio.sleep(0)
+        await caller.finish()
+        finished.set()
+        await sending
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        host, port = address.split(":")
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, (host, int(port)))
+        await loop.sock_sendall(client, REQUEST)
+        await asyncio.sleep(0.5)
+        was_finished, open_requests = finished.is_set(), server.open_requests
+        response = b""
+        async with asyncio.timeout(10.0):
+            while not response.endswith(b"\r\n0\r\n\r\n"):
+                response = response[-16:] + await loop.sock_recv(client, 1 << 20)
+            await finished.wait()
+        client.close()
+        await server.close()
+        return was_finished, open_requests
+
+    assert asyncio.run(run()) == (False, 1)
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -15,7 +15,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
 from wigeonspan.common import (
@@ -87,8 +87,13 @@
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether the kernel has not taken all bytes of the response yet."""
+        stream = self._stream
+        return stream is not None and stream.writing()
+
+    @property
+    def _stream(self) -> IOStream | None:
         connection = self._connection
-        return isinstance(connection, HTTP1Connection) and connection.stream.writing()
+        return connection.stream if isinstance(connection, HTTP1Connection) else None
 
     @property
     def head_sent(self) -> bool:
@@ -130,10 +135,21 @@
             self._disconnected = True
 
     async def finish(self) -> None:
-        """End the response as complete."""
+        """End the response as complete, and wait until the kernel has taken it.
+
+        What the kernel has not taken is lost when the process ends.
+        """
         self._finished = True
-        if not self._disconnected:
-            self._connection.finish()
+        if self._disconnected:
+            return
+        stream = self._stream
+        self._connection.finish()
+        if stream is not None and stream.writing():
+            try:
+                # An empty write is done when all writes before it are.
+                await stream.write(b"")
+            except StreamClosedError:
+                self._disconnected = True
 
     async def send_error(self, error: WigeonspanError) -> None:
         """Send an error response, including ``Retry-After`` where it applies."""
@@ -145,9 +161,9 @@
 
     def abort(self) -> None:
         """Close the connection, so that the response does not look complete."""
-        if not isinstance(self._connection, HTTP1Connection):
+        stream = self._stream
+        if stream is None:
             return
-        stream = self._connection.stream
         if self._head_sent and not self._supports_chunked and stream.socket is not None:
             # Without chunked encoding, the end of the connection marks the end of the
             # response; only a reset shows that it is incomplete.
