Count the time of a stop from its signal

An entry counted the time until it is killed from when its event loop handled SIGTERM. A callback in progress, such as the decoding of a large configuration, delays that, and the platform's grace period runs on.

Cause: the handler of the event loop records no time and runs after the callback.

Change: a handler that Python runs between two bytecodes records the time, and the drain, the promises to callers and the end of the process are counted from it.

--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -237,19 +237,19 @@
             Monotonic time in seconds of the stop signal.
         """
         self._state = EntryState.LEAVING
-        stopped_at = self._clock.now()
-        end_at = stopped_at + max(
+        end_at = signalled_at + max(
             0.0, self._settings.stop_timeout_s - FINAL_RESPONSES_S
         )
-        drain_until = min(stopped_at + DRAIN_S, end_at)
+        drain_until = min(signalled_at + DRAIN_S, end_at)
+        now = self._clock.now()
         self._context.event_log.write(
             "process",
             "stopping",
             open=self._front_server.open_requests,
-            ends_in_ms=round((end_at - stopped_at) * 1000),
-            handled_after_ms=round((stopped_at - signalled_at) * 1000),
+            ends_in_ms=round((end_at - now) * 1000),
+            handled_after_ms=round((now - signalled_at) * 1000),
         )
-        self._context.stop.begin(stopped_at, end_at)
+        self._context.stop.begin(signalled_at, end_at)
         self._front_server.close_after_responses()
         await self._heartbeats.send_now()
         await asyncio.sleep(max(0.0, drain_until - self._clock.now()))
