Answer requests that are still arriving when a server stops

A caller that sends a body slowly, or in chunks, got neither an answer nor a refusal when the process stopped while the body was arriving: the connection was closed, or reset with the bytes that had not been read.

Cause: only complete requests counted as open. The drain ended while parts of a request had arrived, and the process with it.

Change: the drain waits for requests of which the head has arrived, as long as for open ones. What is still incomplete at the end is refused with 503 and 'ran: no', and the rest of the body is read so that the close does not reset the connection.

Measured: the new test failed before in both cases (connection reset; no response) and passes now.

--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -309,3 +309,32 @@
         return was_finished, open_requests
 
     assert asyncio.run(run()) == (False, 1)
+
+
+@pytest.mark.parametrize("completes", [True, False])
+def test_request_that_is_arriving_at_a_stop_gets_an_answer(completes):
+    """A server that stopped closed connections on which a body was still arriving."""
+
+    async def serve(method, target, headers, body, caller):
+        await caller.send_response(200, [], body)
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(REQUEST[:-1])
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(server.drain(1.0))
+        await asyncio.sleep(0.5)
+        if completes:
+            writer.write(REQUEST[-1:])
+        await stopping
+        await server.close()
+        response = await reader.read()
+        writer.close()
+        return response
+
+    response = asyncio.run(run())
+    assert response.startswith(b"HTTP/1.1 200" if completes else b"HTTP/1.1 503")
+    assert completes or b'"ran":"no"' in response
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -42,6 +42,11 @@
 """Seconds to wait for the responses to requests that are cancelled when the process
 stops."""
 
+POLL_INTERVAL_S = 0.02
+"""Seconds between two checks whether a request is still arriving."""
+
+STOP_MESSAGE = "this process stops"
+
 # Value of SO_LINGER (on, 0 seconds) with which a close resets the connection.
 _RESET = struct.pack("ii", 1, 0)
 
@@ -218,6 +223,7 @@
         self._record_error = record_error
         self._clock = clock or SystemClock()
         self._open_tasks: set[asyncio.Task[None]] = set()
+        self._arriving: set[_RequestCollector] = set()
         self._sockets: list[socket.socket] = []
         self._server = HTTPServer(
             self,
@@ -260,6 +266,9 @@
     ) -> None:
         """Stop accepting, and respond to all requests of the open connections.
 
+        Requests of which a part has arrived are waited for. Those that are still
+        incomplete at the end are refused.
+
         Parameters
         ----------
         timeout_s : float
@@ -272,8 +281,11 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.sleep(LAST_REQUESTS_S)
-                while self._open_tasks:
-                    await asyncio.wait(self._open_tasks)
+                while self._open_tasks or self._arriving:
+                    if self._open_tasks:
+                        await asyncio.wait(self._open_tasks)
+                    else:
+                        await asyncio.sleep(POLL_INTERVAL_S)
         except TimeoutError:
             # The remaining requests get their final response below.
             if before_end is not None:
@@ -284,7 +296,10 @@
         """Cancel the open requests and wait until their responses are sent.
 
         ``serve`` may still respond to a cancelled request whose caller is connected.
+        A request that has not arrived completely is refused.
         """
+        for collector in list(self._arriving):
+            collector.refuse(WigeonspanError(ErrorKind.DRAINING, STOP_MESSAGE))
         open_tasks = set(self._open_tasks)
         for task in open_tasks:
             task.cancel()
@@ -300,7 +315,7 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the collector of a new request."""
-        return _RequestCollector(request_conn, self._begin, self._clock)
+        return _RequestCollector(request_conn, self._begin, self._arriving, self._clock)
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing: each request has its own callback for a closed connection."""
@@ -353,12 +368,15 @@
         begin: Callable[
             [RequestStartLine, HTTPHeaders, bytes, HTTPConnection, float], None
         ],
+        arriving: set["_RequestCollector"],
         clock: Clock,
     ) -> None:
         self._connection = connection
         self._begin = begin
+        self._arriving = arriving
         self._clock = clock
         self._head_at = clock.now()
+        self._refused = False
         self._chunks: list[bytes] = []
         self._line: RequestStartLine
         self._headers: HTTPHeaders
@@ -371,18 +389,44 @@
         self._line = start_line
         self._headers = headers
         self._head_at = self._clock.now()
+        self._arriving.add(self)
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Collect a part of the body."""
-        self._chunks.append(chunk)
+        if not self._refused:
+            self._chunks.append(chunk)
         return None
 
     def finish(self) -> None:
         """Start to handle the request, which is now complete."""
+        self._arriving.discard(self)
+        if self._refused:
+            self._connection.finish()
+            return
         body = b"".join(self._chunks)
         body_s = self._clock.now() - self._head_at
         self._begin(self._line, self._headers, body, self._connection, body_s)
 
     def on_connection_close(self) -> None:
-        """Do nothing: an incomplete request is not handled."""
+        """Forget an incomplete request, which is not handled."""
+        self._arriving.discard(self)
+
+    def refuse(self, error: WigeonspanError) -> None:
+        """Send an error response before the request is complete.
+
+        The rest of the body is still read: a close with unread bytes would reset the
+        connection, and the caller could lose the response.
+        """
+        self._arriving.discard(self)
+        self._refused = True
+        self._chunks.clear()
+        body = encode(error.body)
+        fields = {"Content-Type": "application/json", "Connection": "close"}
+        if error.body.error.retry_after_s:
+            fields["Retry-After"] = f"{error.body.error.retry_after_s:.2f}"
+        self._connection.write_headers(
+            ResponseStartLine("HTTP/1.1", error.status, ""),
+            HTTPHeaders({**fields, "Content-Length": str(len(body))}),
+            body,
+        )
