Leave complete responses to the kernel when a server stops

A caller that reads slowly lost the end of a response that its target had completed: the stopping process ended with bytes that the full buffer of the kernel had not taken.

Cause: the drain cancelled a request that only waits for its caller like one that waits for its target, and user-space buffers end with the process.

Change: 0.1 s before it ends the open requests, the server enlarges the send buffers of those that wait for their caller. The kernel takes the rest, the request completes, and the kernel delivers it after the process has ended, up to what it grants (some 400 KB by default). Larger rests are still cut.

--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -338,3 +338,44 @@
     response = asyncio.run(run())
     assert response.startswith(b"HTTP/1.1 200" if completes else b"HTTP/1.1 503")
     assert completes or b'"ran":"no"' in response
+
+
+def test_complete_response_reaches_a_slow_reader_after_the_stop():
+    """A response that was complete was cut, as its reader was slower than the stop.
+
+    The buffer of the kernel was full, and the process ended with the rest.
+    """
+    events, event_bytes = 20, 10_000
+
+    async def serve(method, target, headers, body, caller):
+        await caller.send_head(200, [])
+        for _ in range(events):
+            await caller.send(b"x" * event_bytes)
+        await caller.finish()
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        host, port = address.split(":")
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        # Small segments make the kernel begin with a small send buffer.
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, (host, int(port)))
+        await loop.sock_sendall(client, REQUEST)
+        await asyncio.sleep(0.2)
+        was_open = server.open_requests
+        await server.drain(0.5)
+        await server.close()
+        response = b""
+        while part := await loop.sock_recv(client, 1 << 20):
+            response += part
+        client.close()
+        return was_open, response
+
+    was_open, response = asyncio.run(run())
+    assert was_open == 1
+    assert response.endswith(b"\r\n0\r\n\r\n")
+    assert response.count(b"x") == events * event_bytes
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -42,6 +42,13 @@
 """Seconds to wait for the responses to requests that are cancelled when the process
 stops."""
 
+DELIVERY_S = 0.1
+"""Seconds before the end of a drain at which the kernel takes over what slow callers
+have not read yet."""
+
+DELIVERY_BUFFER_BYTES = 1024 * 1024
+"""Send buffer for that; the kernel may grant less."""
+
 POLL_INTERVAL_S = 0.02
 """Seconds between two checks whether a request is still arriving."""
 
@@ -115,6 +122,18 @@
         """Whether the caller has closed its connection."""
         return self._disconnected
 
+    def enlarge_send_buffer(self) -> None:
+        """Let the kernel buffer more of the response than the caller has room for.
+
+        The kernel delivers what it has taken even when the process has ended.
+        """
+        stream = self._stream
+        if stream is None or stream.socket is None or not stream.writing():
+            return
+        level, option = socket.SOL_SOCKET, socket.SO_SNDBUF
+        if stream.socket.getsockopt(level, option) < DELIVERY_BUFFER_BYTES:
+            stream.socket.setsockopt(level, option, DELIVERY_BUFFER_BYTES)
+
     def record_disconnect(self) -> None:
         """Record that the caller has closed its connection."""
         self._disconnected = True
@@ -222,7 +241,7 @@
         self._serve = serve
         self._record_error = record_error
         self._clock = clock or SystemClock()
-        self._open_tasks: set[asyncio.Task[None]] = set()
+        self._open_tasks: dict[asyncio.Task[None], ResponseWriter] = {}
         self._arriving: set[_RequestCollector] = set()
         self._sockets: list[socket.socket] = []
         self._server = HTTPServer(
@@ -279,7 +298,7 @@
         self.close_after_responses()
         self.stop_accepting()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(max(0.0, timeout_s - DELIVERY_S)):
                 await asyncio.sleep(LAST_REQUESTS_S)
                 while self._open_tasks or self._arriving:
                     if self._open_tasks:
@@ -288,6 +307,10 @@
                         await asyncio.sleep(POLL_INTERVAL_S)
         except TimeoutError:
             # The remaining requests get their final response below.
+            for caller in self._open_tasks.values():
+                caller.enlarge_send_buffer()
+            if self._open_tasks:
+                await asyncio.wait(self._open_tasks, timeout=DELIVERY_S)
             if before_end is not None:
                 before_end()
         await self.end_requests()
@@ -334,8 +357,8 @@
         fields = list(headers.get_all())
         coroutine = self._serve(line.method, line.path, fields, body, caller)
         task = asyncio.ensure_future(self._run_request(coroutine, caller))
-        self._open_tasks.add(task)
-        task.add_done_callback(self._open_tasks.discard)
+        self._open_tasks[task] = caller
+        task.add_done_callback(self._open_tasks.pop)
 
         def on_disconnect() -> None:
             caller.record_disconnect()
