Close the connections of a stopping entry before its process ends

A request that came on an open connection after the last answer, while the process was ending, lay unread in the kernel until the exit reset its connection, and its caller waited for that.

Cause: after the drain nothing closed the open connections but the end of the process, which takes a while on a busy host.

Change: the entry closes them as soon as the last response is sent.

There is no test of its own: the time between the last answer and the exit cannot be set in a test.

--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -257,6 +257,8 @@
             max(0.0, end_at - self._clock.now()),
             lambda: self._server.log_open_requests(signalled_at),
         )
+        # A request that came later would wait unread until the process has ended.
+        await self._front_server.close()
         for task in self._tasks:
             task.cancel()
         self._heartbeats.close()
