--- a/soak/_fleet_checks.py
+++ b/soak/_fleet_checks.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from standin import Arrival, CallEnding, NamedLimit
+from standin import ENDING_MARGIN_S, Arrival, CallEnding, NamedLimit
 
 from soak._check_types import Index, Violation
 from soak._evidence import (
@@ -38,8 +38,8 @@
 repaired."""
 
 UNFORWARDED_TOLERANCE_S = 0.2
-"""Duration in seconds up to which a request that was cut at a planned stop, and that no
-target received, does not count as lost."""
+"""Seconds after its last byte up to which a request that was cut at a planned stop, and
+that no target received, does not count as lost."""
 
 STOP_GRACE_S = 8.0
 """Seconds that a process may take to stop."""
@@ -207,7 +207,10 @@
 
 
 def check_planned_stops(evidence: Evidence, index: Index) -> Iterator[Violation]:
-    """Check that a planned stop or change of settings loses no request."""
+    """Check that a planned stop or change of settings loses no request.
+
+    The rule does not count requests whose deadline was reached.
+    """
     planned = [
         each
         for each in evidence.disturbances
@@ -218,7 +221,8 @@
         disturbances=[each for each in evidence.disturbances if not each.planned],
     )
     for record in evidence.calls:
-        if record.ending is not CallEnding.CUT:
+        due = record.sent_at + record.call.deadline_s - ENDING_MARGIN_S
+        if record.ending is not CallEnding.CUT or record.ended >= due:
             continue
         host = evidence.host_by_address[record.address]
         if not any(
@@ -232,7 +236,7 @@
         )
         forwarded = bool(index.arrivals.get(record.call.request))
         if undisturbed and (
-            forwarded or record.ended - record.began > UNFORWARDED_TOLERANCE_S
+            forwarded or record.ended - record.sent_at > UNFORWARDED_TOLERANCE_S
         ):
             yield Violation("planned work", record.call.request, f"lost at {host}")
 
--- a/tests/soak/samples.py
+++ b/tests/soak/samples.py
@@ -39,6 +39,7 @@
         CallEnding.ANSWERED,
         began + took_s,
         sent=True,
+        sent_at=began,
         status=200,
         signature=run,
         answered_request_id=call.request,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -205,6 +205,31 @@
     assert "planned work" not in rules(evidence)
 
 
+@pytest.mark.parametrize(("took_s", "is_violation"), [(4.9, True), (4.96, False)])
+def test_request_at_its_deadline_is_not_lost_by_a_planned_stop(took_s, is_violation):
+    """Slow streams that ended at their deadline were reported (trial, seed 11)."""
+    cut = make_call_record(make_call(2, SINGLE), ending=CallEnding.CUT, took_s=took_s)
+    evidence = make_evidence(calls=[cut])
+    evidence.record_disturbance(Scope.HOST, ENTRY, "stopped", 9.0, 17.0, planned=True)
+    assert ("planned work" in rules(evidence)) is is_violation
+
+
+@pytest.mark.parametrize(
+    ("sent_after_s", "is_violation"), [(0.0, True), (1.7, True), (1.9, False)]
+)
+def test_slow_body_counts_from_its_last_byte_at_a_planned_stop(
+    sent_after_s, is_violation
+):
+    """A body that took 2 s to send was reported, though it crossed the close."""
+    cut = make_call_record(
+        make_call(5, BOOK), ending=CallEnding.CUT, took_s=2.0, status=0, signature=""
+    )
+    cut.sent_at += sent_after_s
+    evidence = make_evidence(calls=[cut])
+    evidence.record_disturbance(Scope.HOST, ENTRY, "stopped", 9.0, 17.0, planned=True)
+    assert ("planned work" in rules(evidence)) is is_violation
+
+
 def test_answers_after_the_deadline_are_detected():
     """More than the tolerated cases and more than half of the requests are late."""
     calls = [
