Stop entries under late requests in the soak

Requests that were sent 3.2 to 5.5 s after SIGTERM on open connections were lost on, and no soak run showed it: callers turned to another entry early, and all streams were equally fast.

In some runs all entries but one are now stopped in turn, after all other faults, under 120 connections each that were opened before the signal and carry one request from 0.4 s before it to 7.5 s after it. One stream in 25 takes four times as long, some bodies come in parts over one to three seconds, some callers read slowly, and the configuration changes beside half of these stops.

A check applies the platform's sentence to each request that ended without a complete answer. Stopping processes are killed after 8 s instead of 10 s, as by the platform.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -7,7 +7,7 @@
 
 from standin import Arrival
 
-from soak import _crash_checks, _fleet_checks, _request_checks
+from soak import _crash_checks, _fleet_checks, _request_checks, _stop_checks
 from soak._check_types import Check, Index, Violation
 from soak._evidence import Evidence
 from wigeonspan.common import RequestId
@@ -31,6 +31,7 @@
     _fleet_checks.check_stored_versions,
     _fleet_checks.check_order_holders,
     _fleet_checks.check_planned_stops,
+    _stop_checks.check_stopped_entries,
     _fleet_checks.check_recovery,
     _fleet_checks.check_unexpected_exits,
 )
--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -16,6 +16,11 @@
 """Description of the disturbance of a target by a crashing part of a prompt."""
 
 
+STOPPED = "stopped"
+STARTED = "started"
+"""Descriptions of the disturbances of a host by a planned stop and by a start."""
+
+
 class Scope(Enum):
     """Part of the system that a disturbance affects.
 
@@ -166,6 +171,22 @@
         return True
 
 
+def is_sound(evidence: Evidence, target: str, record: CallRecord) -> bool:
+    """Whether nothing but silences disturbed a target during a request."""
+    return not any(
+        each.scope is Scope.TARGETS
+        and _host_of(each.name) == _host_of(target)
+        and each.begins <= record.ended
+        and each.until + SETTLING_S >= record.began
+        for each in evidence.disturbances
+    )
+
+
+def _host_of(target: str) -> str:
+    """Return the part of a target's name that stays the same after a restart."""
+    return target.partition("+")[0]
+
+
 def newest_required_version(evidence: Evidence, at: float) -> int:
     """Return the newest version that must be in force everywhere at a time."""
     return max(
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -6,9 +6,9 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from standin import InjectedFaults, Replica, Role
+from standin import GRACE_S, InjectedFaults, Replica, Role
 
-from soak._evidence import Departure, Scope
+from soak._evidence import STOPPED, Departure, Scope
 from soak._launch import Impairment
 from soak._operators import Operators
 from soak._prompt_mix import draw_prompt_mix
@@ -16,13 +16,9 @@
 from soak._schedule import Fault, FaultKind
 from soak._target_faults import INJECTED_FAULTS, SILENT_MOMENTS
 from soak._traffic import Traffic
-from soak._world import Host, World
+from soak._world import MODELS, Host, World
 from wigeonspan.consensus._transport import RAFT_PATH
 
-STOP_TIMEOUT_S = 10.0
-"""Seconds after which a stopping process is killed; the platform allows eight, and the
-machine of the soak test may be slow."""
-
 DRAIN_SERVING_S = 4.0
 """Shortest time in seconds that a leaving target continues to serve; it is slightly
 longer than the shortest time for which it is listed as leaving."""
@@ -58,6 +54,28 @@
 LONG_STREAMS_S = 18.0
 """Seconds for which long streams are sent around the stops."""
 
+SLOW_STREAM_SHARE = 0.04
+"""Share of the streams that take four times as long as the others, around stops under
+late requests."""
+
+ADDED_ENGINES = 5
+"""Engines that are added for late requests. In two trials without them, one entry
+refused 48 requests because no slot was free; few streams were left to be cut."""
+
+ADDED_ENGINES_S = 4.0
+"""Seconds until they have changed to the decode phase."""
+
+MIN_LATE_ROLL_GAP_S = 0.5
+MAX_LATE_ROLL_GAP_S = 4.0
+"""Bounds of the seconds between two such stops."""
+
+CONNECT_AHEAD_S = 2.0
+"""Seconds before a stop signal at which the connections of late requests are opened; in
+this time, the entry also sees slow streams."""
+
+MAX_CHANGE_GAP_S = 2.0
+"""Largest time in seconds between two configurations that are sent beside them."""
+
 FaultHandler = Callable[[Fault], Awaitable[None]]
 
 
@@ -82,6 +100,7 @@
             FaultKind.ENTRY_FREEZE: self._freeze,
             FaultKind.ENTRY_STOP: self._stop,
             FaultKind.ENTRY_ROLL: self._roll_entries,
+            FaultKind.LATE_ROLL: self._roll_under_late_requests,
             FaultKind.ENTRY_RELOAD: self._reload,
             FaultKind.ENTRY_ADD: self._add_entry,
             FaultKind.CONTROL_KILL: self._kill,
@@ -188,6 +207,41 @@
             await asyncio.sleep(0.5 + MAX_ROLL_GAP_S * fault.strength)
         await asyncio.gather(streams, *stops)
 
+    async def _roll_under_late_requests(self, fault: Fault) -> None:
+        """Stop all entries but one in turn under requests on connections from before.
+
+        Beside them some streams are slow, and in half of the cases the configuration
+        changes.
+        """
+        for _ in range(ADDED_ENGINES):
+            name = f"engine-{len(self._world.targets)}"
+            await self._world.add_target(MODELS, name)
+        await asyncio.sleep(ADDED_ENGINES_S)
+        engines = [t for t in self._world.targets if t.service == MODELS]
+        for engine in engines:
+            engine.injected_faults = InjectedFaults(slow_rate=SLOW_STREAM_SHARE)
+        stopping = asyncio.create_task(self._stop_all_under_late_requests())
+        while fault.strength < 0.5 and not stopping.done():
+            await self._operators.change()
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_CHANGE_GAP_S))
+        await stopping
+        for engine in engines:
+            engine.injected_faults = InjectedFaults()
+
+    async def _stop_all_under_late_requests(self) -> None:
+        stops = []
+        for host in self._hosts(Role.ENTRY)[1:]:
+            stops.append(asyncio.create_task(self._stop_under_late_requests(host)))
+            gap_s = self._rng.uniform(MIN_LATE_ROLL_GAP_S, MAX_LATE_ROLL_GAP_S)
+            await asyncio.sleep(gap_s)
+        await asyncio.gather(*stops)
+
+    async def _stop_under_late_requests(self, host: Host) -> None:
+        stop_at = time.monotonic() + CONNECT_AHEAD_S
+        self._traffic.send_late_requests(self._world.direct_address(host), stop_at)
+        await asyncio.sleep(CONNECT_AHEAD_S)
+        await self._stop_host(host)
+
     async def _cut_from_group(self, fault: Fault) -> None:
         """Cut a control host off from the others while versions follow each other.
 
@@ -213,10 +267,10 @@
         if host.planned_end:
             return
         self._world.record_host_disturbance(
-            host, "stopped", now, now + STOP_TIMEOUT_S, planned=True
+            host, STOPPED, now, now + GRACE_S, planned=True
         )
         self._world.stop_host(host)
-        while host.machine.is_running and time.monotonic() - now < STOP_TIMEOUT_S:
+        while host.machine.is_running and time.monotonic() - now < GRACE_S:
             await asyncio.sleep(0.05)
         self._world.kill_host(host)
         self._start(host)
--- a/soak/_request_checks.py
+++ b/soak/_request_checks.py
@@ -13,7 +13,7 @@
     Index,
     Violation,
 )
-from soak._evidence import SETTLING_S, Evidence, Scope
+from soak._evidence import Evidence, Scope, is_sound
 from soak._world import APPS, MODELS
 from wigeonspan.common import ServiceName
 from wigeonspan.fleetconfig import CallKind
@@ -212,7 +212,7 @@
             for arrival in index.arrivals.get(record.call.request, [])
             if not arrival.completed
             and (arrival.ended is None or arrival.ended > record.ended - LAST_WORK_S)
-            and _is_sound(evidence, arrival.target, record)
+            and is_sound(evidence, arrival.target, record)
         ]
         host = evidence.host_by_address[record.address]
         if working and unplanned.is_undisturbed(record.began, record.ended, host=host):
@@ -221,22 +221,6 @@
             yield Violation("lost", record.call.request, text)
 
 
-def _is_sound(evidence: Evidence, target: str, record: CallRecord) -> bool:
-    """Whether nothing but silences disturbed a target during a request."""
-    return not any(
-        each.scope is Scope.TARGETS
-        and _host_of(each.name) == _host_of(target)
-        and each.begins <= record.ended
-        and each.until + SETTLING_S >= record.began
-        for each in evidence.disturbances
-    )
-
-
-def _host_of(target: str) -> str:
-    """Return the part of a target's name that stays the same after a restart."""
-    return target.partition("+")[0]
-
-
 def _describe_wrong_answer(record: CallRecord) -> str | None:
     """Describe what is wrong with a successful answer, which may have been cut off."""
     complete = record.ending is CallEnding.ANSWERED
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -76,6 +76,7 @@
     ORDERS_LATE = "orders carried out late"
     BURST = "burst of streams"
     ENTRY_ROLL = "entries stopped in turn under long streams"
+    LATE_ROLL = "entries stopped in turn under late requests"
     CONTROL_CUT = "control cut off from its group under a series of versions"
     CONFIG_CHANGE = "configuration changed"
     CONFIG_STORM = "configurations in quick succession"
@@ -141,6 +142,18 @@
 """Bounds of the duration of a cut in seconds; hosts are not checked in the first and
 last three seconds of it."""
 
+LATE_ROLL_PROBABILITY = 0.5
+"""Probability of stops in turn under late requests, in runs without stops in turn under
+long streams: those would take longer than their deadline on slow engines."""
+
+MIN_LATE_ROLL_DELAY_S = 4.0
+MAX_LATE_ROLL_DELAY_S = 6.0
+"""Bounds of the seconds from the end of all other faults to these stops. The rule on
+planned stops holds only three seconds after an unplanned disturbance."""
+
+LATE_ROLL_S = 18.0
+"""Seconds that such stops of two or three entries take."""
+
 LATER_KINDS = (
     *LAST_DRAWN_KINDS,
     FaultKind.TARGET_LIMITS,
@@ -148,6 +161,7 @@
     FaultKind.PROMPT_CRASH,
     FaultKind.ENTRY_ROLL,
     FaultKind.CONTROL_CUT,
+    FaultKind.LATE_ROLL,
 )
 """Kinds that the first draws leave out."""
 
@@ -261,6 +275,7 @@
         faults.append(structs.replace(limit, lasts_s=lasts_s))
     faults.extend(_draw_newest_faults(rng))
     faults.extend(_draw_rolls_and_cuts(rng))
+    faults.extend(_draw_late_roll(rng, faults))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
@@ -306,6 +321,16 @@
     return faults
 
 
+def _draw_late_roll(rng: random.Random, earlier: list[Fault]) -> list[Fault]:
+    has_roll = any(fault.kind is FaultKind.ENTRY_ROLL for fault in earlier)
+    if rng.random() >= LATE_ROLL_PROBABILITY or has_roll:
+        return []
+    fault = _draw_fault(rng, FaultKind.LATE_ROLL, repeats=False)[0]
+    ends_at = max((fault.at + fault.lasts_s for fault in earlier), default=0.0)
+    at = ends_at + rng.uniform(MIN_LATE_ROLL_DELAY_S, MAX_LATE_ROLL_DELAY_S)
+    return [structs.replace(fault, at=at, lasts_s=LATE_ROLL_S)]
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, *, repeats: bool) -> list[Fault]:
     at = rng.uniform(0.5, FAULT_WINDOW_S)
     victim = rng.randrange(64)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -5,9 +5,19 @@
 import time
 from itertools import count
 
-from standin import Call, CallEnding, CallRecord, Connection, is_ready, resolve
+from msgspec import structs
+from standin import (
+    LARGE_EVENTS,
+    Call,
+    CallEnding,
+    CallRecord,
+    Connection,
+    is_ready,
+    resolve,
+)
 
 from soak._evidence import Probe, newest_required_version
+from soak._late_requests import LateRequest, draw_late_requests
 from soak._operators import (
     CALL_TIMEOUT_S,
     STREAM_TIMEOUT_S,
@@ -131,6 +141,19 @@
             self._spawn(self._send_with_retries(self._rng.choice(callers), call))
             await asyncio.sleep(1.0 / LONG_STREAM_RATE)
 
+    def send_late_requests(self, address: str, stop_at: float) -> None:
+        """Open connections to an entry that is about to stop, and use them later.
+
+        Parameters
+        ----------
+        stop_at : float
+            Monotonic time of the stop signal in seconds.
+        """
+        for request in draw_late_requests(self._rng):
+            call = self._make_late_call(request)
+            at = stop_at + request.after_s
+            self._spawn(self._send_late(address, call, at, request.large))
+
     async def finish(self) -> None:
         """Wait for all open requests."""
         while self._open:
@@ -201,6 +224,37 @@
             self._abandon_after_s(2.0),
         )
 
+    def _make_late_call(self, request: LateRequest) -> Call:
+        is_resumable = request.route == "/resumable/"
+        if request.events:
+            call = self._make_stream(resumable=is_resumable, events=request.events)
+        elif request.route == "/read/":
+            call = self._make_call(CallKind.IDEMPOTENT, "/read/x")
+        else:
+            call = self._make_call(CallKind.NON_IDEMPOTENT, "/book/x")
+        return structs.replace(
+            call,
+            path=f"{request.route}{LARGE_EVENTS}" if request.large else call.path,
+            abandon_after_s=None,
+            body_s=request.body_s,
+        )
+
+    async def _send_late(
+        self, address: str, call: Call, at: float, reads_slowly: bool
+    ) -> None:
+        connection = Connection(address, reads_slowly=reads_slowly)
+        try:
+            await connection.open()
+        except OSError:
+            # The entry is down because of another fault.
+            return
+        await asyncio.sleep(max(0.0, at - time.monotonic()))
+        if not connection.is_open:
+            # The process has ended.
+            return
+        self._world.evidence.calls.append(await connection.send(call))
+        connection.close()
+
     def _make_call(self, kind: CallKind, path: str) -> Call:
         return Call(
             self._next_request(),
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -23,7 +23,7 @@
     Role,
 )
 
-from soak._evidence import BY_PROMPT, Disturbance, Evidence, Scope
+from soak._evidence import BY_PROMPT, STARTED, Disturbance, Evidence, Scope
 from soak._launch import BIND_VARIABLE, IMPAIRMENT_VARIABLE, Impairment
 from soak._proxy import Link
 from soak._schedule import Schedule
@@ -192,7 +192,8 @@
         hosts.append(host)
         self.links["control" if role is Role.CONTROL else "entry"].append(link)
         if role is Role.ENTRY:
-            self.evidence.host_by_address[self.front_address(host)] = host.name
+            for address in (self.front_address(host), self.direct_address(host)):
+                self.evidence.host_by_address[address] = host.name
         return host
 
     def write_settings(self, *, first: bool = False) -> None:
@@ -208,7 +209,7 @@
         host.machine.start()
         now = time.monotonic()
         host.started_at = now
-        host.start_disturbance = self.record_host_disturbance(host, "started", now, now)
+        host.start_disturbance = self.record_host_disturbance(host, STARTED, now, now)
 
     def kill_host(self, host: Host) -> None:
         """Kill a host's process."""
@@ -300,6 +301,13 @@
         """Return the address of an entry for callers."""
         return f"{host.machine.ip}:{FRONT_PORT}"
 
+    def direct_address(self, host: Host) -> str:
+        """Return the address of an entry for callers that bypass its proxy.
+
+        The proxy would read for a caller that reads slowly.
+        """
+        return f"{host.inside}:{FRONT_PORT}"
+
     def ready_address(self, host: Host) -> str:
         """Return the address of an entry for readiness checks."""
         return f"{host.machine.ip}:{READY_PORT}"
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -50,6 +50,7 @@
     newest = set(make_schedule(seed).faults)
     monkeypatch.setattr(_schedule, "_draw_newest_faults", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_rolls_and_cuts", lambda rng: [])
+    monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
     schedule = make_schedule(seed)
     assert set(schedule.faults) <= newest
     assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
@@ -72,6 +73,29 @@
     """Stops in turn and cuts from the group were added after all other kinds."""
     newest = set(make_schedule(seed).faults)
     monkeypatch.setattr(_schedule, "_draw_rolls_and_cuts", lambda rng: [])
+    monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
+    schedule = make_schedule(seed)
+    assert set(schedule.faults) <= newest
+    assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
+
+
+@pytest.mark.parametrize(
+    ("seed", "checksum"),
+    [
+        (104, 1917274015),
+        (205, 4127340889),
+        (501, 166132549),
+        (610, 494154464),
+        (625, 4194616340),
+        (804, 1652306118),
+        (1187, 1748573696),
+        (4207, 3231634749),
+    ],
+)
+def test_seeds_keep_their_faults_beside_late_requests(monkeypatch, seed, checksum):
+    """Stops under late requests were added after all other kinds."""
+    newest = set(make_schedule(seed).faults)
+    monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
     schedule = make_schedule(seed)
     assert set(schedule.faults) <= newest
     assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
