Rewrite the damaged slot of the voter file before the intact one

Operators would have seen a voter that refuses its data folder, "both slots fail their checksum", after a power loss.

Cause: the slots were always written in the same order. If the second one was bad (a bit error, or a write that a full disk broke off), the next write began with the intact one, and a power loss in it left none.

Change: the store remembers which slot a failed write may have damaged, and which one is bad or older at the start, and writes that one first. The vote that was synced last is then always in a slot that is not being written.

Measured: both new tests failed before with StorageCorrupt (one bad slot 1 at a start, one write refused at slot 1) and pass now; tests/consensus and tests/coordinator pass.

--- a/tests/consensus/fake_disk.py
+++ b/tests/consensus/fake_disk.py
@@ -19,6 +19,8 @@
 
     ``space`` is the number of bytes that can still be added (None for no limit),
     ``failing`` the names of the files whose sync fails (``.`` is the folder) and
+    ``full`` is whether every write is refused,
+    ``writes_left`` the number of writes until then (None for no limit) and
     ``operations_left`` the number of operations before a power loss (None for never).
     """
 
@@ -27,6 +29,8 @@
         self.synced_names = {}
         self.name_changes = []
         self.space = None
+        self.full = False
+        self.writes_left = None
         self.failing = set()
         self.operations_left = None
 
@@ -41,6 +45,7 @@
 
     def create(self, name, data):
         self._count_operation()
+        self._check_space()
         self.files[name] = _FakeFile()
         self._record_names()
         self.write_at(name, 0, data)
@@ -50,6 +55,7 @@
 
     def write_at(self, name, offset, data):
         self._count_operation()
+        self._check_space()
         file = self._file(name)
         growth = max(0, offset + len(data) - len(file.data))
         full = self.space is not None and growth > self.space
@@ -127,6 +133,12 @@
                 raise PowerLoss
             self.operations_left -= 1
 
+    def _check_space(self):
+        if self.full or self.writes_left == 0:
+            raise OSError(errno.ENOSPC, "no space left")
+        if self.writes_left is not None:
+            self.writes_left -= 1
+
     def _file(self, name):
         if name not in self.files:
             raise FileNotFoundError(errno.ENOENT, name)
--- a/tests/consensus/test_store.py
+++ b/tests/consensus/test_store.py
@@ -1,5 +1,6 @@
 """Data folder with torn writes, damage, failed syncs, full disks and power loss."""
 
+import contextlib
 import random
 
 import pytest
@@ -19,6 +20,7 @@
     StorageFull,
 )
 from wigeonspan.consensus._disk import FolderDisk
+from wigeonspan.consensus._store import SLOT_BYTES
 
 STATE = HardState("group", 3, "a")
 LOG = "log-0000000000000001"
@@ -171,7 +173,8 @@
 def test_full_disk_does_not_damage_stored_entries(space):
     """A partial frame on a full disk must not damage entries written after it.
 
-    The hard state needs no additional space, so a voter can still vote.
+    This disk has no room to grow but lets files be overwritten, so the hard state is
+    written.
     """
     disk, store = store_with_entries()
     disk.space = space
@@ -188,6 +191,56 @@
     assert (stored.state, stored.entries) == (newer, entries(7, 9))
 
 
+class TornAfter:
+    """Stands in for the random numbers of a crash: each write keeps so many bytes."""
+
+    def __init__(self, size):
+        self._size = size
+
+    def random(self):
+        return 0.0
+
+    def randint(self, low, high):
+        return min(high, self._size)
+
+
+@pytest.mark.parametrize("damaged", [0, SLOT_BYTES])
+def test_intact_slot_of_the_voter_file_is_rewritten_last(damaged):
+    """A power loss while the bad slot is repaired once left both slots bad."""
+    for operations in range(8):
+        for kept in (0, 6, SLOT_BYTES):
+            disk, store = store_with_entries()
+            store.close()
+            disk.flip_bit("voter", damaged + 9)
+            disk.operations_left = operations
+            with contextlib.suppress(PowerLoss):
+                reopened(disk)
+            disk.crash(TornAfter(kept))
+            assert reopened(disk)[1].state == STATE
+
+
+@pytest.mark.parametrize("writes", [0, 1])
+def test_slot_that_a_full_disk_left_behind_is_rewritten_first(writes):
+    """A vote whose write a full disk broke off may have damaged one of the two slots.
+
+    The next write must not begin with the intact one.
+    """
+    for operations in range(6):
+        for kept in (0, 6, SLOT_BYTES):
+            disk, store = store_with_entries()
+            disk.writes_left = writes
+            with pytest.raises(StorageFull):
+                store.save([persist(state=HardState("group", 9, "b"))])
+            disk.writes_left = None
+            # The refused write left its slot in an unknown condition.
+            disk.flip_bit("voter", writes * SLOT_BYTES + 9)
+            disk.operations_left = operations
+            with contextlib.suppress(PowerLoss):
+                store.save([persist(state=HardState("group", 10, "c"))])
+            disk.crash(TornAfter(kept))
+            assert reopened(disk)[1].state.term in (3, 9, 10)
+
+
 @pytest.mark.parametrize(
     ("index", "term", "kept"),
     [(6, 1, entries(7, 8)), (6, 2, []), (8, 1, []), (30, 4, [])],
--- a/wigeonspan/consensus/_store.py
+++ b/wigeonspan/consensus/_store.py
@@ -5,7 +5,7 @@
 ``voter``
     Disk identity, group, term and vote, in two identical slots. One slot is synced
     before the other is written, so a torn write or a bit error in one slot never loses
-    a vote. Updates overwrite the slots and need no additional space.
+    a vote. Updates overwrite the slots, but a full disk may refuse them all the same.
 ``log-N``
     Entries after the snapshot; only the file with the highest number is used.
 ``snapshot-N``
@@ -91,6 +91,8 @@
         self._disk = disk
         self._make_id = make_id
         self._voter = VoterState(0, "", HardState())
+        # The slot that may be damaged or out of date comes first.
+        self._slot_offsets = (0, SLOT_BYTES)
         self._snapshot: SnapshotMeta | None = None
         self._log: LogFile
 
@@ -136,7 +138,8 @@
         Raises
         ------
         StorageFull
-            When there was no space for entries or a snapshot; the state is written.
+            When there was no space. Part of the batch may be written, the state too;
+            the caller must take none of it for written.
         StorageFailed
             When a write or sync failed. The voter must stop, because the kernel may
             have dropped the data and a later sync would succeed without writing it.
@@ -220,13 +223,18 @@
             )
             raise StorageCorrupt(VOTER_FILE, 0, reason)
         if len(slots) < 2 or slots[0] != slots[1]:
+            if payloads[0] is not None and _decode_voter(payloads[0]) == self._voter:
+                self._slot_offsets = (SLOT_BYTES, 0)
             self._write_voter(self._voter.state)
 
     def _write_voter(self, state: HardState) -> None:
         self._voter = VoterState(self._voter.sequence + 1, self.disk_id, state)
-        for offset in (0, SLOT_BYTES):
+        for offset in self._slot_offsets:
+            # If this write fails, the next one must not touch the intact slot first.
+            self._slot_offsets = (offset, SLOT_BYTES - offset)
             self._disk.write_at(VOTER_FILE, offset, _encode_slot(self._voter))
             sync(self._disk, VOTER_FILE)
+        self._slot_offsets = (0, SLOT_BYTES)
 
     def _read_log(self, names: list[str]) -> list[Entry]:
         snapshots = numbered_files(names, SNAPSHOT_PREFIX)
