Pause between writes to a full disk and bound their log lines

Operators saw a host that was restarted while its disk was full write its voter file some 2,300 times a second, each time with a line in the log, beside many changes without an acknowledgement.

Cause: a term or vote that found no space is issued again by the step that reports the full disk, and the write loop ran that write at once. No vote was taken for written: the core holds back each message until the write with its term and vote is reported as synced, also across refused writes. A new test of the core shows this (it passed before as well).

Change: 0.1 s between attempts, which also bounds how long a proposal may wait for its refusal; one line in the log every 10 s, and one when the disk has space again. docs/consensus.md said that the voter file needs no new space, so that a voter with a full disk can vote.

--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -143,6 +143,27 @@
     assert all(entry.index <= 2 for body in sent for entry in body.entries)
 
 
+def test_vote_that_found_no_space_is_not_given():
+    """A vote that is sent but not stored could be given again after a restart.
+
+    It must be held back, and written again, as long as the disk is full.
+    """
+    node = make_node(HardState("group", 3, ""))
+    now = VOTE_GUARD_END + 0.01
+    ready = node.handle(message(Vote(False, 1, 1), term=4), now)
+    for _ in range(3):
+        assert ready.send == []
+        assert ready.persist.state == HardState("group", 4, "b")
+        _, ready = node.on_storage_full(now)
+    other = node.handle(message(Vote(False, 1, 1), source="c", term=4), now)
+    assert (other.send, other.persist) == ([], None)
+    ready = node.on_persisted(ready.persist.sequence, now)
+    assert [(m.target.name, m.body) for m in ready.send] == [
+        ("b", VoteReply(False, True)),
+        ("c", VoteReply(False, False)),
+    ]
+
+
 def test_entries_of_earlier_terms_commit_only_with_an_entry_of_the_leaders_term():
     """An entry of an earlier term can still be replaced (Raft paper, figure 8)."""
     node = make_node(HardState("group", 4, ""), [FIRST_ENTRY, Entry(2, 2, b"old")])
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -12,7 +12,7 @@
 from tests.consensus.cluster import Host, start_group, wait_for_leader, wait_until
 from wigeonspan.catalog import Member
 from wigeonspan.common import ErrorKind, SystemClock, WigeonspanError, decode, encode
-from wigeonspan.consensus import StorageCorrupt
+from wigeonspan.consensus import StorageCorrupt, _driver
 from wigeonspan.consensus._disk import FolderDisk
 from wigeonspan.consensus._messages import (
     Append,
@@ -199,6 +199,42 @@
     asyncio.run(run())
 
 
+def test_full_disk_is_written_to_with_pauses(tmp_path, monkeypatch):
+    """A vote that could not be written was once written 2,300 times a second.
+
+    Each attempt had its own line in the log.
+    """
+    attempts, lines = [], []
+
+    def refuse(name, *_):
+        attempts.append(name)
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    async def run():
+        hosts = await start_group(tmp_path, ["a", "b", "c"])
+        leader = await wait_for_leader(hosts)
+        full = next(h for h in hosts if h is not leader)
+        with monkeypatch.context() as patch:
+            patch.setattr(full.log._driver._store._disk, "write_at", refuse)
+            patch.setattr(full.log._driver._store._disk, "append", refuse)
+            patch.setattr(full.log._driver._store._disk, "create", refuse)
+            patch.setattr(_driver._log, "error", lambda *line: lines.append(line))
+            await leader.stop()
+            await wait_until(lambda: attempts)
+            attempts.clear()
+            await asyncio.sleep(2.0)
+            count = len(attempts)
+        await leader.start([])
+        leader = await wait_for_leader(hosts)
+        await leader.log.propose(b"after")
+        await wait_until(lambda: "after" in full.machine.words)
+        await stop_all(hosts)
+        return count
+
+    assert 3 <= asyncio.run(run()) <= 30
+    assert len(lines) <= 2
+
+
 def test_command_above_the_size_limit_is_refused(tmp_path):
     """A huge command would delay the heartbeats that are queued behind it."""
 
--- a/wigeonspan/consensus/_core.py
+++ b/wigeonspan/consensus/_core.py
@@ -258,8 +258,8 @@
     def on_storage_full(self, now: float) -> tuple[LogIndex, Ready]:
         """Discard entries that could not be written because the disk is full.
 
-        The caller has written the hard state, but none of the entries and snapshots
-        that it has not reported as synced.
+        Nothing counts as written that was not reported as synced. A term or vote among
+        it is issued again, and messages that rest on it are held back until then.
 
         Returns
         -------
--- a/wigeonspan/consensus/_driver.py
+++ b/wigeonspan/consensus/_driver.py
@@ -39,6 +39,13 @@
 SNAPSHOT_RETRY_S = 10.0
 """Seconds between attempts to write a snapshot to a full disk."""
 
+STORAGE_RETRY_S = 0.1
+"""Seconds between attempts to write to a full disk. Without a pause, a voter file that
+could not be written was written again some 2,300 times a second."""
+
+FULL_LOG_INTERVAL_S = 10.0
+"""Seconds between log lines about a disk that remains full."""
+
 SNAPSHOT_BYTES = 8_000_000
 """Total size of applied commands after which a snapshot is taken, in bytes."""
 
@@ -94,6 +101,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._applied_bytes = 0
         self._next_snapshot_at = NEVER
+        self._refused_writes = 0
+        self._next_full_log_at = NEVER
         self._logged_role = (Term(0), LogRole.FOLLOWER)
         self._store: LogStore
 
@@ -202,16 +211,31 @@
         try:
             await self._run_on_disk_thread(lambda: self._store.save(batch))
         except StorageFull as error:
-            _log.error("Proposals are refused because the disk is full: {}.", error)
+            self._record_refused_write(error)
             self._writes = []
             last, ready = self.node.on_storage_full(self._clock.now())
             self.pending_proposals.fail_after(last, ErrorKind.STORAGE_FULL, str(error))
             self.step(ready)
+            # The effects of the step repeat the write of a term or vote at once.
+            await asyncio.sleep(STORAGE_RETRY_S)
         else:
             now = self._clock.now()
+            if self._refused_writes:
+                refused, self._refused_writes = self._refused_writes, 0
+                _log.info("The disk has space again after {} writes.", refused)
             self._observe_write(now - began)
             self.step(self.node.on_persisted(batch[-1].sequence, now))
 
+    def _record_refused_write(self, error: StorageFull) -> None:
+        self._refused_writes += 1
+        if self._clock.now() >= self._next_full_log_at:
+            self._next_full_log_at = self._clock.now() + FULL_LOG_INTERVAL_S
+            _log.error(
+                "The disk is full, {} writes are refused so far: {}.",
+                self._refused_writes,
+                error,
+            )
+
     async def _save_snapshot(self) -> None:
         entries = self.applied - self.node.snapshot_index
         if entries < self._snapshot_entries and self._applied_bytes < SNAPSHOT_BYTES:
