Answer HEAD requests at a stop without a body

A HEAD request whose body had not arrived when an entry stopped got a closed connection, and the entry ended with a traceback and status 1. Responses to HEAD that have a body, such as refusals, closed the connection at any time.

Cause: the refusal had a body, which Tornado rejects for HEAD. The error ended the drain before the other requests were cancelled.

Change: responses to HEAD keep their Content-Length and have no body.

--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -379,3 +379,40 @@
     assert was_open == 1
     assert response.endswith(b"\r\n0\r\n\r\n")
     assert response.count(b"x") == events * event_bytes
+
+
+def test_head_request_at_a_stop_leaves_the_other_requests_their_responses():
+    """A HEAD request whose body was missing ended the drain with an error.
+
+    The refusal had a body, which a response to HEAD must not have. The other open
+    requests ended without a response.
+    """
+
+    async def serve(method, target, headers, body, caller):
+        try:
+            await asyncio.sleep(30)
+        except asyncio.CancelledError:
+            await caller.send_error(WigeonspanError(ErrorKind.DRAINING, "stops"))
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        host, port = address.split(":")
+        head = REQUEST.replace(b"POST", b"HEAD")
+        connections = []
+        for data in (head[:-1], head, REQUEST):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            connections.append((reader, writer))
+        await asyncio.sleep(0.1)
+        await server.drain(0.5)
+        await server.close()
+        responses = [await reader.read() for reader, _ in connections]
+        for _, writer in connections:
+            writer.close()
+        return responses
+
+    incomplete, complete, other = asyncio.run(run())
+    assert [r[:12] for r in (incomplete, complete, other)] == [b"HTTP/1.1 503"] * 3
+    assert incomplete.endswith(b"\r\n\r\n") and complete.endswith(b"\r\n\r\n")
+    assert other.endswith(b"}")
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -67,6 +67,8 @@
         Connection to the caller.
     supports_chunked : bool
         Whether the caller supports chunked transfer encoding, which HTTP/1.0 lacks.
+    has_body : bool
+        Whether responses to the request have a body; those to HEAD have none.
     body_s : float
         Seconds from the head of the request to the last byte of its body.
     """
@@ -76,9 +78,11 @@
         connection: HTTPConnection,
         *,
         supports_chunked: bool = True,
+        has_body: bool = True,
         body_s: float = 0.0,
     ) -> None:
         self._connection = connection
+        self._has_body = has_body
         self._body_s = body_s
         self._supports_chunked = supports_chunked
         self._head_sent = False
@@ -143,7 +147,9 @@
     ) -> None:
         """Send a complete response."""
         await self._write_head(
-            status, [*headers, ("Content-Length", str(len(body)))], body
+            status,
+            [*headers, ("Content-Length", str(len(body)))],
+            body if self._has_body else None,
         )
         await self.finish()
 
@@ -153,6 +159,8 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body and wait until it is written."""
+        if not self._has_body:
+            return
         try:
             await self._connection.write(data)
         except StreamClosedError:
@@ -352,7 +360,10 @@
         body_s: float,
     ) -> None:
         caller = ResponseWriter(
-            connection, supports_chunked=line.version != "HTTP/1.0", body_s=body_s
+            connection,
+            supports_chunked=line.version != "HTTP/1.0",
+            has_body=line.method != "HEAD",
+            body_s=body_s,
         )
         fields = list(headers.get_all())
         coroutine = self._serve(line.method, line.path, fields, body, caller)
@@ -451,5 +462,5 @@
         self._connection.write_headers(
             ResponseStartLine("HTTP/1.1", error.status, ""),
             HTTPHeaders({**fields, "Content-Length": str(len(body))}),
-            body,
+            body if self._line.method != "HEAD" else None,
         )
