--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -103,6 +103,9 @@
 
     Parameters
     ----------
+    refused_connections : dict
+        Times at which proxies found no process listening, by the address and port of
+        the caller.
     unexpected_exits : list of str
         Descriptions of processes that ended by themselves, and of a failed start.
     recovered_by, evaluation_ends : float
@@ -124,6 +127,7 @@
     sent_configs: list[SentConfig] = []
     departures: list[Departure] = []
     disturbances: list[Disturbance] = []
+    refused_connections: dict[str, float] = {}
     unexpected_exits: list[str] = []
     traffic_began: float = 0.0
     recovered_by: float = 0.0
@@ -171,6 +175,12 @@
         return True
 
 
+def was_refused(evidence: Evidence, record: CallRecord) -> bool:
+    """Whether a proxy accepted a connection of which no process read the request."""
+    at = evidence.refused_connections.get(record.caller)
+    return at is not None and record.began <= at <= record.ended
+
+
 def is_sound(evidence: Evidence, target: str, record: CallRecord) -> bool:
     """Whether nothing but silences disturbed a target during a request."""
     return not any(
--- a/soak/_fleet_checks.py
+++ b/soak/_fleet_checks.py
@@ -12,6 +12,7 @@
     Probe,
     Scope,
     newest_required_version,
+    was_refused,
 )
 
 MAX_DEPARTURE_LAG_S = 3.0
@@ -224,6 +225,8 @@
         due = record.sent_at + record.call.deadline_s - ENDING_MARGIN_S
         if record.ending is not CallEnding.CUT or record.ended >= due:
             continue
+        if was_refused(evidence, record):
+            continue
         host = evidence.host_by_address[record.address]
         if not any(
             each.name == host
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import Callable
 from typing import cast
 
@@ -51,10 +52,17 @@
         Name in the report.
     outside, inside : str
         Address that others connect to, and the one on which the process listens.
+
+    Attributes
+    ----------
+    refused : dict
+        Times at which connections found no process listening, by the address and port
+        of the caller.
     """
 
     def __init__(self, name: str, outside: str, inside: str) -> None:
         self.name = name
+        self.refused: dict[str, float] = {}
         self.state = LinkState()
         self._outside = outside
         self._inside = inside
@@ -132,12 +140,19 @@
             await loop.create_connection(lambda: self.inner, *self._inside)
         except OSError:
             # No process listens there; without a proxy the caller would be reset, too.
+            self._record_refusal()
             self.reset()
             return
         for data in self.outer.unsent:
             self.inner.write(data)
         self.outer.unsent.clear()
 
+    def _record_refusal(self) -> None:
+        assert self.outer.transport is not None
+        caller = self.outer.transport.get_extra_info("peername")
+        if caller is not None:
+            self._link.refused["{}:{}".format(*caller)] = time.monotonic()
+
     def _to_host(self, data: bytes) -> None:
         # TCP delivers no bytes after bytes that were lost.
         state = self._link.state
--- a/soak/_stop_checks.py
+++ b/soak/_stop_checks.py
@@ -6,7 +6,14 @@
 from standin import GRACE_S, CallEnding, CallRecord, StoppedRequest, is_lost
 
 from soak._check_types import Index, Violation
-from soak._evidence import STARTED, STOPPED, Disturbance, Evidence, is_sound
+from soak._evidence import (
+    STARTED,
+    STOPPED,
+    Disturbance,
+    Evidence,
+    is_sound,
+    was_refused,
+)
 
 AFTER_GRACE_S = 1.0
 """Seconds after the grace period until which an end counts as an end by the stop."""
@@ -23,7 +30,7 @@
         each for each in evidence.disturbances if each.planned and each.what == STOPPED
     ]
     for record in evidence.calls:
-        if record.ending is not CallEnding.CUT:
+        if record.ending is not CallEnding.CUT or was_refused(evidence, record):
             continue
         host = evidence.host_by_address[record.address]
         arrivals = index.arrivals.get(record.call.request, [])
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -180,6 +180,7 @@
             environment={BIND_VARIABLE: inside, IMPAIRMENT_VARIABLE: str(impairment)},
         )
         link = Link(f"{role.value}-{outside}", outside, inside)
+        link.refused = self.evidence.refused_connections
         ports = (
             (INTERNAL_PORT, CONTROL_PORT, DIRECTORY_PORT)
             if role is Role.CONTROL
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -113,3 +113,22 @@
         assert await reader.readexactly(12) == b"first second"
 
     asyncio.run(run_with_connection(step))
+
+
+def test_refused_connection_is_recorded():
+    """The reset of a connection that no process accepted looked like a lost request."""
+
+    async def check():
+        link = Link("host", f"{NET}.32.1", f"{NET}.32.2")
+        await link.forward(PORT)
+        try:
+            reader, writer = await asyncio.open_connection(f"{NET}.32.1", PORT)
+            caller = "{}:{}".format(*writer.get_extra_info("sockname"))
+            with pytest.raises(ConnectionResetError):
+                await reader.read(1)
+            writer.close()
+        finally:
+            link.close()
+        assert list(link.refused) == [caller]
+
+    asyncio.run(check())
