Leave out superseded prefills in the soak's check of lost requests

Prefills that arrived before the last run no longer count as work. Runs, and prefills after the last run or without one, count as before.

--- a/soak/_request_checks.py
+++ b/soak/_request_checks.py
@@ -207,10 +207,17 @@
         is_lost = record.ending is CallEnding.CUT or (is_error and not record.signature)
         if not is_lost or took_s >= record.call.deadline_s - DEADLINE_MARGIN_S:
             continue
+        arrivals = index.arrivals.get(record.call.request, [])
+        last_run_at = max(
+            (a.arrived_at for a in arrivals if a.purpose is not Purpose.PREFILL),
+            default=0.0,
+        )
         working = [
             arrival
-            for arrival in index.arrivals.get(record.call.request, [])
+            for arrival in arrivals
             if not arrival.completed
+            # A prefill from before the last run is no longer needed for an answer.
+            and arrival.arrived_at >= last_run_at
             and (arrival.ended is None or arrival.ended > record.ended - LAST_WORK_S)
             and is_sound(evidence, arrival.target, record)
         ]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,7 +1,7 @@
 """Tests that each check finds its violations and reports none in a correct run."""
 
 import pytest
-from standin import CallEnding, Journal, NamedLimit, OrderRecord
+from standin import CallEnding, Journal, NamedLimit, OrderRecord, Purpose
 
 from soak._checks import find_violations
 from soak._evidence import Departure, Probe, Scope, SentConfig, VersionRead
@@ -306,3 +306,24 @@
         scope, name, planned = disturbed
         evidence.record_disturbance(scope, name, "faulty", 9.0, 9.5, planned=planned)
     assert ("lost" in rules(evidence)) is is_violation
+
+
+@pytest.mark.parametrize(
+    ("prefill_at", "crashed", "is_violation"),
+    [(10.2, "u", False), (10.4, "u", True), (10.2, "w", True)],
+)
+def test_prefill_from_before_the_last_run_is_no_work_to_wait_for(
+    prefill_at, crashed, is_violation
+):
+    """A second prefill was still running when the engine of the run crashed.
+
+    It was reported as the work of a sound target (seed 1024).
+    """
+    call = make_call(2, RESUMABLE)
+    cut = make_call_record(call, ending=CallEnding.CUT, took_s=0.6)
+    run = make_arrival(call, 10.3, target="u", ended=10.55)
+    prefill = make_arrival(call, prefill_at, purpose=Purpose.PREFILL, ended=10.6)
+    evidence = make_evidence(calls=[cut])
+    evidence.journal = Journal([run, prefill])
+    evidence.record_disturbance(Scope.TARGETS, crashed, "crashed", 10.5, 11.0)
+    assert ("lost" in rules(evidence)) is is_violation
