--- a/soak/_run.py
+++ b/soak/_run.py
@@ -31,6 +31,9 @@
 FINAL_FAULT_EXTRA_S = 5.0
 """Seconds of extra traffic after a final fault, in which active faults are undone."""
 
+CLOSE_S = 0.1
+"""Seconds in which the sockets of a run are closed."""
+
 NETWORK_NUMBERS = range(1, 64)
 """Values of the second byte of the loopback addresses that runs may use; tests use
 others."""
@@ -73,6 +76,8 @@
     finally:
         monitoring.cancel()
         world.close()
+        # The event loop closes the sockets later; another run may bind them after that.
+        await asyncio.sleep(CLOSE_S)
         lock_socket.close()
     evidence = world.evidence
     return Result(
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import os
+import socket
 
 import pytest
 from msgspec.structs import replace
-from standin import Role
+from standin import INTERNAL_PORT, Role
 
+from soak import _run
 from soak._run import run_soak
 from soak._schedule import FaultKind, make_schedule
 from soak._world import World
@@ -32,6 +34,29 @@
     assert world.entries[0].starts == 0
 
 
+def test_addresses_of_a_run_are_free_before_its_checks(tmp_path, monkeypatch):
+    """A run that began while another one was at its checks found an address in use."""
+    addresses = []
+
+    async def start(world):
+        host = await world.add_host(Role.CONTROL)
+        addresses.append((host.machine.ip, INTERNAL_PORT))
+
+    async def pass_by(world):
+        pass
+
+    def bind(evidence):
+        with socket.socket(type=socket.SOCK_DGRAM) as other:
+            other.bind(addresses[0])
+        return []
+
+    monkeypatch.setattr(World, "start", start)
+    monkeypatch.setattr(_run, "_run_traffic_and_faults", pass_by)
+    monkeypatch.setattr(_run, "find_violations", bind)
+    result = asyncio.run(run_soak(make_schedule(100), tmp_path / "run"))
+    assert addresses and result.breaks == []
+
+
 KINDS = (
     FaultKind.CONTROL_KILL,
     FaultKind.ENTRY_KILL,
