End what is open at a stopping entry daemon before its supervisor kills it

Callers of wigeonspan-entryd whose requests outlasted the time that a supervisor grants after SIGTERM got no answer: streams ended without an error event, plain calls with a closed connection, and the key of a call that runs once stayed in progress until it expired.

Cause: the daemon waited without a limit for what was open, accepted any request until the directory no longer named it, and did not know when it is killed.

Change: the setting 'stop_timeout_s' (90 s, the default of systemd), counted from the signal. A stopping daemon accepts only requests whose deadline falls 0.5 s before the kill, calls that run once 3.5 s before it, so that an election cannot prevent the commit of their outcomes. It refuses the others at once with 'draining', ran no, before their body when the head names the deadline. What is open at the end gets an error that says whether it may have run: streams an error event, calls an outcome that is committed as unknown or as not run, requests that are still arriving a refusal.

--- a/wigeonspan/entryd/_completions.py
+++ b/wigeonspan/entryd/_completions.py
@@ -59,12 +59,15 @@
 class CompletionHandler(EntryHandler):
     """Runs completion requests."""
 
+    has_deadline = True
+
     _task: "asyncio.Task[None] | None" = None
     _write_blocked_since: float | None = None
     _reader_timer: asyncio.TimerHandle | None = None
 
     async def post(self) -> None:
         """Run a completion; respond with one body or with server-sent events."""
+        self.record_arrival()
         self.entry.check_serving()
         headers = parse_headers(self.request.headers)
         check_json(self.request.headers)
--- a/wigeonspan/entryd/_daemon.py
+++ b/wigeonspan/entryd/_daemon.py
@@ -29,7 +29,11 @@
 from wigeonspan.entryd._services import ServiceHandler
 from wigeonspan.entryd._settings import EntrySettings, split_address
 from wigeonspan.http import make_client
-from wigeonspan.serving import LAST_REQUESTS_S, accept_pending
+from wigeonspan.serving import (
+    FINAL_RESPONSE_TIMEOUT_S,
+    LAST_REQUESTS_S,
+    accept_pending,
+)
 
 MAX_CONTROL_REQUESTS = 64
 """Largest number of concurrent messages to control hosts. Each non-idempotent call
@@ -139,32 +143,46 @@
             self._run_in_background(self._sync.run)
         _log.info("Entry {} serves at {}.", self._settings.host, self.address)
 
-    def request_stop(self) -> None:
+    def request_stop(self, signalled_at: float | None = None) -> None:
         """Start a graceful stop.
 
         After a second call, the daemon no longer waits for cached directory responses
         to expire.
+
+        Parameters
+        ----------
+        signalled_at : float or None
+            Monotonic time in seconds of the stop signal; None for now.
         """
-        self.entry.start_drain()
+        self.entry.start_drain(signalled_at)
         if self._sync is not None:
             self._sync.sync_soon()
 
     async def serve(self) -> None:
         """Wait until a graceful stop is complete."""
-        await self.entry.wait_drained()
+        await self.entry.wait_drained(LAST_REQUESTS_S)
         await self._serve_last_connections()
         await self.close()
         _log.info("Entry {} has stopped.", self._settings.host)
 
     async def _serve_last_connections(self) -> None:
-        """Stop accepting, and respond to callers that connected until then."""
+        """Stop accepting, and respond to callers that connected until then.
+
+        What is open at the end is ended, and its callers learn whether it may have run.
+        """
         if self._server is None:
             return
         for item in self._sockets:
             accept_pending(self._server, item, UNLIMITED_BODY_BYTES, self._record_error)
         self._server.stop()
         await asyncio.sleep(LAST_REQUESTS_S)
-        await self.entry.wait_drained()
+        if await self.entry.wait_drained():
+            return
+        _log.warning("Ending {} open requests.", self.entry.in_flight)
+        for response in list(self.entry.open_responses):
+            response.refuse_incomplete()
+        # The requests that are ended send their last responses.
+        await self.entry.wait_drained(-FINAL_RESPONSE_TIMEOUT_S)
 
     async def close(self) -> None:
         """Stop the server, the background tasks and all connections immediately."""
--- a/wigeonspan/entryd/_entry.py
+++ b/wigeonspan/entryd/_entry.py
@@ -7,7 +7,14 @@
 
 from wigeonspan.admission import Admission
 from wigeonspan.calls import CallOutcome
-from wigeonspan.calls.tasks import CallRunner, KeyedCall, PostToLeader, Send
+from wigeonspan.calls.tasks import (
+    CallRunner,
+    ExecutionResult,
+    KeyedCall,
+    PostToLeader,
+    Send,
+    SendResult,
+)
 from wigeonspan.catalog import (
     Engine,
     EnginePhase,
@@ -32,15 +39,27 @@
 from wigeonspan.distribution import ROUTING_LEASE_S, Configuration, Follower
 from wigeonspan.distribution.tasks import Observations
 from wigeonspan.engines import count_tokens, prefix_hashes
-from wigeonspan.engines.tasks import EngineClient, EnginePoller, TargetConnections
+from wigeonspan.engines.tasks import (
+    EngineClient,
+    EnginePoller,
+    ExchangeEnd,
+    TargetConnections,
+)
 from wigeonspan.entryd._async_admission import AsyncAdmission
 from wigeonspan.entryd._budget import RetryBudget
 from wigeonspan.entryd._completion_job import CompletionJob, RelayContext
 from wigeonspan.entryd._limits import TargetLimits
-from wigeonspan.entryd._plain import PlainRelay
+from wigeonspan.entryd._plain import PlainCall, PlainRelay
 from wigeonspan.entryd._relay import CompletionRelay
 from wigeonspan.entryd._requests import DEFAULT_TENANT, CallerHeaders, CompletionBody
 from wigeonspan.entryd._settings import EntrySettings
+from wigeonspan.entryd._stopping import (
+    COMMIT_S,
+    FINAL_RESPONSES_S,
+    OpenResponse,
+    StopWindow,
+    stop_error,
+)
 from wigeonspan.routing import PromptPrefix, Router
 from wigeonspan.streams import StreamLimits, Token
 
@@ -84,6 +103,8 @@
         self.clock = clock
         self.metrics = metrics
         self.in_flight = 0
+        self.open_responses: set[OpenResponse] = set()
+        self._stop = StopWindow(clock)
         self._relays: set[CompletionRelay] = set()
         self._follower = follower
         self._rng = rng
@@ -171,6 +192,10 @@
                 ErrorKind.LEASE_EXPIRED, "this entry has no routing lease"
             )
 
+    def check_deadline(self, deadline: float) -> None:
+        """Raise ``DRAINING`` if a request may outlast this process, which stops."""
+        self._stop.check(deadline)
+
     def effective_tenant(self, name: TenantName) -> TenantName:
         """Return the tenant whose limits apply to a name.
 
@@ -186,7 +211,8 @@
         Raises
         ------
         WigeonspanError
-            ``UNKNOWN_MODEL``.
+            ``UNKNOWN_MODEL``, or ``DRAINING`` when the deadline is later than the end
+            of this process.
         """
         service = self.configuration.get(ModelService, body.model)
         if service is None:
@@ -195,6 +221,7 @@
             )
         now = self.clock.now()
         deadline_ms = headers.deadline_ms or service.default_deadline_ms
+        self.check_deadline(now + deadline_ms / 1000)
         priority = headers.priority or service.default_class
         expected = self._context.demand.expected_output_tokens(
             service.name, priority, body.max_tokens
@@ -232,7 +259,8 @@
         service_and_class = (job.service.name, job.priority)
         demand.record_arrival(*service_and_class, job.tenant, job.prompt_tokens)
         try:
-            await self._admit_and_run(job, relay)
+            async with self._stop.end_in_time(relay.stop_error):
+                await self._admit_and_run(job, relay)
         except WigeonspanError as error:
             late = error.kind is ErrorKind.DEADLINE_EXCEEDED
             demand.record_failure(*service_and_class, relay.tracker.position, late)
@@ -271,14 +299,52 @@
         """Run a non-idempotent call; see :meth:`CallRunner.run`.
 
         The call counts as in flight until it ends, even when its caller has closed
-        the connection.
+        the connection. When this process ends earlier, its outcome is recorded as
+        unknown, or as not run when it has not been sent.
+
+        Raises
+        ------
+        WigeonspanError
+            When the call was refused or its outcome is unknown.
         """
+        self._stop.check(call.deadline, COMMIT_S)
+        task = asyncio.create_task(self._run_call(call, send))
+        async with self._stop.end_in_time(lambda: stop_error(True)):
+            return await asyncio.shield(task)
+
+    async def _run_call(self, call: KeyedCall, send: Send) -> tuple[CallOutcome, bool]:
+        async def send_in_time() -> ExecutionResult:
+            if self._stop.remaining_s() <= COMMIT_S:
+                raise stop_error(False)
+            stopped = stop_error(True)
+            try:
+                async with self._stop.end_in_time(lambda: stopped, COMMIT_S):
+                    return await send()
+            except WigeonspanError as error:
+                if error is not stopped:
+                    raise
+                return ExecutionResult(SendResult.UNKNOWN, message=error.message)
+
         self.in_flight += 1
         try:
-            return await self.calls.run(call, send)
+            return await self.calls.run(call, send_in_time)
         finally:
             self.in_flight -= 1
 
+    async def run_plain_call(self, call: PlainCall) -> ExchangeEnd:
+        """Run a call that may be repeated; see :meth:`PlainRelay.call`.
+
+        Raises
+        ------
+        WigeonspanError
+            When the call was refused or failed.
+        """
+        self._stop.check(call.deadline)
+        async with self._stop.end_in_time(
+            lambda: stop_error(bool(call.tried_addresses))
+        ):
+            return await self.plain.call(call)
+
     def find_plain_service(self, name: str) -> PlainService:
         """Return a plain service of the configuration in force.
 
@@ -358,11 +424,16 @@
             self._admission.update_slots(service.name, slots)
         self._async_admission.poll()
 
-    def start_drain(self) -> None:
+    def start_drain(self, signalled_at: float | None = None) -> None:
         """Leave the directory, but continue to serve requests.
 
         After a second call, :meth:`wait_drained` no longer waits for cached directory
         responses to expire.
+
+        Parameters
+        ----------
+        signalled_at : float or None
+            Monotonic time in seconds from which the supervisor counts; None for now.
         """
         if self._drain is not None:
             _log.info(
@@ -371,16 +442,35 @@
             self._drain.skip_wait()
             return
         _log.info("Draining with {} requests in flight.", self.in_flight)
-        self._drain = Drain(
-            self.clock.now(), self._follower.lease_until, ROUTING_LEASE_S
+        now = self.clock.now()
+        if signalled_at is None:
+            signalled_at = now
+        self._drain = Drain(now, self._follower.lease_until, ROUTING_LEASE_S)
+        self._stop.begin(
+            signalled_at + self.settings.stop_timeout_s - FINAL_RESPONSES_S
         )
 
-    async def wait_drained(self) -> None:
-        """Wait until no request runs and no directory response lists this entry."""
+    async def wait_drained(self, before_end_s: float = 0.0) -> bool:
+        """Wait until no request runs and no directory response lists this entry.
+
+        Parameters
+        ----------
+        before_end_s : float
+            Seconds before the end of open requests at which the wait ends.
+
+        Returns
+        -------
+        bool
+            Whether that is so; False at the end of the wait.
+        """
         while self._drain is None or not self._drain.may_exit(
             self.clock.now(), self.in_flight + self.calls.uncommitted_outcomes
         ):
-            await asyncio.sleep(0.05)
+            remaining_s = self._stop.remaining_s() - before_end_s
+            if remaining_s <= 0:
+                return False
+            await asyncio.sleep(min(0.05, remaining_s))
+        return True
 
     def close(self) -> None:
         """Close the connections to targets."""
--- a/wigeonspan/entryd/_http.py
+++ b/wigeonspan/entryd/_http.py
@@ -3,11 +3,13 @@
 from asyncio import Future
 from typing import Any
 
-from tornado.web import stream_request_body
+from tornado.web import Finish, stream_request_body
 
-from wigeonspan.common import DomainName, ErrorKind, WigeonspanError
+from wigeonspan.common import DomainName, ErrorKind, WigeonspanError, encode
 from wigeonspan.entryd._entry import Entry
-from wigeonspan.http import JsonHandler
+from wigeonspan.entryd._requests import parse_headers
+from wigeonspan.entryd._stopping import stop_error
+from wigeonspan.http import JSON_TYPE, JsonHandler
 
 
 @stream_request_body
@@ -20,21 +22,60 @@
 
     counted = False
 
+    has_deadline = False
+    """Whether requests may name a deadline."""
+
     def initialize(self, entry: Entry) -> None:
         """Set the entry."""
         self.entry = entry
         self._chunks: list[bytes] = []
         self._size = 0
+        self._refused = False
+        self._complete = False
 
     def prepare(self) -> None:
         """Count the request, and refuse a large body before it is read."""
         self.entry.in_flight += 1
         self.counted = True
+        self.entry.open_responses.add(self)
         self._check_declared_size()
+        if self.has_deadline and self.entry.draining:
+            self._check_deadline()
+
+    def record_arrival(self) -> None:
+        """Record that the whole request has arrived.
+
+        Raises
+        ------
+        Finish
+            When the request was refused while it arrived.
+        """
+        self._complete = True
+        if self._refused:
+            raise Finish
+
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that has not arrived completely.
+
+        The rest of the body is still read: a close with unread bytes would reset the
+        connection, and the caller could lose the response.
+        """
+        if self._complete or self._refused or self._finished or self._headers_written:
+            return
+        self._refused = True
+        self._chunks.clear()
+        error = stop_error(False)
+        body = encode(error.body)
+        self.set_status(error.status)
+        self.set_header("Content-Type", JSON_TYPE)
+        self.set_header("Content-Length", str(len(body)))
+        self.set_header("Retry-After", "1")
+        self.write(body)
+        self.flush()
 
     def data_received(self, chunk: bytes) -> None:
         """Store a chunk of the body, or refuse the request above the limit."""
-        if self._finished:
+        if self._finished or self._refused:
             return
         self._size += len(chunk)
         if self._size > self.entry.settings.relay.max_body_bytes:
@@ -68,6 +109,17 @@
         if self.counted:
             self.counted = False
             self.entry.in_flight -= 1
+            self.entry.open_responses.discard(self)
+
+    def _check_deadline(self) -> None:
+        """Refuse a request at once whose body arrives for nothing."""
+        deadline_ms = parse_headers(self.request.headers).deadline_ms
+        if deadline_ms is None:
+            return
+        try:
+            self.entry.check_deadline(self.entry.clock.now() + deadline_ms / 1000)
+        except WigeonspanError:
+            self.refuse_incomplete()
 
     def _check_declared_size(self) -> None:
         declared = self.request.headers.get("Content-Length", "0")
@@ -87,6 +139,7 @@
 
     def get(self) -> None:
         """Send the list of entries, those of the caller's failure domain first."""
+        self.record_arrival()
         domain = self.get_query_argument("domain", None)
         response = self.entry.list_directory(DomainName(domain) if domain else None)
         self.send_message(response)
--- a/wigeonspan/entryd/_relay.py
+++ b/wigeonspan/entryd/_relay.py
@@ -20,6 +20,7 @@
 from wigeonspan.entryd._attempt import AttemptRunner
 from wigeonspan.entryd._completion_job import CompletionJob, RelayContext
 from wigeonspan.entryd._stage import AttemptOutcome, Silence
+from wigeonspan.entryd._stopping import stop_error
 from wigeonspan.routing import EngineRoute, RouteRequest
 from wigeonspan.streams import StreamFault, StreamTracker, Token
 
@@ -95,6 +96,11 @@
         """State of the response."""
         return self._tracker
 
+    def stop_error(self) -> WigeonspanError:
+        """Return the error with which the end of this process ends the request."""
+        may_have_run = self._may_have_run or bool(self._attempts)
+        return stop_error(may_have_run or self._tracker.position > 0)
+
     def record_consumed(self, size: int) -> None:
         """Record that ``size`` more bytes of the response were consumed."""
         self._tracker.record_consumed(size)
--- a/wigeonspan/entryd/_services.py
+++ b/wigeonspan/entryd/_services.py
@@ -26,6 +26,8 @@
 class ServiceHandler(EntryHandler):
     """Forwards calls to plain services."""
 
+    has_deadline = True
+
     async def get(self) -> None:
         """Forward a call."""
         await self._handle()
@@ -33,13 +35,14 @@
     head = post = put = delete = patch = options = get
 
     async def _handle(self) -> None:
+        self.record_arrival()
         self.entry.check_serving()
         headers = parse_headers(self.request.headers)
         call, path = self._make_call(headers)
         if is_non_idempotent(call.service, call.method, path):
             await self._run_once(call, headers)
         else:
-            end = await self.entry.plain.call(call)
+            end = await self.entry.run_plain_call(call)
             self._send_response(end)
 
     def _make_call(self, headers: CallerHeaders) -> tuple[PlainCall, str]:
--- a/wigeonspan/entryd/_settings.py
+++ b/wigeonspan/entryd/_settings.py
@@ -3,6 +3,10 @@
 from msgspec import Struct
 
 from wigeonspan.common import DomainName, HostId, MetricsSettings
+from wigeonspan.entryd._stopping import COMMIT_S, FINAL_RESPONSES_S
+
+MIN_STOP_TIMEOUT_S = FINAL_RESPONSES_S + COMMIT_S
+"""Seconds that a stop needs to commit the outcomes of calls and send the responses."""
 
 
 class RelaySettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -64,6 +68,9 @@
         ``IP:PORT`` that callers connect to; port 0 selects an unused port.
     control : list of str
         ``IP:PORT`` of the internal interface of each control daemon.
+    stop_timeout_s : float
+        Seconds from SIGTERM until the supervisor kills the process. The default is that
+        of systemd.
     """
 
     host: HostId
@@ -73,8 +80,11 @@
     log_level: str = "INFO"
     metrics: MetricsSettings = MetricsSettings()
     relay: RelaySettings = RelaySettings()
+    stop_timeout_s: float = 90.0
 
     def __post_init__(self) -> None:
+        if not self.stop_timeout_s > MIN_STOP_TIMEOUT_S:
+            raise ValueError(f"stop_timeout_s must be above {MIN_STOP_TIMEOUT_S:g}")
         split_address(self.address)
         for address in self.control:
             split_address(address)
--- a/wigeonspan/entryd/main.py
+++ b/wigeonspan/entryd/main.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 
 import fire
@@ -11,6 +10,7 @@
     SettingsErrors,
     SystemClock,
     load_settings,
+    on_stop_signal,
     set_up_logs,
 )
 from wigeonspan.entryd._daemon import EntryDaemon
@@ -56,12 +56,11 @@
 
 
 async def _serve(settings: EntrySettings) -> None:
-    daemon = EntryDaemon(settings, SystemClock(), random.Random())
-    loop = asyncio.get_running_loop()
+    clock = SystemClock()
+    daemon = EntryDaemon(settings, clock, random.Random())
     # Installed before the daemon listens, since an earlier signal would end the process
     # without a graceful stop.
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, daemon.request_stop)
+    on_stop_signal(clock, daemon.request_stop)
     daemon.start()
     await daemon.serve()
 
--- a/wigeonspan/serving/__init__.py
+++ b/wigeonspan/serving/__init__.py
@@ -1,9 +1,15 @@
 """HTTP server for complete requests, built on tornado's connections."""
 
 from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
-from wigeonspan.serving._server import RequestServer, ResponseWriter, ServeRequest
+from wigeonspan.serving._server import (
+    FINAL_RESPONSE_TIMEOUT_S,
+    RequestServer,
+    ResponseWriter,
+    ServeRequest,
+)
 
 __all__ = [
+    "FINAL_RESPONSE_TIMEOUT_S",
     "LAST_REQUESTS_S",
     "RequestServer",
     "ResponseWriter",
