Wait until the kernel has the last bytes of an entry daemon's response

A caller that reads slowly lost the end of a response that its target had completed, when the entry daemon stopped. No report names such a case; it was found by reading.

Cause: a request no longer counted as in flight when its response was handed to the buffer of the process, and the daemon closed the connection with it.

--- a/tests/entryd/test_stopping.py
+++ b/tests/entryd/test_stopping.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -190,6 +191,35 @@
     assert (ran, open_before) == ("no", 1)
 
 
+@pytest.mark.parametrize(("size", "reads_after_s"), [(700_000, 0.5), (300_000, 5.0)])
+def test_slow_reader_gets_a_complete_response(size, reads_after_s):
+    """Guards against an end of the process with a response in its buffers."""
+
+    async def work():
+        async with EntryTestbed(settings=STOPPING) as testbed:
+            testbed.plain[0].sheets["a"] = "x" * size
+            host, port = testbed.daemon.address.split(":")
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            caller.connect((host, int(port)))
+            caller.setblocking(False)
+            request = f"GET {SHEETS} HTTP/1.1\r\nHost: e\r\n\r\n".encode()
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, request)
+            await asyncio.sleep(0.3)
+            stopped = asyncio.create_task(_stop(testbed))
+            await asyncio.sleep(reads_after_s)
+            received = b""
+            while part := await loop.sock_recv(caller, 65_536):
+                received += part
+            caller.close()
+            return received, await stopped
+
+    received, took_s = run(work)
+    assert took_s < STOPPING.stop_timeout_s
+    assert len(received.partition(b"\r\n\r\n")[2]) >= size
+
+
 def test_daemon_ends_before_its_supervisor_kills_it(tmp_path):
     """Guards against a stop that lasts until the kill, counted from the signal."""
     path = tmp_path / "entry.yaml"
--- a/wigeonspan/entryd/_daemon.py
+++ b/wigeonspan/entryd/_daemon.py
@@ -30,6 +30,7 @@
 from wigeonspan.entryd._settings import EntrySettings, split_address
 from wigeonspan.http import make_client
 from wigeonspan.serving import (
+    DELIVERY_S,
     FINAL_RESPONSE_TIMEOUT_S,
     LAST_REQUESTS_S,
     accept_pending,
@@ -176,6 +177,10 @@
             accept_pending(self._server, item, UNLIMITED_BODY_BYTES, self._record_error)
         self._server.stop()
         await asyncio.sleep(LAST_REQUESTS_S)
+        if await self.entry.wait_drained(DELIVERY_S):
+            return
+        for response in list(self.entry.open_responses):
+            response.enlarge_send_buffer()
         if await self.entry.wait_drained():
             return
         _log.warning("Ending {} open requests.", self.entry.in_flight)
--- a/wigeonspan/entryd/_http.py
+++ b/wigeonspan/entryd/_http.py
@@ -1,8 +1,10 @@
 """Request handlers: the base class, the directory and unknown paths."""
 
+import socket
 from asyncio import Future
 from typing import Any
 
+from tornado.iostream import IOStream
 from tornado.web import Finish, stream_request_body
 
 from wigeonspan.common import DomainName, ErrorKind, WigeonspanError, encode
@@ -10,6 +12,7 @@
 from wigeonspan.entryd._requests import parse_headers
 from wigeonspan.entryd._stopping import stop_error
 from wigeonspan.http import JSON_TYPE, JsonHandler
+from wigeonspan.serving import DELIVERY_BUFFER_BYTES
 
 
 @stream_request_body
@@ -73,6 +76,17 @@
         self.write(body)
         self.flush()
 
+    def enlarge_send_buffer(self) -> None:
+        """Let the kernel take what the caller has not read yet.
+
+        The kernel delivers what it has taken even when the process has ended.
+        """
+        stream = self._connection_stream
+        if stream.socket is not None and stream.writing():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, DELIVERY_BUFFER_BYTES
+            )
+
     def data_received(self, chunk: bytes) -> None:
         """Store a chunk of the body, or refuse the request above the limit."""
         if self._finished or self._refused:
@@ -97,8 +111,17 @@
         return super().flush(include_footers)
 
     def on_finish(self) -> None:
-        """Record the end of the request."""
-        self._record_request_end()
+        """Record the end of the request when the kernel has taken the response.
+
+        What the kernel has not taken is lost when the process ends.
+        """
+        stream = self._connection_stream
+        if stream.closed() or not stream.writing():
+            self._record_request_end()
+            return
+        # An empty write is done when all writes before it are.
+        written = stream.write(b"")
+        written.add_done_callback(lambda _: self._record_request_end())
 
     def on_connection_close(self) -> None:
         """Record that the caller closed its connection."""
@@ -111,6 +134,10 @@
             self.entry.in_flight -= 1
             self.entry.open_responses.discard(self)
 
+    @property
+    def _connection_stream(self) -> IOStream:
+        return self.request.connection.stream  # type: ignore[union-attr]
+
     def _check_deadline(self) -> None:
         """Refuse a request at once whose body arrives for nothing."""
         deadline_ms = parse_headers(self.request.headers).deadline_ms
--- a/wigeonspan/entryd/_stopping.py
+++ b/wigeonspan/entryd/_stopping.py
@@ -24,6 +24,9 @@
     def refuse_incomplete(self) -> None:
         """Refuse the request if it has not arrived completely."""
 
+    def enlarge_send_buffer(self) -> None:
+        """Let the kernel take what the caller has not read yet."""
+
 
 class StopWindow:
     """Compares deadlines with the end of the process, and ends what is open then.
--- a/wigeonspan/serving/__init__.py
+++ b/wigeonspan/serving/__init__.py
@@ -2,6 +2,8 @@
 
 from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
 from wigeonspan.serving._server import (
+    DELIVERY_BUFFER_BYTES,
+    DELIVERY_S,
     FINAL_RESPONSE_TIMEOUT_S,
     RequestServer,
     ResponseWriter,
@@ -9,6 +11,8 @@
 )
 
 __all__ = [
+    "DELIVERY_BUFFER_BYTES",
+    "DELIVERY_S",
     "FINAL_RESPONSE_TIMEOUT_S",
     "LAST_REQUESTS_S",
     "RequestServer",
