End the stop of a control host before the platform kills it

A leader without a majority waited up to 3 s at its stop for another leader and 1 s more for its last calls, whatever grace period the platform grants. With a period of 3 s it was killed before operators whose changes were still arriving got an answer.

Cause: the control host did not read 'bounds.grace_s', and counted from when its event loop handled the signal.

Change: the hand-over ends 1.5 s before the kill and the last calls 0.5 s before it, both counted from the signal. With the usual 8 s nothing changes.

--- a/wigeonspan/consensus/_task.py
+++ b/wigeonspan/consensus/_task.py
@@ -1,6 +1,7 @@
 """Replicated log on one host, as used by the control daemon."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -180,12 +181,18 @@
             self._folder, self._bootstrap, self._rng, self._make_disk
         )
 
-    async def stop(self) -> None:
-        """Hand leadership over if this host leads, then stop."""
+    async def stop(self, timeout_s: float = math.inf) -> None:
+        """Hand leadership over if this host leads, then stop.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time in seconds to wait for another leader.
+        """
         voters = sum(member.voter for member in self.members)
         if self._driver.running and voters > 1:
             if self._driver.node.role is LogRole.LEADER:
-                await self._hand_over()
+                await self._hand_over(timeout_s)
         await self._driver.close()
 
     async def wait_until_failed(self) -> None:
@@ -336,7 +343,7 @@
                 ran=ExecutionState.NO,
             ) from error
 
-    async def _hand_over(self) -> None:
+    async def _hand_over(self, timeout_s: float) -> None:
         node = self._driver.node
         term = node.term
         self._driver.step(node.hand_over(self._clock.now()))
@@ -345,7 +352,7 @@
             return node.term > term and node.leader is not None
 
         try:
-            await self._wait_until(done, HANDOVER_TIMEOUT_S + LEASE_S)
+            await self._wait_until(done, min(timeout_s, HANDOVER_TIMEOUT_S + LEASE_S))
         except WigeonspanError:
             _log.warning("No other voter took over leadership in time.")
 
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -17,6 +17,7 @@
     WigeonspanError,
     bind_address,
     keep_running,
+    on_stop_signal,
     watch_settings,
 )
 from wigeonspan.consensus import Disk, FolderDisk, LogTask, StorageError
@@ -62,8 +63,13 @@
 engines keep for the previous sender of orders, and the time until the connection of an
 unanswered order is closed."""
 
-FINAL_RESPONSES_TIMEOUT_S = 1.0
-"""Seconds at the stop for responses to the last calls of operators and look-ups."""
+LAST_CALLS_S = 1.0
+"""Seconds at the stop, after leadership is handed over, for the last calls of operators
+and look-ups."""
+
+FINAL_RESPONSES_S = 0.5
+"""Seconds before the process is killed at which open calls are ended, so that their
+final responses are sent in time."""
 
 ORDER_LEASE_MARGIN_S = 0.3
 """Minimum remaining seconds of the leader's lease when an order is sent."""
@@ -209,19 +215,27 @@
         """Wait until the replicated log has failed and this host cannot continue."""
         await self._log.wait_until_failed()
 
-    async def stop(self) -> None:
-        """Hand over leadership, respond to all calls in progress and stop."""
+    async def stop(self, signalled_at: float | None = None) -> None:
+        """Hand over leadership, respond to all calls in progress and stop.
+
+        Parameters
+        ----------
+        signalled_at : float or None
+            Monotonic time in seconds of the stop signal; None for now.
+        """
+        if signalled_at is None:
+            signalled_at = self._clock.now()
+        end_at = signalled_at + self._settings.stop_timeout_s - FINAL_RESPONSES_S
         self._event_log.write("process", "stopping", leader=self._log.is_leader)
         for task in self._tasks:
             task.cancel()
         for server in self._servers:
             server.close_after_responses()
-        await self._log.stop()
+        await self._log.stop(max(0.0, end_at - LAST_CALLS_S - self._clock.now()))
         self._cache.close()
         self._relay.close()
-        await asyncio.gather(
-            *(server.drain(FINAL_RESPONSES_TIMEOUT_S) for server in self._servers)
-        )
+        remaining_s = max(0.0, min(LAST_CALLS_S, end_at - self._clock.now()))
+        await asyncio.gather(*(server.drain(remaining_s) for server in self._servers))
         for server in self._servers:
             await server.close()
         self._http.stop()
@@ -419,9 +433,16 @@
     """
     coordinator = make(clock, random.Random())
     stop, reload = asyncio.Event(), asyncio.Event()
+    signalled_at: float | None = None
+
+    def request_stop(at: float) -> None:
+        nonlocal signalled_at
+        if signalled_at is None:
+            signalled_at = at
+        stop.set()
+
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    on_stop_signal(clock, request_stop)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     await coordinator.start(*make_routes(coordinator))
     failed = asyncio.create_task(coordinator.wait_until_failed())
@@ -438,6 +459,6 @@
     watch.cancel()
     has_failed = failed.done()
     failed.cancel()
-    await coordinator.stop()
+    await coordinator.stop(signalled_at)
     if has_failed:
         raise SystemExit(1)
--- a/wigeonspan/coordinator/_settings.py
+++ b/wigeonspan/coordinator/_settings.py
@@ -28,6 +28,8 @@
         Data folder.
     wanted_voters : int
         Number of voters to maintain, which limits how many hosts may be lost.
+    stop_timeout_s : float
+        Seconds from the stop signal until the process is killed.
     bind : str
         Address of the interface to listen on if the other addresses belong to a
         forwarder; empty if they are this host's own.
@@ -43,6 +45,7 @@
     first_start: bool
     folder: str
     wanted_voters: int
+    stop_timeout_s: float = 8.0
     bind: str = ""
 
     @property
