--- a/wigeonspan/entryd/_http.py
+++ b/wigeonspan/entryd/_http.py
@@ -1,13 +1,18 @@
 """Request handlers: the base class, the directory and unknown paths."""
 
+import socket
 from asyncio import Future
 from typing import Any
 
-from tornado.web import stream_request_body
+from tornado.iostream import IOStream
+from tornado.web import Finish, stream_request_body
 
-from wigeonspan.common import DomainName, ErrorKind, WigeonspanError
+from wigeonspan.common import DomainName, ErrorKind, WigeonspanError, encode
 from wigeonspan.entryd._entry import Entry
-from wigeonspan.http import JsonHandler
+from wigeonspan.entryd._requests import parse_headers
+from wigeonspan.entryd._stopping import stop_error
+from wigeonspan.http import JSON_TYPE, JsonHandler
+from wigeonspan.serving import DELIVERY_BUFFER_BYTES
 
 
 @stream_request_body
@@ -20,21 +25,71 @@
 
     counted = False
 
+    has_deadline = False
+    """Whether requests may name a deadline."""
+
     def initialize(self, entry: Entry) -> None:
         """Set the entry."""
         self.entry = entry
         self._chunks: list[bytes] = []
         self._size = 0
+        self._refused = False
+        self._complete = False
 
     def prepare(self) -> None:
         """Count the request, and refuse a large body before it is read."""
         self.entry.in_flight += 1
         self.counted = True
+        self.entry.open_responses.add(self)
         self._check_declared_size()
+        if self.has_deadline and self.entry.draining:
+            self._check_deadline()
+
+    def record_arrival(self) -> None:
+        """Record that the whole request has arrived.
+
+        Raises
+        ------
+        Finish
+            When the request was refused while it arrived.
+        """
+        self._complete = True
+        if self._refused:
+            raise Finish
+
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that has not arrived completely.
+
+        The rest of the body is still read: a close with unread bytes would reset the
+        connection, and the caller could lose the response.
+        """
+        if self._complete or self._refused or self._finished or self._headers_written:
+            return
+        self._refused = True
+        self._chunks.clear()
+        error = stop_error(False)
+        body = encode(error.body)
+        self.set_status(error.status)
+        self.set_header("Content-Type", JSON_TYPE)
+        self.set_header("Content-Length", str(len(body)))
+        self.set_header("Retry-After", "1")
+        self.write(body)
+        self.flush()
+
+    def enlarge_send_buffer(self) -> None:
+        """Let the kernel take what the caller has not read yet.
+
+        The kernel delivers what it has taken even when the process has ended.
+        """
+        stream = self._connection_stream
+        if stream.socket is not None and stream.writing():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, DELIVERY_BUFFER_BYTES
+            )
 
     def data_received(self, chunk: bytes) -> None:
         """Store a chunk of the body, or refuse the request above the limit."""
-        if self._finished:
+        if self._finished or self._refused:
             return
         self._size += len(chunk)
         if self._size > self.entry.settings.relay.max_body_bytes:
@@ -56,8 +111,17 @@
         return super().flush(include_footers)
 
     def on_finish(self) -> None:
-        """Record the end of the request."""
-        self._record_request_end()
+        """Record the end of the request when the kernel has taken the response.
+
+        What the kernel has not taken is lost when the process ends.
+        """
+        stream = self._connection_stream
+        if stream.closed() or not stream.writing():
+            self._record_request_end()
+            return
+        # An empty write is done when all writes before it are.
+        written = stream.write(b"")
+        written.add_done_callback(lambda _: self._record_request_end())
 
     def on_connection_close(self) -> None:
         """Record that the caller closed its connection."""
@@ -68,6 +132,21 @@
         if self.counted:
             self.counted = False
             self.entry.in_flight -= 1
+            self.entry.open_responses.discard(self)
+
+    @property
+    def _connection_stream(self) -> IOStream:
+        return self.request.connection.stream  # type: ignore[union-attr]
+
+    def _check_deadline(self) -> None:
+        """Refuse a request at once whose body arrives for nothing."""
+        deadline_ms = parse_headers(self.request.headers).deadline_ms
+        if deadline_ms is None:
+            return
+        try:
+            self.entry.check_deadline(self.entry.clock.now() + deadline_ms / 1000)
+        except WigeonspanError:
+            self.refuse_incomplete()
 
     def _check_declared_size(self) -> None:
         declared = self.request.headers.get("Content-Length", "0")
@@ -87,6 +166,7 @@
 
     def get(self) -> None:
         """Send the list of entries, those of the caller's failure domain first."""
+        self.record_arrival()
         domain = self.get_query_argument("domain", None)
         response = self.entry.list_directory(DomainName(domain) if domain else None)
         self.send_message(response)
