Wait for space when a control host starts on a full disk

Cause: LogStore.open writes the voter file of a new disk, the first log file and slots that differ; a full disk refused that, and the error ended the process, which was then started again on the same disk.

Change: the driver closes the folder and opens it again every 0.5 s until there is space, with one line in the log every 10 s. A host that waits takes part in nothing and has cast no vote, so it is as safe as one that is down. wigeonspan-controld and the control host of the platform cancel a start that waits when they get SIGTERM or SIGINT.

--- a/tests/common/test_supervise.py
+++ b/tests/common/test_supervise.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wigeonspan.common import _supervise as supervise
-from wigeonspan.common import describe_error, keep_running
+from wigeonspan.common import describe_error, keep_running, start_unless_stopped
 
 
 def test_task_is_restarted_after_unexpected_errors(monkeypatch):
@@ -43,3 +43,27 @@
     except KeyError as error:
         text = describe_error(error)
     assert "KeyError('x')" in text and "test_supervise.py" in text
+
+
+def test_stop_cancels_a_start_that_waits():
+    """A start that waits for space on a disk must not outlast the request to stop."""
+
+    async def run():
+        stop = asyncio.Event()
+        asyncio.get_running_loop().call_soon(stop.set)
+        return await start_unless_stopped(asyncio.sleep(60), stop)
+
+    assert asyncio.run(run()) is False
+
+
+def test_error_of_a_start_is_raised():
+    """A start that fails must end the process instead of being taken for complete."""
+
+    async def fail():
+        raise ValueError("data folder")
+
+    async def run():
+        await start_unless_stopped(fail(), asyncio.Event())
+
+    with pytest.raises(ValueError, match="data folder"):
+        asyncio.run(run())
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -199,6 +199,36 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("operation", ["create", "make_disk"])
+def test_start_on_a_full_disk_waits_for_space(tmp_path, monkeypatch, operation):
+    """A voter that ended instead would only be started again on the same disk."""
+    attempts = []
+
+    def refuse(*_):
+        attempts.append(operation)
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    async def run():
+        host = Host("a", tmp_path)
+        options = {}
+        with monkeypatch.context() as patch:
+            patch.setattr(_driver, "START_RETRY_S", 0.05)
+            if operation == "create":
+                patch.setattr(FolderDisk, "create", refuse)
+            else:
+                options["make_disk"] = lambda folder: (
+                    refuse() if len(attempts) < 3 else FolderDisk(folder)
+                )
+            start = asyncio.create_task(host.start([host.member], **options))
+            await wait_until(lambda: len(attempts) >= 3)
+        await start
+        await wait_for_leader([host])
+        await host.log.propose(b"after")
+        await host.stop()
+
+    asyncio.run(run())
+
+
 def test_full_disk_is_written_to_with_pauses(tmp_path, monkeypatch):
     """A vote that could not be written was once written 2,300 times a second.
 
--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -39,7 +39,11 @@
 from wigeonspan.common._lazy import load_on_use
 from wigeonspan.common._numbers import parse_count, parse_decimal, parse_positive
 from wigeonspan.common._signals import on_stop_signal
-from wigeonspan.common._supervise import describe_error, keep_running
+from wigeonspan.common._supervise import (
+    describe_error,
+    keep_running,
+    start_unless_stopped,
+)
 from wigeonspan.common._watch import watch_settings
 
 if TYPE_CHECKING:
@@ -128,4 +132,5 @@
     "keep_running",
     "load_on_use",
     "watch_settings",
+    "start_unless_stopped",
 ]
--- a/wigeonspan/common/_supervise.py
+++ b/wigeonspan/common/_supervise.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 INITIAL_PAUSE_S = 0.1
 """Seconds to wait before the restart after a first error."""
@@ -43,6 +44,28 @@
         pause_s = min(2.0 * pause_s, MAX_PAUSE_S)
 
 
+async def start_unless_stopped(
+    start: Coroutine[Any, Any, None], stop: asyncio.Event
+) -> bool:
+    """Run a start that may wait for long, and cancel it when the stop is requested.
+
+    Returns
+    -------
+    bool
+        Whether the start is complete.
+    """
+    starting = asyncio.create_task(start)
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if starting.done():
+        await starting
+        return True
+    starting.cancel()
+    await asyncio.wait((starting,))
+    return False
+
+
 def describe_error(error: BaseException) -> str:
     """Describe an error and the file and line that raised it, in one line."""
     frames = traceback.extract_tb(error.__traceback__)
--- a/wigeonspan/consensus/_driver.py
+++ b/wigeonspan/consensus/_driver.py
@@ -24,6 +24,7 @@
     Ready,
     Snapshot,
     SnapshotMeta,
+    StoredState,
 )
 from wigeonspan.consensus._proposals import PendingProposals
 from wigeonspan.consensus._state import NEVER
@@ -43,6 +44,9 @@
 """Seconds between attempts to write to a full disk. Without a pause, a voter file that
 could not be written was written again some 2,300 times a second."""
 
+START_RETRY_S = 0.5
+"""Seconds between attempts to open a data folder on a full disk."""
+
 FULL_LOG_INTERVAL_S = 10.0
 """Seconds between log lines about a disk that remains full."""
 
@@ -125,22 +129,21 @@
     ) -> None:
         """Read the data folder and start to participate in the group.
 
+        While the disk is full, wait for space: a host that ended instead would only be
+        started again, on the same disk.
+
         Raises
         ------
         StorageError
             When the data folder cannot be used.
         """
-        with translate_os_errors(str(folder)):
-            disk = make_disk(folder)
-        self._store = LogStore(disk)
-        try:
-            stored = await self._run_on_disk_thread(self._store.open)
-            snapshot = await self._run_on_disk_thread(self._store.read_snapshot)
-            if snapshot is not None:
-                self._restore(snapshot)
-        except BaseException:
-            disk.close()
-            raise
+        while True:
+            try:
+                stored = await self._open(folder, make_disk)
+                break
+            except StorageFull as error:
+                self._record_refused_write(error)
+                await asyncio.sleep(START_RETRY_S)
         host = self._host
         local = LocalMember(host.name, host.address, host.domain, self.disk_id)
         self.node = RaftNode(local, bootstrap, stored, rng, self._clock.now())
@@ -183,6 +186,23 @@
             self._write_due.set()
         self._log_role_change()
 
+    async def _open(
+        self, folder: str | Path, make_disk: Callable[[str | Path], Disk]
+    ) -> StoredState:
+        with translate_os_errors(str(folder)):
+            disk = make_disk(folder)
+        self._store = LogStore(disk)
+        try:
+            stored = await self._run_on_disk_thread(self._store.open)
+            snapshot = await self._run_on_disk_thread(self._store.read_snapshot)
+            if snapshot is not None:
+                self._restore(snapshot)
+        except BaseException:
+            # The disk thread may still be at work if the start was cancelled.
+            await asyncio.shield(self._run_on_disk_thread(disk.close))
+            raise
+        return stored
+
     async def _tick_loop(self) -> None:
         try:
             while self.running:
--- a/wigeonspan/controld/_daemon.py
+++ b/wigeonspan/controld/_daemon.py
@@ -13,6 +13,7 @@
     keep_running,
     make_metrics,
     part_logger,
+    start_unless_stopped,
 )
 from wigeonspan.controld._build import (
     build_backend,
@@ -163,7 +164,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
-    await daemon.start()
+    # A start on a full disk waits for space, so a signal must be able to end it.
+    if not await start_unless_stopped(daemon.start(), stop):
+        await daemon.stop()
+        return
     failed = asyncio.create_task(daemon.wait_failed())
     failed.add_done_callback(lambda _: stop.set())
     await stop.wait()
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -17,6 +17,7 @@
     WigeonspanError,
     bind_address,
     keep_running,
+    start_unless_stopped,
     watch_settings,
 )
 from wigeonspan.consensus import Disk, FolderDisk, LogTask, StorageError
@@ -423,7 +424,11 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    await coordinator.start(*make_routes(coordinator))
+    # A start on a full disk waits for space, so a signal must be able to end it.
+    start = coordinator.start(*make_routes(coordinator))
+    if not await start_unless_stopped(start, stop):
+        await coordinator.stop()
+        return
     failed = asyncio.create_task(coordinator.wait_until_failed())
     failed.add_done_callback(lambda _: stop.set())
     watch = asyncio.create_task(
