Refuse changes when a sync finds no space instead of ending

Cause: a disk that fills between write and sync refuses the sync. Each failed sync ended the voter, since the kernel may have dropped the data and a later sync would succeed without writing it.

Change: with no space, and only then, the store goes back to a known state. So what the leader appends next at that index is never on the disk beside the refused entry, and each index and term names one entry. - new files: the file is removed, and its name was never used. - folder: names cannot be written again, so a refused sync of the folder still ends the voter, as does any other error. The refused entry may be on disk after a loss of power and be committed then, so its proposal ends with NO_QUORUM (unknown), not with STORAGE_FULL (not run). The same holds for what a former leader proposed.

--- a/tests/consensus/fake_disk.py
+++ b/tests/consensus/fake_disk.py
@@ -18,10 +18,12 @@
     """In-memory implementation of the ``Disk`` protocol.
 
     ``space`` is the number of bytes that can still be added (None for no limit),
-    ``failing`` the names of the files whose sync fails (``.`` is the folder) and
-    ``full`` is whether every write is refused,
-    ``writes_left`` the number of writes until then (None for no limit) and
-    ``operations_left`` the number of operations before a power loss (None for never).
+    ``failing`` the names of the files whose sync fails (``.`` is the folder), ``full``
+    whether every write is refused, ``full_syncs`` the names of the files whose sync
+    finds no space (it drops the data, or writes it all the same with
+    ``keeps_refused``), ``writes_left`` the number of writes until the disk is full
+    (None for no limit) and ``operations_left`` the number of operations before a power
+    loss (None for never).
     """
 
     def __init__(self):
@@ -31,6 +33,8 @@
         self.space = None
         self.full = False
         self.writes_left = None
+        self.full_syncs = set()
+        self.keeps_refused = False
         self.failing = set()
         self.operations_left = None
 
@@ -81,7 +85,16 @@
         if name in self.failing:
             raise OSError(errno.EIO, "input/output error")
         file = self._file(name)
-        file.synced, file.writes = file.data, []
+        writes, file.writes = file.writes, []
+        refused = name in self.full_syncs
+        if not refused or self.keeps_refused:
+            for offset, data in writes:
+                if data is None:
+                    file.synced = file.synced[:offset]
+                else:
+                    file.synced = _overwrite(file.synced, offset, data)
+        if refused:
+            raise OSError(errno.ENOSPC, "no space left")
 
     def sync_folder(self):
         self._count_operation()
--- a/tests/consensus/test_store.py
+++ b/tests/consensus/test_store.py
@@ -1,6 +1,7 @@
 """Data folder with torn writes, damage, failed syncs, full disks and power loss."""
 
 import contextlib
+import errno
 import random
 
 import pytest
@@ -20,10 +21,12 @@
     StorageFull,
 )
 from wigeonspan.consensus._disk import FolderDisk
+from wigeonspan.consensus._frames import SyncFull
 from wigeonspan.consensus._store import SLOT_BYTES
 
 STATE = HardState("group", 3, "a")
 LOG = "log-0000000000000001"
+LOG2 = "log-0000000000000002"
 
 
 def entries(first, last, term=1):
@@ -191,6 +194,73 @@
     assert (stored.state, stored.entries) == (newer, entries(7, 9))
 
 
+@pytest.mark.parametrize("killed", [False, True])
+@pytest.mark.parametrize("keeps_refused", [False, True])
+def test_entries_refused_at_the_sync_are_replaced(keeps_refused, killed):
+    """A disk that was full at the sync may have dropped the entries, or kept them.
+
+    A later sync, which succeeds without writing them, must not make them count. Once
+    other entries have taken their place, they must never come back.
+    """
+    disk, store = store_with_entries()
+    disk.full_syncs, disk.keeps_refused = {LOG}, keeps_refused
+    for _ in range(2):
+        with pytest.raises(SyncFull):
+            store.save([persist(*entries(9, 12))])
+    with pytest.raises(StorageFull):
+        store.save_snapshot(snapshot(6))
+    disk.full_syncs = set()
+    if killed:
+        store, stored = reopened(disk)
+        assert stored.entries == entries(1, 8)
+    store.save([persist(*entries(9, 10, term=2))])
+    disk.crash(random.Random(1))
+    assert reopened(disk)[1].entries == entries(1, 8) + entries(9, 10, term=2)
+
+
+@pytest.mark.parametrize("keeps_refused", [False, True])
+def test_vote_refused_at_the_sync_is_written_again(keeps_refused):
+    """The next sync could succeed without the vote that the refused one dropped."""
+    disk, store = store_with_entries()
+    disk.full_syncs, disk.keeps_refused = {"voter"}, keeps_refused
+    vote = persist(state=HardState("group", 9, "b"))
+    with pytest.raises(SyncFull):
+        store.save([vote])
+    disk.full_syncs = set()
+    store.save([vote])
+    disk.crash(random.Random(1))
+    assert reopened(disk)[1].state == vote.state
+
+
+@pytest.mark.parametrize("name", ["snapshot-0000000000000006.new", LOG2 + ".new"])
+def test_snapshot_refused_at_the_sync_leaves_the_log(name):
+    """A snapshot that was not synced must not replace the entries that it covers."""
+    disk, store = store_with_entries()
+    disk.full_syncs = {name}
+    with pytest.raises(SyncFull):
+        store.save_snapshot(snapshot(6))
+    disk.full_syncs = set()
+    disk.crash(random.Random(1))
+    store, stored = reopened(disk)
+    # The removal of the snapshot's name is not synced, so it may come back.
+    base = stored.snapshot.index if stored.snapshot else 0
+    assert stored.entries == entries(base + 1, 8)
+    store.save_snapshot(snapshot(6))
+    assert reopened(disk)[1].entries == entries(7, 8)
+
+
+def test_folder_without_space_at_its_sync_ends_the_voter():
+    """Names that a sync of the folder dropped cannot be written again."""
+    disk, store = store_with_entries()
+
+    def refuse():
+        raise OSError(errno.ENOSPC, "no space left")
+
+    disk.sync_folder = refuse
+    with pytest.raises(StorageFailed, match="sync failed"):
+        store.save_snapshot(snapshot(6))
+
+
 class TornAfter:
     """Stands in for the random numbers of a crash: each write keeps so many bytes."""
 
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -265,6 +265,37 @@
     assert len(lines) <= 2
 
 
+def test_outcome_of_a_change_is_unknown_when_the_sync_finds_no_space(
+    tmp_path, monkeypatch
+):
+    """The process once ended, and the entry may be on disk, so it may run later.
+
+    A refusal as "not run" would therefore be wrong.
+    """
+
+    def refuse(disk, name):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    async def run():
+        (host,) = await start_group(tmp_path, ["a"])
+        await wait_for_leader([host])
+        await host.log.propose(b"before")
+        with monkeypatch.context() as patch:
+            patch.setattr(FolderDisk, "sync", refuse)
+            with pytest.raises(WigeonspanError) as caught:
+                await host.log.propose(b"refused")
+            assert caught.value.kind is ErrorKind.NO_QUORUM
+        await wait_for_leader([host])
+        await host.log.propose(b"after")
+        await host.stop()
+        await host.start([])
+        await wait_for_leader([host])
+        assert host.machine.words == ["before", "after"]
+        await host.stop()
+
+    asyncio.run(run())
+
+
 def test_command_above_the_size_limit_is_refused(tmp_path):
     """A huge command would delay the heartbeats that are queued behind it."""
 
--- a/wigeonspan/consensus/_driver.py
+++ b/wigeonspan/consensus/_driver.py
@@ -13,7 +13,7 @@
 from wigeonspan.consensus._core import RaftNode
 from wigeonspan.consensus._disk import Disk
 from wigeonspan.consensus._files import translate_os_errors
-from wigeonspan.consensus._frames import StorageFull
+from wigeonspan.consensus._frames import StorageFull, SyncFull
 from wigeonspan.consensus._interface import StateMachine
 from wigeonspan.consensus._messages import (
     BootstrapMember,
@@ -233,8 +233,12 @@
         except StorageFull as error:
             self._record_refused_write(error)
             self._writes = []
+            # Only what a leader did not write is certain to be never committed.
+            leads = self.node.role is LogRole.LEADER
+            certain = leads and not isinstance(error, SyncFull)
+            kind = ErrorKind.STORAGE_FULL if certain else ErrorKind.NO_QUORUM
             last, ready = self.node.on_storage_full(self._clock.now())
-            self.pending_proposals.fail_after(last, ErrorKind.STORAGE_FULL, str(error))
+            self.pending_proposals.fail_after(last, kind, str(error))
             self.step(ready)
             # The effects of the step repeat the write of a term or vote at once.
             await asyncio.sleep(STORAGE_RETRY_S)
--- a/wigeonspan/consensus/_files.py
+++ b/wigeonspan/consensus/_files.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 
 from wigeonspan.consensus._disk import Disk
-from wigeonspan.consensus._frames import StorageFailed, StorageFull
+from wigeonspan.consensus._frames import StorageFailed, StorageFull, SyncFull
 
 NEW_SUFFIX = ".new"
 """Suffix of a file that is being written; leftovers are removed at the next start."""
@@ -40,9 +40,12 @@
 
     Raises
     ------
+    SyncFull
+        When the sync of a file found no space.
     StorageFailed
-        On any error, also on a full disk: the kernel may have dropped the data, and a
-        later sync would succeed without writing it.
+        On any other error: the kernel may have dropped any data, and a later sync would
+        succeed without writing it. A folder's names cannot be written again, so a sync
+        of the folder that finds no space is such an error as well.
     """
     try:
         if name is None:
@@ -50,6 +53,8 @@
         else:
             disk.sync(name)
     except OSError as error:
+        if name is not None and error.errno in _FULL:
+            raise SyncFull(f"{name}: no space left at the sync") from error
         raise StorageFailed(f"{name or 'folder'}: sync failed: {error}") from error
 
 
@@ -58,9 +63,9 @@
     with translate_os_errors(name):
         try:
             disk.create(name + NEW_SUFFIX, data)
-        except OSError as error:
+            sync(disk, name + NEW_SUFFIX)
+        except (OSError, StorageFull) as error:
             disk.remove(name + NEW_SUFFIX)
             raise error
-        sync(disk, name + NEW_SUFFIX)
         disk.rename(name + NEW_SUFFIX, name)
         sync(disk, None)
--- a/wigeonspan/consensus/_frames.py
+++ b/wigeonspan/consensus/_frames.py
@@ -40,6 +40,14 @@
     """The disk is full; data written earlier is intact."""
 
 
+class SyncFull(StorageFull):
+    """A sync found no space, so the newly written data may be on disk or not.
+
+    A later sync could succeed without writing it. The data must therefore be written
+    again, or removed, before anything else rests on the file.
+    """
+
+
 def encode_frame(payload: bytes) -> bytes:
     """Return a payload preceded by its length and checksum."""
     length = len(payload).to_bytes(4, "little")
--- a/wigeonspan/consensus/_log_file.py
+++ b/wigeonspan/consensus/_log_file.py
@@ -18,6 +18,7 @@
 from wigeonspan.consensus._frames import (
     HEADER_BYTES,
     StorageCorrupt,
+    StorageFull,
     encode_frame,
     find_frame,
     read_frame,
@@ -63,6 +64,8 @@
         self._number = 0
         self._size = 0
         self._tail_created = False
+        # Whether a refused frame may be in the file, after its end.
+        self._has_refused_frame = False
 
     @property
     def name(self) -> str:
@@ -80,10 +83,24 @@
         self._number = max(int(name[len(LOG_PREFIX) :]) for name in names)
         entries = self.read()
         if self._size < len(self._disk.read(self.name)):
-            self._disk.truncate(self.name, self._size)
-            sync(self._disk, self.name)
+            self._has_refused_frame = True
+            self.remove_refused_frame()
         return entries
 
+    def remove_refused_frame(self) -> None:
+        """Cut off what a full disk may have left of a frame, and sync the file.
+
+        Raises
+        ------
+        StorageFull, StorageFailed
+            As in ``append``.
+        """
+        if self._has_refused_frame:
+            with translate_os_errors(self.name):
+                self._disk.truncate(self.name, self._size)
+            sync(self._disk, self.name)
+            self._has_refused_frame = False
+
     def read(self) -> list[Entry]:
         """Return the entries of the current file."""
         data = self._disk.read(self.name)
@@ -108,18 +125,27 @@
         Raises
         ------
         StorageFull
-            When there is no space; the file is unchanged.
+            When there is no space; the entries are not in the file.
+        SyncFull
+            When the sync found no space. The entries may be in the file, as after a
+            power loss, until the next write or start.
         StorageFailed
             When the write or sync failed.
         """
+        self.remove_refused_frame()
         data = encode_frame(_encode(entries))
-        with translate_os_errors(self.name):
-            try:
+        self._has_refused_frame = True
+        try:
+            with translate_os_errors(self.name):
                 self._disk.append(self.name, data)
-            except OSError as error:
-                self._disk.truncate(self.name, self._size)
-                raise error
             sync(self._disk, self.name)
+        except StorageFull:
+            # Cut off at once for a process that is killed and reads the file again; the
+            # sync of the cut may fail too, so it is repeated before the next write.
+            with contextlib.suppress(OSError):
+                self._disk.truncate(self.name, self._size)
+            raise
+        self._has_refused_frame = False
         self._size += len(data)
         self._write_tail()
 
@@ -131,6 +157,7 @@
             data += encode_frame(_encode(entries))
         write_atomically(self._disk, f"{LOG_PREFIX}{number:016d}", data)
         self._number, self._size = number, len(data)
+        self._has_refused_frame = False
         with translate_os_errors(old):
             self._disk.remove(old)
 
--- a/wigeonspan/consensus/_store.py
+++ b/wigeonspan/consensus/_store.py
@@ -140,6 +140,9 @@
         StorageFull
             When there was no space. Part of the batch may be written, the state too;
             the caller must take none of it for written.
+        SyncFull
+            When a sync found no space; entries may be on disk although they were not
+            reported as written.
         StorageFailed
             When a write or sync failed. The voter must stop, because the kernel may
             have dropped the data and a later sync would succeed without writing it.
@@ -169,6 +172,8 @@
         meta = snapshot.meta
         if self._snapshot is not None and meta.index <= self._snapshot.index:
             return
+        # The log is read below and must not contain entries that were refused.
+        self._log.remove_refused_frame()
         name = _snapshot_name(meta.index)
         # A frame must not be empty, so a zero byte follows the state.
         data = encode_frame(_encode(meta)) + encode_frame(snapshot.data + b"\0")
