Hand leadership over when the leader's disk is full

Operators saw all changes refused as long as the leader's disk was full, although two other disks had room. A voter with a full disk also raised its term in memory with each election, which it could not store.

Cause: a leader sends only what it has synced, so it commits nothing while its disk is full, and nothing made it step down: its heartbeats need no disk.

Change: a leader whose disk refuses a proposal starts the handover that a planned stop uses: it stops prolonging its lease, waits for its end, and tells the most up-to-date voter (of several, the one that answered last) to campaign. This needs no write of its own. It does so only if a majority of the voters without it has answered within a lease, since its own vote cannot be stored; otherwise it stays, and reads go on. A voter starts no election within 2 s of a refused write, nor while its term or vote is not written, so that it does not take leadership back or depose a leader when it has space again.

Weighed: a field by which followers tell the leader that they have room (a follower learns it only by a write); stepping down without a successor (an election of 1.2 to 2 s on top, and no leader at all if another voter is down).

--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -289,7 +289,7 @@
         self.delay = 0.01
         for host in self.hosts.values():
             host.frozen = host.slow_disk = False
-            host.disk.space = None
+            host.disk.space, host.disk.full = None, False
             if host.node is None:
                 host.start()
 
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -164,6 +164,72 @@
     ]
 
 
+def test_candidate_on_a_full_disk_does_not_raise_its_term_again():
+    """Each further term in memory would depose a leader once the disk has space.
+
+    The candidate must only ask again when it could write its first vote.
+    """
+    node = make_node(HardState("group", 3, ""))
+    now, _ = tick_until_campaign(node, START)
+    ready = node.handle(message(VoteReply(True, True), term=4), now)
+    for _ in range(200):
+        now += 0.05
+        if ready.persist is not None:
+            _, ready = node.on_storage_full(now)
+        node.handle(message(VoteReply(True, True), term=node.term + 1), now)
+        assert node.tick(now).persist is None
+    assert node.term == 4
+    ready = node.on_persisted(ready.persist.sequence, now)
+    assert {(m.term, type(m.body)) for m in ready.send} == {(4, Vote)}
+    for _ in range(100):
+        now += 0.05
+        node.tick(now)
+        node.handle(message(VoteReply(True, True), term=5), now)
+    assert node.term == 5
+
+
+def test_leader_on_a_full_disk_hands_over_to_a_voter_that_answers():
+    """All changes were once refused until the leader's disk had space again.
+
+    Its lease must end before the other voter is told to start an election.
+    """
+    node = make_node()
+    now = make_leader(node, START)
+    node.start_round(now)
+    acknowledge(node, now, 2, "c")
+    sync_all(node, acknowledge(node, now, 2), now)
+    lease_end = node.lease_valid_until
+    node.propose(b"x", now)
+    node.on_storage_full(now)
+    told_at = None
+    while told_at is None and now < lease_end + 2.0:
+        now += 0.05
+        ready = node.tick(now)
+        for name in "bc":
+            more = acknowledge(node, now, 2, name) if node.leads else ready
+            ready.send.extend(m for m in more.send if m not in ready.send)
+        if any(isinstance(body, TimeoutNow) for body in bodies(ready)):
+            told_at = now
+    assert told_at is not None
+    assert lease_end <= told_at <= lease_end + 0.1
+    assert node.role is LogRole.FOLLOWER
+
+
+def test_leader_on_a_full_disk_stays_when_only_one_other_voter_answers():
+    """One voter cannot be elected without the vote that a full disk cannot store."""
+    node = make_node()
+    now = make_leader(node, START)
+    node.start_round(now)
+    sync_all(node, acknowledge(node, now, 2), now)
+    for _ in range(40):
+        now += 0.05
+        node.tick(now)
+        acknowledge(node, now, 2)
+        node.propose(b"x", now)
+        node.on_storage_full(now)
+    assert node.leads
+
+
 def test_entries_of_earlier_terms_commit_only_with_an_entry_of_the_leaders_term():
     """An entry of an earlier term can still be replaced (Raft paper, figure 8)."""
     node = make_node(HardState("group", 4, ""), [FIRST_ENTRY, Entry(2, 2, b"old")])
--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -328,6 +328,101 @@
         sim.check_progress()
 
 
+def commit_within(sim, seconds):
+    """Propose until an entry is committed; return the seconds that it took."""
+    began, before = sim.time, max(sim.committed)
+    while max(sim.committed) == before:
+        assert sim.time < began + seconds, f"no change committed in {seconds} s"
+        sim.propose()
+        sim.run(0.1)
+    return sim.time - began
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_changes_are_committed_while_the_disk_of_any_voter_is_full(seed):
+    """All changes were once refused as long as the leader's disk was full.
+
+    The disks fill in turn, the leader's first, for 4 s each.
+    """
+    sim, *_ = start_with_leader(seed)
+    for turn in range(6):
+        host = sim.leader() if turn % 2 == 0 else sim.rng.choice(sim.running())
+        host.disk.full = True
+        end = sim.time + 4.0
+        commit_within(sim, 3.0)
+        while sim.time < end:
+            commit_within(sim, 2.0)
+        sim.heal()
+        commit_within(sim, 2.0)
+    sim.check_progress()
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_leader_stays_when_a_full_disk_has_space_again(seed):
+    """A voter must not depose the leader with a term that it could not store before."""
+    sim, leader, follower, _ = start_with_leader(seed)
+    follower.disk.full = True
+    sim.cut = {leader.name}
+    sim.run(8.0)
+    sim.cut = set()
+    sim.run_until(sim.leader)
+    sim.run(3.0)
+    leader = sim.leader()
+    term = leader.node.term
+    follower.disk.full = False
+    sim.run(5.0)
+    assert (sim.leader(), leader.node.term) == (leader, term)
+    sim.check_progress()
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_leader_with_a_full_disk_stays_when_no_other_can_lead(seed):
+    """Reads need a leader, so one with a full disk must not step down in vain."""
+    sim, leader, follower, _ = start_with_leader(seed)
+    follower.crash()
+    leader.disk.full = True
+    sim.run(1.5)
+    for _ in range(20):
+        sim.propose()
+        sim.run(0.2)
+        assert sim.leader() is leader
+    sim.heal()
+    sim.check_progress()
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("beside", ["cut", "crash", "election", "snapshot", "learner"])
+def test_group_recovers_from_disks_that_fill_in_turn(seed, beside):
+    """Changes must be committed again once the last disk has room.
+
+    The disks fill beside a host that is cut off, a restart, an election, snapshots and
+    a member that has lost its disk and joins again.
+    """
+    sim, *_ = start_with_leader(seed)
+    for name in "abc":
+        host = sim.hosts[name]
+        host.disk.full = True
+        for step in range(20):
+            sim.propose()
+            sim.run(0.1 if beside != "snapshot" else 0.03)
+            if step == 5 and beside == "cut":
+                sim.cut = {name}
+            if step == 5 and beside == "crash":
+                host.crash()
+                host.disk.full = False
+                host.start()
+                host.disk.full = True
+            if step == 5 and beside == "election" and sim.leader():
+                sim.cut = {sim.leader().name}
+            if step == 5 and beside == "learner" and name == "a":
+                sim.hosts["d"].wipe()
+                sim.hosts["d"].start()
+                sim.change("d", voter=False)
+        sim.heal()
+    commit_within(sim, 6.0)
+    sim.check_progress()
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_learner_that_needs_compacted_entries_is_promoted_after_a_snapshot(seed):
     """A learner that needs compacted entries must still catch up and be promoted."""
--- a/tests/platform/test_full_disks.py
+++ b/tests/platform/test_full_disks.py
@@ -120,3 +120,50 @@
     time.sleep(2.0)
     control.process.terminate()
     assert control.process.wait(timeout=3.0) == 0
+
+
+def test_changes_are_stored_while_disks_fill_in_turn(deployment):
+    """All changes were once refused as long as the leader's disk was full.
+
+    Each disk is full for 4 s, the leader's first, while changes come.
+    """
+    version = 1
+    refused = []
+    for _ in range(4):
+        control = wait_until("a leader", deployment.leader)
+        deployment.set_full(control, True)
+        began, stored_at = time.monotonic(), []
+        while time.monotonic() < began + 4.0:
+            version += 1
+            if deployment.try_to_store(version):
+                stored_at.append(time.monotonic() - began)
+        deployment.set_full(control, False)
+        refused.append(stored_at[0] if stored_at else None)
+    assert all(first is not None and first < 3.0 for first in refused), refused
+    deployment.store_config(version + 1)
+    assert deployment.stored_version() == version + 1
+    assert all(control.is_running for control in deployment.controls)
+
+
+def test_host_restarted_on_a_full_disk_writes_with_pauses(deployment):
+    """A restarted host once wrote its voter file 2,300 times a second, each time with a
+    line in the log, and many changes were not acknowledged."""
+    version = 1
+    for control in deployment.controls:
+        before = len((control.folder / "errors").read_bytes().splitlines())
+        before += len((control.folder / "log").read_bytes().splitlines())
+        deployment.set_full(control, True)
+        control.kill()
+        control.start()
+        began, stored = time.monotonic(), 0
+        while time.monotonic() < began + 5.0:
+            version += 1
+            stored += deployment.try_to_store(version)
+            time.sleep(0.1)
+        deployment.set_full(control, False)
+        after = len((control.folder / "errors").read_bytes().splitlines())
+        after += len((control.folder / "log").read_bytes().splitlines())
+        assert stored >= 5
+        assert after - before < 500
+    deployment.store_config(version + 1)
+    assert all(control.is_running for control in deployment.controls)
--- a/wigeonspan/consensus/_core.py
+++ b/wigeonspan/consensus/_core.py
@@ -192,7 +192,10 @@
             if not _replication.tick_leader(state, now):
                 _election.become_follower(state, state.term, None, now)
         elif now >= state.election_deadline:
-            _election.campaign(state, now, pre=True)
+            if _election.can_campaign(state, now):
+                _election.campaign(state, now, pre=True)
+            else:
+                state.reset_election_timeout(now)
         return self._take_effects(now)
 
     def propose(self, command: bytes, now: float) -> tuple[Entry, Ready]:
@@ -247,6 +250,7 @@
         state = self._state
         state.now = now
         state.mark_synced(sequence)
+        state.storage_full_at = NEVER
         if state.role is LogRole.LEADER:
             _replication.advance_commit(state)
             for member in state.others:
@@ -269,10 +273,13 @@
         state = self._state
         state.now = now
         last = state.drop_unsynced()
+        state.storage_full_at = now
         if state.role is LogRole.LEADER and last < state.first_index_of_term:
             _election.become_follower(state, state.term, None, now)
         elif state.role is LogRole.LEADER:
             _replication.update_progress(state)
+            if _replication.others_can_lead(state, now):
+                _replication.start_handover(state, now)
         return last, self._take_effects(now)
 
     def snapshot_meta(self, index: LogIndex, size: int) -> SnapshotMeta:
--- a/wigeonspan/consensus/_election.py
+++ b/wigeonspan/consensus/_election.py
@@ -11,7 +11,7 @@
 )
 from wigeonspan.consensus._replication import append_as_leader, broadcast, lease_start
 from wigeonspan.consensus._state import NEVER, NodeState
-from wigeonspan.consensus._timing import VOTE_GUARD_S
+from wigeonspan.consensus._timing import ELECTION_MAX_S, VOTE_GUARD_S
 
 
 def become_follower(
@@ -131,6 +131,21 @@
     return (body.last_term, body.last_index) >= ours
 
 
+def can_campaign(state: NodeState, now: float) -> bool:
+    """Whether a voter may start an election now.
+
+    A voter whose disk is full cannot store its vote for itself and could commit nothing
+    as leader. If it raised its term in memory time after time, it would depose the
+    leader when its disk has space again. It tries again after some time without a
+    write, because only a write shows whether there is space.
+    """
+    if len(state.voters) == 1:
+        return True
+    if state.hard_state != state.synced_hard_state:
+        return False
+    return now >= state.storage_full_at + ELECTION_MAX_S
+
+
 def can_campaign_at_once(state: NodeState) -> bool:
     """Whether a restarted host is the only voter and voted for itself in its term.
 
--- a/wigeonspan/consensus/_replication.py
+++ b/wigeonspan/consensus/_replication.py
@@ -226,21 +226,40 @@
     return lease_start(state) + LEASE_S
 
 
+def others_can_lead(state: NodeState, now: float) -> bool:
+    """Return whether a majority of the voters, without this host, answers.
+
+    Only then can another voter be elected while this host cannot store its vote.
+    """
+    answering = sum(
+        state.progress[m.name].answered_round_sent_at > now - LEASE_S
+        for m in state.voters
+        if not state.is_self(m)
+    )
+    return 2 * answering > len(state.voters)
+
+
 def start_handover(state: NodeState, now: float) -> None:
     """Choose the most up-to-date voter as the target of a handover.
 
+    Of several, it is the one that answered last.
+
     ``TimeoutNow`` is sent once the target stores the complete log and the lease has
     ended. Until then no other host may lead, because the end of the lease may have been
     published.
     """
     voters = [m for m in state.voters if not state.is_self(m)]
     if voters and state.handover_target is None:
-        best = max(voters, key=lambda m: state.progress[m.name].match)
+        best = max(voters, key=lambda m: _rank(state.progress[m.name]))
         state.handover_lease_end = lease_end(state)
         state.handover_target = best.name
         state.handover_deadline = now + HANDOVER_TIMEOUT_S
 
 
+def _rank(progress: Progress) -> tuple[LogIndex, float]:
+    return progress.match, progress.answered_round_sent_at
+
+
 def ready_successor(state: NodeState) -> Member | None:
     """Return the handover target if it can take over now."""
     if state.now < state.handover_lease_end:
--- a/wigeonspan/consensus/_state.py
+++ b/wigeonspan/consensus/_state.py
@@ -102,6 +102,8 @@
         # without a group has answered no leader.
         self.no_vote_before = now + VOTE_GUARD_S if self.hard_state.group else NEVER
         self.forced = False
+        # When the disk refused a write, until a write succeeds.
+        self.storage_full_at = NEVER
         self.votes: set[HostId] = set()
         self.progress: dict[HostId, Progress] = {}
         self.round = 0
