--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -199,6 +199,36 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("operation", ["create", "make_disk"])
+def test_start_on_a_full_disk_waits_for_space(tmp_path, monkeypatch, operation):
+    """A voter that ended instead would only be started again on the same disk."""
+    attempts = []
+
+    def refuse(*_):
+        attempts.append(operation)
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    async def run():
+        host = Host("a", tmp_path)
+        options = {}
+        with monkeypatch.context() as patch:
+            patch.setattr(_driver, "START_RETRY_S", 0.05)
+            if operation == "create":
+                patch.setattr(FolderDisk, "create", refuse)
+            else:
+                options["make_disk"] = lambda folder: (
+                    refuse() if len(attempts) < 3 else FolderDisk(folder)
+                )
+            start = asyncio.create_task(host.start([host.member], **options))
+            await wait_until(lambda: len(attempts) >= 3)
+        await start
+        await wait_for_leader([host])
+        await host.log.propose(b"after")
+        await host.stop()
+
+    asyncio.run(run())
+
+
 def test_full_disk_is_written_to_with_pauses(tmp_path, monkeypatch):
     """A vote that could not be written was once written 2,300 times a second.
 
@@ -235,6 +265,37 @@
     assert len(lines) <= 2
 
 
+def test_outcome_of_a_change_is_unknown_when_the_sync_finds_no_space(
+    tmp_path, monkeypatch
+):
+    """The process once ended, and the entry may be on disk, so it may run later.
+
+    A refusal as "not run" would therefore be wrong.
+    """
+
+    def refuse(disk, name):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    async def run():
+        (host,) = await start_group(tmp_path, ["a"])
+        await wait_for_leader([host])
+        await host.log.propose(b"before")
+        with monkeypatch.context() as patch:
+            patch.setattr(FolderDisk, "sync", refuse)
+            with pytest.raises(WigeonspanError) as caught:
+                await host.log.propose(b"refused")
+            assert caught.value.kind is ErrorKind.NO_QUORUM
+        await wait_for_leader([host])
+        await host.log.propose(b"after")
+        await host.stop()
+        await host.start([])
+        await wait_for_leader([host])
+        assert host.machine.words == ["before", "after"]
+        await host.stop()
+
+    asyncio.run(run())
+
+
 def test_command_above_the_size_limit_is_refused(tmp_path):
     """A huge command would delay the heartbeats that are queued behind it."""
 
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -18,6 +18,7 @@
     bind_address,
     keep_running,
     on_stop_signal,
+    start_unless_stopped,
     watch_settings,
 )
 from wigeonspan.consensus import Disk, FolderDisk, LogTask, StorageError
@@ -444,7 +445,11 @@
     loop = asyncio.get_running_loop()
     on_stop_signal(clock, request_stop)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    await coordinator.start(*make_routes(coordinator))
+    # A start on a full disk waits for space, so a signal must be able to end it.
+    start = coordinator.start(*make_routes(coordinator))
+    if not await start_unless_stopped(start, stop):
+        await coordinator.stop(signalled_at)
+        return
     failed = asyncio.create_task(coordinator.wait_until_failed())
     failed.add_done_callback(lambda _: stop.set())
     watch = asyncio.create_task(
