Refuse requests that come while a stopping server closes its connections

Callers that sent a call on a kept connection just after a stopping entry had drained (3.4 s after SIGTERM when it is idle) saw the connection close without an answer, although the call had been passed on.

Cause: closes the connections one by one, which takes many iterations of the event loop with hundreds of them. Requests of those that were still open were read, passed on and cut.

Change: a request that is complete after the drain is refused with 503 and 'ran: no'.

--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -416,3 +416,42 @@
     assert [r[:12] for r in (incomplete, complete, other)] == [b"HTTP/1.1 503"] * 3
     assert incomplete.endswith(b"\r\n\r\n") and complete.endswith(b"\r\n\r\n")
     assert other.endswith(b"}")
+
+
+def test_no_request_is_begun_on_a_connection_that_is_about_to_be_closed():
+    """Requests that came while a stopped server closed its connections were cut.
+
+    Closing hundreds of connections takes many iterations of the event loop, in which
+    requests of the connections that are still open were read and begun.
+    """
+    connection_count, begun = 200, []
+
+    async def serve(method, target, headers, body, caller):
+        begun.append(target)
+        await asyncio.sleep(0.05)
+        await caller.send_response(200, [], b"")
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        host, port = address.split(":")
+        clients = [
+            await asyncio.open_connection(host, int(port))
+            for _ in range(connection_count)
+        ]
+        await asyncio.sleep(0.1)
+        await server.drain(1.0)
+        closing = asyncio.create_task(server.close())
+        for _, writer in clients:
+            writer.write(REQUEST)
+            await asyncio.sleep(0)
+        await closing
+        refused = 0
+        for reader, writer in clients:
+            with contextlib.suppress(ConnectionError):
+                refused += (await reader.read()).startswith(b"HTTP/1.1 503")
+            writer.close()
+        return refused
+
+    refused = asyncio.run(run())
+    assert not begun and refused
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -251,6 +251,7 @@
         self._clock = clock or SystemClock()
         self._open_tasks: dict[asyncio.Task[None], ResponseWriter] = {}
         self._arriving: set[_RequestCollector] = set()
+        self._ending = False
         self._sockets: list[socket.socket] = []
         self._server = HTTPServer(
             self,
@@ -327,8 +328,9 @@
         """Cancel the open requests and wait until their responses are sent.
 
         ``serve`` may still respond to a cancelled request whose caller is connected.
-        A request that has not arrived completely is refused.
+        Requests that have not arrived completely, and later ones, are refused.
         """
+        self._ending = True
         for collector in list(self._arriving):
             collector.refuse(WigeonspanError(ErrorKind.DRAINING, STOP_MESSAGE))
         open_tasks = set(self._open_tasks)
@@ -346,7 +348,13 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the collector of a new request."""
-        return _RequestCollector(request_conn, self._begin, self._arriving, self._clock)
+        return _RequestCollector(
+            request_conn,
+            self._begin,
+            self._arriving,
+            lambda: self._ending,
+            self._clock,
+        )
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing: each request has its own callback for a closed connection."""
@@ -403,11 +411,13 @@
             [RequestStartLine, HTTPHeaders, bytes, HTTPConnection, float], None
         ],
         arriving: set["_RequestCollector"],
+        is_ending: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._connection = connection
         self._begin = begin
         self._arriving = arriving
+        self._is_ending = is_ending
         self._clock = clock
         self._head_at = clock.now()
         self._refused = False
@@ -435,6 +445,9 @@
     def finish(self) -> None:
         """Start to handle the request, which is now complete."""
         self._arriving.discard(self)
+        if self._is_ending() and not self._refused:
+            # Its connection is closed before a response of the handler is sent.
+            self.refuse(WigeonspanError(ErrorKind.DRAINING, STOP_MESSAGE))
         if self._refused:
             self._connection.finish()
             return
@@ -447,7 +460,7 @@
         self._arriving.discard(self)
 
     def refuse(self, error: WigeonspanError) -> None:
-        """Send an error response before the request is complete.
+        """Send an error response instead of handling the request.
 
         The rest of the body is still read: a close with unread bytes would reset the
         connection, and the caller could lose the response.
