Begin no pipelined request after the close of its connection

A pipelined request behind one whose response closed the connection, as all responses of a stopping entry do, was passed on to a target. Its caller could get no response: the connection was already closed.

Cause: Tornado goes on to read messages from the buffer of a closed connection, and the server began each complete one.

Change: a request whose connection is closed is not begun.

Evidence: on and on the second of two pipelined requests is begun in a server that stops and after 'Connection: close'. The new test failed before and passes now; the tests of serving, common and gateway requests pass.

--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -455,3 +455,21 @@
 
     refused = asyncio.run(run())
     assert not begun and refused
+
+
+def test_pipelined_request_is_not_begun_after_the_close_of_its_connection():
+    """A request behind one whose response closed the connection was still passed on.
+
+    It ran at a target, and its caller could get no response.
+    """
+    begun = []
+
+    async def serve(method, target, headers, body, caller):
+        begun.append(target)
+        await asyncio.sleep(0.05)
+        await caller.send_response(200, [], b"")
+
+    data = REQUEST + REQUEST.replace(b"/a", b"/b")
+    response = send_and_receive(serve, data, draining=True)
+    assert response.count(b"HTTP/1.1 200") == 1 and b"Connection: close" in response
+    assert begun == ["/a?b=1"]
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -108,8 +108,7 @@
 
     @property
     def _stream(self) -> IOStream | None:
-        connection = self._connection
-        return connection.stream if isinstance(connection, HTTP1Connection) else None
+        return _stream_of(self._connection)
 
     @property
     def head_sent(self) -> bool:
@@ -217,6 +216,10 @@
             self._disconnected = True
 
 
+def _stream_of(connection: HTTPConnection) -> IOStream | None:
+    return connection.stream if isinstance(connection, HTTP1Connection) else None
+
+
 ServeRequest = Callable[
     [str, str, list[tuple[str, str]], bytes, ResponseWriter], Awaitable[None]
 ]
@@ -445,6 +448,10 @@
     def finish(self) -> None:
         """Start to handle the request, which is now complete."""
         self._arriving.discard(self)
+        stream = _stream_of(self._connection)
+        if stream is not None and stream.closed():
+            # Tornado still reads requests that were buffered before the close.
+            return
         if self._is_ending() and not self._refused:
             # Its connection is closed before a response of the handler is sent.
             self.refuse(WigeonspanError(ErrorKind.DRAINING, STOP_MESSAGE))
