Refuse uploads at their head when a stopping entry cannot serve them

A caller that sends a body slowly or in chunks to a stopping entry got its refusal only after the whole body had arrived, although the head had shown that the deadline does not fall before the end. The caller lost that time for another entry.

Cause: the server passes a request on when it is complete, and only then is its bound compared with the end.

Change: from the stop signal on, the server asks the gateway about each head. A request whose deadline, or route's timeout, does not fit is refused with 503, ran no. The rest of the body is read so that the close does not reset the connection; a caller that waits with 'Expect' is not asked for it. While a forecast may still accept the request, and for all other faults of a head, it is handled as before. Before a stop each request costs one call of a function that returns None.

--- a/tests/platform/gateway_harness.py
+++ b/tests/platform/gateway_harness.py
@@ -29,7 +29,7 @@
 SERVICE = ServiceName("s")
 # Each test process has its own address range.
 NET = f"127.{64 + os.getpid() % 128}"
-# Holds the target table of the last gateway, for engine steps that change it.
+# Holds the target table and the server of the last gateway, for steps that use them.
 shared_state = {}
 SIGNED = [("Response-Signature", "sig")]
 
@@ -178,6 +178,7 @@
     )
     server = Server(context, random.Random(1))
     server.open()
+    shared_state["server"] = server
     front_server = RequestServer(server.serve, unexpected)
     front_server.listen(front or f"{NET}.1.1:18081")
     servers.append(front_server)
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -251,6 +251,7 @@
         )
         self._context.stop.begin(signalled_at, end_at)
         self._front_server.close_after_responses()
+        self._front_server.refuse_early(self._server.check_head)
         await self._heartbeats.send_now()
         await asyncio.sleep(max(0.0, drain_until - self._clock.now()))
         await self._front_server.drain(
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -63,6 +63,33 @@
                 **handler.describe_progress(),
             )
 
+    def check_head(
+        self, method: str, target: str, headers: list[tuple[str, str]]
+    ) -> WigeonspanError | None:
+        """Return why a request is refused whatever its body is, if it is.
+
+        Its time counts from its last byte, so what does not fit at its head does not
+        fit later. Other faults of a request are found when it is complete.
+        """
+        context, now = self._context, self._context.clock.now()
+        if context.stop.may_forecast(now):
+            return None
+        try:
+            request = context.protocol.read_request(method, target, headers, b"")
+            route = self._match_route(request)
+        except WigeonspanError:
+            return None
+        bound_s = _waits_s(request, route) - RESPONSE_MARGIN_S
+        try:
+            context.stop.check(bound_s, bound_s, now)
+        except WigeonspanError as error:
+            self._record_refused(request.request, error, now)
+            context.metrics.count("refusals", limit="stopping")
+            outcome = error.kind.value
+            context.metrics.count("requests", kind=route.kind.value, outcome=outcome)
+            return error
+        return None
+
     async def serve(
         self,
         method: str,
@@ -82,17 +109,8 @@
             await self._serve(request, route, caller, arrived_at)
         except WigeonspanError as error:
             outcome = error.kind.value
-            self._context.event_log.write(
-                "serve",
-                "refused" if not caller.head_sent else "broken_off",
-                request=request_id,
-                failure=True,
-                kind=outcome,
-                config_version=self._context.config.version,
-                ran=error.ran.value,
-                why=error.message,
-                took_ms=self._took_ms(arrived_at),
-            )
+            event = "refused" if not caller.head_sent else "broken_off"
+            self._record_refused(request_id, error, arrived_at, event)
             unanswered = caller.head_sent
             if not caller.head_sent:
                 await caller.send_error(error)
@@ -117,6 +135,25 @@
                 )
             self._context.metrics.count("requests", kind=kind, outcome=outcome)
 
+    def _record_refused(
+        self,
+        request_id: RequestId | None,
+        error: WigeonspanError,
+        arrived_at: float,
+        event: str = "refused",
+    ) -> None:
+        self._context.event_log.write(
+            "serve",
+            event,
+            request=request_id,
+            failure=True,
+            kind=error.kind.value,
+            config_version=self._context.config.version,
+            ran=error.ran.value,
+            why=error.message,
+            took_ms=self._took_ms(arrived_at),
+        )
+
     def _record_unanswered(
         self,
         request_id: RequestId | None,
@@ -170,7 +207,7 @@
         assert config is not None
         service = self._choose_service(route)
         context.budget.record_request(service, arrived_at)
-        timeout_s = min(request.deadline_s or route.timeout_s, route.timeout_s)
+        timeout_s = _waits_s(request, route)
         deadline = arrived_at + timeout_s - RESPONSE_MARGIN_S
         context.event_log.write(
             "serve",
@@ -234,5 +271,10 @@
         return _to_ms(self._context.clock.now() - arrived_at)
 
 
+def _waits_s(request: CallerRequest, route: Route) -> float:
+    """Return the seconds for which the caller of a request waits."""
+    return min(request.deadline_s or route.timeout_s, route.timeout_s)
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/wigeonspan/gateway/_stopping.py
+++ b/wigeonspan/gateway/_stopping.py
@@ -50,6 +50,10 @@
         """Return the seconds until open requests are ended."""
         return self._end_at - now
 
+    def may_forecast(self, now: float) -> bool:
+        """Whether a forecast is enough to accept a request."""
+        return not self._has_ready_peer and now <= self._forecast_until
+
     def check(self, bound_s: float, expected_s: float, now: float) -> None:
         """Check that a request is complete before the process ends.
 
@@ -69,8 +73,7 @@
         remaining_s = self.remaining_s(now)
         if bound_s <= remaining_s:
             return
-        may_forecast = not self._has_ready_peer and now <= self._forecast_until
-        if may_forecast and expected_s <= remaining_s:
+        if self.may_forecast(now) and expected_s <= remaining_s:
             return
         retry_after_s = OTHER_ENTRY_RETRY_S
         if not self._has_ready_peer:
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -216,6 +216,11 @@
 response writer."""
 
 
+CheckHead = Callable[[str, str, list[tuple[str, str]]], WigeonspanError | None]
+"""Function that returns why a request is refused, given its method, target and header
+fields; None when it is not, or when that depends on its body."""
+
+
 class RequestServer(HTTPServerConnectionDelegate):
     """HTTP server that passes complete requests to a handler function.
 
@@ -243,6 +248,7 @@
         self._clock = clock or SystemClock()
         self._open_tasks: dict[asyncio.Task[None], ResponseWriter] = {}
         self._arriving: set[_RequestCollector] = set()
+        self._check_head: CheckHead | None = None
         self._sockets: list[socket.socket] = []
         self._server = HTTPServer(
             self,
@@ -263,6 +269,13 @@
         self._sockets.extend(sockets)
         self._server.add_sockets(sockets)
 
+    def refuse_early(self, check_head: CheckHead) -> None:
+        """Check each request from now on when its head has arrived.
+
+        A request that is refused gets its response before its body has arrived.
+        """
+        self._check_head = check_head
+
     def close_after_responses(self) -> None:
         """Close each connection after its next response, which announces the close."""
         self._server.conn_params.no_keep_alive = True
@@ -338,11 +351,21 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the collector of a new request."""
-        return _RequestCollector(request_conn, self._begin, self._arriving, self._clock)
+        return _RequestCollector(
+            request_conn, self._begin, self._refusal, self._arriving, self._clock
+        )
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing: each request has its own callback for a closed connection."""
 
+    def _refusal(
+        self, line: RequestStartLine, headers: HTTPHeaders
+    ) -> WigeonspanError | None:
+        """Return why a request is refused before its body has arrived, if it is."""
+        if self._check_head is None:
+            return None
+        return self._check_head(line.method, line.path, list(headers.get_all()))
+
     def _begin(
         self,
         line: RequestStartLine,
@@ -391,11 +414,13 @@
         begin: Callable[
             [RequestStartLine, HTTPHeaders, bytes, HTTPConnection, float], None
         ],
+        refusal: Callable[[RequestStartLine, HTTPHeaders], WigeonspanError | None],
         arriving: set["_RequestCollector"],
         clock: Clock,
     ) -> None:
         self._connection = connection
         self._begin = begin
+        self._refusal = refusal
         self._arriving = arriving
         self._clock = clock
         self._head_at = clock.now()
@@ -407,12 +432,18 @@
     def headers_received(
         self, start_line: object, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
-        """Store the head."""
+        """Store the head, and refuse the request if its body cannot change that."""
         assert isinstance(start_line, RequestStartLine)
         self._line = start_line
         self._headers = headers
         self._head_at = self._clock.now()
         self._arriving.add(self)
+        error = self._refusal(start_line, headers)
+        if error is not None:
+            self.refuse(error)
+            if "Expect" in headers:
+                # The caller waits with the body, and must not be asked for it.
+                self._connection.finish()
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
