Judge the stream that is open at a stop, and the caller of one that comes with it

A stopping entry refuses a request whose deadline falls after its end, and its caller turns to the other entry.

Change: the test waits until an engine works on the stream before it sends the signal, and requires the whole stream as before. A second stream is sent with the signal; it must be complete too, at this entry or, after a refusal, at the other one. So more is asked than before.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -158,12 +158,25 @@
     for replica in deployment.platform.replicas:
         replica.injected_faults = InjectedFaults(slowdown_factor=10.0)
     open_stream = stream(deployment, entry, "s1")
+
+    def has_begun():
+        arrivals = deployment.platform.journal.arrivals
+        return any(x.request == "s1" and x.began_execution for x in arrivals)
+
+    wait_until("an engine to begin", has_begun)
+    late_stream = stream(deployment, entry, "s2")
     entry.signal(signal.SIGTERM)
     wait_until(
         "the entry to be unready", lambda: not deployment.is_ready(entry), timeout_s=2.0
     )
     status, _, body = open_stream.read()
     assert status == 200 and body.count(b"data: s1") == EVENTS
+    # The signal may overtake this one; its caller then turns to the other entry.
+    status, _, body = late_stream.read()
+    if status == 503:
+        other = deployment.entries[1]
+        status, _, body = stream(deployment, other, "s3").read()
+    assert status == 200 and body.count(b"data: s") == EVENTS
     assert entry.process.wait(timeout=10) == 0
     assert log_lines(entry)[-1]["event"] == "stopped"
 
