Sync the log at the start before its entries count as synced

Operators could have lost an acknowledged change: control hosts are killed between a write and its sync and started again, the group commits the entries that they read back, and then all machines lose power.

Cause: when a process dies, its files remain as they were, written or synced. LogStore.open took all that it read for synced, so a voter acknowledged entries that were only in the page cache. For the voter file this did not hold, since slots that differ are written and synced again. In the same way a start removed older logs although the name of the newest one might not be durable.

Change: a start syncs the folder before it removes older files, and the log before it returns the entries. If the sync of the log finds no space, it may have dropped entries that a later sync skips, so the next attempt writes the log to a new file.

Measured: three new tests of the store (kill before the sync of the log, then a loss of power; removal of an older log; no space at that sync) failed before and pass now; the one of the voter file passed before. All of tests/consensus, tests/coordinator, tests/controld, tests/platform/test_full_disks.py and tests/processes/test_control.py pass.

--- a/tests/consensus/test_store.py
+++ b/tests/consensus/test_store.py
@@ -4,6 +4,7 @@
 import errno
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -21,7 +22,7 @@
     StorageFull,
 )
 from wigeonspan.consensus._disk import FolderDisk
-from wigeonspan.consensus._frames import SyncFull
+from wigeonspan.consensus._frames import SyncFull, encode_frame
 from wigeonspan.consensus._store import SLOT_BYTES
 
 STATE = HardState("group", 3, "a")
@@ -261,6 +262,71 @@
         store.save_snapshot(snapshot(6))
 
 
+@pytest.mark.parametrize("name", ["voter", LOG])
+def test_data_read_after_a_kill_survives_a_loss_of_power(name):
+    """A process killed before its sync leaves data that a loss of power may undo.
+
+    The next process acknowledges what it has read, so it must sync it first.
+    """
+    disk, store = store_with_entries()
+    sync = disk.sync
+
+    def kill(synced):
+        if synced == name:
+            raise PowerLoss
+        sync(synced)
+
+    disk.sync = kill
+    item = persist(state=HardState("group", 9, "b"))
+    with pytest.raises(PowerLoss):
+        store.save([item if name == "voter" else persist(*entries(9, 10))])
+    disk.sync = sync
+    stored = reopened(disk)[1]
+    disk.crash(TornAfter(0))
+    assert reopened(disk)[1] == stored
+
+
+def test_log_that_a_full_disk_did_not_sync_at_the_start_is_replaced():
+    """The sync of the next attempt succeeds without the entries that were dropped."""
+    disk, store = store_with_entries()
+    disk.append(LOG, encode_frame(msgspec.msgpack.encode(entries(9, 9))))
+    disk.full_syncs = {LOG}
+    with pytest.raises(SyncFull):
+        reopened(disk)
+    disk.full_syncs = set()
+    assert LogStore(disk, replace_log=True).open().entries == entries(1, 9)
+    disk.crash(TornAfter(0))
+    assert reopened(disk)[1].entries == entries(1, 9)
+
+
+def test_name_of_a_log_read_after_a_kill_survives_a_loss_of_power():
+    """A loss of power may undo a rename and still keep the removal of the old log."""
+    disk, store = store_with_entries()
+    sync_folder, calls = disk.sync_folder, []
+
+    def kill():
+        calls.append(None)
+        if len(calls) == 2:
+            raise PowerLoss
+        sync_folder()
+
+    disk.sync_folder = kill
+    with pytest.raises(PowerLoss):
+        store.save_snapshot(snapshot(6))
+    disk.sync_folder = sync_folder
+    synced = []
+    disk.sync_folder = lambda: (synced.append(disk.names()), sync_folder())
+    remove = disk.remove
+
+    def check(name):
+        assert any(LOG2 in names and LOG in names for names in synced)
+        remove(name)
+
+    disk.remove = check
+    assert reopened(disk)[1].entries == entries(7, 8)
+    assert LOG not in disk.names()
+
+
 class TornAfter:
     """Stands in for the random numbers of a crash: each write keeps so many bytes."""
 
--- a/wigeonspan/consensus/_driver.py
+++ b/wigeonspan/consensus/_driver.py
@@ -137,11 +137,13 @@
         StorageError
             When the data folder cannot be used.
         """
+        replace_log = False
         while True:
             try:
-                stored = await self._open(folder, make_disk)
+                stored = await self._open(folder, make_disk, replace_log)
                 break
             except StorageFull as error:
+                replace_log = replace_log or isinstance(error, SyncFull)
                 self._record_refused_write(error)
                 await asyncio.sleep(START_RETRY_S)
         host = self._host
@@ -187,11 +189,14 @@
         self._log_role_change()
 
     async def _open(
-        self, folder: str | Path, make_disk: Callable[[str | Path], Disk]
+        self,
+        folder: str | Path,
+        make_disk: Callable[[str | Path], Disk],
+        replace_log: bool,
     ) -> StoredState:
         with translate_os_errors(str(folder)):
             disk = make_disk(folder)
-        self._store = LogStore(disk)
+        self._store = LogStore(disk, replace_log=replace_log)
         try:
             stored = await self._run_on_disk_thread(self._store.open)
             snapshot = await self._run_on_disk_thread(self._store.read_snapshot)
--- a/wigeonspan/consensus/_log_file.py
+++ b/wigeonspan/consensus/_log_file.py
@@ -75,16 +75,22 @@
     def open(self, names: list[str]) -> list[Entry]:
         """Read the current log file and remove a torn write from its end.
 
+        The file is synced: a process that was killed may have written entries and not
+        synced them, and they count as synced from now on.
+
         Raises
         ------
+        SyncFull
+            When the sync found no space. It may have dropped entries, so the file must
+            be replaced even if a later sync succeeds.
         StorageCorrupt
             When a frame that was synced cannot be read.
         """
         self._number = max(int(name[len(LOG_PREFIX) :]) for name in names)
         entries = self.read()
         if self._size < len(self._disk.read(self.name)):
-            self._has_refused_frame = True
-            self.remove_refused_frame()
+            self._disk.truncate(self.name, self._size)
+        sync(self._disk, self.name)
         return entries
 
     def remove_refused_frame(self) -> None:
--- a/wigeonspan/consensus/_store.py
+++ b/wigeonspan/consensus/_store.py
@@ -83,13 +83,21 @@
         Data folder.
     make_id : callable
         Returns a new disk identity; called at the first start.
+    replace_log : bool
+        Whether to write the log to a new file at the start, because a sync of the old
+        one found no space.
     """
 
     def __init__(
-        self, disk: Disk, make_id: Callable[[], str] = lambda: uuid.uuid4().hex
+        self,
+        disk: Disk,
+        make_id: Callable[[], str] = lambda: uuid.uuid4().hex,
+        *,
+        replace_log: bool = False,
     ) -> None:
         self._disk = disk
         self._make_id = make_id
+        self._replace_log = replace_log
         self._voter = VoterState(0, "", HardState())
         # The slot that may be damaged or out of date comes first.
         self._slot_offsets = (0, SLOT_BYTES)
@@ -121,6 +129,9 @@
             for name in [n for n in names if n.endswith(NEW_SUFFIX)]:
                 self._disk.remove(name)
                 names.remove(name)
+            # A process that was killed may have renamed files without this sync. Older
+            # files are removed below, so the names of the newer ones must be durable.
+            sync(self._disk, None)
             if VOTER_FILE not in names:
                 self._initialize(names)
             self._read_voter()
@@ -254,7 +265,7 @@
         logged = self._log.open(logs)
         entries = _entries_after(logged, self._snapshot)
         self._check_first_index(entries)
-        if len(entries) != len(logged):
+        if len(entries) != len(logged) or self._replace_log:
             self._log.replace(entries)
         self._remove_older()
         return entries
