--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -423,6 +423,32 @@
     sim.check_progress()
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_change_after_full_disks_survives_a_loss_of_power_and_of_one_disk(seed):
+    """What was committed beside full disks must outlast the end of the day.
+
+    All hosts lose power right after a commit, and one loses its disk.
+    """
+    sim, *_ = start_with_leader(seed)
+    for name in sim.rng.sample("abc", 3):
+        sim.hosts[name].disk.full = True
+        for _ in range(20):
+            sim.propose()
+            sim.run(0.1)
+        sim.hosts[name].disk.full = False
+    commit_within(sim, 6.0)
+    last = max(sim.committed)
+    wiped = sim.rng.choice("abc")
+    for name in "abc":
+        host = sim.hosts[name]
+        host.wipe() if name == wiped else host.crash()
+    sim.heal()
+    sim.run_until(sim.leader)
+    assert sim.leader().applied >= last
+    sim.repair(wiped)
+    sim.check_progress()
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_learner_that_needs_compacted_entries_is_promoted_after_a_snapshot(seed):
     """A learner that needs compacted entries must still catch up and be promoted."""
