Announce the close of a connection in all responses after a stop

A caller of a kept connection whose request was read before the stop got a response that did not announce the close. It sent its next request at once, which the stopping server cut or did not read when it was about to end.

Cause: Tornado decides when it reads the head of a request whether its response announces the close. Requests that were open at the stop were answered as on a kept connection.

Change: the server decides when it sends the head of the response, and closes the connection after it.

The new test failed before and passes now. A pipelined request behind one that was open at the stop is no longer answered, as already behind those that came later.

What remains: a stream whose head was sent before the stop does not announce the close.

--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -473,3 +473,33 @@
     response = send_and_receive(serve, data, draining=True)
     assert response.count(b"HTTP/1.1 200") == 1 and b"Connection: close" in response
     assert begun == ["/a?b=1"]
+
+
+def test_response_after_a_stop_announces_the_close_of_a_kept_connection():
+    """Callers sent their next request while the server closed the connection.
+
+    The response to a request that was read before the stop did not announce the close.
+    """
+
+    async def serve(method, target, headers, body, caller):
+        await asyncio.sleep(0.4)
+        await caller.send_head(200, [])
+        await caller.finish()
+
+    async def run():
+        server, address = RequestServer(serve, errors.append), free_address()
+        server.listen(address)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(REQUEST)
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(server.drain(2.0))
+        response = await reader.readuntil(b"0\r\n\r\n")
+        end = await reader.read()
+        await stopping
+        await server.close()
+        writer.close()
+        return response, end
+
+    response, end = asyncio.run(run())
+    assert b"Connection: close" in response and not end
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -87,6 +87,7 @@
         self._supports_chunked = supports_chunked
         self._head_sent = False
         self._finished = False
+        self._closes = False
         self._disconnected = False
         self._status = 0
 
@@ -181,6 +182,8 @@
                 await stream.write(b"")
             except StreamClosedError:
                 self._disconnected = True
+        if stream is not None and self._closes:
+            stream.close()
 
     async def send_error(self, error: WigeonspanError) -> None:
         """Send an error response, including ``Retry-After`` where it applies."""
@@ -207,6 +210,11 @@
         fields = HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
+        connection = self._connection
+        if isinstance(connection, HTTP1Connection) and connection.params.no_keep_alive:
+            # Tornado decides when it reads the request, which may have been before.
+            self._closes = True
+            fields["Connection"] = "close"
         self._head_sent = True
         self._status = status
         line = ResponseStartLine("HTTP/1.1", status, "")
