--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -108,8 +108,7 @@
 
     @property
     def _stream(self) -> IOStream | None:
-        connection = self._connection
-        return connection.stream if isinstance(connection, HTTP1Connection) else None
+        return _stream_of(self._connection)
 
     @property
     def head_sent(self) -> bool:
@@ -217,6 +216,10 @@
             self._disconnected = True
 
 
+def _stream_of(connection: HTTPConnection) -> IOStream | None:
+    return connection.stream if isinstance(connection, HTTP1Connection) else None
+
+
 ServeRequest = Callable[
     [str, str, list[tuple[str, str]], bytes, ResponseWriter], Awaitable[None]
 ]
@@ -251,6 +254,7 @@
         self._clock = clock or SystemClock()
         self._open_tasks: dict[asyncio.Task[None], ResponseWriter] = {}
         self._arriving: set[_RequestCollector] = set()
+        self._ending = False
         self._sockets: list[socket.socket] = []
         self._server = HTTPServer(
             self,
@@ -327,8 +331,9 @@
         """Cancel the open requests and wait until their responses are sent.
 
         ``serve`` may still respond to a cancelled request whose caller is connected.
-        A request that has not arrived completely is refused.
+        Requests that have not arrived completely, and later ones, are refused.
         """
+        self._ending = True
         for collector in list(self._arriving):
             collector.refuse(WigeonspanError(ErrorKind.DRAINING, STOP_MESSAGE))
         open_tasks = set(self._open_tasks)
@@ -346,7 +351,13 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the collector of a new request."""
-        return _RequestCollector(request_conn, self._begin, self._arriving, self._clock)
+        return _RequestCollector(
+            request_conn,
+            self._begin,
+            self._arriving,
+            lambda: self._ending,
+            self._clock,
+        )
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing: each request has its own callback for a closed connection."""
@@ -403,11 +414,13 @@
             [RequestStartLine, HTTPHeaders, bytes, HTTPConnection, float], None
         ],
         arriving: set["_RequestCollector"],
+        is_ending: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._connection = connection
         self._begin = begin
         self._arriving = arriving
+        self._is_ending = is_ending
         self._clock = clock
         self._head_at = clock.now()
         self._refused = False
@@ -435,6 +448,13 @@
     def finish(self) -> None:
         """Start to handle the request, which is now complete."""
         self._arriving.discard(self)
+        stream = _stream_of(self._connection)
+        if stream is not None and stream.closed():
+            # Tornado still reads requests that were buffered before the close.
+            return
+        if self._is_ending() and not self._refused:
+            # Its connection is closed before a response of the handler is sent.
+            self.refuse(WigeonspanError(ErrorKind.DRAINING, STOP_MESSAGE))
         if self._refused:
             self._connection.finish()
             return
@@ -447,7 +467,7 @@
         self._arriving.discard(self)
 
     def refuse(self, error: WigeonspanError) -> None:
-        """Send an error response before the request is complete.
+        """Send an error response instead of handling the request.
 
         The rest of the body is still read: a close with unread bytes would reset the
         connection, and the caller could lose the response.
