Tell in the log when a plain call only waits for its caller

'open_at_end' said of a plain call that its target had not ended although its whole answer was there, because only failures counted. That is the mark of the second hypothesis on requests lost around a stop; it was found by review.

Change: a response that is being delivered counts as the end of the target.

--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -47,6 +47,7 @@
         self._send_count = 0
         self._run_count = 0
         self._failure: _CompleteResponse | None = None
+        self._has_response = False
         prompt = active_request.request.prompt
         parts = prompt.shared_parts if prompt is not None else ()
         self._shared_parts = tuple(part.part for part in parts)
@@ -59,7 +60,7 @@
         """Return fields for the log that show what the request waits for."""
         return {
             "targets": sorted(self._tried_targets),
-            "target_done": self._failure is not None,
+            "target_done": self._has_response or self._failure is not None,
             "sends": self._send_count,
             "runs": self._run_count,
         }
@@ -77,6 +78,7 @@
         response = await self._first_response() or self._failure
         if response is None:
             raise self._error("no target answered")
+        self._has_response = True
         await self._deliver(caller, response)
 
     def _check_quarantine(self) -> None:
