Split the server for complete requests by duty

wigeonspan/serving/_server.py had grown to 524 lines with the server, the writer of responses and the collector of requests.

--- a/wigeonspan/gateway/_stopping.py
+++ b/wigeonspan/gateway/_stopping.py
@@ -10,7 +10,6 @@
 RESTART_S = 1.0
 """Seconds from the end of this process until a successor is probably ready."""
 
-
 FORECAST_WINDOW_S = 2.7
 """Seconds after the stop signal in which a forecast is enough for a request when no
 other entry is ready. The platform allows a request that was sent up to 3 s after the
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 
-from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -13,19 +11,13 @@
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
     RequestStartLine,
-    ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
-from wigeonspan.common import (
-    Clock,
-    ErrorKind,
-    SystemClock,
-    WigeonspanError,
-    encode,
-)
+from wigeonspan.common import Clock, ErrorKind, SystemClock, WigeonspanError
 from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
+from wigeonspan.serving._collector import STOP_MESSAGE, RequestCollector
+from wigeonspan.serving._response import ResponseWriter
 
 MAX_HEADER_BYTES = 64 * 1024
 """Largest request head in bytes; configurations set lower limits."""
@@ -46,188 +38,9 @@
 """Seconds before the end of a drain at which the kernel takes over what slow callers
 have not read yet."""
 
-DELIVERY_BUFFER_BYTES = 1024 * 1024
-"""Send buffer for that; the kernel may grant less."""
-
 POLL_INTERVAL_S = 0.02
 """Seconds between two checks whether a request is still arriving."""
 
-STOP_MESSAGE = "this process stops"
-
-# Value of SO_LINGER (on, 0 seconds) with which a close resets the connection.
-_RESET = struct.pack("ii", 1, 0)
-
-
-class ResponseWriter:
-    """Writer of the response to one request.
-
-    Parameters
-    ----------
-    connection : HTTPConnection
-        Connection to the caller.
-    supports_chunked : bool
-        Whether the caller supports chunked transfer encoding, which HTTP/1.0 lacks.
-    has_body : bool
-        Whether responses to the request have a body; those to HEAD have none.
-    body_s : float
-        Seconds from the head of the request to the last byte of its body.
-    """
-
-    def __init__(
-        self,
-        connection: HTTPConnection,
-        *,
-        supports_chunked: bool = True,
-        has_body: bool = True,
-        body_s: float = 0.0,
-    ) -> None:
-        self._connection = connection
-        self._has_body = has_body
-        self._body_s = body_s
-        self._supports_chunked = supports_chunked
-        self._head_sent = False
-        self._finished = False
-        self._closes = False
-        self._disconnected = False
-        self._status = 0
-
-    @property
-    def status(self) -> int:
-        """HTTP status that was sent; 0 before."""
-        return self._status
-
-    @property
-    def body_s(self) -> float:
-        """Seconds from the head of the request to the last byte of its body."""
-        return self._body_s
-
-    @property
-    def has_unsent_bytes(self) -> bool:
-        """Whether the kernel has not taken all bytes of the response yet."""
-        stream = self._stream
-        return stream is not None and stream.writing()
-
-    @property
-    def _stream(self) -> IOStream | None:
-        return _stream_of(self._connection)
-
-    @property
-    def head_sent(self) -> bool:
-        """Whether the head was sent."""
-        return self._head_sent
-
-    @property
-    def finished(self) -> bool:
-        """Whether the response was ended as complete."""
-        return self._finished
-
-    @property
-    def disconnected(self) -> bool:
-        """Whether the caller has closed its connection."""
-        return self._disconnected
-
-    def enlarge_send_buffer(self) -> None:
-        """Let the kernel buffer more of the response than the caller has room for.
-
-        The kernel delivers what it has taken even when the process has ended.
-        """
-        stream = self._stream
-        if stream is None or stream.socket is None or not stream.writing():
-            return
-        level, option = socket.SOL_SOCKET, socket.SO_SNDBUF
-        if stream.socket.getsockopt(level, option) < DELIVERY_BUFFER_BYTES:
-            stream.socket.setsockopt(level, option, DELIVERY_BUFFER_BYTES)
-
-    def record_disconnect(self) -> None:
-        """Record that the caller has closed its connection."""
-        self._disconnected = True
-
-    async def send_response(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
-    ) -> None:
-        """Send a complete response."""
-        await self._write_head(
-            status,
-            [*headers, ("Content-Length", str(len(body)))],
-            body if self._has_body else None,
-        )
-        await self.finish()
-
-    async def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the head of a response whose body follows in parts."""
-        await self._write_head(status, headers, None)
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body and wait until it is written."""
-        if not self._has_body:
-            return
-        try:
-            await self._connection.write(data)
-        except StreamClosedError:
-            self._disconnected = True
-
-    async def finish(self) -> None:
-        """End the response as complete, and wait until the kernel has taken it.
-
-        What the kernel has not taken is lost when the process ends.
-        """
-        self._finished = True
-        if self._disconnected:
-            return
-        stream = self._stream
-        self._connection.finish()
-        if stream is not None and stream.writing():
-            try:
-                # An empty write is done when all writes before it are.
-                await stream.write(b"")
-            except StreamClosedError:
-                self._disconnected = True
-        if stream is not None and self._closes:
-            stream.close()
-
-    async def send_error(self, error: WigeonspanError) -> None:
-        """Send an error response, including ``Retry-After`` where it applies."""
-        detail = error.body.error
-        headers = [("Content-Type", "application/json")]
-        if detail.retry and detail.retry_after_s:
-            headers.append(("Retry-After", f"{detail.retry_after_s:.2f}"))
-        await self.send_response(error.status, headers, encode(error.body))
-
-    def abort(self) -> None:
-        """Close the connection, so that the response does not look complete."""
-        stream = self._stream
-        if stream is None:
-            return
-        if self._head_sent and not self._supports_chunked and stream.socket is not None:
-            # Without chunked encoding, the end of the connection marks the end of the
-            # response; only a reset shows that it is incomplete.
-            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-        stream.close()
-
-    async def _write_head(
-        self, status: int, headers: list[tuple[str, str]], body: bytes | None
-    ) -> None:
-        fields = HTTPHeaders()
-        for name, value in headers:
-            fields.add(name, value)
-        connection = self._connection
-        if isinstance(connection, HTTP1Connection) and connection.params.no_keep_alive:
-            # Tornado decides when it reads the request, which may have been before.
-            self._closes = True
-            fields["Connection"] = "close"
-        self._head_sent = True
-        self._status = status
-        line = ResponseStartLine("HTTP/1.1", status, "")
-        try:
-            await self._connection.write_headers(line, fields, body)
-        except StreamClosedError:
-            self._disconnected = True
-
-
-def _stream_of(connection: HTTPConnection) -> IOStream | None:
-    return connection.stream if isinstance(connection, HTTP1Connection) else None
-
-
 ServeRequest = Callable[
     [str, str, list[tuple[str, str]], bytes, ResponseWriter], Awaitable[None]
 ]
@@ -266,7 +79,7 @@
         self._record_error = record_error
         self._clock = clock or SystemClock()
         self._open_tasks: dict[asyncio.Task[None], ResponseWriter] = {}
-        self._arriving: set[_RequestCollector] = set()
+        self._arriving: set[RequestCollector] = set()
         self._ending = False
         self._check_head: CheckHead | None = None
         self._sockets: list[socket.socket] = []
@@ -372,7 +185,7 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the collector of a new request."""
-        return _RequestCollector(
+        return RequestCollector(
             request_conn,
             self._begin,
             self._refusal,
@@ -432,93 +245,3 @@
         finally:
             if not caller.finished:
                 caller.abort()
-
-
-class _RequestCollector(HTTPMessageDelegate):
-    """Collects the head and the body of one request."""
-
-    def __init__(
-        self,
-        connection: HTTPConnection,
-        begin: Callable[
-            [RequestStartLine, HTTPHeaders, bytes, HTTPConnection, float], None
-        ],
-        refusal: Callable[[RequestStartLine, HTTPHeaders], WigeonspanError | None],
-        arriving: set["_RequestCollector"],
-        is_ending: Callable[[], bool],
-        clock: Clock,
-    ) -> None:
-        self._connection = connection
-        self._begin = begin
-        self._refusal = refusal
-        self._arriving = arriving
-        self._is_ending = is_ending
-        self._clock = clock
-        self._head_at = clock.now()
-        self._refused = False
-        self._chunks: list[bytes] = []
-        self._line: RequestStartLine
-        self._headers: HTTPHeaders
-
-    def headers_received(
-        self, start_line: object, headers: HTTPHeaders
-    ) -> Awaitable[None] | None:
-        """Store the head, and refuse the request if its body cannot change that."""
-        assert isinstance(start_line, RequestStartLine)
-        self._line = start_line
-        self._headers = headers
-        self._head_at = self._clock.now()
-        self._arriving.add(self)
-        error = self._refusal(start_line, headers)
-        if error is not None:
-            self.refuse(error)
-            if "Expect" in headers:
-                # The caller waits with the body, and must not be asked for it.
-                self._connection.finish()
-        return None
-
-    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        """Collect a part of the body."""
-        if not self._refused:
-            self._chunks.append(chunk)
-        return None
-
-    def finish(self) -> None:
-        """Start to handle the request, which is now complete."""
-        self._arriving.discard(self)
-        stream = _stream_of(self._connection)
-        if stream is not None and stream.closed():
-            # Tornado still reads requests that were buffered before the close.
-            return
-        if self._is_ending() and not self._refused:
-            # Its connection is closed before a response of the handler is sent.
-            self.refuse(WigeonspanError(ErrorKind.DRAINING, STOP_MESSAGE))
-        if self._refused:
-            self._connection.finish()
-            return
-        body = b"".join(self._chunks)
-        body_s = self._clock.now() - self._head_at
-        self._begin(self._line, self._headers, body, self._connection, body_s)
-
-    def on_connection_close(self) -> None:
-        """Forget an incomplete request, which is not handled."""
-        self._arriving.discard(self)
-
-    def refuse(self, error: WigeonspanError) -> None:
-        """Send an error response instead of handling the request.
-
-        The rest of the body is still read: a close with unread bytes would reset the
-        connection, and the caller could lose the response.
-        """
-        self._arriving.discard(self)
-        self._refused = True
-        self._chunks.clear()
-        body = encode(error.body)
-        fields = {"Content-Type": "application/json", "Connection": "close"}
-        if error.body.error.retry_after_s:
-            fields["Retry-After"] = f"{error.body.error.retry_after_s:.2f}"
-        self._connection.write_headers(
-            ResponseStartLine("HTTP/1.1", error.status, ""),
-            HTTPHeaders({**fields, "Content-Length": str(len(body))}),
-            body if self._line.method != "HEAD" else None,
-        )
