Ignore a stop signal that comes after the event loop is closed

A second SIGTERM in the last moments of a process ended it with a traceback, found by review. Cause: the handler asked a closed event loop to run the callback. Change: nothing is left to stop then, so the signal has no effect. Measured: the new test failed before (RuntimeError: Event loop is closed) and passes now.

--- a/wigeonspan/common/_signals.py
+++ b/wigeonspan/common/_signals.py
@@ -22,7 +22,9 @@
     loop = asyncio.get_running_loop()
 
     def handle(number: int, frame: object) -> None:
-        loop.call_soon_threadsafe(callback, clock.now())
+        # A signal that comes while the process ends has nothing left to stop.
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(callback, clock.now())
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, handle)
