Count the use of tenants and report each window once

Change: entries count in true time, the median of the control hosts' clocks, and repeat recent counts in each heartbeat; the leader decides a window once in the replicated log and sends the decided bytes until they are acknowledged, with its term as the fencing token.

--- /dev/null
+++ b/tests/controlstate/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicated state of control hosts."""
--- /dev/null
+++ b/tests/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of metered use."""
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -22,14 +22,20 @@
     watch_settings,
 )
 from wigeonspan.consensus import Disk, FolderDisk, LogTask, StorageError
+from wigeonspan.controlstate import (
+    ControlStateMachine,
+    DutyCommand,
+    encode_duty_command,
+)
 from wigeonspan.coordinator._cache import CommittedCache
 from wigeonspan.coordinator._group import JOIN_PATH, GroupMembership
 from wigeonspan.coordinator._handlers import BeatHandler, JoinHandler, MetricsHandler
 from wigeonspan.coordinator._heartbeats import Heartbeats
 from wigeonspan.coordinator._membership import Candidate
 from wigeonspan.coordinator._settings import CoordinatorSettings
+from wigeonspan.duties import DutyPort
 from wigeonspan.fleetconfig import (
-    ConfigStateMachine,
+    FleetConfig,
     StoredConfig,
     encode_store_command,
 )
@@ -48,6 +54,7 @@
     open_event_log,
     report_loop_errors,
 )
+from wigeonspan.usage import UsageTask, UsageTimes
 
 MAX_CLIENTS = 64
 """Maximum concurrent requests to other control hosts; a group has few members."""
@@ -90,6 +97,11 @@
         Reads the list of targets.
     make_disk : callable
         Opens a data folder.
+    make_duty_port : callable or None
+        Returns the port for calls of duties over a connection pool; None when the
+        settings name no duty.
+    read_config : callable or None
+        Decodes a configuration document; needed for duties.
     """
 
     def __init__(
@@ -100,6 +112,8 @@
         clock: Clock,
         rng: random.Random,
         make_disk: Callable[[str | Path], Disk] = FolderDisk,
+        make_duty_port: Callable[[ConnectionPool], DutyPort] | None = None,
+        read_config: Callable[[bytes], FleetConfig] | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -108,7 +122,7 @@
         self._event_log = open_event_log(settings.host, clock)
         self._metrics = ProcessMetrics()
         self._record_error = make_error_reporter(self._event_log, self._metrics)
-        self._state_machine = ConfigStateMachine()
+        self._state_machine = ControlStateMachine()
         self._pool = ConnectionPool(clock)
         self._client = make_client(MAX_CLIENTS)
         name = HostId(settings.address)
@@ -151,6 +165,13 @@
             self._metrics,
             self._heartbeats.limited_targets,
         )
+        self._read_config = read_config
+        self._decoded: FleetConfig | None = None
+        self._usage = (
+            self._make_usage_task(make_duty_port(self._pool))
+            if make_duty_port is not None and settings.duties.reports_usage
+            else None
+        )
         self._relay = Relay(
             self._heartbeats.relayed_entries, self._heartbeats.other_relays
         )
@@ -202,6 +223,7 @@
                 self._staging.run,
                 self._cache_committed_config,
                 self._run_housekeeping,
+                *((self._usage.run,) if self._usage is not None else ()),
             )
         ]
 
@@ -314,7 +336,49 @@
             why=error.message,
         )
 
+    def _make_usage_task(self, port: DutyPort) -> UsageTask:
+        duties = self._settings.duties
+        times = UsageTimes(round(duties.window_s * 1000), round(duties.due_s * 1000))
+        return UsageTask(
+            self._settings.host,
+            self._clock,
+            port,
+            self._state_machine.usage,
+            self._authority,
+            self._has_tenants,
+            self._propose_duty_command,
+            times,
+            self._event_log,
+            self._metrics,
+        )
+
+    def _has_tenants(self) -> bool:
+        """Return whether the newest committed configuration has tenants."""
+        config = self._newest_config()
+        return config is not None and config.tenants is not None
+
+    def _newest_config(self) -> FleetConfig | None:
+        """Return the newest committed configuration, decoded once for each version."""
+        stored = self.stored
+        if self._read_config is None or not stored.version:
+            return None
+        if self._decoded is None or self._decoded.version != stored.version:
+            self._decoded = self._read_config(stored.document)
+        return self._decoded
+
+    async def _propose_duty_command(self, command: DutyCommand) -> None:
+        """Commit a command about a duty.
+
+        Raises
+        ------
+        WigeonspanError
+            When it is not known to be committed.
+        """
+        await self._log.propose(encode_duty_command(command))
+
     def _receive_beat(self, beat: Beat) -> BeatReply:
+        if self._usage is not None and beat.usage is not None:
+            self._usage.record(beat.entry.host, beat.usage)
         stored = max(self.stored, self._committed_config, key=lambda c: c.version)
         return self._heartbeats.receive(
             beat,
--- a/wigeonspan/coordinator/_heartbeats.py
+++ b/wigeonspan/coordinator/_heartbeats.py
@@ -96,6 +96,7 @@
             leads=leads,
             in_group=in_group,
             quarantined=self._verdicts.missing(beat.quarantined, now),
+            wall_ms=0 if beat.usage is None else self._clock.wall_ms(),
         )
 
     def limited_targets(self) -> set[TargetId]:
--- a/wigeonspan/coordinator/_settings.py
+++ b/wigeonspan/coordinator/_settings.py
@@ -4,6 +4,7 @@
 
 from wigeonspan.common import DomainName, HostId
 from wigeonspan.consensus import BootstrapMember
+from wigeonspan.duties import DutySettings
 
 
 class CoordinatorSettings(Struct, frozen=True):
@@ -30,6 +31,8 @@
         Number of voters to maintain, which limits how many hosts may be lost.
     stop_timeout_s : float
         Seconds from the stop signal until the process is killed.
+    duties : DutySettings
+        Duties towards the platform.
     bind : str
         Address of the interface to listen on if the other addresses belong to a
         forwarder; empty if they are this host's own.
@@ -46,6 +49,7 @@
     folder: str
     wanted_voters: int
     stop_timeout_s: float = 8.0
+    duties: DutySettings = DutySettings()
     bind: str = ""
 
     @property
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -34,6 +34,7 @@
 from wigeonspan.targets import Target, TargetId, TargetTable
 from wigeonspan.tenants import ConfigFreshness
 from wigeonspan.trail import EventLog, ProcessMetrics
+from wigeonspan.usage import UsageMeter
 
 
 class GatewayContext(Struct):
@@ -52,6 +53,8 @@
     max_key_age_s : float or None
         Longest time in seconds without a confirmation for which keys are still
         accepted; None for no limit.
+    meter : UsageMeter or None
+        Counts of requests by tenant; None when use is not metered.
     tasks : set of asyncio.Task
         Background tasks; the event loop itself keeps only weak references to them.
     """
@@ -75,6 +78,7 @@
     freshness: ConfigFreshness = field(default_factory=ConfigFreshness)
     boot_clock: Clock = field(default_factory=BootClock)
     max_key_age_s: float | None = None
+    meter: UsageMeter | None = None
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def add_demand(
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -49,6 +49,7 @@
     open_event_log,
     report_loop_errors,
 )
+from wigeonspan.usage import UsageMeter
 
 HOUSEKEEPING_INTERVAL_S = 0.1
 """Seconds between two rounds of housekeeping, which flushes the log, closes idle
@@ -96,6 +97,10 @@
     max_key_age_s : float or None
         Longest time in seconds without a reply of a control host for which keys of
         tenants are still accepted; None for no limit.
+    usage_window_s : float or None
+        Length in seconds of the windows in which use is metered; None when it is not.
+    usage_due_s : float
+        Seconds after the end of a window at which its report is due.
     bind : str
         Address of the interface to listen on when a forwarder relays traffic from the
         other addresses to it; empty when they are this host's own addresses.
@@ -113,6 +118,8 @@
     retry_window_s: float
     stop_timeout_s: float = STOP_TIMEOUT_S
     max_key_age_s: float | None = None
+    usage_window_s: float | None = None
+    usage_due_s: float = 10.0
     bind: str = ""
 
 
@@ -167,6 +174,7 @@
             metrics=ProcessMetrics(),
             boot_clock=boot_clock or clock,
             max_key_age_s=settings.max_key_age_s,
+            meter=_make_meter(settings, boot_clock or clock, rng),
         )
         context = self._context
         self._record_error = make_error_reporter(event_log, context.metrics)
@@ -275,6 +283,9 @@
             max(0.0, end_at - self._clock.now()),
             lambda: self._server.log_open_requests(signalled_at),
         )
+        if self._context.meter is not None:
+            # The counts of the last requests are not in any heartbeat yet.
+            await self._heartbeats.send_now()
         # A request that came later would wait unread until the process has ended.
         await self._front_server.close()
         for task in self._tasks:
@@ -328,6 +339,10 @@
         """Process what a reply says besides the configuration and the entries."""
         if reply.in_group and self._context.config.version >= reply.config_version:
             self._context.freshness.record_confirmation(sent_at)
+        if self._context.meter is not None and reply.wall_ms:
+            self._context.meter.record_clock(
+                address, reply.wall_ms, sent_at, received_at
+            )
 
     def _make_heartbeat(self, digest: str, wants_changes: bool, relay: str) -> Beat:
         settings = self._settings
@@ -345,6 +360,7 @@
             relay,
             limited=sorted(context.placer.limits.rates),
             quarantined=context.quarantine.verdicts(self._clock.now()),
+            usage=None if context.meter is None else context.meter.share(),
         )
 
     def _update_entries(self, entries: list[EntryInfo]) -> None:
@@ -445,6 +461,16 @@
         return context.metrics.text()
 
 
+def _make_meter(
+    settings: GatewaySettings, clock: Clock, rng: random.Random
+) -> UsageMeter | None:
+    """Return the meter of use, or None when use is not metered."""
+    if settings.usage_window_s is None:
+        return None
+    incarnation = f"{rng.getrandbits(64):016x}"
+    return UsageMeter(incarnation, settings.usage_window_s, settings.usage_due_s, clock)
+
+
 async def run_gateway(
     make: Callable[[Clock, random.Random], Gateway],
     read_settings: Callable[[], GatewaySettings],
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from wigeonspan.common import ErrorKind, WigeonspanError
+from wigeonspan.common import ErrorKind, TenantName, WigeonspanError
 from wigeonspan.gateway._active_request import ActiveRequest
 from wigeonspan.gateway._attempt import active_send, receive_head, with_timeout
 from wigeonspan.gateway._messages import SendOptions, TargetOutcome
@@ -49,6 +49,8 @@
         self._run_count = 0
         self._failure: _CompleteResponse | None = None
         self._has_response = False
+        # Tenant and true time for which the call is counted.
+        self._metered: tuple[TenantName, int] | None = None
         prompt = active_request.request.prompt
         parts = prompt.shared_parts if prompt is not None else ()
         self._shared_parts = tuple(part.part for part in parts)
@@ -238,6 +240,7 @@
             ) as sent:
                 exchange = sent.exchange
                 self._send_count += 1
+                self._record_run(access)
                 head = await receive_head(context, target, sent, remaining_s)
                 outcome = context.protocol.read_outcome(head)
                 if outcome is TargetOutcome.UNREADABLE:
@@ -257,6 +260,7 @@
         took_ms = (context.clock.now() - now) * 1000.0
         if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
             self._run_count -= 1
+            self._withdraw_run()
             self._log_event("not_run", target.target, status=head.status)
             if outcome is TargetOutcome.WRONG_TARGET:
                 context.record_failure(
@@ -275,6 +279,20 @@
         )
         return _CompleteResponse(head, body)
 
+    def _record_run(self, access: Access | None) -> None:
+        """Count the call for its tenant; a target takes it as soon as it is sent."""
+        meter = self._active_request.context.meter
+        tenant = None if access is None else access.tenant
+        if meter is not None and tenant is not None and self._metered is None:
+            self._metered = tenant, meter.begin(tenant)
+
+    def _withdraw_run(self) -> None:
+        """Withdraw the count of the call when no target has run it."""
+        meter = self._active_request.context.meter
+        if meter is not None and self._metered is not None and not self._run_count:
+            meter.withdraw(*self._metered)
+            self._metered = None
+
     def _may_send_again(self) -> bool:
         """Return whether to send again; take a retry from the retry budget."""
         if self._run_count and not self._active_request.route.repeatable:
--- a/wigeonspan/gateway/_progress.py
+++ b/wigeonspan/gateway/_progress.py
@@ -65,6 +65,8 @@
         self.is_trial = False
         self.sent_head: Head | None = None
         self.runs = OpenRuns()
+        self._access = active_request.access
+        self._is_metered = False
 
     @property
     def context(self) -> GatewayContext:
@@ -81,7 +83,16 @@
 
         See :meth:`ActiveRequest.check_access`.
         """
-        return self.active_request.check_access(ran=self.run_count > 0)
+        self._access = self.active_request.check_access(ran=self.run_count > 0)
+        return self._access
+
+    def record_run(self) -> None:
+        """Count the first run of the request for its tenant."""
+        meter = self.context.meter
+        tenant = None if self._access is None else self._access.tenant
+        if meter is not None and tenant is not None and not self._is_metered:
+            self._is_metered = True
+            meter.begin(tenant)
 
     def check_quarantine(self) -> None:
         """Check before each send whether a part of the prompt is quarantined.
--- a/wigeonspan/gateway/_relay.py
+++ b/wigeonspan/gateway/_relay.py
@@ -282,6 +282,7 @@
             return
         took_s = now - run.started_at
         run.first_event_at = now
+        self._progress.record_run()
         context.record_written(self._progress.shared_parts)
         context.metrics.observe(
             "first_event_seconds", now - self._progress.active_request.arrived_at
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -8,6 +8,7 @@
 from wigeonspan.common import DomainName, HostId, ServiceName
 from wigeonspan.quarantine import PartQuarantined
 from wigeonspan.targets import TargetId
+from wigeonspan.usage import UsageShare
 
 BEAT_PATH = "/internal/v1/beat"
 """Path of heartbeats at a control host."""
@@ -69,6 +70,8 @@
         Targets that limit their requests.
     quarantined : list of PartQuarantined
         Verdicts of the quarantine that the entry holds.
+    usage : UsageShare or None
+        Use that the entry has counted; None when use is not metered.
     """
 
     entry: EntryInfo
@@ -80,6 +83,7 @@
     relay: str = ""
     limited: list[TargetId] = []
     quarantined: list[PartQuarantined] = []
+    usage: UsageShare | None = None
 
 
 class BeatReply(Struct, frozen=True):
@@ -107,6 +111,8 @@
         a majority. Otherwise it gets no new configuration.
     quarantined : list of PartQuarantined
         Verdicts of other entries that the entry does not hold.
+    wall_ms : int
+        Wall-clock time of the control host in milliseconds; 0 when use is not metered.
     """
 
     config_version: int
@@ -119,3 +125,4 @@
     leads: bool = True
     in_group: bool = True
     quarantined: list[PartQuarantined] = []
+    wall_ms: Annotated[int, Meta(ge=0, le=2**53)] = 0
