Divide the placer by duty: order, estimate, choice, refusal

Change: modules for the order of work, the estimate of an engine, the choice and the refusals; Placer only joins them. Random numbers are drawn in the same order.

--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -17,7 +17,7 @@
     Work,
     WorkKind,
 )
-from wigeonspan.placing._placer import LATE_URGENCY
+from wigeonspan.placing._order import LATE_URGENCY
 from wigeonspan.targets import Phase, Target, TargetId
 
 SERVICE = ServiceName("models")
--- a/wigeonspan/placing/__init__.py
+++ b/wigeonspan/placing/__init__.py
@@ -1,5 +1,6 @@
 """Placement of requests on targets, decided without I/O."""
 
+from wigeonspan.placing._choice import CALL_MS, DIRECT_SLOWDOWN
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import Work, WorkKind, WorkLedger
 from wigeonspan.placing._messages import (
@@ -11,7 +12,7 @@
     Refusal,
 )
 from wigeonspan.placing._patience import abandon_after_s
-from wigeonspan.placing._placer import CALL_MS, DIRECT_SLOWDOWN, Placer
+from wigeonspan.placing._placer import Placer
 from wigeonspan.placing._prefixes import CachedPrefixes
 from wigeonspan.placing._readings import PrefillSteps
 from wigeonspan.placing._retries import RetryBudget
--- /dev/null
+++ b/wigeonspan/placing/_refusals.py
@@ -0,0 +1,59 @@
+"""Refusals of requests, and when to come back."""
+
+import random
+from collections.abc import Collection, Sequence
+
+from wigeonspan.fleetconfig import Route
+from wigeonspan.placing._eligible import EligibleTargets
+from wigeonspan.placing._messages import Limit, Plan, Refusal
+from wigeonspan.ratelimits import SharedRateLimits
+from wigeonspan.targets import Phase, Target, TargetId
+
+NO_ENGINE_RETRY_S = 1.0
+"""Seconds after which a request that finds no engine may be retried; replaced engines
+are listed again within about that time."""
+
+
+class Refusals:
+    """Make refusals with a time at which there will be room.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of jitter, so that callers do not come back together.
+    """
+
+    def __init__(
+        self, rng: random.Random, eligible: EligibleTargets, limits: SharedRateLimits
+    ) -> None:
+        self._rng = rng
+        self._eligible = eligible
+        self._limits = limits
+
+    def without_engine(
+        self, targets: Sequence[Target], excluded: Collection[TargetId], now: float
+    ) -> Refusal:
+        """Return the refusal of a request when one of the phases has no engine."""
+        remaining = [t for t in targets if t.target not in excluded]
+        prefill = [t for t in remaining if t.phase is Phase.PREFILL]
+        decode = [t for t in remaining if t.phase is not Phase.PREFILL]
+        after_s = max(
+            self._eligible.return_after_s(group, now) for group in (prefill, decode)
+        )
+        if any(t.target in self._limits.rates for t in remaining):
+            reason = "engines take no more requests"
+            return Refusal(Limit.RATE, reason, after_s or NO_ENGINE_RETRY_S)
+        reason = "no engine is available"
+        return Refusal(Limit.NO_ENGINE, reason, after_s or NO_ENGINE_RETRY_S)
+
+    def late(self, limit: Limit, reason: str, plan: Plan, route: Route) -> Refusal:
+        """Return the refusal of a request whose first event would be too late."""
+        if plan.awaits_slot:
+            limit, reason = Limit.SLOTS, f"{reason}, no slot is free"
+        after_s = self.retry_after_s(plan, route)
+        return Refusal(limit, reason, after_s, plan.work_ms)
+
+    def retry_after_s(self, plan: Plan, route: Route) -> float:
+        """Return the seconds after which to retry a refused request, with jitter."""
+        over_s = max(0.1, plan.first_ms / 1000.0 - route.objective_s)
+        return over_s * (0.7 + 0.6 * self._rng.random())
