--- a/tests/scaling/test_task.py
+++ b/tests/scaling/test_task.py
@@ -125,6 +125,15 @@
     assert len(world.platform.calls) == calls, "nothing is ordered without a reason"
 
 
+def test_replicas_whose_phase_is_changing_are_present():
+    """At the start most phases change, and the fleet was planned without those."""
+    world = World()
+    world.table.update(world.platform.listing(), world.clock.now())
+    world.table.set_switching([t.target for t in world.table.all()][:20])
+    world.run(14)
+    assert world.wanted(False) + world.wanted(True) == 32
+
+
 @pytest.mark.parametrize("outcome", [DutyOutcome.UNKNOWN, DutyOutcome.BUSY])
 def test_calls_without_an_answer_are_repeated(outcome):
     """The platform was down for seconds when the first orders were due."""
--- a/wigeonspan/scaling/_task.py
+++ b/wigeonspan/scaling/_task.py
@@ -135,7 +135,8 @@
         if not targets:
             return
         state.domains |= {t.domain for t in targets} | set(spec.domain_prices)
-        present = _count(self._targets.usable(service), state.domains)
+        # A replica whose phase is changing is present too.
+        present = _count([t for t in targets if not t.leaving], state.domains)
         leaving = {t.domain for t in targets if t.leaving and t.reclaimable}
         for domain in leaving - set(state.unavailable_until):
             state.unavailable_until[domain] = now + UNAVAILABLE_S
