Plan a reserve in both phases of an elastic fleet

Change: 1.5 times the replicas found until demand is known, if reclaimable ones cost at most half; slots planned at 0.4; both phases get the same reserve in services whose replicas are ordered; nothing is released while the number found still grows.

--- a/tests/staging/test_plan.py
+++ b/tests/staging/test_plan.py
@@ -173,3 +173,44 @@
     demand = EngineDemand(5.0, 200.0, 200.0, True)
     changes = allowed_changes(fleet, demand, 100.0)
     assert next_changes(fleet, demand, changes) == []
+
+
+def test_elastic_fleet_has_the_same_reserve_in_both_phases():
+    """A burst of streams came while most of the reserve could only prefill.
+
+    Changing engines in the burst takes them out of service for seconds, so an elastic
+    fleet changes them before.
+    """
+    fleet = engines(*[P] * 38, *[D] * 7)
+    demand = EngineDemand(9.0, 265.0, recent_streams=265.0)
+    changes = next_changes(fleet, demand, 99, elastic=True)
+    decoding = 7 + len(changes)
+    slot_load = 265.0 / fleet[0].slots / decoding
+    prefill_load = 9.0 / (45 - decoding)
+    assert abs(slot_load - prefill_load) < 0.06
+    assert {phase for _, phase in changes} == {Phase.DECODE}
+
+
+def test_elastic_fleet_does_not_follow_small_differences():
+    """Each change takes an engine out of service, so waves must not cause any."""
+    fleet = engines(*[P] * 31, *[D] * 14)
+    for streams in (230.0, 265.0, 300.0):
+        demand = EngineDemand(9.0, streams, recent_streams=streams)
+        assert next_changes(fleet, demand, 99, elastic=True) == []
+
+
+@pytest.mark.parametrize("streams", [0.0, 1e6])
+def test_elastic_fleet_keeps_both_phases(streams):
+    """Without an engine of a phase, nothing is served."""
+    fleet = engines(*[P] * 6, *[D] * 6)
+    demand = EngineDemand(3.0, streams, recent_streams=streams)
+    changes = next_changes(fleet, demand, 99, elastic=True)
+    assert len(changes) <= 4
+
+
+def test_elastic_fleet_changes_few_engines_together():
+    """The others have to take over the work of those that change."""
+    fleet = engines(*[P] * 30, *[D] * 10)
+    demand = EngineDemand(9.0, 100.0, recent_streams=100.0)
+    assert allowed_changes(fleet, demand, 60.0, elastic=True) == 5
+    assert allowed_changes(fleet, demand, 1.0, elastic=True) == 0
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -14,6 +14,7 @@
     DomainName,
     ErrorKind,
     HostId,
+    ServiceName,
     WigeonspanError,
     bind_address,
     keep_running,
@@ -165,6 +166,7 @@
             meter,
             self._metrics,
             self._heartbeats.limited_targets,
+            self._is_elastic,
         )
         self._read_config = read_config
         self._decoded: FleetConfig | None = None
@@ -372,6 +374,12 @@
         config = self._newest_config()
         return config is not None and config.tenants is not None
 
+    def _is_elastic(self, service: ServiceName) -> bool:
+        """Return whether the number of a service's replicas is ordered by demand."""
+        config = self._newest_config() if self._scaling is not None else None
+        spec = None if config is None else config.service(service)
+        return spec is not None and spec.scaling is not None
+
     def _newest_config(self) -> FleetConfig | None:
         """Return the newest committed configuration, decoded once for each version."""
         stored = self.stored
--- a/wigeonspan/scaling/_demand.py
+++ b/wigeonspan/scaling/_demand.py
@@ -15,8 +15,10 @@
 finds an idle engine among five with a probability of 0.99, and with 0.92 when demand
 rises to 1.5 times its mean while a new replica boots."""
 
-PLANNED_SLOT_LOAD = 0.7
-"""Planned share of the slots of decode engines in use."""
+PLANNED_SLOT_LOAD = 0.4
+"""Planned share of the slots of decode engines in use. Streams take their slots for
+seconds, so that a burst to 2.5 times the demand needs as many slots at once; changing
+the phase of an engine takes longer than the burst has time."""
 
 URGENT_SHARE = 0.6
 """Share of the demand that is planned for as urgent."""
@@ -25,6 +27,15 @@
 """Minimum number of engines for prefill, and for decoding, so that a service survives
 the loss of one."""
 
+UNKNOWN_DEMAND_FACTOR = 1.5
+"""Multiple of the replicas found that is planned before the demand is known, if
+reclaimable ones cost less than ``CHEAP_PRICE``. The first demand is measured after
+seconds, and the leader may be lost in them."""
+
+CHEAP_PRICE = 0.5
+"""Relative price of a reclaimable replica up to which a fleet of 1.5 times the size
+costs less than the one found, with a third of it as ordinary replicas."""
+
 HOLD_S = 30.0
 """Seconds for which a lower need must hold, about two waves of demand."""
 
@@ -47,6 +58,23 @@
     return FleetNeed(engines(1.0, PLANNED_PREFILL_LOAD), engines(URGENT_SHARE, 1.0))
 
 
+def assumed_need(found_total: int, reclaimable_price: float) -> FleetNeed:
+    """Return the engines to plan before the demand is known.
+
+    Parameters
+    ----------
+    found_total : int
+        Replicas that the service had before the first order.
+    reclaimable_price : float
+        Price of a reclaimable replica relative to an ordinary one.
+    """
+    urgent = round(found_total * URGENT_SHARE * PLANNED_PREFILL_LOAD)
+    urgent = max(2 * MIN_ENGINES_OF_PHASE, urgent)
+    if reclaimable_price > CHEAP_PRICE:
+        return FleetNeed(found_total, urgent)
+    return FleetNeed(math.ceil(found_total * UNKNOWN_DEMAND_FACTOR), urgent)
+
+
 class PeakDemand:
     """Largest need of the last ``HOLD_S`` seconds."""
 
--- a/wigeonspan/scaling/_ledger.py
+++ b/wigeonspan/scaling/_ledger.py
@@ -42,7 +42,8 @@
         key = (order.service, order.domain, order.reclaimable)
         self._orders.pop(key, None)
         self._orders[key] = order
-        self._found_totals.setdefault(order.service, command.found_total)
+        found = self._found_totals.get(order.service, 0)
+        self._found_totals[order.service] = max(found, command.found_total)
         if len(self._orders) > MAX_ORDERS:
             oldest = next(iter(self._orders))
             del self._orders[oldest]
@@ -51,9 +52,17 @@
         return order
 
     def found_total(self, service: ServiceName, present: FleetPlan) -> int:
-        """Return the replicas that a service had before the first order."""
-        now_present = sum(fleet.total for fleet in present.values())
-        return self._found_totals.get(service, now_present)
+        """Return the replicas that a service had before the first order.
+
+        A list may show them one after the other, so that the number grows until an
+        order has changed them.
+        """
+        found = self._found_totals.get(service, 0)
+        if any(name == service and not kind for name, _, kind in self._orders):
+            return found
+        if not found:
+            return sum(fleet.total for fleet in present.values())
+        return max(found, sum(fleet.kept for fleet in present.values()))
 
     def ordered(self, service: ServiceName, present: FleetPlan) -> FleetPlan:
         """Return the numbers ordered last, or those present where none was ordered."""
--- a/wigeonspan/scaling/_task.py
+++ b/wigeonspan/scaling/_task.py
@@ -9,7 +9,7 @@
 from wigeonspan.common import Clock, DomainName, HostId, ServiceName, WigeonspanError
 from wigeonspan.duties import DutyOutcome, DutyPort, ReplicaOrder
 from wigeonspan.fleetconfig import FleetConfig, ScalingSpec
-from wigeonspan.scaling._demand import PeakDemand, needed_engines
+from wigeonspan.scaling._demand import PeakDemand, assumed_need, needed_engines
 from wigeonspan.scaling._ledger import ScalingLedger
 from wigeonspan.scaling._messages import (
     DomainFleet,
@@ -35,6 +35,10 @@
 RETRY_S = 2.0
 """Seconds after which an order that is not acknowledged is sent again."""
 
+STABLE_S = 3.0
+"""Seconds for which the number of replicas found must not change before any of them is
+released; the list shows those that start one after the other."""
+
 LIST_LAG_S = 3.0
 """Seconds after the boot time in which the list must show the result of an order: the
 lag of the list, the interval of its reads and the time of a late answer."""
@@ -50,6 +54,8 @@
 class _ServiceState(Struct):
     peak: PeakDemand = field(default_factory=PeakDemand)
     released_at: float = float("-inf")
+    found_total: int = 0
+    found_at: float = float("-inf")
     domains: set[DomainName] = field(default_factory=set)
     unavailable_until: dict[DomainName, float] = field(default_factory=dict)
     plan: FleetPlan = field(default_factory=dict)
@@ -145,11 +151,14 @@
                 del state.unavailable_until[domain]
         ordered = self._ledger.ordered(service, present)
         found_total = self._ledger.found_total(service, present)
-        need = self._need(service, state, targets, found_total)
+        if found_total != state.found_total:
+            state.found_total, state.found_at = found_total, now
+        need = self._need(service, spec, state, targets)
         plan = plan_fleet(spec, state.domains, need, state.unavailable_until)
         self._log_plan(service, state, plan, present, need)
         paced = self._meter.has_traffic(service)
-        may_release = not leaving and (
+        is_stable = now - state.found_at >= STABLE_S and not leaving
+        may_release = is_stable and (
             not paced or now - state.released_at >= RELEASE_INTERVAL_S
         )
         step = next_step(plan, present, ordered, may_release=may_release, paced=paced)
@@ -171,22 +180,19 @@
     def _need(
         self,
         service: ServiceName,
+        spec: ScalingSpec,
         state: _ServiceState,
         targets: list[Target],
-        found_total: int,
     ) -> FleetNeed:
-        """Return the engines needed; as many as were found until demand is known."""
+        """Return the engines needed; an assumption until demand is known."""
         now = self._clock.now()
         demand = self._meter.demand(service, now)
         slots = max(1, median_low([t.slots for t in targets]))
-        found = FleetNeed(found_total, _urgent_before_demand(found_total))
+        assumed = assumed_need(state.found_total, spec.reclaimable_price)
         if demand is None:
-            return state.peak.record(found, now)
+            return state.peak.record(assumed, now)
         if not demand.is_settled:
-            need = needed_engines(demand, slots)
-            return FleetNeed(
-                max(need.total, found.total), max(need.urgent, found.urgent)
-            )
+            state.peak.record(assumed, now)
         return state.peak.record(needed_engines(demand, slots), now)
 
     async def _order_if_due(
@@ -290,12 +296,6 @@
         )
 
 
-def _urgent_before_demand(total: int) -> int:
-    """Return the engines kept for urgent requests before the demand is known."""
-    demand_share = 0.6 * 0.4
-    return max(4, round(total * demand_share))
-
-
 def _count(targets: list[Target], domains: set[DomainName]) -> FleetPlan:
     """Return the replicas by domain and kind."""
     return {
--- a/wigeonspan/staging/_plan.py
+++ b/wigeonspan/staging/_plan.py
@@ -54,6 +54,11 @@
 demand is known; an engine has many slots but runs one prefill at a time."""
 
 
+MIN_IMBALANCE_SHARE = 8
+"""One in this number of engines may be in the wrong phase before phases of an elastic
+service are balanced; smaller differences are noise."""
+
+
 def initial_decode_engines(engines: int, slots: int) -> int:
     """Return the number of decode engines before any demand is known.
 
@@ -113,12 +118,43 @@
     return min(max_decode, max(1, min_decode if desired < decoding else 1, desired))
 
 
+def balanced_decode_engines(
+    engines: int, decoding: int, demand: EngineDemand, slots: int
+) -> int:
+    """Return the number of decode engines that gives both phases the same reserve.
+
+    It answers bursts at a service whose engines are ordered for them: a phase change
+    takes longer than a burst has time, so the reserve must be in place before.
+
+    Parameters
+    ----------
+    engines, decoding : int
+        Number of engines, and of those that are decode engines now.
+    slots : int
+        Maximum number of concurrent streams of an engine.
+    """
+    if engines < 2 * MIN_DECODE_ENGINES:
+        return desired_decode_engines(engines, decoding, slots, demand)
+    for_streams = max(demand.streams, demand.recent_streams) / slots
+    busy = for_streams + demand.busy_prefill_engines
+    balanced = round(engines * for_streams / busy) if busy else decoding
+    limit = engines - MIN_DECODE_ENGINES
+    balanced = max(MIN_DECODE_ENGINES, min(limit, balanced))
+    if abs(balanced - decoding) <= engines // MIN_IMBALANCE_SHARE:
+        return decoding
+    return balanced
+
+
 def _is_short(decoding: int, slots: int, demand: EngineDemand) -> bool:
     return demand.recent_streams > SHORTAGE_LOAD * decoding * slots
 
 
 def allowed_changes(
-    targets: Sequence[Target], demand: EngineDemand | None, idle_s: float
+    targets: Sequence[Target],
+    demand: EngineDemand | None,
+    idle_s: float,
+    *,
+    elastic: bool = False,
 ) -> int:
     """Return how many engines of a service may change their phase together.
 
@@ -130,6 +166,9 @@
         Demand of the service; None before there is traffic.
     idle_s : float
         Seconds since the last change of the service began.
+    elastic : bool
+        Whether engines are ordered with the demand, so that there is a reserve that may
+        change.
     """
     if demand is None:
         return MAX_INITIAL_CHANGES if idle_s >= CHANGE_INTERVAL_S else 0
@@ -139,7 +178,7 @@
         return max(1, int(prefill * SHORTAGE_CHANGE_SHARE))
     if not demand.is_settled or idle_s < CHANGE_INTERVAL_S:
         return 0
-    return MAX_CONCURRENT_CHANGES
+    return len(targets) // MIN_IMBALANCE_SHARE if elastic else MAX_CONCURRENT_CHANGES
 
 
 def _slots(targets: Sequence[Target]) -> int:
@@ -152,17 +191,29 @@
 
 
 def next_changes(
-    targets: Sequence[Target], demand: EngineDemand | None, max_changes: int
+    targets: Sequence[Target],
+    demand: EngineDemand | None,
+    max_changes: int,
+    *,
+    elastic: bool = False,
 ) -> list[tuple[Target, Phase]]:
     """Return the phase changes that are due, at most ``max_changes``.
 
     Engines are taken from the failure domain with the most engines of the old phase, so
     that both phases stay spread over the domains.
+
+    Parameters
+    ----------
+    elastic : bool
+        Whether engines are ordered with the demand.
     """
     engines = [t for t in targets if t.phase is not Phase.NONE]
     slots = _slots(engines)
     decoding = sum(1 for t in engines if t.phase is Phase.DECODE)
-    desired = desired_decode_engines(len(engines), decoding, slots, demand)
+    if elastic and demand is not None:
+        desired = balanced_decode_engines(len(engines), decoding, demand, slots)
+    else:
+        desired = desired_decode_engines(len(engines), decoding, slots, demand)
     phases = {t.target: t.phase for t in engines}
     changes: list[tuple[Target, Phase]] = []
     while len(changes) < max_changes:
--- a/wigeonspan/staging/_task.py
+++ b/wigeonspan/staging/_task.py
@@ -81,6 +81,8 @@
     limited_targets : callable
         Returns the engines that limit their requests. They run few streams or prompts,
         so others must make up for them.
+    is_elastic : callable
+        Whether the engines of a service are ordered with the demand.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         meter: DemandMeter,
         metrics: ProcessMetrics,
         limited_targets: Callable[[], Collection[TargetId]] = tuple,
+        is_elastic: Callable[[ServiceName], bool] = lambda service: False,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -104,6 +107,7 @@
         self._meter = meter
         self._metrics = metrics
         self._limited_targets = limited_targets
+        self._is_elastic = is_elastic
         self._target_table = TargetTable()
         self._changes: dict[TargetId, PhaseChange] = {}
         self._changed_at: dict[ServiceName, float] = {}
@@ -178,8 +182,11 @@
             if demand is None and not self._may_set_initial_phases(service):
                 continue
             idle_s = now - self._changed_at.get(service, float("-inf"))
-            max_changes = allowed_changes(targets, demand, idle_s)
-            for target, phase in next_changes(targets, demand, max_changes):
+            elastic = self._is_elastic(service)
+            max_changes = allowed_changes(targets, demand, idle_s, elastic=elastic)
+            for target, phase in next_changes(
+                targets, demand, max_changes, elastic=elastic
+            ):
                 self._changed_at[service] = now
                 self._changes[target.target] = PhaseChange(target, phase, now)
                 self._event_log.write(
