Plan the ordinary replicas from the demand of the most urgent requests

Change: entries report the demand of the most urgent priority level of services whose replicas may be ordered, and the plan keeps engines for it at a load of 0.8; until it is known, 0.6 of all demand counts as before.

--- a/tests/scaling/test_plan.py
+++ b/tests/scaling/test_plan.py
@@ -134,6 +134,14 @@
     assert need.urgent < need.total / 2
 
 
+def test_urgent_requests_are_planned_from_their_own_demand():
+    """Engines for all kinds of request were kept when only a few needed them."""
+    demand = EngineDemand(9.0, 265.0, 265.0)
+    assumed = needed_engines(demand, 64).urgent
+    known = needed_engines(demand, 64, EngineDemand(2.0, 120.0, 120.0)).urgent
+    assert known == 3 + 3 and known < assumed
+
+
 def test_service_has_both_phases_however_small_its_demand():
     """With one engine for a phase, its loss would stop the service."""
     need = needed_engines(EngineDemand(0.1, 0.1), 64)
--- a/tests/scaling/test_task.py
+++ b/tests/scaling/test_task.py
@@ -73,7 +73,7 @@
         self.machine = ControlStateMachine()
         self.fence = 1
         self.table = TargetTable()
-        self.meter = DemandMeter()
+        self.meter, self.urgent_meter = DemandMeter(), DemandMeter()
         spec = ScalingSpec(1, 15, BOOT_S, 0.18, dict.fromkeys(DOMAINS, 1.0))
         service = ServiceSpec(SERVICE, "/", 10, None, spec if scaling else None)
         self.config = FleetConfig(1, (), (service,))
@@ -93,6 +93,7 @@
             propose,
             self.table,
             self.meter,
+            self.urgent_meter,
             NullRecorder(),
             ProcessMetrics(),
         )
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -170,6 +170,7 @@
         )
         self._read_config = read_config
         self._decoded: FleetConfig | None = None
+        self._urgent_meter = DemandMeter()
         self._usage: UsageTask | None = None
         self._scaling: ScalingTask | None = None
         if make_duty_port is not None:
@@ -365,6 +366,7 @@
                 self._propose_duty_command,
                 self._staging.targets,
                 meter,
+                self._urgent_meter,
                 self._event_log,
                 self._metrics,
             )
@@ -400,6 +402,10 @@
         await self._log.propose(encode_duty_command(command))
 
     def _receive_beat(self, beat: Beat) -> BeatReply:
+        for service, read_ms in beat.urgent_read_ms.items():
+            stream_s = beat.urgent_stream_s.get(service, 0.0)
+            now = self._clock.now()
+            self._urgent_meter.record(beat.entry.host, service, read_ms, stream_s, now)
         if self._usage is not None and beat.usage is not None:
             self._usage.record(beat.entry.host, beat.usage)
         stored = max(self.stored, self._committed_config, key=lambda c: c.version)
--- a/wigeonspan/gateway/_config.py
+++ b/wigeonspan/gateway/_config.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from wigeonspan.common import WigeonspanError
+from wigeonspan.common import ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import FleetConfig, RouteTable, StoredConfig
 from wigeonspan.tenants import KeyTable
 from wigeonspan.trail import EventLog
@@ -27,6 +27,8 @@
         self._config: FleetConfig | None = None
         self._table: RouteTable | None = None
         self._keys: KeyTable | None = None
+        # Most urgent priority level of services whose replicas may be ordered.
+        self._urgent_levels: dict[ServiceName, int] = {}
 
     @property
     def version(self) -> int:
@@ -48,6 +50,13 @@
         """Keys in force; None when requests need no key."""
         return self._keys
 
+    def most_urgent_priority(self, service: ServiceName) -> int | None:
+        """Return the most urgent level of the routes of a service.
+
+        None when the number of its replicas is fixed, so that nobody asks.
+        """
+        return self._urgent_levels.get(service)
+
     def offer(self, stored: StoredConfig, source: str) -> bool:
         """Apply a committed configuration if it is newer and readable.
 
@@ -73,6 +82,7 @@
         before = self.version
         self._config, self._table = config, RouteTable(config)
         self._keys = None if config.tenants is None else KeyTable(config.tenants)
+        self._urgent_levels = _most_urgent_levels(config)
         self._event_log.write(
             "config",
             "config_in_force",
@@ -81,3 +91,14 @@
             source=source,
         )
         return True
+
+
+def _most_urgent_levels(config: FleetConfig) -> dict[ServiceName, int]:
+    levels: dict[ServiceName, int] = {}
+    scaled = {s.name for s in config.services if s.scaling is not None}
+    for route in config.routes:
+        for share in route.services:
+            if share.service in scaled:
+                level = levels.get(share.service, route.priority)
+                levels[share.service] = min(level, route.priority)
+    return levels
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -46,6 +46,8 @@
         Engine time of prefills in milliseconds since the start, by service.
     stream_s : dict
         Total duration of all streams in seconds since the start, by service.
+    urgent_read_ms, urgent_stream_s : dict
+        The same of the most urgent requests of services whose replicas may be ordered.
     freshness : ConfigFreshness
         When a control host last confirmed the configuration.
     boot_clock : Clock
@@ -72,6 +74,8 @@
     metrics: ProcessMetrics
     read_ms: dict[ServiceName, float] = {}
     stream_s: dict[ServiceName, float] = {}
+    urgent_read_ms: dict[ServiceName, float] = {}
+    urgent_stream_s: dict[ServiceName, float] = {}
     quarantine: PromptQuarantine = field(default_factory=PromptQuarantine)
     durations: DurationForecast = field(default_factory=DurationForecast)
     stop: StopWindow = field(default_factory=StopWindow)
@@ -82,11 +86,21 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def add_demand(
-        self, service: ServiceName, *, read_ms: float = 0.0, stream_s: float = 0.0
+        self,
+        service: ServiceName,
+        priority: int,
+        *,
+        read_ms: float = 0.0,
+        stream_s: float = 0.0,
     ) -> None:
         """Add the work of a generation to the totals of its service."""
         self.read_ms[service] = self.read_ms.get(service, 0.0) + read_ms
         self.stream_s[service] = self.stream_s.get(service, 0.0) + stream_s
+        most_urgent = self.config.most_urgent_priority(service)
+        if most_urgent is not None and priority <= most_urgent:
+            read, stream = self.urgent_read_ms, self.urgent_stream_s
+            read[service] = read.get(service, 0.0) + read_ms
+            stream[service] = stream.get(service, 0.0) + stream_s
 
     def has_fresh_keys(self) -> bool:
         """Return whether keys may be checked against the configuration in force."""
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -361,6 +361,8 @@
             limited=sorted(context.placer.limits.rates),
             quarantined=context.quarantine.verdicts(self._clock.now()),
             usage=None if context.meter is None else context.meter.share(),
+            urgent_read_ms=context.urgent_read_ms,
+            urgent_stream_s=context.urgent_stream_s,
         )
 
     def _update_entries(self, entries: list[EntryInfo]) -> None:
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -123,7 +123,8 @@
         """Count the engine time of a prefill as demand of the service."""
         context, now = self._progress.context, self._progress.context.clock.now()
         read_ms = work_ms * context.placer.ledger.median_slowness(now)
-        context.add_demand(self._progress.active_request.service, read_ms=read_ms)
+        request = self._progress.active_request
+        context.add_demand(request.service, request.priority, read_ms=read_ms)
 
     def _add_refused_demand(self, refusal: Refusal) -> None:
         """Count what a request that was refused for lack of slots would have taken.
@@ -134,8 +135,10 @@
         if not refusal.lacks_decode:
             return
         self._add_prefill_demand(refusal.work_ms)
+        request = self._progress.active_request
         self._progress.context.add_demand(
-            self._progress.active_request.service,
+            request.service,
+            request.priority,
             stream_s=self._progress.context.placer.slots.stream_s,
         )
 
--- a/wigeonspan/gateway/_relay.py
+++ b/wigeonspan/gateway/_relay.py
@@ -85,7 +85,8 @@
                 context.placer.slots.record_stream(run.plan.urgency, duration_s)
         finally:
             stream_s = context.clock.now() - run.started_at
-            context.add_demand(self._progress.active_request.service, stream_s=stream_s)
+            request = self._progress.active_request
+            context.add_demand(request.service, request.priority, stream_s=stream_s)
         return True
 
     def _is_first_answer(self, caller: ResponseWriter, run: OpenRun) -> bool:
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -72,6 +72,9 @@
         Verdicts of the quarantine that the entry holds.
     usage : UsageShare or None
         Use that the entry has counted; None when use is not metered.
+    urgent_read_ms, urgent_stream_s : dict
+        Like ``read_ms`` and ``stream_s`` for the most urgent requests of services whose
+        replicas may be ordered.
     """
 
     entry: EntryInfo
@@ -84,6 +87,8 @@
     limited: list[TargetId] = []
     quarantined: list[PartQuarantined] = []
     usage: UsageShare | None = None
+    urgent_read_ms: dict[ServiceName, _Total] = {}
+    urgent_stream_s: dict[ServiceName, _Total] = {}
 
 
 class BeatReply(Struct, frozen=True):
--- a/wigeonspan/scaling/_demand.py
+++ b/wigeonspan/scaling/_demand.py
@@ -21,7 +21,12 @@
 the phase of an engine takes longer than the burst has time."""
 
 URGENT_SHARE = 0.6
-"""Share of the demand that is planned for as urgent."""
+"""Share of the demand that counts as urgent until the demand of the most urgent
+requests is known."""
+
+URGENT_LOAD = 0.8
+"""Planned load of the engines that remain for the most urgent requests when others are
+reclaimed; a boot time later there are more."""
 
 MIN_ENGINES_OF_PHASE = 2
 """Minimum number of engines for prefill, and for decoding, so that a service survives
@@ -40,22 +45,33 @@
 """Seconds for which a lower need must hold, about two waves of demand."""
 
 
-def needed_engines(demand: EngineDemand, slots: int) -> FleetNeed:
+def needed_engines(
+    demand: EngineDemand, slots: int, urgent: EngineDemand | None = None
+) -> FleetNeed:
     """Return the engines that a demand needs.
 
     Parameters
     ----------
     slots : int
         Maximum number of concurrent streams of an engine.
+    urgent : EngineDemand or None
+        Demand of the most urgent requests; None before it is known.
     """
-    streams = max(demand.streams, demand.recent_streams)
 
-    def engines(share: float, prefill_load: float) -> int:
-        prefill = math.ceil(share * demand.busy_prefill_engines / prefill_load)
-        decode = math.ceil(share * streams / slots / PLANNED_SLOT_LOAD)
+    def engines(
+        part: EngineDemand, share: float, prefill_load: float, slot_load: float
+    ) -> int:
+        streams = max(part.streams, part.recent_streams)
+        prefill = math.ceil(share * part.busy_prefill_engines / prefill_load)
+        decode = math.ceil(share * streams / slots / slot_load)
         return max(prefill, MIN_ENGINES_OF_PHASE) + max(decode, MIN_ENGINES_OF_PHASE)
 
-    return FleetNeed(engines(1.0, PLANNED_PREFILL_LOAD), engines(URGENT_SHARE, 1.0))
+    return FleetNeed(
+        engines(demand, 1.0, PLANNED_PREFILL_LOAD, PLANNED_SLOT_LOAD),
+        engines(demand, URGENT_SHARE, 1.0, 1.0)
+        if urgent is None
+        else engines(urgent, 1.0, URGENT_LOAD, URGENT_LOAD),
+    )
 
 
 def assumed_need(found_total: int, reclaimable_price: float) -> FleetNeed:
--- a/wigeonspan/scaling/_task.py
+++ b/wigeonspan/scaling/_task.py
@@ -78,8 +78,8 @@
         Commits a command to the replicated log.
     targets : TargetTable
         Targets of the latest list.
-    meter : DemandMeter
-        Demand that the entries report.
+    meter, urgent_meter : DemandMeter
+        Demand that the entries report, of all requests and of the most urgent ones.
     """
 
     def __init__(
@@ -93,6 +93,7 @@
         propose: Callable[[OrderRecorded], Awaitable[None]],
         targets: TargetTable,
         meter: DemandMeter,
+        urgent_meter: DemandMeter,
         event_log: EventLog,
         metrics: ProcessMetrics,
     ) -> None:
@@ -105,6 +106,7 @@
         self._propose = propose
         self._targets = targets
         self._meter = meter
+        self._urgent_meter = urgent_meter
         self._event_log = event_log
         self._metrics = metrics
         self._services: dict[ServiceName, _ServiceState] = {}
@@ -193,7 +195,8 @@
             return state.peak.record(assumed, now)
         if not demand.is_settled:
             state.peak.record(assumed, now)
-        return state.peak.record(needed_engines(demand, slots), now)
+        urgent = self._urgent_meter.demand(service, now)
+        return state.peak.record(needed_engines(demand, slots, urgent), now)
 
     async def _order_if_due(
         self,
