Make the reserve of reclaimable replicas only

Change: ordinary replicas stand in for reclaimable ones only up to the need without a reserve (a load of 0.8).

--- a/wigeonspan/scaling/_demand.py
+++ b/wigeonspan/scaling/_demand.py
@@ -24,9 +24,9 @@
 """Share of the demand that counts as urgent until the demand of the most urgent
 requests is known."""
 
-URGENT_LOAD = 0.8
-"""Planned load of the engines that remain for the most urgent requests when others are
-reclaimed; a boot time later there are more."""
+FULL_LOAD = 0.8
+"""Planned load of engines without a reserve, such as those that remain for the most
+urgent requests when others are reclaimed; a boot time later there are more."""
 
 MIN_ENGINES_OF_PHASE = 2
 """Minimum number of engines for prefill, and for decoding, so that a service survives
@@ -70,7 +70,8 @@
         engines(demand, 1.0, PLANNED_PREFILL_LOAD, PLANNED_SLOT_LOAD),
         engines(demand, URGENT_SHARE, 1.0, 1.0)
         if urgent is None
-        else engines(urgent, 1.0, URGENT_LOAD, URGENT_LOAD),
+        else engines(urgent, 1.0, FULL_LOAD, FULL_LOAD),
+        engines(demand, 1.0, FULL_LOAD, FULL_LOAD),
     )
 
 
@@ -87,12 +88,13 @@
     urgent = round(found_total * URGENT_SHARE * PLANNED_PREFILL_LOAD)
     urgent = max(2 * MIN_ENGINES_OF_PHASE, urgent)
     if reclaimable_price > CHEAP_PRICE:
-        return FleetNeed(found_total, urgent)
-    return FleetNeed(math.ceil(found_total * UNKNOWN_DEMAND_FACTOR), urgent)
+        return FleetNeed(found_total, urgent, found_total)
+    total = math.ceil(found_total * UNKNOWN_DEMAND_FACTOR)
+    return FleetNeed(total, urgent, found_total)
 
 
 class PeakDemand:
-    """Largest need of the last ``HOLD_S`` seconds."""
+    """Largest need of the last ``HOLD_S`` seconds, in each respect."""
 
     def __init__(self) -> None:
         self._needs: deque[tuple[float, FleetNeed]] = deque()
@@ -105,4 +107,5 @@
         return FleetNeed(
             max(n.total for _, n in self._needs),
             max(n.urgent for _, n in self._needs),
+            max(n.required for _, n in self._needs),
         )
--- a/wigeonspan/scaling/_messages.py
+++ b/wigeonspan/scaling/_messages.py
@@ -36,13 +36,17 @@
     Parameters
     ----------
     total : int
-        Engines for all requests.
+        Engines for all requests, with a reserve for bursts.
     urgent : int
         Engines without which the most urgent requests would wait.
+    required : int
+        Engines for all requests without a reserve. Ordinary replicas take the place of
+        reclaimable ones that are not available only up to this number.
     """
 
     total: int
     urgent: int
+    required: int
 
 
 class OrderRecorded(Struct, frozen=True, tag="replicas_ordered"):
--- a/wigeonspan/scaling/_plan.py
+++ b/wigeonspan/scaling/_plan.py
@@ -46,8 +46,8 @@
         room = {d: 0 if d in unavailable else limits[d] - kept[d] for d in by_price}
         reclaimable = _spread(total - sum(kept.values()), room)
         plan = {d: DomainFleet(kept[d], reclaimable[d]) for d in by_price}
-        if sum(fleet.total for fleet in plan.values()) < total:
-            # What is not to be had as reclaimable replicas is ordered as ordinary ones.
+        if sum(fleet.total for fleet in plan.values()) < min(total, need.required):
+            # What is not available as reclaimable replicas is ordered as ordinary ones.
             continue
         if _after_worst_reclaim(plan) >= min(need.urgent, total):
             return plan
