Count a run also when its caller has left, and none that no target took

Cause: a stream was counted after its first event had been written to the caller, so one whose caller had left was not counted although it ran; a call stayed counted when its first target refused it while a second connection was pending and failed. Change: the count is taken before the event is written, and withdrawn when the last pending send fails unsent.

--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -6,6 +6,7 @@
 import pytest
 from adapter import read_config
 
+from tests.platform import gateway_harness
 from tests.platform.gateway_harness import (
     IDEMPOTENT,
     NET,
@@ -28,6 +29,8 @@
 )
 from wigeonspan.common import TenantName, WigeonspanError, encode
 from wigeonspan.fleetconfig import ApiKey, StoredConfig, TenantSpec
+from wigeonspan.pool import ConnectionPool, ExchangeError, FailureKind
+from wigeonspan.serving import ResponseWriter
 
 KEY = "secret-key-a"
 TENANTS = (
@@ -207,6 +210,74 @@
     assert sorted(names) == ["a", "b"]
 
 
+class Meter:
+    """Records what is counted and withdrawn."""
+
+    def __init__(self):
+        self.counts = []
+
+    def begin(self, tenant):
+        self.counts.append(tenant)
+        return len(self.counts)
+
+    def withdraw(self, tenant, wall_ms):
+        self.counts.remove(tenant)
+
+
+@pytest.mark.parametrize("first", ["head", "body"])
+def test_stream_counts_when_its_caller_has_left(first, monkeypatch):
+    """A stream that ran was not counted when its caller left at the first event."""
+
+    meter, engine_writers = Meter(), []
+    engines = model_engines([prefills], [streams(2)])
+
+    def watch(serve_engine):
+        async def serve_one(*args):
+            shared_state["context"].meter = meter
+            engine_writers.append(args[-1])
+            await serve_engine(*args)
+
+        return serve_one
+
+    for engine in engines:
+        engine.serve = watch(engine.serve)
+    name = {"head": "send_head", "body": "send"}[first]
+    write = getattr(ResponseWriter, name)
+
+    async def write_unless_left(writer, *args):
+        if not any(writer is one for one in engine_writers):
+            raise ConnectionResetError("the caller has left")
+        await write(writer, *args)
+
+    monkeypatch.setattr(ResponseWriter, name, write_unless_left)
+    monkeypatch.setattr(gateway_harness, "unexpected", lambda error: None)
+    serve(STREAM, engines, [bearer(KEY)], usage="600,20")
+    assert meter.counts == ["a"]
+
+
+def test_call_that_no_target_took_is_not_counted(monkeypatch):
+    """A refused call stayed counted when a second try was still connecting."""
+    connect, connections = ConnectionPool._connect, []
+
+    async def connect_or_fail(pool, address):
+        shared_state["context"].meter = meter
+        connections.append(address)
+        if len(connections) == 1:
+            return await connect(pool, address)
+        await asyncio.sleep(0.5)
+        raise ExchangeError(FailureKind.CONNECT, sent=False)
+
+    async def refuses_late(fields, caller):
+        await asyncio.sleep(1.0)
+        await not_run(fields, caller)
+
+    meter = Meter()
+    monkeypatch.setattr(ConnectionPool, "_connect", connect_or_fail)
+    engines = plain_engines([refuses_late], [refuses_late])
+    serve(IDEMPOTENT, engines, [bearer(KEY)])
+    assert len(connections) >= 2 and meter.counts == []
+
+
 ROUTE = {
     "name": "r",
     "host": "h",
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -252,6 +252,7 @@
         except ExchangeError as failure:
             if not failure.sent:
                 self._run_count -= 1
+                self._withdraw_run()
             elif failure.kind in (FailureKind.CLOSED, FailureKind.RESET):
                 if self._shared_parts:
                     context.record_break(target, self._shared_parts, now)
--- a/wigeonspan/gateway/_relay.py
+++ b/wigeonspan/gateway/_relay.py
@@ -124,6 +124,9 @@
             try:
                 for new_data in events.feed(data):
                     was_silent = self._continue_with(run)
+                    # A caller that has left or reads slowly changes nothing about the
+                    # use.
+                    self._progress.record_run()
                     await self._ensure_head_sent(caller, run)
                     await caller.send(new_data)
                     self._record_progress(run, was_silent=was_silent)
@@ -282,7 +285,6 @@
             return
         took_s = now - run.started_at
         run.first_event_at = now
-        self._progress.record_run()
         context.record_written(self._progress.shared_parts)
         context.metrics.observe(
             "first_event_seconds", now - self._progress.active_request.arrived_at
