Check a key right before the bytes of a request are written

Cause: the key was checked before the connection was made, so a request ran with a key that was revoked, or after this process was paused, while it connected. A call that was silent was dropped when its key was revoked before the second try. Change: the pool asks again once the connection stands, and withholds the request; the target is not blamed. The check comes before the choice of a target, and what was sent with a valid key is delivered.

--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -173,6 +173,46 @@
     assert not engines[1].seen
 
 
+def test_revocation_does_not_end_a_run_that_is_tried_elsewhere():
+    """A silent call was dropped when its key was revoked before the second try."""
+
+    async def step(fields, caller):
+        set_tenants(shared_state["context"], TENANTS[1:], 3)
+        await asyncio.sleep(1.0)
+        await answers(200)(fields, caller)
+
+    engines = plain_engines([step], [step])
+    answer = serve(IDEMPOTENT, engines, [bearer(KEY)])[0]
+    assert status(answer) == 200 and count_requests(engines) == 1
+
+
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT, STREAM])
+def test_key_that_is_revoked_while_connecting_runs_nothing(kind, monkeypatch):
+    """A connection may take long, or this host may be paused, after the check."""
+    connect = ConnectionPool._connect
+
+    async def connect_late(pool, address):
+        connection = await connect(pool, address)
+        if shared_state["context"].config.version < 3:
+            set_tenants(shared_state["context"], TENANTS[1:], 3)
+        return connection
+
+    monkeypatch.setattr(ConnectionPool, "_connect", connect_late)
+    usage = "600,20" if kind is STREAM else None
+    engines = (
+        model_engines([prefills], [streams(2)])
+        if kind is STREAM
+        else plain_engines([answers(200)], [answers(200)])
+    )
+    answer = serve(kind, engines, [bearer(KEY)], usage=usage)[0]
+    assert status(answer) == 401 and not count_requests(engines)
+    context = shared_state["context"]
+    assert all(
+        not context.placer.health.suspended_since(t.target, 0.0)
+        for t in context.target_table.all()
+    )
+
+
 def test_failure_after_a_run_does_not_say_that_nothing_ran():
     """After a run that was reset, a 401 would hide that the request may have run."""
     engines = plain_engines([revokes(resets)], [revokes(resets)])
--- a/wigeonspan/gateway/_active_request.py
+++ b/wigeonspan/gateway/_active_request.py
@@ -97,6 +97,22 @@
             raise key_error(KeyFault.REVOKED)
         return access
 
+    def may_send(self, access: Access | None) -> bool:
+        """Return whether the result of the last check still holds.
+
+        Making a connection takes time, in which the key may be revoked or this process
+        be paused, so this is called right before the request is written.
+
+        Parameters
+        ----------
+        access : Access or None
+            Result of :meth:`check_access` with which the request is encoded.
+        """
+        try:
+            return check_access(self.context, self.request, self.route) == access
+        except WigeonspanError:
+            return False
+
     def check_time_left(self, expected_s: float) -> None:
         """Check that a request can be completed before this entry has stopped.
 
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -8,8 +8,9 @@
 
 from msgspec import Struct
 
+from wigeonspan.gateway._active_request import ActiveRequest
 from wigeonspan.gateway._context import GatewayContext
-from wigeonspan.gateway._messages import CallerRequest, SendOptions, TargetOutcome
+from wigeonspan.gateway._messages import SendOptions, TargetOutcome
 from wigeonspan.placing import PromptPart, Work, WorkKind
 from wigeonspan.pool import Exchange, ExchangeError, FailureKind, Head
 from wigeonspan.targets import Target
@@ -44,12 +45,11 @@
 
 @asynccontextmanager
 async def active_send(
-    context: GatewayContext,
-    request: CallerRequest,
+    active_request: ActiveRequest,
+    access: Access | None,
     send: SendOptions,
     kind: WorkKind,
     *,
-    access: Access | None = None,
     work_ms: float = 0.0,
     new_connection: bool = False,
     prompt_parts: tuple[PromptPart, ...] = (),
@@ -62,16 +62,14 @@
 
     Parameters
     ----------
-    context : GatewayContext
-        State that the components of the gateway share.
-    request : CallerRequest
+    active_request : ActiveRequest
         Request of the caller.
+    access : Access or None
+        Result of the check of the request's key, under which it is sent.
     send : SendOptions
         Target and how the request is sent to it.
     kind : WorkKind
         Kind of the work.
-    access : Access or None
-        Tenant of the request; None when the configuration has no tenants.
     work_ms : float
         Expected time of the work in milliseconds.
     new_connection : bool
@@ -85,8 +83,10 @@
     Raises
     ------
     ExchangeError
-        When no connection could be made.
+        When no connection could be made, or with ``WITHHELD`` when the key is not valid
+        any more.
     """
+    context, request = active_request.context, active_request.request
     target = send.target
     work = Work(
         f"{context.host}/{next(_work_numbers)}",
@@ -110,10 +110,14 @@
                 request, head
             ),
             new_connection=new_connection,
+            may_send=lambda: active_request.may_send(access),
         )
         sent = ActiveSend(exchange, started_at)
         yield sent
     except ExchangeError as failure:
+        if failure.kind is FailureKind.WITHHELD:
+            # This says nothing about the target.
+            raise
         context.pool.close_idle(target.address)
         # A target that has finished other work meanwhile is busy, not down.
         is_busy = failure.kind is FailureKind.TIMEOUT and (
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -198,11 +198,10 @@
             copy_from=plan.prefill_steps.source if direct else None,
         )
         async with active_send(
-            context,
-            self._progress.active_request.request,
+            self._progress.active_request,
+            self._progress.check_access(),
             send,
             WorkKind.DIRECT if direct else WorkKind.DECODE,
-            access=self._progress.check_access(),
             work_ms=plan.work_ms * DIRECT_SLOWDOWN if direct else 0.0,
             new_connection=not self._progress.route.repeatable,
             prompt_parts=self._progress.prompt.parts,
--- a/wigeonspan/gateway/_plain.py
+++ b/wigeonspan/gateway/_plain.py
@@ -136,12 +136,18 @@
         attempts: set[_Attempt] = set()
         try:
             for _ in range(MAX_SENDS):
+                try:
+                    access = self._active_request.check_access(ran=self._run_count > 0)
+                except WigeonspanError:
+                    if not attempts and self._failure is None:
+                        raise
+                    # What was sent while the key was valid is delivered.
+                    break
                 target = self._choose()
                 if target is None and not attempts and self._failure is None:
                     raise self._error("no target is available")
                 if target is None:
                     break
-                access = self._active_request.check_access(ran=self._run_count > 0)
                 limit_s = self._silence_limit_s()
                 newest = asyncio.create_task(self._attempt(target, access))
                 attempts.add(newest)
@@ -230,11 +236,10 @@
         )
         try:
             async with active_send(
-                context,
-                self._active_request.request,
+                self._active_request,
+                access,
                 SendOptions(target, remaining_s),
                 WorkKind.CALL,
-                access=access,
                 work_ms=CALL_MS,
                 new_connection=not route.repeatable,
             ) as sent:
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -78,6 +78,7 @@
             When it is refused.
         """
         context, now = self._progress.context, self._progress.context.clock.now()
+        self._progress.check_access()
         self._progress.check_quarantine()
         plan = self._progress.engines.plan(direct_only=self._progress.is_trial)
         list_age_ms = context.target_table.age_ms(now)
@@ -161,11 +162,10 @@
         backup = Backup(lambda: self.place_and_prefill(as_backup=True))
         try:
             async with active_send(
-                context,
-                self._progress.active_request.request,
+                self._progress.active_request,
+                self._progress.check_access(),
                 send,
                 WorkKind.PREFILL,
-                access=self._progress.check_access(),
                 work_ms=plan.work_ms,
                 prompt_parts=self._progress.prompt.parts,
                 new_tokens=plan.prefill_steps.new_tokens,
