Ask the control hosts at once after a pause that a request noticed

Cause: the first request after a pause recorded the turn of the event loop, so housekeeping saw no gap, wrote no line and sent no heartbeat; keys stayed unconfirmed until the next regular one. Change: a noticed pause is kept until housekeeping has taken it. Measured: the new test fails before the change; the tests of tenants pass.

--- a/tests/tenants/test_freshness.py
+++ b/tests/tenants/test_freshness.py
@@ -43,3 +43,12 @@
     run_until(freshness, 6.0, 6.5)
     assert not freshness.is_fresh(6.5, 5.0)
     assert freshness.is_fresh(6.5, None)
+
+
+def test_pause_that_a_request_noticed_is_still_reported():
+    """Housekeeping asked no control host when a request came first after a pause."""
+    freshness = ConfigFreshness()
+    run_until(freshness, 10.0, 12.0)
+    assert not freshness.is_fresh(16.0, None)
+    assert freshness.record_turn(16.05)
+    assert not freshness.record_turn(16.15)
--- a/wigeonspan/tenants/_freshness.py
+++ b/wigeonspan/tenants/_freshness.py
@@ -19,13 +19,18 @@
         self._turn_at: float | None = None
         self._paused_until: float | None = None
         self._confirmed_at: float | None = None
+        self._has_news = False
 
     def record_turn(self, now: float) -> bool:
-        """Record a turn of the event loop; return whether a pause ended just now."""
-        was_paused = self._turn_at is not None and now - self._turn_at > MAX_GAP_S
-        self._turn_at = now
-        if was_paused:
-            self._paused_until = now
+        """Record a turn of the event loop.
+
+        Returns
+        -------
+        bool
+            Whether a pause has ended since the last call, whoever noticed it.
+        """
+        self._notice_pause(now)
+        was_paused, self._has_news = self._has_news, False
         return was_paused
 
     def record_confirmation(self, sent_at: float) -> None:
@@ -49,9 +54,15 @@
         max_age_s : float or None
             Longest time in seconds since the last confirmation; None for no limit.
         """
-        self.record_turn(now)
+        self._notice_pause(now)
         if self._paused_until is not None:
             return False
         if max_age_s is None:
             return True
         return self._confirmed_at is not None and now - self._confirmed_at <= max_age_s
+
+    def _notice_pause(self, now: float) -> None:
+        if self._turn_at is not None and now - self._turn_at > MAX_GAP_S:
+            self._paused_until = now
+            self._has_news = True
+        self._turn_at = now
