--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -215,6 +215,14 @@
     assert b"X-Hop" not in sent and b"TE: t" not in sent and b"close" not in sent
 
 
+def test_tenant_header_that_is_hop_by_hop_is_not_forwarded():
+    """Without tenants, header fields by these names are as any others."""
+    fields = (("Connection", "Tenant, authorization"), ("Tenant", "a"))
+    read = request(*fields, ("Authorization", "Basic b"))
+    sent = PlatformProtocol().encode(read, SendOptions(TARGET, 0.5))
+    assert b"Tenant" not in sent and b"Basic" not in sent
+
+
 def test_sent_request_has_the_system_headers():
     """The system sets deadline, target, priority, stage, prompt and resume position."""
     source = PromptHandle(TARGET, "3fa0")
