--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -339,6 +339,10 @@
         ([{"name": "", "api_keys": ["k1"]}], "no name"),
         ([{"name": "a", "api_keys": [""]}], "empty key"),
         ([{"name": "a\r\nTenant: b", "api_keys": ["k1"]}], "header field"),
+        ([{"name": " a", "api_keys": ["k1"]}], "header field"),
+        ([{"name": "a ", "api_keys": ["k1"]}], "header field"),
+        ([{"name": "a", "api_keys": ["k1 x"]}], "no caller can send"),
+        ([{"name": "a", "api_keys": ["k1\u00e9"]}], "no caller can send"),
     ],
 )
 def test_ambiguous_tenants_are_refused(tenants, why):
