--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -390,6 +390,21 @@
     assert event_log.events == ["entry_skipped"]
 
 
+@pytest.mark.parametrize("spot", [None, 1, "yes", [], {}])
+def test_odd_flag_does_not_hide_a_target(spot):
+    """A deployment without orders lost targets by a field that it does not use."""
+    odd = VALID_ENTRY | {"spot": spot}
+    listing, _, _ = read_list((200, {"instances": [odd], "next": None}))
+    assert [t.reclaimable for t in listing.targets] == [False]
+
+
+def test_reclaimable_target_is_recognised():
+    """A target taken for an ordinary one would be ordered again and again."""
+    spot = VALID_ENTRY | {"spot": True}
+    listing, _, _ = read_list((200, {"instances": [spot], "next": None}))
+    assert [t.reclaimable for t in listing.targets] == [True]
+
+
 @pytest.mark.parametrize("answer", [(429, {}), (200, []), (200, {"instances": 3})])
 def test_incomplete_list_is_an_error(answer):
     """A page that cannot be read must not make targets look as if they were removed."""
