Refuse settings that switch duties or strict revocation on by halves

Cause: a report window of 0 made every heartbeat of entries fail with a division by zero, an odd value of strict_revocation switched it off without a word, and strict revocation without revoke_ms ended the start.

--- a/tests/platform/test_odd_settings.py
+++ b/tests/platform/test_odd_settings.py
@@ -84,3 +84,34 @@
     assert node.domain == "szeged"
     with pytest.raises(NodeFileError, match="zone"):
         read(tmp_path, b"zone=szeged", b"zone=s\xff")
+
+
+DUTIES = b"""cloud.duties=usage_report,autoscale
+bounds.report_window_s=%s
+bounds.usage_late_s=10
+"""
+
+
+@pytest.mark.parametrize("value", [b"0", b"0.0001", b"-5", b"nan", b""])
+def test_window_without_a_length_names_its_field(tmp_path, value):
+    """Heartbeats of every entry failed with a division by zero."""
+    line = b"bounds.budget_window_s=10\n"
+    with pytest.raises(NodeFileError, match=r"bounds\.report_window_s"):
+        read(tmp_path, line, line + DUTIES % value)
+
+
+@pytest.mark.parametrize("value", ["True", "1", "yes", ""])
+def test_odd_switch_names_its_field(tmp_path, value):
+    """An entry that should refuse without contact went on with old keys."""
+    line = b"bounds.budget_window_s=10\n"
+    switch = f"bounds.strict_revocation={value}\n".encode()
+    with pytest.raises(NodeFileError, match=r"bounds\.strict_revocation"):
+        read(tmp_path, line, line + switch)
+
+
+@pytest.mark.parametrize("text, age_s", [("true", 5.0), ("false", None)])
+def test_strict_revocation_has_a_default_age(tmp_path, text, age_s):
+    """The age of keys has a default on the page, so the switch alone is enough."""
+    line = b"bounds.budget_window_s=10\n"
+    switch = f"bounds.strict_revocation={text}\n".encode()
+    assert read(tmp_path, line, line + switch).max_key_age_s == age_s
