Bound the counts that a control host keeps without decisions

Cause: counts were forgotten only after a decision, so they grew without end while there was no majority or no tenant, and with windows of a clock that was far ahead; the clock of every entry that ever sent a heartbeat was kept. Change: windows of more than a minute ago are forgotten in each round, 64 windows of an entry are kept, and samples of clocks older than 10 s go when a newer one comes. Measured: four new tests fail before the change; the tests of usage pass.

--- a/tests/usage/test_counts.py
+++ b/tests/usage/test_counts.py
@@ -5,7 +5,13 @@
 import pytest
 
 from wigeonspan.common import HostId, ManualClock, TenantName
-from wigeonspan.usage import TrueTime, UsageCollector, UsageCounter, UsageMeter
+from wigeonspan.usage import (
+    TrueTime,
+    UsageCollector,
+    UsageCounter,
+    UsageMeter,
+    UsageShare,
+)
 
 A, B = TenantName("a"), TenantName("b")
 E1, E2 = HostId("e1"), HostId("e2")
@@ -117,3 +123,22 @@
     # An entry that is gone is not waited for.
     collected.record(E1, UsageCounter("k", WINDOW_MS, 9).share(end_ms + 1), 20.0)
     assert collected.is_complete(WINDOW, 20.5, 10.0)
+
+
+def test_clocks_of_hosts_that_are_gone_are_forgotten():
+    """Each name of an entry that ever sent a heartbeat kept a sample."""
+    true_time = TrueTime(lambda: 0)
+    for number in range(1000):
+        true_time.record(f"e{number}", EPOCH_MS, float(number))
+    assert len(true_time._samples) <= 11
+
+
+def test_windows_of_an_entry_are_bounded():
+    """An entry whose clock was far ahead left counts that were never decided."""
+    true_time = TrueTime(lambda: 0)
+    collector = UsageCollector(WINDOW_MS, true_time)
+    for number in range(1, 500):
+        windows = {WINDOW + 10**6 * number: {A: 1}, WINDOW: {A: number}}
+        collector.record(E1, UsageShare("i", number, EPOCH_MS, windows), 1.0)
+    assert len(collector._entries[E1].windows) <= 64
+    assert collector.counts(WINDOW) == ((A, 499),)
--- a/tests/usage/test_task.py
+++ b/tests/usage/test_task.py
@@ -57,6 +57,8 @@
 
     def __init__(self, name, group, platform, clock):
         self.fence = None
+        self.has_tenants = True
+        self.metrics = ProcessMetrics()
         machine = ControlStateMachine()
         group.machines.append(machine)
         self.ledger = machine.usage
@@ -66,11 +68,11 @@
             platform,
             machine.usage,
             lambda: None if self.fence is None else Authority(self.fence, 1e9),
-            lambda: True,
+            lambda: self.has_tenants,
             group.propose,
             UsageTimes(5000, 10_000),
             NullRecorder(),
-            ProcessMetrics(),
+            self.metrics,
         )
 
 
@@ -85,13 +87,15 @@
         ]
         self.counters = [UsageCounter(f"i{n}", 5000, 10_000) for n in range(entries)]
         self.silent = set()
+        self.idle = False
 
     def run(self, seconds):
         async def rounds():
             for _ in range(round(seconds * 10)):
                 self.clock.advance(0.1)
                 for number, counter in enumerate(self.counters):
-                    counter.add(A, self.clock.wall_ms())
+                    if not self.idle:
+                        counter.add(A, self.clock.wall_ms())
                     share = counter.share(self.clock.wall_ms())
                     if number not in self.silent:
                         for host in self.hosts:
@@ -252,3 +256,19 @@
         command = DecideWindow(WINDOW, ((A, count),))
         machine.apply(1, encode_duty_command(command))
     assert [w.counts for w in machine.usage.unreported] == [((A, 5),)]
+
+
+def collected_windows(host):
+    return sum(len(use.windows) for use in host.task._collector._entries.values())
+
+
+@pytest.mark.parametrize("has_tenants", [True, False])
+def test_counts_without_decisions_take_bounded_memory(has_tenants):
+    """Without a majority for hours, a control host kept the counts of each window."""
+    world = World()
+    world.hosts[0].fence = 1
+    world.group.quorum = False
+    for host in world.hosts:
+        host.has_tenants = has_tenants
+    world.run(200.0)
+    assert all(collected_windows(host) <= 2 * 15 for host in world.hosts)
--- a/wigeonspan/usage/_clock.py
+++ b/wigeonspan/usage/_clock.py
@@ -37,6 +37,12 @@
         at : float
             Time in seconds on the clock that never jumps.
         """
+        # Those that are older are not used while this one is recent.
+        self._samples = {
+            name: sample
+            for name, sample in self._samples.items()
+            if at - sample[1] <= MAX_SAMPLE_AGE_S
+        }
         self._samples[host] = (wall_ms - at * 1000.0, at)
 
     def wall_ms(self, now: float) -> int:
--- a/wigeonspan/usage/_collector.py
+++ b/wigeonspan/usage/_collector.py
@@ -13,6 +13,11 @@
 due within seconds."""
 
 
+MAX_WINDOWS = 64
+"""Maximum number of windows that are kept of an entry; it sends three, and windows of a
+minute are kept. Those of a clock that was far ahead are left out."""
+
+
 class _EntryUse(Struct):
     incarnation: str
     sequence: int
@@ -51,6 +56,8 @@
         entry.wall_ms, entry.received_at = share.wall_ms, now
         for window, counts in share.windows.items():
             entry.windows[share.incarnation, window] = counts
+        for key in sorted(entry.windows, key=lambda key: key[1])[MAX_WINDOWS:]:
+            del entry.windows[key]
         self._true_time.record(host, share.wall_ms, now)
 
     def forget_before(self, window: int, now: float) -> None:
--- a/wigeonspan/usage/_rules.py
+++ b/wigeonspan/usage/_rules.py
@@ -34,6 +34,11 @@
     due_ms: int
 
 
+def oldest_window(times: UsageTimes, wall_ms: int) -> int:
+    """Return the oldest window that is not given up."""
+    return (wall_ms - round(ABANDON_AFTER_S * 1000)) // times.window_ms
+
+
 def next_decision(
     ledger: UsageLedger,
     collector: UsageCollector,
@@ -58,8 +63,7 @@
     """
     newest = ledger.newest
     window = first_window if newest is None else newest + 1
-    oldest = (wall_ms - round(ABANDON_AFTER_S * 1000)) // times.window_ms
-    window = max(window, oldest)
+    window = max(window, oldest_window(times, wall_ms))
     ended_ms = wall_ms - (window + 1) * times.window_ms
     if ended_ms < 0:
         return None
--- a/wigeonspan/usage/_task.py
+++ b/wigeonspan/usage/_task.py
@@ -11,7 +11,7 @@
 from wigeonspan.usage._collector import UsageCollector
 from wigeonspan.usage._ledger import DecidedWindow, UsageLedger
 from wigeonspan.usage._messages import DecideWindow, UsageShare, WindowReported
-from wigeonspan.usage._rules import UsageTimes, next_decision
+from wigeonspan.usage._rules import UsageTimes, next_decision, oldest_window
 
 ROUND_INTERVAL_S = 0.2
 """Seconds between two rounds of the task."""
@@ -85,13 +85,14 @@
         """Decide a window that is due, and send the oldest report."""
         now = self._clock.now()
         wall_ms = self._true_time.wall_ms(now)
+        newest = self._ledger.newest
+        oldest = oldest_window(self._times, wall_ms)
+        undecided = oldest if newest is None else max(newest + 1, oldest)
+        self._collector.forget_before(undecided, now)
         if not self._has_tenants():
             return
         if self._first_window is None:
             self._first_window = wall_ms // self._times.window_ms + 1
-        newest = self._ledger.newest
-        if newest is not None:
-            self._collector.forget_before(newest + 1, now)
         authority = self._authority()
         if authority is None:
             return
