Report other windows while the platform refuses one

Cause: a report that was answered 400 or 422 was repeated for ever as the oldest one, so that no later window was reported. Change: a refused window waits 20 s and the others go first.

--- a/tests/usage/test_task.py
+++ b/tests/usage/test_task.py
@@ -272,3 +272,22 @@
         host.has_tenants = has_tenants
     world.run(200.0)
     assert all(collected_windows(host) <= 2 * 15 for host in world.hosts)
+
+
+def test_refused_report_does_not_hold_up_the_others():
+    """One window that the platform does not take kept all later ones unreported."""
+    world = World()
+    world.hosts[0].fence = 1
+    accept = world.platform.report_usage
+
+    async def report_usage(report, *args):
+        if report.window == WINDOW:
+            world.platform.calls.append((WINDOW, report.counts, *args[:2]))
+            return DutyOutcome.REFUSED
+        return await accept(report, *args)
+
+    world.platform.report_usage = report_usage
+    world.run(60.0)
+    reported = windows(world.platform.calls)
+    assert set(range(WINDOW + 1, WINDOW + 9)) <= set(reported)
+    assert 1 < reported.count(WINDOW) <= 3, "it is tried again, but not all the time"
--- a/wigeonspan/usage/_task.py
+++ b/wigeonspan/usage/_task.py
@@ -21,6 +21,10 @@
 """Seconds until a report without an acknowledgement is sent again; doubled each time up
 to the maximum, which leaves several tries before a report is due."""
 
+REFUSED_RETRY_S = 20.0
+"""Seconds until a report that the platform refuses is sent again. The platform has
+judged its content, so that the other windows go first."""
+
 
 class UsageTask:
     """Decide windows of use once, and report them until they are acknowledged.
@@ -70,6 +74,8 @@
         self._fenced_token: int | None = None
         self._retry_s = FIRST_RETRY_S
         self._retry_at = 0.0
+        # Times at which refused reports are sent again, by window.
+        self._refused: dict[int, float] = {}
 
     def record(self, host: HostId, share: UsageShare) -> None:
         """Record the counts in a heartbeat of an entry."""
@@ -109,8 +115,9 @@
         waiting = self._ledger.unreported
         self._metrics.gauge("usage_windows_unreported", len(waiting))
         may_call = authority.fence != self._fenced_token and now >= self._retry_at
-        if waiting and may_call:
-            await self._report(waiting[0], authority)
+        due = [w for w in waiting if now >= self._refused.get(w.window, 0.0)]
+        if due and may_call:
+            await self._report(due[0], authority)
 
     async def _decide(
         self, decision: DecideWindow, newest: int | None, wall_ms: int
@@ -150,6 +157,10 @@
             fence=authority.fence,
             ended_ms=self._true_time.wall_ms(now) - ended_at_ms,
         )
+        if outcome is DutyOutcome.REFUSED:
+            self._refused[decided.window] = now + REFUSED_RETRY_S
+            return
+        self._refused.pop(decided.window, None)
         if outcome is DutyOutcome.DONE:
             self._retry_s = FIRST_RETRY_S
             await self._commit(WindowReported(decided.window))
