Report what ran before the tenants were removed

Cause: with a configuration without tenants the task returned at once, so the last windows were neither decided nor reported. Change: windows with counts are still decided, and decided ones are reported until they are acknowledged. Measured: the new test fails before the change; the tests of usage pass.

--- a/tests/usage/test_task.py
+++ b/tests/usage/test_task.py
@@ -291,3 +291,16 @@
     reported = windows(world.platform.calls)
     assert set(range(WINDOW + 1, WINDOW + 9)) <= set(reported)
     assert 1 < reported.count(WINDOW) <= 3, "it is tried again, but not all the time"
+
+
+def test_use_before_the_tenants_were_removed_is_reported():
+    """The last windows were lost when a configuration had no tenants any more."""
+    world = World()
+    world.hosts[0].fence = 1
+    world.run(12.0)
+    for host in world.hosts:
+        host.has_tenants = False
+    world.idle = True
+    world.run(30.0)
+    assert set(windows(world.platform.calls)) == {WINDOW, WINDOW + 1}
+    assert dict(world.platform.calls[-1][1])[A] > 0
--- a/wigeonspan/usage/_task.py
+++ b/wigeonspan/usage/_task.py
@@ -95,22 +95,24 @@
         oldest = oldest_window(self._times, wall_ms)
         undecided = oldest if newest is None else max(newest + 1, oldest)
         self._collector.forget_before(undecided, now)
-        if not self._has_tenants():
-            return
-        if self._first_window is None:
+        has_tenants = self._has_tenants()
+        if self._first_window is None and has_tenants:
             self._first_window = wall_ms // self._times.window_ms + 1
         authority = self._authority()
         if authority is None:
             return
-        decision = next_decision(
-            self._ledger,
-            self._collector,
-            self._times,
-            self._first_window,
-            wall_ms,
-            now,
-        )
-        if decision is not None:
+        decision = None
+        if self._first_window is not None:
+            decision = next_decision(
+                self._ledger,
+                self._collector,
+                self._times,
+                self._first_window,
+                wall_ms,
+                now,
+            )
+        # Without tenants, only what ran before they were removed is left to decide.
+        if decision is not None and (has_tenants or decision.counts):
             await self._decide(decision, newest, wall_ms)
         waiting = self._ledger.unreported
         self._metrics.gauge("usage_windows_unreported", len(waiting))
