Show the age of the oldest unreported window

Cause: the metrics had no age, no count of acknowledged windows, and kept old values on a host that no longer leads. Change: usage_oldest_unreported_seconds, usage_windows with outcome reported, and both gauges on all control hosts. Measured: the new test fails before the change; the tests of usage pass.

--- a/tests/usage/test_task.py
+++ b/tests/usage/test_task.py
@@ -304,3 +304,22 @@
     world.run(30.0)
     assert set(windows(world.platform.calls)) == {WINDOW, WINDOW + 1}
     assert dict(world.platform.calls[-1][1])[A] > 0
+
+
+def oldest_age_s(host):
+    lines = host.metrics.text().decode().splitlines()
+    line = next(x for x in lines if "oldest_unreported" in x and x[0] != "#")
+    return float(line.split()[-1])
+
+
+def test_age_of_the_oldest_unreported_window_is_shown():
+    """An operator sees that reports are missing before the platform complains."""
+    world = World()
+    world.hosts[0].fence = 1
+    world.platform.outcomes = [DutyOutcome.BUSY] * 1000
+    world.run(40.0)
+    assert 25.0 <= oldest_age_s(world.hosts[0]) <= 31.0
+    world.platform.outcomes = []
+    world.run(10.0)
+    assert b'outcome="reported"' in world.hosts[0].metrics.text()
+    assert oldest_age_s(world.hosts[0]) < 6.0
--- a/wigeonspan/usage/_task.py
+++ b/wigeonspan/usage/_task.py
@@ -98,6 +98,7 @@
         has_tenants = self._has_tenants()
         if self._first_window is None and has_tenants:
             self._first_window = wall_ms // self._times.window_ms + 1
+        self._show_unreported(wall_ms)
         authority = self._authority()
         if authority is None:
             return
@@ -115,7 +116,6 @@
         if decision is not None and (has_tenants or decision.counts):
             await self._decide(decision, newest, wall_ms)
         waiting = self._ledger.unreported
-        self._metrics.gauge("usage_windows_unreported", len(waiting))
         may_call = authority.fence != self._fenced_token and now >= self._retry_at
         due = [w for w in waiting if now >= self._refused.get(w.window, 0.0)]
         if due and may_call:
@@ -165,6 +165,7 @@
         self._refused.pop(decided.window, None)
         if outcome is DutyOutcome.DONE:
             self._retry_s = FIRST_RETRY_S
+            self._metrics.count("usage_windows", outcome="reported")
             await self._commit(WindowReported(decided.window))
             return
         if outcome is DutyOutcome.CONFLICT:
@@ -173,6 +174,15 @@
         self._retry_at = now + self._retry_s
         self._retry_s = min(MAX_RETRY_S, 2.0 * self._retry_s)
 
+    def _show_unreported(self, wall_ms: int) -> None:
+        """Set the metrics of decided windows whose report is not acknowledged."""
+        waiting, age_s = self._ledger.unreported, 0.0
+        if waiting:
+            ended_at_ms = (waiting[0].window + 1) * self._times.window_ms
+            age_s = max(0.0, (wall_ms - ended_at_ms) / 1000.0)
+        self._metrics.gauge("usage_windows_unreported", len(waiting))
+        self._metrics.gauge("usage_oldest_unreported_seconds", age_s)
+
     def _has_authority(self, fence: int) -> bool:
         """Return whether this host still has the authority with a fencing token."""
         authority = self._authority()
