Hide the document of a stored configuration and the fields with keys

Cause: the representation of a stored configuration contained the whole document with the keys of all tenants, and pretty printers saw the values of the caller's key fields. Change: both show sizes and names only.

--- a/wigeonspan/fleetconfig/_machine.py
+++ b/wigeonspan/fleetconfig/_machine.py
@@ -1,5 +1,7 @@
 """Replicated state machine that stores the configuration with the highest version."""
 
+from collections.abc import Iterable
+
 import msgspec
 from msgspec import Struct
 
@@ -15,6 +17,13 @@
     version: int = 0
     document: bytes = b""
 
+    def __repr__(self) -> str:
+        # The document may contain keys of tenants.
+        return f"StoredConfig({self.version}, {len(self.document)} bytes)"
+
+    def __rich_repr__(self) -> Iterable[object]:
+        return (self.version, f"{len(self.document)} bytes")
+
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(StoredConfig).decode
--- a/wigeonspan/gateway/_messages.py
+++ b/wigeonspan/gateway/_messages.py
@@ -1,5 +1,6 @@
 """Requests of callers, and the interface to the protocol of callers and targets."""
 
+from collections.abc import Iterable
 from enum import Enum
 from typing import Protocol
 
@@ -21,6 +22,10 @@
         names = ", ".join(name for name, _ in self.fields)
         return f"HiddenHeaders({names})"
 
+    def __rich_repr__(self) -> Iterable[str]:
+        # msgspec's default would show the values to pretty printers.
+        return (name for name, _ in self.fields)
+
 
 class CallerRequest(Struct, frozen=True):
     """Request of a caller.
