Plan a large fleet in milliseconds, and refuse an absurd one

Cause: the plan added replicas one by one for each number of kept ones, so that one entry with an absurd demand, while no domain had reclaimable replicas, held the leader for seconds; a service could have any number of replicas. Change: domains are filled level by level with the same result, and at most 1,000 replicas of a domain are accepted.

--- a/tests/platform/test_odd_config.py
+++ b/tests/platform/test_odd_config.py
@@ -192,3 +192,11 @@
     ):
         statuses, errors = call(routes, requests)
         assert (statuses, errors) == ([404, 404], [])
+
+
+@pytest.mark.parametrize("most", [1001, 10**6, 10**12])
+def test_absurd_number_of_replicas_is_refused(most):
+    """The plan of such a fleet would stop the leader, and order what nobody pays."""
+    service = {"name": "s", "engine": {"slots": 64}, "scaling": {"max": most}}
+    with pytest.raises(WigeonspanError, match="replicas"):
+        read_config(document(services=[service]))
--- a/tests/scaling/test_plan.py
+++ b/tests/scaling/test_plan.py
@@ -1,5 +1,7 @@
 """Tests of the plan of a fleet, and of the way to it, under reclaims and waves."""
 
+import time
+
 import pytest
 
 from wigeonspan.common import DomainName
@@ -138,3 +140,13 @@
     """With one engine for a phase, its loss would stop the service."""
     need = needed_engines(EngineDemand(0.1, 0.1), 64)
     assert need == FleetNeed(4, 4)
+
+
+@pytest.mark.parametrize("unavailable", [(), DOMAINS, DOMAINS[:3]])
+def test_largest_fleet_is_planned_quickly(unavailable):
+    """One entry with an absurd total of demand stopped the leader for seconds."""
+    spec = ScalingSpec(1, 1000, 4.0, 0.18, PRICES)
+    started_at = time.process_time()
+    plan = plan_fleet(spec, DOMAINS, FleetNeed(10**12, 10), unavailable)
+    assert time.process_time() - started_at < 1.0
+    assert total(plan) == 4000
--- a/wigeonspan/fleetconfig/_validation.py
+++ b/wigeonspan/fleetconfig/_validation.py
@@ -13,6 +13,11 @@
 )
 
 
+MAX_REPLICAS = 1000
+"""Largest number of replicas of a service in a failure domain; each is billed, and a
+larger number is a mistake."""
+
+
 def check_config(config: FleetConfig) -> None:
     """Check that a configuration is valid.
 
@@ -54,6 +59,11 @@
             f"service {service.name!r} has from {scaling.least} to {scaling.most} "
             "replicas in a failure domain"
         )
+    if scaling.most > MAX_REPLICAS:
+        yield (
+            f"service {service.name!r} may have {scaling.most} replicas in a failure "
+            f"domain; the most is {MAX_REPLICAS}"
+        )
     if scaling.boot_s < 0 or scaling.reclaimable_price < 0:
         yield f"service {service.name!r} has a negative boot time or price"
     if any(price < 0 for price in scaling.domain_prices.values()):
--- a/wigeonspan/scaling/_plan.py
+++ b/wigeonspan/scaling/_plan.py
@@ -81,9 +81,16 @@
         open_domains = [d for d in limits if shares[d] < limits[d]]
         if not open_domains:
             break
-        lowest = min(open_domains, key=lambda d: shares[d])
-        shares[lowest] += 1
-        left -= 1
+        lowest = min(shares[d] for d in open_domains)
+        level = [d for d in open_domains if shares[d] == lowest]
+        # All lowest domains rise together, up to the next one or to a limit.
+        bounds = [limits[d] for d in level] + [
+            shares[d] for d in open_domains if shares[d] > lowest
+        ]
+        rise = min(min(bounds) - lowest, left // len(level))
+        for domain in level if rise else level[:left]:
+            shares[domain] += rise or 1
+            left -= rise or 1
     return shares
 
 
