--- a/wigeonspan/fleetconfig/_validation.py
+++ b/wigeonspan/fleetconfig/_validation.py
@@ -12,7 +12,6 @@
     TenantSpec,
 )
 
-
 MAX_REPLICAS = 1000
 """Largest number of replicas of a service in a failure domain; each is billed, and a
 larger number is a mistake."""
