Repeat the orders of a service that has lost all its replicas

Cause: nothing was ordered while the list showed no replica of a service, so one that lost all of them stayed without; services that were removed from the configuration kept their state. Change: the recorded numbers are ordered again after the boot time, without a plan from an empty list; state of services that are not scaled is forgotten.

--- a/tests/scaling/test_task.py
+++ b/tests/scaling/test_task.py
@@ -229,3 +229,33 @@
     world.clock.advance(5.0)
     asyncio.run(rounds())
     assert len(world.platform.calls) == calls
+
+
+def test_service_that_has_lost_all_replicas_gets_new_ones():
+    """Nothing was ordered any more when the list showed no replica of a service."""
+    world = World()
+    world.run(20)
+    calls = len(world.platform.calls)
+    ordered = {c[:2]: c[2] for c in world.platform.calls if c[2]}
+    world.platform.wanted.clear()
+    world.run(12)
+    assert len(world.platform.calls) > calls
+    assert all(world.platform.wanted[key] >= n for key, n in ordered.items())
+
+
+def test_empty_list_at_the_start_orders_nothing():
+    """A list that shows nothing yet must not release what is there."""
+    world = World(found=0)
+    world.run(10)
+    assert world.platform.calls == []
+
+
+def test_state_of_removed_services_is_forgotten():
+    """Each name that a configuration ever had kept its state."""
+    world = World()
+    for number in range(50):
+        name = ServiceName(f"s{number}")
+        spec = world.config.services[0].scaling
+        world.config = FleetConfig(1, (), (ServiceSpec(name, "/", 10, None, spec),))
+        world.run(1)
+    assert len(world.task._services) <= 1 and len(world.task._subjects) <= 8
--- a/wigeonspan/scaling/_ledger.py
+++ b/wigeonspan/scaling/_ledger.py
@@ -55,6 +55,10 @@
         now_present = sum(fleet.total for fleet in present.values())
         return self._found_totals.get(service, now_present)
 
+    def orders(self, service: ServiceName) -> list[ReplicaOrder]:
+        """Return the last orders of a service."""
+        return [o for o in self._orders.values() if o.service == service]
+
     def ordered(self, service: ServiceName, present: FleetPlan) -> FleetPlan:
         """Return the numbers ordered last, or those present where none was ordered."""
 
--- a/wigeonspan/scaling/_task.py
+++ b/wigeonspan/scaling/_task.py
@@ -122,6 +122,7 @@
             self._subjects.clear()
         if now - self._targets.read_at > MAX_LIST_AGE_S:
             return
+        self._forget_services({s.name for s in config.services if s.scaling})
         for service in config.services:
             if service.scaling is not None:
                 await self._scale(service.name, service.scaling, authority)
@@ -133,6 +134,7 @@
         state = self._services.setdefault(service, _ServiceState())
         targets = [t for t in self._targets.all() if t.service == service]
         if not targets:
+            await self._repeat_orders(service, spec, state, authority)
             return
         state.domains |= {t.domain for t in targets} | set(spec.domain_prices)
         present = _count(self._targets.usable(service), state.domains)
@@ -167,6 +169,31 @@
                     found_total,
                 )
 
+    async def _repeat_orders(
+        self,
+        service: ServiceName,
+        spec: ScalingSpec,
+        state: _ServiceState,
+        authority: Authority,
+    ) -> None:
+        """Repeat the recorded orders of a service of which no replica is listed.
+
+        Nothing is planned: the list may be wrong, and a plan for no replicas would
+        release those that it does not show.
+        """
+        for order in self._ledger.orders(service):
+            found_total = self._ledger.found_total(service, {})
+            await self._order_if_due(
+                order, 0, order.number, spec, state, authority, found_total
+            )
+
+    def _forget_services(self, scaled: set[ServiceName]) -> None:
+        """Forget services that the configuration does not scale any more."""
+        for service in set(self._services) - scaled:
+            del self._services[service]
+        for key in [key for key in self._subjects if key[0] not in scaled]:
+            del self._subjects[key]
+
     def _need(
         self,
         service: ServiceName,
