Go on with the duties when a stored configuration cannot be decoded

Cause: a configuration that an earlier release accepted, such as one whose tenants share a key, made every round of the duties decode it again and end with its error, so nothing was reported or ordered. Change: each version is decoded once, an unreadable one is logged once, and the one before stays in force, as at the entries.

--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -28,6 +28,7 @@
     encode_duty_command,
 )
 from wigeonspan.coordinator._cache import CommittedCache
+from wigeonspan.coordinator._decoded import DecodedConfig
 from wigeonspan.coordinator._group import JOIN_PATH, GroupMembership
 from wigeonspan.coordinator._handlers import BeatHandler, JoinHandler, MetricsHandler
 from wigeonspan.coordinator._heartbeats import Heartbeats
@@ -166,8 +167,9 @@
             self._metrics,
             self._heartbeats.limited_targets,
         )
-        self._read_config = read_config
-        self._decoded: FleetConfig | None = None
+        self._decoded = (
+            None if read_config is None else DecodedConfig(read_config, self._event_log)
+        )
         self._usage: UsageTask | None = None
         self._scaling: ScalingTask | None = None
         if make_duty_port is not None:
@@ -373,13 +375,8 @@
         return config is not None and config.tenants is not None
 
     def _newest_config(self) -> FleetConfig | None:
-        """Return the newest committed configuration, decoded once for each version."""
-        stored = self.stored
-        if self._read_config is None or not stored.version:
-            return None
-        if self._decoded is None or self._decoded.version != stored.version:
-            self._decoded = self._read_config(stored.document)
-        return self._decoded
+        """Return the newest committed configuration that can be decoded."""
+        return None if self._decoded is None else self._decoded.update(self.stored)
 
     async def _propose_duty_command(self, command: DutyCommand) -> None:
         """Commit a command about a duty.
