Show requests by tenant and outcome in the metrics

Change: tenant_requests with the tenant and the outcome, up to 200 tenants by name and the rest as other. Measured: the new test passes; with the bound lowered to 2, two names and other are shown.

--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -29,6 +29,7 @@
 )
 from wigeonspan.common import TenantName, WigeonspanError, encode
 from wigeonspan.fleetconfig import ApiKey, StoredConfig, TenantSpec
+from wigeonspan.gateway import _serve
 from wigeonspan.pool import ConnectionPool, ExchangeError, FailureKind
 from wigeonspan.serving import ResponseWriter
 
@@ -250,6 +251,23 @@
     assert sorted(names) == ["a", "b"]
 
 
+def test_requests_are_shown_by_tenant_up_to_a_bound(monkeypatch):
+    """Without a bound, each name that ever existed stayed in the metrics."""
+    monkeypatch.setattr(_serve, "MAX_TENANTS_SHOWN", 2)
+    tenants = tuple(
+        TenantSpec(TenantName(f"t{n}"), (ApiKey(f"secret-{n}"),)) for n in range(4)
+    )
+    requests = [[bearer(f"secret-{n}")] for n in (0, 1, 2, 3, 0)]
+    engines = plain_engines([answers(200)] * 5)
+    serve(IDEMPOTENT, engines, *requests, [bearer("x")], [], tenants=tenants)
+    text = shared_state["context"].metrics.text().decode()
+    lines = [x for x in text.splitlines() if x.startswith("tenant_requests")]
+    names = {line.split('tenant="')[1].split('"')[0] for line in lines}
+    assert names == {"t0", "t1", "other"} and "secret" not in text
+    assert 'key_refusals_total{reason="missing"} 1' in text
+    assert 'key_refusals_total{reason="unknown"} 1' in text
+
+
 class Meter:
     """Records what is counted and withdrawn."""
 
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -3,7 +3,13 @@
 import asyncio
 import random
 
-from wigeonspan.common import ErrorKind, RequestId, ServiceName, WigeonspanError
+from wigeonspan.common import (
+    ErrorKind,
+    RequestId,
+    ServiceName,
+    TenantName,
+    WigeonspanError,
+)
 from wigeonspan.fleetconfig import CallKind, FleetConfig, Route
 from wigeonspan.gateway._active_request import ActiveRequest, check_access
 from wigeonspan.gateway._context import GatewayContext
@@ -13,6 +19,10 @@
 from wigeonspan.serving import ResponseWriter
 from wigeonspan.tenants import Access, KeyFault, key_error
 
+MAX_TENANTS_SHOWN = 200
+"""Number of tenants that the metrics show by name; the rest are shown together, because
+each name is kept until the process ends."""
+
 RESPONSE_MARGIN_S = 0.01
 """Seconds by which the internal deadline precedes the caller's, so that the response
 reaches the caller in time."""
@@ -35,6 +45,7 @@
         self._context = context
         self._rng = rng
         self._accepting = False
+        self._shown_tenants: set[TenantName] = set()
         self._open: dict[ActiveRequest, tuple[_Handler, ResponseWriter]] = {}
 
     def open(self) -> None:
@@ -102,6 +113,7 @@
         """Serve one request."""
         arrived_at = self._context.clock.now()
         request_id, outcome, kind, unanswered = None, "answered", "unknown", False
+        access = None
         try:
             request = self._context.protocol.read_request(method, target, headers, body)
             request_id = request.request
@@ -137,6 +149,17 @@
                     took_ms=self._took_ms(arrived_at),
                 )
             self._context.metrics.count("requests", kind=kind, outcome=outcome)
+            if access is not None and access.tenant is not None:
+                tenant = self._shown_tenant(access.tenant)
+                self._context.metrics.count(
+                    "tenant_requests", tenant=tenant, outcome=outcome
+                )
+
+    def _shown_tenant(self, tenant: TenantName) -> str:
+        """Return the name under which the metrics show a tenant."""
+        if len(self._shown_tenants) < MAX_TENANTS_SHOWN:
+            self._shown_tenants.add(tenant)
+        return tenant if tenant in self._shown_tenants else "other"
 
     def _record_refused(
         self,
