Bound the decided windows that wait for an acknowledgement

Measured: the new test of the bound fails before the change; the tests of usage and of the state machine pass.

--- a/tests/controlstate/test_machine.py
+++ b/tests/controlstate/test_machine.py
@@ -7,7 +7,7 @@
     StoredConfig,
     encode_store_command,
 )
-from wigeonspan.usage import DecideWindow, WindowReported
+from wigeonspan.usage import DecideWindow, UsageLedger, WindowReported
 
 A = TenantName("a")
 
@@ -59,3 +59,19 @@
     assert len(machine.snapshot()) < 2000
     machine.apply(1, decide(3, 99))
     assert machine.usage.unreported == []
+
+
+def test_windows_that_are_never_acknowledged_are_bounded():
+    """An outage of the platform for days made snapshots grow without end."""
+    ledger = UsageLedger()
+    for window in range(5000):
+        ledger.apply(DecideWindow(window, ()))
+    kept = [w.window for w in ledger.unreported]
+    assert kept[-1] == 4999 and 1000 <= len(kept) <= 1500
+    restored = UsageLedger()
+    restored.restore(ledger.save())
+    assert restored.newest == 4999 and restored.unreported == ledger.unreported
+    for window in kept:
+        ledger.apply(WindowReported(window))
+    ledger.apply(DecideWindow(5000, ()))
+    assert len(ledger.save()) == 25
--- a/wigeonspan/usage/_ledger.py
+++ b/wigeonspan/usage/_ledger.py
@@ -10,6 +10,11 @@
 its window decided."""
 
 
+MAX_UNREPORTED = 1440
+"""Maximum number of windows that wait for an acknowledgement, two hours of them;
+reports are due within seconds, and each control host keeps the counts in memory."""
+
+
 class DecidedWindow(Struct):
     """Counts of a window, and whether their report was acknowledged."""
 
@@ -67,5 +72,6 @@
 
     def _forget_old(self) -> None:
         reported = sorted(w.window for w in self._windows.values() if w.reported)
-        for window in reported[:-KEPT_WINDOWS]:
+        waiting = [w.window for w in self.unreported]
+        for window in (*reported[:-KEPT_WINDOWS], *waiting[:-MAX_UNREPORTED]):
             del self._windows[window]
--- a/wigeonspan/usage/_task.py
+++ b/wigeonspan/usage/_task.py
@@ -117,6 +117,8 @@
             await self._decide(decision, newest, wall_ms)
         waiting = self._ledger.unreported
         may_call = authority.fence != self._fenced_token and now >= self._retry_at
+        known = {w.window for w in waiting}
+        self._refused = {w: at for w, at in self._refused.items() if w in known}
         due = [w for w in waiting if now >= self._refused.get(w.window, 0.0)]
         if due and may_call:
             await self._report(due[0], authority)
@@ -124,9 +126,12 @@
     async def _decide(
         self, decision: DecideWindow, newest: int | None, wall_ms: int
     ) -> None:
+        waiting = {w.window for w in self._ledger.unreported}
         if not await self._commit(decision):
             return
+        dropped = len(waiting - {w.window for w in self._ledger.unreported})
         given_up = 0 if newest is None else decision.window - newest - 1
+        given_up += dropped
         if given_up:
             self._metrics.count("usage_windows", given_up, outcome="given_up")
         self._metrics.count("usage_windows", outcome="decided")
@@ -166,7 +171,9 @@
         if outcome is DutyOutcome.DONE:
             self._retry_s = FIRST_RETRY_S
             self._metrics.count("usage_windows", outcome="reported")
-            await self._commit(WindowReported(decided.window))
+            if not await self._commit(WindowReported(decided.window)):
+                # The report is repeated, but not in each round.
+                self._retry_at = now + MAX_RETRY_S
             return
         if outcome is DutyOutcome.CONFLICT:
             # Another holder has a higher token, so this host has lost its authority.
