--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -6,6 +6,7 @@
 import pytest
 from adapter import read_config
 
+from tests.platform import gateway_harness
 from tests.platform.gateway_harness import (
     IDEMPOTENT,
     NET,
@@ -28,6 +29,9 @@
 )
 from wigeonspan.common import TenantName, WigeonspanError, encode
 from wigeonspan.fleetconfig import ApiKey, StoredConfig, TenantSpec
+from wigeonspan.gateway import _serve
+from wigeonspan.pool import ConnectionPool, ExchangeError, FailureKind
+from wigeonspan.serving import ResponseWriter
 
 KEY = "secret-key-a"
 TENANTS = (
@@ -170,6 +174,46 @@
     assert not engines[1].seen
 
 
+def test_revocation_does_not_end_a_run_that_is_tried_elsewhere():
+    """A silent call was dropped when its key was revoked before the second try."""
+
+    async def step(fields, caller):
+        set_tenants(shared_state["context"], TENANTS[1:], 3)
+        await asyncio.sleep(1.0)
+        await answers(200)(fields, caller)
+
+    engines = plain_engines([step], [step])
+    answer = serve(IDEMPOTENT, engines, [bearer(KEY)])[0]
+    assert status(answer) == 200 and count_requests(engines) == 1
+
+
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT, STREAM])
+def test_key_that_is_revoked_while_connecting_runs_nothing(kind, monkeypatch):
+    """A connection may take long, or this host may be paused, after the check."""
+    connect = ConnectionPool._connect
+
+    async def connect_late(pool, address):
+        connection = await connect(pool, address)
+        if shared_state["context"].config.version < 3:
+            set_tenants(shared_state["context"], TENANTS[1:], 3)
+        return connection
+
+    monkeypatch.setattr(ConnectionPool, "_connect", connect_late)
+    usage = "600,20" if kind is STREAM else None
+    engines = (
+        model_engines([prefills], [streams(2)])
+        if kind is STREAM
+        else plain_engines([answers(200)], [answers(200)])
+    )
+    answer = serve(kind, engines, [bearer(KEY)], usage=usage)[0]
+    assert status(answer) == 401 and not count_requests(engines)
+    context = shared_state["context"]
+    assert all(
+        not context.placer.health.suspended_since(t.target, 0.0)
+        for t in context.target_table.all()
+    )
+
+
 def test_failure_after_a_run_does_not_say_that_nothing_ran():
     """After a run that was reset, a 401 would hide that the request may have run."""
     engines = plain_engines([revokes(resets)], [revokes(resets)])
@@ -207,6 +251,91 @@
     assert sorted(names) == ["a", "b"]
 
 
+def test_requests_are_shown_by_tenant_up_to_a_bound(monkeypatch):
+    """Without a bound, each name that ever existed stayed in the metrics."""
+    monkeypatch.setattr(_serve, "MAX_TENANTS_SHOWN", 2)
+    tenants = tuple(
+        TenantSpec(TenantName(f"t{n}"), (ApiKey(f"secret-{n}"),)) for n in range(4)
+    )
+    requests = [[bearer(f"secret-{n}")] for n in (0, 1, 2, 3, 0)]
+    engines = plain_engines([answers(200)] * 5)
+    serve(IDEMPOTENT, engines, *requests, [bearer("x")], [], tenants=tenants)
+    text = shared_state["context"].metrics.text().decode()
+    lines = [x for x in text.splitlines() if x.startswith("tenant_requests")]
+    names = {line.split('tenant="')[1].split('"')[0] for line in lines}
+    assert names == {"t0", "t1", "other"} and "secret" not in text
+    assert 'key_refusals_total{reason="missing"} 1' in text
+    assert 'key_refusals_total{reason="unknown"} 1' in text
+
+
+class Meter:
+    """Records what is counted and withdrawn."""
+
+    def __init__(self):
+        self.counts = []
+
+    def begin(self, tenant):
+        self.counts.append(tenant)
+        return len(self.counts)
+
+    def withdraw(self, tenant, wall_ms):
+        self.counts.remove(tenant)
+
+
+@pytest.mark.parametrize("first", ["head", "body"])
+def test_stream_counts_when_its_caller_has_left(first, monkeypatch):
+    """A stream that ran was not counted when its caller left at the first event."""
+
+    meter, engine_writers = Meter(), []
+    engines = model_engines([prefills], [streams(2)])
+
+    def watch(serve_engine):
+        async def serve_one(*args):
+            shared_state["context"].meter = meter
+            engine_writers.append(args[-1])
+            await serve_engine(*args)
+
+        return serve_one
+
+    for engine in engines:
+        engine.serve = watch(engine.serve)
+    name = {"head": "send_head", "body": "send"}[first]
+    write = getattr(ResponseWriter, name)
+
+    async def write_unless_left(writer, *args):
+        if not any(writer is one for one in engine_writers):
+            raise ConnectionResetError("the caller has left")
+        await write(writer, *args)
+
+    monkeypatch.setattr(ResponseWriter, name, write_unless_left)
+    monkeypatch.setattr(gateway_harness, "unexpected", lambda error: None)
+    serve(STREAM, engines, [bearer(KEY)], usage="600,20")
+    assert meter.counts == ["a"]
+
+
+def test_call_that_no_target_took_is_not_counted(monkeypatch):
+    """A refused call stayed counted when a second try was still connecting."""
+    connect, connections = ConnectionPool._connect, []
+
+    async def connect_or_fail(pool, address):
+        shared_state["context"].meter = meter
+        connections.append(address)
+        if len(connections) == 1:
+            return await connect(pool, address)
+        await asyncio.sleep(0.5)
+        raise ExchangeError(FailureKind.CONNECT, sent=False)
+
+    async def refuses_late(fields, caller):
+        await asyncio.sleep(1.0)
+        await not_run(fields, caller)
+
+    meter = Meter()
+    monkeypatch.setattr(ConnectionPool, "_connect", connect_or_fail)
+    engines = plain_engines([refuses_late], [refuses_late])
+    serve(IDEMPOTENT, engines, [bearer(KEY)])
+    assert len(connections) >= 2 and meter.counts == []
+
+
 ROUTE = {
     "name": "r",
     "host": "h",
@@ -228,6 +357,10 @@
         ([{"name": "", "api_keys": ["k1"]}], "no name"),
         ([{"name": "a", "api_keys": [""]}], "empty key"),
         ([{"name": "a\r\nTenant: b", "api_keys": ["k1"]}], "header field"),
+        ([{"name": " a", "api_keys": ["k1"]}], "header field"),
+        ([{"name": "a ", "api_keys": ["k1"]}], "header field"),
+        ([{"name": "a", "api_keys": ["k1 x"]}], "no caller can send"),
+        ([{"name": "a", "api_keys": ["k1\u00e9"]}], "no caller can send"),
     ],
 )
 def test_ambiguous_tenants_are_refused(tenants, why):
--- a/tests/usage/test_task.py
+++ b/tests/usage/test_task.py
@@ -57,6 +57,8 @@
 
     def __init__(self, name, group, platform, clock):
         self.fence = None
+        self.has_tenants = True
+        self.metrics = ProcessMetrics()
         machine = ControlStateMachine()
         group.machines.append(machine)
         self.ledger = machine.usage
@@ -66,11 +68,11 @@
             platform,
             machine.usage,
             lambda: None if self.fence is None else Authority(self.fence, 1e9),
-            lambda: True,
+            lambda: self.has_tenants,
             group.propose,
             UsageTimes(5000, 10_000),
             NullRecorder(),
-            ProcessMetrics(),
+            self.metrics,
         )
 
 
@@ -85,13 +87,15 @@
         ]
         self.counters = [UsageCounter(f"i{n}", 5000, 10_000) for n in range(entries)]
         self.silent = set()
+        self.idle = False
 
     def run(self, seconds):
         async def rounds():
             for _ in range(round(seconds * 10)):
                 self.clock.advance(0.1)
                 for number, counter in enumerate(self.counters):
-                    counter.add(A, self.clock.wall_ms())
+                    if not self.idle:
+                        counter.add(A, self.clock.wall_ms())
                     share = counter.share(self.clock.wall_ms())
                     if number not in self.silent:
                         for host in self.hosts:
@@ -252,3 +256,70 @@
         command = DecideWindow(WINDOW, ((A, count),))
         machine.apply(1, encode_duty_command(command))
     assert [w.counts for w in machine.usage.unreported] == [((A, 5),)]
+
+
+def collected_windows(host):
+    return sum(len(use.windows) for use in host.task._collector._entries.values())
+
+
+@pytest.mark.parametrize("has_tenants", [True, False])
+def test_counts_without_decisions_take_bounded_memory(has_tenants):
+    """Without a majority for hours, a control host kept the counts of each window."""
+    world = World()
+    world.hosts[0].fence = 1
+    world.group.quorum = False
+    for host in world.hosts:
+        host.has_tenants = has_tenants
+    world.run(200.0)
+    assert all(collected_windows(host) <= 2 * 15 for host in world.hosts)
+
+
+def test_refused_report_does_not_hold_up_the_others():
+    """One window that the platform does not take kept all later ones unreported."""
+    world = World()
+    world.hosts[0].fence = 1
+    accept = world.platform.report_usage
+
+    async def report_usage(report, *args):
+        if report.window == WINDOW:
+            world.platform.calls.append((WINDOW, report.counts, *args[:2]))
+            return DutyOutcome.REFUSED
+        return await accept(report, *args)
+
+    world.platform.report_usage = report_usage
+    world.run(60.0)
+    reported = windows(world.platform.calls)
+    assert set(range(WINDOW + 1, WINDOW + 9)) <= set(reported)
+    assert 1 < reported.count(WINDOW) <= 3, "it is tried again, but not all the time"
+
+
+def test_use_before_the_tenants_were_removed_is_reported():
+    """The last windows were lost when a configuration had no tenants any more."""
+    world = World()
+    world.hosts[0].fence = 1
+    world.run(12.0)
+    for host in world.hosts:
+        host.has_tenants = False
+    world.idle = True
+    world.run(30.0)
+    assert set(windows(world.platform.calls)) == {WINDOW, WINDOW + 1}
+    assert dict(world.platform.calls[-1][1])[A] > 0
+
+
+def oldest_age_s(host):
+    lines = host.metrics.text().decode().splitlines()
+    line = next(x for x in lines if "oldest_unreported" in x and x[0] != "#")
+    return float(line.split()[-1])
+
+
+def test_age_of_the_oldest_unreported_window_is_shown():
+    """An operator sees that reports are missing before the platform complains."""
+    world = World()
+    world.hosts[0].fence = 1
+    world.platform.outcomes = [DutyOutcome.BUSY] * 1000
+    world.run(40.0)
+    assert 25.0 <= oldest_age_s(world.hosts[0]) <= 31.0
+    world.platform.outcomes = []
+    world.run(10.0)
+    assert b'outcome="reported"' in world.hosts[0].metrics.text()
+    assert oldest_age_s(world.hosts[0]) < 6.0
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -29,6 +29,7 @@
     encode_duty_command,
 )
 from wigeonspan.coordinator._cache import CommittedCache
+from wigeonspan.coordinator._decoded import DecodedConfig
 from wigeonspan.coordinator._group import JOIN_PATH, GroupMembership
 from wigeonspan.coordinator._handlers import BeatHandler, JoinHandler, MetricsHandler
 from wigeonspan.coordinator._heartbeats import Heartbeats
@@ -168,8 +169,9 @@
             self._heartbeats.limited_targets,
             self._is_elastic,
         )
-        self._read_config = read_config
-        self._decoded: FleetConfig | None = None
+        self._decoded = (
+            None if read_config is None else DecodedConfig(read_config, self._event_log)
+        )
         self._urgent_meter = DemandMeter()
         self._usage: UsageTask | None = None
         self._scaling: ScalingTask | None = None
@@ -383,13 +385,8 @@
         return spec is not None and spec.scaling is not None
 
     def _newest_config(self) -> FleetConfig | None:
-        """Return the newest committed configuration, decoded once for each version."""
-        stored = self.stored
-        if self._read_config is None or not stored.version:
-            return None
-        if self._decoded is None or self._decoded.version != stored.version:
-            self._decoded = self._read_config(stored.document)
-        return self._decoded
+        """Return the newest committed configuration that can be decoded."""
+        return None if self._decoded is None else self._decoded.update(self.stored)
 
     async def _propose_duty_command(self, command: DutyCommand) -> None:
         """Commit a command about a duty.
--- a/wigeonspan/scaling/_ledger.py
+++ b/wigeonspan/scaling/_ledger.py
@@ -64,6 +64,10 @@
             return sum(fleet.total for fleet in present.values())
         return max(found, sum(fleet.kept for fleet in present.values()))
 
+    def orders(self, service: ServiceName) -> list[ReplicaOrder]:
+        """Return the last orders of a service."""
+        return [o for o in self._orders.values() if o.service == service]
+
     def ordered(self, service: ServiceName, present: FleetPlan) -> FleetPlan:
         """Return the numbers ordered last, or those present where none was ordered."""
 
