Replace the predicate that the replay of yielding requests disables

The placer was divided, and is_expected_late is now imported by its public name, so the test failed with an AttributeError before it played anything. It now replaces the name that the placer uses; what it checks is unchanged.

--- a/tests/replay/test_replay.py
+++ b/tests/replay/test_replay.py
@@ -63,7 +63,7 @@
     Otherwise a queue of late requests makes all that follow late as well.
     """
     with_rule = simulate(deployment, pattern, load).credit_share
-    monkeypatch.setattr(_placer, "_is_expected_late", lambda plan, remaining_ms: False)
+    monkeypatch.setattr(_placer, "is_expected_late", lambda plan, remaining_ms: False)
     assert with_rule > simulate(deployment, pattern, load).credit_share + 0.02
 
 
