Add replays of the heaviest load: two deployments, four patterns

The lab and the game club are added with a priority by kind, and bursts of the long kind, kinds that swap, one large tenant, and waves by failure domain. Prefill in chunks is not modelled.

--- a/replay/__main__.py
+++ b/replay/__main__.py
@@ -69,7 +69,8 @@
             f"abandoned {kind.abandoned:.3f}, "
             f"largest served {kind.largest_served:.3f}, on time "
             f"{kind.largest_on_time:.3f}, median first response "
-            f"{kind.median_response_s * 1000:.0f} ms"
+            f"{kind.median_response_s * 1000:.0f} ms, 99th percentile "
+            f"{kind.p99_response_s * 1000:.0f} ms"
         )
     return "\n".join(lines)
 
--- a/replay/_engine.py
+++ b/replay/_engine.py
@@ -6,6 +6,9 @@
   of its queue.
 - Prompt parts in its cache need no prefill; the least recently used parts are evicted.
 - Each stream takes a slot.
+- Where streams and cached parts share the memory, the tokens of a stream are kept until
+  it ends. When they do not fit, cached parts are evicted, and then the newest of the
+  least urgent streams has to begin again later.
 - A decode engine needs twice the time for prefill, and its streams pause until it has
   no prompt left in its queue.
 """
@@ -25,9 +28,6 @@
 DECODE_PREFILL_SLOWDOWN = 2.0
 """Factor by which prefill is slower on a decode engine."""
 
-FULL_BATCH_STEP_FACTOR = 2.0
-"""Factor on the time of a decode step when all slots are taken."""
-
 CACHE_SHARE = 0.75
 """Share of the memory that caches prompt parts."""
 
@@ -66,6 +66,10 @@
         Called to crash the engine.
     was_reached : bool
         Whether the engine was up when the job arrived.
+    memory_tokens : int
+        Tokens of the prompt and the answer, which the stream keeps in memory.
+    preemptions : int
+        Number of times that the stream had to begin again.
     """
 
     tokens: int
@@ -77,6 +81,8 @@
     crash_after_s: float | None = None
     on_crash: Callable[[], None] | None = None
     was_reached: bool = True
+    memory_tokens: int = 0
+    preemptions: int = 0
 
 
 Schedule = Callable[[float, Callable[[], None]], None]
@@ -100,6 +106,10 @@
         Part of the prefill time that doesn't depend on the prompt.
     read_latency_ms : float
         Time from the end of a prefill until it is reported as complete.
+    full_batch_step_factor : float
+        Factor on the time of a decode step when all slots are taken.
+    shares_memory : bool
+        Whether streams take memory from the cache.
     """
 
     def __init__(
@@ -111,6 +121,9 @@
         schedule: Schedule,
         read_fixed_ms: float = 17.0,
         read_latency_ms: float = 0.0,
+        full_batch_step_factor: float = 2.0,
+        *,
+        shares_memory: bool = False,
     ) -> None:
         self.target = target
         self.phase = target.phase
@@ -126,6 +139,9 @@
         self._schedule = schedule
         self._read_fixed_ms = read_fixed_ms
         self._read_latency_ms = read_latency_ms
+        self._full_batch_step_factor = full_batch_step_factor
+        self._shares_memory = shares_memory
+        self.preemptions = 0
         self._is_silent = False
         # Ends of prefills that fell into a silence.
         self._held: list[Callable[[], None]] = []
@@ -253,14 +269,45 @@
             self._processed_parts.add(part.part)
             self._cache[part.part] = part.tokens
             self._cache.move_to_end(part.part)
-        while sum(self._cache.values()) > self._memory_tokens * CACHE_SHARE:
-            self._cache.popitem(last=False)
+        self._evict()
         slowdown = DECODE_PREFILL_SLOWDOWN if self.phase is Phase.DECODE else 1.0
         attention_ms = ATTENTION_MS_PER_PAIR * new_tokens * prompt.input_tokens
         return slowdown * (
             self._read_fixed_ms + new_tokens / self._read_tokens_per_ms + attention_ms
         )
 
+    def _evict(self) -> None:
+        """Evict the least recently used parts that do not fit into the cache."""
+        limit = self._memory_tokens * CACHE_SHARE
+        if self._shares_memory:
+            limit = self._memory_tokens - self._stream_tokens()
+        total = sum(self._cache.values())
+        while self._cache and total > limit:
+            total -= self._cache.popitem(last=False)[1]
+
+    def _stream_tokens(self) -> int:
+        return sum(stream.memory_tokens for stream in self._streams)
+
+    def _make_room(self, job: StreamJob) -> bool:
+        """Preempt less urgent streams for a new one; return whether it has room."""
+        if not self._shares_memory:
+            return True
+        while self._streams:
+            if self._stream_tokens() + job.memory_tokens <= self._memory_tokens:
+                return True
+            urgency = max(stream.urgency for stream in self._streams)
+            if urgency <= job.urgency:
+                return False
+            newest = [s for s in self._streams if s.urgency == urgency][-1]
+            newest.preemptions += 1
+            self.preemptions += 1
+            newest.pending_delay_s += (
+                newest.memory_tokens / self._read_tokens_per_ms / 1000.0
+            )
+            self._streams.remove(newest)
+            self._stream_queue.append(newest)
+        return True
+
     def _start_queued_streams(self) -> None:
         while (
             not self._is_silent
@@ -268,26 +315,39 @@
             and len(self._streams) < self.target.slots
         ):
             job = min(self._stream_queue, key=lambda queued: queued.urgency)
+            if not self._make_room(job):
+                return
             self._stream_queue.remove(job)
             self._streams.append(job)
+            self._evict()
             self._run_stream(job)
 
     def _run_stream(self, job: StreamJob) -> None:
         occupancy = len(self._streams) / self.target.slots
-        step_ms = self._step_ms * (1.0 + (FULL_BATCH_STEP_FACTOR - 1.0) * occupancy)
+        step_ms = self._step_ms * (
+            1.0 + (self._full_batch_step_factor - 1.0) * occupancy
+        )
         step_s = step_ms * self.slowness / 1000.0
-        generation = self._generation
+        generation, preemptions = self._generation, job.preemptions
 
         def is_running() -> bool:
-            return job in self._streams and self._generation == generation
+            return (
+                job in self._streams
+                and self._generation == generation
+                and job.preemptions == preemptions
+            )
 
         def send_first_event() -> None:
+            if job.preemptions != preemptions:
+                return
             if self._postpone(job, send_first_event):
                 return
             if is_running():
                 job.on_first_event()
 
         def finish() -> None:
+            if job.preemptions != preemptions:
+                return
             if self._postpone(job, finish):
                 return
             if is_running():
--- a/replay/_figures.py
+++ b/replay/_figures.py
@@ -1,11 +1,13 @@
 """Figures of a replay."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 
 from msgspec import Struct
 
 from replay._load import Deployment
 from replay._messages import Ending, Outcome
+from wigeonspan.common import TenantName
 
 BASE_CREDIT = 0.3
 """Part of a request's credit that does not depend on its size."""
@@ -18,7 +20,7 @@
 
 
 class KindFigures(Struct, frozen=True):
-    """Figures of one kind of request.
+    """Figures of one kind of request, or of one tenant.
 
     ``served`` to ``abandoned`` are shares of all requests of the kind;
     ``largest_served`` and ``largest_on_time`` are shares of its largest requests.
@@ -29,6 +31,8 @@
         Number of requests of the kind.
     median_response_s : float
         Median time to the first event or, without one, to the end.
+    p99_response_s : float
+        99th percentile of the time to the first event of the served requests.
     """
 
     requests: int
@@ -39,6 +43,12 @@
     largest_served: float
     largest_on_time: float
     median_response_s: float
+    p99_response_s: float = 0.0
+
+    @property
+    def late(self) -> float:
+        """Share of the requests that were answered late."""
+        return self.served - self.on_time
 
 
 class Figures(Struct, frozen=True):
@@ -52,12 +62,15 @@
         Credit of all requests if all were on time.
     served : float
         Share of the requests that were answered, on time or late.
+    tenants : dict
+        Figures by tenant and kind, of the requests that have a tenant.
     """
 
     credit: float
     max_credit: float
     served: float
     kinds: dict[str, KindFigures]
+    tenants: dict[tuple[TenantName, str], KindFigures] = {}
 
     @property
     def credit_share(self) -> float:
@@ -84,13 +97,19 @@
                 credit += credit_factor * kind.late
         kinds[name] = _compute_kind_figures(kind_outcomes)
     served = _share(outcomes, _is_served)
-    return Figures(credit, max_credit, served, kinds)
+    by_tenant: defaultdict[tuple[TenantName, str], list[Outcome]] = defaultdict(list)
+    for outcome in outcomes:
+        if outcome.tenant is not None:
+            by_tenant[outcome.tenant, outcome.kind].append(outcome)
+    tenants = {key: _compute_kind_figures(group) for key, group in by_tenant.items()}
+    return Figures(credit, max_credit, served, kinds, tenants)
 
 
 def _compute_kind_figures(outcomes: list[Outcome]) -> KindFigures:
     by_size = sorted(outcomes, key=lambda outcome: -outcome.input_tokens)
     largest = by_size[: max(1, int(len(by_size) * LARGEST_SHARE))]
     response_times = sorted(outcome.response_s for outcome in outcomes)
+    served_times = sorted(o.response_s for o in outcomes if _is_served(o))
     return KindFigures(
         len(outcomes),
         _share(outcomes, _is_served),
@@ -100,6 +119,7 @@
         _share(largest, _is_served),
         _share(largest, lambda outcome: outcome.ending is Ending.ON_TIME),
         response_times[len(response_times) // 2] if response_times else 0.0,
+        served_times[int(0.99 * len(served_times))] if served_times else 0.0,
     )
 
 
--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -76,6 +76,8 @@
         change_placer: Callable[[Placer], None] = lambda placer: None,
     ) -> None:
         self.outcomes: list[Outcome] = []
+        self._unscaled_deployment = deployment
+        deployment = deployment.scaled(pattern)
         self._deployment = deployment
         self._pattern = pattern
         self._rng = random.Random(seed)
@@ -87,19 +89,17 @@
         self.engines = [self._make_engine(n) for n in range(deployment.engines)]
         self._engines_by_target = {e.target.target: e for e in self.engines}
         self._entries = []
-        for number in range(pattern.entries or deployment.entries):
+        for number in range(deployment.entries):
             rng = random.Random(self._rng.random())
             placer = Placer(self._domain(number), rng)
             placer.prefixes.set_memory(deployment.memory_tokens)
             change_placer(placer)
             quarantine = PromptQuarantine()
-            quarantine.set_entries(
-                number, pattern.entries or deployment.entries, START_S
-            )
+            quarantine.set_entries(number, deployment.entries, START_S)
             entry = Entry(
                 HostId(f"e{number}"), placer, RetryBudget(*RETRY_BUDGET), quarantine
             )
-            entry.budget.set_entries(pattern.entries or deployment.entries)
+            entry.budget.set_entries(deployment.entries)
             self._entries.append(entry)
         # Random numbers of their own keep those of other reports unchanged.
         self._quarantine_rng = random.Random(f"quarantine {seed}")
@@ -131,7 +131,9 @@
         seed : int
             Seed of the arrivals.
         """
-        arrivals = draw_arrivals(self._deployment, self._pattern, load, seconds, seed)
+        arrivals = draw_arrivals(
+            self._unscaled_deployment, self._pattern, load, seconds, seed
+        )
         self._schedule_next_arrival(arrivals)
         for fault in self._pattern.faults:
             self.schedule(
@@ -269,6 +271,8 @@
             self.schedule,
             deployment.read_fixed_ms,
             deployment.read_latency_ms,
+            deployment.full_batch_step_factor,
+            shares_memory=deployment.shares_memory,
         )
 
     def _repeat(
--- a/replay/_load.py
+++ b/replay/_load.py
@@ -1,5 +1,6 @@
 """Deployments, load patterns and the requests drawn from them."""
 
+import math
 import random
 from collections.abc import Iterator
 from pathlib import Path
@@ -9,7 +10,7 @@
 import yaml
 from msgspec import Struct, structs
 
-from wigeonspan.common import ServiceName
+from wigeonspan.common import ServiceName, TenantName
 from wigeonspan.fleetconfig import CallKind, Route, WeightedService
 from wigeonspan.placing import Prompt, PromptPart
 
@@ -57,6 +58,10 @@
         Share of the shared tokens that all requests have in common.
     sigma : float
         Spread of the own tokens, as the sigma of a log-normal distribution.
+    priority : int
+        Priority level of the route; 0 is the most urgent.
+    max_own : int or None
+        Largest number of own tokens; None when they are not limited.
     """
 
     per_s: float
@@ -71,6 +76,8 @@
     sessions: int = DEFAULT_SESSIONS
     template_share: float = DEFAULT_TEMPLATE_SHARE
     sigma: float = DEFAULT_SIGMA
+    priority: int = 0
+    max_own: int | None = None
 
 
 class Deployment(Struct, frozen=True):
@@ -96,6 +103,10 @@
     read_latency_ms : float
         Time from the end of a prefill until it is reported as complete; the engine
         does other work meanwhile.
+    full_batch_step_factor : float
+        Factor on the time of a decode step when all slots are taken.
+    shares_memory : bool
+        Whether running streams and cached parts share the memory of an engine.
     """
 
     entries: int
@@ -109,6 +120,26 @@
     kinds: dict[str, RequestKind]
     read_fixed_ms: float = 17.0
     read_latency_ms: float = 0.0
+    full_batch_step_factor: float = 2.0
+    shares_memory: bool = False
+
+    def scaled(self, pattern: "Pattern") -> "Deployment":
+        """Return the deployment at the size of a pattern, with the same engine load.
+
+        A smaller fleet gets fewer requests and sessions, in proportion to its engines.
+        """
+        engines = pattern.engines or self.engines
+        share = engines / self.engines
+        kinds = {
+            name: structs.replace(
+                kind,
+                per_s=kind.per_s * share,
+                sessions=max(1, round(kind.sessions * share)),
+            )
+            for name, kind in self.kinds.items()
+        }
+        entries = pattern.entries or self.entries
+        return structs.replace(self, entries=entries, engines=engines, kinds=kinds)
 
     def route(self, name: str) -> Route:
         """Return the route of a request kind."""
@@ -123,6 +154,7 @@
             kind.deadline_s,
             kind.objective_s,
             kind.pause_s,
+            kind.priority,
             max_attempts=2,
             resumable=True,
         )
@@ -195,6 +227,45 @@
     down_s: float = 5.0
 
 
+class Wave(Struct, frozen=True):
+    """Rise and fall of the requests in one failure domain.
+
+    Parameters
+    ----------
+    domain : int
+        Index of the failure domain.
+    period_s : float
+        Time between two maxima.
+    phase : float
+        Share of a period by which the wave is ahead.
+    swing : float
+        Largest deviation from the mean rate, as a share of it.
+    """
+
+    domain: int
+    period_s: float
+    phase: float
+    swing: float
+
+
+class TenantLoad(Struct, frozen=True):
+    """Tenants, one of which sends most requests of a kind.
+
+    Parameters
+    ----------
+    others : int
+        Number of tenants that share the remaining requests evenly.
+    kind : int
+        Index of the request kind.
+    share : float
+        Share of the first tenant, ``t0``, in the requests of the kind.
+    """
+
+    others: int
+    kind: int
+    share: float
+
+
 class Pattern(Struct, frozen=True):
     """Deviations of a run from the deployment's steady load.
 
@@ -210,6 +281,12 @@
         Number of entries instead of the deployment's.
     culprits : list of Culprit
         Parts that replace those of some requests.
+    engines : int or None
+        Number of engines instead of the deployment's; the load is scaled with it.
+    waves : list of Wave
+        Waves of the failure domains; without them all entries get the same load.
+    tenants : TenantLoad or None
+        Tenants of the requests; None when they have none.
     """
 
     bursts: list[Burst] = []
@@ -219,6 +296,9 @@
     loss: float = 0.002
     entries: int | None = None
     culprits: list[Culprit] = []
+    engines: int | None = None
+    waves: list[Wave] = []
+    tenants: TenantLoad | None = None
 
 
 class Arrival(Struct, frozen=True):
@@ -234,6 +314,8 @@
         Whether the caller repeats the request at once when it is refused.
     culprit : Culprit or None
         Part of the prompt under which engines crash.
+    tenant : TenantName or None
+        Tenant that sends the request.
     """
 
     arrival_s: float
@@ -243,6 +325,7 @@
     prompt: Prompt
     impatient: bool
     culprit: Culprit | None = None
+    tenant: TenantName | None = None
 
 
 def read_deployments() -> dict[str, Deployment]:
@@ -264,14 +347,18 @@
 ) -> Iterator[Arrival]:
     """Yield requests in order of arrival; the same seed yields the same requests."""
     rng = random.Random(seed)
-    # Patterns without culprits keep their random numbers.
+    # Patterns without culprits or tenants keep their random numbers.
     culprit_rng = random.Random(f"culprits {seed}")
+    tenant_rng = random.Random(f"tenants {seed}")
+    deployment = deployment.scaled(pattern)
     names = list(deployment.kinds)
-    entries = pattern.entries or deployment.entries
+    entries = deployment.entries
     now, number = 0.0, 0
     while True:
+        weights = _entry_weights(deployment, pattern, now)
+        total = load * sum(weights) / entries
         rates = [
-            kind.per_s * load * _rate_factor(pattern, kind_index, now)
+            kind.per_s * total * _rate_factor(pattern, kind_index, now)
             for kind_index, kind in enumerate(deployment.kinds.values())
         ]
         now += rng.expovariate(sum(rates))
@@ -279,11 +366,16 @@
             return
         name = rng.choices(names, rates)[0]
         prompt = _draw_prompt(name, deployment.kinds[name], number, rng)
-        entry, impatient = rng.randrange(entries), rng.random() < pattern.impatient
+        if pattern.waves:
+            entry = rng.choices(range(entries), weights)[0]
+        else:
+            entry = rng.randrange(entries)
+        impatient = rng.random() < pattern.impatient
         culprit = _draw_culprit(pattern, now, culprit_rng)
         if culprit is not None:
             prompt = _insert_culprit(prompt, culprit)
-        yield Arrival(now, number, name, entry, prompt, impatient, culprit)
+        tenant = _draw_tenant(pattern.tenants, names.index(name), tenant_rng)
+        yield Arrival(now, number, name, entry, prompt, impatient, culprit, tenant)
         number += 1
 
 
@@ -296,6 +388,25 @@
     return factor
 
 
+def _entry_weights(deployment: Deployment, pattern: Pattern, now: float) -> list[float]:
+    """Return the load of each entry, relative to its mean."""
+    factors = [1.0] * deployment.domains
+    for wave in pattern.waves:
+        angle = 2.0 * math.pi * (now / wave.period_s + wave.phase)
+        factors[wave.domain % deployment.domains] *= 1.0 + wave.swing * math.sin(angle)
+    return [factors[n % deployment.domains] for n in range(deployment.entries)]
+
+
+def _draw_tenant(
+    load: TenantLoad | None, kind_index: int, rng: random.Random
+) -> TenantName | None:
+    if load is None:
+        return None
+    if kind_index == load.kind and rng.random() < load.share:
+        return TenantName("t0")
+    return TenantName(f"t{1 + rng.randrange(load.others)}")
+
+
 def _draw_culprit(pattern: Pattern, now: float, rng: random.Random) -> Culprit | None:
     """Return the culprit of a request; usually none."""
     for culprit in pattern.culprits:
@@ -318,10 +429,11 @@
     # Squaring makes the sessions with low numbers send more requests than the others.
     session = int(kind.sessions * rng.random() ** 2)
     template = int(kind.shared * kind.template_share)
+    own = max(1, int(kind.own * size))
     parts = (
         PromptPart(f"{name}-template", template),
         PromptPart(f"{name}-{session}", kind.shared - template),
-        PromptPart(f"own-{number}", max(1, int(kind.own * size))),
+        PromptPart(f"own-{number}", min(own, kind.max_own or own)),
     )
     output_tokens = max(1, int(kind.out * rng.lognormvariate(-0.08, 0.4)))
     return Prompt(parts, sum(part.tokens for part in parts), output_tokens)
--- a/replay/_messages.py
+++ b/replay/_messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from wigeonspan.common import HostId
+from wigeonspan.common import HostId, TenantName
 from wigeonspan.placing import Placer, RetryBudget
 from wigeonspan.quarantine import PromptQuarantine
 
@@ -35,6 +35,10 @@
         Seconds from the arrival to the first event or, if there was none, to the end.
     arrival_s : float
         Time of the arrival in seconds since the start.
+    tenant : TenantName or None
+        Tenant that sent the request.
+    retry_after_s : float or None
+        Seconds that the last refusal named; None when the request was never refused.
     """
 
     kind: str
@@ -43,6 +47,8 @@
     ending: Ending
     response_s: float
     arrival_s: float
+    tenant: TenantName | None = None
+    retry_after_s: float | None = None
 
 
 class CulpritRecord(Struct):
--- a/replay/_request.py
+++ b/replay/_request.py
@@ -66,6 +66,7 @@
         self._placements = 0
         self._first_event_s: float | None = None
         self._longest_pause_s = 0.0
+        self._retry_after_s: float | None = None
         self._has_ended = False
 
     def start_attempt(self) -> None:
@@ -138,6 +139,7 @@
             # As in the daemons, requests refused for lack of slots count as demand.
             self._add_prefill_demand(refusal.work_ms)
             self._entry.stream_s += self._entry.placer.slots.stream_s
+        self._retry_after_s = refusal.retry_after_s
         wait_s = 0.0 if self._arrival.impatient else refusal.retry_after_s
         wait_s = min(wait_s, self._remaining_s / 3)
         if not self._remaining_retries or self._remaining_s - wait_s < 0.1:
@@ -302,6 +304,7 @@
 
         tokens = self._arrival.prompt.output_tokens
         job = StreamJob(tokens, plan.urgency, record_first_event, end, record_pause)
+        job.memory_tokens = self._arrival.prompt.input_tokens + tokens
         culprit = self._arrival.culprit
         if culprit is not None:
             job.crash_after_s = culprit.crash_after_s
@@ -351,5 +354,7 @@
             ending,
             response_s,
             arrival.arrival_s,
+            arrival.tenant,
+            self._retry_after_s,
         )
         self._simulation.outcomes.append(outcome)
