Limit the work at targets that have started or recovered

A target that has just started or recovered looks idle to all entries at once, so it was flooded while its caches were empty. Entries now limit the work of all entries at it: the limit starts at an eighth of its slots, grows with answers that are as fast as those of the others, shrinks with failures and slow ones, and is lifted when the target keeps up. The limits only choose among targets and do not apply when most are new or the others are full.

--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -138,6 +138,7 @@
                 placer.end_work(event.work, now, completed=event.completed)
             case TargetSuspended():
                 placer.health.suspend(event.target, now)
+                placer.pace.record_suspension(event.target, now)
             case TargetLeaving():
                 self.target_table.record_leaving(event.target, event.born_ms)
             case TargetLimited():
@@ -279,6 +280,22 @@
         self.metrics.count("target_failures", target=target)
         if self.placer.health.record_failure(target, now, unreachable=unreachable):
             self._publish_suspension(target, unreachable, reason)
+        else:
+            self.placer.pace.record_failure(target, now)
+
+    def update_pace(self) -> None:
+        """End paces that are over, and log and count what has changed."""
+        pace = self.placer.pace
+        pace.expire(self.clock.now())
+        for change in pace.take_changes():
+            self.metrics.count("target_paces", change=change.event.value)
+            self.event_log.write(
+                "health",
+                "target_paced",
+                target=change.target,
+                change=change.event.value,
+                limit=change.limit,
+            )
 
     def record_silence(self, target: TargetId) -> None:
         """Record that a target is silent; if it gets no new work now, publish that."""
@@ -290,4 +307,5 @@
         self.event_log.write(
             "health", "target_suspended", target=target, silent=silent, why=reason
         )
+        self.placer.pace.record_suspension(target, self.clock.now())
         self.link.publish(TargetSuspended(target))
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -321,6 +321,7 @@
             now = self._clock.now()
             context.placer.ledger.expire(now)
             context.update_quarantine()
+            context.update_pace()
             self._check_for_pause()
             context.pool.close_expired()
             context.event_log.flush()
@@ -452,6 +453,7 @@
             remaining = context.budget.remaining(service, now)
             context.metrics.gauge("repeats_left", remaining, service=service)
             self._record_slots(service)
+        context.metrics.gauge("paced_targets", len(context.placer.pace.limits))
         quarantine = context.quarantine
         context.metrics.gauge("quarantined_parts", len(quarantine.quarantined))
         context.metrics.gauge("suspected_parts", quarantine.suspects)
--- a/wigeonspan/gateway/_listing.py
+++ b/wigeonspan/gateway/_listing.py
@@ -122,6 +122,7 @@
     def _process_changes(self, before: dict, source: str) -> None:
         """Log the changes and drop the state of targets that are gone or restarted."""
         after = {t.target: t for t in self._target_table.all()}
+        self._placer.pace.update(list(after.values()), self._clock.now())
         for name in before.keys() - after.keys():
             self._placer.forget(name)
         for name, target in after.items():
--- a/wigeonspan/placing/_choice.py
+++ b/wigeonspan/placing/_choice.py
@@ -11,6 +11,7 @@
 from wigeonspan.placing._ledger import WorkKind, WorkLedger
 from wigeonspan.placing._messages import Decision, Plan, Prompt
 from wigeonspan.placing._order import MAX_URGENCY
+from wigeonspan.placing._pace import TargetPace
 from wigeonspan.placing._readings import PREFILL_FIXED_MS, PrefillSteps
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
@@ -80,6 +81,7 @@
         health: TargetAvailability,
         slots: SlotForecast,
         speeds: SlowdownFactors,
+        pace: TargetPace,
     ) -> None:
         self._domain = domain
         self._rng = rng
@@ -89,6 +91,7 @@
         self._health = health
         self._slots = slots
         self._speeds = speeds
+        self._pace = pace
 
     def split(
         self,
@@ -110,6 +113,7 @@
         """
         if not engines:
             return None
+        engines = self._pace.select(engines)
         penalties = self._health.failure_penalties_ms([t.target for t in engines])
         engines = self._sample_candidates(engines, steps_by_target)
         # A copy takes little time but as much memory as a repeated prefill, so the
@@ -246,6 +250,7 @@
         )
         if not engines:
             return None
+        engines = self._pace.select(engines)
         penalties = self._health.failure_penalties_ms([t.target for t in engines])
 
         def delay_ms(target: Target) -> float:
@@ -278,6 +283,7 @@
         )
         if not usable:
             return None
+        usable = self._pace.select(usable)
         penalties = self._health.failure_penalties_ms([t.target for t in usable])
 
         def delay_ms(target: Target) -> float:
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -117,6 +117,12 @@
             if queue.head is None:
                 queue.choose_head(now)
 
+    def find(self, name: str) -> tuple[Work, float] | None:
+        """Return work in progress and the time at which it began, if it is known."""
+        target = self._targets.get(name)
+        queue = self._queues.get(target) if target is not None else None
+        return None if queue is None else queue.work.get(name)
+
     def end(self, name: str, now: float, *, completed: bool = False) -> None:
         """Record that work has ended.
 
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -13,6 +13,7 @@
 from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
 from wigeonspan.placing._order import LATE_URGENCY, WorkOrder, is_expected_late
+from wigeonspan.placing._pace import TargetPace
 from wigeonspan.placing._patience import abandon_after_s
 from wigeonspan.placing._prefixes import CachedPrefixes
 from wigeonspan.placing._refusals import Refusals
@@ -46,6 +47,7 @@
         self.event_pauses = EventPauses()
         self.slots = SlotForecast()
         self.limits = SharedRateLimits()
+        self.pace = TargetPace(self.ledger)
         self._order = WorkOrder()
         self._eligible = EligibleTargets(self.health, self.limits)
         self._refusals = Refusals(rng, self._eligible, self.limits)
@@ -61,6 +63,7 @@
             self.health,
             self.slots,
             self.speeds,
+            self.pace,
         )
 
     @property
@@ -103,7 +106,10 @@
 
     def end_work(self, work: str, now: float, *, completed: bool) -> None:
         """Record the end of work, and whether its prefill was completed."""
+        begun = self.ledger.find(work)
         self.ledger.end(work, now, completed=completed)
+        if completed and begun is not None:
+            self.pace.record_answer(*begun, now)
         self.prefixes.end(work, completed=completed)
 
     def new_tokens(self, target: Target, prompt: Prompt) -> int:
