Move the duties of a control host out of its daemon

Change: Duties holds the tasks, the decoded configuration and the meter of urgent demand; no change of behaviour.

--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -14,7 +14,6 @@
     DomainName,
     ErrorKind,
     HostId,
-    ServiceName,
     WigeonspanError,
     bind_address,
     keep_running,
@@ -30,6 +29,7 @@
 )
 from wigeonspan.coordinator._cache import CommittedCache
 from wigeonspan.coordinator._decoded import DecodedConfig
+from wigeonspan.coordinator._duties import Duties
 from wigeonspan.coordinator._group import JOIN_PATH, GroupMembership
 from wigeonspan.coordinator._handlers import BeatHandler, JoinHandler, MetricsHandler
 from wigeonspan.coordinator._heartbeats import Heartbeats
@@ -44,7 +44,6 @@
 from wigeonspan.http import make_client
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import BEAT_PATH, Beat, BeatReply
-from wigeonspan.scaling import ScalingTask
 from wigeonspan.serving import RequestServer, ServeRequest
 from wigeonspan.sharing import Relay
 from wigeonspan.staging import Authority, DemandMeter, OrderPort, PhaseChangeTask
@@ -57,7 +56,6 @@
     open_event_log,
     report_loop_errors,
 )
-from wigeonspan.usage import UsageTask, UsageTimes
 
 MAX_CLIENTS = 64
 """Maximum concurrent requests to other control hosts; a group has few members."""
@@ -167,16 +165,24 @@
             meter,
             self._metrics,
             self._heartbeats.limited_targets,
-            self._is_elastic,
+            lambda service: self._duties.orders_replicas_of(service),
         )
-        self._decoded = (
-            None if read_config is None else DecodedConfig(read_config, self._event_log)
+        self._duties = Duties(
+            settings.host,
+            settings.duties,
+            clock,
+            None if make_duty_port is None else make_duty_port(self._pool),
+            self._state_machine,
+            None
+            if read_config is None
+            else DecodedConfig(read_config, self._event_log),
+            self._authority,
+            self._propose_duty_command,
+            self._staging.targets,
+            meter,
+            self._event_log,
+            self._metrics,
         )
-        self._urgent_meter = DemandMeter()
-        self._usage: UsageTask | None = None
-        self._scaling: ScalingTask | None = None
-        if make_duty_port is not None:
-            self._add_duties(make_duty_port(self._pool), meter)
         self._relay = Relay(
             self._heartbeats.relayed_entries, self._heartbeats.other_relays
         )
@@ -228,7 +234,7 @@
                 self._staging.run,
                 self._cache_committed_config,
                 self._run_housekeeping,
-                *(task.run for task in (self._usage, self._scaling) if task),
+                *self._duties.runs,
             )
         ]
 
@@ -341,53 +347,6 @@
             why=error.message,
         )
 
-    def _add_duties(self, port: DutyPort, meter: DemandMeter) -> None:
-        """Add the tasks of the duties that the settings name."""
-        duties = self._settings.duties
-        if duties.reports_usage:
-            self._usage = UsageTask(
-                self._settings.host,
-                self._clock,
-                port,
-                self._state_machine.usage,
-                self._authority,
-                self._has_tenants,
-                self._propose_duty_command,
-                UsageTimes(round(duties.window_s * 1000), round(duties.due_s * 1000)),
-                self._event_log,
-                self._metrics,
-            )
-        if duties.orders_replicas:
-            self._scaling = ScalingTask(
-                self._settings.host,
-                self._clock,
-                port,
-                self._state_machine.scaling,
-                self._authority,
-                self._newest_config,
-                self._propose_duty_command,
-                self._staging.targets,
-                meter,
-                self._urgent_meter,
-                self._event_log,
-                self._metrics,
-            )
-
-    def _has_tenants(self) -> bool:
-        """Return whether the newest committed configuration has tenants."""
-        config = self._newest_config()
-        return config is not None and config.tenants is not None
-
-    def _is_elastic(self, service: ServiceName) -> bool:
-        """Return whether the number of a service's replicas is ordered by demand."""
-        config = self._newest_config() if self._scaling is not None else None
-        spec = None if config is None else config.service(service)
-        return spec is not None and spec.scaling is not None
-
-    def _newest_config(self) -> FleetConfig | None:
-        """Return the newest committed configuration that can be decoded."""
-        return None if self._decoded is None else self._decoded.update(self.stored)
-
     async def _propose_duty_command(self, command: DutyCommand) -> None:
         """Commit a command about a duty.
 
@@ -399,12 +358,7 @@
         await self._log.propose(encode_duty_command(command))
 
     def _receive_beat(self, beat: Beat) -> BeatReply:
-        for service, read_ms in beat.urgent_read_ms.items():
-            stream_s = beat.urgent_stream_s.get(service, 0.0)
-            now = self._clock.now()
-            self._urgent_meter.record(beat.entry.host, service, read_ms, stream_s, now)
-        if self._usage is not None and beat.usage is not None:
-            self._usage.record(beat.entry.host, beat.usage)
+        self._duties.record(beat)
         stored = max(self.stored, self._committed_config, key=lambda c: c.version)
         return self._heartbeats.receive(
             beat,
