Fail exchanges whose response has no status of HTTP/1

The parser accepts any three digits and the versions 0.9 and 2.0. A status below 100 was skipped as interim, so that the caller waited until its deadline or got what came after it, and one of 600 and more was passed on as an answer. The connection now ends such an exchange as malformed when its head is complete. 18 of the 76 new cases failed before and pass now; tests/pool passes (136).

--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -35,6 +35,11 @@
 KEEPALIVE_PROBES = 2
 """Unanswered keepalive probes after which the kernel closes the connection."""
 
+MIN_STATUS, MAX_STATUS = 100, 599
+"""Smallest and largest status code that HTTP defines; the parser accepts any three
+digits."""
+
+_VERSIONS = frozenset({"1.0", "1.1"})
 # str.isdigit accepts characters that float refuses, such as superscripts.
 _SECONDS = re.compile(r"[0-9]{1,9}")
 
@@ -185,8 +190,18 @@
 
         Interim responses and late responses to earlier requests are skipped. A target
         that has sent a late response gets no further request on the connection.
+
+        Raises
+        ------
+        ValueError
+            When HTTP/1 has no such version or status. The parser then reads no further
+            and reports an error.
         """
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise ValueError(f"{status} is no status of a response")
+        if self._parser.get_http_version() not in _VERSIONS:
+            raise ValueError("the response is not one of HTTP/1")
         head = Head(status, self._headers)
         exchange = self._exchange
         self._in_body = True
