Fail exchanges of entryd whose response has no status of HTTP/1

libcurl passes on statuses from 600, a 101 that nobody asked for with what follows it, HTTP/2.0 on a connection of HTTP/1, and a tab after the version; callers got them as answers.

--- /dev/null
+++ b/tests/engines/test_odd_answers.py
@@ -0,0 +1,69 @@
+"""Answers of targets that have no status or end early, over loopback."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tests.loopback import loopback_server
+from tests.status_lines import BODIES, NO_STATUS_LINES
+from wigeonspan.common import SystemClock
+from wigeonspan.engines._connections import TargetConnections
+
+
+async def answer_and_close(data, use):
+    """Answer each request with the same bytes and close; return what ``use`` does."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    connections = TargetConnections(4, 1 << 20, 1.0, SystemClock())
+    try:
+        async with loopback_server(serve) as address:
+            return await use(connections, address)
+    finally:
+        connections.close()
+
+
+def fetch(data):
+    """Return the end of an exchange whose target answers with some bytes."""
+
+    async def use(connections, address):
+        return await connections.open(address, "GET", "/", timeout_s=2.0).ended
+
+    return asyncio.run(answer_and_close(data, use))
+
+
+@pytest.mark.parametrize("body", BODIES.values(), ids=BODIES)
+@pytest.mark.parametrize(
+    "line", [*NO_STATUS_LINES, b"HTTP/1.1 101 X", b"HTTP/1.1\t200 OK"]
+)
+def test_answer_without_a_status_is_no_answer(line, body):
+    """Statuses of 600 and more were passed on, and 101 with what followed it."""
+    end = fetch(line + b"\r\n" + body)
+    assert end.status == 0 and end.body == b"" and end.message
+    assert not end.sent_nothing
+
+
+@pytest.mark.parametrize("status", [200, 299, 304, 404, 500, 598])
+def test_each_status_of_http_is_passed_on(status):
+    """The check must refuse none of the statuses that HTTP defines."""
+    head = b"HTTP/1.1 %d\r\nContent-Length: 0\r\nRetry-After: 3\r\n\r\n" % status
+    end = fetch(head)
+    assert end.status == status and end.headers["Retry-After"] == "3"
+
+
+@pytest.mark.parametrize(
+    "before", [b"", b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"]
+)
+def test_answer_with_interim_heads_and_trailers_is_passed_on(before):
+    """The check of each line must know where the final head begins and ends."""
+    chunked = b"HTTP/1.0 200 OK\r\nX-A: b\r\n\r\nok"
+    assert fetch(before + chunked).body == b"ok"
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    end = fetch(before + head + b"2\r\nok\r\n0\r\nX-Last: 1\r\n\r\n")
+    assert (end.status, end.body) == (200, b"ok")
--- a/wigeonspan/engines/_connections.py
+++ b/wigeonspan/engines/_connections.py
@@ -1,7 +1,9 @@
 """HTTP exchanges with targets, which can be aborted while they run."""
 
 import asyncio
+import functools
 import os
+import re
 import socket
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -29,6 +31,12 @@
 """Limit in bytes of the response bodies that all exchanges buffer together. The bodies
 of calls are far smaller. The HTTP client may buffer as much again."""
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n]*)?\r?\n")
+"""Status line of a response of HTTP/1. The HTTP client accepts others, too."""
+
+_REFUSE_LINE = -1
+"""Result of the header callback that makes the HTTP client fail the transfer."""
+
 _CONNECT_ERRORS = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
 OnData = Callable[[bytes], None]
@@ -94,6 +102,10 @@
             self._free_list.append(curl)
         super()._process_queue()
 
+    def add_line(self, headers: HTTPHeaders, line: bytes) -> None:
+        """Add a line of a response head to its header fields."""
+        self._curl_header_callback(headers, None, line)
+
     def abort(self, curl: pycurl.Curl) -> None:
         """Abort a transfer and close its connection.
 
@@ -104,6 +116,46 @@
             self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "closed by this side")
 
 
+class _HeadReader:
+    """Checks the heads of one response, interim ones included.
+
+    The HTTP client takes a response whose connection is closed inside of its head for
+    a complete one, and passes on status lines that are none of HTTP/1.
+
+    Parameters
+    ----------
+    on_line : callable
+        Function called with each line of a head that is valid.
+    """
+
+    def __init__(self, on_line: Callable[[bytes], None]) -> None:
+        self._on_line = on_line
+        self._status: int | None = None
+        self._complete = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether the head of the final response has been received completely."""
+        return self._complete
+
+    def read_line(self, line: bytes) -> int | None:
+        """Read a line with its line break; refuse one that begins no valid head.
+
+        Lines after the final head belong to trailers.
+        """
+        if not self._complete and self._status is None:
+            match = _STATUS_LINE.fullmatch(line)
+            # No request asks for another protocol, which a status of 101 would begin.
+            if match is None or match[1] == b"101":
+                return _REFUSE_LINE
+            self._status = int(match[1])
+        elif not self._complete and not line.strip(b"\r\n"):
+            self._complete = self._status is not None and self._status >= 200
+            self._status = None
+        self._on_line(line)
+        return None
+
+
 class Exchange:
     """One request to a target and its response.
 
@@ -139,6 +191,7 @@
         if request.streaming_callback is None:
             request.streaming_callback = self._buffer_body
         self._curl: pycurl.Curl | None = None
+        self._head: _HeadReader | None = None
         self._closed = False
         self.ended: asyncio.Future[ExchangeEnd] = asyncio.Future()
         request.prepare_curl_callback = self._configure_curl
@@ -195,6 +248,9 @@
         curl.setopt(pycurl.SOCKOPTFUNCTION, _set_ack_timeout)
         if self._fresh:
             use_fresh_connection(curl)
+        headers: HTTPHeaders = curl.info["headers"]
+        self._head = _HeadReader(functools.partial(self._client.add_line, headers))
+        curl.setopt(pycurl.HEADERFUNCTION, self._head.read_line)
         self._curl = curl
 
     def _on_response(self, response: HTTPResponse) -> None:
