Take an answer that ends in its head for incomplete

libcurl reports success when a target closes the connection inside of the final head, so callers of entryd got an empty 200, and a cut 503 counted as a refusal.

--- a/tests/engines/test_odd_answers.py
+++ b/tests/engines/test_odd_answers.py
@@ -5,10 +5,13 @@
 
 import pytest
 
+from tests.engines.test_client import Listener
 from tests.loopback import loopback_server
 from tests.status_lines import BODIES, NO_STATUS_LINES
 from wigeonspan.common import SystemClock
+from wigeonspan.engines._client import EngineStream
 from wigeonspan.engines._connections import TargetConnections
+from wigeonspan.streams import StreamFault
 
 
 async def answer_and_close(data, use):
@@ -38,6 +41,19 @@
     return asyncio.run(answer_and_close(data, use))
 
 
+def stream(data):
+    """Return the fault that the listener of a stream gets."""
+
+    async def use(connections, address):
+        listener = Listener()
+        EngineStream(connections, address, b"{}", listener)
+        async with asyncio.timeout(2):
+            await listener.ended.wait()
+        return listener.fault
+
+    return asyncio.run(answer_and_close(data, use))
+
+
 @pytest.mark.parametrize("body", BODIES.values(), ids=BODIES)
 @pytest.mark.parametrize(
     "line", [*NO_STATUS_LINES, b"HTTP/1.1 101 X", b"HTTP/1.1\t200 OK"]
@@ -67,3 +83,39 @@
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     end = fetch(before + head + b"2\r\nok\r\n0\r\nX-Last: 1\r\n\r\n")
     assert (end.status, end.body) == (200, b"ok")
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+CUT_HEADS = {
+    "after the status": b"HTTP/1.1 200 OK\r\n",
+    "without content": b"HTTP/1.1 204 No Content\r\n",
+    "refusal": b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\n",
+    "in a field": HEAD[:30],
+    "after the fields": HEAD,
+    "of HTTP/1.0": HEAD.replace(b"/1.1", b"/1.0"),
+    "after an interim head": INTERIM + HEAD,
+    "interim only": INTERIM,
+    "in an interim head": INTERIM[:-2],
+    "in the status": HEAD[:11],
+}
+
+
+@pytest.mark.parametrize("head", CUT_HEADS.values(), ids=CUT_HEADS)
+def test_answer_that_ends_in_its_head_is_no_answer(head):
+    """A target was closed inside of its head, and the caller got an empty 200."""
+    end = fetch(head)
+    assert end.status == 0 and end.message
+    assert not end.sent_nothing
+
+
+@pytest.mark.parametrize("head", [b"", *CUT_HEADS.values()], ids=["none", *CUT_HEADS])
+def test_stream_that_ends_in_its_head_is_truncated(head):
+    """The work was taken for refused by a status of which only a part had come."""
+    assert stream(head) is StreamFault.TRUNCATED
+
+
+@pytest.mark.parametrize("line", [b"HTTP/1.1 000 X", b"HTTP/1.1 600 X"])
+def test_stream_without_a_status_is_truncated(line):
+    """The engine may have run the prompt, whatever the digits are."""
+    assert stream(line + b"\r\n" + BODIES["length"]) is StreamFault.TRUNCATED
--- a/wigeonspan/engines/_connections.py
+++ b/wigeonspan/engines/_connections.py
@@ -218,6 +218,10 @@
             return 0
         return int(self._curl.getinfo(pycurl.RESPONSE_CODE))
 
+    @property
+    def _has_head(self) -> bool:
+        return self._head is not None and self._head.complete
+
     def close(self) -> None:
         """Close the connection unless the exchange has ended."""
         self._closed = True
@@ -255,7 +259,7 @@
 
     def _on_response(self, response: HTTPResponse) -> None:
         self._curl = None
-        if response.code != 599:
+        if response.code != 599 and self._has_head:
             self._on_answer(response.headers)
         if not self.ended.done():
             self.ended.set_result(self._make_end(response))
@@ -271,6 +275,8 @@
                 {},
                 message=f"over {self._exceeded_limit.value}",
             )
+        if response.code != 599 and not self._has_head:
+            return ExchangeEnd(0, "", b"", {}, message="closed inside of the head")
         if response.code != 599:
             headers = response.headers
             content_type = headers.get("Content-Type", "")
