Tell an answer of status 599 from an error of the HTTP client

tornado's curl client reports its own errors with status 599. An answer of 599 was taken for an error before the connection, so that nothing was said to be sent and a call that runs only once was sent to another target.

--- a/tests/engines/test_odd_answers.py
+++ b/tests/engines/test_odd_answers.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import contextlib
+import random
 
 import pytest
 
 from tests.engines.test_client import Listener
 from tests.loopback import loopback_server
 from tests.status_lines import BODIES, NO_STATUS_LINES
-from wigeonspan.common import SystemClock
+from wigeonspan.calls.tasks import SendResult
+from wigeonspan.catalog import PlainService, PlainTarget
+from wigeonspan.common import NoMetrics, SystemClock
 from wigeonspan.engines._client import EngineStream
 from wigeonspan.engines._connections import TargetConnections
+from wigeonspan.entryd._budget import RetryBudget
+from wigeonspan.entryd._limits import TargetLimits
+from wigeonspan.entryd._plain import PlainCall, PlainRelay
 from wigeonspan.streams import StreamFault
 
 
@@ -65,9 +71,13 @@
     assert not end.sent_nothing
 
 
-@pytest.mark.parametrize("status", [200, 299, 304, 404, 500, 598])
+@pytest.mark.parametrize("status", [200, 299, 304, 404, 500, 598, 599])
 def test_each_status_of_http_is_passed_on(status):
-    """The check must refuse none of the statuses that HTTP defines."""
+    """An answer of 599 was reported as a request of which nothing was sent.
+
+    Calls that must not be repeated were sent to another target after it. The client
+    uses this status for its own errors.
+    """
     head = b"HTTP/1.1 %d\r\nContent-Length: 0\r\nRetry-After: 3\r\n\r\n" % status
     end = fetch(head)
     assert end.status == status and end.headers["Retry-After"] == "3"
@@ -94,6 +104,7 @@
     "in a field": HEAD[:30],
     "after the fields": HEAD,
     "of HTTP/1.0": HEAD.replace(b"/1.1", b"/1.0"),
+    "of 599": HEAD.replace(b"200 OK", b"599 X"),
     "after an interim head": INTERIM + HEAD,
     "interim only": INTERIM,
     "in an interim head": INTERIM[:-2],
@@ -119,3 +130,28 @@
 def test_stream_without_a_status_is_truncated(line):
     """The engine may have run the prompt, whatever the digits are."""
     assert stream(line + b"\r\n" + BODIES["length"]) is StreamFault.TRUNCATED
+
+
+@pytest.mark.parametrize("length", [2, 400])
+def test_call_answered_with_599_is_not_sent_again(length):
+    """A booking ran at two targets, since the first one had answered with 599."""
+
+    async def use(connections, address):
+        clock, name = SystemClock(), "bookings"
+        relay = PlainRelay(
+            connections,
+            clock,
+            random.Random(1),
+            "d",
+            RetryBudget(0.1),
+            TargetLimits(clock, NoMetrics()),
+        )
+        service = PlainService(name, (PlainTarget(address, "d"),), ("POST /b",))
+        relay.update_services([service])
+        deadline = clock.now() + 2.0
+        call = PlainCall(service, "POST", "/b", {}, b"x", deadline)
+        return (await relay.send_once(call)).result
+
+    head = b"HTTP/1.1 599 X\r\nContent-Length: %d\r\n\r\nok" % length
+    result = asyncio.run(answer_and_close(head, use))
+    assert result is (SendResult.ANSWERED if length == 2 else SendResult.UNKNOWN)
--- a/wigeonspan/engines/_connections.py
+++ b/wigeonspan/engines/_connections.py
@@ -258,14 +258,22 @@
         self._curl = curl
 
     def _on_response(self, response: HTTPResponse) -> None:
+        was_set_up = self._curl is not None
         self._curl = None
-        if response.code != 599 and self._has_head:
+        if self._is_complete(response):
             self._on_answer(response.headers)
         if not self.ended.done():
-            self.ended.set_result(self._make_end(response))
+            self.ended.set_result(self._make_end(response, was_set_up=was_set_up))
         self._clear_body()
 
-    def _make_end(self, response: HTTPResponse) -> ExchangeEnd:
+    def _is_complete(self, response: HTTPResponse) -> bool:
+        """Return whether the target sent a complete response.
+
+        The client reports its own errors with status 599, which a target may send, too.
+        """
+        return self._has_head and not isinstance(response.error, CurlError)
+
+    def _make_end(self, response: HTTPResponse, *, was_set_up: bool) -> ExchangeEnd:
         error = response.error
         if self._exceeded_limit is not None:
             return ExchangeEnd(
@@ -275,20 +283,20 @@
                 {},
                 message=f"over {self._exceeded_limit.value}",
             )
-        if response.code != 599 and not self._has_head:
-            return ExchangeEnd(0, "", b"", {}, message="closed inside of the head")
-        if response.code != 599:
+        if self._is_complete(response):
             headers = response.headers
             content_type = headers.get("Content-Type", "")
             body = bytes(self._body)
             return ExchangeEnd(response.code, content_type, body, headers)
+        if response.code != 599:
+            return ExchangeEnd(0, "", b"", {}, message="closed inside of the head")
         errno = error.errno if isinstance(error, CurlError) else None
         timed_out = errno == pycurl.E_OPERATION_TIMEDOUT
         connect_timed_out = timed_out and response.time_info.get("connect") == 0
         # On a reused connection the connect time is 0, too, so a timeout there does
-        # not show that nothing was sent. An error without a curl error number occurs
-        # while the request is set up, before it is passed to curl.
-        sent_nothing = errno is None or errno in _CONNECT_ERRORS
+        # not show that nothing was sent. An error of the setup occurs before the
+        # request is passed to curl.
+        sent_nothing = not was_set_up or errno in _CONNECT_ERRORS
         sent_nothing = sent_nothing or (self._fresh and connect_timed_out)
         return ExchangeEnd(
             0, "", b"", {}, sent_nothing, timed_out, str(error or "no answer")
