Guard against answers that end while their request is written

A target that answers a long upload at once and then resets the connection was seen to give a part of an answer without length as a whole one on another system. It does not happen here: neither asyncio nor libcurl reports an end of file after a reset.

--- a/tests/platform/test_incomplete_answers.py
+++ b/tests/platform/test_incomplete_answers.py
@@ -17,6 +17,9 @@
     route,
     start_gateway,
 )
+from tests.status_lines import BODIES as STATUS_BODIES
+from tests.status_lines import NO_STATUS_LINES
+from tests.uploads import EarlyTarget, Ending
 from wigeonspan.targets import Phase
 
 SIGNED_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: q0\r\nResponse-Signature: sig\r\n"
@@ -31,6 +34,18 @@
 BODIES = {"empty": b"", "one event": EVENT, "half an event": EVENT + EVENT[:9]}
 
 
+# Just under the limit of request bodies.
+UPLOAD = b"x" * 4_000_000
+
+
+class UploadTarget(EarlyTarget):
+    """Target of a service that answers while the upload is still being written."""
+
+    def __init__(self, phase, data, ending):
+        super().__init__(data, ending)
+        self.name, self.phase = "t", phase
+
+
 class RawTarget:
     """Target that answers each request with the same bytes, and then closes or resets.
 
@@ -81,12 +96,13 @@
             writer.transport.abort()
 
 
-async def call(version):
+async def call(version, body=b""):
     """Send a request; return its answer and whether it ended with a reset."""
     reader, writer = await asyncio.open_connection(f"{NET}.1.1", 18081)
     head = f"POST /r/x HTTP/{version}\r\nHost: h\r\nRequest-Id: q0\r\n"
-    head += "Token-Usage: 60,20\r\nDeadline-Ms: 1900\r\nContent-Length: 0\r\n\r\n"
-    writer.write(head.encode())
+    head += "Token-Usage: 60,20\r\nDeadline-Ms: 1900\r\n"
+    head += f"Content-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
     answer, was_reset = b"", False
     try:
         async with asyncio.timeout(3.0):
@@ -123,12 +139,12 @@
     return b"content-length" not in head or _has_whole_length(answer)
 
 
-def serve(kind, target, version):
+def serve(kind, target, version, body=b""):
     async def run():
         others = [Engine("p", Phase.PREFILL, prefills)] if kind is STREAM else []
         kept = route(kind, attempts=1)
         context, servers = start_gateway(kept, [*others, target])
-        answer = await call(version)
+        answer = await call(version, body)
         context.pool.close()
         for server in (*servers, target):
             await server.close()
@@ -161,3 +177,52 @@
     answer, was_reset = serve(kind, target, version)
     assert not looks_complete(answer, was_reset)
     assert b" 502 " in answer.split(b"\r\n")[0]
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("ending", [Ending.RESET, Ending.CLOSE])
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT, STREAM])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        SIGNED_HEAD,
+        *HEADS.values(),
+        *(h + EVENT for h in HEADS.values()),
+        SIGNED_HEAD + b"\r\n" + EVENT * 10_000,
+    ],
+)
+def test_answer_that_is_reset_during_the_upload_is_not_complete(
+    data, kind, ending, version
+):
+    """Callers got a part of an answer without length as the whole answer."""
+    target = UploadTarget(Phase.DECODE if kind is STREAM else Phase.NONE, data, ending)
+    answer, was_reset = serve(kind, target, version, UPLOAD)
+    assert target.uploads == 1
+    assert not looks_complete(answer, was_reset), answer[:400]
+    assert answer.startswith(b"HTTP/1.1 ") or was_reset or not answer
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT, STREAM])
+@pytest.mark.parametrize("name", HEADS)
+def test_answer_that_is_closed_during_the_upload(name, kind, version):
+    """An end of the connection ends an answer without length, and no other one."""
+    phase = Phase.DECODE if kind is STREAM else Phase.NONE
+    target = UploadTarget(phase, HEADS[name] + EVENT, Ending.HALF_CLOSE)
+    answer, was_reset = serve(kind, target, version, UPLOAD)
+    assert target.uploads == 1
+    is_whole = name in ("no length", "HTTP/1.0")
+    assert looks_complete(answer, was_reset) == is_whole, answer[:400]
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT, STREAM])
+@pytest.mark.parametrize("line", NO_STATUS_LINES)
+def test_answer_without_a_status_is_not_passed_on(line, kind, version):
+    """Callers got a status of three digits that HTTP does not have."""
+    phase = Phase.DECODE if kind is STREAM else Phase.NONE
+    data = line + SIGNED_HEAD[len(b"HTTP/1.1 200 OK") :]
+    target = RawTarget("t", phase, data + STATUS_BODIES["length"], resets=False)
+    answer, _ = serve(kind, target, version)
+    assert answer.split(b" ")[1] == b"502", answer
