Add wigeonspan-explain, which asks an entry where a request would go

Logs tell where requests went, but not what the engines were weighed by, so a request that waits or is refused under load could not be explained at once. The command asks a running entry at its metrics address (GET /explain) with host, path, tenant's name, prompt size and parts; the answer has the route, the effective priority, the rank, the figures of all targets and the verdict with its retry time. The entry decides with a copy of its placer, the random generator included, and drops it; keys are neither taken nor shown, and wrong questions are not repeated.

--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -13,19 +13,23 @@
     DomainName,
     HostId,
     ServiceName,
+    WigeonspanError,
     bind_address,
+    encode,
     keep_running,
     on_stop_signal,
     watch_settings,
 )
+from wigeonspan.explain import EXPLAIN_PATH, parse_query
 from wigeonspan.fleetconfig import FleetConfig
 from wigeonspan.gateway._config import ConfigHolder
 from wigeonspan.gateway._context import GatewayContext
 from wigeonspan.gateway._controls import ControlHosts
+from wigeonspan.gateway._explain import RequestExplainer
 from wigeonspan.gateway._heartbeats import HeartbeatTask
 from wigeonspan.gateway._listing import ListingTask
 from wigeonspan.gateway._messages import TargetProtocol
-from wigeonspan.gateway._serve import Server
+from wigeonspan.gateway._serve import RESPONSE_MARGIN_S, Server
 from wigeonspan.placing import Placer, RetryBudget
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import (
@@ -179,6 +183,9 @@
         context = self._context
         self._record_error = make_error_reporter(event_log, context.metrics)
         self._server = Server(context, rng)
+        self._explainer = RequestExplainer(
+            context, lambda: self._server.is_open, RESPONSE_MARGIN_S
+        )
         self._front_server = RequestServer(
             self._server.serve, self._record_error, clock
         )
@@ -402,7 +409,11 @@
         body: bytes,
         caller: ResponseWriter,
     ) -> None:
-        """Respond to readiness checks and requests for metrics."""
+        """Respond to readiness checks and requests for metrics or explanations."""
+        path, _, query = target.partition("?")
+        if path == EXPLAIN_PATH:
+            await self._serve_explanation(query, caller)
+            return
         if target.startswith("/metrics"):
             text = self._metrics_text()
             await caller.send_response(200, [("Content-Type", "text/plain")], text)
@@ -410,6 +421,16 @@
         ready = self._state is EntryState.READY
         await caller.send_response(200 if ready else 503, [], b"")
 
+    async def _serve_explanation(self, query: str, caller: ResponseWriter) -> None:
+        """Tell where a request would go now; the query may contain no key."""
+        try:
+            explanation = self._explainer.explain(parse_query(query))
+        except WigeonspanError as error:
+            await caller.send_error(error)
+            return
+        headers = [("Content-Type", "application/json")]
+        await caller.send_response(200, headers, encode(explanation))
+
     def _count_targets(self, now: float) -> Counter[str]:
         """Return how many targets are usable, suspended and closed to new work."""
         context = self._context
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -37,6 +37,11 @@
         self._accepting = False
         self._open: dict[ActiveRequest, tuple[_Handler, ResponseWriter]] = {}
 
+    @property
+    def is_open(self) -> bool:
+        """Whether requests are served."""
+        return self._accepting
+
     def open(self) -> None:
         """Begin to serve; until then, requests are refused."""
         self._accepting = True
--- a/wigeonspan/placing/__init__.py
+++ b/wigeonspan/placing/__init__.py
@@ -1,6 +1,7 @@
 """Placement of requests on targets, decided without I/O."""
 
 from wigeonspan.placing._choice import CALL_MS, DIRECT_SLOWDOWN
+from wigeonspan.placing._figures import GenerationFigures, TargetFigures
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import Work, WorkKind, WorkLedger
 from wigeonspan.placing._messages import (
@@ -23,6 +24,7 @@
     "DIRECT_SLOWDOWN",
     "CachedPrefixes",
     "Decision",
+    "GenerationFigures",
     "Limit",
     "Placer",
     "Plan",
@@ -33,6 +35,7 @@
     "RetryBudget",
     "SlowdownFactors",
     "TargetAvailability",
+    "TargetFigures",
     "Work",
     "WorkKind",
     "WorkLedger",
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -1,5 +1,6 @@
 """Placement of requests: where a generation or a call runs, or why it is refused."""
 
+import copy
 import random
 from collections.abc import Collection, Sequence
 
@@ -9,6 +10,7 @@
 from wigeonspan.placing._eligible import EligibleTargets
 from wigeonspan.placing._estimate import EngineEstimate
 from wigeonspan.placing._event_pauses import EventPauses
+from wigeonspan.placing._figures import PlacementFigures
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
@@ -65,6 +67,27 @@
             self.speeds,
             self.pace,
         )
+        self.figures = PlacementFigures(
+            self.ledger,
+            self.prefixes,
+            self.speeds,
+            self.health,
+            self.slots,
+            self.limits,
+            self.pace,
+            self._order,
+            self._estimate,
+        )
+
+    def trial_copy(self) -> "Placer":
+        """Return a copy whose decisions change nothing here, not even random draws.
+
+        It shares the ledger and the caches, which decisions only read, and must not be
+        told about work.
+        """
+        prefixes = copy.copy(self.prefixes)
+        memo = {id(self.ledger): self.ledger, id(self.prefixes): prefixes}
+        return copy.deepcopy(self, memo)
 
     @property
     def handoff_ms(self) -> float:
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -148,6 +148,14 @@
             return Verdict(key, quarantine.return_s(now), True, (message,))
         return Verdict(key, quarantine.return_s(now))
 
+    def find(self, parts: Iterable[str], now: float) -> Verdict | None:
+        """Return the verdict that refuses a request, without recording the request."""
+        keys = [key for key in map(part_key, parts) if key in self._quarantined]
+        if not keys:
+            return None
+        key = max(keys, key=lambda key: self._quarantined[key].return_s(now))
+        return Verdict(key, self._quarantined[key].return_s(now))
+
     def may_repeat(self, parts: Iterable[str], now: float, breaks: int = 2) -> bool:
         """Return whether a broken request may be sent to another engine.
 
