--- a/tests/platform/process_harness.py
+++ b/tests/platform/process_harness.py
@@ -15,6 +15,7 @@
     FRONT_PORT,
     READY_PORT,
     DeploymentLimits,
+    DutyCalls,
     InstanceList,
     Journal,
     Machine,
@@ -38,12 +39,15 @@
 
     def __init__(self):
         self.journal = Journal()
+        self.duty_calls = DutyCalls(random.Random(1))
         phases = (Phase.PREFILL, Phase.DECODE, Phase.DECODE, Phase.NONE)
         self.replicas = [
             self._make_replica(n, phase) for n, phase in enumerate(phases, 1)
         ]
         self._list = InstanceList(
-            LIST_ADDRESS, lambda: [replica.entry for replica in self.replicas]
+            LIST_ADDRESS,
+            lambda: [replica.entry for replica in self.replicas],
+            self.duty_calls,
         )
         self._loop = asyncio.new_event_loop()
         self._thread = Thread(target=self._run, daemon=True)
@@ -57,6 +61,7 @@
 
     def _close(self):
         self._list.close()
+        self.duty_calls.close()
         for replica in self.replicas:
             replica.crash()
         # Cancelled tasks finish in the next iterations of the loop, so stop it later.
@@ -131,13 +136,15 @@
 class Request:
     """Send a caller's request; its answer is read later, by ``read``."""
 
-    def __init__(self, address, path, request_id, *, usage=None):
+    def __init__(self, address, path, request_id, *, usage=None, key=None):
         host, _, port = address.rpartition(":")
         self.usage = usage
         self.connection = HTTPConnection(host, int(port), timeout=10)
         headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "8000"}
         if usage:
             headers["Token-Usage"] = usage
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
         self.connection.request("POST", path, b"body", headers)
 
     def read(self):
@@ -154,7 +161,7 @@
             return None
 
 
-def document(version, *, timeout_ms=8000, extra=()):
+def document(version, *, timeout_ms=8000, extra=(), tenants=None):
     stream = {
         "name": "stream",
         "host": "h.example",
@@ -181,16 +188,19 @@
         {"name": "app"},
     ]
     routes = [stream, plain, *extra]
-    return json.dumps({"version": version, "routes": routes, "services": services})
+    config = {"version": version, "routes": routes, "services": services}
+    if tenants is not None:
+        config["tenants"] = tenants
+    return json.dumps(config)
 
 
 class Deployment:
     """Three control hosts and two entries, with the simulated platform."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, limits=None):
         self.platform = Platform()
         self.platform.start()
-        limits = DeploymentLimits()
+        limits = limits or DeploymentLimits()
         self.controls = [
             Machine(folder, Role.CONTROL, ip, "z1", LIST_ADDRESS, limits)
             for ip in CONTROLS
