Play tenants, revoked keys, duties and reclaims in the soak

Cause: the soak had no tenants, and nothing checked keys, reports of use and their holders under random faults. Change: seeds that end with 3, 6 or 9 have tenants whose keys are revoked while callers use them, reports and orders with slow, refused, late and silent calls, and reclaimable targets that are taken away; seven checks.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -7,7 +7,13 @@
 
 from standin import Arrival
 
-from soak import _crash_checks, _fleet_checks, _request_checks, _stop_checks
+from soak import (
+    _crash_checks,
+    _fleet_checks,
+    _request_checks,
+    _stop_checks,
+    _tenant_checks,
+)
 from soak._check_types import Check, Index, Violation
 from soak._evidence import Evidence
 from wigeonspan.common import RequestId
@@ -32,6 +38,13 @@
     _fleet_checks.check_order_holders,
     _fleet_checks.check_planned_stops,
     _stop_checks.check_stopped_entries,
+    _tenant_checks.check_keys,
+    _tenant_checks.check_written_keys,
+    _tenant_checks.check_revoked_keys,
+    _tenant_checks.check_unauthorized,
+    _tenant_checks.check_usage_contents,
+    _tenant_checks.check_duty_holders,
+    _tenant_checks.check_usage_counts,
     _fleet_checks.check_recovery,
     _fleet_checks.check_unexpected_exits,
 )
--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -3,7 +3,7 @@
 from enum import Enum
 
 from msgspec import Struct
-from standin import CallRecord, Journal
+from standin import CallRecord, DutyCalls, Journal
 
 SETTLING_S = 3.0
 """Seconds after a disturbance until time limits apply to a host again, as in the first
@@ -118,6 +118,20 @@
         Retries that are allowed for each request, and in any case within a window.
     retry_window_s : float
         Window of the retry budget in seconds.
+    duty_calls : DutyCalls or None
+        Calls of duties; None in a run without tenants and duties.
+    usage_window_s, usage_due_s : float
+        Length of a window of use, and time after its end when its report is due.
+    tenant_by_key : dict
+        Tenant of each key that was ever part of a configuration.
+    revoked_at : dict
+        Time at which the removal of a key was acknowledged, by key.
+    removed_keys : set of str
+        Keys that a configuration without them was sent for, acknowledged or not.
+    epoch_offset_s : float
+        Wall-clock time minus time on the monotonic clock, in seconds.
+    files_with_keys : list of str
+        Files with what the programs wrote that contain a key.
     """
 
     journal: Journal
@@ -137,6 +151,14 @@
     retry_ratio: float = 0.0
     retry_minimum: float = 0.0
     retry_window_s: float = 10.0
+    duty_calls: DutyCalls | None = None
+    usage_due_s: float = 0.0
+    usage_window_s: float = 0.0
+    tenant_by_key: dict[str, str] = {}
+    revoked_at: dict[str, float] = {}
+    removed_keys: set[str] = set()
+    epoch_offset_s: float = 0.0
+    files_with_keys: list[str] = []
 
     def record_disturbance(
         self,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from standin import GRACE_S, InjectedFaults, Replica, Role
+from standin import GRACE_S, DutyFaults, InjectedFaults, Replica, Role
 
 from soak._evidence import STOPPED, Departure, Scope
 from soak._launch import Impairment
@@ -14,7 +14,7 @@
 from soak._prompt_mix import draw_prompt_mix
 from soak._proxy import MAX_DELAY_S, Link
 from soak._schedule import Fault, FaultKind
-from soak._target_faults import INJECTED_FAULTS, SILENT_MOMENTS
+from soak._target_faults import DUTY_FAULTS, INJECTED_FAULTS, SILENT_MOMENTS
 from soak._traffic import Traffic
 from soak._world import MODELS, Host, World
 from wigeonspan.consensus._transport import RAFT_PATH
@@ -23,6 +23,9 @@
 """Shortest time in seconds that a leaving target continues to serve; it is slightly
 longer than the shortest time for which it is listed as leaving."""
 
+RECLAIM_NOTICE_S = 2.5
+"""Seconds from the notice of a reclaim until the targets are gone."""
+
 REPLACEMENT_DELAY_S = 1.0
 """Seconds between the loss of a control host and the start of its replacement."""
 
@@ -134,6 +137,9 @@
             FaultKind.CONFIG_STORM: self._change_config,
             FaultKind.CONFIG_RACE: self._change_config,
             FaultKind.CONFIG_INVALID: self._change_config,
+            FaultKind.KEY_REVOKE: self._revoke_key,
+            **dict.fromkeys(DUTY_FAULTS, self._disturb_duties),
+            FaultKind.RECLAIM: self._reclaim,
         }
 
     async def run(self, faults: tuple[Fault, ...], began: float) -> None:
@@ -477,6 +483,33 @@
         for target in targets:
             target.set_limit(0.0)
 
+    async def _revoke_key(self, fault: Fault) -> None:
+        await self._operators.revoke_key(fault.victim)
+
+    async def _disturb_duties(self, fault: Fault) -> None:
+        calls = self._world.evidence.duty_calls
+        assert calls is not None
+        calls.faults = DUTY_FAULTS[fault.kind](max(0.2, fault.strength))
+        await asyncio.sleep(fault.lasts_s)
+        calls.faults = DutyFaults()
+
+    async def _reclaim(self, fault: Fault) -> None:
+        """Take the reclaimable targets away after a notice, and bring new ones."""
+        targets = [
+            t for t in self._world.targets if t.is_reclaimable and not t.draining
+        ]
+        for target in targets:
+            target.draining = True
+        await asyncio.sleep(RECLAIM_NOTICE_S)
+        for target in targets:
+            self._record_target_disturbance(fault, target.name, 0.0)
+            if target.running:
+                target.crash()
+        await asyncio.sleep(1.0 + fault.lasts_s)
+        for target in targets:
+            target.rename()
+            await self._restart(target)
+
     async def _burst(self, fault: Fault) -> None:
         streams = max(5, round(MAX_BURST_STREAMS * fault.strength))
         await self._traffic.burst(streams, fault.lasts_s)
--- a/soak/_fleet_checks.py
+++ b/soak/_fleet_checks.py
@@ -251,6 +251,8 @@
         for record in evidence.calls
         if evidence.recovered_by <= record.began <= evidence.evaluation_ends
         and record.ending is not CallEnding.ABANDONED
+        # Callers go on to use keys that were revoked.
+        and record.call.key not in evidence.removed_keys
     ]
     served = [record for record in evaluated if record.status == 200]
     if len(served) <= MIN_SERVED_SHARE * len(evaluated):
--- a/soak/_operators.py
+++ b/soak/_operators.py
@@ -3,17 +3,22 @@
 import asyncio
 import random
 import time
+from itertools import count
 
 from standin import HOST, encode_config, read_version, store
 
 from soak._evidence import SentConfig, VersionRead
 from soak._world import APPS, ENGINE_SLOTS, MODELS, World
+from wigeonspan.common import DomainName, TenantName
 from wigeonspan.fleetconfig import (
+    ApiKey,
     CallKind,
     EngineTraits,
     FleetConfig,
     Route,
+    ScalingSpec,
     ServiceSpec,
+    TenantSpec,
     WeightedService,
 )
 
@@ -33,13 +38,31 @@
 """Largest number of attempts for a request, on routes that allow retries."""
 
 
+KEY_START = "soak-key-"
+"""Beginning of every key of a run."""
+
+TENANTS = ("large", "small", "rare")
+
+SCALING = ScalingSpec(1, 4, 2.0, 0.2, {DomainName(f"z{n}"): 1.0 for n in range(3)})
+"""Bounds of the engines. Orders are recorded, but the engines stay as they are, since
+their phases are part of the schedule."""
+
+
 def marker_path(version: int) -> str:
     """Return the path of the route that was added with a version."""
     return f"/v{version}/"
 
 
-def make_config(versions: list[int]) -> FleetConfig:
-    """Make the configuration of the last version, with a route for each version."""
+def make_config(
+    versions: list[int], keys: dict[str, list[str]] | None = None
+) -> FleetConfig:
+    """Make the configuration of the last version, with a route for each version.
+
+    Parameters
+    ----------
+    keys : dict or None
+        Keys by tenant; None for a configuration without tenants and orders.
+    """
     models, apps = (WeightedService(MODELS, 1.0),), (WeightedService(APPS, 1.0),)
 
     def stream(name: str, *, resumable: bool) -> Route:
@@ -71,11 +94,21 @@
     )
     services = (
         ServiceSpec(
-            MODELS, "/health", 600, EngineTraits(ENGINE_SLOTS, 100_000, 5.0, 1.0)
+            MODELS,
+            "/health",
+            600,
+            EngineTraits(ENGINE_SLOTS, 100_000, 5.0, 1.0),
+            None if keys is None else SCALING,
         ),
         ServiceSpec(APPS, "/health", 600),
     )
-    return FleetConfig(versions[-1], routes, services)
+    tenants = None
+    if keys is not None:
+        tenants = tuple(
+            TenantSpec(TenantName(tenant), tuple(ApiKey(key) for key in held))
+            for tenant, held in keys.items()
+        )
+    return FleetConfig(versions[-1], routes, services, tenants=tenants)
 
 
 class Operators:
@@ -91,6 +124,29 @@
         self._world = world
         self._rng = rng
         self._versions: list[int] = []
+        self._key_numbers = count(1)
+        self._keys: dict[str, list[str]] | None = None
+        if world.schedule.has_tenants:
+            self._keys = {tenant: [] for tenant in TENANTS}
+            for tenant in (*TENANTS, *TENANTS):
+                self._add_key(tenant)
+
+    def _add_key(self, tenant: str) -> None:
+        assert self._keys is not None
+        # The name of no tenant is part of a key, so that logs can be searched for keys.
+        key = f"{KEY_START}{self._world.schedule.seed}-{next(self._key_numbers)}"
+        self._keys[tenant].append(key)
+        self._world.evidence.tenant_by_key[key] = tenant
+
+    async def revoke_key(self, number: int) -> None:
+        """Send a configuration in which a tenant has another key in place of one."""
+        assert self._keys is not None
+        tenant = TENANTS[number % len(TENANTS)]
+        # The first key of each tenant stays, to show that no valid key is refused.
+        removed = self._keys[tenant].pop(1)
+        self._world.evidence.removed_keys.add(removed)
+        self._add_key(tenant)
+        await self.change()
 
     @property
     def newest(self) -> int:
@@ -101,19 +157,23 @@
         """Send the next version; return whether it was acknowledged."""
         last = self._versions[-1] if self._versions else 0
         self._versions.append(last + self._rng.randint(1, 3))
-        document = encode_config(make_config(self._versions))
+        document = encode_config(make_config(self._versions, self._keys))
+        removed = set(self._world.evidence.removed_keys)
         config = SentConfig(self.newest, time.monotonic())
         self._world.evidence.sent_configs.append(config)
         status = await self._send(document)
         if status == 200:
             config.acknowledged_at = time.monotonic()
+            for key in removed:
+                revoked_at = self._world.evidence.revoked_at
+                revoked_at.setdefault(key, config.acknowledged_at)
         config.refused = 400 <= status < 500
         return status == 200
 
     async def send_invalid(self) -> None:
         """Send a configuration with a route to a service that does not exist."""
         version = self.newest + 1000
-        document = encode_config(make_config([*self._versions, version]))
+        document = encode_config(make_config([*self._versions, version], self._keys))
         invalid = document.replace(b'"apps"', b'"none"', 1)
         config = SentConfig(version, time.monotonic(), valid=False)
         self._world.evidence.sent_configs.append(config)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,7 +12,7 @@
 from soak._checks import find_violations
 from soak._evidence import Evidence, Scope
 from soak._faults import Faults
-from soak._operators import Operators
+from soak._operators import KEY_START, Operators
 from soak._schedule import EVALUATION_S, MAX_RECOVERY_S, Schedule
 from soak._traffic import Traffic
 from soak._world import World
@@ -80,6 +80,9 @@
         await asyncio.sleep(CLOSE_S)
         lock_socket.close()
     evidence = world.evidence
+    for path in sorted(folder.glob("127*/*")):
+        if path.name in ("log", "errors") and KEY_START.encode() in path.read_bytes():
+            evidence.files_with_keys.append(f"{path.parent.name}/{path.name}")
     return Result(
         schedule,
         find_violations(evidence),
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -82,6 +82,12 @@
     CONFIG_STORM = "configurations in quick succession"
     CONFIG_RACE = "two operators"
     CONFIG_INVALID = "invalid configuration"
+    KEY_REVOKE = "key of a tenant revoked"
+    DUTY_SLOW = "calls of duties slow"
+    DUTY_REFUSED = "calls of duties refused"
+    DUTY_LATE = "calls of duties carried out late"
+    DUTY_SILENT = "calls of duties neither answered nor carried out"
+    RECLAIM = "reclaimable replicas reclaimed"
 
 
 LAST_DRAWN_KINDS = (
@@ -154,6 +160,26 @@
 LATE_ROLL_S = 18.0
 """Seconds that such stops of two or three entries take."""
 
+TENANT_DIGITS = (3, 6, 9)
+"""Last digits of the seeds whose runs have tenants and duties. No seed that failed
+before they were added ends with one of them, so that each still gives the same run."""
+
+TENANT_KINDS = (
+    FaultKind.KEY_REVOKE,
+    FaultKind.DUTY_SLOW,
+    FaultKind.DUTY_REFUSED,
+    FaultKind.DUTY_LATE,
+    FaultKind.DUTY_SILENT,
+    FaultKind.RECLAIM,
+)
+"""Kinds that are drawn only in these runs."""
+
+TENANT_KIND_WEIGHTS = (4, 1, 1, 1, 1, 1)
+
+MIN_TENANT_FAULTS = 2
+MAX_TENANT_FAULTS = 6
+"""Bounds of the number of such faults in a run."""
+
 LATER_KINDS = (
     *LAST_DRAWN_KINDS,
     FaultKind.TARGET_LIMITS,
@@ -162,6 +188,7 @@
     FaultKind.ENTRY_ROLL,
     FaultKind.CONTROL_CUT,
     FaultKind.LATE_ROLL,
+    *TENANT_KINDS,
 )
 """Kinds that the first draws leave out."""
 
@@ -225,6 +252,11 @@
     faults: tuple[Fault, ...]
     final: FaultKind | None
 
+    @property
+    def has_tenants(self) -> bool:
+        """Whether the configuration has tenants, and the control hosts have duties."""
+        return self.seed % 10 in TENANT_DIGITS
+
     @property
     def faults_end_s(self) -> float:
         """Seconds from the start of traffic to the end of the last fault."""
@@ -276,6 +308,10 @@
     faults.extend(_draw_newest_faults(rng))
     faults.extend(_draw_rolls_and_cuts(rng))
     faults.extend(_draw_late_roll(rng, faults))
+    if seed % 10 in TENANT_DIGITS:
+        for _ in range(rng.randint(MIN_TENANT_FAULTS, MAX_TENANT_FAULTS)):
+            kind = rng.choices(TENANT_KINDS, TENANT_KIND_WEIGHTS)[0]
+            faults.extend(_draw_fault(rng, kind, repeats=False))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
--- a/soak/_target_faults.py
+++ b/soak/_target_faults.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from standin import InjectedFaults, Moment
+from standin import DutyFaults, InjectedFaults, Moment
 
 from soak._schedule import FaultKind
 from soak._world import APPS, MODELS
@@ -33,3 +33,11 @@
     FaultKind.ORDERS_LATE: lambda x: InjectedFaults(orders_late_s=8.0 * x),
 }
 """Faults to inject into a target, from a severity between 0 and 1."""
+
+DUTY_FAULTS: dict[FaultKind, Callable[[float], DutyFaults]] = {
+    FaultKind.DUTY_SLOW: lambda x: DutyFaults(slow_s=1.5 * x),
+    FaultKind.DUTY_REFUSED: lambda x: DutyFaults(refusal_rate=x),
+    FaultKind.DUTY_LATE: lambda x: DutyFaults(late_rate=x, late_s=4.0 * x),
+    FaultKind.DUTY_SILENT: lambda x: DutyFaults(silent=True),
+}
+"""Faults of the platform's interface for duties, from a severity between 0 and 1."""
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -102,6 +102,8 @@
         self._numbers = count(1)
         self._callers = [_Caller(rng) for _ in range(CALLER_COUNT)]
         self._open: set[asyncio.Task[None]] = set()
+        # Apart from the others, so that runs without tenants draw the same requests.
+        self._key_rng = random.Random(world.schedule.seed + 4)
 
     async def run(self, until: float) -> None:
         """Send requests at random times until a given time."""
@@ -252,7 +254,8 @@
         if not connection.is_open:
             # The process has ended.
             return
-        self._world.evidence.calls.append(await connection.send(call))
+        record = await connection.send(self._with_key(call))
+        self._world.evidence.calls.append(record)
         connection.close()
 
     def _make_call(self, kind: CallKind, path: str) -> Call:
@@ -272,8 +275,16 @@
     def _next_request(self) -> RequestId:
         return RequestId(f"r{self._world.schedule.seed}-{next(self._numbers)}")
 
+    def _with_key(self, call: Call) -> Call:
+        """Return a call with a key, at times with one that may be revoked."""
+        keys = list(self._world.evidence.tenant_by_key)
+        if not keys:
+            return call
+        return structs.replace(call, key=self._key_rng.choice(keys))
+
     async def _send_with_retries(self, caller: _Caller, call: Call) -> None:
         """Send a request, and retry it where a caller would."""
+        call = self._with_key(call)
         ends_at = time.monotonic() + call.deadline_s
         for attempt in range(MAX_RETRIES + 1):
             connection = await self._connect(caller, fresh=attempt > 0)
@@ -303,6 +314,7 @@
                 call.tokens,
                 call.events,
                 call.prompt,
+                key=call.key,
             )
 
     async def _connect(self, caller: _Caller, *, fresh: bool) -> Connection | None:
@@ -338,6 +350,7 @@
             CallKind.IDEMPOTENT,
             marker_path(version) + "x",
             PROBE_DEADLINE_S,
+            key=next(iter(self._world.evidence.tenant_by_key), ""),
         )
         connection = Connection(self._world.front_address(host))
         record = await connection.send(call)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -16,6 +16,7 @@
     INTERNAL_PORT,
     READY_PORT,
     DeploymentLimits,
+    DutyCalls,
     InstanceList,
     Journal,
     Machine,
@@ -40,6 +41,9 @@
 """Streams that an engine runs at once; few, so that the phases of engines change
 during a run."""
 
+RECLAIMABLE_APPS = 2
+"""Reclaimable replicas of the plain service, in runs with tenants and duties."""
+
 RETRY_RATIO = 0.2
 """Retries that are allowed for each request, as in the deployments."""
 
@@ -118,8 +122,24 @@
         self._rng = random.Random(schedule.seed)
         self._restarts: set[asyncio.Task[None]] = set()
         self._crashed: dict[str, tuple[Replica, float]] = {}
+        self._limits = DeploymentLimits(schedule.losses, RETRY_RATIO, RETRY_MINIMUM)
+        if schedule.has_tenants:
+            self._limits = DeploymentLimits(
+                schedule.losses,
+                RETRY_RATIO,
+                RETRY_MINIMUM,
+                duties=("usage_report", "autoscale"),
+            )
+            self.evidence.duty_calls = DutyCalls(random.Random(schedule.seed + 3))
+            self.evidence.usage_window_s = self._limits.usage_window_s
+            self.evidence.usage_due_s = self._limits.usage_due_s
+            self.evidence.epoch_offset_s = time.time() - time.monotonic()
         self._list_address = f"{network}.2.1:{LIST_PORT}"
-        self.list = InstanceList(f"{network}.2.2:{LIST_PORT}", self._list_entries)
+        self.list = InstanceList(
+            f"{network}.2.2:{LIST_PORT}",
+            self._list_entries,
+            self.evidence.duty_calls,
+        )
         self.list_link = Link("list", f"{network}.2.1", f"{network}.2.2")
         self.links["list"] = [self.list_link]
 
@@ -131,6 +151,8 @@
             await self.add_target(MODELS, f"engine-{number}")
         for number in range(self.schedule.apps):
             await self.add_target(APPS, f"app-{number}")
+        for number in range(RECLAIMABLE_APPS * self.schedule.has_tenants):
+            await self.add_target(APPS, f"spot-{number}", reclaimable=True)
         for _ in range(self.schedule.controls):
             await self.add_host(Role.CONTROL)
         for _ in range(self.schedule.entries):
@@ -139,7 +161,9 @@
         for host in (*self.controls, *self.entries):
             self.start_host(host)
 
-    async def add_target(self, service: ServiceName, name: str) -> Replica:
+    async def add_target(
+        self, service: ServiceName, name: str, *, reclaimable: bool = False
+    ) -> Replica:
         """Start a target of a service."""
         number = len(self.targets) + 1
         inside, outside = f"{self._network}.13.{number}", f"{self._network}.3.{number}"
@@ -153,6 +177,7 @@
             self._rng,
             phase=Phase.PREFILL if service == MODELS else Phase.NONE,
             slots=ENGINE_SLOTS,
+            reclaimable=reclaimable,
         )
         link = Link(name, outside, inside)
         await link.forward(TARGET_PORT)
@@ -175,7 +200,7 @@
             outside,
             f"z{number % 3}",
             self._list_address,
-            DeploymentLimits(self.schedule.losses, RETRY_RATIO, RETRY_MINIMUM),
+            self._limits,
             command=[sys.executable, "-m", "soak._launch", role.value],
             environment={BIND_VARIABLE: inside, IMPAIRMENT_VARIABLE: str(impairment)},
         )
@@ -346,6 +371,8 @@
             if target.running:
                 target.crash()
         self.list.close()
+        if self.evidence.duty_calls is not None:
+            self.evidence.duty_calls.close()
 
 
 def _listens(host: Host) -> bool:
