Tell a reclaim from single replicas that leave

Change: a domain counts as reclaimed only when all of its reclaimable replicas leave although some are ordered there.

--- a/tests/scaling/test_task.py
+++ b/tests/scaling/test_task.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 
 from tests.platform.gateway_harness import NullRecorder
 from wigeonspan.common import DomainName, HostId, ManualClock, ServiceName
@@ -190,6 +191,29 @@
     assert world.platform.wanted[gone, True] >= count - 1
 
 
+def test_replacement_of_single_replicas_is_no_reclaim():
+    """A rolling release made all domains count as reclaimed, and the plan replaced the
+    reclaimable replicas by ordinary ones."""
+    world = World()
+    world.run(20)
+    kept = world.wanted(False)
+    listing = world.platform.listing
+
+    def with_one_leaving():
+        targets = listing().targets
+        leaving = {}
+        for target in targets:
+            if target.reclaimable:
+                leaving.setdefault(target.domain, target.target)
+        return Listing(
+            tuple(replace(t, leaving=t.target in leaving.values()) for t in targets)
+        )
+
+    world.platform.listing = with_one_leaving
+    world.run(10)
+    assert world.wanted(False) == kept
+
+
 def test_new_leader_goes_on_with_what_was_ordered():
     """It took a fleet that was just being changed for the one that is wanted."""
     world = World()
--- a/wigeonspan/scaling/_task.py
+++ b/wigeonspan/scaling/_task.py
@@ -147,13 +147,13 @@
         state.domains |= {t.domain for t in targets} | set(spec.domain_prices)
         # A replica whose phase is changing is present too.
         present = _count([t for t in targets if not t.leaving], state.domains)
-        leaving = {t.domain for t in targets if t.leaving and t.reclaimable}
-        for domain in leaving - set(state.unavailable_until):
+        ordered = self._ledger.ordered(service, present)
+        reclaimed = _reclaimed_domains(targets, present, ordered)
+        for domain in reclaimed - set(state.unavailable_until):
             state.unavailable_until[domain] = now + UNAVAILABLE_S
         for domain, until in list(state.unavailable_until.items()):
-            if now >= until and domain not in leaving:
+            if now >= until and domain not in reclaimed:
                 del state.unavailable_until[domain]
-        ordered = self._ledger.ordered(service, present)
         found_total = self._ledger.found_total(service, present)
         if found_total != state.found_total:
             state.found_total, state.found_at = found_total, now
@@ -161,7 +161,7 @@
         plan = plan_fleet(spec, state.domains, need, state.unavailable_until)
         self._log_plan(service, state, plan, present, need)
         paced = self._meter.has_traffic(service)
-        is_stable = now - state.found_at >= STABLE_S and not leaving
+        is_stable = now - state.found_at >= STABLE_S and not reclaimed
         may_release = is_stable and (
             not paced or now - state.released_at >= RELEASE_INTERVAL_S
         )
@@ -326,6 +326,21 @@
         )
 
 
+def _reclaimed_domains(
+    targets: list[Target], present: FleetPlan, ordered: FleetPlan
+) -> set[DomainName]:
+    """Return the domains whose reclaimable replicas leave, all of them at once.
+
+    Single ones also leave when they are released or replaced by a newer version.
+    """
+    leaving = {t.domain for t in targets if t.leaving and t.reclaimable}
+    return {
+        domain
+        for domain in leaving
+        if not present[domain].reclaimable and ordered[domain].reclaimable
+    }
+
+
 def _count(targets: list[Target], domains: set[DomainName]) -> FleetPlan:
     """Return the replicas by domain and kind."""
     return {
