Decide which caller goes when a process runs short

Change: a note and pure functions that say which connection is overdue, which is given up for memory and which makes room for a new one; limits that follow from the memory and the descriptors; a buffer in which small chunks cost their bytes; a guard that counts what connections hold. No server uses them yet.

--- a/wigeonspan/serving/__init__.py
+++ b/wigeonspan/serving/__init__.py
@@ -1,6 +1,15 @@
 """HTTP server for complete requests, built on tornado's connections."""
 
 from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
+from wigeonspan.serving._body import BodyBuffer, announced_bytes
+from wigeonspan.serving._bounds import (
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_MB,
+    CallerRules,
+    process_limits,
+)
+from wigeonspan.serving._guard import CallerGuard, CallerStream
+from wigeonspan.serving._records import make_limit_recorder, show_limits
 from wigeonspan.serving._response import DELIVERY_BUFFER_BYTES, ResponseWriter
 from wigeonspan.serving._server import (
     DELIVERY_S,
@@ -9,15 +18,28 @@
     RequestServer,
     ServeRequest,
 )
+from wigeonspan.serving._shedding import CloseReason, Holding
 
 __all__ = [
     "DELIVERY_BUFFER_BYTES",
     "DELIVERY_S",
     "FINAL_RESPONSE_TIMEOUT_S",
     "LAST_REQUESTS_S",
+    "DEFAULT_MAX_FDS",
+    "DEFAULT_MEMORY_MB",
+    "BodyBuffer",
+    "CallerGuard",
+    "CallerRules",
+    "CallerStream",
     "CheckHead",
+    "CloseReason",
+    "Holding",
     "RequestServer",
     "ResponseWriter",
     "ServeRequest",
     "accept_pending",
+    "announced_bytes",
+    "make_limit_recorder",
+    "process_limits",
+    "show_limits",
 ]
