Bound what callers make entries and control hosts hold

Cause: all bodies that arrive, unread responses and connections were held without a common bound; each could have 16 MB and stay for ever. Change: RequestServer counts what each connection holds and when it progresses, with bounds from limits.memory_mb and limits.max_fds; it refuses (503, not run, 1 s) or closes those that hold most and progress least. A body over max_body_bytes of the configuration in force gets 413 when it is announced or exceeded, after route and key are checked. Stalled bodies and heads, unread responses and idle connections are closed. Complete responses are written in pieces without a copy.

--- a/tests/platform/process_harness.py
+++ b/tests/platform/process_harness.py
@@ -187,10 +187,10 @@
 class Deployment:
     """Three control hosts and two entries, with the simulated platform."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, limits=None):
         self.platform = Platform()
         self.platform.start()
-        limits = DeploymentLimits()
+        limits = limits or DeploymentLimits()
         self.controls = [
             Machine(folder, Role.CONTROL, ip, "z1", LIST_ADDRESS, limits)
             for ip in CONTROLS
--- a/tests/platform/test_odd_settings.py
+++ b/tests/platform/test_odd_settings.py
@@ -5,6 +5,7 @@
 from adapter._node_file import NodeFileError
 
 from tests.platform.test_adapter import NODE_FILE
+from wigeonspan.serving import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 
 
 def read(tmp_path, old, new):
@@ -84,3 +85,27 @@
     assert node.domain == "szeged"
     with pytest.raises(NodeFileError, match="zone"):
         read(tmp_path, b"zone=szeged", b"zone=s\xff")
+
+
+@pytest.mark.parametrize("name", ["limits.memory_mb", "limits.max_fds"])
+@pytest.mark.parametrize("value", [*NUMBERS, "", "0", "0.5", "1e12"])
+def test_size_of_a_machine_out_of_range_names_its_field(tmp_path, name, value):
+    """A bound of nothing would refuse every caller."""
+    line = f"\n{name}={value}\nzone=".encode()
+    with pytest.raises(NodeFileError, match=name):
+        read(tmp_path, b"\nzone=", line)
+
+
+def test_size_of_a_machine_reaches_the_settings(tmp_path):
+    """Bounds that do not follow the machine are too large for a small one."""
+    lines = b"\nlimits.memory_mb=160.5\nlimits.max_fds=1638\nzone="
+    node = read(tmp_path, b"\nzone=", lines)
+    for settings in (gateway_settings(node), coordinator_settings(node)):
+        assert (settings.memory_mb, settings.max_fds) == (160.5, 1638)
+
+
+def test_settings_without_the_size_of_a_machine_are_read(tmp_path):
+    """Older settings files do not name the memory and the descriptors."""
+    settings = gateway_settings(read(tmp_path, b"\nzone=", b"\nzone="))
+    assert settings.memory_mb == DEFAULT_MEMORY_MB
+    assert settings.max_fds == DEFAULT_MAX_FDS
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -254,3 +254,29 @@
     }
     config = read_config(encode(document))
     assert config.tenants[0].priority == 0 and config.routes[0].public
+
+
+@pytest.mark.parametrize(
+    ("host", "fields", "kind"),
+    [
+        ("h", [bearer(KEY)], "too_large"),
+        ("h", [bearer("other")], "unauthorized"),
+        ("h", [], "unauthorized"),
+        ("elsewhere", [bearer(KEY)], "unknown_route"),
+    ],
+)
+def test_size_is_checked_after_route_and_key(host, fields, kind):
+    """A caller without a key learned the limits of the deployment."""
+
+    async def run():
+        context, servers = start_gateway(route(IDEMPOTENT), plain_engines())
+        set_tenants(context, TENANTS, 2)
+        headers = [("Host", host), ("Request-Id", "q1"), *fields]
+        error = shared_state["server"].check_oversized("POST", "/r/x", headers)
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return error
+
+    error = asyncio.run(run())
+    assert error.kind.value == kind and error.ran.value == "no"
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -43,7 +43,14 @@
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import BEAT_PATH, Beat, BeatReply
 from wigeonspan.scaling import ScalingTask
-from wigeonspan.serving import RequestServer, ServeRequest
+from wigeonspan.serving import (
+    CallerGuard,
+    RequestServer,
+    ServeRequest,
+    make_limit_recorder,
+    process_limits,
+    show_limits,
+)
 from wigeonspan.sharing import Relay
 from wigeonspan.staging import Authority, DemandMeter, OrderPort, PhaseChangeTask
 from wigeonspan.targets import Listing
@@ -175,6 +182,11 @@
         self._relay = Relay(
             self._heartbeats.relayed_entries, self._heartbeats.other_relays
         )
+        self._guard = CallerGuard(
+            process_limits(settings.memory_mb, settings.max_fds),
+            record=make_limit_recorder(self._event_log.write, self._metrics.count),
+            clock=clock,
+        )
         self._servers: list[RequestServer] = []
         self._http = HTTPServer(self._internal_routes())
         self._tasks: list[asyncio.Task[None]] = []
@@ -212,7 +224,7 @@
             (serve_control, settings.control),
             (serve_directory, settings.directory),
         ):
-            server = RequestServer(serve, self._record_error)
+            server = RequestServer(serve, self._record_error, self._clock, self._guard)
             server.listen(bind_address(address, bind))
             self._servers.append(server)
         report_loop_errors(self._record_error)
@@ -436,6 +448,7 @@
         metrics.gauge("members", float(len(self._log.members)))
         metrics.gauge("log_applied", float(self._log.applied))
         metrics.gauge("lease_left_seconds", self._lease_remaining_s())
+        show_limits(self._guard, metrics.gauge)
         metrics.gauge("log_lines_left_out", self._event_log.omitted_lines)
         metrics.gauge("engines_changing", len(self._staging.switching))
         metrics.gauge("entries_live", self._heartbeats.live_entries)
--- a/wigeonspan/coordinator/_settings.py
+++ b/wigeonspan/coordinator/_settings.py
@@ -5,6 +5,7 @@
 from wigeonspan.common import DomainName, HostId
 from wigeonspan.consensus import BootstrapMember
 from wigeonspan.duties import DutySettings
+from wigeonspan.serving import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 
 
 class CoordinatorSettings(Struct, frozen=True):
@@ -33,6 +34,10 @@
         Seconds from the stop signal until the process is killed.
     duties : DutySettings
         Duties towards the platform.
+    memory_mb : float
+        Memory of the process in MB, which bounds what callers may hold.
+    max_fds : int
+        Descriptors that the process may have open.
     bind : str
         Address of the interface to listen on if the other addresses belong to a
         forwarder; empty if they are this host's own.
@@ -50,6 +55,8 @@
     wanted_voters: int
     stop_timeout_s: float = 8.0
     duties: DutySettings = DutySettings()
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
     bind: str = ""
 
     @property
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -35,7 +35,17 @@
     EntryInfo,
     EntryState,
 )
-from wigeonspan.serving import RequestServer, ResponseWriter
+from wigeonspan.serving import (
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_MB,
+    CallerGuard,
+    CallerRules,
+    RequestServer,
+    ResponseWriter,
+    make_limit_recorder,
+    process_limits,
+    show_limits,
+)
 from wigeonspan.sharing import (
     Event,
     ListRead,
@@ -101,6 +111,10 @@
         Length in seconds of the windows in which use is metered; None when it is not.
     usage_due_s : float
         Seconds after the end of a window at which its report is due.
+    memory_mb : float
+        Memory of the process in MB, which bounds what callers may hold.
+    max_fds : int
+        Descriptors that the process may have open.
     bind : str
         Address of the interface to listen on when a forwarder relays traffic from the
         other addresses to it; empty when they are this host's own addresses.
@@ -120,6 +134,8 @@
     max_key_age_s: float | None = None
     usage_window_s: float | None = None
     usage_due_s: float = 10.0
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
     bind: str = ""
 
 
@@ -179,11 +195,21 @@
         context = self._context
         self._record_error = make_error_reporter(event_log, context.metrics)
         self._server = Server(context, rng)
+        self._guard = CallerGuard(
+            process_limits(settings.memory_mb, settings.max_fds),
+            self._caller_rules,
+            make_limit_recorder(event_log.write, context.metrics.count),
+            clock,
+        )
         self._front_server = RequestServer(
-            self._server.serve, self._record_error, clock
+            self._server.serve,
+            self._record_error,
+            clock,
+            self._guard,
+            self._server.check_oversized,
         )
         self._monitoring_server = RequestServer(
-            self._serve_monitoring, self._record_error
+            self._serve_monitoring, self._record_error, clock, self._guard
         )
         self._controls = ControlHosts(settings.domain)
         self._heartbeats = HeartbeatTask(
@@ -326,6 +352,16 @@
             context.event_log.flush()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
 
+    def _caller_rules(self) -> CallerRules:
+        """Return the limits of callers that the configuration in force sets."""
+        config = self._context.config.config
+        if config is None:
+            return CallerRules()
+        limits = config.limits
+        return CallerRules(
+            limits.body_bytes, limits.header_timeout_s, limits.idle_timeout_s
+        )
+
     def _check_for_pause(self) -> None:
         """Ask the control hosts at once for changes when this process was paused."""
         context = self._context
@@ -456,6 +492,7 @@
         context.metrics.gauge("quarantined_parts", len(quarantine.quarantined))
         context.metrics.gauge("suspected_parts", quarantine.suspects)
         context.metrics.gauge("open_requests", self._front_server.open_requests)
+        show_limits(self._guard, context.metrics.gauge)
         context.metrics.gauge("connections_opened", context.pool.opened_connections)
         context.metrics.gauge("log_lines_left_out", context.event_log.omitted_lines)
         return context.metrics.text()
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -91,6 +91,28 @@
             return error
         return None
 
+    def check_oversized(
+        self, method: str, target: str, headers: list[tuple[str, str]]
+    ) -> WigeonspanError:
+        """Return why a request whose body is too large is refused, and record it.
+
+        Its size is checked last, so another fault of its head goes first.
+        """
+        context, now = self._context, self._context.clock.now()
+        request_id, kind = None, "unknown"
+        try:
+            request = context.protocol.read_request(method, target, headers, b"")
+            request_id = request.request
+            route = self._match_route(request)
+            kind = route.kind.value
+            self._check_access(request, route)
+            error = WigeonspanError(ErrorKind.TOO_LARGE, "the body is too large")
+        except WigeonspanError as fault:
+            error = fault
+        self._record_refused(request_id, error, now)
+        context.metrics.count("requests", kind=kind, outcome=error.kind.value)
+        return error
+
     async def serve(
         self,
         method: str,
--- a/wigeonspan/serving/_accepting.py
+++ b/wigeonspan/serving/_accepting.py
@@ -3,18 +3,14 @@
 import socket
 from collections.abc import Callable
 
-from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
-
 LAST_REQUESTS_S = 0.2
 """Seconds in which the callers of the connections that were accepted last send their
 requests."""
 
 
 def accept_pending(
-    server: HTTPServer,
+    accept: Callable[[socket.socket, object], None],
     listening_socket: socket.socket,
-    max_buffer_size: int,
     record_error: Callable[[Exception], None],
 ) -> None:
     """Accept the connections that only the kernel has accepted.
@@ -23,8 +19,8 @@
 
     Parameters
     ----------
-    max_buffer_size : int
-        Largest number of bytes that are buffered for a connection.
+    accept : callable
+        Serves a connection, given its socket and the address of the caller.
     record_error : callable
         Called with the error that ends the accepting early.
     """
@@ -37,6 +33,4 @@
             # The caller has disconnected, or no file descriptor is available.
             record_error(error)
             return
-        accepted.setblocking(False)
-        stream = IOStream(accepted, max_buffer_size=max_buffer_size)
-        server.handle_stream(stream, address)
+        accept(accepted, address)
--- a/wigeonspan/serving/_response.py
+++ b/wigeonspan/serving/_response.py
@@ -8,11 +8,16 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from wigeonspan.common import WigeonspanError, encode
+from wigeonspan.serving._guard import CallerStream
 
 DELIVERY_BUFFER_BYTES = 1024 * 1024
 """Send buffer of a caller that reads slowly when the process stops; the kernel may
 grant less."""
 
+PIECE_BYTES = 64 * 1024
+"""Bytes of a complete response that are passed to the connection at once. The rest is
+neither copied nor counted twice while a caller reads slowly."""
+
 # Value of SO_LINGER (on, 0 seconds) with which a close resets the connection.
 _RESET = struct.pack("ii", 1, 0)
 
@@ -105,11 +110,18 @@
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Send a complete response."""
-        await self._write_head(
-            status,
-            [*headers, ("Content-Length", str(len(body)))],
-            body if self._has_body else None,
-        )
+        headers = [*headers, ("Content-Length", str(len(body)))]
+        if not self._has_body:
+            body = b""
+        stream = self._stream
+        if isinstance(stream, CallerStream) and len(body) > PIECE_BYTES:
+            # A caller that reads nothing may be closed for it.
+            stream.hold(len(body))
+        await self._write_head(status, headers, body[:PIECE_BYTES] or None)
+        for start in range(PIECE_BYTES, len(body), PIECE_BYTES):
+            if self._disconnected:
+                break
+            await self.send(body[start : start + PIECE_BYTES])
         await self.finish()
 
     async def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
--- a/wigeonspan/serving/_server.py
+++ b/wigeonspan/serving/_server.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -17,18 +18,20 @@
 from wigeonspan.common import Clock, ErrorKind, SystemClock, WigeonspanError
 from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
 from wigeonspan.serving._collector import STOP_MESSAGE, RequestCollector
+from wigeonspan.serving._guard import CallerGuard, CallerStream
 from wigeonspan.serving._response import ResponseWriter
+from wigeonspan.serving._shedding import CloseReason
 
 MAX_HEADER_BYTES = 64 * 1024
 """Largest request head in bytes; configurations set lower limits."""
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Largest request body in bytes; configurations set lower limits."""
+UNLIMITED_BODY_BYTES = 1 << 62
+"""Size above which tornado refuses a body. Bodies are limited here, because tornado
+would answer without the error body of the public interface."""
 
 IDLE_TIMEOUT_S = 60.0
-"""Seconds that a caller's connection may stay idle. It is longer than the idle time
-that configurations promise to callers, so that no request is sent on a connection that
-the server is closing."""
+"""Seconds after which tornado closes a connection without a request; the limits of
+callers say less."""
 
 FINAL_RESPONSE_TIMEOUT_S = 0.25
 """Seconds to wait for the responses to requests that are cancelled when the process
@@ -67,6 +70,12 @@
         caller of a request that fails gets an error response.
     clock : Clock or None
         Source of time; None for the system's clock.
+    guard : CallerGuard or None
+        Bounds over all connections of callers of the process; None for bounds of this
+        server alone.
+    check_oversized : callable or None
+        Returns the error of a request whose body is too large when that is not the
+        first fault of the request.
     """
 
     def __init__(
@@ -74,6 +83,8 @@
         serve: ServeRequest,
         record_error: Callable[[Exception], None],
         clock: Clock | None = None,
+        guard: CallerGuard | None = None,
+        check_oversized: CheckHead | None = None,
     ) -> None:
         self._serve = serve
         self._record_error = record_error
@@ -81,12 +92,15 @@
         self._open_tasks: dict[asyncio.Task[None], ResponseWriter] = {}
         self._arriving: set[RequestCollector] = set()
         self._ending = False
+        self._guard = guard or CallerGuard(clock=self._clock)
         self._check_head: CheckHead | None = None
+        self._check_oversized = check_oversized
         self._sockets: list[socket.socket] = []
+        self._stop_listening: list[Callable[[], None]] = []
         self._server = HTTPServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
+            max_body_size=UNLIMITED_BODY_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
 
@@ -100,7 +114,7 @@
         host, _, port = address.rpartition(":")
         sockets = bind_sockets(int(port), host)
         self._sockets.extend(sockets)
-        self._server.add_sockets(sockets)
+        self._stop_listening.append(self._guard.listen(self._server, sockets))
 
     def refuse_early(self, check_head: CheckHead) -> None:
         """Check each request from now on when its head has arrived.
@@ -121,10 +135,13 @@
         """
         for listening_socket in self._sockets:
             accept_pending(
-                self._server, listening_socket, MAX_BODY_BYTES, self._record_error
+                lambda accepted, address: self._guard.accept(
+                    self._server, accepted, address
+                ),
+                listening_socket,
+                self._record_error,
             )
-        self._server.stop()
-        self._sockets = []
+        self._close_sockets()
 
     async def drain(
         self, timeout_s: float, before_end: Callable[[], None] | None = None
@@ -178,17 +195,19 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        self._server.stop()
+        self._close_sockets()
         await self._server.close_all_connections()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the collector of a new request."""
+        assert isinstance(request_conn, HTTP1Connection)
         return RequestCollector(
             request_conn,
             self._begin,
             self._refusal,
+            self._size_error,
             self._arriving,
             lambda: self._ending,
             self._clock,
@@ -205,12 +224,39 @@
             return None
         return self._check_head(line.method, line.path, list(headers.get_all()))
 
+    def _size_error(
+        self,
+        line: RequestStartLine,
+        headers: HTTPHeaders,
+        size: int,
+        stream: CallerStream,
+    ) -> WigeonspanError | None:
+        """Return why a request is refused whose body has a size, if it is."""
+        limit = self._guard.rules.body_bytes
+        if size <= limit:
+            return None
+        self._guard.record(CloseReason.BODY_SIZE, stream.holding())
+        error = None
+        if self._check_oversized is not None:
+            fields = list(headers.get_all())
+            error = self._check_oversized(line.method, line.path, fields)
+        message = f"the body is larger than {limit} bytes"
+        return error or WigeonspanError(ErrorKind.TOO_LARGE, message)
+
+    def _close_sockets(self) -> None:
+        """Close the listening sockets."""
+        for stop in self._stop_listening:
+            stop()
+        for listening_socket in self._sockets:
+            listening_socket.close()
+        self._stop_listening, self._sockets = [], []
+
     def _begin(
         self,
         line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
-        connection: HTTPConnection,
+        connection: HTTP1Connection,
         body_s: float,
     ) -> None:
         caller = ResponseWriter(
@@ -221,9 +267,13 @@
         )
         fields = list(headers.get_all())
         coroutine = self._serve(line.method, line.path, fields, body, caller)
+        stream = connection.stream
+        assert isinstance(stream, CallerStream)
+        number = stream.begin_run()
         task = asyncio.ensure_future(self._run_request(coroutine, caller))
         self._open_tasks[task] = caller
         task.add_done_callback(self._open_tasks.pop)
+        task.add_done_callback(lambda _: stream.end_request(number))
 
         def on_disconnect() -> None:
             caller.record_disconnect()
