Leave out entries of the list that lack a field of the platform

The reader filled in slots and born, and did not look at version, cold_remaining_ms, models and leaves_ms. So an entry of another writer replaced the sound one with its id, and requests went to a target of another service.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -306,9 +306,13 @@
     "service": "s",
     "address": "10.9.0.1:80",
     "zone": "z",
+    "version": "v1",
     "slots": 4,
     "state": "ready",
+    "cold_remaining_ms": 0,
+    "born": 0,
     "stage": "decode",
+    "models": [{"name": "m"}],
 }
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -18,9 +18,13 @@
     "service": "s",
     "address": "10.9.0.1:80",
     "zone": "z",
+    "version": "v1",
     "slots": 4,
     "state": "ready",
+    "cold_remaining_ms": 0,
+    "born": 0,
     "stage": "decode",
+    "models": [{"name": "m"}],
 }
 DEEP = b"[" * 5000 + b"]" * 5000
 DEEP_OBJECT = b'{"a":' * 5000 + b"1" + b"}" * 5000
@@ -122,6 +126,62 @@
     assert encode_packet(Packet("h", [ListRead(listing.digest, 0.0, listing)]))
 
 
+PLAIN_ENTRY = {n: v for n, v in VALID_ENTRY.items() if n not in ("stage", "models")}
+TEXTS = ("id", "service", "address", "zone", "version", "state")
+NUMBERS = ("slots", "cold_remaining_ms", "born", "leaves_ms")
+NO_TEXTS = [None, True, 1, "", "x" * 300, [], {}]
+NO_NUMBERS = [True, "", "1", [], {}, -1]
+WRONG_FIELDS = [
+    *({name: value} for name in TEXTS for value in NO_TEXTS),
+    *({name: value} for name in NUMBERS for value in NO_NUMBERS),
+    *({name: None} for name in NUMBERS if name != "leaves_ms"),
+    *({"spot": value} for value in (None, 0, "true", [], {})),
+    *({"stage": value, "models": []} for value in NO_TEXTS),
+    *({"stage": "decode", "models": value} for value in (None, True, 1, "m", {})),
+]
+
+
+def read_beside(changed):
+    """Return the events of the log when an entry of its id follows a sound one."""
+    names, lines, listing = read(page(entry(), msgspec.json.encode(changed)))
+    assert names == ["i-1"] and listing.targets[0].service == "s"
+    return [event for event, _ in lines]
+
+
+@pytest.mark.parametrize("field", VALID_ENTRY)
+def test_entry_without_a_field_names_no_target(field):
+    """An entry of another writer replaced the sound one with its id.
+
+    Requests for its service were sent to a target of another one.
+    """
+    changed = VALID_ENTRY | {"service": "t"}
+    del changed[field]
+    assert read_beside(changed) == ["entry_skipped"]
+
+
+@pytest.mark.parametrize("sound", [VALID_ENTRY, PLAIN_ENTRY], ids=["model", "plain"])
+@pytest.mark.parametrize("wrong", WRONG_FIELDS)
+def test_entry_with_a_field_of_another_type_names_no_target(wrong, sound):
+    """The fields that no target takes a value from were not looked at."""
+    assert read_beside(sound | {"service": "t"} | wrong) == ["entry_skipped"]
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        {},
+        {"spot": True, "leaves_ms": 2500.5, "state": "draining"},
+        {"spot": False, "leaves_ms": None, "cold_remaining_ms": 12.5},
+        {"note": "of a later version of the platform"},
+    ],
+)
+@pytest.mark.parametrize("sound", [VALID_ENTRY, PLAIN_ENTRY], ids=["model", "plain"])
+def test_entry_of_the_platform_names_a_target(sound, more):
+    """The checks must refuse no entry that the platform writes."""
+    names, lines, _ = read(page(msgspec.json.encode(sound | more)))
+    assert names == ["i-1"] and not lines
+
+
 def test_odd_member_of_a_page_does_not_hide_its_entries():
     """Members that the reader ignores made a whole page unreadable."""
     for odd in UNDECODABLE.values():
