Find the entries of the list around one that cannot be read

An entry of bytes that are no JSON, or one that leaves a string or a bracket open, hid the whole list, so that nothing was served after a restart. Where a page cannot be split, the reader now takes the objects between commas, and what lies between them is skipped and logged. The end of the list is where the rest of the page with its "next" is sound, so that a cut page is still refused.

--- a/tests/common/test_elements.py
+++ b/tests/common/test_elements.py
@@ -10,6 +10,7 @@
     WigeonspanError,
     decode,
     split_array,
+    split_member_array,
     split_object,
 )
 
@@ -79,6 +80,68 @@
     assert caught.value.kind is ErrorKind.BAD_REQUEST
 
 
+GOOD = b'{"id":"a,]\\"}"}'
+REST = b',"next":"p2","more":[1]}'
+
+
+@pytest.mark.parametrize("odd", [*ODD_VALUES, b"\xff", b'"', b"[1", b'{"a":[1', b"]"])
+def test_array_with_an_element_that_is_no_json_is_split(odd):
+    """Only the elements that are objects can be found beside it."""
+    data = b'{"first":{},"list" : [' + GOOD + b" , " + odd + b",\n" + GOOD + b"]" + REST
+    elements, members = split_member_array(data, "list", "next")
+    assert [bytes(e) for e in elements] == [GOOD, odd, GOOD]
+    assert decode(members["next"], str) == "p2"
+    assert set(members) == {"first", "next", "more"}
+
+
+def test_sound_array_is_split_without_a_member_after_it():
+    """The member after the array is needed only where an element is no JSON."""
+    elements, members = split_member_array(b'{"list":[1,"]",{}]}', "list", "next")
+    assert [bytes(e) for e in elements] == [b"1", b'"]"', b"{}"] and not members
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        b'{"list":[{"a":1},\xff]}',
+        b'{"list":[{"a":1},\xff],"other":1}',
+        b'{"list":[{"a":1},\xff],"next":1',
+        b'{"list":[{"a":1},\xff',
+        b'{"next":1,"list":[{"a":1},\xff]}',
+        b'{"list":7,"next":1}',
+        b'{"other":[\xff],"next":1}',
+        b"\xff",
+        b"",
+    ],
+)
+def test_array_whose_end_is_not_clear_is_refused(wrong):
+    """A document that is cut must not look like a shorter one."""
+    with pytest.raises(WigeonspanError) as caught:
+        split_member_array(wrong, "list", "next")
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"\xff,{},",
+        b'{"a":[,',
+        b',{"a":',
+        b',{"a":"',
+        b"],",
+        (b',{"a":[' * 300 + b"1," * 1000),
+        b'{"a":' * 2000 + b",{},",
+    ],
+)
+def test_search_for_elements_does_not_block_the_process(part):
+    """The time to find elements in a document of any bytes must be limited."""
+    data = b'{"list":[' + part * (4_000_000 // len(part)) + b'],"next":1}'
+    started_at = time.perf_counter()
+    with pytest.raises(WigeonspanError):
+        split_member_array(data, "list", "next")
+    assert time.perf_counter() - started_at < 5.0
+
+
 def test_many_brackets_do_not_block_the_process():
     """The time to split a document that nests without end must be limited."""
     started_at = time.perf_counter()
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -182,6 +182,93 @@
     assert names == ["i-1"] and not lines
 
 
+NEXT = b',"next":null'
+UNREADABLE = {
+    "bytes": b"\xc3\x28\xa0\xa1\xff\xfe",
+    "zeros": b"\0\0\0",
+    "text": b"down",
+    "two texts": b"a,b",
+    "number": b"1.2.3",
+    "open string": b'"abc',
+    "quote": b'"',
+    "open object": b"{",
+    "open member": b'{"id"',
+    "open value": b'{"id":',
+    "open text": b'{"id":"i-9',
+    "half an entry": entry("i-9")[:40],
+    "entry without its end": entry("i-9")[:-1],
+    "open array": b"[",
+    "array of one": b"[1",
+    "open array in an object": b'{"a":[1',
+    "open object in an array": b'[{"a":1',
+    "open objects": b'{"a":{"b":1',
+    "closed array": b"]",
+    "closed object": b"}",
+    "closed twice": b"]}",
+    "comma in a broken entry": b'{"id":,{"a":1},{"b":2}',
+    "half of a code point": entry("i-9")[:-1] + b',"a":\xc3}',
+    "escape": b"\\",
+    "entry and text": entry("i-9") + b"x",
+    "two entries without a comma": entry("i-9") + entry("i-8"),
+    "end of a page": b'],"next":"p9"',
+    "page": b'{"instances":[',
+    "deep and open": b"[" * 5000,
+    "deep objects and open": b'{"a":' * 5000,
+    "deep and text": DEEP + b"x",
+    "text of many": b"\xff" * 100_000,
+}
+
+
+@pytest.mark.parametrize("place", [0, 1, 2])
+@pytest.mark.parametrize("odd", UNREADABLE.values(), ids=UNREADABLE)
+def test_entry_that_cannot_be_read_costs_only_itself(odd, place):
+    """The whole list could not be read, and after a restart nothing was served."""
+    entries = [entry("i-2"), entry("i-3")]
+    entries.insert(place, odd)
+    names, lines, _ = read(page(*entries, rest=NEXT))
+    assert names == ["i-2", "i-3"]
+    assert {event for event, _ in lines} == {"entry_skipped"}
+    assert max(len(line) for _, line in lines) < 2000
+
+
+@pytest.mark.parametrize("odd", UNREADABLE.values(), ids=UNREADABLE)
+def test_several_entries_that_cannot_be_read(odd):
+    """Two of them looked like one string or array around the sound entries."""
+    entries = [odd, entry("i-2"), odd, with_field(DEEP), entry("i-3"), odd, odd]
+    names, _, _ = read(page(*entries, rest=b',"note":' + DEEP + NEXT))
+    assert names == ["i-2", "i-3"]
+
+
+def test_pages_after_an_entry_that_cannot_be_read_are_read():
+    """The token of the next page must be found behind it."""
+    first = page(entry("i-2"), b"\xc3\x28", rest=b',"next":"p2"')
+    names, _, _ = read(first, page(entry("i-3")))
+    assert names == ["i-2", "i-3"]
+
+
+def test_list_of_entries_that_cannot_be_read_is_empty():
+    """Such a list names no target, but it is a list."""
+    assert read(page(b"\xff", b'"', rest=NEXT))[0] == []
+
+
+@pytest.mark.parametrize("share", [n / 40 for n in range(40)])
+@pytest.mark.parametrize("odd", [b"\xff", b'"', b"[", b"{", b'{"a":[1'])
+def test_cut_page_with_an_entry_that_cannot_be_read_is_no_list(odd, share):
+    """A cut page must not look like a shorter list beside such an entry, either."""
+    model = msgspec.json.encode(VALID_ENTRY | {"models": [{"name": "m"}, {"a": [1]}]})
+    body = page(model, odd, model, model, rest=NEXT)
+    with pytest.raises(ListUnavailable):
+        read(body[: int(len(body) * share)])
+
+
+def test_cut_page_that_ends_with_an_array_is_no_list():
+    """The array of the last entry looked like the end of the list."""
+    last = entry()[:-1] + b',"note":[{"a":1},{"b":2}]'
+    for end in (b"}", b',"born":5}', b"", b"]}"):
+        with pytest.raises(ListUnavailable):
+            read(page(entry("i-2"), b"\xff", last)[:-2] + end)
+
+
 def test_odd_member_of_a_page_does_not_hide_its_entries():
     """Members that the reader ignores made a whole page unreadable."""
     for odd in UNDECODABLE.values():
--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -12,7 +12,7 @@
     decode,
     encode,
 )
-from wigeonspan.common._elements import split_array, split_object
+from wigeonspan.common._elements import split_array, split_member_array, split_object
 from wigeonspan.common._errors import (
     ERROR_RESPONSES,
     ErrorBody,
@@ -128,6 +128,7 @@
     "set_up_logs",
     "split_address",
     "split_array",
+    "split_member_array",
     "split_object",
     "keep_running",
     "load_on_use",
--- a/wigeonspan/common/_elements.py
+++ b/wigeonspan/common/_elements.py
@@ -2,8 +2,10 @@
 
 A strict parser loses a whole document by one element that is nested too deeply or has
 an invalid escape. The fallback here finds the ends of the elements without recursion.
+Around elements that are no JSON at all, another one finds those that are objects.
 """
 
+import json
 import re
 
 from msgspec import Raw
@@ -16,6 +18,19 @@
 the bytes between two of them. It bounds the time to a third of a second. A list
 of a thousand targets takes about five thousand steps."""
 
+MAX_UNREADABLE = 1_000
+"""Most elements of one array that are no JSON; with ``MAX_SEARCHED_BYTES`` it bounds
+the time in which the objects around them are found to about a second."""
+
+MAX_SEARCHED_BYTES = 32 * 1024 * 1024
+"""Most bytes that are read, repeated ones included, to find the objects of one array;
+eight times the largest response. An array with one element that is no JSON takes about
+its own size."""
+
+DEEP_NESTING_BYTES = 256 * 1024
+"""Bytes that count as read when an element is nested too deeply. The parser does not
+tell how far it came."""
+
 _STRING = rb'"(?:[^"\\]++|\\.)*+"'
 # Numbers and names of any value. Other text outside of strings shows that a quotation
 # mark is missing or is one too many, so that the ends of the elements are not known.
@@ -28,6 +43,12 @@
 )
 _BRACKETS = re.compile(rb"[\[{]++|[\]}]++")
 _MEMBER = re.compile(rb"(" + _STRING + rb")\s*+:(.*)", re.DOTALL)
+_OBJECT = re.compile(r"[ \t\r\n]*\{")
+_AFTER_ELEMENT = re.compile(r"[ \t\r\n]*([,\]])")
+# Where the next object may begin or the array may end after bytes that are no JSON.
+_RESUME = re.compile(r",(?=[ \t\r\n]*\{)|\](?=[ \t\r\n]*,)")
+# Long integers would raise an error, and control characters concern one element only.
+_JSON = json.JSONDecoder(parse_int=float, strict=False)
 _OPENING_OF = bytes.maketrans(b"]}", b"[{")
 _WHITESPACE = b" \t\r\n"
 
@@ -65,6 +86,144 @@
         return dict(_scan_members(bytes(data)))
 
 
+def split_member_array(
+    data: bytes | Raw, name: str, following: str
+) -> tuple[list[Raw], dict[str, Raw]]:
+    """Return the encoded elements of an array in an object, and the other members.
+
+    Unlike :func:`split_array`, this function finds the objects in the array also when
+    it has elements that are no JSON, such as bytes outside of strings, or a string or a
+    bracket that is left open. Such bytes are returned as elements, too, which cannot be
+    decoded. They end before a comma and an object, or at the end of the array. A member
+    after the array shows where it ends: a document that is cut may end like a sound one
+    with the array of its last element.
+
+    Parameters
+    ----------
+    data : bytes
+        Encoded object.
+    name : str
+        Name of the member with the array.
+    following : str
+        Name of a member after the array; needed only when an element is no JSON.
+
+    Raises
+    ------
+    WigeonspanError
+        ``BAD_REQUEST`` when there is no such array, its end cannot be found, or the
+        search exceeds a limit.
+    """
+    try:
+        members = split_object(data)
+        return split_array(members.pop(name)), members
+    except KeyError as error:
+        raise _bad_request(f"the document has no member {error}") from error
+    except WigeonspanError:
+        return _ElementSearch(bytes(data), name, following).run()
+
+
+class _ElementSearch:
+    """Search for the objects of an array that has elements that are no JSON.
+
+    Parameters
+    ----------
+    data : bytes
+        Encoded object.
+    name, following : str
+        Names of the member with the array and of one after it.
+
+    Raises
+    ------
+    WigeonspanError
+        ``BAD_REQUEST`` when there is no such array.
+    """
+
+    def __init__(self, data: bytes, name: str, following: str) -> None:
+        opening = re.search(rb'"%s"\s*:\s*\[' % re.escape(name.encode()), data)
+        if opening is None:
+            raise _bad_request(f"the document has no array {name}")
+        self._data, self._following = data, following
+        # One character for each byte, so that positions are the same in both.
+        self._text = data.decode("latin-1")
+        self._begin = opening.end()
+        self._before = split_object(data[: self._begin] + b"]}")
+        self._before.pop(name, None)
+        self._searched_bytes = 0
+
+    def run(self) -> tuple[list[Raw], dict[str, Raw]]:
+        """Return the elements and the other members; see :func:`split_member_array`."""
+        elements: list[bytes] = []
+        unreadable = 0
+        position = self._begin
+        while unreadable <= MAX_UNREADABLE:
+            end = self._end_of_object(position)
+            if end is None:
+                unreadable += 1
+                end = self._resume_at(position)
+            elements.append(self._data[position:end].strip(_WHITESPACE))
+            if self._text[end] == "]":
+                members = self._members(end)
+                assert members is not None
+                return [Raw(element) for element in elements if element], members
+            position = end + 1
+        raise _bad_request("the document has too many elements that are no JSON")
+
+    def _end_of_object(self, position: int) -> int | None:
+        """Return where the comma or bracket after the next object is, if it is one.
+
+        Another value is not taken for an element: a bracket that is left open would
+        make one of all elements after it.
+        """
+        begin = _OBJECT.match(self._text, position)
+        if begin is None:
+            return None
+        at = begin.end() - 1
+        try:
+            _, end = _JSON.raw_decode(self._text, at)
+        except json.JSONDecodeError as error:
+            self._spend(error.pos - at)
+            return None
+        except RecursionError:
+            self._spend(DEEP_NESTING_BYTES)
+            return None
+        self._spend(end - at)
+        after = _AFTER_ELEMENT.match(self._text, end)
+        if after is None:
+            return None
+        is_end = after[1] == "]"
+        if is_end and self._members(after.start(1)) is None:
+            return None
+        return after.start(1)
+
+    def _resume_at(self, position: int) -> int:
+        """Return where the array ends, or where the next comma before an object is.
+
+        Raises
+        ------
+        WigeonspanError
+            ``BAD_REQUEST`` when the document has neither.
+        """
+        for found in _RESUME.finditer(self._text, position):
+            if found[0] == "," or self._members(found.start()) is not None:
+                return found.start()
+        raise _bad_request("the document ends inside an array")
+
+    def _spend(self, read_bytes: int) -> None:
+        self._searched_bytes += read_bytes
+        if self._searched_bytes > MAX_SEARCHED_BYTES:
+            raise _bad_request("the search for elements takes too long")
+
+    def _members(self, end: int) -> dict[str, Raw] | None:
+        """Return the other members if the array ends at a position, or None."""
+        self._spend(len(self._data) - end)
+        try:
+            after = split_object(b'{"":0' + self._data[end + 1 :])
+        except WigeonspanError:
+            return None
+        after.pop("", None)
+        return self._before | after if self._following in after else None
+
+
 def _scan_members(data: bytes):
     for member in _scan(data, b"{"):
         match = _MEMBER.fullmatch(member)
