Name the status line of an answer that entryd refuses

The message was libcurl's, which names a failed write and an integer, so that an operator could not see what the target had sent. It now has the first 60 bytes of the line. The new case failed before; tests/engines/test_odd_answers.py passes (112).

--- a/tests/engines/test_odd_answers.py
+++ b/tests/engines/test_odd_answers.py
@@ -71,6 +71,13 @@
     assert not end.sent_nothing
 
 
+def test_message_names_the_status_line_that_was_refused():
+    """The client's own words name a failed write and the size of an integer."""
+    end = fetch(b"HTTP/1.1 600 " + b"X" * 200 + b"\r\nContent-Length: 0\r\n\r\n")
+    assert end.message.startswith("no status line of HTTP/1: b'HTTP/1.1 600 XX")
+    assert len(end.message) < 100
+
+
 @pytest.mark.parametrize("status", [200, 299, 304, 404, 500, 598, 599])
 def test_each_status_of_http_is_passed_on(status):
     """An answer of 599 was reported as a request of which nothing was sent.
--- a/wigeonspan/engines/_connections.py
+++ b/wigeonspan/engines/_connections.py
@@ -34,6 +34,9 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n]*)?\r?\n")
 """Status line of a response of HTTP/1. The HTTP client accepts others, too."""
 
+MAX_MESSAGE_BYTES = 60
+"""Most bytes of a refused status line in a message."""
+
 _REFUSE_LINE = -1
 """Result of the header callback that makes the HTTP client fail the transfer."""
 
@@ -132,6 +135,12 @@
         self._on_line = on_line
         self._status: int | None = None
         self._complete = False
+        self._refused_line: bytes | None = None
+
+    @property
+    def refused_line(self) -> bytes | None:
+        """First bytes of the status line that was refused, if one was."""
+        return self._refused_line
 
     @property
     def complete(self) -> bool:
@@ -147,6 +156,7 @@
             match = _STATUS_LINE.fullmatch(line)
             # No request asks for another protocol, which a status of 101 would begin.
             if match is None or match[1] == b"101":
+                self._refused_line = line[:MAX_MESSAGE_BYTES]
                 return _REFUSE_LINE
             self._status = int(match[1])
         elif not self._complete and not line.strip(b"\r\n"):
@@ -288,6 +298,9 @@
             content_type = headers.get("Content-Type", "")
             body = bytes(self._body)
             return ExchangeEnd(response.code, content_type, body, headers)
+        if self._head is not None and self._head.refused_line is not None:
+            message = f"no status line of HTTP/1: {self._head.refused_line!r}"
+            return ExchangeEnd(0, "", b"", {}, message=message)
         if response.code != 599:
             return ExchangeEnd(0, "", b"", {}, message="closed inside of the head")
         errno = error.errno if isinstance(error, CurlError) else None
