--- a/tests/pool/test_status_lines.py
+++ b/tests/pool/test_status_lines.py
@@ -31,3 +31,11 @@
     """The check must not take an interim response for one without a status."""
     interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
     assert run_script([[interim + COMPLETE]])[0] == [(200, b"ok")]
+
+
+def test_response_is_read_however_its_first_bytes_are_split():
+    """The check of the first bytes must wait until there are enough of them."""
+    parts = [b"\r\n", *(COMPLETE[n : n + 1] for n in range(8)), COMPLETE[8:]]
+    assert run_script([[parts]])[0] == [(200, b"ok")]
+    (failure,), _ = run_script([[[b"R", b"TSP/1.0 200 OK\r\n\r\n"]]])
+    assert failure.kind is FailureKind.MALFORMED
--- a/tests/status_lines.py
+++ b/tests/status_lines.py
@@ -12,6 +12,8 @@
     b"HTTP/0.9 200 OK",
     b"HTTP/1.2 200 OK",
     b"ICY 200 OK",
+    b"ICY/1.0 200 OK",
+    b"RTSP/1.0 200 OK",
     b"junk",
 ]
 
--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -40,6 +40,8 @@
 digits."""
 
 _VERSIONS = frozenset({"1.0", "1.1"})
+# The parser takes responses of RTSP and ICY for those of HTTP.
+_PROTOCOL = b"HTTP/"
 # str.isdigit accepts characters that float refuses, such as superscripts.
 _SECONDS = re.compile(r"[0-9]{1,9}")
 
@@ -144,6 +146,9 @@
         if self._exchange is None:
             self.close()
             return
+        if not self._counts.begins_as_http(data):
+            self._fail(FailureKind.MALFORMED)
+            return
         try:
             self._counts.bytes_since_progress += len(data)
             self._parser.feed_data(data)
@@ -259,6 +264,17 @@
         self.interim_responses = 0
         self.skipped_responses = 0
         self.skipped_bytes = 0
+        self._first_bytes = b""
+
+    def begins_as_http(self, data: bytes) -> bool:
+        """Return whether the bytes received first may begin a response of HTTP.
+
+        Line breaks before them are ignored, as the parser does.
+        """
+        if len(self._first_bytes) < len(_PROTOCOL):
+            received = (self._first_bytes + data[:64]).lstrip(b"\r\n")
+            self._first_bytes = received[: len(_PROTOCOL)]
+        return _PROTOCOL.startswith(self._first_bytes)
 
     def exceeded_limit(self) -> ResponseLimit | None:
         """Return a limit that is exceeded, if any."""
