--- a/testbed/_deployment.py
+++ b/testbed/_deployment.py
@@ -34,12 +34,15 @@
         Number of control daemons, entry daemons and stand-in engines.
     engine_options : tuple of str
         Additional command line options of each stand-in engine.
+    entry_settings : dict
+        Additional settings of each entry daemon.
     """
 
     controls: int = 3
     entries: int = 2
     engines: int = 2
     engine_options: tuple[str, ...] = ("--token_interval_s=0.02", "--order_s=0.5")
+    entry_settings: dict[str, object] = {}
 
 
 class Deployment:
@@ -138,6 +141,7 @@
             "domain": FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
             "address": self.entries[number],
             "control": self.internal,
+            **self.options.entry_settings,
         }
         path = self._write(f"entry-{number + 1}", settings)
         self.processes.start(path.stem, "wigeonspan.entryd.main", "run", str(path))
--- a/wigeonspan/entryd/_daemon.py
+++ b/wigeonspan/entryd/_daemon.py
@@ -33,7 +33,12 @@
     DELIVERY_S,
     FINAL_RESPONSE_TIMEOUT_S,
     LAST_REQUESTS_S,
+    CallerGuard,
+    CallerRules,
+    CloseReason,
+    Holding,
     accept_pending,
+    process_limits,
 )
 
 MAX_CONTROL_REQUESTS = 64
@@ -118,7 +123,18 @@
             rng,
             metrics or make_metrics(settings.metrics),
         )
+        self._guard = CallerGuard(
+            process_limits(settings.memory_mb, settings.max_fds),
+            lambda: CallerRules(
+                body_bytes=settings.relay.max_body_bytes,
+                header_timeout_s=IDLE_CONNECTION_S,
+                idle_timeout_s=IDLE_CONNECTION_S,
+            ),
+            self._record_limited,
+            clock,
+        )
         self._server: HTTPServer | None = None
+        self._stop_listening: Callable[[], None] | None = None
         self._sockets: list[socket.socket] = []
         self._tasks: list[asyncio.Task[None]] = []
         self.address = settings.address
@@ -137,7 +153,7 @@
             idle_connection_timeout=IDLE_CONNECTION_S,
             body_timeout=BODY_TIMEOUT_S,
         )
-        self._server.add_sockets(sockets)
+        self._stop_listening = self._guard.listen(self._server, sockets)
         self._run_in_background(self.entry.poller.run)
         if self._settings.control:
             self._sync = self._make_sync()
@@ -171,11 +187,16 @@
 
         What is open at the end is ended, and its callers learn whether it may have run.
         """
-        if self._server is None:
+        server = self._server
+        if server is None:
             return
         for item in self._sockets:
-            accept_pending(self._server, item, UNLIMITED_BODY_BYTES, self._record_error)
-        self._server.stop()
+            accept_pending(
+                lambda accepted, address: self._guard.accept(server, accepted, address),
+                item,
+                self._record_error,
+            )
+        self._close_sockets()
         await asyncio.sleep(LAST_REQUESTS_S)
         if await self.entry.wait_drained(DELIVERY_S):
             return
@@ -191,8 +212,8 @@
 
     async def close(self) -> None:
         """Stop the server, the background tasks and all connections immediately."""
+        self._close_sockets()
         if self._server is not None:
-            self._server.stop()
             await self._server.close_all_connections()
         for task in self._tasks:
             task.cancel()
@@ -200,6 +221,26 @@
         self.entry.close()
         self._client.close()
 
+    def _close_sockets(self) -> None:
+        """Close the listening sockets."""
+        if self._stop_listening is not None:
+            self._stop_listening()
+            self._stop_listening = None
+        for item in self._sockets:
+            item.close()
+        self._sockets = []
+
+    def _record_limited(self, reason: CloseReason, holding: Holding) -> None:
+        """Log and count a caller that is refused or closed for the limits."""
+        self.entry.metrics.count(f"callers_limited.{reason.value}")
+        if reason not in (CloseReason.IDLE, CloseReason.AFTER_REFUSAL):
+            _log.warning(
+                "Limited a caller ({}): {}, {} bytes held.",
+                reason.value,
+                holding.phase.value,
+                holding.held_bytes,
+            )
+
     def _make_sync(self) -> SyncTask:
         return SyncTask(
             follower=self.follower,
--- a/wigeonspan/entryd/_http.py
+++ b/wigeonspan/entryd/_http.py
@@ -12,7 +12,12 @@
 from wigeonspan.entryd._requests import parse_headers
 from wigeonspan.entryd._stopping import stop_error
 from wigeonspan.http import JSON_TYPE, JsonHandler
-from wigeonspan.serving import DELIVERY_BUFFER_BYTES
+from wigeonspan.serving import (
+    DELIVERY_BUFFER_BYTES,
+    BodyBuffer,
+    CallerStream,
+    announced_bytes,
+)
 
 
 @stream_request_body
@@ -31,8 +36,8 @@
     def initialize(self, entry: Entry) -> None:
         """Set the entry."""
         self.entry = entry
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._body = BodyBuffer()
+        self._request_number = 0
         self._refused = False
         self._complete = False
 
@@ -41,6 +46,11 @@
         self.entry.in_flight += 1
         self.counted = True
         self.entry.open_responses.add(self)
+        stream = self._connection_stream
+        if isinstance(stream, CallerStream):
+            self._request_number = stream.begin_body(
+                self._declared_bytes, self._refuse_arriving
+            )
         self._check_declared_size()
         if self.has_deadline and self.entry.draining:
             self._check_deadline()
@@ -53,11 +63,22 @@
         Finish
             When the request was refused while it arrived.
         """
+        stream = self._connection_stream
+        if isinstance(stream, CallerStream) and not self._refused:
+            # The request to a target holds a copy of the body; without memory for it
+            # this request or others are refused.
+            stream.hold(len(self._body))
         self._complete = True
         if self._refused:
             raise Finish
+        if isinstance(stream, CallerStream):
+            stream.begin_run()
 
     def refuse_incomplete(self) -> None:
+        """Refuse a request that has not arrived completely, since this entry stops."""
+        self._refuse_arriving(stop_error(False))
+
+    def _refuse_arriving(self, error: WigeonspanError) -> None:
         """Refuse a request that has not arrived completely.
 
         The rest of the body is still read: a close with unread bytes would reset the
@@ -66,8 +87,10 @@
         if self._complete or self._refused or self._finished or self._headers_written:
             return
         self._refused = True
-        self._chunks.clear()
-        error = stop_error(False)
+        self._body.clear()
+        stream = self._connection_stream
+        if isinstance(stream, CallerStream):
+            stream.record_refused()
         body = encode(error.body)
         self.set_status(error.status)
         self.set_header("Content-Type", JSON_TYPE)
@@ -91,18 +114,18 @@
         """Store a chunk of the body, or refuse the request above the limit."""
         if self._finished or self._refused:
             return
-        self._size += len(chunk)
-        if self._size > self.entry.settings.relay.max_body_bytes:
-            self._chunks.clear()
+        size = len(self._body) + len(chunk)
+        if size > self.entry.settings.relay.max_body_bytes:
+            self._body.clear()
             self.send_error_body(self._too_large_error())
             return
-        self._chunks.append(chunk)
+        stream = self._connection_stream
+        if not isinstance(stream, CallerStream) or stream.hold(len(chunk)):
+            self._body.append(chunk)
 
     def take_body(self) -> bytes:
         """Return the body and release its memory."""
-        body = b"".join(self._chunks)
-        self._chunks.clear()
-        return body
+        return self._body.take()
 
     def flush(self, include_footers: bool = False) -> "Future[None]":
         """Write the buffered output; ask callers to disconnect while draining."""
@@ -131,6 +154,10 @@
     def _record_request_end(self) -> None:
         if self.counted:
             self.counted = False
+            self._body.clear()
+            stream = self._connection_stream
+            if isinstance(stream, CallerStream):
+                stream.end_request(self._request_number)
             self.entry.in_flight -= 1
             self.entry.open_responses.discard(self)
 
@@ -148,11 +175,14 @@
         except WigeonspanError:
             self.refuse_incomplete()
 
+    @property
+    def _declared_bytes(self) -> int:
+        """Length of the body that the head announces; 0 when it names none."""
+        return announced_bytes(self.request.headers.get("Content-Length", ""))
+
     def _check_declared_size(self) -> None:
-        declared = self.request.headers.get("Content-Length", "0")
-        if declared.isdigit():
-            if int(declared) > self.entry.settings.relay.max_body_bytes:
-                raise self._too_large_error()
+        if self._declared_bytes > self.entry.settings.relay.max_body_bytes:
+            raise self._too_large_error()
 
     def _too_large_error(self) -> WigeonspanError:
         limit = self.entry.settings.relay.max_body_bytes
--- a/wigeonspan/entryd/_settings.py
+++ b/wigeonspan/entryd/_settings.py
@@ -4,6 +4,7 @@
 
 from wigeonspan.common import DomainName, HostId, MetricsSettings
 from wigeonspan.entryd._stopping import COMMIT_S, FINAL_RESPONSES_S
+from wigeonspan.serving import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 
 MIN_STOP_TIMEOUT_S = FINAL_RESPONSES_S + COMMIT_S
 """Seconds that a stop needs to commit the outcomes of calls and send the responses."""
@@ -71,6 +72,10 @@
     stop_timeout_s : float
         Seconds from SIGTERM until the supervisor kills the process. The default is that
         of systemd.
+    memory_mb : float
+        Memory of the process in MB, which bounds what callers may hold.
+    max_fds : int
+        Descriptors that the process may have open.
     """
 
     host: HostId
@@ -81,10 +86,14 @@
     metrics: MetricsSettings = MetricsSettings()
     relay: RelaySettings = RelaySettings()
     stop_timeout_s: float = 90.0
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
     def __post_init__(self) -> None:
         if not self.stop_timeout_s > MIN_STOP_TIMEOUT_S:
             raise ValueError(f"stop_timeout_s must be above {MIN_STOP_TIMEOUT_S:g}")
+        if min(self.memory_mb, self.max_fds) < 1:
+            raise ValueError("memory_mb and max_fds must be at least 1")
         split_address(self.address)
         for address in self.control:
             split_address(address)
