Order streams of a service by priority, then by laxity

Ranks at the engines came from the laxity alone: a long prompt of the last priority with little time left went before a short question of the first, and a request that had become late went behind all others, whatever its priority. The priorities that the streams of a service can have (a tenant's before the route's) now divide the ranks 0 to 9 into bands; late requests take the last rank of their own band.

--- a/replay/_request.py
+++ b/replay/_request.py
@@ -14,6 +14,7 @@
     Work,
     WorkKind,
     abandon_after_s,
+    priority_band,
 )
 from wigeonspan.targets import Target, TargetId
 
@@ -51,6 +52,8 @@
         self._simulation = simulation
         self._kind = deployment.kinds[arrival.kind]
         self._route: Route = deployment.route(arrival.kind)
+        priorities = {kind.priority for kind in deployment.kinds.values()}
+        self._band = priority_band(priorities, self._kind.priority)
         self._entry = entry
         self._arrival = arrival
         self._arrived = simulation.now
@@ -119,6 +122,7 @@
             now,
             self._excluded,
             simulation.now - self._attempt_started,
+            band=self._band,
         )
         if isinstance(plan, Refusal):
             self._handle_refusal(plan)
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -16,6 +16,7 @@
     Refusal,
     Work,
     WorkKind,
+    priority_band,
 )
 from wigeonspan.placing._order import LATE_URGENCY
 from wigeonspan.targets import Phase, Target, TargetId
@@ -414,3 +415,14 @@
     placer.limits.learn("p0", 0.1, 0.0)
     placer.forget(TargetId("p0"))
     assert placer.limits.rates == {}
+
+
+def test_late_request_stays_before_less_urgent_ones(placer):
+    """A late request of the first priority went behind all others."""
+    urgent, other = (priority_band({0, 1, 2}, priority) for priority in (0, 2))
+    late = placer.plan(
+        route(), prompt(600), fleet(), 10.0, 0.0, elapsed_s=0.9, band=urgent
+    )
+    timely = placer.plan(route(), prompt(600), fleet(), 10.0, 0.0, band=other)
+    assert late.urgency < timely.urgency
+    assert (late.band, timely.band) == (urgent, other)
--- /dev/null
+++ b/tests/replay/test_order.py
@@ -0,0 +1,31 @@
+"""Tests that the order of work pays off on the loads that it answers."""
+
+from replay import _request
+from replay._figures import compute_figures
+from replay._fleet import FleetSimulation
+from replay._load import read_deployments, read_patterns
+from wigeonspan.placing._priority import SOLE_BAND
+
+DEPLOYMENTS, PATTERNS = read_deployments(), read_patterns()
+DURATION_S = 22.0
+
+
+def simulate(deployment, pattern, load, change_placer=lambda placer: None):
+    fleet_data = DEPLOYMENTS[deployment]
+    simulation = FleetSimulation(fleet_data, PATTERNS[pattern], 1, change_placer)
+    return compute_figures(simulation.run(load, DURATION_S, 1), fleet_data)
+
+
+def missed(kind):
+    """Return the share of a kind's requests that were not answered on time."""
+    return 1.0 - kind.on_time
+
+
+def test_urgent_kind_is_served_first_in_overload(monkeypatch):
+    """Long prompts that were about to be late went before short questions of the first
+    priority, and late short questions behind all others."""
+    with_rule = simulate("lab", "long_bursts", 4.0).kinds
+    assert missed(with_rule["short"]) < missed(with_rule["long"])
+    monkeypatch.setattr(_request, "priority_band", lambda priorities, own: SOLE_BAND)
+    without = simulate("lab", "long_bursts", 4.0).kinds
+    assert missed(with_rule["short"]) < 0.6 * missed(without["short"])
--- a/wigeonspan/gateway/_candidates.py
+++ b/wigeonspan/gateway/_candidates.py
@@ -1,7 +1,7 @@
 """Engines to which a generation may still be sent."""
 
 from wigeonspan.gateway._active_request import ActiveRequest
-from wigeonspan.placing import Limit, Plan, Prompt, Refusal
+from wigeonspan.placing import Limit, Plan, Prompt, Refusal, priority_band
 from wigeonspan.pool import ExchangeError
 from wigeonspan.targets import Target, TargetId
 
@@ -108,6 +108,7 @@
 
     def _plan(self, direct_only: bool) -> Plan | Refusal:
         request, now = self._active_request, self._active_request.context.clock.now()
+        priorities = request.context.config.priorities(request.service)
         return request.context.placer.plan(
             request.route,
             self._prompt,
@@ -117,6 +118,7 @@
             self._failed | self._unreachable,
             now - request.arrived_at,
             direct_only=direct_only,
+            band=priority_band(priorities, request.priority),
         )
 
     def _choose(self, source: Target) -> Target | None:
--- a/wigeonspan/gateway/_config.py
+++ b/wigeonspan/gateway/_config.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 
-from wigeonspan.common import WigeonspanError
+from wigeonspan.common import ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import FleetConfig, RouteTable, StoredConfig
+from wigeonspan.placing import stream_priorities
 from wigeonspan.tenants import KeyTable
 from wigeonspan.trail import EventLog
 
@@ -27,6 +28,8 @@
         self._config: FleetConfig | None = None
         self._table: RouteTable | None = None
         self._keys: KeyTable | None = None
+        # Priorities of the streams by service, of the configuration in force.
+        self._priorities: dict[ServiceName, frozenset[int]] = {}
 
     @property
     def version(self) -> int:
@@ -48,6 +51,14 @@
         """Keys in force; None when requests need no key."""
         return self._keys
 
+    def priorities(self, service: ServiceName) -> frozenset[int]:
+        """Return the priorities that streams of a service can have."""
+        if self._config is None:
+            return frozenset()
+        if service not in self._priorities:
+            self._priorities[service] = stream_priorities(self._config, service)
+        return self._priorities[service]
+
     def offer(self, stored: StoredConfig, source: str) -> bool:
         """Apply a committed configuration if it is newer and readable.
 
@@ -72,6 +83,7 @@
             return False
         before = self.version
         self._config, self._table = config, RouteTable(config)
+        self._priorities = {}
         self._keys = None if config.tenants is None else KeyTable(config.tenants)
         self._event_log.write(
             "config",
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -110,6 +110,7 @@
             cost_ms=round(plan.cost_ms),
             first_ms=round(plan.first_ms),
             urgency=plan.urgency,
+            priority=self._progress.active_request.priority,
             read_tokens=plan.prefill_steps.prefilled_tokens,
             copied_tokens=plan.prefill_steps.copied_tokens,
             source=plan.prefill_steps.source.target
--- a/wigeonspan/placing/__init__.py
+++ b/wigeonspan/placing/__init__.py
@@ -14,6 +14,11 @@
 from wigeonspan.placing._patience import abandon_after_s
 from wigeonspan.placing._placer import Placer
 from wigeonspan.placing._prefixes import CachedPrefixes
+from wigeonspan.placing._priority import (
+    PriorityBand,
+    priority_band,
+    stream_priorities,
+)
 from wigeonspan.placing._readings import PrefillSteps
 from wigeonspan.placing._retries import RetryBudget
 from wigeonspan.placing._speed import SlowdownFactors
@@ -27,6 +32,7 @@
     "Placer",
     "Plan",
     "PrefillSteps",
+    "PriorityBand",
     "Prompt",
     "PromptPart",
     "Refusal",
@@ -37,4 +43,6 @@
     "WorkKind",
     "WorkLedger",
     "abandon_after_s",
+    "priority_band",
+    "stream_priorities",
 ]
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -5,6 +5,7 @@
 
 from msgspec import Meta, Struct
 
+from wigeonspan.placing._priority import SOLE_BAND, PriorityBand
 from wigeonspan.placing._readings import PrefillSteps
 from wigeonspan.targets import Target
 
@@ -83,6 +84,8 @@
         Scheduling rank at the engines; 0 goes first.
     prefill_steps : PrefillSteps
         Tokens that the engine prefills itself, and those that it copies from another.
+    band : PriorityBand
+        Ranks of the request's priority.
     """
 
     decision: Decision
@@ -95,6 +98,7 @@
     first_ms: float
     urgency: int
     prefill_steps: PrefillSteps
+    band: PriorityBand = SOLE_BAND
 
     @property
     def awaits_slot(self) -> bool:
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Collection, Sequence
 
+from msgspec.structs import replace
+
 from wigeonspan.common import DomainName
 from wigeonspan.fleetconfig import Route
 from wigeonspan.placing._choice import EngineChoice, comparison_ms
@@ -12,9 +14,10 @@
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
-from wigeonspan.placing._order import LATE_URGENCY, WorkOrder, is_expected_late
+from wigeonspan.placing._order import WorkOrder, is_expected_late
 from wigeonspan.placing._patience import abandon_after_s
 from wigeonspan.placing._prefixes import CachedPrefixes
+from wigeonspan.placing._priority import SOLE_BAND, PriorityBand
 from wigeonspan.placing._refusals import Refusals
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
@@ -122,6 +125,7 @@
         elapsed_s: float = 0.0,
         *,
         direct_only: bool = False,
+        band: PriorityBand = SOLE_BAND,
     ) -> Plan | Refusal:
         """Decide where a generation runs, or refuse it.
 
@@ -137,6 +141,8 @@
             Seconds since the request arrived.
         direct_only : bool
             Whether the engine that writes the answer must do the prefill as well.
+        band : PriorityBand
+            Ranks of the request's priority.
         """
         eligible = self._eligible.select(targets, excluded, now)
         prefill_engines = self._eligible.without_suspended(
@@ -152,7 +158,8 @@
             t.target: self._estimate.cost_ms(t, steps_by_target[t.target], prompt, now)
             for t in prefill_engines or decode_engines
         }
-        urgency = self._order.urgency(route, self._estimate.spent_ms(costs, elapsed_s))
+        spent_ms = self._estimate.spent_ms(costs, elapsed_s)
+        urgency = self._order.urgency(route, spent_ms, band)
         remaining_ms = (route.objective_s - elapsed_s) * 1000.0
 
         def best(urgency: int) -> Plan | None:
@@ -179,10 +186,10 @@
                 now,
                 required=direct_only or not prefill_engines,
             )
-            if direct_only:
-                return direct
-            options = [plan for plan in (split, direct) if plan is not None]
-            return min(options, key=comparison_ms, default=None)
+            options = [direct] if direct_only else [split, direct]
+            found = [plan for plan in options if plan is not None]
+            best_plan = min(found, key=comparison_ms, default=None)
+            return None if best_plan is None else replace(best_plan, band=band)
 
         plan = best(urgency)
         if plan is not None:
@@ -193,7 +200,7 @@
                 return self._refusals.late(Limit.QUEUE, reason, plan, route)
             if late and self._order.should_yield(route, plan):
                 # At its rank, it would only delay requests that can still be on time.
-                plan = best(LATE_URGENCY)
+                plan = best(band.late_rank)
         if plan is None:
             return self._refusals.without_engine(targets, excluded, now)
         budget_s = min(abandon_after_s(route), remaining_s)
