Follow which prompt an engine has begun where priorities differ

An engine begins the next prompt when one is complete, but other entries learn of the end 60 to 100 ms later. A more urgent prompt that was sent meanwhile was then taken for the one in progress, so an engine that had just begun a prompt of 1 s seemed free, and short questions were sent behind it until it ended. The ledger now lets only prompts that had arrived count as begun, goes on from the last known end by the expected times, and passes over work whose end report was lost.

--- a/tests/replay/test_order.py
+++ b/tests/replay/test_order.py
@@ -1,9 +1,12 @@
 """Tests that the order of work pays off on the loads that it answers."""
 
+import pytest
+
 from replay import _request
 from replay._figures import compute_figures
 from replay._fleet import FleetSimulation
 from replay._load import read_deployments, read_patterns
+from wigeonspan.placing import WorkLedger
 from wigeonspan.placing._priority import SOLE_BAND
 
 DEPLOYMENTS, PATTERNS = read_deployments(), read_patterns()
@@ -29,3 +32,16 @@
     monkeypatch.setattr(_request, "priority_band", lambda priorities, own: SOLE_BAND)
     without = simulate("lab", "long_bursts", 4.0).kinds
     assert missed(with_rule["short"]) < 0.6 * missed(without["short"])
+
+
+@pytest.mark.parametrize("pattern", ["long_bursts", "waves"])
+def test_urgent_kind_avoids_engines_that_have_begun_a_large_prompt(
+    pattern, monkeypatch
+):
+    """Engines that had just begun a prompt of a second seemed to be free, and short
+    questions waited behind it."""
+    with_rule = simulate("lab", pattern, 1.0).kinds
+    monkeypatch.setattr(WorkLedger, "follow_starts", lambda ledger: None)
+    without = simulate("lab", pattern, 1.0).kinds
+    assert missed(with_rule["short"]) < 0.5 * missed(without["short"])
+    assert missed(with_rule["long"]) < missed(without["long"]) + 0.02
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -15,6 +15,16 @@
 """Seconds after which work is dropped if no end was reported. Longer than callers wait
 for a first event."""
 
+MAX_REPORT_DELAY_S = 0.1
+"""Largest usual delay in seconds between the end of a prefill at an engine and its
+report at another entry; engines answer up to 95 ms after a prefill. Entries with few
+requests learn it late."""
+
+SEND_S = 0.02
+"""Seconds until new work can be chosen at its engine, the delay of reports between
+entries included; meanwhile the engine may begin a less urgent prompt. In replays with
+reports 1 to 10 ms late, 20 ms gave fewer late urgent requests than 0 or 5 ms."""
+
 
 class WorkKind(Enum):
     """Kind of work that a target does."""
@@ -75,6 +85,48 @@
         prefills = (w.work_ms for w, _ in self.work.values() if _includes_prefill(w))
         return max(prefills, default=0.0)
 
+    def next_prefill(self, at: float, done: Collection[str] = ()) -> str | None:
+        """Return the prompt that an engine begins at a time.
+
+        It is the most urgent one, then the oldest, of those that had arrived; work that
+        arrived later cannot have been chosen, however urgent it is.
+
+        Parameters
+        ----------
+        done : collection of str
+            Work whose prefill was complete by that time.
+        """
+        waiting = [
+            (sent_at, w.urgency, n)
+            for n, (w, sent_at) in self.work.items()
+            if _includes_prefill(w) and n not in done
+        ]
+        arrived = [(u, sent_at, n) for sent_at, u, n in waiting if sent_at <= at]
+        if arrived:
+            return min(arrived)[2]
+        return min(waiting)[2] if waiting else None
+
+    def follow_end(self, ended: Work, sent_at: float, at: float) -> None:
+        """Select the next prompt after one has ended, which need not be the head.
+
+        Prompts that the engine would have taken before the ended one are passed over:
+        the report of their end was lost.
+
+        Parameters
+        ----------
+        sent_at : float
+            Time at which the ended work was sent.
+        at : float
+            Time at which the prefill ended.
+        """
+        lost = [
+            n
+            for n, (w, earlier) in self.work.items()
+            if w.urgency <= ended.urgency and earlier < sent_at - MAX_REPORT_DELAY_S
+        ]
+        self.head = self.next_prefill(at, lost)
+        self.head_since = at
+
     def choose_head(self, now: float) -> None:
         """Select the next prompt for prefill: the most urgent one, then the oldest."""
         waiting = [
@@ -98,6 +150,7 @@
         self._queues: dict[TargetId, _Queue] = {}
         self._targets: dict[str, TargetId] = {}
         self._latency_s = 0.0
+        self._follows_starts = False
         # Cached for one point in time: a decision needs it once for each engine.
         self._median_slowness = 1.0
         self._median_at: float | None = None
@@ -106,6 +159,16 @@
         """Set the delay between the end of a prefill and its report to this entry."""
         self._latency_s = latency_ms / 1000.0
 
+    def follow_starts(self) -> None:
+        """Take into account which work had arrived when an engine began the next.
+
+        An engine reports the end of a prefill some time after it has begun the next
+        one. Work that arrives in that time and is more urgent was taken for the one in
+        progress, so an engine seemed free that had just begun a large prompt. It is
+        used where a service has different priorities.
+        """
+        self._follows_starts = True
+
     def begin(self, work: Work, now: float) -> None:
         """Record that work was sent to its target."""
         self._median_at = None
@@ -130,11 +193,14 @@
         queue = self._queues.get(target) if target is not None else None
         if queue is None:
             return
+        _, sent_at = queue.work.get(name, (None, 0.0))
         work = queue.pop(name)
         if work is None or not _includes_prefill(work):
             return
         queue.throughput.record_finished(work.work_ms if completed else 0.0, now)
-        if queue.head == name:
+        if self._follows_starts:
+            queue.follow_end(work, sent_at, now - self._latency_s)
+        elif queue.head == name:
             queue.choose_head(now - self._latency_s)
         if queue.head is None:
             queue.throughput.mark_idle()
@@ -194,6 +260,8 @@
         if queue is None or queue.head is None:
             return 0.0
         slowness = self.slowness(target, now)
+        if self._follows_starts:
+            return slowness * self._work_ahead_ms(queue, urgency, slowness, now)
         head, _ = queue.work[queue.head]
         done_ms = (now - queue.head_since) * 1000.0 / slowness
         # The engine may have started the next prefill before this entry knows that the
@@ -206,6 +274,26 @@
         )
         return max(0.0, head.work_ms + ahead - done_ms) * slowness
 
+    def _work_ahead_ms(
+        self, queue: _Queue, urgency: int, slowness: float, now: float
+    ) -> float:
+        """Return the nominal time ahead of new work, from what the engine has begun.
+
+        The engine may be ahead of the reports by up to ``MAX_REPORT_DELAY_S``: prompts
+        that are complete by now are not waited for, but one that it began after them
+        is, also when it is less urgent. The larger of the times with the learned delay
+        and with the maximum counts, because an urgent request cannot leave the engine
+        when the estimate was too short.
+        """
+        early_s = max(0.0, MAX_REPORT_DELAY_S - self._latency_s)
+        arrival = now + SEND_S
+        return max(
+            _simulate_ahead_ms(
+                queue, urgency, slowness, arrival, queue.head_since - lead_s
+            )
+            for lead_s in (0.0, early_s)
+        )
+
     def count_overtaken(self, target: TargetId, urgency: int) -> int:
         """Return how many waiting prompts new work with an urgency would overtake."""
         queue = self._queues.get(target)
@@ -247,5 +335,34 @@
 _SPLIT_KINDS = (WorkKind.PREFILL,)
 
 
+def _simulate_ahead_ms(
+    queue: _Queue, urgency: int, slowness: float, now: float, head_since: float
+) -> float:
+    """Return the nominal time ahead of new work at an engine that began its head."""
+    assert queue.head is not None
+    running: str | None = queue.head
+    # An end before that would have been reported.
+    head_s = queue.work[queue.head][0].work_ms * slowness / 1000.0
+    began_at = max(head_since, now - MAX_REPORT_DELAY_S - head_s)
+    done: set[str] = set()
+    while running is not None:
+        ends_at = began_at + queue.work[running][0].work_ms * slowness / 1000.0
+        if ends_at > now:
+            break
+        done.add(running)
+        running = queue.next_prefill(ends_at, done)
+        if running is not None:
+            began_at = max(ends_at, queue.work[running][1])
+    if running is None:
+        return 0.0
+    remaining_ms = queue.work[running][0].work_ms - (now - began_at) * 1000.0 / slowness
+    done.add(running)
+    return remaining_ms + sum(
+        w.work_ms
+        for n, (w, _) in queue.work.items()
+        if _includes_prefill(w) and w.urgency <= urgency and n not in done
+    )
+
+
 def _includes_prefill(work: Work) -> bool:
     return work.kind in (WorkKind.PREFILL, WorkKind.DIRECT)
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -144,6 +144,8 @@
         band : PriorityBand
             Ranks of the request's priority.
         """
+        if not band.is_sole:
+            self.ledger.follow_starts()
         eligible = self._eligible.select(targets, excluded, now)
         prefill_engines = self._eligible.without_suspended(
             [t for t in eligible if t.phase is Phase.PREFILL], now
