Refuse the least urgent priority first while an overload lasts

One queue of late requests decided about refusals for all priorities, so labels were refused and short questions late while long prompts were admitted, and the retry time came from the wait of the refused request alone: half of the long prompts came back after 0.8 s into the same overload. Each priority now has its own detector. While an urgent one has a standing queue, the least urgent ones are closed, one each 0.75 s, and opened again one by one; late requests of a priority are refused only when all less urgent ones are closed. Requests that failed at an engine were admitted and are not refused for this.

--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -426,3 +426,43 @@
     timely = placer.plan(route(), prompt(600), fleet(), 10.0, 0.0, band=other)
     assert late.urgency < timely.urgency
     assert (late.band, timely.band) == (urgent, other)
+
+
+def overload(placer, band):
+    """Let an urgent request be late for some seconds; return the time of the end."""
+    now = 0.0
+    while now < 2.8:
+        for target in ("p0", "p1", "d0", "d1"):
+            busy(placer, target, 900.0, 0, f"{target}{now}")
+        placer.plan(route(0.3), prompt(600), fleet(), 8.0, now, band=band)
+        now += 0.05
+    return now
+
+
+def test_less_urgent_requests_are_refused_for_late_urgent_ones(placer):
+    """Long prompts were admitted while short questions were late."""
+    urgent, other = (priority_band({0, 1}, priority) for priority in (0, 1))
+    placer.plan(route(), prompt(), fleet(), 10.0, 0.0, band=other)
+    now = overload(placer, urgent)
+    refusal = placer.plan(route(), prompt(), fleet(), 10.0, now, band=other)
+    assert isinstance(refusal, Refusal)
+    assert refusal.limit is Limit.PRIORITY
+    # Both engines are busy for many seconds.
+    assert refusal.retry_after_s > 1.5
+
+
+def test_request_that_was_admitted_is_not_refused_for_more_urgent_ones(placer):
+    """A stream whose engine failed would end although engines can continue it."""
+    urgent, other = (priority_band({0, 1}, priority) for priority in (0, 1))
+    placer.plan(route(), prompt(), fleet(), 10.0, 0.0, band=other)
+    now = overload(placer, urgent)
+    plan = placer.plan(
+        route(),
+        prompt(),
+        fleet(),
+        10.0,
+        now,
+        excluded={TargetId("d0")},
+        band=other,
+    )
+    assert isinstance(plan, Plan) or plan.limit is not Limit.PRIORITY
--- /dev/null
+++ b/tests/placing/test_shedding.py
@@ -0,0 +1,74 @@
+"""Tests of the order in which priorities are refused in an overload."""
+
+from wigeonspan.placing import priority_band
+from wigeonspan.placing._shedding import MAX_ROOM_AFTER_S, LoadShedding
+
+URGENT, MIDDLE, LEAST = (priority_band({0, 1, 2}, p) for p in (0, 1, 2))
+
+
+def play(shedding, late_by_band, begin, seconds):
+    """Record twenty requests of each band a second; return the end."""
+    now = begin
+    while now < begin + seconds:
+        for band, late in late_by_band.items():
+            shedding.record(band, late, now)
+        now += 0.05
+    return now
+
+
+def test_least_urgent_priority_is_closed_first():
+    """Late short questions were refused while long prompts were still admitted."""
+    shedding = LoadShedding()
+    late = {URGENT: True, MIDDLE: False, LEAST: False}
+    now = play(shedding, late, 0.0, 2.5)
+    assert shedding.is_closed(LEAST)
+    assert not shedding.is_closed(MIDDLE)
+    assert not shedding.refuses_late(URGENT, now)
+
+
+def test_urgent_requests_are_refused_only_when_all_others_are_closed():
+    """A more urgent kind must not be served less often than a less urgent one."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: True, MIDDLE: False, LEAST: False}, 0.0, 5.0)
+    assert shedding.is_closed(LEAST)
+    assert shedding.is_closed(MIDDLE)
+    assert not shedding.is_closed(URGENT)
+    assert shedding.refuses_late(URGENT, now)
+
+
+def test_late_requests_of_the_least_urgent_priority_close_nothing():
+    """Long prompts that are late would have short questions refused."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: False, MIDDLE: False, LEAST: True}, 0.0, 5.0)
+    assert not any(shedding.is_closed(band) for band in (URGENT, MIDDLE, LEAST))
+    assert shedding.refuses_late(LEAST, now)
+
+
+def test_priorities_are_opened_again_one_by_one():
+    """All of them at once would bring the overload back."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: True, MIDDLE: False, LEAST: False}, 0.0, 5.0)
+    timely = {URGENT: False, MIDDLE: False, LEAST: False}
+    while shedding.is_closed(MIDDLE):
+        now = play(shedding, timely, now, 0.1)
+    assert shedding.is_closed(LEAST)
+    now = play(shedding, timely, now, 3.0)
+    assert not shedding.is_closed(LEAST)
+
+
+def test_burst_closes_nothing():
+    """A burst is over before refused requests would be retried."""
+    shedding = LoadShedding()
+    play(shedding, {URGENT: True, LEAST: False}, 0.0, 1.0)
+    assert not shedding.is_closed(LEAST)
+
+
+def test_retry_time_grows_with_the_overload():
+    """Callers came back after 0.8 s into the same overload and were refused again."""
+    shedding = LoadShedding()
+    assert shedding.room_after_s(0.0) == 0.0
+    now = play(shedding, {URGENT: True, LEAST: False}, 0.0, 4.0)
+    early = shedding.room_after_s(now)
+    now = play(shedding, {URGENT: True, LEAST: False}, now, 3.0)
+    assert early < shedding.room_after_s(now) <= MAX_ROOM_AFTER_S
+    assert shedding.room_after_s(now + 100.0) == MAX_ROOM_AFTER_S
--- a/tests/replay/test_order.py
+++ b/tests/replay/test_order.py
@@ -6,8 +6,11 @@
 from replay._figures import compute_figures
 from replay._fleet import FleetSimulation
 from replay._load import read_deployments, read_patterns
-from wigeonspan.placing import WorkLedger
+from replay._messages import Ending
+from wigeonspan.placing import WorkLedger, _order
 from wigeonspan.placing._priority import SOLE_BAND
+from wigeonspan.placing._shedding import LoadShedding
+from wigeonspan.placing._standing import StandingQueueDetector
 
 DEPLOYMENTS, PATTERNS = read_deployments(), read_patterns()
 DURATION_S = 22.0
@@ -45,3 +48,48 @@
     without = simulate("lab", pattern, 1.0).kinds
     assert missed(with_rule["short"]) < 0.5 * missed(without["short"])
     assert missed(with_rule["long"]) < missed(without["long"]) + 0.02
+
+
+class OneQueue:
+    """The former rule: one queue of late requests for all priorities."""
+
+    def __init__(self):
+        self._detector = StandingQueueDetector()
+
+    def record(self, band, late, now):
+        self._detector.record(late, now)
+
+    def is_closed(self, band):
+        return False
+
+    def refuses_late(self, band, now):
+        return self._detector.is_standing(now)
+
+    def room_after_s(self, now):
+        return 0.0
+
+
+def test_less_urgent_kinds_are_refused_first(monkeypatch):
+    """Labels and short questions were late while long prompts were admitted."""
+    with_rule = simulate("lab", "long_bursts", 4.0).kinds
+    assert with_rule["short"].refused <= with_rule["labels"].refused
+    assert with_rule["labels"].refused < with_rule["long"].refused
+    monkeypatch.setattr(_order, "LoadShedding", OneQueue)
+    without = simulate("lab", "long_bursts", 4.0).kinds
+    assert missed(with_rule["short"]) < 0.6 * missed(without["short"])
+    assert missed(with_rule["labels"]) < missed(without["labels"]) - 0.05
+
+
+def test_refused_requests_find_room_when_they_return(monkeypatch):
+    """Callers were told to return after 0.8 s, into the same overload."""
+
+    def served_again():
+        simulation = FleetSimulation(DEPLOYMENTS["lab"], PATTERNS["long_bursts"], 1)
+        outcomes = simulation.run(4.0, DURATION_S, 1)
+        again = [o for o in outcomes if o.retry_after_s is not None]
+        served = sum(o.ending in (Ending.ON_TIME, Ending.LATE) for o in again)
+        return served / len(again)
+
+    with_rule = served_again()
+    monkeypatch.setattr(LoadShedding, "room_after_s", lambda shedding, now: 0.0)
+    assert with_rule > served_again() + 0.05
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -274,6 +274,13 @@
         )
         return max(0.0, head.work_ms + ahead - done_ms) * slowness
 
+    def mean_backlog_ms(
+        self, targets: Collection[TargetId], urgency: int, now: float
+    ) -> float:
+        """Return the mean engine time ahead of new work; 0 without engines."""
+        total = sum(self.backlog_ms(target, urgency, now) for target in targets)
+        return total / max(1, len(targets))
+
     def _work_ahead_ms(
         self, queue: _Queue, urgency: int, slowness: float, now: float
     ) -> float:
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -112,6 +112,7 @@
     NO_ENGINE = "no_engine"
     TIME = "time"
     QUEUE = "queue"
+    PRIORITY = "priority"
     SLOTS = "slots"
     RATE = "rate"
     QUARANTINE = "quarantine"
--- a/wigeonspan/placing/_order.py
+++ b/wigeonspan/placing/_order.py
@@ -7,6 +7,7 @@
 from wigeonspan.fleetconfig import Route
 from wigeonspan.placing._messages import Plan
 from wigeonspan.placing._priority import ENGINE_RANKS, SOLE_BAND, PriorityBand
+from wigeonspan.placing._shedding import LoadShedding
 from wigeonspan.placing._sizes import WorkSizes
 from wigeonspan.placing._standing import StandingQueueDetector
 
@@ -31,6 +32,7 @@
     def __init__(self) -> None:
         self._sizes = WorkSizes()
         self._standing_queue = StandingQueueDetector()
+        self._shedding = LoadShedding()
 
     def urgency(
         self, route: Route, spent_ms: float, band: PriorityBand = SOLE_BAND
@@ -47,11 +49,27 @@
     def record(self, route: Route, plan: Plan, *, late: bool, now: float) -> None:
         """Record a placed request, and whether it is expected to be late."""
         self._sizes.record(route.name, plan.work_ms)
-        self._standing_queue.record(late, now)
+        if plan.band.is_sole:
+            self._standing_queue.record(late, now)
+        else:
+            self._shedding.record(plan.band, late, now)
 
-    def has_standing_queue(self, now: float) -> bool:
+    def refuses_late(self, band: PriorityBand, now: float) -> bool:
         """Return whether late requests are refused until a queue is gone."""
-        return self._standing_queue.is_standing(now)
+        if band.is_sole:
+            return self._standing_queue.is_standing(now)
+        return self._shedding.refuses_late(band, now)
+
+    def room_after_s(self, now: float) -> float:
+        """Return the expected seconds until an overload has ended; 0 without one."""
+        return self._shedding.room_after_s(now)
+
+    def is_closed(self, band: PriorityBand) -> bool:
+        """Return whether all requests of a priority are refused for more urgent ones.
+
+        See :class:`LoadShedding`.
+        """
+        return self._shedding.is_closed(band)
 
     def should_yield(self, route: Route, plan: Plan) -> bool:
         """Return whether a late prompt has to yield to those that can be on time.
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -51,7 +51,7 @@
         self.limits = SharedRateLimits()
         self._order = WorkOrder()
         self._eligible = EligibleTargets(self.health, self.limits)
-        self._refusals = Refusals(rng, self._eligible, self.limits)
+        self._refusals = Refusals(rng, self._eligible, self.limits, self.ledger)
         self._estimate = EngineEstimate(
             domain, rng, self.ledger, self.prefixes, self.slots
         )
@@ -197,9 +197,21 @@
         if plan is not None:
             late = is_expected_late(plan, remaining_ms)
             self._order.record(route, plan, late=late, now=now)
-            if late and self._order.has_standing_queue(now):
+            prefill_ids = [t.target for t in prefill_engines]
+            overload_s = self._order.room_after_s(now)
+            # A request that failed at an engine was admitted before.
+            if self._order.is_closed(band) and not excluded:
+                reason = "more urgent requests are late"
+                return self._refusals.ranked(
+                    Limit.PRIORITY, reason, plan, route, prefill_ids, now, overload_s
+                )
+            if late and self._order.refuses_late(band, now):
                 reason = f"first event expected late, in {plan.first_ms:.0f} ms"
-                return self._refusals.late(Limit.QUEUE, reason, plan, route)
+                if band.is_sole:
+                    return self._refusals.late(Limit.QUEUE, reason, plan, route)
+                return self._refusals.ranked(
+                    Limit.QUEUE, reason, plan, route, prefill_ids, now, overload_s
+                )
             if late and self._order.should_yield(route, plan):
                 # At its rank, it would only delay requests that can still be on time.
                 plan = best(band.late_rank)
--- a/wigeonspan/placing/_refusals.py
+++ b/wigeonspan/placing/_refusals.py
@@ -3,8 +3,11 @@
 import random
 from collections.abc import Collection, Sequence
 
+from msgspec.structs import replace
+
 from wigeonspan.fleetconfig import Route
 from wigeonspan.placing._eligible import EligibleTargets
+from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._messages import Limit, Plan, Refusal
 from wigeonspan.ratelimits import SharedRateLimits
 from wigeonspan.targets import Phase, Target, TargetId
@@ -13,6 +16,10 @@
 """Seconds after which a request that finds no engine may be retried; replaced engines
 are listed again within about that time."""
 
+MAX_URGENT_SHARE = 0.75
+"""Maximum share of more urgent work that extends a retry time, so that it stays finite
+in an overload of the urgent requests alone."""
+
 
 class Refusals:
     """Make refusals with a time at which there will be room.
@@ -24,8 +31,13 @@
     """
 
     def __init__(
-        self, rng: random.Random, eligible: EligibleTargets, limits: SharedRateLimits
+        self,
+        rng: random.Random,
+        eligible: EligibleTargets,
+        limits: SharedRateLimits,
+        ledger: WorkLedger,
     ) -> None:
+        self._ledger = ledger
         self._rng = rng
         self._eligible = eligible
         self._limits = limits
@@ -53,7 +65,54 @@
         after_s = self.retry_after_s(plan, route)
         return Refusal(limit, reason, after_s, plan.work_ms)
 
+    def ranked(
+        self,
+        limit: Limit,
+        reason: str,
+        plan: Plan,
+        route: Route,
+        engines: Collection[TargetId],
+        now: float,
+        overload_s: float,
+    ) -> Refusal:
+        """Return the refusal of a request that yields in the order of priorities.
+
+        Parameters
+        ----------
+        engines : collection of TargetId
+            Prefill engines, whose work determines when there will be room.
+        overload_s : float
+            Expected seconds until the overload has ended.
+        """
+        refusal = self.late(limit, reason, plan, route)
+        room_s = max(overload_s, self._room_after_s(plan, engines, now))
+        after_s = max(refusal.retry_after_s, room_s * self._jitter())
+        return replace(refusal, retry_after_s=after_s)
+
     def retry_after_s(self, plan: Plan, route: Route) -> float:
         """Return the seconds after which to retry a refused request, with jitter."""
         over_s = max(0.1, plan.first_ms / 1000.0 - route.objective_s)
-        return over_s * (0.7 + 0.6 * self._rng.random())
+        return over_s * self._jitter()
+
+    def _room_after_s(
+        self, plan: Plan, engines: Collection[TargetId], now: float
+    ) -> float:
+        """Return the seconds until engines have done the work ahead of a priority.
+
+        More urgent requests that arrive later go first as well, so the time grows with
+        the share of such work.
+        """
+        band = plan.band
+        ahead_ms = self._ledger.mean_backlog_ms(engines, band.late_rank, now)
+        if not ahead_ms:
+            return 0.0
+        urgent_ms = (
+            self._ledger.mean_backlog_ms(engines, band.first_rank - 1, now)
+            if band.first_rank
+            else 0.0
+        )
+        urgent_share = min(MAX_URGENT_SHARE, urgent_ms / ahead_ms)
+        return ahead_ms / 1000.0 / (1.0 - urgent_share)
+
+    def _jitter(self) -> float:
+        return 0.7 + 0.6 * self._rng.random()
