Give tenants a fair share of a priority while requests wait

One tenant with 80% of the short questions made those of the 76 others as late as its own. Entries now tell each other the tenant of the work that they send (the last field of WorkBegun, which is not encoded without a tenant, so such datagrams stay as they are), and keep the use of the last seconds for up to 256 tenants. While a request waits for 30 ms or more, one of a tenant above 1.5 times the mean use of the active tenants, and above a tenth of all use, takes the last rank of its priority; late requests of other tenants are not refused while one exceeds its share. The largest request of a tenant does not count, so large ones are not held back for their size.

Use counts prefill time, not the time of streams.

--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -25,7 +25,7 @@
 )
 from replay._messages import CulpritRecord, Entry, Outcome
 from replay._request import Request
-from wigeonspan.common import Clock, DomainName, HostId, ManualClock
+from wigeonspan.common import Clock, DomainName, HostId, ManualClock, TenantName
 from wigeonspan.placing import (
     Placer,
     RetryBudget,
@@ -169,13 +169,22 @@
         return self._engines_by_target[target]
 
     def begin_work(
-        self, entry: Entry, work: Work, parts=(), new_tokens: int = 0
+        self,
+        entry: Entry,
+        work: Work,
+        parts=(),
+        new_tokens: int = 0,
+        tenant: TenantName | None = None,
     ) -> None:
         """Record the start of work at its entry and report it to the other entries."""
 
         def record(receiver: Entry) -> None:
             now = self._clock.now()
             receiver.placer.ledger.begin(work, now)
+            if tenant is not None:
+                receiver.placer.tenant_use.record(
+                    tenant, work.urgency, work.work_ms, now
+                )
             if parts:
                 receiver.placer.prefixes.begin(
                     work.work, work.target, parts, new_tokens
--- a/replay/_request.py
+++ b/replay/_request.py
@@ -123,6 +123,7 @@
             self._excluded,
             simulation.now - self._attempt_started,
             band=self._band,
+            tenant=self._arrival.tenant,
         )
         if isinstance(plan, Refusal):
             self._handle_refusal(plan)
@@ -170,7 +171,11 @@
             plan.urgency,
         )
         simulation.begin_work(
-            self._entry, work, prompt.parts, plan.prefill_steps.new_tokens
+            self._entry,
+            work,
+            prompt.parts,
+            plan.prefill_steps.new_tokens,
+            self._arrival.tenant,
         )
         engine, started = simulation.engine_of(target.target), simulation.now
 
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wigeonspan.common import DomainName, HostId, ServiceName
+from wigeonspan.common import DomainName, HostId, ServiceName, TenantName
 from wigeonspan.fleetconfig import CallKind, Route, WeightedService
 from wigeonspan.placing import (
     Decision,
@@ -466,3 +466,24 @@
         band=other,
     )
     assert isinstance(plan, Plan) or plan.limit is not Limit.PRIORITY
+
+
+def test_share_of_a_tenant_is_applied_only_while_requests_wait(placer):
+    """A large tenant would be held back although engines are idle."""
+    band = priority_band({0, 1}, 0)
+    for number in range(40):
+        placer.tenant_use.record(TenantName("large"), 0, 30.0, 0.0)
+        if number < 10:
+            placer.tenant_use.record(TenantName(f"t{number}"), 0, 30.0, 0.0)
+
+    def plan(tenant):
+        name = TenantName(tenant)
+        return placer.plan(
+            route(3.0), prompt(), fleet(), 10.0, 0.0, band=band, tenant=name
+        )
+
+    assert not plan("large").over_share
+    for target in ("p0", "p1", "d0", "d1"):
+        busy(placer, target, 300.0, 0, target)
+    assert plan("large").over_share
+    assert plan("t1").urgency < plan("large").urgency == band.late_rank
--- a/tests/replay/test_order.py
+++ b/tests/replay/test_order.py
@@ -8,6 +8,7 @@
 from replay._load import read_deployments, read_patterns
 from replay._messages import Ending
 from wigeonspan.placing import WorkLedger, _order
+from wigeonspan.placing._fair_share import TenantUse
 from wigeonspan.placing._priority import SOLE_BAND
 from wigeonspan.placing._shedding import LoadShedding
 from wigeonspan.placing._standing import StandingQueueDetector
@@ -93,3 +94,27 @@
     with_rule = served_again()
     monkeypatch.setattr(LoadShedding, "room_after_s", lambda shedding, now: 0.0)
     assert with_rule > served_again() + 0.05
+
+
+def short_misses_of_others(monkeypatch=None):
+    """Return the share of short questions not on time, of all tenants but the largest,
+    and of the largest one."""
+    if monkeypatch is not None:
+        for name in ("exceeds", "spares"):
+            monkeypatch.setattr(TenantUse, name, lambda use, tenant, band, now: False)
+    simulation = FleetSimulation(DEPLOYMENTS["lab"], PATTERNS["large_tenant"], 1)
+    outcomes = [o for o in simulation.run(4.0, 14.0, 1) if o.kind == "short"]
+
+    def share(is_largest):
+        group = [o for o in outcomes if (o.tenant == "t0") == is_largest]
+        return sum(o.ending is not Ending.ON_TIME for o in group) / len(group)
+
+    return share(False), share(True)
+
+
+def test_other_tenants_do_not_pay_for_a_large_one(monkeypatch):
+    """Short questions of 76 tenants were late and refused as often as those of the one
+    that sent most of them."""
+    others, largest = short_misses_of_others()
+    assert others < 0.75 * largest
+    assert others < 0.75 * short_misses_of_others(monkeypatch)[0]
--- a/tests/sharing/test_wire.py
+++ b/tests/sharing/test_wire.py
@@ -1,8 +1,9 @@
 """Tests of the encoding of datagrams."""
 
+import msgspec
 import pytest
 
-from wigeonspan.common import HostId
+from wigeonspan.common import HostId, TenantName
 from wigeonspan.placing import PromptPart, Work, WorkKind
 from wigeonspan.sharing import (
     ListRead,
@@ -25,6 +26,7 @@
     HostId("e1"),
     [
         WorkBegun(WORK, (PromptPart("ab", 5),), 5),
+        WorkBegun(WORK, (PromptPart("ab", 5),), 5, TenantName("t")),
         WorkEnded("e1/1", True),
         TargetSuspended(TargetId("t")),
         ListRead("d", 0.2),
@@ -37,6 +39,15 @@
     assert decode_datagram(encode_packet(PACKET)) == [PACKET]
 
 
+def test_work_without_a_tenant_is_encoded_as_before():
+    """Deployments without tenants would send more bytes, and entries of the release
+    before would compare packets of another form."""
+    event = WorkBegun(WORK, (PromptPart("ab", 5),), 5)
+    packet = msgspec.msgpack.decode(encode_packet(Packet(HostId("e1"), [event]))[1:])
+    work = ["e1/1", "e1", "t", "prefill", 30.0, 2]
+    assert packet == ["e1", [["begun", work, [["ab", 5]], 5]]]
+
+
 def test_bundles_contain_every_datagram_and_can_be_sent():
     """A bundle above the maximum size of UDP could not be sent at all."""
     datagram = encode_packet(PACKET)
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -98,7 +98,8 @@
     )
     started_at = context.clock.now()
     context.metrics.count("sends", purpose=kind.value)
-    context.begin_work(work, prompt_parts, new_tokens)
+    tenant = None if access is None else access.tenant
+    context.begin_work(work, prompt_parts, new_tokens, tenant)
     exchange, sent = None, None
     try:
         exchange = await context.pool.send(
--- a/wigeonspan/gateway/_candidates.py
+++ b/wigeonspan/gateway/_candidates.py
@@ -119,6 +119,7 @@
             now - request.arrived_at,
             direct_only=direct_only,
             band=priority_band(priorities, request.priority),
+            tenant=request.tenant,
         )
 
     def _choose(self, source: Target) -> Target | None:
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, field
 
-from wigeonspan.common import BootClock, Clock, HostId, ServiceName
+from wigeonspan.common import BootClock, Clock, HostId, ServiceName, TenantName
 from wigeonspan.gateway._config import ConfigHolder
 from wigeonspan.gateway._durations import DurationForecast
 from wigeonspan.gateway._messages import TargetNotice, TargetProtocol
@@ -106,7 +106,11 @@
         task.add_done_callback(self.tasks.discard)
 
     def begin_work(
-        self, work: Work, prompt_parts: tuple[PromptPart, ...] = (), new_tokens: int = 0
+        self,
+        work: Work,
+        prompt_parts: tuple[PromptPart, ...] = (),
+        new_tokens: int = 0,
+        tenant: TenantName | None = None,
     ) -> None:
         """Record the start of work and publish it to the other entries."""
         now = self.clock.now()
@@ -114,7 +118,9 @@
         self.placer.health.record_sent(work.target, now)
         if prompt_parts:
             self.placer.prefixes.begin(work.work, work.target, prompt_parts, new_tokens)
-        self.link.publish(WorkBegun(work, prompt_parts, new_tokens))
+        if tenant is not None:
+            self.placer.tenant_use.record(tenant, work.urgency, work.work_ms, now)
+        self.link.publish(WorkBegun(work, prompt_parts, new_tokens, tenant))
 
     def end_work(self, work: Work, *, completed: bool) -> None:
         """Record the end of work and publish it to the other entries."""
@@ -127,6 +133,10 @@
         match event:
             case WorkBegun():
                 placer.ledger.begin(event.work, now)
+                if event.tenant is not None:
+                    placer.tenant_use.record(
+                        event.tenant, event.work.urgency, event.work.work_ms, now
+                    )
                 if event.parts:
                     placer.prefixes.begin(
                         event.work.work,
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -86,6 +86,8 @@
         Tokens that the engine prefills itself, and those that it copies from another.
     band : PriorityBand
         Ranks of the request's priority.
+    over_share : bool
+        Whether the request gives way to those of other tenants.
     """
 
     decision: Decision
@@ -99,6 +101,7 @@
     urgency: int
     prefill_steps: PrefillSteps
     band: PriorityBand = SOLE_BAND
+    over_share: bool = False
 
     @property
     def awaits_slot(self) -> bool:
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -5,12 +5,13 @@
 
 from msgspec.structs import replace
 
-from wigeonspan.common import DomainName
+from wigeonspan.common import DomainName, TenantName
 from wigeonspan.fleetconfig import Route
 from wigeonspan.placing._choice import EngineChoice, comparison_ms
 from wigeonspan.placing._eligible import EligibleTargets
 from wigeonspan.placing._estimate import EngineEstimate
 from wigeonspan.placing._event_pauses import EventPauses
+from wigeonspan.placing._fair_share import MIN_WAIT_MS, TenantUse
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
@@ -49,6 +50,7 @@
         self.event_pauses = EventPauses()
         self.slots = SlotForecast()
         self.limits = SharedRateLimits()
+        self.tenant_use = TenantUse()
         self._order = WorkOrder()
         self._eligible = EligibleTargets(self.health, self.limits)
         self._refusals = Refusals(rng, self._eligible, self.limits, self.ledger)
@@ -126,6 +128,7 @@
         *,
         direct_only: bool = False,
         band: PriorityBand = SOLE_BAND,
+        tenant: TenantName | None = None,
     ) -> Plan | Refusal:
         """Decide where a generation runs, or refuse it.
 
@@ -143,6 +146,8 @@
             Whether the engine that writes the answer must do the prefill as well.
         band : PriorityBand
             Ranks of the request's priority.
+        tenant : TenantName or None
+            Tenant of the request, if it has one.
         """
         if not band.is_sole:
             self.ledger.follow_starts()
@@ -205,7 +210,8 @@
                 return self._refusals.ranked(
                     Limit.PRIORITY, reason, plan, route, prefill_ids, now, overload_s
                 )
-            if late and self._order.refuses_late(band, now):
+            is_spared = self.tenant_use.spares(tenant, band, now)
+            if late and self._order.refuses_late(band, now) and not is_spared:
                 reason = f"first event expected late, in {plan.first_ms:.0f} ms"
                 if band.is_sole:
                     return self._refusals.late(Limit.QUEUE, reason, plan, route)
@@ -215,6 +221,12 @@
             if late and self._order.should_yield(route, plan):
                 # At its rank, it would only delay requests that can still be on time.
                 plan = best(band.late_rank)
+            elif (
+                max(plan.wait_ms, plan.slot_wait_ms) >= MIN_WAIT_MS
+                and plan.urgency < band.late_rank
+                and self.tenant_use.exceeds(tenant, band, now)
+            ):
+                plan = _mark_over_share(best(band.late_rank))
         if plan is None:
             return self._refusals.without_engine(targets, excluded, now)
         budget_s = min(abandon_after_s(route), remaining_s)
@@ -257,3 +269,7 @@
     def retry_after_s(self, plan: Plan, route: Route) -> float:
         """Return the seconds after which to retry a refused request, with jitter."""
         return self._refusals.retry_after_s(plan, route)
+
+
+def _mark_over_share(plan: Plan | None) -> Plan | None:
+    return None if plan is None else replace(plan, over_share=True)
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Meta, Struct
 
-from wigeonspan.common import HostId
+from wigeonspan.common import HostId, TenantName
 from wigeonspan.placing import PromptPart, Work
 from wigeonspan.quarantine import QuarantineMessage
 from wigeonspan.targets import Listing, TargetId
@@ -27,11 +27,14 @@
         empty for plain calls.
     new_tokens : int
         Estimated number of their tokens that the target has not cached.
+    tenant : TenantName or None
+        Tenant of the request; None when it has none.
     """
 
     work: Work
     parts: tuple[PromptPart, ...] = ()
     new_tokens: _Tokens = 0
+    tenant: Annotated[TenantName, Meta(max_length=256)] | None = None
 
 
 class WorkEnded(Struct, frozen=True, tag="ended", array_like=True):
--- a/wigeonspan/sharing/_wire.py
+++ b/wigeonspan/sharing/_wire.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from wigeonspan.common import DECODE_ERRORS, HostId
-from wigeonspan.sharing._messages import Event, Packet
+from wigeonspan.placing import PromptPart, Work
+from wigeonspan.sharing._messages import Event, Packet, WorkBegun
 
 MAX_DATAGRAM_BYTES = 60_000
 """Maximum size of a datagram in bytes: the limit of UDP with a margin for headers."""
@@ -32,6 +33,21 @@
     events: list[msgspec.Raw]
 
 
+class _WorkBegunWithoutTenant(msgspec.Struct, tag="begun", array_like=True):
+    """Encoded form of :class:`WorkBegun` without its last field, the tenant."""
+
+    work: Work
+    parts: tuple[PromptPart, ...]
+    new_tokens: int
+
+
+class _EncodedPacket(msgspec.Struct, array_like=True):
+    """Encoded form of :class:`Packet`."""
+
+    host: HostId
+    events: list[Event | _WorkBegunWithoutTenant]
+
+
 _encode = msgspec.msgpack.Encoder().encode
 _decode_packet = msgspec.msgpack.Decoder(Packet).decode
 _decode_split_packet = msgspec.msgpack.Decoder(_SplitPacket).decode
@@ -44,8 +60,18 @@
 
 
 def encode_packet(packet: Packet) -> bytes:
-    """Encode one packet."""
-    return _PACKET + _encode(packet)
+    """Encode one packet.
+
+    Work without a tenant is encoded as in releases that know no tenants.
+    """
+    events = [_without_empty_tenant(event) for event in packet.events]
+    return _PACKET + _encode(_EncodedPacket(packet.host, events))
+
+
+def _without_empty_tenant(event: Event) -> Event | _WorkBegunWithoutTenant:
+    if not isinstance(event, WorkBegun) or event.tenant is not None:
+        return event
+    return _WorkBegunWithoutTenant(event.work, event.parts, event.new_tokens)
 
 
 def encode_bundles(datagrams: list[bytes]) -> list[bytes]:
