Show rank, share and refusals by priority in logs and metrics

An operator could not see whether an urgent priority was refused or late while a less urgent one was served.

--- a/tests/platform/test_log_diagnosis.py
+++ b/tests/platform/test_log_diagnosis.py
@@ -124,7 +124,11 @@
         "generation: refused" in request_log
         and "first event expected in" in request_log
     )
-    assert 'refusals_total{limit="time"}' in deployment.metrics()
+    assert "retry_after_s=" in request_log
+    metrics = deployment.metrics()
+    assert 'refusals_total{limit="time"}' in metrics
+    assert 'refusals_by_priority_total{limit="time",priority=' in metrics
+    assert "placements_total{rank=" in metrics
 
 
 @pytest.mark.timeout(120)
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -84,18 +84,25 @@
         if isinstance(plan, Refusal):
             if self._progress.runs:
                 raise self._progress.error(f"no successor: {plan.reason}")
-            context.metrics.count("refusals", limit=plan.limit.value)
+            self._count_refusal(plan.limit)
             self._progress.log_event(
                 "refused",
                 failure=True,
                 limit=plan.limit.value,
                 why=plan.reason,
+                priority=self._progress.active_request.priority,
+                retry_after_s=round(plan.retry_after_s, 2),
                 list_age_ms=list_age_ms,
             )
             self._add_refused_demand(plan)
             raise self._progress.refusal(plan)
         self._progress.check_time_left(plan)
         self._add_prefill_demand(plan.work_ms)
+        context.metrics.count(
+            "placements",
+            rank=plan.urgency,
+            share="exceeded" if plan.over_share else "kept",
+        )
         context.metrics.observe("expected_wait_seconds", plan.wait_ms / 1000.0)
         context.metrics.observe(
             "expected_slot_wait_seconds", plan.slot_wait_ms / 1000.0
@@ -111,6 +118,7 @@
             first_ms=round(plan.first_ms),
             urgency=plan.urgency,
             priority=self._progress.active_request.priority,
+            over_share=plan.over_share,
             read_tokens=plan.prefill_steps.prefilled_tokens,
             copied_tokens=plan.prefill_steps.copied_tokens,
             source=plan.prefill_steps.source.target
@@ -120,6 +128,12 @@
         )
         return plan
 
+    def _count_refusal(self, limit: Limit) -> None:
+        metrics = self._progress.context.metrics
+        metrics.count("refusals", limit=limit.value)
+        priority = self._progress.active_request.priority
+        metrics.count("refusals_by_priority", priority=priority, limit=limit.value)
+
     def _add_prefill_demand(self, work_ms: float) -> None:
         """Count the engine time of a prefill as demand of the service."""
         context, now = self._progress.context, self._progress.context.clock.now()
@@ -291,7 +305,7 @@
 
     def _late_refusal(self, plan: Plan) -> WigeonspanError:
         """Return the refusal of a request whose prompt has waited too long."""
-        self._progress.context.metrics.count("refusals", limit=Limit.TIME.value)
+        self._count_refusal(Limit.TIME)
         self._progress.log_event(
             "refused", failure=True, limit=Limit.TIME.value, why="overtaken"
         )
