--- a/replay/_request.py
+++ b/replay/_request.py
@@ -14,6 +14,7 @@
     Work,
     WorkKind,
     abandon_after_s,
+    priority_band,
 )
 from wigeonspan.targets import Target, TargetId
 
@@ -51,6 +52,8 @@
         self._simulation = simulation
         self._kind = deployment.kinds[arrival.kind]
         self._route: Route = deployment.route(arrival.kind)
+        priorities = {kind.priority for kind in deployment.kinds.values()}
+        self._band = priority_band(priorities, self._kind.priority)
         self._entry = entry
         self._arrival = arrival
         self._arrived = simulation.now
@@ -119,6 +122,8 @@
             now,
             self._excluded,
             simulation.now - self._attempt_started,
+            band=self._band,
+            tenant=self._arrival.tenant,
         )
         if isinstance(plan, Refusal):
             self._handle_refusal(plan)
@@ -166,7 +171,11 @@
             plan.urgency,
         )
         simulation.begin_work(
-            self._entry, work, prompt.parts, plan.prefill_steps.new_tokens
+            self._entry,
+            work,
+            prompt.parts,
+            plan.prefill_steps.new_tokens,
+            self._arrival.tenant,
         )
         engine, started = simulation.engine_of(target.target), simulation.now
 
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wigeonspan.common import DomainName, HostId, ServiceName
+from wigeonspan.common import DomainName, HostId, ServiceName, TenantName
 from wigeonspan.fleetconfig import CallKind, Route, WeightedService
 from wigeonspan.placing import (
     Decision,
@@ -16,6 +16,7 @@
     Refusal,
     Work,
     WorkKind,
+    priority_band,
 )
 from wigeonspan.placing._order import LATE_URGENCY
 from wigeonspan.targets import Phase, Target, TargetId
@@ -414,3 +415,75 @@
     placer.limits.learn("p0", 0.1, 0.0)
     placer.forget(TargetId("p0"))
     assert placer.limits.rates == {}
+
+
+def test_late_request_stays_before_less_urgent_ones(placer):
+    """A late request of the first priority went behind all others."""
+    urgent, other = (priority_band({0, 1, 2}, priority) for priority in (0, 2))
+    late = placer.plan(
+        route(), prompt(600), fleet(), 10.0, 0.0, elapsed_s=0.9, band=urgent
+    )
+    timely = placer.plan(route(), prompt(600), fleet(), 10.0, 0.0, band=other)
+    assert late.urgency < timely.urgency
+    assert (late.band, timely.band) == (urgent, other)
+
+
+def overload(placer, band):
+    """Let an urgent request be late for some seconds; return the time of the end."""
+    now = 0.0
+    while now < 2.8:
+        for target in ("p0", "p1", "d0", "d1"):
+            busy(placer, target, 900.0, 0, f"{target}{now}")
+        placer.plan(route(0.3), prompt(600), fleet(), 8.0, now, band=band)
+        now += 0.05
+    return now
+
+
+def test_less_urgent_requests_are_refused_for_late_urgent_ones(placer):
+    """Long prompts were admitted while short questions were late."""
+    urgent, other = (priority_band({0, 1}, priority) for priority in (0, 1))
+    placer.plan(route(), prompt(), fleet(), 10.0, 0.0, band=other)
+    now = overload(placer, urgent)
+    refusal = placer.plan(route(), prompt(), fleet(), 10.0, now, band=other)
+    assert isinstance(refusal, Refusal)
+    assert refusal.limit is Limit.PRIORITY
+    # Both engines are busy for many seconds.
+    assert refusal.retry_after_s > 1.5
+
+
+def test_request_that_was_admitted_is_not_refused_for_more_urgent_ones(placer):
+    """A stream whose engine failed would end although engines can continue it."""
+    urgent, other = (priority_band({0, 1}, priority) for priority in (0, 1))
+    placer.plan(route(), prompt(), fleet(), 10.0, 0.0, band=other)
+    now = overload(placer, urgent)
+    plan = placer.plan(
+        route(),
+        prompt(),
+        fleet(),
+        10.0,
+        now,
+        excluded={TargetId("d0")},
+        band=other,
+    )
+    assert isinstance(plan, Plan) or plan.limit is not Limit.PRIORITY
+
+
+def test_share_of_a_tenant_is_applied_only_while_requests_wait(placer):
+    """A large tenant would be held back although engines are idle."""
+    band = priority_band({0, 1}, 0)
+    for number in range(40):
+        placer.tenant_use.record(TenantName("large"), 0, 30.0, 0.0)
+        if number < 10:
+            placer.tenant_use.record(TenantName(f"t{number}"), 0, 30.0, 0.0)
+
+    def plan(tenant):
+        name = TenantName(tenant)
+        return placer.plan(
+            route(3.0), prompt(), fleet(), 10.0, 0.0, band=band, tenant=name
+        )
+
+    assert not plan("large").over_share
+    for target in ("p0", "p1", "d0", "d1"):
+        busy(placer, target, 300.0, 0, target)
+    assert plan("large").over_share
+    assert plan("t1").urgency < plan("large").urgency == band.late_rank
--- a/wigeonspan/gateway/_config.py
+++ b/wigeonspan/gateway/_config.py
@@ -4,6 +4,7 @@
 
 from wigeonspan.common import ServiceName, WigeonspanError
 from wigeonspan.fleetconfig import FleetConfig, RouteTable, StoredConfig
+from wigeonspan.placing import stream_priorities
 from wigeonspan.tenants import KeyTable
 from wigeonspan.trail import EventLog
 
@@ -29,6 +30,8 @@
         self._keys: KeyTable | None = None
         # Most urgent priority level of services whose replicas may be ordered.
         self._urgent_levels: dict[ServiceName, int] = {}
+        # Priorities of the streams by service, of the configuration in force.
+        self._priorities: dict[ServiceName, frozenset[int]] = {}
 
     @property
     def version(self) -> int:
@@ -57,6 +60,14 @@
         """
         return self._urgent_levels.get(service)
 
+    def priorities(self, service: ServiceName) -> frozenset[int]:
+        """Return the priorities that streams of a service can have."""
+        if self._config is None:
+            return frozenset()
+        if service not in self._priorities:
+            self._priorities[service] = stream_priorities(self._config, service)
+        return self._priorities[service]
+
     def offer(self, stored: StoredConfig, source: str) -> bool:
         """Apply a committed configuration if it is newer and readable.
 
@@ -81,6 +92,7 @@
             return False
         before = self.version
         self._config, self._table = config, RouteTable(config)
+        self._priorities = {}
         self._keys = None if config.tenants is None else KeyTable(config.tenants)
         self._urgent_levels = _most_urgent_levels(config)
         self._event_log.write(
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -4,20 +4,24 @@
 import random
 from collections.abc import Collection, Sequence
 
-from wigeonspan.common import DomainName
+from msgspec.structs import replace
+
+from wigeonspan.common import DomainName, TenantName
 from wigeonspan.fleetconfig import Route
 from wigeonspan.placing._choice import EngineChoice, comparison_ms
 from wigeonspan.placing._eligible import EligibleTargets
 from wigeonspan.placing._estimate import EngineEstimate
 from wigeonspan.placing._event_pauses import EventPauses
+from wigeonspan.placing._fair_share import MIN_WAIT_MS, TenantUse
 from wigeonspan.placing._figures import PlacementFigures
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
-from wigeonspan.placing._order import LATE_URGENCY, WorkOrder, is_expected_late
+from wigeonspan.placing._order import WorkOrder, is_expected_late
 from wigeonspan.placing._pace import TargetPace
 from wigeonspan.placing._patience import abandon_after_s
 from wigeonspan.placing._prefixes import CachedPrefixes
+from wigeonspan.placing._priority import SOLE_BAND, PriorityBand
 from wigeonspan.placing._refusals import Refusals
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
@@ -50,9 +54,10 @@
         self.slots = SlotForecast()
         self.limits = SharedRateLimits()
         self.pace = TargetPace(self.ledger)
+        self.tenant_use = TenantUse()
         self._order = WorkOrder()
         self._eligible = EligibleTargets(self.health, self.limits)
-        self._refusals = Refusals(rng, self._eligible, self.limits)
+        self._refusals = Refusals(rng, self._eligible, self.limits, self.ledger)
         self._estimate = EngineEstimate(
             domain, rng, self.ledger, self.prefixes, self.slots
         )
@@ -151,6 +156,8 @@
         elapsed_s: float = 0.0,
         *,
         direct_only: bool = False,
+        band: PriorityBand = SOLE_BAND,
+        tenant: TenantName | None = None,
     ) -> Plan | Refusal:
         """Decide where a generation runs, or refuse it.
 
@@ -166,7 +173,13 @@
             Seconds since the request arrived.
         direct_only : bool
             Whether the engine that writes the answer must do the prefill as well.
+        band : PriorityBand
+            Ranks of the request's priority.
+        tenant : TenantName or None
+            Tenant of the request, if it has one.
         """
+        if not band.is_sole:
+            self.ledger.follow_starts()
         eligible = self._eligible.select(targets, excluded, now)
         prefill_engines = self._eligible.without_suspended(
             [t for t in eligible if t.phase is Phase.PREFILL], now
@@ -181,7 +194,8 @@
             t.target: self._estimate.cost_ms(t, steps_by_target[t.target], prompt, now)
             for t in prefill_engines or decode_engines
         }
-        urgency = self._order.urgency(route, self._estimate.spent_ms(costs, elapsed_s))
+        spent_ms = self._estimate.spent_ms(costs, elapsed_s)
+        urgency = self._order.urgency(route, spent_ms, band)
         remaining_ms = (route.objective_s - elapsed_s) * 1000.0
 
         def best(urgency: int) -> Plan | None:
@@ -208,21 +222,40 @@
                 now,
                 required=direct_only or not prefill_engines,
             )
-            if direct_only:
-                return direct
-            options = [plan for plan in (split, direct) if plan is not None]
-            return min(options, key=comparison_ms, default=None)
+            options = [direct] if direct_only else [split, direct]
+            found = [plan for plan in options if plan is not None]
+            best_plan = min(found, key=comparison_ms, default=None)
+            return None if best_plan is None else replace(best_plan, band=band)
 
         plan = best(urgency)
         if plan is not None:
             late = is_expected_late(plan, remaining_ms)
             self._order.record(route, plan, late=late, now=now)
-            if late and self._order.has_standing_queue(now):
+            prefill_ids = [t.target for t in prefill_engines]
+            overload_s = self._order.room_after_s(now)
+            # A request that failed at an engine was admitted before.
+            if self._order.is_closed(band) and not excluded:
+                reason = "more urgent requests are late"
+                return self._refusals.ranked(
+                    Limit.PRIORITY, reason, plan, route, prefill_ids, now, overload_s
+                )
+            is_spared = self.tenant_use.spares(tenant, band, now)
+            if late and self._order.refuses_late(band, now) and not is_spared:
                 reason = f"first event expected late, in {plan.first_ms:.0f} ms"
-                return self._refusals.late(Limit.QUEUE, reason, plan, route)
+                if band.is_sole:
+                    return self._refusals.late(Limit.QUEUE, reason, plan, route)
+                return self._refusals.ranked(
+                    Limit.QUEUE, reason, plan, route, prefill_ids, now, overload_s
+                )
             if late and self._order.should_yield(route, plan):
                 # At its rank, it would only delay requests that can still be on time.
-                plan = best(LATE_URGENCY)
+                plan = best(band.late_rank)
+            elif (
+                max(plan.wait_ms, plan.slot_wait_ms) >= MIN_WAIT_MS
+                and plan.urgency < band.late_rank
+                and self.tenant_use.exceeds(tenant, band, now)
+            ):
+                plan = _mark_over_share(best(band.late_rank))
         if plan is None:
             return self._refusals.without_engine(targets, excluded, now)
         budget_s = min(abandon_after_s(route), remaining_s)
@@ -265,3 +298,7 @@
     def retry_after_s(self, plan: Plan, route: Route) -> float:
         """Return the seconds after which to retry a refused request, with jitter."""
         return self._refusals.retry_after_s(plan, route)
+
+
+def _mark_over_share(plan: Plan | None) -> Plan | None:
+    return None if plan is None else replace(plan, over_share=True)
