--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -5,6 +5,7 @@
 
 from msgspec import Meta, Struct
 
+from wigeonspan.placing._priority import SOLE_BAND, PriorityBand
 from wigeonspan.placing._readings import PrefillSteps
 from wigeonspan.targets import Target
 
@@ -83,6 +84,10 @@
         Scheduling rank at the engines; 0 goes first.
     prefill_steps : PrefillSteps
         Tokens that the engine prefills itself, and those that it copies from another.
+    band : PriorityBand
+        Ranks of the request's priority.
+    over_share : bool
+        Whether the request gives way to those of other tenants.
     """
 
     decision: Decision
@@ -95,6 +100,8 @@
     first_ms: float
     urgency: int
     prefill_steps: PrefillSteps
+    band: PriorityBand = SOLE_BAND
+    over_share: bool = False
 
     @property
     def awaits_slot(self) -> bool:
@@ -108,6 +115,7 @@
     NO_ENGINE = "no_engine"
     TIME = "time"
     QUEUE = "queue"
+    PRIORITY = "priority"
     SLOTS = "slots"
     RATE = "rate"
     QUARANTINE = "quarantine"
