Find late sends with a revoked key also after other faults

Change: the host must be undisturbed for the time in which a change must be in force before the send.

--- a/soak/_tenant_checks.py
+++ b/soak/_tenant_checks.py
@@ -61,9 +61,12 @@
             continue
         host = evidence.host_by_address.get(record.address, "")
         for arrival in index.arrivals.get(request, []):
-            late_s = arrival.arrived_at - revoked_at - MAX_APPLY_S
+            at = arrival.arrived_at
+            late_s = at - revoked_at - MAX_APPLY_S
+            # A host that was disturbed before has had time to catch up.
+            begins = max(revoked_at, at - MAX_APPLY_S)
             if late_s > LATENESS_TOLERANCE_S and evidence.is_undisturbed(
-                revoked_at, arrival.arrived_at, host=host
+                begins, at, host=host
             ):
                 text = f"sent {late_s:.1f} s too late with a revoked key"
                 yield Violation("revoked key", request, text)
--- a/tests/soak/test_tenant_checks.py
+++ b/tests/soak/test_tenant_checks.py
@@ -94,6 +94,14 @@
     assert "revoked key" not in usage_rules(evidence)
 
 
+def test_disturbance_long_before_excuses_no_revoked_key():
+    """In runs with many faults, hardly any time since a revocation is undisturbed."""
+    evidence = make_tenant_evidence(key=OTHER)
+    evidence.revoked_at[OTHER] = 1.0
+    evidence.record_disturbance(Scope.HOST, ENTRY, "frozen", 2.0, 4.0)
+    assert "revoked key" in usage_rules(evidence)
+
+
 def test_refusal_of_a_valid_key_is_detected():
     """A wrong 401 sends a caller away for good; a removed key must get one."""
     evidence = make_tenant_evidence()
