Move the settings of a gateway to a module of their own

Change: GatewaySettings and the time until a stop is enforced stand in _settings.py, as at the control host.

--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -6,11 +6,8 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
-from msgspec import Struct
-
 from wigeonspan.common import (
     Clock,
-    DomainName,
     HostId,
     ServiceName,
     WigeonspanError,
@@ -30,6 +27,7 @@
 from wigeonspan.gateway._listing import ListingTask
 from wigeonspan.gateway._messages import TargetProtocol
 from wigeonspan.gateway._serve import RESPONSE_MARGIN_S, Server
+from wigeonspan.gateway._settings import GatewaySettings
 from wigeonspan.placing import Placer, RetryBudget
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import (
@@ -40,8 +38,6 @@
     EntryState,
 )
 from wigeonspan.serving import (
-    DEFAULT_MAX_FDS,
-    DEFAULT_MEMORY_MB,
     CallerGuard,
     CallerRules,
     RequestServer,
@@ -82,10 +78,6 @@
 """Seconds after the stop signal during which connections are still accepted: some
 callers keep a response of the directory for three times ``ADDRESS_KEEP_S``."""
 
-STOP_TIMEOUT_S = 8.0
-"""Seconds from the stop signal until the process is killed, unless the settings say
-otherwise."""
-
 FINAL_RESPONSES_S = 0.5
 """Seconds before the process is killed at which open requests are ended, so that their
 final responses are sent in time."""
@@ -94,55 +86,6 @@
 """Largest number of entry addresses in one response of the directory."""
 
 
-class GatewaySettings(Struct, frozen=True):
-    """Settings of a gateway.
-
-    Parameters
-    ----------
-    front, ready, peer, metrics : str
-        Addresses for callers, for readiness checks, for datagrams from other entries
-        and for metrics.
-    controls : list of str
-        Internal addresses of control hosts.
-    retry_ratio, retry_minimum, retry_window_s : float
-        Parameters of the retry budget.
-    stop_timeout_s : float
-        Seconds from the stop signal until the process is killed.
-    max_key_age_s : float or None
-        Longest time in seconds without a reply of a control host for which keys of
-        tenants are still accepted; None for no limit.
-    usage_window_s : float or None
-        Length in seconds of the windows in which use is metered; None when it is not.
-    usage_due_s : float
-        Seconds after the end of a window at which its report is due.
-    memory_mb : float
-        Memory of the process in MB, which bounds what callers may hold.
-    max_fds : int
-        Descriptors that the process may have open.
-    bind : str
-        Address of the interface to listen on when a forwarder relays traffic from the
-        other addresses to it; empty when they are this host's own addresses.
-    """
-
-    host: HostId
-    domain: DomainName
-    front: str
-    ready: str
-    peer: str
-    metrics: str
-    controls: list[str]
-    retry_ratio: float
-    retry_minimum: float
-    retry_window_s: float
-    stop_timeout_s: float = STOP_TIMEOUT_S
-    max_key_age_s: float | None = None
-    usage_window_s: float | None = None
-    usage_due_s: float = 10.0
-    memory_mb: float = DEFAULT_MEMORY_MB
-    max_fds: int = DEFAULT_MAX_FDS
-    bind: str = ""
-
-
 class Gateway:
     """One entry: the process that serves callers and relays their requests.
 
