Explain ranks by priority, as requests are placed

Cause: the explanation planned without the priority of the route and the tenant, so its rank and wait were those of a service with one priority; and a plan of the copy switched the shared ledger. Change: the explanation passes the band and the tenant, and the copy has a ledger of its own over the shared work. Measured: the new test fails before, and test_explanation_changes_no_state failed with the band until the ledger was copied.

--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -249,6 +249,20 @@
     assert (service.verdict.how, service.verdict.decode) == ("call", chosen.target)
 
 
+def test_rank_follows_the_priority_of_the_tenant():
+    """The explained rank left out the priorities, by which requests are placed."""
+    tenants = (
+        TenantSpec(TenantName("hule"), (ApiKey(KEY),), 0),
+        TenantSpec(TenantName("fida"), (ApiKey("k2"),), 5),
+    )
+    ranks = {}
+    for name in ("hule", "fida"):
+        query = structs.replace(QUERIES[0], tenant=name)
+        told = explainer(make_context(tenants)).explain(query)
+        ranks[name] = told.services[0].verdict.rank
+    assert ranks["hule"] < ranks["fida"]
+
+
 def test_figures_tell_what_was_weighed():
     """Guards against figures that do not show why an engine is avoided."""
     context = make_context()
--- a/wigeonspan/gateway/_explain.py
+++ b/wigeonspan/gateway/_explain.py
@@ -15,7 +15,7 @@
 from wigeonspan.gateway._active_request import UNCONFIRMED_RETRY_S
 from wigeonspan.gateway._context import GatewayContext
 from wigeonspan.gateway._failures import failure_error
-from wigeonspan.placing import Limit, Plan, Prompt, Refusal
+from wigeonspan.placing import Limit, Plan, Prompt, Refusal, priority_band
 from wigeonspan.tenants import effective_priority
 
 NO_CONFIG_RETRY_S = 0.3
@@ -62,7 +62,9 @@
             self._check_size(config, query)
             waits_s = self._waits_s(query, route)
             self._check_stop(waits_s, now)
-            services = self._explain_services(config, route, query, waits_s, now)
+            services = self._explain_services(
+                config, route, tenant, query, waits_s, now
+            )
         except _Refused as refused:
             refusal = refused.verdict
         return Explanation(
@@ -139,6 +141,7 @@
         self,
         config: FleetConfig,
         route: Route,
+        tenant: TenantSpec | None,
         query: ExplainQuery,
         waits_s: float,
         now: float,
@@ -146,7 +149,14 @@
         total = sum(share.weight for share in route.services)
         return [
             self._explain_service(
-                config, route, query, share.service, share.weight / total, waits_s, now
+                config,
+                route,
+                tenant,
+                query,
+                share.service,
+                share.weight / total,
+                waits_s,
+                now,
             )
             for share in route.services
         ]
@@ -155,6 +165,7 @@
         self,
         config: FleetConfig,
         route: Route,
+        tenant: TenantSpec | None,
         query: ExplainQuery,
         service: ServiceName,
         share: float,
@@ -189,12 +200,23 @@
             figures = placer.figures.of_calls(targets, now)
             return ServiceExplanation(service, share, verdict, figures, rest)
         placer.set_engines(engine.kv_tokens, engine.copy_us)
-        outcome = placer.plan(route, prompt, targets, waits_s, now)
+        priorities = context.config.priorities(service)
+        band = priority_band(priorities, _priority(route, tenant))
+        outcome = placer.plan(
+            route,
+            prompt,
+            targets,
+            waits_s,
+            now,
+            band=band,
+            tenant=None if tenant is None else tenant.name,
+        )
         rank, figures = placer.figures.of_generation(
             targets,
             prompt,
             route,
             outcome.urgency if isinstance(outcome, Plan) else None,
+            band,
             now,
         )
         verdict = quarantined or _verdict(outcome, rank)
--- a/wigeonspan/placing/_figures.py
+++ b/wigeonspan/placing/_figures.py
@@ -12,6 +12,7 @@
 from wigeonspan.placing._order import WorkOrder
 from wigeonspan.placing._pace import TargetPace
 from wigeonspan.placing._prefixes import CachedPrefixes
+from wigeonspan.placing._priority import PriorityBand
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
 from wigeonspan.ratelimits import SharedRateLimits
@@ -126,6 +127,7 @@
         prompt: Prompt,
         route: Route,
         urgency: int | None,
+        band: PriorityBand,
         now: float,
     ) -> tuple[int, list[TargetFigures]]:
         """Return the rank of a generation and the figures of engines for it.
@@ -134,6 +136,8 @@
         ----------
         urgency : int or None
             Rank in its plan; None to compute it, for one that was refused.
+        band : PriorityBand
+            Ranks of its priority.
         """
         prefill = [t for t in targets if t.phase is Phase.PREFILL]
         others = [t for t in targets if t.phase is not Phase.PREFILL]
@@ -144,7 +148,8 @@
         }
         if urgency is None:
             first = {t.target: costs[t.target] for t in prefill or others}
-            urgency = self._order.urgency(route, self._estimate.spent_ms(first, 0.0))
+            spent_ms = self._estimate.spent_ms(first, 0.0)
+            urgency = self._order.urgency(route, spent_ms, band)
         penalties = {
             **self._health.failure_penalties_ms([t.target for t in prefill]),
             **self._health.failure_penalties_ms([t.target for t in others]),
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -87,11 +87,11 @@
     def trial_copy(self) -> "Placer":
         """Return a copy whose decisions change nothing here, not even random draws.
 
-        It shares the ledger and the caches, which decisions only read, and must not be
-        told about work.
+        It shares the work in progress and the caches, which decisions only read, and
+        must not be told about work.
         """
-        prefixes = copy.copy(self.prefixes)
-        memo = {id(self.ledger): self.ledger, id(self.prefixes): prefixes}
+        ledger, prefixes = copy.copy(self.ledger), copy.copy(self.prefixes)
+        memo = {id(self.ledger): ledger, id(self.prefixes): prefixes}
         return copy.deepcopy(self, memo)
 
     @property
