Rank by priority only where the configuration has tenants

Cause: the routes of all earlier deployments have priorities, which decided nothing until now. Change: without tenants there are no priorities of streams, so ranks, refusals and the following of begun prompts are as before.

--- a/wigeonspan/placing/_priority.py
+++ b/wigeonspan/placing/_priority.py
@@ -5,12 +5,12 @@
 """
 
 from bisect import bisect_left
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from msgspec import Struct
 
 from wigeonspan.common import ServiceName
-from wigeonspan.fleetconfig import CallKind, FleetConfig
+from wigeonspan.fleetconfig import CallKind, FleetConfig, TenantSpec
 
 ENGINE_RANKS = 10
 """Number of ranks that engines support; rank 0 goes first."""
@@ -93,17 +93,23 @@
     """Return the priorities that streams of a service can have.
 
     A tenant's priority takes precedence over the route's. Plain calls are not ranked.
+    Without tenants there are none: those deployments were measured with ranks by laxity
+    alone, and their long requests lose more by priorities than the short ones gain.
     """
-    return frozenset(_iter_priorities(config, service))
+    if config.tenants is None:
+        return frozenset()
+    return frozenset(_iter_priorities(config, config.tenants, service))
 
 
-def _iter_priorities(config: FleetConfig, service: ServiceName) -> Iterator[int]:
+def _iter_priorities(
+    config: FleetConfig, tenants: Iterable[TenantSpec], service: ServiceName
+) -> Iterator[int]:
     for route in config.routes:
         if route.kind is not CallKind.STREAM:
             continue
         if all(share.service != service for share in route.services):
             continue
-        if config.tenants is None or route.public:
+        if route.public:
             yield route.priority
-        for tenant in config.tenants or ():
+        for tenant in tenants:
             yield route.priority if tenant.priority is None else tenant.priority
