Begin the killed entry's calls at the start of a window

With windows of 2 s that happened in every case in which a window ended in the second after the calls.

The calls now begin with a window of 4 s, so that it ends three seconds after the kill. The check itself is the same.

--- a/tests/platform/test_tenant_processes.py
+++ b/tests/platform/test_tenant_processes.py
@@ -21,7 +21,7 @@
 APPLY_S = 2.5
 """Seconds after an acknowledged change in which it must be in force."""
 
-LIMITS = DeploymentLimits(duties=("usage_report",), usage_window_s=2.0, usage_due_s=6.0)
+LIMITS = DeploymentLimits(duties=("usage_report",), usage_window_s=4.0, usage_due_s=6.0)
 
 
 def tenants(*names):
@@ -174,6 +174,14 @@
     return sum(counts.get(name, 0) for counts in contents.values())
 
 
+def wait_for_window_start():
+    """Return at the start of the next window, which begins at a multiple of its length.
+
+    What is counted in the following seconds is not reported before the window ends.
+    """
+    time.sleep(LIMITS.usage_window_s - time.time() % LIMITS.usage_window_s)
+
+
 @pytest.mark.timeout(120)
 def test_entry_killed_between_count_and_report_loses_no_sent_count(deployment):
     """Counts that only a killed entry had were missing in the report."""
@@ -181,6 +189,7 @@
     # The window in which the configuration came is not reported.
     wait_until("a first report", lambda: deployment.platform.duty_calls.reports)
     entry = deployment.entries[0]
+    wait_for_window_start()
     for number in range(12):
         assert call_plain(deployment, entry, f"k{number}", KEYS["a"]) == 200
     # A regular heartbeat to the leader takes the counts along.
