Offer a refused prompt to another engine, and keep away from engines that refuse

Nearly all had been refused by a decode engine that had crashed and come back as another one (421), or that was changing its phase (503). Such a refusal excluded the engine for that request only, was held against the engine that had prefilled the prompt, and made it be prefilled again: two retries from a budget of about five in ten seconds for each entry.

The prompt is now offered to one more engine as it is. An engine that is another one is suspended at once, and the other entries are told; one that refuses a prompt which the next engine takes is suspended as well. Only a prompt that two engines refuse counts against its source and is prefilled again.

--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -18,6 +18,10 @@
 MAX_LOGGED = 8
 """Largest number of a prompt's parts in a line of the log."""
 
+MAX_PROMPT_REFUSALS = 2
+"""Number of engines that are offered a prefilled prompt; when both refuse it, it is
+probably gone and is prefilled again."""
+
 
 class Generation:
     """One generation of a caller, over all engines that it is sent to.
@@ -78,6 +82,8 @@
     ) -> bool:
         """Stream the response; return False when another round may follow."""
         prompt_taken = False
+        # Engines that refused the prefilled prompt.
+        refusing: list[Target] = []
         # The prefill may take seconds; the planned engine may have left meanwhile.
         engine = (
             plan.decode
@@ -106,6 +112,11 @@
                 finally:
                     self._progress.runs.remove(run)
                     prompt_taken |= run.ran
+                    self._attribute_refusals(run, handle, refusing)
+                if run.successor is None and _may_send_prompt_on(run, handle, refusing):
+                    self._progress.check_may_continue()
+                    engine = self._next_engine(handle)
+                    continue
                 return await self._end_with_successor(run)
             return False
         finally:
@@ -116,6 +127,29 @@
         """Return another engine for a prompt whose engine took no connection."""
         return None if handle is None else self._progress.engines.choose(handle.source)
 
+    def _attribute_refusals(
+        self, run: OpenRun, handle: PromptHandle | None, refusing: list[Target]
+    ) -> None:
+        """Record whose failure it is that engines have refused a prefilled prompt.
+
+        An engine refuses it when it cannot run it, and also when the prompt is gone at
+        the engine that prefilled it. Once another engine has taken the prompt, those
+        that refused it are to blame; when several refuse it, its source is.
+        """
+        if handle is None:
+            return
+        if run.refused:
+            refusing.append(run.engine)
+            if len(refusing) == MAX_PROMPT_REFUSALS:
+                source = handle.source.target
+                self._progress.context.placer.health.record_error(source)
+        elif run.ran:
+            for engine in refusing:
+                self._progress.context.record_failure(
+                    engine.target, unreachable=True, reason="refused a sound prompt"
+                )
+            refusing.clear()
+
     async def _end_with_successor(self, run: OpenRun) -> bool:
         """Wait for the successor of a run that has ended; return whether it had one.
 
@@ -215,7 +249,7 @@
             self._progress.run_count += 1
             run.ran = True
             try:
-                if not await self._relay.receive(caller, run, sent, handle):
+                if not await self._relay.receive(caller, run, sent):
                     return False
             except ExchangeError as failure:
                 if run.superseded:
@@ -229,3 +263,13 @@
     def _spend_retry_after_first_stream(self) -> None:
         if self._progress.stream_count:
             self._progress.spend_retry()
+
+
+def _may_send_prompt_on(
+    run: OpenRun, handle: PromptHandle | None, refusing: list[Target]
+) -> bool:
+    """Return whether to offer a refused prompt to another engine as it is.
+
+    Prefilling it again takes a retry more, and the time of a prefill.
+    """
+    return run.refused and handle is not None and len(refusing) < MAX_PROMPT_REFUSALS
--- a/wigeonspan/gateway/_relay.py
+++ b/wigeonspan/gateway/_relay.py
@@ -8,7 +8,7 @@
 from wigeonspan.gateway._attempt import ActiveSend, process_notice, with_timeout
 from wigeonspan.gateway._continuation import may_continue
 from wigeonspan.gateway._events import EventDeduplicator, EventGap, EventTooLarge
-from wigeonspan.gateway._messages import PromptHandle, TargetOutcome
+from wigeonspan.gateway._messages import TargetOutcome
 from wigeonspan.gateway._patience import stall_timeout_s
 from wigeonspan.gateway._progress import GenerationProgress
 from wigeonspan.gateway._runs import OpenRun, Superseded
@@ -43,7 +43,6 @@
         caller: ResponseWriter,
         run: OpenRun,
         sent: ActiveSend,
-        handle: PromptHandle | None,
     ) -> bool:
         """Pass on the response of an engine; return whether it is complete.
 
@@ -62,9 +61,11 @@
         if outcome in (TargetOutcome.NOT_RUN, TargetOutcome.WRONG_TARGET):
             self._progress.run_count -= 1
             run.ran = False
-            if handle is not None:
-                # The prompt may have expired at the engine that prefilled it.
-                context.placer.health.record_error(handle.source.target)
+            run.refused = True
+            if outcome is TargetOutcome.WRONG_TARGET:
+                context.record_failure(
+                    engine.target, unreachable=True, reason="another target answered"
+                )
             self._progress.engines.exclude(engine, "stream_refused", status=head.status)
             return False
         if outcome is TargetOutcome.UNREADABLE:
--- a/wigeonspan/gateway/_runs.py
+++ b/wigeonspan/gateway/_runs.py
@@ -57,6 +57,8 @@
         self.first_event_at: float | None = None
         # Whether the engine has, or may have, begun to work on the request.
         self.ran = False
+        # Whether the engine has answered that it does not run the request.
+        self.refused = False
         # Search for a successor and its run; None before the engine is silent and
         # after a search without success.
         self.successor: asyncio.Task[None] | None = None
