Answer look-ups of the directory on entries as well

Entries now answer them too, from the list that they last received from a control host, for up to 15 s without a reply, and leave themselves out once they stop.

--- a/tests/platform/test_odd_config.py
+++ b/tests/platform/test_odd_config.py
@@ -8,7 +8,7 @@
 import pytest
 from adapter import operator_routes, read_config
 from adapter._config import check_document
-from adapter._control import directory_routes
+from adapter._directory import directory_routes
 
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.serving import RequestServer
@@ -188,7 +188,7 @@
     requests = [(b"GET " + target, b""), (b"POST " + target, b"{}")]
     for routes in (
         operator_routes(coordinator, SETTINGS),
-        directory_routes(coordinator),
+        directory_routes(coordinator.addresses, coordinator.record_refusal),
     ):
         statuses, errors = call(routes, requests)
         assert (statuses, errors) == ([404, 404], [])
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -43,7 +43,7 @@
 )
 from wigeonspan.http import make_client
 from wigeonspan.pool import ConnectionPool
-from wigeonspan.presence import BEAT_PATH, Beat, BeatReply
+from wigeonspan.presence import BEAT_PATH, MAX_ADDRESSES, Beat, BeatReply
 from wigeonspan.serving import (
     CallerGuard,
     RequestServer,
@@ -90,9 +90,6 @@
 ORDER_LEASE_MARGIN_S = 0.3
 """Minimum remaining seconds of the leader's lease when an order is sent."""
 
-MAX_ADDRESSES = 64
-"""Maximum number of addresses in an answer of the directory; callers read no more."""
-
 
 class Coordinator:
     """Control host: a member of the control group that serves operators and entries.
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -8,6 +8,8 @@
 
 from wigeonspan.common import (
     Clock,
+    DomainName,
+    ErrorKind,
     HostId,
     ServiceName,
     WigeonspanError,
@@ -32,16 +34,20 @@
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import (
     ADDRESS_KEEP_S,
+    MAX_ADDRESSES,
+    RETENTION_S,
     Beat,
     BeatReply,
     EntryInfo,
     EntryState,
+    caller_addresses,
 )
 from wigeonspan.serving import (
     CallerGuard,
     CallerRules,
     RequestServer,
     ResponseWriter,
+    ServeRequest,
     make_limit_recorder,
     process_limits,
     show_limits,
@@ -82,9 +88,6 @@
 """Seconds before the process is killed at which open requests are ended, so that their
 final responses are sent in time."""
 
-MAX_ENTRIES_SEEN = 64
-"""Largest number of entry addresses in one response of the directory."""
-
 
 class Gateway:
     """One entry: the process that serves callers and relays their requests.
@@ -188,6 +191,8 @@
             rng,
             lambda: read_listing(pool, event_log),
         )
+        self._directory_server: RequestServer | None = None
+        self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -195,6 +200,43 @@
         """Function that records an unexpected error in the log and the metrics."""
         return self._record_error
 
+    def serve_directory(self, serve: ServeRequest) -> None:
+        """Serve callers that ask which entries to connect to, if the settings say so.
+
+        Parameters
+        ----------
+        serve : callable
+            Request handler, which uses ``addresses`` and ``record_refusal``.
+        """
+        self._directory_server = RequestServer(serve, self._record_error, self._clock)
+
+    def addresses(self, domain: DomainName) -> list[str]:
+        """Return the addresses of entries for a caller in a failure domain.
+
+        They are as recent as the last reply of a control host, so that callers find
+        entries also while the control hosts elect a leader or are all restarting.
+
+        Raises
+        ------
+        WigeonspanError
+            ``NO_TARGET`` when no entry is known, or without a reply for too long.
+        """
+        silent_s = self._clock.now() - self._controls.replied_at
+        known = self._entries if silent_s <= RETENTION_S else []
+        own = self._settings.host
+        entries = [e for e in known if e.host != own or e.state is self._state]
+        found = caller_addresses(entries, domain, MAX_ADDRESSES, self._rng)
+        if not found:
+            raise WigeonspanError(ErrorKind.NO_TARGET, "no entries are known")
+        return found
+
+    def record_refusal(self, interface: str, call: str, error: WigeonspanError) -> None:
+        """Record a call of another interface than that for requests that is refused."""
+        self._context.metrics.count("calls_refused", interface=interface)
+        self._context.event_log.write(
+            "serve", "call_refused", failure=True, call=call[:200], why=str(error)
+        )
+
     async def start(self) -> None:
         """Listen, and start the heartbeats and the background tasks."""
         settings = self._settings
@@ -206,6 +248,8 @@
         self._front_server.listen(bind_address(settings.front, bind))
         self._monitoring_server.listen(bind_address(settings.ready, bind))
         self._monitoring_server.listen(bind_address(settings.metrics, bind))
+        if self._directory_server is not None and settings.directory:
+            self._directory_server.listen(bind_address(settings.directory, bind))
         self._heartbeats.set_seeds(settings.controls)
         report_loop_errors(self._record_error)
         self._tasks = [
--- a/wigeonspan/gateway/_settings.py
+++ b/wigeonspan/gateway/_settings.py
@@ -35,6 +35,9 @@
         Memory of the process in MB, which bounds what callers may hold.
     max_fds : int
         Descriptors that the process may have open.
+    directory : str
+        Address for callers that ask which entries to connect to; empty when this host
+        does not answer them.
     bind : str
         Address of the interface to listen on when a forwarder relays traffic from the
         other addresses to it; empty when they are this host's own addresses.
@@ -56,4 +59,5 @@
     usage_due_s: float = 10.0
     memory_mb: float = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
+    directory: str = ""
     bind: str = ""
--- a/wigeonspan/presence/__init__.py
+++ b/wigeonspan/presence/__init__.py
@@ -1,6 +1,7 @@
 """Heartbeats of entries to control hosts, and the entry addresses for callers."""
 
-from wigeonspan.presence._heartbeats import EntryHeartbeats
+from wigeonspan.presence._directory import MAX_ADDRESSES, caller_addresses
+from wigeonspan.presence._heartbeats import RETENTION_S, EntryHeartbeats
 from wigeonspan.presence._messages import (
     ADDRESS_KEEP_S,
     BEAT_PATH,
@@ -14,12 +15,15 @@
 __all__ = [
     "ADDRESS_KEEP_S",
     "BEAT_PATH",
+    "MAX_ADDRESSES",
+    "RETENTION_S",
     "InvalidValue",
     "Beat",
     "BeatReply",
     "EntryHeartbeats",
     "EntryInfo",
     "EntryState",
+    "caller_addresses",
     "pack",
     "pack_once",
     "unpack",
--- a/wigeonspan/presence/_heartbeats.py
+++ b/wigeonspan/presence/_heartbeats.py
@@ -4,7 +4,8 @@
 import random
 
 from wigeonspan.common import DomainName, HostId, encode
-from wigeonspan.presence._messages import Beat, EntryInfo, EntryState
+from wigeonspan.presence._directory import caller_addresses
+from wigeonspan.presence._messages import Beat, EntryInfo
 
 LIVENESS_TIMEOUT_S = 1.6
 """Seconds after its last heartbeat during which an entry counts as alive; three missed
@@ -24,10 +25,6 @@
 """Share of the remembered entries that must be alive. With fewer, this host is
 assumed to be isolated, rather than the entries to be gone."""
 
-MIN_LOCAL_ENTRIES = 2
-"""Minimum number of entries in the caller's own domain for which entries of other
-domains are left out. If one fails, the caller still has a local one."""
-
 
 class _LastBeat:
     def __init__(self, beat: Beat, at: float) -> None:
@@ -88,14 +85,5 @@
     def addresses(
         self, domain: DomainName, limit: int, rng: random.Random, now: float
     ) -> list[str]:
-        """Return entry addresses for a caller in a domain, in random order.
-
-        Only entries of that domain are returned if there are enough of them, because
-        traffic between domains is slow; otherwise all ready entries are.
-        """
-        ready = [e for e in self.live(now) if e.state is EntryState.READY]
-        local = [e for e in ready if e.domain == domain]
-        chosen = local if len(local) >= MIN_LOCAL_ENTRIES else ready
-        addresses = [e.caller_address for e in chosen]
-        rng.shuffle(addresses)
-        return addresses[:limit]
+        """Return entry addresses for a caller in a domain; see `caller_addresses`."""
+        return caller_addresses(self.live(now), domain, limit, rng)
