--- a/tests/staging/test_plan.py
+++ b/tests/staging/test_plan.py
@@ -214,3 +214,47 @@
     demand = EngineDemand(9.0, 100.0, recent_streams=100.0)
     assert allowed_changes(fleet, demand, 60.0, elastic=True) == 5
     assert allowed_changes(fleet, demand, 1.0, elastic=True) == 0
+
+
+CLUB_LOAD = EngineDemand(29.2, 160.7, recent_streams=123.8)
+"""Demand on 27 prefill and 18 decode engines with 24 slots each, as measured when 36%
+of the slots were in use and prompts waited 150 ms on average."""
+
+
+def with_slots(targets, slots):
+    return [replace(target, slots=slots) for target in targets]
+
+
+def test_shortage_of_prefill_engines_is_corrected_at_once():
+    """One engine was changed in ten seconds, and only one in all, while two thirds of
+    the slots were free and every prompt waited."""
+    targets = with_slots(engines(*[P] * 27, *[D] * 18), 24)
+    allowed = allowed_changes(targets, CLUB_LOAD, idle_s=0.5)
+    assert allowed == 4
+    assert [phase for _, phase in next_changes(targets, CLUB_LOAD, allowed)] == [P] * 4
+    assert desired_decode_engines(45, 18, 24, CLUB_LOAD) == 12
+
+
+def test_shortage_of_prefill_engines_leaves_slots_for_a_burst_of_streams():
+    """Streams of a burst must not wait for the slots that were given away."""
+    for streams in (60.0, 160.0, 250.0):
+        demand = EngineDemand(40.0, streams, recent_streams=streams)
+        decoding = desired_decode_engines(45, 18, 24, demand)
+        assert 1.5 * streams <= decoding * 24
+
+
+def test_large_fleet_without_a_shortage_of_prefill_engines_changes_slowly():
+    """Each change takes an engine out of service for seconds."""
+    targets = with_slots(engines(*[P] * 27, *[D] * 18), 24)
+    demand = EngineDemand(20.0, 160.7, recent_streams=123.8)
+    assert allowed_changes(targets, demand, idle_s=9.0) == 0
+    unsettled = replace(CLUB_LOAD, is_settled=False)
+    assert allowed_changes(targets, unsettled, idle_s=11.0) == 0
+
+
+def test_small_fleet_keeps_its_pace_of_changes():
+    """One engine of nine is a large share of its phase."""
+    targets = engines(*[P] * 6, *[D] * 3)
+    demand = EngineDemand(6.5, 30.0, recent_streams=30.0)
+    assert allowed_changes(targets, demand, idle_s=9.0) == 0
+    assert allowed_changes(targets, demand, idle_s=11.0) == 1
