Let a priority without requests keep no other one closed

The share of late requests of a priority only changes with requests of its own. When an urgent kind stopped at the end of an overload, its queue counted as standing for ever, and all less urgent requests were refused at idle engines until about a dozen urgent ones had been on time. A priority without a request for 5 s now closes nothing. After 30 s its share is forgotten, which also removes the bands of an earlier configuration.

--- a/tests/placing/test_shedding.py
+++ b/tests/placing/test_shedding.py
@@ -72,3 +72,22 @@
     now = play(shedding, {URGENT: True, LEAST: False}, now, 3.0)
     assert early < shedding.room_after_s(now) <= MAX_ROOM_AFTER_S
     assert shedding.room_after_s(now + 100.0) == MAX_ROOM_AFTER_S
+
+
+def test_priority_without_requests_keeps_no_other_closed():
+    """After a burst of an urgent kind that then paused, all less urgent requests were
+    refused at idle engines, however long the pause was."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: True, MIDDLE: False, LEAST: False}, 0.0, 5.0)
+    assert shedding.is_closed(MIDDLE)
+    play(shedding, {MIDDLE: False, LEAST: False}, now, 10.0)
+    assert not any(shedding.is_closed(band) for band in (MIDDLE, LEAST))
+
+
+def test_priorities_that_do_not_exist_any_more_are_forgotten():
+    """Each change of the configuration would leave bands of the one before."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: True, MIDDLE: False, LEAST: False}, 0.0, 5.0)
+    one, two = (priority_band({0, 1}, p) for p in (0, 1))
+    play(shedding, {one: False, two: False}, now, 40.0)
+    assert set(shedding.bands) == {one, two}
--- a/wigeonspan/placing/_shedding.py
+++ b/wigeonspan/placing/_shedding.py
@@ -16,6 +16,16 @@
 """Seconds without a standing queue after which the most urgent closed priority is
 opened again. It is longer than ``STEP_S``, so that an overload does not alternate."""
 
+SILENT_S = 5.0
+"""Seconds without a request of a priority after which its standing queue no longer
+closes others; about the length of a burst. Only requests of its own could show that the
+queue is gone."""
+
+FORGET_S = 30.0
+"""Seconds without a request after which the share of late requests of a priority is
+forgotten. At an entry of a large fleet, a kind may arrive only every few seconds, and
+about a dozen requests determine the share."""
+
 MAX_ROOM_AFTER_S = 8.0
 """Largest time in seconds until a retry. Callers that come back later would leave the
 engines idle after a burst; few overloads last longer."""
@@ -25,11 +35,13 @@
     """Close the least urgent priorities while a more urgent one has a standing queue.
 
     Late requests of a priority are refused only when all less urgent ones are closed.
-    The state is a detector for each band, of which there are at most ten.
+    The state is a detector for each band with requests in the last ``FORGET_S``; a
+    configuration has at most ten bands.
     """
 
     def __init__(self) -> None:
         self._detectors: dict[PriorityBand, StandingQueueDetector] = {}
+        self._recorded_at: dict[PriorityBand, float] = {}
         # Bands from this rank on are closed; None when all are open.
         self._closed_from: int | None = None
         self._changed_at = float("-inf")
@@ -37,13 +49,22 @@
         self._overload_since: float | None = None
         self._standing_at = float("-inf")
 
+    @property
+    def bands(self) -> list[PriorityBand]:
+        """Bands whose share of late requests is known."""
+        return list(self._detectors)
+
     def record(self, band: PriorityBand, late: bool, now: float) -> None:
         """Record whether a request is expected to be late, and adapt the state."""
+        self._recorded_at[band] = now
+        self._forget_silent(now)
         self._detectors.setdefault(band, StandingQueueDetector()).record(late, now)
         open_standing = [
             b.first_rank
             for b, detector in self._detectors.items()
-            if detector.is_standing(now) and not self.is_closed(b)
+            if now - self._recorded_at[b] < SILENT_S
+            and detector.is_standing(now)
+            and not self.is_closed(b)
         ]
         if open_standing:
             self._standing_at = now
@@ -78,6 +99,12 @@
             if other.first_rank > band.first_rank
         )
 
+    def _forget_silent(self, now: float) -> None:
+        for band, recorded_at in list(self._recorded_at.items()):
+            if now - recorded_at >= FORGET_S:
+                del self._recorded_at[band]
+                del self._detectors[band]
+
     def _close_after(self, rank: int, now: float) -> None:
         """Close the least urgent open priority behind a rank."""
         behind = [
