Open all closed priorities after a pause without requests

A closed priority was opened only when a request was recorded, one for each request. The time without a standing queue now allows as many steps as fit into it; with requests all the time nothing changes.

--- a/tests/placing/test_shedding.py
+++ b/tests/placing/test_shedding.py
@@ -91,3 +91,14 @@
     one, two = (priority_band({0, 1}, p) for p in (0, 1))
     play(shedding, {one: False, two: False}, now, 40.0)
     assert set(shedding.bands) == {one, two}
+
+
+def test_first_request_after_a_long_pause_finds_all_priorities_open():
+    """One priority was opened by each request, so that the first ones after a quiet
+    night were refused for an overload of the evening."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: True, MIDDLE: False, LEAST: False}, 0.0, 5.0)
+    assert shedding.is_closed(MIDDLE) and shedding.is_closed(LEAST)
+    shedding.record(LEAST, False, now + 600.0)
+    assert not shedding.is_closed(LEAST)
+    assert shedding.room_after_s(now + 600.0) == 0.0
--- a/wigeonspan/placing/_shedding.py
+++ b/wigeonspan/placing/_shedding.py
@@ -5,7 +5,7 @@
 while less urgent ones, which delayed them, were still admitted.
 """
 
-from wigeonspan.placing._priority import PriorityBand
+from wigeonspan.placing._priority import ENGINE_RANKS, PriorityBand
 from wigeonspan.placing._standing import StandingQueueDetector
 
 STEP_S = 0.75
@@ -71,8 +71,11 @@
             if self._overload_since is None:
                 self._overload_since = now
             self._close_after(min(open_standing), now)
-        elif now - max(self._standing_at, self._changed_at) >= REOPEN_S:
-            self._reopen(now)
+        elif self._overload_since is not None:
+            quiet_s = now - max(self._standing_at, self._changed_at)
+            # Without requests no step was taken, although the engines became idle.
+            for _ in range(_steps_in(quiet_s)):
+                self._reopen(now)
 
     def is_closed(self, band: PriorityBand) -> bool:
         """Return whether a priority yields to a more urgent one by being refused."""
@@ -122,3 +125,11 @@
         closed = sorted(b.first_rank for b in self._detectors if self.is_closed(b))
         self._closed_from = closed[1] if len(closed) > 1 else None
         self._changed_at = now
+
+
+def _steps_in(quiet_s: float) -> int:
+    """Return the number of steps of reopening that a time without a queue allows.
+
+    Each of the ten ranks may be closed, and the last step ends the overload.
+    """
+    return int(min(quiet_s / REOPEN_S, ENGINE_RANKS + 1))
