Blame no engine for a refusal before another one has answered

An engine that refused a prefilled prompt was suspended at all entries as soon as the request had been sent to the next one, also when that one broke off at once or the caller had left. Neither shows that the prompt was still there: a lapsed prompt beside a crash suspended a sound engine everywhere and began its pace at an eighth of its slots. An event of the next engine is now required.

tests/platform/test_refused_streams.py: one new test, which fails without the change.

--- a/tests/platform/test_refused_streams.py
+++ b/tests/platform/test_refused_streams.py
@@ -1,5 +1,7 @@
 """Tests of prefilled prompts that a decode engine refuses to run."""
 
+import asyncio
+
 from tests.platform.gateway_harness import (
     STREAM,
     Engine,
@@ -7,11 +9,15 @@
     model_engines,
     not_run,
     prefills,
+    resets,
     route,
+    send,
     serve,
+    start_gateway,
     status,
     streams,
 )
+from wigeonspan.sharing import TargetSuspended
 from wigeonspan.targets import Phase
 
 another = answers(421, b"", [])
@@ -72,3 +78,33 @@
     assert status(answer) in (200, 503)
     refusals = sum(bool(engine.seen) for engine in (one, two, *more))
     assert len(prefill.seen) > 1 and refusals >= 2
+
+
+def suspended_by(engines, *, times=1, seed=1):
+    """Send requests and return the engines that were suspended at all entries."""
+
+    async def run():
+        context, servers = start_gateway(route(STREAM), engines, seed=seed)
+        published = []
+        context.link.publish = published.append
+        answers_ = [await send(number, "600,20", None) for number in range(times)]
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return answers_, [
+            event.target for event in published if isinstance(event, TargetSuspended)
+        ]
+
+    return asyncio.run(run())
+
+
+def test_engine_is_not_blamed_when_the_next_one_breaks_off_at_once():
+    """A prompt that was sent counted as taken, and the engine that had refused a lapsed
+    one was suspended at all entries."""
+    first, second = (Engine(n, Phase.DECODE) for n in ("d", "d0"))
+    # The first send is refused and the second one is reset, whichever engine it is.
+    first.script = second.script = [not_run, resets]
+    engines = [Engine("p", Phase.PREFILL, prefills), first, second]
+    _, suspended = suspended_by(engines)
+    assert len(first.seen) + len(second.seen) >= 2
+    assert suspended == []
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -133,8 +133,9 @@
         """Record whose failure it is that engines have refused a prefilled prompt.
 
         An engine refuses it when it cannot run it, and also when the prompt is gone at
-        the engine that prefilled it. Once another engine has taken the prompt, those
-        that refused it are to blame; when several refuse it, its source is.
+        the engine that prefilled it. Once another engine has sent an event of the
+        response, those that refused the prompt are to blame; when several refuse it,
+        its source is.
         """
         if handle is None:
             return
@@ -143,7 +144,7 @@
             if len(refusing) == MAX_PROMPT_REFUSALS:
                 source = handle.source.target
                 self._progress.context.placer.health.record_error(source)
-        elif run.ran:
+        elif run.first_event_at is not None:
             for engine in refusing:
                 self._progress.context.record_failure(
                     engine.target, unreachable=True, reason="refused a sound prompt"
