Suspend no engine for a refusal that it gives a reason for

An engine that refused a prefilled prompt because of its limit on requests, a pause that it asked for or its end was suspended at all entries once another engine took the prompt, and its pace began again at an eighth of its slots. In a burst these are the engines with a full queue; limits, pauses and announcements are kept to anyway. An engine that was another one (421) was suspended twice for one refusal, the second time for twice as long, and counted against the source of the prompt.

Such refusals still bound the offers of a prompt, but count against nobody else.

tests/platform/test_refused_streams.py: three new cases, which fail without the change.

--- a/tests/platform/test_refused_streams.py
+++ b/tests/platform/test_refused_streams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.platform.gateway_harness import (
     STREAM,
     Engine,
@@ -108,3 +110,28 @@
     _, suspended = suspended_by(engines)
     assert len(first.seen) + len(second.seen) >= 2
     assert suspended == []
+
+
+@pytest.mark.parametrize("reason", ["Retry-After", "Server-Limit"])
+def test_engine_that_gives_a_reason_for_its_refusal_is_not_suspended(reason):
+    """A limit or a pause is kept to anyway; the suspension also began a pace, so that
+    the engine got an eighth of its streams from all entries."""
+    refuses = answers(503, b"", [("Not-Executed", "1"), (reason, "0.5")])
+    prefill, one, two = decode_engines(refuses, sound)
+    results, suspended = suspended_by((prefill, one, two), times=12)
+    assert all(served(answer) for answer in results)
+    assert one.seen, "the engine that refuses must have been tried"
+    assert suspended == []
+
+
+def test_engine_that_is_another_one_is_suspended_once():
+    """Its second suspension, when the next engine took the prompt, lasted twice as
+    long."""
+    prefill, one, two = decode_engines(another, sound)
+    # One request for each gateway, so that the engine is not probed in between.
+    for seed in range(1, 6):
+        before = len(one.seen)
+        results, suspended = suspended_by((prefill, one, two), seed=seed)
+        assert all(served(answer) for answer in results)
+        assert suspended == ["d"] * (len(one.seen) - before)
+    assert one.seen, "the engine that refuses must have been tried"
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -82,8 +82,8 @@
     ) -> bool:
         """Stream the response; return False when another round may follow."""
         prompt_taken = False
-        # Engines that refused the prefilled prompt.
-        refusing: list[Target] = []
+        # Runs whose engine refused the prefilled prompt.
+        refusing: list[OpenRun] = []
         # The prefill may take seconds; the planned engine may have left meanwhile.
         engine = (
             plan.decode
@@ -128,27 +128,32 @@
         return None if handle is None else self._progress.engines.choose(handle.source)
 
     def _attribute_refusals(
-        self, run: OpenRun, handle: PromptHandle | None, refusing: list[Target]
+        self, run: OpenRun, handle: PromptHandle | None, refusing: list[OpenRun]
     ) -> None:
         """Record whose failure it is that engines have refused a prefilled prompt.
 
         An engine refuses it when it cannot run it, and also when the prompt is gone at
         the engine that prefilled it. Once another engine has sent an event of the
         response, those that refused the prompt are to blame; when several refuse it,
-        its source is.
+        its source is. A refusal with a reason of its own, such as a limit, counts
+        against nobody.
         """
         if handle is None:
             return
         if run.refused:
-            refusing.append(run.engine)
-            if len(refusing) == MAX_PROMPT_REFUSALS:
+            refusing.append(run)
+            suspects = [other for other in refusing if other.is_suspect]
+            if len(suspects) == MAX_PROMPT_REFUSALS:
                 source = handle.source.target
                 self._progress.context.placer.health.record_error(source)
         elif run.first_event_at is not None:
-            for engine in refusing:
-                self._progress.context.record_failure(
-                    engine.target, unreachable=True, reason="refused a sound prompt"
-                )
+            for other in refusing:
+                if other.is_suspect:
+                    self._progress.context.record_failure(
+                        other.engine.target,
+                        unreachable=True,
+                        reason="refused a sound prompt",
+                    )
             refusing.clear()
 
     async def _end_with_successor(self, run: OpenRun) -> bool:
@@ -267,7 +272,7 @@
 
 
 def _may_send_prompt_on(
-    run: OpenRun, handle: PromptHandle | None, refusing: list[Target]
+    run: OpenRun, handle: PromptHandle | None, refusing: list[OpenRun]
 ) -> bool:
     """Return whether to offer a refused prompt to another engine as it is.
 
--- a/wigeonspan/gateway/_messages.py
+++ b/wigeonspan/gateway/_messages.py
@@ -131,6 +131,16 @@
     max_rate: float = 0.0
     unreadable_rate: str = ""
 
+    @property
+    def explains_refusal(self) -> bool:
+        """Whether it is a reason for which a sound target refuses requests."""
+        return self.leaving or self.pause_s > 0.0 or self.is_limited
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether it limits its requests; the rate may be one that cannot be read."""
+        return self.max_rate > 0.0 or bool(self.unreadable_rate)
+
 
 class TargetProtocol(Protocol):
     """Interface to the protocol of callers and targets."""
--- a/wigeonspan/gateway/_relay.py
+++ b/wigeonspan/gateway/_relay.py
@@ -62,7 +62,10 @@
             self._progress.run_count -= 1
             run.ran = False
             run.refused = True
-            if outcome is TargetOutcome.WRONG_TARGET:
+            notice = context.protocol.read_notice(head)
+            is_other_target = outcome is TargetOutcome.WRONG_TARGET
+            run.is_suspect = not (is_other_target or notice.explains_refusal)
+            if is_other_target:
                 context.record_failure(
                     engine.target, unreachable=True, reason="another target answered"
                 )
--- a/wigeonspan/gateway/_runs.py
+++ b/wigeonspan/gateway/_runs.py
@@ -59,6 +59,9 @@
         self.ran = False
         # Whether the engine has answered that it does not run the request.
         self.refused = False
+        # Whether it has refused without a reason of its own, so that the prompt may be
+        # gone or the engine at fault.
+        self.is_suspect = False
         # Search for a successor and its run; None before the engine is silent and
         # after a search without success.
         self.successor: asyncio.Task[None] | None = None
