Count reports of one failure by many entries once in the pace of a target

Every entry that finds a target dark publishes its suspension, and each report began the pace again as if the target had failed at half of the limit before. From the second report on, the limit of a recovered target grew by 1 for each round of answers instead of doubling. After 20 reports, a target with 64 slots was limited until 1,988 fast answers (now 56), one with 16 slots until 119 (now 14), or until the pace expired after 20 s. Only a suspension after an answer to work of the present pace now lowers that threshold.

tests/placing/test_pace.py: two new tests, which fail without the change. tests/placing, tests/gateway/test_pace.py and tests/replay/test_pace.py: passed.

--- a/tests/placing/test_pace.py
+++ b/tests/placing/test_pace.py
@@ -253,3 +253,22 @@
         )
         placer.end_work(f"o{n}", 1.1, completed=n > 0)
     assert placer.pace.limits == {"t1": 4}
+
+
+def test_reports_of_one_failure_by_many_entries_count_once(pace):
+    """Each entry reports the suspension of a target that is dark. The reports taken
+    for failures at ever less work left a recovered target at an eighth of its slots
+    until its pace expired."""
+    for n in range(20):
+        pace.record_suspension(TargetId("t1"), 1.0 + 0.01 * n)
+    answer(pace, "t1", 0.1, number=14)
+    assert pace.limits == {}
+
+
+def test_answer_to_work_from_before_a_failure_shows_no_second_one(pace):
+    """Guards against late answers between two reports of the same failure."""
+    pace.record_suspension(TargetId("t1"), 1.0)
+    answer(pace, "t1", 0.5, now=1.1)
+    pace.record_suspension(TargetId("t1"), 1.2)
+    answer(pace, "t1", 0.1, number=14)
+    assert pace.limits == {}
--- a/wigeonspan/placing/_pace.py
+++ b/wigeonspan/placing/_pace.py
@@ -106,6 +106,8 @@
         failed or was slow at about twice as much.
     answers : int
         Fast answers since the latest change of the limit.
+    has_answered : bool
+        Whether the target has completed work that was sent since the start.
     """
 
     limit: int
@@ -113,6 +115,7 @@
     lowered_at: float
     threshold: int
     answers: int = 0
+    has_answered: bool = False
 
 
 class _UsualTime(Struct):
@@ -197,6 +200,7 @@
         if pace is None:
             usual.add(ratio)
             return
+        pace.has_answered |= sent_at >= pace.since
         is_known = usual.samples >= MIN_SAMPLES
         slowness = ratio / math.exp(usual.log_ratio) if is_known else 1.0
         if slowness <= FAST_FACTOR:
@@ -243,7 +247,10 @@
         before = self._paces.get(target.target)
         threshold = _full_at(target)
         if before is not None and event is PaceEvent.RECOVERING:
-            threshold = min(before.threshold, max(1, before.limit // 2))
+            threshold = before.threshold
+            # Without an answer in between, another entry reports the same failure.
+            if before.has_answered:
+                threshold = min(threshold, max(1, before.limit // 2))
         self._paces[target.target] = _Pace(limit, now, now, threshold)
         # Each entry reports the suspension of a target that is down.
         if before is None or before.limit != limit or event is PaceEvent.STARTED:
