Close priorities for each service apart

The state that decides which priority is refused in an overload was one for all services of an entry. Late urgent requests of one service had the less urgent requests of every other service refused, at idle engines and with a retry time of up to 8 s; bands of services with different priorities were mixed. Each service now has its own state. The detector of services with one priority is unchanged.

tests/placing/test_shedding.py: one new test; its equivalent for the former interface fails without the change. tests/placing and tests/gateway passed; tests/replay/test_order.py and test_worst_load.py: 17 passed, as before.

--- a/tests/placing/test_shedding.py
+++ b/tests/placing/test_shedding.py
@@ -1,6 +1,13 @@
 """Tests of the order in which priorities are refused in an overload."""
 
-from wigeonspan.placing import priority_band
+import random
+
+from msgspec import structs
+
+from tests.placing.test_placer import fleet, prompt, route
+from wigeonspan.common import DomainName, ServiceName
+from wigeonspan.placing import Placer, priority_band
+from wigeonspan.placing._order import WorkOrder
 from wigeonspan.placing._shedding import MAX_ROOM_AFTER_S, LoadShedding
 
 URGENT, MIDDLE, LEAST = (priority_band({0, 1, 2}, p) for p in (0, 1, 2))
@@ -102,3 +109,21 @@
     shedding.record(LEAST, False, now + 600.0)
     assert not shedding.is_closed(LEAST)
     assert shedding.room_after_s(now + 600.0) == 0.0
+
+
+def test_overload_of_one_service_closes_no_priority_of_another():
+    """All services shared one state, so that the less urgent requests of a service with
+    idle engines were refused for the overload of another one."""
+    placer = Placer(DomainName("a"), random.Random(1))
+    plan = placer.plan(route(), prompt(), fleet(), 10.0, 0.0)
+    urgent, least = (structs.replace(plan, band=band) for band in (URGENT, LEAST))
+    decode = structs.replace(plan.decode, service=ServiceName("other"))
+    other = structs.replace(least, decode=decode)
+    order = WorkOrder()
+    for n in range(100):
+        order.record(route(), urgent, late=True, now=n * 0.05)
+        order.record(route(), least, late=False, now=n * 0.05)
+        order.record(route(), other, late=False, now=n * 0.05)
+    assert order.is_closed(least)
+    assert not order.is_closed(other)
+    assert order.room_after_s(other, 5.0) == 0.0
--- a/wigeonspan/placing/_order.py
+++ b/wigeonspan/placing/_order.py
@@ -4,6 +4,9 @@
 can still be on time goes first, and what cannot must not delay it.
 """
 
+from collections import defaultdict
+
+from wigeonspan.common import ServiceName
 from wigeonspan.fleetconfig import Route
 from wigeonspan.placing._messages import Plan
 from wigeonspan.placing._priority import ENGINE_RANKS, SOLE_BAND, PriorityBand
@@ -32,7 +35,9 @@
     def __init__(self) -> None:
         self._sizes = WorkSizes()
         self._standing_queue = StandingQueueDetector()
-        self._shedding = LoadShedding()
+        self._shedding: defaultdict[ServiceName, LoadShedding] = defaultdict(
+            LoadShedding
+        )
 
     def urgency(
         self, route: Route, spent_ms: float, band: PriorityBand = SOLE_BAND
@@ -52,24 +57,27 @@
         if plan.band.is_sole:
             self._standing_queue.record(late, now)
         else:
-            self._shedding.record(plan.band, late, now)
+            self._shedding_of(plan).record(plan.band, late, now)
 
-    def refuses_late(self, band: PriorityBand, now: float) -> bool:
-        """Return whether late requests are refused until a queue is gone."""
-        if band.is_sole:
+    def refuses_late(self, plan: Plan, now: float) -> bool:
+        """Return whether late requests like this one are refused for a queue."""
+        if plan.band.is_sole:
             return self._standing_queue.is_standing(now)
-        return self._shedding.refuses_late(band, now)
+        return self._shedding_of(plan).refuses_late(plan.band, now)
 
-    def room_after_s(self, now: float) -> float:
-        """Return the expected seconds until an overload has ended; 0 without one."""
-        return self._shedding.room_after_s(now)
+    def room_after_s(self, plan: Plan, now: float) -> float:
+        """Return the expected seconds until an overload of the service has ended.
 
-    def is_closed(self, band: PriorityBand) -> bool:
+        It is 0 without an overload.
+        """
+        return self._shedding_of(plan).room_after_s(now)
+
+    def is_closed(self, plan: Plan) -> bool:
         """Return whether all requests of a priority are refused for more urgent ones.
 
         See :class:`LoadShedding`.
         """
-        return self._shedding.is_closed(band)
+        return self._shedding_of(plan).is_closed(plan.band)
 
     def should_yield(self, route: Route, plan: Plan) -> bool:
         """Return whether a late prompt has to yield to those that can be on time.
@@ -80,6 +88,10 @@
         """
         return self._sizes.is_long(plan.work_ms) and not self._is_largest(route, plan)
 
+    def _shedding_of(self, plan: Plan) -> LoadShedding:
+        """Return the state of the service whose engines do the work."""
+        return self._shedding[plan.decode.service]
+
     def _is_largest(self, route: Route, plan: Plan) -> bool:
         return self._sizes.is_largest(route.name, plan.work_ms)
 
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -232,15 +232,15 @@
             late = is_expected_late(plan, remaining_ms)
             self._order.record(route, plan, late=late, now=now)
             prefill_ids = [t.target for t in prefill_engines]
-            overload_s = self._order.room_after_s(now)
+            overload_s = self._order.room_after_s(plan, now)
             # A request that failed at an engine was admitted before.
-            if self._order.is_closed(band) and not excluded:
+            if self._order.is_closed(plan) and not excluded:
                 reason = "more urgent requests are late"
                 return self._refusals.ranked(
                     Limit.PRIORITY, reason, plan, route, prefill_ids, now, overload_s
                 )
             is_spared = self.tenant_use.spares(tenant, band, now)
-            if late and self._order.refuses_late(band, now) and not is_spared:
+            if late and self._order.refuses_late(plan, now) and not is_spared:
                 reason = f"first event expected late, in {plan.first_ms:.0f} ms"
                 if band.is_sole:
                     return self._refusals.late(Limit.QUEUE, reason, plan, route)
