Explain a request without token counts as it is placed

The explanation took it for an empty prompt, while it is placed as one with a token for each byte of its body. Both now use one function.

tests/gateway/test_explain.py: one new test, which fails without the change. tests/gateway, tests/explain and tests/platform/test_gateway_requests.py passed.

--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -249,6 +249,20 @@
     assert (service.verdict.how, service.verdict.decode) == ("call", chosen.target)
 
 
+def test_request_without_token_counts_is_explained_by_its_body():
+    """A request whose tokens are not known was explained as an empty prompt, and is
+    placed as one with a token for each byte."""
+    context = make_context()
+    query = ExplainQuery("h", "/chat/x", body_bytes=20_000)
+    [service] = explainer(context).explain(query).services
+    context.placer.set_engines(100_000, 5.0)
+    targets = context.target_table.usable(MODELS)
+    prompt = Prompt((), 20_000, 1)
+    plan = context.placer.plan(CHAT, prompt, targets, 9.99, 100.0)
+    assert service.verdict.first_ms == plan.first_ms
+    assert service.verdict.prefill == plan.prefill.target
+
+
 def test_rank_follows_the_priority_of_the_tenant():
     """The explained rank left out the priorities, by which requests are placed."""
     tenants = (
--- a/wigeonspan/explain/_messages.py
+++ b/wigeonspan/explain/_messages.py
@@ -16,6 +16,8 @@
     ----------
     tenant : TenantName or None
         Tenant that would send it; None for a request without a key.
+    input_tokens, output_tokens : int
+        Sizes that the request states; both 0 when it states none.
     parts : tuple of PromptPart
         Parts of the prompt; the last one is specific to the request.
     waits_ms : int or None
--- a/wigeonspan/gateway/_explain.py
+++ b/wigeonspan/gateway/_explain.py
@@ -15,6 +15,7 @@
 from wigeonspan.gateway._active_request import UNCONFIRMED_RETRY_S
 from wigeonspan.gateway._context import GatewayContext
 from wigeonspan.gateway._failures import failure_error
+from wigeonspan.gateway._progress import unsized_prompt
 from wigeonspan.placing import Limit, Plan, Prompt, Refusal, priority_band
 from wigeonspan.tenants import effective_priority
 
@@ -179,9 +180,7 @@
         rest = sorted({t.target for t in listed} - {t.target for t in targets})
         spec = config.service(service)
         engine = None if spec is None else spec.engine
-        prompt = Prompt(
-            query.parts, query.input_tokens, query.output_tokens, query.body_bytes
-        )
+        prompt = _prompt(query)
         quarantined = self._check_quarantine(prompt, now)
         if engine is None or route.kind is not CallKind.STREAM:
             target = placer.choose_call(targets, now)
@@ -236,6 +235,15 @@
         )
 
 
+def _prompt(query: ExplainQuery) -> Prompt:
+    """Return the prompt as which a request is placed."""
+    if not (query.parts or query.input_tokens or query.output_tokens):
+        return unsized_prompt(query.body_bytes)
+    return Prompt(
+        query.parts, query.input_tokens, query.output_tokens, query.body_bytes
+    )
+
+
 def _refused(
     kind: ErrorKind, reason: str, retry_after_s: float | None = None
 ) -> _Refused:
--- a/wigeonspan/gateway/_progress.py
+++ b/wigeonspan/gateway/_progress.py
@@ -16,6 +16,14 @@
 handle or a failure, must follow its head."""
 
 
+def unsized_prompt(body_bytes: int) -> Prompt:
+    """Return the prompt of a request that does not state its number of tokens.
+
+    A token has at least one byte, so this is an upper bound.
+    """
+    return Prompt((), body_bytes, 1)
+
+
 class GenerationProgress:
     """What was done for one generation, over all engines that it is sent to.
 
@@ -52,7 +60,7 @@
     def __init__(self, active_request: ActiveRequest) -> None:
         request = active_request.request
         self.active_request = active_request
-        self.prompt = request.prompt or Prompt((), len(request.body), 1)
+        self.prompt = request.prompt or unsized_prompt(len(request.body))
         self.shared_parts = tuple(part.part for part in self.prompt.shared_parts)
         self.engines = CandidateEngines(active_request, self.prompt)
         self.position = StreamPosition()
