Explain a stopping entry's requests by the same forecast as it serves them

The explanation compared the whole time-out of the request instead and told that everything was refused; and it told 'placed' for a request that the forecast refuses.

tests/gateway/test_explain.py: one new test of four cases, which fail without the change. tests/gateway, tests/explain and tests/platform/test_explain.py passed.

--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -334,6 +334,35 @@
     assert explainer(context).explain(QUERIES[0]).refusal.limit == "draining"
 
 
+@pytest.mark.parametrize("query", [QUERIES[0], QUERIES[2]])
+@pytest.mark.parametrize("end_at", [100.3, 108.0])
+def test_entry_that_stops_without_a_ready_peer_explains_by_forecast(query, end_at):
+    """Such an entry still accepts what will probably be complete in time, and was
+    explained as refusing everything."""
+    context = make_context()
+    context.stop.set_ready_peer(False)
+    context.stop.begin(99.0, end_at)
+    record_durations(context)
+    before = state_of(context)
+    explanation = explainer(context).explain(query)
+    assert explanation.refusal is None
+    [service] = explanation.services
+    limit = "" if end_at == 108.0 else "draining"
+    assert service.verdict.limit == limit
+    assert state_of(context) == before
+
+
+def record_durations(context):
+    """Record streams and calls of half a second."""
+    for service, tokens in ((MODELS, 40), (APP, 0)):
+        for _ in range(40):
+            timer = context.durations.begin(service, tokens, 90.0)
+            timer.planned_s = 0.1
+            if tokens:
+                timer.record_event(90.1)
+            context.durations.end(timer, 90.5, completed=True)
+
+
 def test_quarantined_part_is_told_and_not_recorded():
     """Guards against a question that uses up the trial of a part."""
     context = make_context()
--- a/wigeonspan/gateway/_explain.py
+++ b/wigeonspan/gateway/_explain.py
@@ -133,10 +133,22 @@
         return min(waits_s, route.timeout_s) - self._margin_s
 
     def _check_stop(self, waits_s: float, now: float) -> None:
+        """Refuse what the head of a request decides; see ``Server.check_head``."""
+        if self._context.stop.may_forecast(now):
+            return
+        verdict = self._stop_verdict(waits_s, waits_s, now)
+        if verdict is not None:
+            raise _Refused(verdict)
+
+    def _stop_verdict(
+        self, waits_s: float, expected_s: float, now: float
+    ) -> Verdict | None:
+        """Return the refusal of a request that may outlast a stopping entry, if any."""
         try:
-            self._context.stop.check(waits_s, waits_s, now)
+            self._context.stop.check(waits_s, expected_s, now)
         except WigeonspanError as error:
-            raise _Refused(_error_verdict(error)) from error
+            return _error_verdict(error)
+        return None
 
     def _explain_services(
         self,
@@ -184,15 +196,21 @@
         quarantined = self._check_quarantine(prompt, now)
         if engine is None or route.kind is not CallKind.STREAM:
             target = placer.choose_call(targets, now)
-            verdict = quarantined or (
-                Verdict("placed", how="call", decode=target.target)
-                if target is not None
-                else _error_verdict(
-                    failure_error(
-                        "no target is available",
-                        ran=False,
-                        deadline_passed=False,
-                        pause_s=placer.return_after_s(targets, now),
+            expected_s = context.durations.call_s(service, now)
+            stopping = self._stop_verdict(waits_s, expected_s, now)
+            verdict = (
+                quarantined
+                or stopping
+                or (
+                    Verdict("placed", how="call", decode=target.target)
+                    if target is not None
+                    else _error_verdict(
+                        failure_error(
+                            "no target is available",
+                            ran=False,
+                            deadline_passed=False,
+                            pause_s=placer.return_after_s(targets, now),
+                        )
                     )
                 )
             )
@@ -218,7 +236,13 @@
             band,
             now,
         )
-        verdict = quarantined or _verdict(outcome, rank)
+        stopping = None
+        if isinstance(outcome, Plan):
+            expected_s = context.durations.stream_s(
+                service, outcome.first_ms / 1000.0, prompt.output_tokens, now
+            )
+            stopping = self._stop_verdict(waits_s, expected_s, now)
+        verdict = quarantined or stopping or _verdict(outcome, rank)
         return ServiceExplanation(service, share, verdict, figures, rest)
 
     def _check_quarantine(self, prompt: Prompt, now: float) -> Verdict | None:
