Take a response to HEAD as complete with its head

The pool waited for the body that the head announces until the time of the caller was over. The caller got 504, the request was repeated at another target, and both targets counted as silent: three HEAD requests of one caller had both targets of a service suspended at all entries (seven suspensions published, trial on loopback).

The exchange now ends with the head, and its connection is not used again, as the parser waits for the body. The length that a target announces is not passed on, since the response has no body to take it from.

--- a/tests/platform/test_odd_requests.py
+++ b/tests/platform/test_odd_requests.py
@@ -1,20 +1,29 @@
 """Requests of callers with header fields out of range."""
 
+import asyncio
+
 import pytest
 from adapter import PlatformProtocol
 
 from tests.platform.gateway_harness import (
+    IDEMPOTENT,
+    NET,
+    NON_IDEMPOTENT,
     STREAM,
+    answers,
+    count_requests,
     model_engines,
+    plain_engines,
     prefills,
     route,
     serve,
+    start_gateway,
     status,
     streams,
 )
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.placing import PromptPart, Work, WorkKind
-from wigeonspan.sharing import WorkBegun
+from wigeonspan.sharing import TargetSuspended, WorkBegun
 from wigeonspan.sharing._messages import Packet
 from wigeonspan.sharing._wire import encode_packet
 
@@ -120,3 +129,30 @@
     results = serve(route(STREAM), engines, usage=usage, times=2)
     assert [status(answer) for answer in results] == [400, 400]
     assert not any(engine.seen for engine in engines)
+
+
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT])
+def test_head_requests_are_answered_and_suspend_no_target(kind):
+    """The body of the answer was waited for, so that a few such requests had every
+    sound target suspended at all entries."""
+    engines = plain_engines([answers(200)], [answers(200)])
+
+    async def run():
+        context, servers = start_gateway(route(kind), engines)
+        published, results = [], []
+        context.link.publish = published.append
+        for number in range(4):
+            reader, writer = await asyncio.open_connection(f"{NET}.1.1", 18081)
+            head = f"HEAD /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
+            writer.write(f"{head}Deadline-Ms: 1000\r\n\r\n".encode())
+            results.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.close()
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return results, [e for e in published if isinstance(e, TargetSuspended)]
+
+    results, suspended = asyncio.run(run())
+    assert [status(answer) for answer in results] == [200] * 4
+    assert suspended == []
+    assert count_requests(engines) == 4
--- a/tests/pool/test_pool.py
+++ b/tests/pool/test_pool.py
@@ -331,3 +331,22 @@
     results, server = run_script([[step, step], [step]], times=2)
     assert results == [(200, b"ok")] * 2
     assert server.connections == 1
+
+
+@pytest.mark.parametrize(
+    "fields", ["Content-Length: 2", "Transfer-Encoding: chunked", "X: y"]
+)
+def test_response_to_head_ends_with_its_head(fields):
+    """The body that such a head announces was waited for until the time was over."""
+
+    async def run():
+        head = f"HTTP/1.1 200 OK\r\n{fields}\r\n\r\n".encode()
+        async with Server([head], [COMPLETE]) as server:
+            pool = ConnectionPool(SystemClock())
+            request = encode_request("HEAD", "/x", [("Host", "h")])
+            received, body = await pool.fetch(server.address, request, 2.0)
+            later, later_body = await exchange(pool, server.address)
+            pool.close()
+        return received.status, body, later.status, later_body
+
+    assert asyncio.run(run()) == (200, b"", 200, b"ok")
--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -42,6 +42,7 @@
 _VERSIONS = frozenset({"1.0", "1.1"})
 # The parser takes responses of RTSP and ICY for those of HTTP.
 _PROTOCOL = b"HTTP/"
+_HEAD_METHOD = b"HEAD "
 # str.isdigit accepts characters that float refuses, such as superscripts.
 _SECONDS = re.compile(r"[0-9]{1,9}")
 
@@ -68,6 +69,7 @@
         self._usable = False
         self._ends_at_eof = False
         self._skip_response = False
+        self._has_body = True
         self._status = 0
         self._headers: HeaderList = []
         self._in_body = False
@@ -120,6 +122,7 @@
         if request_id:
             self._sent_ids.add(hash(request_id))
         self._counts = _ReceivedCounts()
+        self._has_body = not request.startswith(_HEAD_METHOD)
         self._exchange = Exchange(
             self, accepts, keeps_connection, self._clock.now(), self._buffers
         )
@@ -225,7 +228,14 @@
         self.idle_limit_s = _keep_alive_s(head)
         if not self._parser.should_keep_alive() or not exchange.keeps_connection(head):
             self._usable = False
-        exchange.receive_head(head, self_delimited=not self._ends_at_eof)
+        if self._has_body:
+            exchange.receive_head(head, self_delimited=not self._ends_at_eof)
+            return
+        exchange.receive_head(head, self_delimited=True)
+        # The parser waits for the body that the head announces, so it reads no further
+        # response.
+        self._usable = False
+        self._finish()
 
     def on_body(self, data: bytes) -> None:
         """Pass a body chunk to the exchange, or count it when it is skipped."""
--- a/wigeonspan/serving/_response.py
+++ b/wigeonspan/serving/_response.py
@@ -110,7 +110,9 @@
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Send a complete response."""
-        headers = [*headers, ("Content-Length", str(len(body)))]
+        if body or self._has_body:
+            # The length of a body that a target has not sent is not known.
+            headers = [*headers, ("Content-Length", str(len(body)))]
         if not self._has_body:
             body = b""
         stream = self._stream
