--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -249,6 +249,20 @@
     assert (service.verdict.how, service.verdict.decode) == ("call", chosen.target)
 
 
+def test_request_without_token_counts_is_explained_by_its_body():
+    """A request whose tokens are not known was explained as an empty prompt, and is
+    placed as one with a token for each byte."""
+    context = make_context()
+    query = ExplainQuery("h", "/chat/x", body_bytes=20_000)
+    [service] = explainer(context).explain(query).services
+    context.placer.set_engines(100_000, 5.0)
+    targets = context.target_table.usable(MODELS)
+    prompt = Prompt((), 20_000, 1)
+    plan = context.placer.plan(CHAT, prompt, targets, 9.99, 100.0)
+    assert service.verdict.first_ms == plan.first_ms
+    assert service.verdict.prefill == plan.prefill.target
+
+
 def test_rank_follows_the_priority_of_the_tenant():
     """The explained rank left out the priorities, by which requests are placed."""
     tenants = (
@@ -320,6 +334,35 @@
     assert explainer(context).explain(QUERIES[0]).refusal.limit == "draining"
 
 
+@pytest.mark.parametrize("query", [QUERIES[0], QUERIES[2]])
+@pytest.mark.parametrize("end_at", [100.3, 108.0])
+def test_entry_that_stops_without_a_ready_peer_explains_by_forecast(query, end_at):
+    """Such an entry still accepts what will probably be complete in time, and was
+    explained as refusing everything."""
+    context = make_context()
+    context.stop.set_ready_peer(False)
+    context.stop.begin(99.0, end_at)
+    record_durations(context)
+    before = state_of(context)
+    explanation = explainer(context).explain(query)
+    assert explanation.refusal is None
+    [service] = explanation.services
+    limit = "" if end_at == 108.0 else "draining"
+    assert service.verdict.limit == limit
+    assert state_of(context) == before
+
+
+def record_durations(context):
+    """Record streams and calls of half a second."""
+    for service, tokens in ((MODELS, 40), (APP, 0)):
+        for _ in range(40):
+            timer = context.durations.begin(service, tokens, 90.0)
+            timer.planned_s = 0.1
+            if tokens:
+                timer.record_event(90.1)
+            context.durations.end(timer, 90.5, completed=True)
+
+
 def test_quarantined_part_is_told_and_not_recorded():
     """Guards against a question that uses up the trial of a part."""
     context = make_context()
--- a/tests/placing/test_shedding.py
+++ b/tests/placing/test_shedding.py
@@ -1,6 +1,13 @@
 """Tests of the order in which priorities are refused in an overload."""
 
-from wigeonspan.placing import priority_band
+import random
+
+from msgspec import structs
+
+from tests.placing.test_placer import fleet, prompt, route
+from wigeonspan.common import DomainName, ServiceName
+from wigeonspan.placing import Placer, priority_band
+from wigeonspan.placing._order import WorkOrder
 from wigeonspan.placing._shedding import MAX_ROOM_AFTER_S, LoadShedding
 
 URGENT, MIDDLE, LEAST = (priority_band({0, 1, 2}, p) for p in (0, 1, 2))
@@ -72,3 +79,51 @@
     now = play(shedding, {URGENT: True, LEAST: False}, now, 3.0)
     assert early < shedding.room_after_s(now) <= MAX_ROOM_AFTER_S
     assert shedding.room_after_s(now + 100.0) == MAX_ROOM_AFTER_S
+
+
+def test_priority_without_requests_keeps_no_other_closed():
+    """After a burst of an urgent kind that then paused, all less urgent requests were
+    refused at idle engines, however long the pause was."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: True, MIDDLE: False, LEAST: False}, 0.0, 5.0)
+    assert shedding.is_closed(MIDDLE)
+    play(shedding, {MIDDLE: False, LEAST: False}, now, 10.0)
+    assert not any(shedding.is_closed(band) for band in (MIDDLE, LEAST))
+
+
+def test_priorities_that_do_not_exist_any_more_are_forgotten():
+    """Each change of the configuration would leave bands of the one before."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: True, MIDDLE: False, LEAST: False}, 0.0, 5.0)
+    one, two = (priority_band({0, 1}, p) for p in (0, 1))
+    play(shedding, {one: False, two: False}, now, 40.0)
+    assert set(shedding.bands) == {one, two}
+
+
+def test_first_request_after_a_long_pause_finds_all_priorities_open():
+    """One priority was opened by each request, so that the first ones after a quiet
+    night were refused for an overload of the evening."""
+    shedding = LoadShedding()
+    now = play(shedding, {URGENT: True, MIDDLE: False, LEAST: False}, 0.0, 5.0)
+    assert shedding.is_closed(MIDDLE) and shedding.is_closed(LEAST)
+    shedding.record(LEAST, False, now + 600.0)
+    assert not shedding.is_closed(LEAST)
+    assert shedding.room_after_s(now + 600.0) == 0.0
+
+
+def test_overload_of_one_service_closes_no_priority_of_another():
+    """All services shared one state, so that the less urgent requests of a service with
+    idle engines were refused for the overload of another one."""
+    placer = Placer(DomainName("a"), random.Random(1))
+    plan = placer.plan(route(), prompt(), fleet(), 10.0, 0.0)
+    urgent, least = (structs.replace(plan, band=band) for band in (URGENT, LEAST))
+    decode = structs.replace(plan.decode, service=ServiceName("other"))
+    other = structs.replace(least, decode=decode)
+    order = WorkOrder()
+    for n in range(100):
+        order.record(route(), urgent, late=True, now=n * 0.05)
+        order.record(route(), least, late=False, now=n * 0.05)
+        order.record(route(), other, late=False, now=n * 0.05)
+    assert order.is_closed(least)
+    assert not order.is_closed(other)
+    assert order.room_after_s(other, 5.0) == 0.0
--- a/tests/platform/test_odd_requests.py
+++ b/tests/platform/test_odd_requests.py
@@ -1,20 +1,30 @@
 """Requests of callers with header fields out of range."""
 
+import asyncio
+
 import pytest
 from adapter import PlatformProtocol
 
 from tests.platform.gateway_harness import (
+    IDEMPOTENT,
+    NET,
+    NON_IDEMPOTENT,
     STREAM,
+    answers,
+    count_requests,
+    hangs,
     model_engines,
+    plain_engines,
     prefills,
     route,
     serve,
+    start_gateway,
     status,
     streams,
 )
 from wigeonspan.common import ErrorKind, WigeonspanError
 from wigeonspan.placing import PromptPart, Work, WorkKind
-from wigeonspan.sharing import WorkBegun
+from wigeonspan.sharing import TargetSuspended, WorkBegun
 from wigeonspan.sharing._messages import Packet
 from wigeonspan.sharing._wire import encode_packet
 
@@ -120,3 +130,46 @@
     results = serve(route(STREAM), engines, usage=usage, times=2)
     assert [status(answer) for answer in results] == [400, 400]
     assert not any(engine.seen for engine in engines)
+
+
+def call_targets(kind, engines, method, *, deadline_ms):
+    """Send four requests; return the heads of their answers and the suspensions."""
+
+    async def run():
+        context, servers = start_gateway(route(kind), engines)
+        published, results = [], []
+        context.link.publish = published.append
+        for number in range(4):
+            reader, writer = await asyncio.open_connection(f"{NET}.1.1", 18081)
+            head = f"{method} /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
+            writer.write(f"{head}Deadline-Ms: {deadline_ms}\r\n\r\n".encode())
+            results.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.close()
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return results, [e for e in published if isinstance(e, TargetSuspended)]
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT])
+def test_head_requests_are_answered_and_suspend_no_target(kind):
+    """The body of the answer was waited for, so that a few such requests had every
+    sound target suspended at all entries."""
+    engines = plain_engines([answers(200)], [answers(200)])
+    results, suspended = call_targets(kind, engines, "HEAD", deadline_ms=1000)
+    assert [status(answer) for answer in results] == [200] * 4
+    assert suspended == []
+    assert count_requests(engines) == 4
+
+
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT])
+def test_callers_that_wait_briefly_suspend_no_target(kind):
+    """Targets that answer within the objective counted as silent when a caller waited
+    for less, and were suspended at all entries."""
+    engines = plain_engines([hangs], [hangs])
+    results, suspended = call_targets(kind, engines, "GET", deadline_ms=60)
+    # On a busy machine the time may be over before the request is sent.
+    assert all(status(answer) in (503, 504) for answer in results)
+    assert suspended == []
--- a/wigeonspan/gateway/_explain.py
+++ b/wigeonspan/gateway/_explain.py
@@ -15,6 +15,7 @@
 from wigeonspan.gateway._active_request import UNCONFIRMED_RETRY_S
 from wigeonspan.gateway._context import GatewayContext
 from wigeonspan.gateway._failures import failure_error
+from wigeonspan.gateway._progress import unsized_prompt
 from wigeonspan.placing import Limit, Plan, Prompt, Refusal, priority_band
 from wigeonspan.tenants import effective_priority
 
@@ -132,10 +133,22 @@
         return min(waits_s, route.timeout_s) - self._margin_s
 
     def _check_stop(self, waits_s: float, now: float) -> None:
+        """Refuse what the head of a request decides; see ``Server.check_head``."""
+        if self._context.stop.may_forecast(now):
+            return
+        verdict = self._stop_verdict(waits_s, waits_s, now)
+        if verdict is not None:
+            raise _Refused(verdict)
+
+    def _stop_verdict(
+        self, waits_s: float, expected_s: float, now: float
+    ) -> Verdict | None:
+        """Return the refusal of a request that may outlast a stopping entry, if any."""
         try:
-            self._context.stop.check(waits_s, waits_s, now)
+            self._context.stop.check(waits_s, expected_s, now)
         except WigeonspanError as error:
-            raise _Refused(_error_verdict(error)) from error
+            return _error_verdict(error)
+        return None
 
     def _explain_services(
         self,
@@ -179,21 +192,25 @@
         rest = sorted({t.target for t in listed} - {t.target for t in targets})
         spec = config.service(service)
         engine = None if spec is None else spec.engine
-        prompt = Prompt(
-            query.parts, query.input_tokens, query.output_tokens, query.body_bytes
-        )
+        prompt = _prompt(query)
         quarantined = self._check_quarantine(prompt, now)
         if engine is None or route.kind is not CallKind.STREAM:
             target = placer.choose_call(targets, now)
-            verdict = quarantined or (
-                Verdict("placed", how="call", decode=target.target)
-                if target is not None
-                else _error_verdict(
-                    failure_error(
-                        "no target is available",
-                        ran=False,
-                        deadline_passed=False,
-                        pause_s=placer.return_after_s(targets, now),
+            expected_s = context.durations.call_s(service, now)
+            stopping = self._stop_verdict(waits_s, expected_s, now)
+            verdict = (
+                quarantined
+                or stopping
+                or (
+                    Verdict("placed", how="call", decode=target.target)
+                    if target is not None
+                    else _error_verdict(
+                        failure_error(
+                            "no target is available",
+                            ran=False,
+                            deadline_passed=False,
+                            pause_s=placer.return_after_s(targets, now),
+                        )
                     )
                 )
             )
@@ -219,7 +236,13 @@
             band,
             now,
         )
-        verdict = quarantined or _verdict(outcome, rank)
+        stopping = None
+        if isinstance(outcome, Plan):
+            expected_s = context.durations.stream_s(
+                service, outcome.first_ms / 1000.0, prompt.output_tokens, now
+            )
+            stopping = self._stop_verdict(waits_s, expected_s, now)
+        verdict = quarantined or stopping or _verdict(outcome, rank)
         return ServiceExplanation(service, share, verdict, figures, rest)
 
     def _check_quarantine(self, prompt: Prompt, now: float) -> Verdict | None:
@@ -236,6 +259,15 @@
         )
 
 
+def _prompt(query: ExplainQuery) -> Prompt:
+    """Return the prompt as which a request is placed."""
+    if not (query.parts or query.input_tokens or query.output_tokens):
+        return unsized_prompt(query.body_bytes)
+    return Prompt(
+        query.parts, query.input_tokens, query.output_tokens, query.body_bytes
+    )
+
+
 def _refused(
     kind: ErrorKind, reason: str, retry_after_s: float | None = None
 ) -> _Refused:
