Blame engines that refused a sound prompt at the first event of the next run

They were suspended only when the whole stream had ended, seconds later, and got further prompts meanwhile. The first event of another engine's run shows already that the prompt was sound.

--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -95,6 +95,7 @@
                 self._progress.check_quarantine()
                 self._spend_retry_after_first_stream()
                 run = self._begin_run(plan, engine)
+                run.refused_before = refusing
                 try:
                     if await self._stream(caller, run, handle):
                         return True
@@ -112,7 +113,8 @@
                 finally:
                     self._progress.runs.remove(run)
                     prompt_taken |= run.ran
-                    self._attribute_refusals(run, handle, refusing)
+                    if run.refused and handle is not None:
+                        self._record_refusal(run, handle, refusing)
                 if run.successor is None and _may_send_prompt_on(run, handle, refusing):
                     self._progress.check_may_continue()
                     engine = self._next_engine(handle)
@@ -127,34 +129,21 @@
         """Return another engine for a prompt whose engine took no connection."""
         return None if handle is None else self._progress.engines.choose(handle.source)
 
-    def _attribute_refusals(
-        self, run: OpenRun, handle: PromptHandle | None, refusing: list[OpenRun]
+    def _record_refusal(
+        self, run: OpenRun, handle: PromptHandle, refusing: list[OpenRun]
     ) -> None:
-        """Record whose failure it is that engines have refused a prefilled prompt.
+        """Record that an engine has refused a prefilled prompt.
 
         An engine refuses it when it cannot run it, and also when the prompt is gone at
-        the engine that prefilled it. Once another engine has sent an event of the
-        response, those that refused the prompt are to blame; when several refuse it,
-        its source is. A refusal with a reason of its own, such as a limit, counts
-        against nobody.
+        the engine that prefilled it. When several refuse it, its source is to blame;
+        when another one takes it, those that refused it are. A refusal with a
+        reason of its own, such as a limit, counts against nobody.
         """
-        if handle is None:
-            return
-        if run.refused:
-            refusing.append(run)
-            suspects = [other for other in refusing if other.is_suspect]
-            if len(suspects) == MAX_PROMPT_REFUSALS:
-                source = handle.source.target
-                self._progress.context.placer.health.record_error(source)
-        elif run.first_event_at is not None:
-            for other in refusing:
-                if other.is_suspect:
-                    self._progress.context.record_failure(
-                        other.engine.target,
-                        unreachable=True,
-                        reason="refused a sound prompt",
-                    )
-            refusing.clear()
+        refusing.append(run)
+        suspects = [other for other in refusing if other.is_suspect]
+        if len(suspects) == MAX_PROMPT_REFUSALS:
+            source = handle.source.target
+            self._progress.context.placer.health.record_error(source)
 
     async def _end_with_successor(self, run: OpenRun) -> bool:
         """Wait for the successor of a run that has ended; return whether it had one.
--- a/wigeonspan/gateway/_relay.py
+++ b/wigeonspan/gateway/_relay.py
@@ -93,6 +93,17 @@
             context.add_demand(request.service, request.priority, stream_s=stream_s)
         return True
 
+    def _blame_refusing_engines(self, run: OpenRun) -> None:
+        """Record a failure of the engines that refused a prompt which is sound."""
+        for refused in run.refused_before:
+            if refused.is_suspect:
+                self._progress.context.record_failure(
+                    refused.engine.target,
+                    unreachable=True,
+                    reason="refused a sound prompt",
+                )
+        run.refused_before.clear()
+
     def _is_first_answer(self, caller: ResponseWriter, run: OpenRun) -> bool:
         """Return whether a run's answer need not continue that of another run."""
         return not caller.head_sent and self._progress.runs.oldest is run
@@ -290,6 +301,7 @@
             return
         took_s = now - run.started_at
         run.first_event_at = now
+        self._blame_refusing_engines(run)
         context.record_written(self._progress.shared_parts)
         context.metrics.observe(
             "first_event_seconds", now - self._progress.active_request.arrived_at
--- a/wigeonspan/gateway/_runs.py
+++ b/wigeonspan/gateway/_runs.py
@@ -62,6 +62,8 @@
         # Whether it has refused without a reason of its own, so that the prompt may be
         # gone or the engine at fault.
         self.is_suspect = False
+        # Runs whose engines have refused the same prefilled prompt.
+        self.refused_before: list[OpenRun] = []
         # Search for a successor and its run; None before the engine is silent and
         # after a search without success.
         self.successor: asyncio.Task[None] | None = None
