Read the processor and the link of an entry from the settings

Weights of entries need their capacities, of which only memory and descriptors were read.

limits.cpu_share times limits.cores becomes GatewaySettings.cores, and limits.bandwidth_mbps becomes link_mbps. Both are None when the fields are absent or empty; zero and malformed values name their field.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -58,6 +58,31 @@
     assert coordinator_settings(read).first_start is True
 
 
+@pytest.mark.parametrize(
+    "lines, cores, link_mbps",
+    [
+        ("limits.cpu_share=0.129\nlimits.cores=4", 0.516, None),
+        ("limits.bandwidth_mbps=3.75", None, 3.75),
+        ("limits.cpu_share=0.5\nlimits.bandwidth_mbps=", None, None),
+        ("", None, None),
+    ],
+)
+def test_capacity_of_an_entry_is_read(tmp_path, lines, cores, link_mbps):
+    """An entry whose share of a processor is not known must not count as one with a
+    whole processor, and settings without these fields must be read as before."""
+    settings = gateway_settings(read_settings(tmp_path, f"{NODE_FILE}{lines}\n"))
+    assert settings.cores == (None if cores is None else pytest.approx(cores))
+    assert settings.link_mbps == link_mbps
+
+
+@pytest.mark.parametrize("value", ["0", "-1", "fast", "1e12", "nan"])
+@pytest.mark.parametrize("name", ["cpu_share", "cores", "bandwidth_mbps"])
+def test_wrong_capacity_of_an_entry_names_its_field(tmp_path, name, value):
+    """A capacity of nothing would divide by zero when weights are computed."""
+    with pytest.raises(NodeFileError, match=f"limits.{name}"):
+        read_settings(tmp_path, f"{NODE_FILE}limits.{name}={value}\n")
+
+
 @pytest.mark.parametrize(
     ("old", "new", "fault"),
     [
--- a/wigeonspan/gateway/_settings.py
+++ b/wigeonspan/gateway/_settings.py
@@ -35,6 +35,9 @@
         Memory of the process in MB, which bounds what callers may hold.
     max_fds : int
         Descriptors that the process may have open.
+    cores, link_mbps : float or None
+        Processor of the process in cores and bandwidth of its link in Mbit/s; None when
+        not known. An entry that knows neither reports no capacity.
     directory : str
         Address for callers that ask which entries to connect to; empty when this host
         does not answer them.
@@ -59,5 +62,7 @@
     usage_due_s: float = 10.0
     memory_mb: float = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
+    cores: float | None = None
+    link_mbps: float | None = None
     directory: str = ""
     bind: str = ""
