Measure what an entry uses and report it in heartbeats

Control hosts know neither how large entries are nor how much of each is left.

Entries whose settings name a processor or a link report capacity and use in Beat.load: processor time, bytes of callers, targets and datagrams in the direction that carries more, memory beyond that of an idle process, and descriptors, averaged over 2 s. The field is left out otherwise, so that these heartbeats do not change. The gauge entry_use shows the use.

--- a/wigeonspan/common/__init__.py
+++ b/wigeonspan/common/__init__.py
@@ -44,6 +44,7 @@
     keep_running,
     start_unless_stopped,
 )
+from wigeonspan.common._traffic import TrafficCounter
 from wigeonspan.common._watch import watch_settings
 
 if TYPE_CHECKING:
@@ -110,6 +111,7 @@
     "SystemClock",
     "TenantName",
     "Term",
+    "TrafficCounter",
     "Version",
     "WigeonspanError",
     "bind_address",
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -6,6 +6,9 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
+from msgspec import UNSET
+from msgspec.structs import asdict
+
 from wigeonspan.common import (
     Clock,
     DomainName,
@@ -30,6 +33,7 @@
 from wigeonspan.gateway._messages import TargetProtocol
 from wigeonspan.gateway._serve import RESPONSE_MARGIN_S, Server
 from wigeonspan.gateway._settings import GatewaySettings
+from wigeonspan.gateway._use import make_use_meter
 from wigeonspan.placing import Placer, RetryBudget
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import (
@@ -191,6 +195,9 @@
             rng,
             lambda: read_listing(pool, event_log),
         )
+        self._use_meter = make_use_meter(
+            settings, [self._guard.traffic, pool.traffic, context.link.traffic], clock
+        )
         self._directory_server: RequestServer | None = None
         self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
@@ -394,6 +401,7 @@
             usage=None if context.meter is None else context.meter.share(),
             urgent_read_ms=context.urgent_read_ms,
             urgent_stream_s=context.urgent_stream_s,
+            load=UNSET if self._use_meter is None else self._use_meter.load(),
         )
 
     def _update_entries(self, entries: list[EntryInfo]) -> None:
@@ -505,6 +513,10 @@
         context.metrics.gauge("suspected_parts", quarantine.suspects)
         context.metrics.gauge("open_requests", self._front_server.open_requests)
         show_limits(self._guard, context.metrics.gauge)
+        if self._use_meter is not None:
+            used = asdict(self._use_meter.load().used)
+            for name, amount in used.items():
+                context.metrics.gauge("entry_use", amount, resource=name)
         context.metrics.gauge("connections_opened", context.pool.opened_connections)
         context.metrics.gauge("log_lines_left_out", context.event_log.omitted_lines)
         return context.metrics.text()
--- a/wigeonspan/pool/_connection.py
+++ b/wigeonspan/pool/_connection.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from wigeonspan.common import Clock
+from wigeonspan.common import Clock, TrafficCounter
 from wigeonspan.pool._bounds import (
     MAX_FIELDS,
     MAX_HEAD_BYTES,
@@ -55,10 +55,15 @@
         Source of time.
     buffers : BufferBudget
         Limit on the bytes that all connections buffer together.
+    traffic : TrafficCounter
+        Counts the bytes of all connections.
     """
 
-    def __init__(self, clock: Clock, buffers: BufferBudget) -> None:
+    def __init__(
+        self, clock: Clock, buffers: BufferBudget, traffic: TrafficCounter
+    ) -> None:
         self._clock = clock
+        self._traffic = traffic
         self._buffers = buffers
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -123,6 +128,7 @@
         self._exchange = Exchange(
             self, accepts, keeps_connection, self._clock.now(), self._buffers
         )
+        self._traffic.sent += len(request)
         self._transport.write(request)
         return self._exchange
 
@@ -143,6 +149,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection when no request is running."""
+        self._traffic.received += len(data)
         if self._exchange is None:
             self.close()
             return
--- a/wigeonspan/pool/_pool.py
+++ b/wigeonspan/pool/_pool.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from wigeonspan.common import Clock, split_address
+from wigeonspan.common import Clock, TrafficCounter, split_address
 from wigeonspan.pool._bounds import MAX_BODY_BYTES, BufferBudget
 from wigeonspan.pool._connection import Connection
 from wigeonspan.pool._exchange import Exchange, ExchangeError, FailureKind
@@ -30,11 +30,17 @@
     ----------
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    traffic : TrafficCounter
+        Bytes that the connections have carried.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._buffers = BufferBudget()
+        self.traffic = TrafficCounter()
         self._idle: dict[str, deque[Connection]] = {}
         self._opened = 0
 
@@ -209,7 +215,9 @@
             host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._clock, self._buffers), host, port
+                    lambda: Connection(self._clock, self._buffers, self.traffic),
+                    host,
+                    port,
                 )
         except TimeoutError as error:
             raise ExchangeError(FailureKind.TIMEOUT, sent=False) from error
--- a/wigeonspan/presence/__init__.py
+++ b/wigeonspan/presence/__init__.py
@@ -8,7 +8,9 @@
     Beat,
     BeatReply,
     EntryInfo,
+    EntryLoad,
     EntryState,
+    Resources,
 )
 from wigeonspan.presence._packing import InvalidValue, pack, pack_once, unpack
 
@@ -22,7 +24,9 @@
     "BeatReply",
     "EntryHeartbeats",
     "EntryInfo",
+    "EntryLoad",
     "EntryState",
+    "Resources",
     "caller_addresses",
     "pack",
     "pack_once",
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Annotated
 
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 from wigeonspan.common import DomainName, HostId, ServiceName
 from wigeonspan.quarantine import PartQuarantined
@@ -21,6 +21,10 @@
 _Total = Annotated[float, Meta(ge=0.0, le=1e15)]
 
 
+# Capacity or use of a resource; finite, so that sums and ratios are.
+_Amount = Annotated[float, Meta(ge=0.0, le=1e9)]
+
+
 class EntryState(Enum):
     """State of an entry; only ready ones are listed for callers."""
 
@@ -47,6 +51,34 @@
     state: EntryState
 
 
+class Resources(Struct, frozen=True):
+    """Capacity of an entry, or its use of it; None where it is not known.
+
+    Parameters
+    ----------
+    cores : float or None
+        Processor in cores.
+    memory_mb : float or None
+        Memory in MB beyond that of a process without callers.
+    link_mbps : float or None
+        Bandwidth of the link in Mbit/s, in the direction that carries more.
+    descriptors : float or None
+        Number of open descriptors.
+    """
+
+    cores: _Amount | None = None
+    memory_mb: _Amount | None = None
+    link_mbps: _Amount | None = None
+    descriptors: _Amount | None = None
+
+
+class EntryLoad(Struct, frozen=True):
+    """Capacity of an entry and its use in the last seconds."""
+
+    capacity: Resources
+    used: Resources
+
+
 class Beat(Struct, frozen=True):
     """Heartbeat of an entry.
 
@@ -75,6 +107,9 @@
     urgent_read_ms, urgent_stream_s : dict
         Like ``read_ms`` and ``stream_s`` for the most urgent requests of services whose
         replicas may be ordered.
+    load : EntryLoad
+        Capacity and use; left out by entries whose settings name no capacity and by
+        older builds.
     """
 
     entry: EntryInfo
@@ -89,6 +124,7 @@
     usage: UsageShare | None = None
     urgent_read_ms: dict[ServiceName, _Total] = {}
     urgent_stream_s: dict[ServiceName, _Total] = {}
+    load: EntryLoad | UnsetType = UNSET
 
 
 class BeatReply(Struct, frozen=True):
--- a/wigeonspan/serving/__init__.py
+++ b/wigeonspan/serving/__init__.py
@@ -3,8 +3,10 @@
 from wigeonspan.serving._accepting import LAST_REQUESTS_S, accept_pending
 from wigeonspan.serving._body import BodyBuffer, announced_bytes
 from wigeonspan.serving._bounds import (
+    BASE_MEMORY_MB,
     DEFAULT_MAX_FDS,
     DEFAULT_MEMORY_MB,
+    MIN_CALLER_MB,
     CallerRules,
     process_limits,
 )
@@ -21,10 +23,12 @@
 from wigeonspan.serving._shedding import CloseReason, Holding
 
 __all__ = [
+    "BASE_MEMORY_MB",
     "DELIVERY_BUFFER_BYTES",
     "DELIVERY_S",
     "FINAL_RESPONSE_TIMEOUT_S",
     "LAST_REQUESTS_S",
+    "MIN_CALLER_MB",
     "DEFAULT_MAX_FDS",
     "DEFAULT_MEMORY_MB",
     "BodyBuffer",
--- a/wigeonspan/serving/_guard.py
+++ b/wigeonspan/serving/_guard.py
@@ -9,7 +9,13 @@
 from tornado.iostream import IOStream
 from tornado.netutil import add_accept_handler
 
-from wigeonspan.common import Clock, ErrorKind, SystemClock, WigeonspanError
+from wigeonspan.common import (
+    Clock,
+    ErrorKind,
+    SystemClock,
+    TrafficCounter,
+    WigeonspanError,
+)
 from wigeonspan.serving._bounds import (
     CallerRules,
     ProcessLimits,
@@ -96,6 +102,7 @@
         number = super().read_from_fd(buf)
         if number:
             self._read += number
+            self._guard.traffic.received += number
             self._record_moved(number)
             if self._phase is ConnectionPhase.IDLE:
                 self._begin(ConnectionPhase.HEAD)
@@ -104,6 +111,7 @@
     def write_to_fd(self, data: memoryview) -> int:
         """Write to the socket, and count the bytes."""
         number = super().write_to_fd(data)
+        self._guard.traffic.sent += number
         self._record_moved(number)
         return number
 
@@ -239,6 +247,8 @@
     ----------
     record : callable
         Told which connection was refused or closed, and why.
+    traffic : TrafficCounter
+        Bytes that the connections of callers have carried.
     """
 
     def __init__(
@@ -251,6 +261,7 @@
         self._limits = limits or process_limits()
         self._rules = rules or CallerRules
         self.record = record or (lambda reason, holding: None)
+        self.traffic = TrafficCounter()
         self._clock = clock or SystemClock()
         self._streams: set[CallerStream] = set()
         self._held = 0
--- a/wigeonspan/sharing/_task.py
+++ b/wigeonspan/sharing/_task.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from wigeonspan.common import HostId
+from wigeonspan.common import HostId, TrafficCounter
 from wigeonspan.sharing._addresses import parse_addresses
 from wigeonspan.sharing._messages import Event, Packet
 from wigeonspan.sharing._wire import (
@@ -38,6 +38,11 @@
         Called with the sender and the event for each received event.
     report_error : callable
         Called with the reason when a datagram cannot be read or sent.
+
+    Attributes
+    ----------
+    traffic : TrafficCounter
+        Bytes of the datagrams.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         self._host = host
         self._receive = receive
         self._report_error = report_error
+        self.traffic = TrafficCounter()
         self._peers: list[tuple[str, int]] = []
         self._relay: tuple[str, int] | None = None
         self._events: list[Event] = []
@@ -93,6 +99,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass each event of a datagram on, except those of this entry itself."""
+        self.traffic.received += len(data)
         try:
             packets = decode_datagram(data, self._report_error)
         except InvalidDatagram as error:
@@ -133,6 +140,8 @@
             return
         if len(self._peers) <= MAX_DIRECT_PEERS:
             for peer in self._peers:
+                self.traffic.sent += len(data)
                 self._transport.sendto(data, peer)
         elif self._relay is not None:
+            self.traffic.sent += len(data)
             self._transport.sendto(data, self._relay)
