Give entries shares of the callers by what they have left

Control hosts turn the reports of entries into weights: what is left of the scarcest resource in the next second, compared by the mean use over all entries. Answers repeat addresses, up to 64, and name each ready entry of the domain at least once. Weights change by at most a quarter in a second. The list for entries has them in steps of a half, with one change of an entry in 5 s. Fleets of equal entries without a use above 0.8 are answered with the same draws as before. Log line weights_changed, gauge entry_weight.

--- a/tests/coordinator/test_heartbeats.py
+++ b/tests/coordinator/test_heartbeats.py
@@ -6,7 +6,14 @@
 from wigeonspan.common import DomainName, HostId, ManualClock
 from wigeonspan.coordinator._heartbeats import Heartbeats
 from wigeonspan.fleetconfig import StoredConfig
-from wigeonspan.presence import Beat, EntryInfo, EntryState, unpack
+from wigeonspan.presence import (
+    Beat,
+    EntryInfo,
+    EntryLoad,
+    EntryState,
+    Resources,
+    unpack,
+)
 from wigeonspan.quarantine import PartQuarantined
 from wigeonspan.staging import DemandMeter
 
@@ -60,3 +67,38 @@
     assert heartbeats.receive(reporting, STORED, ["c1:1"], []).quarantined == []
     reply = heartbeats.receive(beat("e2"), STORED, ["c1:1"], [])
     assert [v.part for v in reply.quarantined] == ["bad"]
+
+
+def test_list_with_weights_is_sent_seldom():
+    """Entries got the list anew with each heartbeat that changed a weight."""
+    clock = ManualClock()
+    heartbeats = Heartbeats("c1:1", DomainName("a"), clock, DemandMeter())
+    digest, lists = "", []
+    for turn in range(120):
+        clock.advance(0.5)
+        for name, cores in (("e1", 0.4), ("e2", 1.2)):
+            used = Resources(cores=cores * (0.9 if turn % 12 < 6 else 0.1))
+            load = EntryLoad(Resources(cores=cores), used)
+            one = replace(beat(name, 3, digest=digest), load=load)
+            reply = heartbeats.receive(one, STORED, ["c1:1"], [])
+            digest = reply.entries_digest
+            if reply.entries is not None:
+                lists.append(unpack(reply.entries, list[EntryInfo]))
+    assert 1 < len(lists) <= 2 + 60.0 / 5.0
+    small, large = lists[-1]
+    assert small.weight < 100 < large.weight
+
+
+def test_reports_of_equal_entries_change_no_byte_of_the_list(heartbeats):
+    """Entries of an older build, and replays, must see the list as it was."""
+    load = EntryLoad(Resources(cores=1.0), Resources(cores=0.7))
+    for name in ("e1", "e2"):
+        plain = heartbeats.receive(beat(name), STORED, ["c1:1"], [])
+    other = Heartbeats("c1:1", DomainName("a"), ManualClock(), DemandMeter())
+    for name in ("e1", "e2"):
+        reporting = replace(beat(name), load=load)
+        reply = other.receive(reporting, STORED, ["c1:1"], [])
+    assert (reply.entries, reply.entries_digest) == (
+        plain.entries,
+        plain.entries_digest,
+    )
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 
 from tornado.httpserver import HTTPServer
@@ -157,6 +157,7 @@
         self._cache = CommittedCache(make_disk(f"{settings.folder}/committed"))
         # Sent to entries; after a restart it comes from the cache.
         self._committed_config = self._cache.read()
+        self._logged_weights: Mapping[HostId, int] = {}
         meter = DemandMeter()
         self._heartbeats = Heartbeats(settings.address, settings.domain, clock, meter)
         self._staging = PhaseChangeTask(
@@ -369,7 +370,7 @@
     def _receive_beat(self, beat: Beat) -> BeatReply:
         self._duties.record(beat)
         stored = max(self.stored, self._committed_config, key=lambda c: c.version)
-        return self._heartbeats.receive(
+        reply = self._heartbeats.receive(
             beat,
             stored,
             [member.address for member in self._log.members],
@@ -377,6 +378,17 @@
             leads=self._log.is_leader,
             in_group=self._log.in_contact,
         )
+        self._record_weights()
+        return reply
+
+    def _record_weights(self) -> None:
+        """Log the weights in the list of entries when they have changed."""
+        weights = self._heartbeats.entries.listed_weights
+        if weights != self._logged_weights:
+            self._event_log.write("entries", "weights_changed", weights=dict(weights))
+            for host in weights.keys() | self._logged_weights.keys():
+                self._metrics.gauge("entry_weight", weights.get(host, 100), entry=host)
+            self._logged_weights = weights
 
     def _authority(self) -> Authority | None:
         """Return the authority to send orders to engines, or None if there is none.
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from msgspec import UNSET
-from msgspec.structs import asdict
+from msgspec.structs import asdict, replace
 
 from wigeonspan.common import (
     Clock,
@@ -409,7 +409,7 @@
         removed = {e.host for e in self._entries} - {e.host for e in entries}
         for host in removed:
             self._context.placer.ledger.drop_host(host, self._clock.now())
-        if entries != self._entries:
+        if _without_weights(entries) != _without_weights(self._entries):
             self._context.event_log.write(
                 "entries", "entries_changed", hosts=[e.host for e in entries]
             )
@@ -522,6 +522,10 @@
         return context.metrics.text()
 
 
+def _without_weights(entries: list[EntryInfo]) -> list[EntryInfo]:
+    return [replace(entry, weight=UNSET) for entry in entries]
+
+
 def _make_meter(
     settings: GatewaySettings, clock: Clock, rng: random.Random
 ) -> UsageMeter | None:
--- a/wigeonspan/presence/_heartbeats.py
+++ b/wigeonspan/presence/_heartbeats.py
@@ -2,10 +2,15 @@
 
 import hashlib
 import random
+from collections.abc import Mapping
+
+from msgspec import UNSET
+from msgspec.structs import replace
 
 from wigeonspan.common import DomainName, HostId, encode
 from wigeonspan.presence._directory import caller_addresses
-from wigeonspan.presence._messages import Beat, EntryInfo
+from wigeonspan.presence._messages import Beat, EntryInfo, EntryState
+from wigeonspan.presence._weights import EntryWeights
 
 LIVENESS_TIMEOUT_S = 1.6
 """Seconds after its last heartbeat during which an entry counts as alive; three missed
@@ -39,6 +44,12 @@
         self._last_beats: dict[HostId, _LastBeat] = {}
         self._last_pass_at = float("-inf")
         self._digest = ("", float("-inf"))
+        self._weights = EntryWeights()
+
+    @property
+    def listed_weights(self) -> Mapping[HostId, int]:
+        """Weights in the list of live entries, without those of 100 percent."""
+        return self._weights.listed
 
     def record(self, beat: Beat, now: float) -> None:
         """Record a heartbeat."""
@@ -46,6 +57,9 @@
         self._last_beats[beat.entry.host] = _LastBeat(beat, now)
         if before is None or before.beat.entry != beat.entry:
             self._digest = ("", float("-inf"))
+        if beat.entry.state is EntryState.READY:
+            load = None if beat.load is UNSET else beat.load
+            self._weights.record(beat.entry.host, load, now)
         if now - self._last_pass_at < REFRESH_INTERVAL_S:
             return
         self._last_pass_at = now
@@ -53,13 +67,32 @@
             h for h, s in self._last_beats.items() if now - s.at > RETENTION_S
         ]:
             del self._last_beats[host]
+        self._update_weights(now)
 
     def live(self, now: float) -> list[EntryInfo]:
-        """Return the entries that count as alive, sorted by host."""
+        """Return the entries that count as alive, sorted by host.
+
+        Their weights are in coarse steps, so that the list seldom changes.
+        """
+        return self._live(self._weights.listed, now)
+
+    def _live(self, weights: Mapping[HostId, int], now: float) -> list[EntryInfo]:
         remembered = [s for s in self._last_beats.values() if now - s.at <= RETENTION_S]
         alive = [s for s in remembered if now - s.at <= LIVENESS_TIMEOUT_S]
         chosen = remembered if len(alive) < ISOLATED_SHARE * len(remembered) else alive
-        return sorted((s.beat.entry for s in chosen), key=lambda e: e.host)
+        entries = sorted((s.beat.entry for s in chosen), key=lambda e: e.host)
+        if not weights:
+            return entries
+        return [replace(e, weight=weights.get(e.host, UNSET)) for e in entries]
+
+    def _update_weights(self, now: float) -> None:
+        ready = {
+            h: s.at
+            for h, s in self._last_beats.items()
+            if s.beat.entry.state is EntryState.READY
+        }
+        alive = [h for h, at in ready.items() if now - at <= LIVENESS_TIMEOUT_S]
+        self._weights.update(ready, alive, now)
 
     def digest(self, now: float) -> str:
         """Return a digest of the live entries, at most ``REFRESH_INTERVAL_S`` old.
@@ -86,4 +119,5 @@
         self, domain: DomainName, limit: int, rng: random.Random, now: float
     ) -> list[str]:
         """Return entry addresses for a caller in a domain; see `caller_addresses`."""
-        return caller_addresses(self.live(now), domain, limit, rng)
+        entries = self._live(self._weights.weights, now)
+        return caller_addresses(entries, domain, limit, rng)
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -42,6 +42,9 @@
         Address that callers connect to.
     peer_address : str
         Address for datagrams from other entries.
+    weight : int
+        Share of the callers in percent of the mean share; left out for 100, and in
+        what entries say of themselves.
     """
 
     host: HostId
@@ -49,6 +52,7 @@
     caller_address: str
     peer_address: str
     state: EntryState
+    weight: Annotated[int, Meta(ge=1, le=10_000)] | UnsetType = UNSET
 
 
 class Resources(Struct, frozen=True):
