Send callers of a full failure domain to others as well

Waves of demand pass through the failure domains, and entries at the top were full while those of other domains had room. Weights in the list of entries made it worse: they reach entries up to 5 s late, when the wave has moved on.

A domain whose entries use more than 0.8 of their scarcest resource on average names entries of others in a share that rises and falls step by step. Replies of the leader carry the shares to entries, which drop them after 3 s without one. The own entries stay listed, and a host always names the same others. Weights in the list are now averages over 10 s, relative to their domain, and change together once in 5 s.

--- a/tests/coordinator/test_heartbeats.py
+++ b/tests/coordinator/test_heartbeats.py
@@ -3,7 +3,7 @@
 import pytest
 from msgspec.structs import replace
 
-from wigeonspan.common import DomainName, HostId, ManualClock
+from wigeonspan.common import DomainName, HostId, ManualClock, encode
 from wigeonspan.coordinator._heartbeats import Heartbeats
 from wigeonspan.fleetconfig import StoredConfig
 from wigeonspan.presence import (
@@ -102,3 +102,25 @@
         plain.entries,
         plain.entries_digest,
     )
+
+
+def test_replies_tell_entries_which_domains_are_full():
+    """Entries answer most look-ups, and sent all callers to the full domain."""
+    clock = ManualClock()
+    heartbeats = Heartbeats("c1:1", DomainName("a"), clock, DemandMeter())
+    for _ in range(10):
+        clock.advance(0.5)
+        for name, domain, cores in (("e1", "a", 0.95), ("e2", "b", 0.2)):
+            one = beat(name, 3)
+            entry = replace(one.entry, domain=DomainName(domain))
+            load = EntryLoad(Resources(cores=1.0), Resources(cores=cores))
+            one = replace(one, entry=entry, load=load)
+            reply = heartbeats.receive(one, STORED, ["c1:1"], [])
+    assert list(reply.spills) == ["a"]
+    assert 0.0 < reply.spills["a"] < 0.5
+
+
+def test_replies_without_full_domains_are_as_before(heartbeats):
+    """Builds of two versions run side by side, and replays compare bytes."""
+    reply = heartbeats.receive(beat("e1"), STORED, ["c1:1"], [])
+    assert b"spills" not in encode(reply)
--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -158,6 +158,7 @@
         # Sent to entries; after a restart it comes from the cache.
         self._committed_config = self._cache.read()
         self._logged_weights: Mapping[HostId, int] = {}
+        self._spilling: set[DomainName] = set()
         meter = DemandMeter()
         self._heartbeats = Heartbeats(settings.address, settings.domain, clock, meter)
         self._staging = PhaseChangeTask(
@@ -338,7 +339,7 @@
         """
         now = self._clock.now()
         addresses = self._heartbeats.entries.addresses(
-            domain, MAX_ADDRESSES, self._rng, now
+            domain, MAX_ADDRESSES, self._rng, now, self._settings.host
         )
         if not addresses or now - self._started_at < STARTUP_GRACE_S:
             raise WigeonspanError(ErrorKind.NO_TARGET, "no entry is known yet")
@@ -384,6 +385,12 @@
     def _record_weights(self) -> None:
         """Log the weights in the list of entries when they have changed."""
         weights = self._heartbeats.entries.listed_weights
+        spilling = set(self._heartbeats.entries.spills)
+        if spilling != self._spilling:
+            self._event_log.write("entries", "spill_changed", domains=sorted(spilling))
+            for domain in self._spilling - spilling:
+                self._metrics.gauge("domain_spill", 0.0, domain=domain)
+            self._spilling = spilling
         if weights != self._logged_weights:
             self._event_log.write("entries", "weights_changed", weights=dict(weights))
             for host in weights.keys() | self._logged_weights.keys():
@@ -425,6 +432,8 @@
         show_limits(self._guard, metrics.gauge)
         metrics.gauge("log_lines_left_out", self._event_log.omitted_lines)
         metrics.gauge("engines_changing", len(self._staging.switching))
+        for domain, share in self._heartbeats.entries.spills.items():
+            metrics.gauge("domain_spill", share, domain=domain)
         metrics.gauge("entries_live", self._heartbeats.live_entries)
         return metrics.text()
 
--- a/wigeonspan/coordinator/_heartbeats.py
+++ b/wigeonspan/coordinator/_heartbeats.py
@@ -1,5 +1,9 @@
 """Heartbeats of entries: tracks live entries and builds replies, without I/O."""
 
+from collections.abc import Mapping
+
+from msgspec import UNSET
+
 from wigeonspan.common import Clock, DomainName
 from wigeonspan.fleetconfig import StoredConfig
 from wigeonspan.presence import Beat, BeatReply, EntryHeartbeats, pack_once
@@ -97,6 +101,7 @@
             in_group=in_group,
             quarantined=self._verdicts.missing(beat.quarantined, now),
             wall_ms=0 if beat.usage is None else self._clock.wall_ms(),
+            spills=_rounded(self._entries.spills) or UNSET,
         )
 
     def limited_targets(self) -> set[TargetId]:
@@ -113,3 +118,9 @@
         """Return the addresses of the relays that other entries use."""
         beats = self._entries.beats(self._clock.now())
         return sorted({beat.relay for beat in beats} - {"", self._address})
+
+
+def _rounded(spills: Mapping[DomainName, float]) -> dict[DomainName, float]:
+    """Return the shares in percent steps, without those that are none."""
+    rounded = {domain: round(share, 2) for domain, share in spills.items()}
+    return {domain: share for domain, share in rounded.items() if share}
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -44,6 +44,7 @@
     BeatReply,
     EntryInfo,
     EntryState,
+    HeldSpills,
     caller_addresses,
 )
 from wigeonspan.serving import (
@@ -124,6 +125,7 @@
         self._clock = clock
         self._state = EntryState.STARTING
         self._entries: list[EntryInfo] = []
+        self._spills = HeldSpills()
         event_log = open_event_log(settings.host, clock)
         pool = ConnectionPool(clock)
         self._context = GatewayContext(
@@ -232,7 +234,8 @@
         known = self._entries if silent_s <= RETENTION_S else []
         own = self._settings.host
         entries = [e for e in known if e.host != own or e.state is self._state]
-        found = caller_addresses(entries, domain, MAX_ADDRESSES, self._rng)
+        spills = self._spills.held(self._clock.now())
+        found = caller_addresses(entries, domain, MAX_ADDRESSES, self._rng, spills, own)
         if not found:
             raise WigeonspanError(ErrorKind.NO_TARGET, "no entries are known")
         return found
@@ -377,6 +380,10 @@
         """Process what a reply says besides the configuration and the entries."""
         if reply.in_group and self._context.config.version >= reply.config_version:
             self._context.freshness.record_confirmation(sent_at)
+        if reply.leads:
+            # Control hosts begin with no share when they start; one source is steady.
+            spills = {} if reply.spills is UNSET else reply.spills
+            self._spills.receive(spills, self._clock.now())
         if self._context.meter is not None and reply.wall_ms:
             self._context.meter.record_clock(
                 address, reply.wall_ms, sent_at, received_at
--- a/wigeonspan/presence/__init__.py
+++ b/wigeonspan/presence/__init__.py
@@ -13,12 +13,14 @@
     Resources,
 )
 from wigeonspan.presence._packing import InvalidValue, pack, pack_once, unpack
+from wigeonspan.presence._weights import HeldSpills
 
 __all__ = [
     "ADDRESS_KEEP_S",
     "BEAT_PATH",
     "MAX_ADDRESSES",
     "RETENTION_S",
+    "HeldSpills",
     "InvalidValue",
     "Beat",
     "BeatReply",
--- a/wigeonspan/presence/_heartbeats.py
+++ b/wigeonspan/presence/_heartbeats.py
@@ -51,6 +51,11 @@
         """Weights in the list of live entries, without those of 100 percent."""
         return self._weights.listed
 
+    @property
+    def spills(self) -> Mapping[DomainName, float]:
+        """Share of the callers of each domain that go to other domains."""
+        return self._weights.spills
+
     def record(self, beat: Beat, now: float) -> None:
         """Record a heartbeat."""
         before = self._last_beats.get(beat.entry.host)
@@ -92,7 +97,8 @@
             if s.beat.entry.state is EntryState.READY
         }
         alive = [h for h, at in ready.items() if now - at <= LIVENESS_TIMEOUT_S]
-        self._weights.update(ready, alive, now)
+        domains = {h: self._last_beats[h].beat.entry.domain for h in ready}
+        self._weights.update(domains, alive, now)
 
     def digest(self, now: float) -> str:
         """Return a digest of the live entries, at most ``REFRESH_INTERVAL_S`` old.
@@ -116,8 +122,14 @@
         ]
 
     def addresses(
-        self, domain: DomainName, limit: int, rng: random.Random, now: float
+        self,
+        domain: DomainName,
+        limit: int,
+        rng: random.Random,
+        now: float,
+        asked: str = "",
     ) -> list[str]:
         """Return entry addresses for a caller in a domain; see `caller_addresses`."""
         entries = self._live(self._weights.weights, now)
-        return caller_addresses(entries, domain, limit, rng)
+        spills = self._weights.spills
+        return caller_addresses(entries, domain, limit, rng, spills, asked)
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -25,6 +25,10 @@
 _Amount = Annotated[float, Meta(ge=0.0, le=1e9)]
 
 
+# Part of the callers.
+_Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+
+
 class EntryState(Enum):
     """State of an entry; only ready ones are listed for callers."""
 
@@ -43,8 +47,8 @@
     peer_address : str
         Address for datagrams from other entries.
     weight : int
-        Share of the callers in percent of the mean share; left out for 100, and in
-        what entries say of themselves.
+        Share of the callers in percent of the mean; left out for 100, and in what
+        entries say of themselves.
     """
 
     host: HostId
@@ -158,6 +162,9 @@
         Verdicts of other entries that the entry does not hold.
     wall_ms : int
         Wall-clock time of the control host in milliseconds; 0 when use is not metered.
+    spills : dict
+        Share of the callers of each domain that go to other domains; left out when
+        there is none.
     """
 
     config_version: int
@@ -171,3 +178,4 @@
     in_group: bool = True
     quarantined: list[PartQuarantined] = []
     wall_ms: Annotated[int, Meta(ge=0, le=2**53)] = 0
+    spills: dict[DomainName, _Share] | UnsetType = UNSET
--- a/wigeonspan/presence/_weights.py
+++ b/wigeonspan/presence/_weights.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from statistics import fmean, median
 
-from wigeonspan.common import HostId
+from wigeonspan.common import DomainName, HostId
 from wigeonspan.presence._messages import EntryLoad, Resources
 
 WEIGH_INTERVAL_S = 1.0
@@ -55,8 +55,25 @@
 between two steps change back and forth."""
 
 LISTED_INTERVAL_S = 5.0
-"""Minimum seconds between two changes of an entry's listed weight, because the list is
-sent to all entries whenever it changes."""
+"""Minimum seconds between two changes of listed values, because the list is sent to all
+entries whenever it changes."""
+
+AVERAGE_S = 10.0
+"""Time constant in seconds of the weights in the list: twice its interval, so that
+callers have followed a change before the next."""
+
+SPILL_GAIN = 0.35
+"""Change in a second of the share of a domain's callers that go to other domains, for
+each unit of use above ``HIGH_USE``. In the model of the tests the share of a steady
+demand of 1.1 settles with it and swings at 0.5, and waves are followed too late at
+0.15."""
+
+MAX_SPILL = 0.75
+"""Largest such share; the rest of the callers shows when the domain has recovered."""
+
+SPILL_KEEP_S = 3.0
+"""Seconds for which an entry holds the shares of a reply. Without replies for longer it
+does not know whether other domains still have room."""
 
 NEUTRAL = 1.0
 
@@ -100,8 +117,10 @@
     def __init__(self) -> None:
         self._reports: dict[HostId, _Reports] = {}
         self._weights: dict[HostId, float] = {}
+        self._averages: dict[HostId, float] = {}
         self._listed: dict[HostId, int] = {}
-        self._listed_at: dict[HostId, float] = {}
+        self._listed_at = -math.inf
+        self._spills: dict[DomainName, float] = {}
         self._updated_at = -math.inf
         self._neutral = True
 
@@ -117,6 +136,11 @@
         """Weights in percent, in coarse steps, of the entries with another than 100."""
         return self._listed
 
+    @property
+    def spills(self) -> Mapping[DomainName, float]:
+        """Share of each domain's callers for other domains, where there is any."""
+        return self._spills
+
     def record(self, host: HostId, load: EntryLoad | None, now: float) -> None:
         """Record what an entry reports; None when it reports no capacity."""
         if host not in self._reports:
@@ -124,44 +148,66 @@
         self._reports[host].record(load, now)
 
     def update(
-        self, ready: Iterable[HostId], alive: Iterable[HostId], now: float
+        self, ready: Mapping[HostId, DomainName], alive: Iterable[HostId], now: float
     ) -> None:
         """Compute the weights of the ready entries, at most once in a second.
 
         Parameters
         ----------
-        ready : iterable of HostId
-            Entries that callers may be sent to; others are forgotten.
+        ready : mapping
+            Failure domain of each entry that callers may be sent to; other entries are
+            forgotten.
         alive : iterable of HostId
             Those whose last heartbeat is recent, so that its trend still holds.
         """
         if now - self._updated_at < WEIGH_INTERVAL_S:
             return
         self._updated_at = now
-        kept, recent = set(ready), set(alive)
-        self._reports = {h: r for h, r in self._reports.items() if h in kept}
+        recent = set(alive)
+        self._reports = {h: r for h, r in self._reports.items() if h in ready}
         reports = self._reports
         self._neutral = _needs_no_weights([r.last for r in reports.values()])
         if self._neutral:
             self._weights = dict.fromkeys(reports, NEUTRAL)
+            self._averages = dict.fromkeys(reports, NEUTRAL)
+            self._spills = {}
         else:
             loads = {h: r.forecast(h not in recent) for h, r in reports.items()}
-            self._weights = _approach(self._weights, target_weights(loads))
+            targets = target_weights(loads)
+            self._weights = _approach(self._weights, targets)
+            self._averages = _average(self._averages, self._weights, ready)
+            self._spills = _next_spills(self._spills, loads, targets, ready)
         self._update_listed(now)
 
     def _update_listed(self, now: float) -> None:
-        for host in [h for h in self._listed_at if h not in self._weights]:
-            del self._listed_at[host]
         listed = {h: w for h, w in self._listed.items() if h in self._weights}
-        for host, weight in self._weights.items():
+        self._listed = dict(listed)
+        if now - self._listed_at < LISTED_INTERVAL_S:
+            return
+        for host, weight in self._averages.items():
             steps = math.log(100 * weight / listed.get(host, 100), LISTED_STEP)
-            may_change = now - self._listed_at.get(host, -math.inf) >= LISTED_INTERVAL_S
-            if abs(steps) >= LISTED_MARGIN and may_change:
+            if abs(steps) >= LISTED_MARGIN:
                 listed[host] = _nearest_step(weight)
-                self._listed_at[host] = now
-                if listed[host] == 100:
-                    del listed[host]
-        self._listed = listed
+        listed = {host: weight for host, weight in listed.items() if weight != 100}
+        if listed != self._listed:
+            self._listed = listed
+            self._listed_at = now
+
+
+class HeldSpills:
+    """Shares of the domains' callers for other domains, as an entry received them."""
+
+    def __init__(self) -> None:
+        self._spills: Mapping[DomainName, float] = {}
+        self._at = -math.inf
+
+    def receive(self, spills: Mapping[DomainName, float], now: float) -> None:
+        """Store the shares of a reply."""
+        self._spills, self._at = spills, now
+
+    def held(self, now: float) -> Mapping[DomainName, float]:
+        """Return the last shares, or none when they are too old."""
+        return self._spills if now - self._at <= SPILL_KEEP_S else {}
 
 
 def target_weights(loads: Mapping[HostId, EntryLoad | None]) -> dict[HostId, float]:
@@ -270,6 +316,57 @@
     return weights
 
 
+def _average(
+    before: Mapping[HostId, float],
+    weights: Mapping[HostId, float],
+    domains: Mapping[HostId, DomainName],
+) -> dict[HostId, float]:
+    """Return averages over time of weights relative to the mean of their domain.
+
+    The list reaches entries up to ``LISTED_INTERVAL_S`` late. Momentary weights in it,
+    or a change of the whole domain, would move callers when the cause is over.
+    """
+    groups: dict[DomainName, list[float]] = {}
+    for host, weight in weights.items():
+        groups.setdefault(domains[host], []).append(weight)
+    means = {domain: fmean(group) for domain, group in groups.items()}
+    averages = {}
+    for host, weight in weights.items():
+        relative = weight / means[domains[host]]
+        average = before.get(host, relative)
+        averages[host] = average + (relative - average) * WEIGH_INTERVAL_S / AVERAGE_S
+    return averages
+
+
+def _next_spills(
+    before: Mapping[DomainName, float],
+    loads: Mapping[HostId, EntryLoad | None],
+    targets: Mapping[HostId, float],
+    domains: Mapping[HostId, DomainName],
+) -> dict[DomainName, float]:
+    """Return the share of each domain's callers that go to other domains.
+
+    It rises while the mean use of the scarcest resources is above ``HIGH_USE`` and
+    falls below it, so that it settles where the domain keeps a fifth of its capacity.
+    What other domains have left bounds it.
+    """
+    uses: dict[DomainName, list[float]] = {}
+    room: dict[DomainName, float] = {}
+    for host, load in loads.items():
+        if load is not None:
+            domain = domains[host]
+            uses.setdefault(domain, []).append(min(1.0, highest_use(load)))
+            room[domain] = room.get(domain, 0.0) + targets[host]
+    has_room = {d: fmean(own) < HIGH_USE for d, own in uses.items()}
+    spills = {}
+    for domain, own in uses.items():
+        share = before.get(domain, 0.0) + SPILL_GAIN * (fmean(own) - HIGH_USE)
+        elsewhere = sum(room[d] for d in uses if d != domain and has_room[d])
+        bound = elsewhere / (elsewhere + room[domain]) if elsewhere else 0.0
+        spills[domain] = min(max(0.0, share), bound, MAX_SPILL)
+    return {domain: share for domain, share in spills.items() if share > 0.0}
+
+
 def _nearest_step(weight: float) -> int:
     return round(100 * LISTED_STEP ** round(math.log(weight, LISTED_STEP)))
 
