--- a/tests/presence/test_weights.py
+++ b/tests/presence/test_weights.py
@@ -416,3 +416,19 @@
     held.receive({A: 0.3}, 10.0)
     assert held.held(12.9) == {A: 0.3}
     assert held.held(13.1) == {}
+
+
+def test_weights_in_the_list_change_together():
+    """Each entry had its own 5 s, so the list of a large fleet changed each second."""
+    weights, seen = EntryWeights(), [{}]
+    ready = {HostId(f"a{n}"): A for n in range(12)}
+    for second in range(80):
+        for number, name in enumerate(ready):
+            use = 0.2 if second < 10 + 4 * number else 0.95
+            weights.record(name, load(1.0 + 0.01 * number, use), second)
+        weights.update(ready, ready, second)
+        seen.append(dict(weights.listed))
+    changed_at = [n for n in range(1, len(seen)) if seen[n] != seen[n - 1]]
+    gaps = [b - a for a, b in zip(changed_at, changed_at[1:], strict=False)]
+    assert len(gaps) > 3
+    assert min(gaps) >= 5
