Bound reported capacities and listed weights by what their readers accept

The product of limits.cpu_share and limits.cores could exceed the bound of a report, so that every heartbeat of the entry was refused. A wrong report in a domain of 300 entries gave a weight above ten times the mean of its domain in the list.

The product has the bound of other numbers in the settings, and listed weights those of the exact ones.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -75,6 +75,13 @@
     assert settings.link_mbps == link_mbps
 
 
+def test_product_of_share_and_cores_is_bounded(tmp_path):
+    """Control hosts would refuse the heartbeats of the entry, and never list it."""
+    lines = "limits.cpu_share=100000\nlimits.cores=100000\n"
+    with pytest.raises(NodeFileError, match="limits.cores"):
+        read_settings(tmp_path, NODE_FILE + lines)
+
+
 @pytest.mark.parametrize("value", ["0", "-1", "fast", "1e12", "nan"])
 @pytest.mark.parametrize("name", ["cpu_share", "cores", "bandwidth_mbps"])
 def test_wrong_capacity_of_an_entry_names_its_field(tmp_path, name, value):
--- a/tests/presence/test_weights.py
+++ b/tests/presence/test_weights.py
@@ -432,3 +432,21 @@
     gaps = [b - a for a, b in zip(changed_at, changed_at[1:], strict=False)]
     assert len(gaps) > 3
     assert min(gaps) >= 5
+
+
+def test_wrong_report_in_a_large_domain_leaves_the_list_readable():
+    """Entries refuse a list with a weight out of bounds, and keep their old one."""
+    names = [f"a{n}" for n in range(300)]
+
+    def beats_at(at):
+        size = 1e8 if at > 2 else 1.0
+        return [
+            beat("odd", load(size, 0.0)),
+            *(beat(name, load(1.0, 0.5)) for name in names),
+        ]
+
+    heartbeats = play(beats_at, until=40.0)
+    listed = decode(encode(heartbeats.live(40.0)), list[EntryInfo])
+    weights = {e.host: e.weight for e in listed}
+    assert weights["odd"] == max(w for w in weights.values() if w is not UNSET)
+    assert 100 < weights["odd"] <= 1200
--- a/wigeonspan/presence/_weights.py
+++ b/wigeonspan/presence/_weights.py
@@ -129,7 +129,7 @@
         """Weights in percent of the mean; empty when all are neutral."""
         if self._neutral:
             return {}
-        return {host: round(100 * w) for host, w in self._weights.items()}
+        return {host: max(1, round(100 * w)) for host, w in self._weights.items()}
 
     @property
     def listed(self) -> Mapping[HostId, int]:
@@ -332,7 +332,7 @@
     means = {domain: fmean(group) for domain, group in groups.items()}
     averages = {}
     for host, weight in weights.items():
-        relative = weight / means[domains[host]]
+        relative = min(max(weight / means[domains[host]], MIN_WEIGHT), MAX_WEIGHT)
         average = before.get(host, relative)
         averages[host] = average + (relative - average) * WEIGH_INTERVAL_S / AVERAGE_S
     return averages
