--- a/wigeonspan/coordinator/_daemon.py
+++ b/wigeonspan/coordinator/_daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 
 from tornado.httpserver import HTTPServer
@@ -157,6 +157,8 @@
         self._cache = CommittedCache(make_disk(f"{settings.folder}/committed"))
         # Sent to entries; after a restart it comes from the cache.
         self._committed_config = self._cache.read()
+        self._logged_weights: Mapping[HostId, int] = {}
+        self._spilling: set[DomainName] = set()
         meter = DemandMeter()
         self._heartbeats = Heartbeats(settings.address, settings.domain, clock, meter)
         self._staging = PhaseChangeTask(
@@ -337,7 +339,7 @@
         """
         now = self._clock.now()
         addresses = self._heartbeats.entries.addresses(
-            domain, MAX_ADDRESSES, self._rng, now
+            domain, MAX_ADDRESSES, self._rng, now, self._settings.host
         )
         if not addresses or now - self._started_at < STARTUP_GRACE_S:
             raise WigeonspanError(ErrorKind.NO_TARGET, "no entry is known yet")
@@ -369,7 +371,7 @@
     def _receive_beat(self, beat: Beat) -> BeatReply:
         self._duties.record(beat)
         stored = max(self.stored, self._committed_config, key=lambda c: c.version)
-        return self._heartbeats.receive(
+        reply = self._heartbeats.receive(
             beat,
             stored,
             [member.address for member in self._log.members],
@@ -377,6 +379,23 @@
             leads=self._log.is_leader,
             in_group=self._log.in_contact,
         )
+        self._record_weights()
+        return reply
+
+    def _record_weights(self) -> None:
+        """Log the weights in the list of entries when they have changed."""
+        weights = self._heartbeats.entries.listed_weights
+        spilling = set(self._heartbeats.entries.spills)
+        if spilling != self._spilling:
+            self._event_log.write("entries", "spill_changed", domains=sorted(spilling))
+            for domain in self._spilling - spilling:
+                self._metrics.gauge("domain_spill", 0.0, domain=domain)
+            self._spilling = spilling
+        if weights != self._logged_weights:
+            self._event_log.write("entries", "weights_changed", weights=dict(weights))
+            for host in weights.keys() | self._logged_weights.keys():
+                self._metrics.gauge("entry_weight", weights.get(host, 100), entry=host)
+            self._logged_weights = weights
 
     def _authority(self) -> Authority | None:
         """Return the authority to send orders to engines, or None if there is none.
@@ -413,6 +432,8 @@
         show_limits(self._guard, metrics.gauge)
         metrics.gauge("log_lines_left_out", self._event_log.omitted_lines)
         metrics.gauge("engines_changing", len(self._staging.switching))
+        for domain, share in self._heartbeats.entries.spills.items():
+            metrics.gauge("domain_spill", share, domain=domain)
         metrics.gauge("entries_live", self._heartbeats.live_entries)
         return metrics.text()
 
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -6,6 +6,9 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
+from msgspec import UNSET
+from msgspec.structs import asdict, replace
+
 from wigeonspan.common import (
     Clock,
     DomainName,
@@ -30,6 +33,7 @@
 from wigeonspan.gateway._messages import TargetProtocol
 from wigeonspan.gateway._serve import RESPONSE_MARGIN_S, Server
 from wigeonspan.gateway._settings import GatewaySettings
+from wigeonspan.gateway._use import make_use_meter
 from wigeonspan.placing import Placer, RetryBudget
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import (
@@ -40,6 +44,7 @@
     BeatReply,
     EntryInfo,
     EntryState,
+    HeldSpills,
     caller_addresses,
 )
 from wigeonspan.serving import (
@@ -120,6 +125,7 @@
         self._clock = clock
         self._state = EntryState.STARTING
         self._entries: list[EntryInfo] = []
+        self._spills = HeldSpills()
         event_log = open_event_log(settings.host, clock)
         pool = ConnectionPool(clock)
         self._context = GatewayContext(
@@ -191,6 +197,9 @@
             rng,
             lambda: read_listing(pool, event_log),
         )
+        self._use_meter = make_use_meter(
+            settings, [self._guard.traffic, pool.traffic, context.link.traffic], clock
+        )
         self._directory_server: RequestServer | None = None
         self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
@@ -225,7 +234,8 @@
         known = self._entries if silent_s <= RETENTION_S else []
         own = self._settings.host
         entries = [e for e in known if e.host != own or e.state is self._state]
-        found = caller_addresses(entries, domain, MAX_ADDRESSES, self._rng)
+        spills = self._spills.held(self._clock.now())
+        found = caller_addresses(entries, domain, MAX_ADDRESSES, self._rng, spills, own)
         if not found:
             raise WigeonspanError(ErrorKind.NO_TARGET, "no entries are known")
         return found
@@ -370,6 +380,10 @@
         """Process what a reply says besides the configuration and the entries."""
         if reply.in_group and self._context.config.version >= reply.config_version:
             self._context.freshness.record_confirmation(sent_at)
+        if reply.leads:
+            # Control hosts begin with no share when they start; one source is steady.
+            spills = {} if reply.spills is UNSET else reply.spills
+            self._spills.receive(spills, self._clock.now())
         if self._context.meter is not None and reply.wall_ms:
             self._context.meter.record_clock(
                 address, reply.wall_ms, sent_at, received_at
@@ -394,6 +408,7 @@
             usage=None if context.meter is None else context.meter.share(),
             urgent_read_ms=context.urgent_read_ms,
             urgent_stream_s=context.urgent_stream_s,
+            load=UNSET if self._use_meter is None else self._use_meter.load(),
         )
 
     def _update_entries(self, entries: list[EntryInfo]) -> None:
@@ -401,7 +416,7 @@
         removed = {e.host for e in self._entries} - {e.host for e in entries}
         for host in removed:
             self._context.placer.ledger.drop_host(host, self._clock.now())
-        if entries != self._entries:
+        if _without_weights(entries) != _without_weights(self._entries):
             self._context.event_log.write(
                 "entries", "entries_changed", hosts=[e.host for e in entries]
             )
@@ -505,11 +520,19 @@
         context.metrics.gauge("suspected_parts", quarantine.suspects)
         context.metrics.gauge("open_requests", self._front_server.open_requests)
         show_limits(self._guard, context.metrics.gauge)
+        if self._use_meter is not None:
+            used = asdict(self._use_meter.load().used)
+            for name, amount in used.items():
+                context.metrics.gauge("entry_use", amount, resource=name)
         context.metrics.gauge("connections_opened", context.pool.opened_connections)
         context.metrics.gauge("log_lines_left_out", context.event_log.omitted_lines)
         return context.metrics.text()
 
 
+def _without_weights(entries: list[EntryInfo]) -> list[EntryInfo]:
+    return [replace(entry, weight=UNSET) for entry in entries]
+
+
 def _make_meter(
     settings: GatewaySettings, clock: Clock, rng: random.Random
 ) -> UsageMeter | None:
--- a/wigeonspan/presence/__init__.py
+++ b/wigeonspan/presence/__init__.py
@@ -8,21 +8,27 @@
     Beat,
     BeatReply,
     EntryInfo,
+    EntryLoad,
     EntryState,
+    Resources,
 )
 from wigeonspan.presence._packing import InvalidValue, pack, pack_once, unpack
+from wigeonspan.presence._weights import HeldSpills
 
 __all__ = [
     "ADDRESS_KEEP_S",
     "BEAT_PATH",
     "MAX_ADDRESSES",
     "RETENTION_S",
+    "HeldSpills",
     "InvalidValue",
     "Beat",
     "BeatReply",
     "EntryHeartbeats",
     "EntryInfo",
+    "EntryLoad",
     "EntryState",
+    "Resources",
     "caller_addresses",
     "pack",
     "pack_once",
--- a/wigeonspan/presence/_messages.py
+++ b/wigeonspan/presence/_messages.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Annotated
 
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 from wigeonspan.common import DomainName, HostId, ServiceName
 from wigeonspan.quarantine import PartQuarantined
@@ -21,6 +21,14 @@
 _Total = Annotated[float, Meta(ge=0.0, le=1e15)]
 
 
+# Capacity or use of a resource; finite, so that sums and ratios are.
+_Amount = Annotated[float, Meta(ge=0.0, le=1e9)]
+
+
+# Part of the callers.
+_Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+
+
 class EntryState(Enum):
     """State of an entry; only ready ones are listed for callers."""
 
@@ -38,6 +46,9 @@
         Address that callers connect to.
     peer_address : str
         Address for datagrams from other entries.
+    weight : int
+        Share of the callers in percent of the mean; left out for 100, and in what
+        entries say of themselves.
     """
 
     host: HostId
@@ -45,6 +56,35 @@
     caller_address: str
     peer_address: str
     state: EntryState
+    weight: Annotated[int, Meta(ge=1, le=10_000)] | UnsetType = UNSET
+
+
+class Resources(Struct, frozen=True):
+    """Capacity of an entry, or its use of it; None where it is not known.
+
+    Parameters
+    ----------
+    cores : float or None
+        Processor in cores.
+    memory_mb : float or None
+        Memory in MB beyond that of a process without callers.
+    link_mbps : float or None
+        Bandwidth of the link in Mbit/s, in the direction that carries more.
+    descriptors : float or None
+        Number of open descriptors.
+    """
+
+    cores: _Amount | None = None
+    memory_mb: _Amount | None = None
+    link_mbps: _Amount | None = None
+    descriptors: _Amount | None = None
+
+
+class EntryLoad(Struct, frozen=True):
+    """Capacity of an entry and its use in the last seconds."""
+
+    capacity: Resources
+    used: Resources
 
 
 class Beat(Struct, frozen=True):
@@ -75,6 +115,9 @@
     urgent_read_ms, urgent_stream_s : dict
         Like ``read_ms`` and ``stream_s`` for the most urgent requests of services whose
         replicas may be ordered.
+    load : EntryLoad
+        Capacity and use; left out by entries whose settings name no capacity and by
+        older builds.
     """
 
     entry: EntryInfo
@@ -89,6 +132,7 @@
     usage: UsageShare | None = None
     urgent_read_ms: dict[ServiceName, _Total] = {}
     urgent_stream_s: dict[ServiceName, _Total] = {}
+    load: EntryLoad | UnsetType = UNSET
 
 
 class BeatReply(Struct, frozen=True):
@@ -118,6 +162,9 @@
         Verdicts of other entries that the entry does not hold.
     wall_ms : int
         Wall-clock time of the control host in milliseconds; 0 when use is not metered.
+    spills : dict
+        Share of the callers of each domain that go to other domains; left out when
+        there is none.
     """
 
     config_version: int
@@ -131,3 +178,4 @@
     in_group: bool = True
     quarantined: list[PartQuarantined] = []
     wall_ms: Annotated[int, Meta(ge=0, le=2**53)] = 0
+    spills: dict[DomainName, _Share] | UnsetType = UNSET
