Judge failed targets from what all entries of a large fleet report

In fleets of more than 16 entries, three pieces of work in a row that a target broke off suspend it, when they are of two entries and within 1 s. Suspensions last a random time that grows with the number of entries; a failed probe that is heard of starts the wait anew, and completed work of any entry ends it. An entry that fails soon after such an end waits for a success of its own, since its link may be cut.

--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -93,6 +93,7 @@
             rng = random.Random(self._rng.random())
             placer = Placer(self._domain(number), rng)
             placer.prefixes.set_memory(deployment.memory_tokens)
+            placer.health.set_entries(deployment.entries)
             change_placer(placer)
             quarantine = PromptQuarantine()
             quarantine.set_entries(number, deployment.entries, START_S)
--- a/wigeonspan/placing/_health.py
+++ b/wigeonspan/placing/_health.py
@@ -1,5 +1,8 @@
 """Availability of targets: failures, suspensions and requested pauses."""
 
+import random
+
+from wigeonspan.placing._shared_failures import MAX_SMALL_FLEET, suspension_s
 from wigeonspan.targets import TargetId
 
 MAX_FAILURES_IN_ROW = 2
@@ -36,6 +39,10 @@
         self.probing = False
         self.suspended_at = NEVER
         self.paused_until = NEVER
+        # Time at which work of another entry ended a suspension.
+        self.ended_at = NEVER
+        # Whether only a success of this entry ends a suspension.
+        self.needs_own_success = False
 
 
 class TargetAvailability:
@@ -44,11 +51,27 @@
     A suspended target gets no requests; after the suspension, a single request probes
     it. Each further suspension without a success in between lasts twice as long, up to
     ``MAX_SUSPENSION_S``.
+
+    Parameters
+    ----------
+    rng : random.Random or None
+        Source of the durations of suspensions in large fleets; None for one of its own.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._entries = 1
         self._states: dict[TargetId, _State] = {}
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether the fleet is so large that its entries share suspensions."""
+        return self._entries > MAX_SMALL_FLEET
+
+    def set_entries(self, count: int) -> None:
+        """Set the number of entries of the fleet, this one included."""
+        self._entries = count
+
     def record_success(self, target: TargetId) -> None:
         """Record a successful answer."""
         state = self._states.setdefault(target, _State())
@@ -56,6 +79,8 @@
         state.suspensions = 0
         state.suspended_until = 0.0
         state.probing = False
+        state.ended_at = NEVER
+        state.needs_own_success = False
         state.failure_rate -= OUTCOME_WEIGHT * state.failure_rate
 
     def record_failure(
@@ -95,12 +120,45 @@
         state = self._states.setdefault(target, _State())
         state.failure_rate += OUTCOME_WEIGHT * (1.0 - state.failure_rate)
 
-    def suspend(self, target: TargetId, now: float) -> None:
-        """Suspend a target that another entry reports as unreachable."""
+    def suspend(self, target: TargetId, now: float) -> bool:
+        """Suspend a target that other entries report as failed.
+
+        In a large fleet, an entry that waits to probe the target waits anew, so that
+        the probes of the entries follow each other.
+
+        Returns
+        -------
+        bool
+            Whether the target was not suspended before.
+        """
         state = self._states.setdefault(target, _State())
-        if now >= state.suspended_until:
-            state.suspended_until = now + INITIAL_SUSPENSION_S
+        is_new = now >= state.suspended_until
+        if not is_new and (not self.is_shared or state.probing):
+            return False
+        duration_s = suspension_s(
+            INITIAL_SUSPENSION_S, MAX_SUSPENSION_S, self._entries, self._rng
+        )
+        state.suspended_until = max(state.suspended_until, now + duration_s)
+        if is_new:
             state.suspended_at = now
+            # In a large fleet, a probe without a result must not exclude the target
+            # for as long as this entry runs.
+            state.probing = state.probing and not self.is_shared
+        return is_new
+
+    def record_completed(self, target: TargetId, now: float) -> None:
+        """End the suspension of a target that has completed work of any entry.
+
+        When this entry does not reach the target although others do, the reports of
+        their work would end each of its suspensions at once. So a failure soon after
+        such an end makes it wait for a success of its own.
+        """
+        state = self._states.get(target)
+        if state is None or not state.suspended_until or state.needs_own_success:
+            return
+        state.suspended_until = 0.0
+        state.probing = False
+        state.ended_at = now
 
     def pause(self, target: TargetId, until: float) -> None:
         """Record that a target has asked this entry to send no requests until a time.
@@ -128,12 +186,15 @@
     def available(self, target: TargetId, now: float) -> bool:
         """Return whether a target may get a request.
 
-        After a suspension, one request is allowed as a probe.
+        After a suspension, one request is allowed as a probe. In a large fleet, another
+        one is allowed ``MAX_SUSPENSION_S`` after a probe that has had no result.
         """
         state = self._states.get(target)
         if state is None or state.suspended_until == 0.0:
             return True
-        return now >= state.suspended_until and not state.probing
+        if state.probing and not self.is_shared:
+            return False
+        return now >= state.suspended_until
 
     def record_sent(self, target: TargetId, now: float) -> None:
         """Record that a request is sent to a target."""
@@ -161,8 +222,15 @@
         return 0.0 if state is None else state.failure_rate
 
     def _suspend(self, state: _State, now: float) -> None:
-        duration_s = INITIAL_SUSPENSION_S * 2.0**state.suspensions
-        state.suspended_until = now + min(duration_s, MAX_SUSPENSION_S)
+        duration_s = suspension_s(
+            INITIAL_SUSPENSION_S * 2.0**state.suspensions,
+            MAX_SUSPENSION_S,
+            self._entries,
+            self._rng,
+        )
+        state.suspended_until = now + duration_s
         state.suspensions += 1
+        if now - state.ended_at < MAX_SUSPENSION_S:
+            state.needs_own_success = True
         state.suspended_at = now
         state.probing = False
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -15,7 +15,7 @@
 from wigeonspan.placing._fair_share import MIN_WAIT_MS, TenantUse
 from wigeonspan.placing._figures import PlacementFigures
 from wigeonspan.placing._health import TargetAvailability
-from wigeonspan.placing._ledger import WorkLedger
+from wigeonspan.placing._ledger import Work, WorkLedger
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
 from wigeonspan.placing._order import WorkOrder, is_expected_late
 from wigeonspan.placing._pace import TargetPace
@@ -23,6 +23,7 @@
 from wigeonspan.placing._prefixes import CachedPrefixes
 from wigeonspan.placing._priority import SOLE_BAND, PriorityBand
 from wigeonspan.placing._refusals import Refusals
+from wigeonspan.placing._shared_failures import BrokenWork
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
 from wigeonspan.ratelimits import SharedRateLimits
@@ -49,12 +50,13 @@
         self.ledger = WorkLedger()
         self.prefixes = CachedPrefixes(400_000.0)
         self.speeds = SlowdownFactors()
-        self.health = TargetAvailability()
+        self.health = TargetAvailability(rng)
         self.event_pauses = EventPauses()
         self.slots = SlotForecast()
         self.limits = SharedRateLimits()
         self.pace = TargetPace(self.ledger)
         self.tenant_use = TenantUse()
+        self._broken_work = BrokenWork()
         self._order = WorkOrder()
         self._eligible = EligibleTargets(self.health, self.limits)
         self._refusals = Refusals(rng, self._eligible, self.limits, self.ledger)
@@ -131,14 +133,49 @@
         self.ledger.forget(target)
         self.event_pauses.forget(target)
         self.limits.forget(target)
+        self._broken_work.clear(target)
 
-    def end_work(self, work: str, now: float, *, completed: bool) -> None:
-        """Record the end of work, and whether its prefill was completed."""
+    def end_work(
+        self, work: str, now: float, *, completed: bool, broken: bool = False
+    ) -> TargetId | None:
+        """Record the end of work of any entry.
+
+        Parameters
+        ----------
+        completed : bool
+            Whether its prefill was completed.
+        broken : bool
+            Whether the target broke it off.
+
+        Returns
+        -------
+        TargetId or None
+            Target that is now suspended; None when the end suspends none.
+        """
         begun = self.ledger.find(work)
         self.ledger.end(work, now, completed=completed)
         if completed and begun is not None:
             self.pace.record_answer(*begun, now)
         self.prefixes.end(work, completed=completed)
+        if begun is None or not self.health.is_shared:
+            return None
+        return self._record_shared(begun[0], now, completed=completed, broken=broken)
+
+    def _record_shared(
+        self, work: Work, now: float, *, completed: bool, broken: bool
+    ) -> TargetId | None:
+        """Suspend a target that entries find broken, or end its suspension."""
+        target = work.target
+        if completed:
+            self._broken_work.clear(target)
+            self.health.record_completed(target, now)
+            return None
+        if not broken or not self._broken_work.record(work, now):
+            return None
+        if not self.health.suspend(target, now):
+            return None
+        self.pace.record_suspension(target, now)
+        return target
 
     def new_tokens(self, target: Target, prompt: Prompt) -> int:
         """Return how many tokens of a prompt an engine has not cached, at least 1."""
