Report to other entries that a target broke work off

A stream also ends incomplete when its caller leaves, so the end of work did not show whether an engine had failed. Refusals, errors and callers that leave do not count. All other datagrams stay byte for byte as they were, and the build before ignores the field.

--- a/tests/platform/gateway_harness.py
+++ b/tests/platform/gateway_harness.py
@@ -214,8 +214,8 @@
     return asyncio.run(run())
 
 
-async def send(number, usage, leave_after_s, *, prefix=""):
-    reader, writer = await asyncio.open_connection(f"{NET}.1.1", 18081)
+async def send(number, usage, leave_after_s, *, prefix="", gateway=1):
+    reader, writer = await asyncio.open_connection(f"{NET}.1.{gateway}", 18081)
     head = f"POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: q{number}\r\n"
     head += f"Token-Usage: {usage}\r\n" if usage else ""
     head += f"Prompt-Prefix: {prefix}\r\n" if prefix else ""
--- a/tests/sharing/test_wire.py
+++ b/tests/sharing/test_wire.py
@@ -28,6 +28,7 @@
         WorkBegun(WORK, (PromptPart("ab", 5),), 5),
         WorkBegun(WORK, (PromptPart("ab", 5),), 5, TenantName("t")),
         WorkEnded("e1/1", True),
+        WorkEnded("e1/2", False, broken=True),
         TargetSuspended(TargetId("t")),
         ListRead("d", 0.2),
     ],
@@ -48,6 +49,23 @@
     assert packet == ["e1", [["begun", work, [["ab", 5]], 5]]]
 
 
+def test_end_that_is_no_break_is_encoded_as_before():
+    """Small fleets would send more bytes, and every completed work in large ones."""
+    events = [WorkEnded("e1/1", True), WorkEnded("e1/2", False)]
+    packet = msgspec.msgpack.decode(encode_packet(Packet(HostId("e1"), events))[1:])
+    assert packet == ["e1", [["ended", "e1/1", True], ["ended", "e1/2", False]]]
+
+
+def test_break_is_only_a_further_field():
+    """Entries of the release before would drop a packet with an unknown event."""
+    event = WorkEnded("e1/1", False, broken=True)
+    data = encode_packet(Packet(HostId("e1"), [event]))
+    assert msgspec.msgpack.decode(data[1:]) == [
+        "e1",
+        [["ended", "e1/1", False, True]],
+    ]
+
+
 def test_bundles_contain_every_datagram_and_can_be_sent():
     """A bundle above the maximum size of UDP could not be sent at all."""
     datagram = encode_packet(PACKET)
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -20,6 +20,10 @@
 
 _work_numbers = count(1)
 
+_BREAKS = (FailureKind.CLOSED, FailureKind.RESET)
+"""Failures of an exchange by which a target breaks off work. An answer that is too
+large, malformed or too late for its caller may be due to the request."""
+
 
 class ActiveSend(Struct):
     """A request that was sent to a target and is not finished.
@@ -35,12 +39,15 @@
         but must not be counted as work that was done fast.
     silence_recorded : bool
         Whether the silence of the target was recorded before its request timed out.
+    let_go : bool
+        Whether the target was silent and another one has taken over its work.
     """
 
     exchange: Exchange
     sent_at: float
     completed: bool = False
     silence_recorded: bool = False
+    let_go: bool = False
 
 
 @asynccontextmanager
@@ -100,7 +107,7 @@
     context.metrics.count("sends", purpose=kind.value)
     tenant = None if access is None else access.tenant
     context.begin_work(work, prompt_parts, new_tokens, tenant)
-    exchange, sent = None, None
+    exchange, sent, broken = None, None, False
     try:
         exchange = await context.pool.send(
             target.address,
@@ -119,6 +126,7 @@
         if failure.kind is FailureKind.WITHHELD:
             # This says nothing about the target.
             raise
+        broken = not failure.sent or failure.kind in _BREAKS
         context.pool.close_idle(target.address)
         # A target that has finished other work meanwhile is busy, not down.
         is_busy = failure.kind is FailureKind.TIMEOUT and (
@@ -133,7 +141,11 @@
             )
         raise
     finally:
-        context.end_work(work, completed=sent is not None and sent.completed)
+        context.end_work(
+            work,
+            completed=sent is not None and sent.completed,
+            broken=broken or (sent is not None and sent.let_go),
+        )
         if exchange is not None:
             context.pool.release(target.address, exchange)
 
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -136,10 +136,25 @@
             self.placer.tenant_use.record(tenant, work.urgency, work.work_ms, now)
         self.link.publish(WorkBegun(work, prompt_parts, new_tokens, tenant))
 
-    def end_work(self, work: Work, *, completed: bool) -> None:
+    def end_work(self, work: Work, *, completed: bool, broken: bool = False) -> None:
         """Record the end of work and publish it to the other entries."""
-        self.placer.end_work(work.work, self.clock.now(), completed=completed)
-        self.link.publish(WorkEnded(work.work, completed))
+        broken = broken and self.placer.health.is_shared
+        self._apply_end(WorkEnded(work.work, completed, broken), self.clock.now())
+        self.link.publish(WorkEnded(work.work, completed, broken))
+
+    def _apply_end(self, event: WorkEnded, now: float) -> None:
+        suspended = self.placer.end_work(
+            event.work, now, completed=event.completed, broken=event.broken
+        )
+        if suspended is not None:
+            self.metrics.count("shared_suspensions", target=suspended)
+            self.event_log.write(
+                "health",
+                "target_suspended",
+                target=suspended,
+                silent=False,
+                why="broke off the work of several entries",
+            )
 
     def apply_event(self, event: Event) -> None:
         """Apply an event about targets that another entry has published."""
@@ -159,7 +174,7 @@
                         event.new_tokens,
                     )
             case WorkEnded():
-                placer.end_work(event.work, now, completed=event.completed)
+                self._apply_end(event, now)
             case TargetSuspended():
                 placer.health.suspend(event.target, now)
                 placer.pace.record_suspension(event.target, now)
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -370,6 +370,7 @@
         hosts = sorted({own, *(e.host for e in entries)})
         rank, now = hosts.index(own), self._clock.now()
         self._context.placer.limits.set_entries(rank, len(hosts), now)
+        self._context.placer.health.set_entries(len(hosts))
         self._context.quarantine.set_entries(rank, len(hosts), now)
         self._listing.set_entries([e.host for e in entries])
 
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -251,9 +251,10 @@
             try:
                 if not await self._relay.receive(caller, run, sent):
                     return False
-            except ExchangeError as failure:
+            except (ExchangeError, Superseded) as failure:
                 if run.superseded:
                     # This entry has closed the connection itself.
+                    sent.let_go = True
                     raise Superseded from failure
                 sent.silence_recorded = run.is_silent
                 raise
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -190,6 +190,7 @@
             ) as sent:
                 head = await self._wait_for_prefill(plan, engine, sent, backup)
                 if head is None:
+                    sent.let_go = True
                     return await backup.result()
                 body = await with_timeout(
                     self._progress.body_timeout_s(),
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -44,10 +44,14 @@
     ----------
     completed : bool
         Whether the target has completed it; then it has cached the prompt, if any.
+    broken : bool
+        Whether the target broke it off. It is false when the caller left, and in small
+        fleets, whose entries do not share suspensions.
     """
 
     work: str
     completed: bool
+    broken: bool = False
 
 
 class TargetSuspended(Struct, frozen=True, tag="suspended", array_like=True):
--- a/wigeonspan/sharing/_wire.py
+++ b/wigeonspan/sharing/_wire.py
@@ -11,7 +11,7 @@
 
 from wigeonspan.common import DECODE_ERRORS, HostId
 from wigeonspan.placing import PromptPart, Work
-from wigeonspan.sharing._messages import Event, Packet, WorkBegun
+from wigeonspan.sharing._messages import Event, Packet, WorkBegun, WorkEnded
 
 MAX_DATAGRAM_BYTES = 60_000
 """Maximum size of a datagram in bytes: the limit of UDP with a margin for headers."""
@@ -41,11 +41,18 @@
     new_tokens: int
 
 
+class _WorkEndedWithoutBreak(msgspec.Struct, tag="ended", array_like=True):
+    """Encoded form of :class:`WorkEnded` without its last field."""
+
+    work: str
+    completed: bool
+
+
 class _EncodedPacket(msgspec.Struct, array_like=True):
     """Encoded form of :class:`Packet`."""
 
     host: HostId
-    events: list[Event | _WorkBegunWithoutTenant]
+    events: list[Event | _WorkBegunWithoutTenant | _WorkEndedWithoutBreak]
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -62,13 +69,18 @@
 def encode_packet(packet: Packet) -> bytes:
     """Encode one packet.
 
-    Work without a tenant is encoded as in releases that know no tenants.
+    Work without a tenant, and an end that is no break, are encoded as in releases
+    without these fields.
     """
-    events = [_without_empty_tenant(event) for event in packet.events]
+    events = [_without_empty_field(event) for event in packet.events]
     return _PACKET + _encode(_EncodedPacket(packet.host, events))
 
 
-def _without_empty_tenant(event: Event) -> Event | _WorkBegunWithoutTenant:
+def _without_empty_field(
+    event: Event,
+) -> Event | _WorkBegunWithoutTenant | _WorkEndedWithoutBreak:
+    if isinstance(event, WorkEnded) and not event.broken:
+        return _WorkEndedWithoutBreak(event.work, event.completed)
     if not isinstance(event, WorkBegun) or event.tenant is not None:
         return event
     return _WorkBegunWithoutTenant(event.work, event.parts, event.new_tokens)
