Place a request again after an engine crash although it will be late

A stream that broke off was placed like a new request. While a queue of late requests stood, or its priority was closed, or its first event was expected later than callers without any event wait, it was refused, and its caller got 502 or half a stream although the route allowed another attempt and time was left.

A request that may have run, and runs at no engine now, is refused only when its caller's time is too short or there is no engine.

--- a/wigeonspan/gateway/_candidates.py
+++ b/wigeonspan/gateway/_candidates.py
@@ -30,18 +30,22 @@
         # Limited engines of the latest plan; they get this request but none after it.
         self._claimed: set[TargetId] = set()
 
-    def plan(self, *, direct_only: bool = False) -> Plan | Refusal:
+    def plan(
+        self, *, direct_only: bool = False, has_run: bool = False
+    ) -> Plan | Refusal:
         """Return the engines on which the request is to run, or why it is refused.
 
         Parameters
         ----------
         direct_only : bool
             Whether one engine must do both the prefill and the answer.
+        has_run : bool
+            Whether the request may have run at an engine and runs at none now.
         """
-        plan = self._plan(direct_only)
+        plan = self._plan(direct_only, has_run)
         none_left = isinstance(plan, Refusal) and plan.limit is Limit.NO_ENGINE
         if none_left and self._readmit_unreachable():
-            plan = self._plan(direct_only)
+            plan = self._plan(direct_only, has_run)
         if isinstance(plan, Plan):
             self._claimed = {plan.decode.target}
             self._claim(plan.decode)
@@ -106,7 +110,7 @@
             **fields,
         )
 
-    def _plan(self, direct_only: bool) -> Plan | Refusal:
+    def _plan(self, direct_only: bool, has_run: bool) -> Plan | Refusal:
         request, now = self._active_request, self._active_request.context.clock.now()
         priorities = request.context.config.priorities(request.service)
         return request.context.placer.plan(
@@ -120,6 +124,7 @@
             direct_only=direct_only,
             band=priority_band(priorities, request.priority),
             tenant=request.tenant,
+            has_run=has_run,
         )
 
     def _choose(self, source: Target) -> Target | None:
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -80,7 +80,12 @@
         context, now = self._progress.context, self._progress.context.clock.now()
         self._progress.check_access()
         self._progress.check_quarantine()
-        plan = self._progress.engines.plan(direct_only=self._progress.is_trial)
+        # While a silent engine may still go on, another one is only worth its work when
+        # it is expected to be on time.
+        has_run = self._progress.run_count > 0 and not self._progress.runs
+        plan = self._progress.engines.plan(
+            direct_only=self._progress.is_trial, has_run=has_run
+        )
         list_age_ms = context.target_table.age_ms(now)
         if isinstance(plan, Refusal):
             if self._progress.runs:
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -195,6 +195,7 @@
         direct_only: bool = False,
         band: PriorityBand = SOLE_BAND,
         tenant: TenantName | None = None,
+        has_run: bool = False,
     ) -> Plan | Refusal:
         """Decide where a generation runs, or refuse it.
 
@@ -214,6 +215,10 @@
             Ranks of the request's priority.
         tenant : TenantName or None
             Tenant of the request, if it has one.
+        has_run : bool
+            Whether the request may have run at an engine and runs at none now. Its
+            caller cannot be told to return, so it goes on as long as it can be answered
+            at all.
         """
         if not band.is_sole:
             self.ledger.follow_starts()
@@ -271,12 +276,12 @@
             prefill_ids = [t.target for t in prefill_engines]
             overload_s = self._order.room_after_s(now)
             # A request that failed at an engine was admitted before.
-            if self._order.is_closed(band) and not excluded:
+            if self._order.is_closed(band) and not excluded and not has_run:
                 reason = "more urgent requests are late"
                 return self._refusals.ranked(
                     Limit.PRIORITY, reason, plan, route, prefill_ids, now, overload_s
                 )
-            is_spared = self.tenant_use.spares(tenant, band, now)
+            is_spared = has_run or self.tenant_use.spares(tenant, band, now)
             if late and self._order.refuses_late(band, now) and not is_spared:
                 reason = f"first event expected late, in {plan.first_ms:.0f} ms"
                 if band.is_sole:
@@ -295,8 +300,10 @@
                 plan = _mark_over_share(best(band.late_rank))
         if plan is None:
             return self._refusals.without_engine(targets, excluded, now)
-        budget_s = min(abandon_after_s(route), remaining_s)
-        if plan.first_ms > budget_s * 1000.0 * MAX_TIMEOUT_SHARE:
+        budget_s, share = min(abandon_after_s(route), remaining_s), MAX_TIMEOUT_SHARE
+        if has_run:
+            budget_s, share = remaining_s, 1.0
+        if plan.first_ms > budget_s * 1000.0 * share:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
             return self._refusals.late(Limit.TIME, reason, plan, route)
         return plan
