Place a request anew when the search beside its silent prefill engine was in vain

When a prefill engine is silent, another one is searched beside it. If the best plan was an engine that prefills and decodes itself, the search ended, since it is of no use while the silent engine may still answer. When the silent engine then broke off, the request ended with "no other engine prefills the prompt" (503) although that engine was free. It is placed again now, within the same number of rounds.

--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -31,6 +31,10 @@
 """Seconds within which an engine must respond to the release of a prompt."""
 
 
+class NoOtherPrefill(Exception):
+    """Beside a silent engine, the request would do without a separate prefill."""
+
+
 class PromptPreparation:
     """Placement and prefill of one generation.
 
@@ -56,12 +60,14 @@
         ------
         WigeonspanError
             When the request cannot be sent to an engine any more.
+        NoOtherPrefill
+            When the plan of a backup has no prefill of its own.
         """
         while self._progress.round_count < MAX_ROUNDS:
             self._progress.round_count += 1
             plan = self._plan()
             if plan.prefill is None and as_backup:
-                raise self._progress.error("no other engine prefills the prompt")
+                raise NoOtherPrefill
             if plan.prefill is None:
                 return plan, None
             prepared = await self._prefill_prompt(plan, plan.prefill)
@@ -207,12 +213,12 @@
                 self._progress.engines.exclude(
                     engine, "read_refused", status=head.status
                 )
-                return await backup.result()
+                return await _outcome(backup)
         except ExchangeError as failure:
             self._progress.engines.exclude_after_error(
                 engine, "read_broke_off", failure
             )
-            return await backup.result()
+            return await _outcome(backup)
         finally:
             backup.drop()
         took_ms = (context.clock.now() - now) * 1000.0
@@ -349,3 +355,15 @@
                 self._progress.log_event("release_failed", why=str(failure))
 
         context.run_in_background(send_release())
+
+
+async def _outcome(backup: Backup[PreparedPrompt]) -> PreparedPrompt | None:
+    """Return the prompt of a backup; None when the request is to be placed again.
+
+    An engine that prefills and decodes is of no use beside a silent prefill engine, but
+    it is once that one has failed.
+    """
+    try:
+        return await backup.result()
+    except NoOtherPrefill:
+        return None
