--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -31,6 +31,10 @@
 """Seconds within which an engine must respond to the release of a prompt."""
 
 
+class NoOtherPrefill(Exception):
+    """Beside a silent engine, the request would do without a separate prefill."""
+
+
 class PromptPreparation:
     """Placement and prefill of one generation.
 
@@ -56,12 +60,14 @@
         ------
         WigeonspanError
             When the request cannot be sent to an engine any more.
+        NoOtherPrefill
+            When the plan of a backup has no prefill of its own.
         """
         while self._progress.round_count < MAX_ROUNDS:
             self._progress.round_count += 1
             plan = self._plan()
             if plan.prefill is None and as_backup:
-                raise self._progress.error("no other engine prefills the prompt")
+                raise NoOtherPrefill
             if plan.prefill is None:
                 return plan, None
             prepared = await self._prefill_prompt(plan, plan.prefill)
@@ -80,7 +86,12 @@
         context, now = self._progress.context, self._progress.context.clock.now()
         self._progress.check_access()
         self._progress.check_quarantine()
-        plan = self._progress.engines.plan(direct_only=self._progress.is_trial)
+        # While a silent engine may still go on, another one is only worth its work when
+        # it is expected to be on time.
+        has_run = self._progress.run_count > 0 and not self._progress.runs
+        plan = self._progress.engines.plan(
+            direct_only=self._progress.is_trial, has_run=has_run
+        )
         list_age_ms = context.target_table.age_ms(now)
         if isinstance(plan, Refusal):
             if self._progress.runs:
@@ -190,6 +201,7 @@
             ) as sent:
                 head = await self._wait_for_prefill(plan, engine, sent, backup)
                 if head is None:
+                    sent.let_go = True
                     return await backup.result()
                 body = await with_timeout(
                     self._progress.body_timeout_s(),
@@ -201,12 +213,12 @@
                 self._progress.engines.exclude(
                     engine, "read_refused", status=head.status
                 )
-                return await backup.result()
+                return await _outcome(backup)
         except ExchangeError as failure:
             self._progress.engines.exclude_after_error(
                 engine, "read_broke_off", failure
             )
-            return await backup.result()
+            return await _outcome(backup)
         finally:
             backup.drop()
         took_ms = (context.clock.now() - now) * 1000.0
@@ -343,3 +355,15 @@
                 self._progress.log_event("release_failed", why=str(failure))
 
         context.run_in_background(send_release())
+
+
+async def _outcome(backup: Backup[PreparedPrompt]) -> PreparedPrompt | None:
+    """Return the prompt of a backup; None when the request is to be placed again.
+
+    An engine that prefills and decodes is of no use beside a silent prefill engine, but
+    it is once that one has failed.
+    """
+    try:
+        return await backup.result()
+    except NoOtherPrefill:
+        return None
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -15,7 +15,7 @@
 from wigeonspan.placing._fair_share import MIN_WAIT_MS, TenantUse
 from wigeonspan.placing._figures import PlacementFigures
 from wigeonspan.placing._health import TargetAvailability
-from wigeonspan.placing._ledger import WorkLedger
+from wigeonspan.placing._ledger import Work, WorkLedger
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
 from wigeonspan.placing._order import WorkOrder, is_expected_late
 from wigeonspan.placing._pace import TargetPace
@@ -23,6 +23,7 @@
 from wigeonspan.placing._prefixes import CachedPrefixes
 from wigeonspan.placing._priority import SOLE_BAND, PriorityBand
 from wigeonspan.placing._refusals import Refusals
+from wigeonspan.placing._shared_failures import BrokenWork
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
 from wigeonspan.ratelimits import SharedRateLimits
@@ -49,12 +50,13 @@
         self.ledger = WorkLedger()
         self.prefixes = CachedPrefixes(400_000.0)
         self.speeds = SlowdownFactors()
-        self.health = TargetAvailability()
+        self.health = TargetAvailability(rng)
         self.event_pauses = EventPauses()
         self.slots = SlotForecast()
         self.limits = SharedRateLimits()
         self.pace = TargetPace(self.ledger)
         self.tenant_use = TenantUse()
+        self._broken_work = BrokenWork()
         self._order = WorkOrder()
         self._eligible = EligibleTargets(self.health, self.limits)
         self._refusals = Refusals(rng, self._eligible, self.limits, self.ledger)
@@ -131,14 +133,49 @@
         self.ledger.forget(target)
         self.event_pauses.forget(target)
         self.limits.forget(target)
+        self._broken_work.clear(target)
 
-    def end_work(self, work: str, now: float, *, completed: bool) -> None:
-        """Record the end of work, and whether its prefill was completed."""
+    def end_work(
+        self, work: str, now: float, *, completed: bool, broken: bool = False
+    ) -> TargetId | None:
+        """Record the end of work of any entry.
+
+        Parameters
+        ----------
+        completed : bool
+            Whether its prefill was completed.
+        broken : bool
+            Whether the target broke it off.
+
+        Returns
+        -------
+        TargetId or None
+            Target that is now suspended; None when the end suspends none.
+        """
         begun = self.ledger.find(work)
         self.ledger.end(work, now, completed=completed)
         if completed and begun is not None:
             self.pace.record_answer(*begun, now)
         self.prefixes.end(work, completed=completed)
+        if begun is None or not self.health.is_shared:
+            return None
+        return self._record_shared(begun[0], now, completed=completed, broken=broken)
+
+    def _record_shared(
+        self, work: Work, now: float, *, completed: bool, broken: bool
+    ) -> TargetId | None:
+        """Suspend a target that entries find broken, or end its suspension."""
+        target = work.target
+        if completed:
+            self._broken_work.clear(target)
+            self.health.record_completed(target, now)
+            return None
+        if not broken or not self._broken_work.record(work, now):
+            return None
+        if not self.health.suspend(target, now):
+            return None
+        self.pace.record_suspension(target, now)
+        return target
 
     def new_tokens(self, target: Target, prompt: Prompt) -> int:
         """Return how many tokens of a prompt an engine has not cached, at least 1."""
@@ -158,6 +195,7 @@
         direct_only: bool = False,
         band: PriorityBand = SOLE_BAND,
         tenant: TenantName | None = None,
+        has_run: bool = False,
     ) -> Plan | Refusal:
         """Decide where a generation runs, or refuse it.
 
@@ -177,6 +215,10 @@
             Ranks of the request's priority.
         tenant : TenantName or None
             Tenant of the request, if it has one.
+        has_run : bool
+            Whether the request may have run at an engine and runs at none now. Its
+            caller cannot be told to return, so it goes on as long as it can be answered
+            at all.
         """
         if not band.is_sole:
             self.ledger.follow_starts()
@@ -234,12 +276,12 @@
             prefill_ids = [t.target for t in prefill_engines]
             overload_s = self._order.room_after_s(plan, now)
             # A request that failed at an engine was admitted before.
-            if self._order.is_closed(plan) and not excluded:
+            if self._order.is_closed(plan) and not excluded and not has_run:
                 reason = "more urgent requests are late"
                 return self._refusals.ranked(
                     Limit.PRIORITY, reason, plan, route, prefill_ids, now, overload_s
                 )
-            is_spared = self.tenant_use.spares(tenant, band, now)
+            is_spared = has_run or self.tenant_use.spares(tenant, band, now)
             if late and self._order.refuses_late(plan, now) and not is_spared:
                 reason = f"first event expected late, in {plan.first_ms:.0f} ms"
                 if band.is_sole:
@@ -258,8 +300,10 @@
                 plan = _mark_over_share(best(band.late_rank))
         if plan is None:
             return self._refusals.without_engine(targets, excluded, now)
-        budget_s = min(abandon_after_s(route), remaining_s)
-        if plan.first_ms > budget_s * 1000.0 * MAX_TIMEOUT_SHARE:
+        budget_s, share = min(abandon_after_s(route), remaining_s), MAX_TIMEOUT_SHARE
+        if has_run:
+            budget_s, share = remaining_s, 1.0
+        if plan.first_ms > budget_s * 1000.0 * share:
             reason = f"first event expected in {plan.first_ms:.0f} ms"
             return self._refusals.late(Limit.TIME, reason, plan, route)
         return plan
