Decide on loans of retries between entries, and encode their messages

Cause: in a fleet of 69 entries each may send about two retries in 10 s beyond a share of its own requests, so entries with many broken streams refuse repeats while others have retries left. Change: an entry with fewer than two retries asks; one with more than half of its allowance and at least two lends one and records it as spent until after any use of it. Each loan bears the time of the ask, so a late one is refused.

--- a/tests/sharing/test_wire.py
+++ b/tests/sharing/test_wire.py
@@ -3,11 +3,13 @@
 import msgspec
 import pytest
 
-from wigeonspan.common import HostId, TenantName
+from wigeonspan.common import HostId, ServiceName, TenantName
 from wigeonspan.placing import PromptPart, Work, WorkKind
 from wigeonspan.sharing import (
     ListRead,
     Packet,
+    RetriesLent,
+    RetriesWanted,
     TargetSuspended,
     WorkBegun,
     WorkEnded,
@@ -30,6 +32,8 @@
         WorkEnded("e1/1", True),
         TargetSuspended(TargetId("t")),
         ListRead("d", 0.2),
+        RetriesWanted(ServiceName("s"), 2, 1234),
+        RetriesLent(HostId("e2"), ServiceName("s"), 1, 1234),
     ],
 )
 
--- a/wigeonspan/placing/__init__.py
+++ b/wigeonspan/placing/__init__.py
@@ -4,6 +4,7 @@
 from wigeonspan.placing._figures import GenerationFigures, TargetFigures
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import Work, WorkKind, WorkLedger
+from wigeonspan.placing._lending import MAX_WANTED, RetryLending
 from wigeonspan.placing._messages import (
     Decision,
     Limit,
@@ -21,7 +22,7 @@
     stream_priorities,
 )
 from wigeonspan.placing._readings import PrefillSteps
-from wigeonspan.placing._retries import RetryBudget
+from wigeonspan.placing._retries import RetryBudget, SpentRetry
 from wigeonspan.placing._speed import SlowdownFactors
 
 __all__ = [
@@ -29,6 +30,7 @@
     "DIRECT_SLOWDOWN",
     "CachedPrefixes",
     "Decision",
+    "MAX_WANTED",
     "GenerationFigures",
     "Limit",
     "Placer",
@@ -39,7 +41,9 @@
     "PromptPart",
     "Refusal",
     "RetryBudget",
+    "RetryLending",
     "SlowdownFactors",
+    "SpentRetry",
     "TargetAvailability",
     "TargetFigures",
     "Work",
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -4,14 +4,16 @@
 
 from msgspec import Meta, Struct
 
-from wigeonspan.common import HostId, TenantName
-from wigeonspan.placing import PromptPart, Work
+from wigeonspan.common import HostId, ServiceName, TenantName
+from wigeonspan.placing import MAX_WANTED, PromptPart, Work
 from wigeonspan.quarantine import QuarantineMessage
 from wigeonspan.targets import Listing, TargetId
 
 _BornMs = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 _Tokens = Annotated[int, Meta(ge=0, le=10**9)]
 _Rate = Annotated[float, Meta(ge=0.0, le=1e9)]
+_Retries = Annotated[int, Meta(ge=1, le=MAX_WANTED)]
+_MonotonicMs = Annotated[int, Meta(ge=0, le=2**53)]
 # A list that was read more than a day ago is as good as none. The limit also keeps out
 # infinite ages, and a time in the future would put off all further reads.
 _AgeS = Annotated[float, Meta(ge=0.0, le=86400.0)]
@@ -87,6 +89,38 @@
     max_rate: _Rate
 
 
+class RetriesWanted(Struct, frozen=True, tag="wanted", array_like=True):
+    """An entry asks the others for retries.
+
+    Parameters
+    ----------
+    asked_ms : int
+        Time of the request on the monotonic clock of the asking entry in milliseconds.
+        The lenders return it, so that the asking entry knows the age of a loan.
+    """
+
+    service: ServiceName
+    count: _Retries
+    asked_ms: _MonotonicMs
+
+
+class RetriesLent(Struct, frozen=True, tag="lent", array_like=True):
+    """An entry lends retries, which it has recorded as spent, to another one.
+
+    Parameters
+    ----------
+    host : HostId
+        Entry that has asked for them.
+    asked_ms : int
+        Time of its request, see :class:`RetriesWanted`.
+    """
+
+    host: HostId
+    service: ServiceName
+    count: _Retries
+    asked_ms: _MonotonicMs
+
+
 class ListRead(Struct, frozen=True, tag="list", array_like=True):
     """An entry has read the list of targets.
 
@@ -110,6 +144,8 @@
     | TargetSuspended
     | TargetLeaving
     | TargetLimited
+    | RetriesWanted
+    | RetriesLent
     | ListRead
     | QuarantineMessage
 )
