Exchange retries between entries

Cause: an entry without retries refused repeats although the others had all theirs left. Change: the gateway asks after each attempt to take a retry, answers asks and accepts loans; log lines and the counter retry_loans tell of both. Datagrams for services that are not configured leave no state.

--- a/wigeonspan/gateway/_config.py
+++ b/wigeonspan/gateway/_config.py
@@ -68,6 +68,10 @@
             self._priorities[service] = stream_priorities(self._config, service)
         return self._priorities[service]
 
+    def has_service(self, service: ServiceName) -> bool:
+        """Return whether the configuration in force has a service."""
+        return self._config is not None and self._config.service(service) is not None
+
     def offer(self, stored: StoredConfig, source: str) -> bool:
         """Apply a committed configuration if it is newer and readable.
 
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -9,9 +9,10 @@
 from wigeonspan.common import BootClock, Clock, HostId, ServiceName, TenantName
 from wigeonspan.gateway._config import ConfigHolder
 from wigeonspan.gateway._durations import DurationForecast
+from wigeonspan.gateway._loans import RetryLoans
 from wigeonspan.gateway._messages import TargetNotice, TargetProtocol
 from wigeonspan.gateway._stopping import StopWindow
-from wigeonspan.placing import Placer, PromptPart, RetryBudget, Work
+from wigeonspan.placing import Placer, PromptPart, RetryBudget, SpentRetry, Work
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.quarantine import (
     PartQuarantined,
@@ -25,6 +26,8 @@
 from wigeonspan.sharing import (
     Event,
     PeerLink,
+    RetriesLent,
+    RetriesWanted,
     TargetLeaving,
     TargetLimited,
     TargetSuspended,
@@ -57,6 +60,8 @@
         accepted; None for no limit.
     meter : UsageMeter or None
         Counts of requests by tenant; None when use is not metered.
+    loans : RetryLoans or None
+        Exchange of retries with the other entries; None without it.
     tasks : set of asyncio.Task
         Background tasks; the event loop itself keeps only weak references to them.
     """
@@ -83,6 +88,7 @@
     boot_clock: Clock = field(default_factory=BootClock)
     max_key_age_s: float | None = None
     meter: UsageMeter | None = None
+    loans: RetryLoans | None = None
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def add_demand(
@@ -108,10 +114,25 @@
 
     def take_retry(self, service: ServiceName) -> bool:
         """Take a retry from the budget of a service; return whether it is allowed."""
-        allowed = self.budget.try_spend(service, self.clock.now())
-        outcome = "sent" if allowed else "refused"
+        return self.spend_retry(service) is not None
+
+    def spend_retry(self, service: ServiceName) -> SpentRetry | None:
+        """Take a retry that can be returned; return None if it is not allowed."""
+        spent = self.budget.spend(service, self.clock.now())
+        outcome = "sent" if spent is not None else "refused"
         self.metrics.count("repeats", service=service, outcome=outcome)
-        return allowed
+        if self.loans is not None:
+            self.loans.ask_after_attempt(service)
+        return spent
+
+    def return_retry(self, service: ServiceName, spent: SpentRetry) -> None:
+        """Return a retry to the budget because its request was not sent."""
+        self.metrics.count("repeats", service=service, outcome="not_sent")
+        self.budget.refund(service, spent, self.clock.now())
+
+    def spares_retries(self, service: ServiceName) -> bool:
+        """Return whether a repeat should take as few retries as possible."""
+        return self.loans is not None and self.loans.spares_retries(service)
 
     def run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine without waiting for it."""
@@ -141,6 +162,18 @@
         self.placer.end_work(work.work, self.clock.now(), completed=completed)
         self.link.publish(WorkEnded(work.work, completed))
 
+    def receive_event(self, host: HostId, event: Event) -> None:
+        """Process an event of another entry, except about the list of targets."""
+        match event:
+            case RetriesWanted() | RetriesLent() if self.loans is None:
+                pass
+            case RetriesWanted():
+                self.loans.answer(host, event)
+            case RetriesLent():
+                self.loans.receive(host, event)
+            case _:
+                self.apply_event(event)
+
     def apply_event(self, event: Event) -> None:
         """Apply an event about targets that another entry has published."""
         placer, now = self.placer, self.clock.now()
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -25,10 +25,11 @@
 from wigeonspan.gateway._explain import RequestExplainer
 from wigeonspan.gateway._heartbeats import HeartbeatTask
 from wigeonspan.gateway._listing import ListingTask
+from wigeonspan.gateway._loans import RetryLoans
 from wigeonspan.gateway._messages import TargetProtocol
 from wigeonspan.gateway._serve import RESPONSE_MARGIN_S, Server
 from wigeonspan.gateway._settings import GatewaySettings
-from wigeonspan.placing import Placer, RetryBudget
+from wigeonspan.placing import Placer, RetryBudget, RetryLending
 from wigeonspan.pool import ConnectionPool
 from wigeonspan.presence import (
     ADDRESS_KEEP_S,
@@ -140,6 +141,15 @@
             meter=_make_meter(settings, boot_clock or clock, rng),
         )
         context = self._context
+        context.loans = RetryLoans(
+            settings.host,
+            RetryLending(context.budget, rng),
+            context.config.has_service,
+            context.link,
+            event_log,
+            context.metrics,
+            clock,
+        )
         self._record_error = make_error_reporter(event_log, context.metrics)
         self._server = Server(context, rng)
         self._explainer = RequestExplainer(
@@ -298,6 +308,8 @@
             context.placer.ledger.expire(now)
             context.update_quarantine()
             context.update_pace()
+            if context.loans is not None:
+                context.loans.record_lapsed()
             self._check_for_pause()
             context.pool.close_expired()
             context.event_log.flush()
@@ -377,7 +389,7 @@
         if isinstance(event, ListRead):
             self._listing.receive(event)
         else:
-            self._context.apply_event(event)
+            self._context.receive_event(host, event)
 
     def _record_bad_datagram(self, why: str) -> None:
         self._context.event_log.write("sharing", "bad_datagram", why=why)
