Spare the retry budget for what arrives

Cause: a prefill for which no connection was made took a retry although nothing arrived, so requests failed with the budget of repeated sends used up. A repeat of a short prompt takes two arrivals when a few are left. Change: such a prefill is withdrawn and its retry returned.

--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -93,6 +93,17 @@
     assert plan.prefill.target == "p1"
 
 
+def test_only_short_prompts_prefer_one_engine(placer):
+    """A long prefill at a decode engine would pause the streams that run there."""
+    for tokens, decision in ((2000, Decision.DIRECT), (12_000, Decision.SPLIT)):
+        plan = placer.plan(
+            route(), prompt(tokens), fleet(), 10.0, 0.0, prefers_direct=True
+        )
+        assert plan.decision is decision
+    plan = placer.plan(route(), prompt(2000), fleet(), 10.0, 0.0)
+    assert plan.decision is Decision.SPLIT, "otherwise nothing was preferred"
+
+
 def test_large_prompt_goes_before_a_small_one_with_time(placer):
     """Guards against large prompts that wait behind small ones and miss their
     objective: a third of the largest tenth was served, against three quarters of all
--- a/tests/platform/test_retry_lending.py
+++ b/tests/platform/test_retry_lending.py
@@ -3,21 +3,30 @@
 import asyncio
 import random
 
+import pytest
+
 from tests.platform.gateway_harness import (
     IDEMPOTENT,
     NET,
+    STREAM,
+    Engine,
     answers,
+    model_engines,
     not_run,
     plain_engines,
+    prefills,
     route,
     send,
+    serve,
     start_gateway,
     status,
+    streams,
 )
 from wigeonspan.common import HostId
 from wigeonspan.gateway._loans import RetryLoans
 from wigeonspan.placing import RetryLending
 from wigeonspan.sharing import PeerLink
+from wigeonspan.targets import Phase
 
 PEER_PORT = 18090
 
@@ -35,6 +44,18 @@
     return step
 
 
+def make_loans(context, lending):
+    return RetryLoans(
+        context.host,
+        lending,
+        context.config.has_service,
+        context.link,
+        context.event_log,
+        context.metrics,
+        context.clock,
+    )
+
+
 async def connect(contexts):
     """Connect gateways by datagrams, with which they exchange retries."""
     addresses = [f"{NET}.2.{n + 1}:{PEER_PORT}" for n in range(len(contexts))]
@@ -43,15 +64,8 @@
         await context.link.listen(addresses[number])
         context.link.set_peers([a for a in addresses if a != addresses[number]])
         context.budget.set_entries(len(contexts))
-        context.loans = RetryLoans(
-            context.host,
-            RetryLending(context.budget, random.Random(number)),
-            context.config.has_service,
-            context.link,
-            context.event_log,
-            context.metrics,
-            context.clock,
-        )
+        lending = RetryLending(context.budget, random.Random(number))
+        context.loans = make_loans(context, lending)
 
 
 async def repeat_at_one_entry(entries, budget, requests):
@@ -98,3 +112,66 @@
     assert results.count(200) == 3
     for context in contexts:
         assert b"retry_loans" not in context.metrics.text()
+
+
+class AbsentEngine(Engine):
+    """Engine that takes no connection."""
+
+    def listen(self, address):
+        pass
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_prefill_that_was_not_sent_takes_no_retry(seed):
+    """Requests failed for lack of retries although nothing of them had arrived."""
+    absent = [AbsentEngine(f"a{n}", Phase.PREFILL, prefills) for n in range(2)]
+    engines = [*absent, *model_engines([prefills], [streams(3)])]
+    (answer,) = serve(route(STREAM), engines, budget=0.5, seed=seed, usage="12000,20")
+    assert status(answer) == 200 and answer.endswith(b"0\r\n\r\n")
+
+
+def test_retry_of_a_prefill_that_was_not_sent_is_returned():
+    """An engine that takes no connection would use up the budget of an entry."""
+
+    async def run():
+        refusing = Engine("r", Phase.PREFILL, not_run)
+        absent = [AbsentEngine(f"a{n}", Phase.PREFILL, prefills) for n in range(3)]
+        engines = [refusing, *absent, Engine("d", Phase.DECODE, streams(3))]
+        context, servers = start_gateway(route(STREAM), engines, budget=8.0)
+        for number in range(4):
+            await send(number, "12000,20", None)
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return context, refusing
+
+    context, refusing = asyncio.run(run())
+    arrivals = len(refusing.seen)
+    remaining = context.budget.remaining("s", context.clock.now())
+    assert arrivals, "the engine that refuses must have been tried"
+    assert b'outcome="not_sent"' in context.metrics.text()
+    assert remaining == 6.0, "no prefill beyond the first of a request arrived"
+
+
+@pytest.mark.parametrize(("entries", "prefills_again"), [(2, 0), (1, 1)])
+def test_repeat_of_a_short_prompt_takes_one_arrival(entries, prefills_again):
+    """A repeat took two arrivals when few were left; a single entry keeps to that."""
+
+    async def run():
+        refusing = [Engine(f"r{n}", Phase.PREFILL, not_run) for n in range(2)]
+        engines = [*refusing, Engine("d", Phase.DECODE, streams(3))]
+        context, servers = start_gateway(route(STREAM), engines, budget=8.0)
+        context.budget.set_entries(entries)
+        lending = RetryLending(context.budget, random.Random(1))
+        context.loans = make_loans(context, lending)
+        while context.budget.remaining("s", context.clock.now()) >= 2.0:
+            assert context.take_retry("s")
+        answer = await send(1, "2000,20", None)
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return answer, sum(len(engine.seen) for engine in refusing)
+
+    answer, prefill_count = asyncio.run(run())
+    assert status(answer) == 200
+    assert prefill_count == 1 + prefills_again
--- a/wigeonspan/gateway/_candidates.py
+++ b/wigeonspan/gateway/_candidates.py
@@ -30,18 +30,22 @@
         # Limited engines of the latest plan; they get this request but none after it.
         self._claimed: set[TargetId] = set()
 
-    def plan(self, *, direct_only: bool = False) -> Plan | Refusal:
+    def plan(
+        self, *, direct_only: bool = False, prefers_direct: bool = False
+    ) -> Plan | Refusal:
         """Return the engines on which the request is to run, or why it is refused.
 
         Parameters
         ----------
         direct_only : bool
             Whether one engine must do both the prefill and the answer.
+        prefers_direct : bool
+            Whether one engine should do both if the prompt is short.
         """
-        plan = self._plan(direct_only)
+        plan = self._plan(direct_only, prefers_direct)
         none_left = isinstance(plan, Refusal) and plan.limit is Limit.NO_ENGINE
         if none_left and self._readmit_unreachable():
-            plan = self._plan(direct_only)
+            plan = self._plan(direct_only, prefers_direct)
         if isinstance(plan, Plan):
             self._claimed = {plan.decode.target}
             self._claim(plan.decode)
@@ -106,7 +110,7 @@
             **fields,
         )
 
-    def _plan(self, direct_only: bool) -> Plan | Refusal:
+    def _plan(self, direct_only: bool, prefers_direct: bool) -> Plan | Refusal:
         request, now = self._active_request, self._active_request.context.clock.now()
         priorities = request.context.config.priorities(request.service)
         return request.context.placer.plan(
@@ -118,6 +122,7 @@
             self._failed | self._unreachable,
             now - request.arrived_at,
             direct_only=direct_only,
+            prefers_direct=prefers_direct,
             band=priority_band(priorities, request.priority),
             tenant=request.tenant,
         )
--- a/wigeonspan/gateway/_loans.py
+++ b/wigeonspan/gateway/_loans.py
@@ -76,7 +76,7 @@
             )
         else:
             self._event_log.write(
-                "retries", "loan_too_late", service=service, lender=host
+                "retries", "loan_refused", service=service, lender=host
             )
 
     def spares_retries(self, service: ServiceName) -> bool:
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -11,7 +11,14 @@
 from wigeonspan.gateway._messages import PromptHandle, SendOptions
 from wigeonspan.gateway._patience import prefill_timeout_s
 from wigeonspan.gateway._progress import GenerationProgress
-from wigeonspan.placing import Limit, Plan, Refusal, WorkKind, abandon_after_s
+from wigeonspan.placing import (
+    Limit,
+    Plan,
+    Refusal,
+    SpentRetry,
+    WorkKind,
+    abandon_after_s,
+)
 from wigeonspan.pool import ExchangeError, FailureKind, Head
 from wigeonspan.targets import Phase, Target
 
@@ -59,7 +66,7 @@
         """
         while self._progress.round_count < MAX_ROUNDS:
             self._progress.round_count += 1
-            plan = self._plan()
+            plan = self._plan(as_backup)
             if plan.prefill is None and as_backup:
                 raise self._progress.error("no other engine prefills the prompt")
             if plan.prefill is None:
@@ -69,9 +76,14 @@
                 return prepared
         raise self._progress.error("no engine answered")
 
-    def _plan(self) -> Plan:
+    def _plan(self, as_backup: bool) -> Plan:
         """Place the generation.
 
+        Parameters
+        ----------
+        as_backup : bool
+            See :meth:`place_and_prefill`.
+
         Raises
         ------
         WigeonspanError
@@ -80,7 +92,10 @@
         context, now = self._progress.context, self._progress.context.clock.now()
         self._progress.check_access()
         self._progress.check_quarantine()
-        plan = self._progress.engines.plan(direct_only=self._progress.is_trial)
+        plan = self._progress.engines.plan(
+            direct_only=self._progress.is_trial,
+            prefers_direct=not as_backup and self._progress.spares_retries(),
+        )
         list_age_ms = context.target_table.age_ms(now)
         if isinstance(plan, Refusal):
             if self._progress.runs:
@@ -167,8 +182,7 @@
         sound. The first prompt that is prefilled is used.
         """
         context, now = self._progress.context, self._progress.context.clock.now()
-        if self._progress.prefill_count:
-            self._progress.spend_retry()
+        spent = self._progress.spend_retry() if self._progress.prefill_count else None
         self._progress.prefill_count += 1
         send = SendOptions(
             engine,
@@ -203,6 +217,8 @@
                 )
                 return await backup.result()
         except ExchangeError as failure:
+            if not failure.sent:
+                self._withdraw_prefill(spent)
             self._progress.engines.exclude_after_error(
                 engine, "read_broke_off", failure
             )
@@ -216,6 +232,13 @@
         self._progress.log_event("read", target=engine.target, took_ms=round(took_ms))
         return plan, handle
 
+    def _withdraw_prefill(self, spent: SpentRetry | None) -> None:
+        """Withdraw a prefill for which no connection was made: it did not arrive."""
+        self._progress.prefill_count -= 1
+        if spent is not None:
+            service = self._progress.active_request.service
+            self._progress.context.return_retry(service, spent)
+
     def _decode_handle(
         self, engine: Target, head: Head, body: bytes
     ) -> PromptHandle | None:
--- a/wigeonspan/gateway/_progress.py
+++ b/wigeonspan/gateway/_progress.py
@@ -7,7 +7,7 @@
 from wigeonspan.gateway._context import GatewayContext
 from wigeonspan.gateway._events import StreamPosition
 from wigeonspan.gateway._runs import OpenRuns
-from wigeonspan.placing import Limit, Plan, Prompt, Refusal
+from wigeonspan.placing import Limit, Plan, Prompt, Refusal, SpentRetry
 from wigeonspan.pool import Head
 from wigeonspan.tenants import Access
 
@@ -147,7 +147,7 @@
         """Return the seconds to wait for the body of an unstreamed response."""
         return min(BODY_TIMEOUT_S, self.active_request.remaining_s)
 
-    def spend_retry(self) -> None:
+    def spend_retry(self) -> SpentRetry:
         """Take a retry from the retry budget.
 
         Raises
@@ -155,8 +155,15 @@
         WigeonspanError
             When the budget is used up.
         """
-        if not self.context.take_retry(self.active_request.service):
+        spent = self.context.spend_retry(self.active_request.service)
+        if spent is None:
             raise self.error("the budget of repeated sends is used up")
+        return spent
+
+    def spares_retries(self) -> bool:
+        """Return whether this is a repeat that should take few retries."""
+        is_repeat = self.prefill_count > 0 or self.stream_count > 0
+        return is_repeat and self.context.spares_retries(self.active_request.service)
 
     def may_run_again(self) -> bool:
         """Return whether the request may run once more besides its runs until now."""
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -156,6 +156,7 @@
         elapsed_s: float = 0.0,
         *,
         direct_only: bool = False,
+        prefers_direct: bool = False,
         band: PriorityBand = SOLE_BAND,
         tenant: TenantName | None = None,
     ) -> Plan | Refusal:
@@ -173,6 +174,9 @@
             Seconds since the request arrived.
         direct_only : bool
             Whether the engine that writes the answer must do the prefill as well.
+        prefers_direct : bool
+            Whether it should, as far as the pauses of its streams allow: a repeat is
+            then one arrival instead of two.
         band : PriorityBand
             Ranks of the request's priority.
         tenant : TenantName or None
@@ -222,7 +226,8 @@
                 now,
                 required=direct_only or not prefill_engines,
             )
-            options = [direct] if direct_only else [split, direct]
+            one_engine = direct_only or (prefers_direct and direct is not None)
+            options = [direct] if one_engine else [split, direct]
             found = [plan for plan in options if plan is not None]
             best_plan = min(found, key=comparison_ms, default=None)
             return None if best_plan is None else replace(best_plan, band=band)
