--- a/wigeonspan/gateway/_candidates.py
+++ b/wigeonspan/gateway/_candidates.py
@@ -31,7 +31,11 @@
         self._claimed: set[TargetId] = set()
 
     def plan(
-        self, *, direct_only: bool = False, has_run: bool = False
+        self,
+        *,
+        direct_only: bool = False,
+        prefers_direct: bool = False,
+        has_run: bool = False,
     ) -> Plan | Refusal:
         """Return the engines on which the request is to run, or why it is refused.
 
@@ -39,13 +43,15 @@
         ----------
         direct_only : bool
             Whether one engine must do both the prefill and the answer.
+        prefers_direct : bool
+            Whether one engine should do both if the prompt is short.
         has_run : bool
             Whether the request may have run at an engine and runs at none now.
         """
-        plan = self._plan(direct_only, has_run)
+        plan = self._plan(direct_only, prefers_direct, has_run)
         none_left = isinstance(plan, Refusal) and plan.limit is Limit.NO_ENGINE
         if none_left and self._readmit_unreachable():
-            plan = self._plan(direct_only, has_run)
+            plan = self._plan(direct_only, prefers_direct, has_run)
         if isinstance(plan, Plan):
             self._claimed = {plan.decode.target}
             self._claim(plan.decode)
@@ -110,7 +116,9 @@
             **fields,
         )
 
-    def _plan(self, direct_only: bool, has_run: bool) -> Plan | Refusal:
+    def _plan(
+        self, direct_only: bool, prefers_direct: bool, has_run: bool
+    ) -> Plan | Refusal:
         request, now = self._active_request, self._active_request.context.clock.now()
         priorities = request.context.config.priorities(request.service)
         return request.context.placer.plan(
@@ -122,6 +130,7 @@
             self._failed | self._unreachable,
             now - request.arrived_at,
             direct_only=direct_only,
+            prefers_direct=prefers_direct,
             band=priority_band(priorities, request.priority),
             tenant=request.tenant,
             has_run=has_run,
