--- a/wigeonspan/staging/_plan.py
+++ b/wigeonspan/staging/_plan.py
@@ -28,20 +28,8 @@
 corrected at once: the requests are lost before the next change would help."""
 
 SHORTAGE_CHANGE_SHARE = 0.25
-"""Maximum share of the engines of a phase that change together in a shortage of the
-other phase; the others have to take over their work for seconds."""
-
-MIN_LARGE_FLEET = 16
-"""Number of engines from which a shortage of prefill engines is corrected by several
-changes together. In smaller fleets, one engine is a large share of its phase."""
-
-PREFILL_SHORTAGE_LOAD = 0.8
-"""Load of the prefill engines above which prompts wait longer than they are
-prefilled."""
-
-PREFILL_SHORTAGE_SLOT_LOAD = 0.6
-"""Planned share of the slots in use when prefill engines are short; the rest takes the
-streams of a burst to 1.6 times the mean."""
+"""Maximum share of the prefill engines that change together in a shortage of slots; the
+others have to take over their prompts for seconds."""
 
 CHANGE_INTERVAL_S = 10.0
 """Minimum seconds between two changes of a service without a shortage, so that the
@@ -118,11 +106,6 @@
         desired = math.ceil(needed_engines / PLANNED_LOAD)
     elif _is_short(decoding, slots, demand):
         desired = math.ceil(demand.recent_streams / slots / GROW_LOAD)
-    elif _lacks_prefill(engines, prefill_engines, demand):
-        streams = max(demand.streams, demand.recent_streams)
-        for_streams = math.ceil(streams / slots / PREFILL_SHORTAGE_SLOT_LOAD)
-        for_prompts = math.ceil(demand.busy_prefill_engines / MAX_PREFILL_LOAD)
-        desired = min(decoding, max(for_streams, engines - for_prompts))
     elif demand.busy_prefill_engines > MAX_PREFILL_LOAD * prefill_engines:
         while needed_engines < SHRINK_LOAD * (desired - 1):
             desired -= 1
@@ -166,12 +149,6 @@
     return demand.recent_streams > SHORTAGE_LOAD * decoding * slots
 
 
-def _lacks_prefill(engines: int, prefill_engines: int, demand: EngineDemand) -> bool:
-    """Return whether the prompts of a large fleet wait for prefill engines."""
-    busy = demand.busy_prefill_engines
-    return engines >= MIN_LARGE_FLEET and busy > PREFILL_SHORTAGE_LOAD * prefill_engines
-
-
 def allowed_changes(
     targets: Sequence[Target],
     demand: EngineDemand | None,
@@ -199,11 +176,7 @@
     prefill = sum(1 for t in targets if t.phase is Phase.PREFILL)
     if _is_short(decoding, _slots(targets), demand):
         return max(1, int(prefill * SHORTAGE_CHANGE_SHARE))
-    if not demand.is_settled:
-        return 0
-    if not elastic and _lacks_prefill(len(targets), prefill, demand):
-        return max(1, int(decoding * SHORTAGE_CHANGE_SHARE))
-    if idle_s < CHANGE_INTERVAL_S:
+    if not demand.is_settled or idle_s < CHANGE_INTERVAL_S:
         return 0
     return len(targets) // MIN_IMBALANCE_SHARE if elastic else MAX_CONCURRENT_CHANGES
 
