Place streams where the engine has the memory for them

Cause: decode engines were compared by their number of streams. In bursts of the long kind, requests went to an engine whose memory was full while others had room, and the engine preempted streams.

Change: EngineMemory keeps the tokens that run at each engine. Engines with room come first, the wait for memory counts as wait for a slot, a request without room is sent with the last rank of its priority so that it preempts none of it, and what needs more than an engine is refused (Limit.MEMORY). It is off unless the placer is told so.

--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -66,6 +66,8 @@
         Seed for the entries' placers and for the delay and loss of reports.
     change_placer : callable
         Called with each entry's placer before the run, to compare variants of it.
+    limits_memory : bool
+        Whether entries consider the memory of engines.
     """
 
     def __init__(
@@ -74,6 +76,8 @@
         pattern: Pattern,
         seed: int,
         change_placer: Callable[[Placer], None] = lambda placer: None,
+        *,
+        limits_memory: bool = False,
     ) -> None:
         self.outcomes: list[Outcome] = []
         self._unscaled_deployment = deployment
@@ -91,8 +95,8 @@
         self._entries = []
         for number in range(deployment.entries):
             rng = random.Random(self._rng.random())
-            placer = Placer(self._domain(number), rng)
-            placer.prefixes.set_memory(deployment.memory_tokens)
+            placer = Placer(self._domain(number), rng, limits_memory=limits_memory)
+            placer.set_engines(deployment.memory_tokens, 0.0)
             change_placer(placer)
             quarantine = PromptQuarantine()
             quarantine.set_entries(number, deployment.entries, START_S)
@@ -175,12 +179,14 @@
         parts=(),
         new_tokens: int = 0,
         tenant: TenantName | None = None,
+        memory_tokens: int = 0,
     ) -> None:
         """Record the start of work at its entry and report it to the other entries."""
 
         def record(receiver: Entry) -> None:
             now = self._clock.now()
             receiver.placer.ledger.begin(work, now)
+            receiver.placer.memory.begin(work, memory_tokens, now)
             if tenant is not None:
                 receiver.placer.tenant_use.record(
                     tenant, work.urgency, work.work_ms, now
@@ -325,7 +331,7 @@
     def _report_demand(self) -> None:
         now = self._clock.now()
         for entry in self._entries:
-            entry.placer.ledger.expire(now)
+            entry.placer.expire(now)
             self._meter.record(entry.host, SERVICE, entry.read_ms, entry.stream_s, now)
 
     def _check_phases(self) -> None:
--- a/replay/_request.py
+++ b/replay/_request.py
@@ -67,6 +67,8 @@
             IMPATIENT_CALLER_RETRIES if arrival.impatient else CALLER_RETRIES
         )
         self._placements = 0
+        # Tokens that the request holds at its decode engine, as the entry expects.
+        self._memory_need = 0
         self._first_event_s: float | None = None
         self._longest_pause_s = 0.0
         self._retry_after_s: float | None = None
@@ -114,6 +116,7 @@
         if self._is_refused():
             return
         self._placements += 1
+        self._memory_need = placer.memory.need(self._route.name, self._arrival.prompt)
         plan = placer.plan(
             self._route,
             self._arrival.prompt,
@@ -176,6 +179,7 @@
             prompt.parts,
             plan.prefill_steps.new_tokens,
             self._arrival.tenant,
+            self._memory_need,
         )
         engine, started = simulation.engine_of(target.target), simulation.now
 
@@ -238,34 +242,43 @@
             simulation.clock.now(),
             self._excluded,
             engine.target.domain,
+            need=self._memory_need,
+            band=plan.band,
         )
         if decode is None:
             self._place_again(engine)
             return
         decode_id = simulation.new_work_id()
+        urgency = self._entry.placer.memory.rank(
+            decode.target, self._memory_need, plan.urgency, plan.band
+        )
         decode_work = Work(
             decode_id,
             self._entry.host,
             decode.target,
             WorkKind.DECODE,
             0.0,
-            plan.urgency,
+            urgency,
+        )
+        simulation.begin_work(self._entry, decode_work, memory_tokens=self._memory_need)
+        self._start_stream(
+            plan, simulation.engine_of(decode.target), decode_id, urgency
         )
-        simulation.begin_work(self._entry, decode_work)
-        self._start_stream(plan, simulation.engine_of(decode.target), decode_id)
 
     def _end_direct_prefill(
         self, plan: Plan, engine: Engine, work_id: str, completed: bool
     ) -> None:
         """Start the stream on the engine that ran the prefill."""
         if completed and not self._has_ended:
-            self._start_stream(plan, engine, work_id)
+            self._start_stream(plan, engine, work_id, plan.urgency)
             return
         self._simulation.end_work(self._entry, work_id, completed=completed)
         if not self._has_ended:
             self._place_again(engine)
 
-    def _start_stream(self, plan: Plan, engine: Engine, work_id: str) -> None:
+    def _start_stream(
+        self, plan: Plan, engine: Engine, work_id: str, urgency: int
+    ) -> None:
         simulation, started = self._simulation, self._simulation.now
         if self._is_refused():
             simulation.end_work(self._entry, work_id, completed=False)
@@ -312,7 +325,7 @@
                 self._finish(Ending.FAILED)
 
         tokens = self._arrival.prompt.output_tokens
-        job = StreamJob(tokens, plan.urgency, record_first_event, end, record_pause)
+        job = StreamJob(tokens, urgency, record_first_event, end, record_pause)
         job.memory_tokens = self._arrival.prompt.input_tokens + tokens
         culprit = self._arrival.culprit
         if culprit is not None:
--- a/wigeonspan/placing/_choice.py
+++ b/wigeonspan/placing/_choice.py
@@ -9,9 +9,11 @@
 from wigeonspan.placing._estimate import CROSS_DOMAIN_MS, EngineEstimate
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import WorkKind, WorkLedger
+from wigeonspan.placing._memory import EngineMemory
 from wigeonspan.placing._messages import Decision, Plan, Prompt
 from wigeonspan.placing._order import MAX_URGENCY
 from wigeonspan.placing._pace import TargetPace
+from wigeonspan.placing._priority import SOLE_BAND, PriorityBand
 from wigeonspan.placing._readings import PREFILL_FIXED_MS, PrefillSteps
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
@@ -82,6 +84,7 @@
         slots: SlotForecast,
         speeds: SlowdownFactors,
         pace: TargetPace,
+        memory: EngineMemory,
     ) -> None:
         self._domain = domain
         self._rng = rng
@@ -92,6 +95,7 @@
         self._slots = slots
         self._speeds = speeds
         self._pace = pace
+        self._memory = memory
 
     def split(
         self,
@@ -104,6 +108,8 @@
         slot_wait_ms: float,
         remaining_ms: float,
         now: float,
+        need: int = 0,
+        band: PriorityBand = SOLE_BAND,
     ) -> Plan | None:
         """Return the best plan with separate engines for prefill and decode.
 
@@ -147,7 +153,14 @@
 
         scored = {t.target: score(t) for t in engines}
         best = min(engines, key=lambda t: scored[t.target])
-        decode = self.decode(decode_engines, prompt, now, near=best.domain)
+        decode = self.decode(
+            decode_engines,
+            prompt,
+            now,
+            near=best.domain,
+            need=need,
+            band=band,
+        )
         if decode is None:
             return None
         _, wait, cost = scored[best.target]
@@ -193,6 +206,8 @@
         urgency: int,
         slot_wait_ms: float,
         now: float,
+        need: int = 0,
+        band: PriorityBand = SOLE_BAND,
         *,
         required: bool,
     ) -> Plan | None:
@@ -203,7 +218,7 @@
         required : bool
             Whether there is no other way, so that ``DIRECT_LIMIT_MS`` does not apply.
         """
-        engine = self.decode(decode_engines, prompt, now)
+        engine = self.decode(decode_engines, prompt, now, need=need, band=band)
         if engine is None:
             return None
         waiting = self._ledger.backlog_ms(engine.target, urgency, now)
@@ -234,15 +249,23 @@
         excluded: Collection[TargetId] = (),
         near: DomainName | None = None,
         claimed: Collection[TargetId] = (),
+        need: int = 0,
+        band: PriorityBand = SOLE_BAND,
     ) -> Target | None:
         """Return the decode engine with the least expected delay.
 
+        Engines with memory for the request come first.
+
         Parameters
         ----------
         claimed : collection of TargetId
             Engines whose limit allows this request although the next one has to wait.
         near : DomainName or None
             Failure domain of the prefill engine; None when there is none.
+        need : int
+            Tokens that the request holds there; 0 when the memory is not considered.
+        band : PriorityBand
+            Ranks of the request's priority.
         """
         eligible = self._eligible.select(targets, excluded, now, claimed)
         engines = self._eligible.without_suspended(
@@ -250,7 +273,7 @@
         )
         if not engines:
             return None
-        engines = self._pace.select(engines)
+        engines = self._pace.select(self._memory.select(engines, need, band))
         penalties = self._health.failure_penalties_ms([t.target for t in engines])
 
         def delay_ms(target: Target) -> float:
--- a/wigeonspan/placing/_figures.py
+++ b/wigeonspan/placing/_figures.py
@@ -8,6 +8,7 @@
 from wigeonspan.placing._estimate import EngineEstimate
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import WorkKind, WorkLedger
+from wigeonspan.placing._memory import EngineMemory
 from wigeonspan.placing._messages import Prompt
 from wigeonspan.placing._order import WorkOrder
 from wigeonspan.placing._pace import TargetPace
@@ -33,11 +34,15 @@
     prefilled_tokens, copied_tokens : int
         Tokens that it would prefill itself, and copy from another engine.
     slot_wait_ms : float
-        Expected time in milliseconds until the engine has a slot for the stream.
+        Expected time in milliseconds until the engine has a slot and the memory for the
+        stream.
     cross_domain_ms : float
         Penalty in milliseconds for an engine in another failure domain.
     overtaken : int
         Waiting prompts that this one would overtake.
+    room_tokens : int or None
+        Tokens of memory that are free there for new streams; None when the memory is
+        not considered.
     """
 
     wait_ms: float
@@ -48,6 +53,7 @@
     slot_wait_ms: float
     cross_domain_ms: float
     overtaken: int
+    room_tokens: int | None = None
 
 
 class TargetFigures(Struct, frozen=True):
@@ -102,6 +108,7 @@
         pace: TargetPace,
         order: WorkOrder,
         estimate: EngineEstimate,
+        memory: EngineMemory,
     ) -> None:
         self._ledger = ledger
         self._prefixes = prefixes
@@ -112,6 +119,7 @@
         self._pace = pace
         self._order = order
         self._estimate = estimate
+        self._memory = memory
 
     def of_calls(self, targets: Sequence[Target], now: float) -> list[TargetFigures]:
         """Return the figures of targets for a plain call."""
@@ -155,8 +163,12 @@
             **self._health.failure_penalties_ms([t.target for t in others]),
         }
 
+        memory = self._memory
+        need = memory.need(route.name, prompt)
+
         def figures(target: Target) -> TargetFigures:
             name = target.target
+            is_limited = memory.applies and target.phase is not Phase.PREFILL
             streams = self._ledger.open_streams(name)
             generation = GenerationFigures(
                 wait_ms=self._ledger.backlog_ms(name, urgency, now),
@@ -164,9 +176,13 @@
                 cached_tokens=self._prefixes.cached_tokens(name, prompt.parts),
                 prefilled_tokens=steps[name].prefilled_tokens,
                 copied_tokens=steps[name].copied_tokens,
-                slot_wait_ms=self._slots.wait_ms(target.slots, streams, urgency),
+                slot_wait_ms=max(
+                    self._slots.wait_ms(target.slots, streams, urgency),
+                    memory.engine_wait_ms(name, need, urgency),
+                ),
                 cross_domain_ms=self._estimate.cross_domain_ms(target, prompt),
                 overtaken=self._ledger.count_overtaken(name, urgency),
+                room_tokens=memory.room_tokens(name) if is_limited else None,
             )
             slowness = self._ledger.slowness(name, now)
             return self._figures(target, penalties, slowness, generation, now)
--- /dev/null
+++ b/wigeonspan/placing/_memory.py
@@ -0,0 +1,287 @@
+"""Room in the memory of engines.
+
+It answers bursts of the long kind, whose requests need more memory than an engine has:
+64 prompts of 12,000 tokens need 770,000 tokens, and the engine has 532,040. An engine
+without memory preempts the newest of the least urgent requests, even in the middle of
+a stream, and prefills it again.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+from wigeonspan.common import HostId
+from wigeonspan.placing._ledger import EXPIRY_S, Work, WorkKind
+from wigeonspan.placing._messages import Prompt
+from wigeonspan.placing._priority import PriorityBand
+from wigeonspan.placing._slots import SlotForecast
+from wigeonspan.targets import Target, TargetId
+
+BLOCK_TOKENS = 16
+"""Tokens of a block, in which engines allocate memory."""
+
+FREE_SHARE = 0.05
+"""Share of the memory that is kept free for requests that other entries send at the
+same time; about two requests of 12,000 tokens at an engine with 532,040."""
+
+MAX_URGENT_SHARE = 0.9
+"""Maximum share of the memory that more urgent streams are assumed to keep, so that the
+wait stays finite when they take all."""
+
+RATIO_WEIGHT = 0.05
+"""Weight of a new answer in the moving average of the ratio of real to estimated
+output tokens."""
+
+MAX_RATIO = 10.0
+"""Maximum ratio of real to estimated output tokens that is learned from one answer, so
+that a hint of one token does not spoil the average."""
+
+
+class OutputForecast:
+    """Expected output of requests, from the real output of earlier ones of a route."""
+
+    def __init__(self) -> None:
+        # Mean ratio of real to estimated output by route, with a hint and without.
+        self._ratios: dict[tuple[str, bool], float] = {}
+
+    def expected_tokens(self, route: str, prompt: Prompt) -> int:
+        """Return the expected output tokens of a request, at most its maximum."""
+        ratio = self._ratios.get((route, _has_hint(prompt)), 1.0)
+        expected = round(_estimated_tokens(prompt) * ratio)
+        return max(1, min(expected, prompt.output_tokens))
+
+    def record(self, route: str, prompt: Prompt, output_tokens: int) -> None:
+        """Record the real output of a complete answer."""
+        key = (route, _has_hint(prompt))
+        ratio = min(MAX_RATIO, output_tokens / _estimated_tokens(prompt))
+        mean = self._ratios.get(key, 1.0)
+        self._ratios[key] = mean + RATIO_WEIGHT * (ratio - mean)
+
+
+def _has_hint(prompt: Prompt) -> bool:
+    return prompt.output_hint is not None
+
+
+def _estimated_tokens(prompt: Prompt) -> int:
+    """Return the caller's estimate of the output, or else its maximum."""
+    hint = prompt.output_hint
+    return max(1, prompt.output_tokens if hint is None else hint)
+
+
+class _Held(Struct):
+    """Tokens of one unit of work."""
+
+    work: Work
+    tokens: int
+    begun_at: float
+
+
+class EngineMemory:
+    """Tokens that requests hold at each engine, and the room for another one.
+
+    It does nothing unless it is enabled: all needs are 0 then.
+
+    Parameters
+    ----------
+    slots : SlotForecast
+        Mean duration of the streams, after which they free their memory.
+    enabled : bool
+        Whether placement is to consider the memory of engines.
+    """
+
+    def __init__(self, slots: SlotForecast, *, enabled: bool = False) -> None:
+        self.enabled = enabled
+        self.outputs = OutputForecast()
+        self._slots = slots
+        self._capacity = 0.0
+        self._held: dict[str, _Held] = {}
+        # Tokens by engine and urgency of running streams, and of prompts in prefill.
+        self._running: dict[TargetId, Counter[int]] = {}
+        self._expected: dict[TargetId, Counter[int]] = {}
+
+    @property
+    def capacity(self) -> float:
+        """Tokens that fit into an engine's memory."""
+        return self._capacity
+
+    def set_capacity(self, tokens: float) -> None:
+        """Set the memory of the engines in tokens, from the configuration."""
+        self._capacity = tokens
+
+    @property
+    def applies(self) -> bool:
+        """Whether the memory of engines is limited, as far as is known."""
+        return self.enabled and self._capacity > 0.0
+
+    def need(self, route: str, prompt: Prompt) -> int:
+        """Return the tokens that a request holds at its decode engine.
+
+        Returns 0 when the memory is not to be considered.
+        """
+        if not self.enabled:
+            return 0
+        blocks = -(-prompt.total_tokens // BLOCK_TOKENS)
+        return blocks * BLOCK_TOKENS + self.outputs.expected_tokens(route, prompt)
+
+    def exceeds_engine(self, need: int) -> bool:
+        """Return whether a request needs more memory than an engine has."""
+        return self.applies and need > self._capacity
+
+    def begin(self, work: Work, tokens: int, now: float) -> None:
+        """Record work that holds tokens at its target, or will at a decode engine."""
+        if not self.enabled or tokens <= 0 or work.kind is WorkKind.CALL:
+            return
+        self.end(work.work)
+        self._held[work.work] = _Held(work, tokens, now)
+        self._totals(work).setdefault(work.target, Counter())[work.urgency] += tokens
+
+    def end(self, name: str) -> None:
+        """Record the end of work, if it is known."""
+        held = self._held.pop(name, None)
+        if held is None:
+            return
+        work, totals = held.work, self._totals(held.work)
+        tokens = totals[work.target]
+        tokens[work.urgency] -= held.tokens
+        if not tokens[work.urgency]:
+            del tokens[work.urgency]
+        if not tokens:
+            del totals[work.target]
+
+    def _totals(self, work: Work) -> dict[TargetId, Counter[int]]:
+        is_prefill = work.kind is WorkKind.PREFILL
+        return self._expected if is_prefill else self._running
+
+    def expire(self, now: float) -> None:
+        """Remove work that is older than ``EXPIRY_S``."""
+        self._end_all(
+            [n for n, held in self._held.items() if now - held.begun_at > EXPIRY_S]
+        )
+
+    def drop_host(self, host: HostId) -> None:
+        """Remove the work of an entry that is gone."""
+        self._end_all([n for n, held in self._held.items() if held.work.host == host])
+
+    def forget(self, target: TargetId) -> None:
+        """Remove the work of an engine that is gone or has restarted."""
+        self._end_all(
+            [n for n, held in self._held.items() if held.work.target == target]
+        )
+
+    def _end_all(self, names: list[str]) -> None:
+        for name in names:
+            self.end(name)
+
+    def held_tokens(self, target: TargetId) -> int:
+        """Return the tokens that all running streams hold at an engine."""
+        return self._running.get(target, _NONE).total()
+
+    def room_tokens(self, target: TargetId) -> int:
+        """Return the tokens for which an engine has room without preemption."""
+        return max(0, int(self._usable) - self.held_tokens(target))
+
+    @property
+    def _usable(self) -> float:
+        return self._capacity * (1.0 - FREE_SHARE)
+
+    def select(
+        self, engines: list[Target], need: int, band: PriorityBand
+    ) -> list[Target]:
+        """Return the decode engines where a request preempts the fewest tokens.
+
+        These are all engines with room for it, if there are any. Otherwise less urgent
+        streams are preempted at an engine where that makes enough room; without such an
+        engine, the request waits at the one where the least has to end first.
+
+        Parameters
+        ----------
+        band : PriorityBand
+            Ranks of the request's priority. Streams up to its last rank are waited for,
+            less urgent ones may be preempted.
+        """
+        if not self.applies or not need:
+            return engines
+
+        def missing(target: Target) -> tuple[float, float]:
+            kept = self._kept(target.target, band)
+            held = self.held_tokens(target.target)
+            return self._missing(kept, need), self._missing(held, need)
+
+        by_target = {t.target: missing(t) for t in engines}
+        least = min(by_target.values(), default=None)
+        return [t for t in engines if by_target[t.target] == least]
+
+    def _missing(self, held: int, need: int) -> float:
+        """Return the tokens for which an engine has no room; an empty one has all."""
+        return max(0.0, held + need - self._usable) if held else 0.0
+
+    def _kept(self, target: TargetId, band: PriorityBand) -> int:
+        """Return the tokens of streams up to a priority at an engine."""
+        tokens = self._running.get(target, _NONE)
+        return sum(n for rank, n in tokens.items() if rank <= band.late_rank)
+
+    def rank(
+        self, target: TargetId, need: int, urgency: int, band: PriorityBand
+    ) -> int:
+        """Return the rank of a stream at an engine.
+
+        Ranks within a priority only tell which requests have less time. A stream that
+        is preempted for one of its own priority misses its objective for pauses, so a
+        stream without room is sent with the last rank of its priority and waits.
+        """
+        if not self.applies or not need:
+            return urgency
+        has_room = not self._missing(self._kept(target, band), need)
+        return urgency if has_room else max(urgency, band.late_rank)
+
+    def wait_ms(
+        self,
+        prefill_engines: Sequence[Target],
+        decode_engines: Sequence[Target],
+        need: int,
+        urgency: int,
+    ) -> float:
+        """Return the milliseconds until a decode engine has room for a request.
+
+        One engine must have enough for it, and all of them together must have enough
+        for the prompts in prefill as well.
+        """
+        if not self.applies or not need or not decode_engines:
+            return 0.0
+        running = [self._running.get(t.target, _NONE) for t in decode_engines]
+        at_one = min(
+            self._freed_after_ms(self._usable, tokens, need, urgency)
+            for tokens in running
+        )
+        together = sum(running, Counter())
+        for target in prefill_engines:
+            together += self._expected.get(target.target, _NONE)
+        usable = self._usable * len(decode_engines)
+        return max(at_one, self._freed_after_ms(usable, together, need, urgency))
+
+    def engine_wait_ms(self, target: TargetId, need: int, urgency: int) -> float:
+        """Return the milliseconds until one engine has room for a request."""
+        if not self.applies or not need:
+            return 0.0
+        tokens = self._running.get(target, _NONE)
+        return self._freed_after_ms(self._usable, tokens, need, urgency)
+
+    def _freed_after_ms(
+        self, usable: float, tokens: Counter[int], need: int, urgency: int
+    ) -> float:
+        """Return the milliseconds until streams have freed memory for a request.
+
+        As for slots, streams that arrive later and are more urgent get memory first.
+        """
+        kept = sum(n for rank, n in tokens.items() if rank <= urgency)
+        excess = kept + need - usable
+        if excess <= 0.0 or not kept:
+            return 0.0
+        urgent = sum(n for rank, n in tokens.items() if rank < urgency)
+        urgent_share = min(MAX_URGENT_SHARE, urgent / usable)
+        freed_per_s = usable / self._slots.stream_s
+        return 1000.0 * excess / freed_per_s / (1.0 - urgent_share)
+
+
+_NONE: Counter[int] = Counter()
--- a/wigeonspan/placing/_messages.py
+++ b/wigeonspan/placing/_messages.py
@@ -33,12 +33,15 @@
         Maximum number of tokens of the answer.
     body_bytes : int
         Size of the request body.
+    output_hint : int or None
+        The caller's estimate of the tokens of the answer; None when there is none.
     """
 
     parts: tuple[PromptPart, ...]
     input_tokens: int
     output_tokens: int
     body_bytes: int = 0
+    output_hint: int | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -77,7 +80,8 @@
     wait_ms : float
         Expected time in milliseconds until the engine starts the prefill.
     slot_wait_ms : float
-        Expected time in milliseconds until a decode engine has a slot for the stream.
+        Expected time in milliseconds until a decode engine has a slot and the memory
+        for the stream.
     first_ms : float
         Expected time in milliseconds until the first event of the stream.
     urgency : int
@@ -88,6 +92,8 @@
         Ranks of the request's priority.
     over_share : bool
         Whether the request gives way to those of other tenants.
+    memory_wait_ms : float
+        Expected time in milliseconds until a decode engine has the memory.
     """
 
     decision: Decision
@@ -102,12 +108,18 @@
     prefill_steps: PrefillSteps
     band: PriorityBand = SOLE_BAND
     over_share: bool = False
+    memory_wait_ms: float = 0.0
 
     @property
     def awaits_slot(self) -> bool:
         """Whether the stream will wait longer for its slot than for its prefill."""
         return self.slot_wait_ms > self.wait_ms + self.cost_ms
 
+    @property
+    def awaits_memory(self) -> bool:
+        """Whether the stream will wait longest for the memory of an engine."""
+        return self.awaits_slot and self.memory_wait_ms >= self.slot_wait_ms
+
 
 class Limit(Enum):
     """Limit that caused a refusal."""
@@ -117,6 +129,7 @@
     QUEUE = "queue"
     PRIORITY = "priority"
     SLOTS = "slots"
+    MEMORY = "memory"
     RATE = "rate"
     QUARANTINE = "quarantine"
 
@@ -144,4 +157,4 @@
     @property
     def lacks_decode(self) -> bool:
         """Whether more decode engines would have served the request."""
-        return self.limit in (Limit.SLOTS, Limit.RATE)
+        return self.limit in (Limit.SLOTS, Limit.MEMORY, Limit.RATE)
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -6,7 +6,7 @@
 
 from msgspec.structs import replace
 
-from wigeonspan.common import DomainName, TenantName
+from wigeonspan.common import DomainName, HostId, TenantName
 from wigeonspan.fleetconfig import Route
 from wigeonspan.placing._choice import EngineChoice, comparison_ms
 from wigeonspan.placing._eligible import EligibleTargets
@@ -16,6 +16,7 @@
 from wigeonspan.placing._figures import PlacementFigures
 from wigeonspan.placing._health import TargetAvailability
 from wigeonspan.placing._ledger import WorkLedger
+from wigeonspan.placing._memory import EngineMemory
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
 from wigeonspan.placing._order import WorkOrder, is_expected_late
 from wigeonspan.placing._pace import TargetPace
@@ -43,15 +44,20 @@
     rng : random.Random
         Source of jitter and tie-breaks, so that entries with the same information
         spread their work.
+    limits_memory : bool
+        Whether requests go only where an engine has the memory for them.
     """
 
-    def __init__(self, domain: DomainName, rng: random.Random) -> None:
+    def __init__(
+        self, domain: DomainName, rng: random.Random, *, limits_memory: bool = False
+    ) -> None:
         self.ledger = WorkLedger()
         self.prefixes = CachedPrefixes(400_000.0)
         self.speeds = SlowdownFactors()
         self.health = TargetAvailability()
         self.event_pauses = EventPauses()
         self.slots = SlotForecast()
+        self.memory = EngineMemory(self.slots, enabled=limits_memory)
         self.limits = SharedRateLimits()
         self.pace = TargetPace(self.ledger)
         self.tenant_use = TenantUse()
@@ -71,6 +77,7 @@
             self.slots,
             self.speeds,
             self.pace,
+            self.memory,
         )
         self.figures = PlacementFigures(
             self.ledger,
@@ -82,6 +89,7 @@
             self.pace,
             self._order,
             self._estimate,
+            self.memory,
         )
 
     def trial_copy(self) -> "Placer":
@@ -90,8 +98,8 @@
         It shares the work in progress and the caches, which decisions only read, and
         must not be told about work.
         """
-        ledger, prefixes = copy.copy(self.ledger), copy.copy(self.prefixes)
-        memo = {id(self.ledger): ledger, id(self.prefixes): prefixes}
+        shared = (self.ledger, self.prefixes, self.memory)
+        memo = {id(state): copy.copy(state) for state in shared}
         return copy.deepcopy(self, memo)
 
     @property
@@ -123,19 +131,32 @@
             Copy time of a token in microseconds; 0 when engines cannot copy.
         """
         self.prefixes.set_memory(memory_tokens)
+        self.memory.set_capacity(memory_tokens)
         self._estimate.set_copy_time(copy_us)
 
     def forget(self, target: TargetId) -> None:
         """Remove the state of a target that is gone or has restarted."""
         self.prefixes.forget(target)
         self.ledger.forget(target)
+        self.memory.forget(target)
         self.event_pauses.forget(target)
         self.limits.forget(target)
 
+    def expire(self, now: float) -> None:
+        """Remove work whose end was not reported in time."""
+        self.ledger.expire(now)
+        self.memory.expire(now)
+
+    def drop_host(self, host: HostId, now: float) -> None:
+        """Remove the work of an entry that is gone."""
+        self.ledger.drop_host(host, now)
+        self.memory.drop_host(host)
+
     def end_work(self, work: str, now: float, *, completed: bool) -> None:
         """Record the end of work, and whether its prefill was completed."""
         begun = self.ledger.find(work)
         self.ledger.end(work, now, completed=completed)
+        self.memory.end(work)
         if completed and begun is not None:
             self.pace.record_answer(*begun, now)
         self.prefixes.end(work, completed=completed)
@@ -180,6 +201,9 @@
         """
         if not band.is_sole:
             self.ledger.follow_starts()
+        need = self.memory.need(route.name, prompt)
+        if self.memory.exceeds_engine(need):
+            return self._refusals.too_large(need, self.memory.capacity)
         eligible = self._eligible.select(targets, excluded, now)
         prefill_engines = self._eligible.without_suspended(
             [t for t in eligible if t.phase is Phase.PREFILL], now
@@ -202,6 +226,10 @@
             slot_wait_ms = self._estimate.slot_wait_ms(
                 prefill_engines, decode_engines, urgency
             )
+            memory_wait_ms = self.memory.wait_ms(
+                prefill_engines, decode_engines, need, urgency
+            )
+            slot_wait_ms = max(slot_wait_ms, memory_wait_ms)
             split = self._choice.split(
                 prefill_engines,
                 decode_engines,
@@ -212,6 +240,8 @@
                 slot_wait_ms,
                 remaining_ms,
                 now,
+                need,
+                band,
             )
             direct = self._choice.direct(
                 decode_engines,
@@ -220,12 +250,16 @@
                 urgency,
                 slot_wait_ms,
                 now,
+                need,
+                band,
                 required=direct_only or not prefill_engines,
             )
             options = [direct] if direct_only else [split, direct]
             found = [plan for plan in options if plan is not None]
             best_plan = min(found, key=comparison_ms, default=None)
-            return None if best_plan is None else replace(best_plan, band=band)
+            if best_plan is None:
+                return None
+            return replace(best_plan, band=band, memory_wait_ms=memory_wait_ms)
 
         plan = best(urgency)
         if plan is not None:
@@ -272,12 +306,16 @@
         excluded: Collection[TargetId] = (),
         near: DomainName | None = None,
         claimed: Collection[TargetId] = (),
+        need: int = 0,
+        band: PriorityBand = SOLE_BAND,
     ) -> Target | None:
         """Return the decode engine with the least expected delay.
 
         See :meth:`EngineChoice.decode`.
         """
-        return self._choice.decode(targets, prompt, now, excluded, near, claimed)
+        return self._choice.decode(
+            targets, prompt, now, excluded, near, claimed, need, band
+        )
 
     def choose_call(
         self,
--- a/wigeonspan/placing/_refusals.py
+++ b/wigeonspan/placing/_refusals.py
@@ -16,6 +16,10 @@
 """Seconds after which a request that finds no engine may be retried; replaced engines
 are listed again within about that time."""
 
+TOO_LARGE_RETRY_S = 60.0
+"""Seconds after which a request that no engine can hold may be retried: only another
+configuration could change that."""
+
 MAX_URGENT_SHARE = 0.75
 """Maximum share of more urgent work that extends a retry time, so that it stays finite
 in an overload of the urgent requests alone."""
@@ -58,9 +62,16 @@
         reason = "no engine is available"
         return Refusal(Limit.NO_ENGINE, reason, after_s or NO_ENGINE_RETRY_S)
 
+    def too_large(self, need: int, capacity: float) -> Refusal:
+        """Return the refusal of a request that no engine can hold."""
+        reason = f"the request needs {need} of {capacity:.0f} tokens of memory"
+        return Refusal(Limit.MEMORY, reason, TOO_LARGE_RETRY_S)
+
     def late(self, limit: Limit, reason: str, plan: Plan, route: Route) -> Refusal:
         """Return the refusal of a request whose first event would be too late."""
-        if plan.awaits_slot:
+        if plan.awaits_memory:
+            limit, reason = Limit.MEMORY, f"{reason}, no engine has the memory"
+        elif plan.awaits_slot:
             limit, reason = Limit.SLOTS, f"{reason}, no slot is free"
         after_s = self.retry_after_s(plan, route)
         return Refusal(limit, reason, after_s, plan.work_ms)
