Guard the wiring of the memory rule by tests

Cause: trials that removed one line at a time showed that no test failed without the setting, the rank of the stream, or the whole memory of an empty engine.

--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -1,15 +1,17 @@
 """Tests that entries tell each other the memory that their requests hold."""
 
+import asyncio
 import random
 
 import pytest
 
 from tests.gateway import test_explain
 from tests.gateway.test_tenant_use import make_context
-from wigeonspan.common import DomainName, HostId
+from wigeonspan.common import DomainName, HostId, ManualClock
 from wigeonspan.explain import render
+from wigeonspan.gateway import Gateway, GatewaySettings
 from wigeonspan.placing import Placer, Work, WorkKind
-from wigeonspan.targets import TargetId
+from wigeonspan.targets import Listing, TargetId
 
 TARGET = TargetId("d0")
 
@@ -72,3 +74,36 @@
         test_explain.QUERIES[0]
     )
     assert "room" not in render(explanation)
+
+
+@pytest.mark.parametrize("limits", [True, False])
+def test_setting_switches_the_rule_and_its_gauges_on(limits):
+    """The setting would be read and have no effect, or others would be affected."""
+    settings = GatewaySettings(
+        HostId("e"),
+        DomainName("a"),
+        front="127.0.0.1:1",
+        ready="127.0.0.1:2",
+        peer="127.0.0.1:3",
+        metrics="127.0.0.1:4",
+        controls=[],
+        retry_ratio=0.2,
+        retry_minimum=5.0,
+        retry_window_s=10.0,
+        limits_engine_memory=limits,
+    )
+
+    async def gauges():
+        gateway = Gateway(
+            settings, None, None, None, ManualClock(1.0), random.Random(1)
+        )
+        context = gateway._context
+        context.target_table.update(Listing(tuple(test_explain.TARGETS)), 1.0)
+        context.placer.set_engines(100_000, 0.0)
+        context.placer.memory.begin(work(), 50_000, 1.0)
+        gateway._record_slots(test_explain.MODELS)
+        return context.metrics.text().decode()
+
+    text = asyncio.run(gauges())
+    assert ('fullest_memory_share{service="models"} 0.5' in text) is limits
+    assert ('held_memory_tokens{service="models"} 50000.0' in text) is limits
--- a/tests/placing/test_memory.py
+++ b/tests/placing/test_memory.py
@@ -18,6 +18,7 @@
 )
 from wigeonspan.placing._ledger import EXPIRY_S
 from wigeonspan.placing._memory import FREE_SHARE, EngineMemory, OutputForecast
+from wigeonspan.placing._priority import SOLE_BAND
 from wigeonspan.placing._refusals import TOO_LARGE_RETRY_S
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.targets import Phase, Target, TargetId
@@ -157,6 +158,14 @@
     assert memory.rank(target, 1_000, URGENT.first_rank, URGENT) == URGENT.first_rank
 
 
+def test_empty_engine_has_room_for_whatever_fits(memory):
+    """The free share would keep the largest requests waiting for ever."""
+    assert memory.wait_ms([], DECODE, CAPACITY, 9) == 0.0
+    assert memory.rank(TargetId("d0"), CAPACITY, 0, SOLE_BAND) == 0
+    memory.begin(work("a", "d1"), 10, 0.0)
+    assert memory.select(DECODE, CAPACITY, SOLE_BAND) == [DECODE[0]]
+
+
 @pytest.mark.parametrize("how", ["end", "expire", "host", "restart", "replaced"])
 def test_memory_is_free_after_the_work(how):
     """Memory that is never freed would keep requests away from an engine for ever."""
