--- a/wigeonspan/gateway/_explain.py
+++ b/wigeonspan/gateway/_explain.py
@@ -264,7 +264,11 @@
     if not (query.parts or query.input_tokens or query.output_tokens):
         return unsized_prompt(query.body_bytes)
     return Prompt(
-        query.parts, query.input_tokens, query.output_tokens, query.body_bytes
+        query.parts,
+        query.input_tokens,
+        query.output_tokens,
+        query.body_bytes,
+        query.output_hint or None,
     )
 
 
--- a/wigeonspan/gateway/_settings.py
+++ b/wigeonspan/gateway/_settings.py
@@ -41,6 +41,8 @@
     directory : str
         Address for callers that ask which entries to connect to; empty when this host
         does not answer them.
+    limits_engine_memory : bool
+        Whether requests go only to engines that have the memory for them.
     bind : str
         Address of the interface to listen on when a forwarder relays traffic from the
         other addresses to it; empty when they are this host's own addresses.
@@ -65,4 +67,5 @@
     cores: float | None = None
     link_mbps: float | None = None
     directory: str = ""
+    limits_engine_memory: bool = False
     bind: str = ""
--- a/wigeonspan/sharing/_wire.py
+++ b/wigeonspan/sharing/_wire.py
@@ -34,7 +34,7 @@
 
 
 class _WorkBegunWithoutTenant(msgspec.Struct, tag="begun", array_like=True):
-    """Encoded form of :class:`WorkBegun` without its last field, the tenant."""
+    """Encoded form of :class:`WorkBegun` without the tenant and the memory."""
 
     work: Work
     parts: tuple[PromptPart, ...]
@@ -42,17 +42,31 @@
 
 
 class _WorkEndedWithoutBreak(msgspec.Struct, tag="ended", array_like=True):
-    """Encoded form of :class:`WorkEnded` without its last field."""
+    """Encoded form of :class:`WorkEnded` without a break."""
 
     work: str
     completed: bool
 
 
+class _WorkBegunWithoutMemory(msgspec.Struct, tag="begun", array_like=True):
+    """Encoded form of :class:`WorkBegun` without its last field, the memory."""
+
+    work: Work
+    parts: tuple[PromptPart, ...]
+    new_tokens: int
+    tenant: str | None
+
+
+_EncodedEvent = (
+    Event | _WorkBegunWithoutTenant | _WorkBegunWithoutMemory | _WorkEndedWithoutBreak
+)
+
+
 class _EncodedPacket(msgspec.Struct, array_like=True):
     """Encoded form of :class:`Packet`."""
 
     host: HostId
-    events: list[Event | _WorkBegunWithoutTenant | _WorkEndedWithoutBreak]
+    events: list[_EncodedEvent]
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -69,21 +83,22 @@
 def encode_packet(packet: Packet) -> bytes:
     """Encode one packet.
 
-    Work without a tenant, and an end that is no break, are encoded as in releases
-    without these fields.
+    Work without a tenant or memory, and an end that is no break, are encoded as in
+    releases that do not know these.
     """
-    events = [_without_empty_field(event) for event in packet.events]
+    events = [_without_empty_fields(event) for event in packet.events]
     return _PACKET + _encode(_EncodedPacket(packet.host, events))
 
 
-def _without_empty_field(
-    event: Event,
-) -> Event | _WorkBegunWithoutTenant | _WorkEndedWithoutBreak:
+def _without_empty_fields(event: Event) -> _EncodedEvent:
     if isinstance(event, WorkEnded) and not event.broken:
         return _WorkEndedWithoutBreak(event.work, event.completed)
-    if not isinstance(event, WorkBegun) or event.tenant is not None:
+    if not isinstance(event, WorkBegun) or event.memory_tokens:
         return event
-    return _WorkBegunWithoutTenant(event.work, event.parts, event.new_tokens)
+    fields = (event.work, event.parts, event.new_tokens)
+    if event.tenant is None:
+        return _WorkBegunWithoutTenant(*fields)
+    return _WorkBegunWithoutMemory(*fields, event.tenant)
 
 
 def encode_bundles(datagrams: list[bytes]) -> list[bytes]:
