End suspensions of a target that restarts in a large fleet

Cause: the state of a target that is gone or has restarted was dropped, except its suspension. In fleets of more than 16 entries a suspension lasts up to 5 s, and one after a cut link ends only by a success of the entry itself. So after a planned restart each replica stayed excluded, although the list showed its new start.

Change: Placer.forget ends the suspension where entries share them. The failure rate and a pause that the target asked for hold on; small fleets are as before.

Result: two of the three new cases fail without the change and pass with it (the third holds small fleets to what they were). test_shared_failures, test_shared_failures_fleet, test_target_state, test_placer and platform/test_shared_suspensions pass.

--- a/tests/placing/test_shared_failures.py
+++ b/tests/placing/test_shared_failures.py
@@ -188,3 +188,32 @@
     health.suspend(T, 16.2)
     assert not health.available(T, 20.9)
     assert health.available(T, 16.0 + MAX_SUSPENSION_S)
+
+
+@pytest.mark.parametrize("entries, ends", [(ENTRIES, True), (16, False)])
+def test_restart_ends_a_suspension_in_a_large_fleet(placer, entries, ends):
+    """Guards against a planned restart of one replica after the other, each of which
+    stayed suspended for seconds after its new start; small fleets are as before."""
+    health = placer.health
+    health.set_entries(entries)
+    health.record_failure(T, 10.0, unreachable=True)
+    end(placer, "w1", "e2", 10.1, completed=True)
+    health.record_failure(T, 10.2, unreachable=True)
+    health.pause(T, 12.0)
+    placer.forget(T)
+    assert health.available(T, 10.3) is ends
+    assert health.suspended_since(T, 10.0) is not ends
+    assert health.remaining_pause_s(T, 10.3) == pytest.approx(1.7)
+
+
+def test_restarted_target_does_not_wait_for_an_own_success(placer):
+    """Guards against entries that ignored what others complete at a new start because
+    they had not reached the former process."""
+    health = placer.health
+    health.record_failure(T, 10.0, unreachable=True)
+    end(placer, "w1", "e2", 10.1, completed=True)
+    health.record_failure(T, 10.2, unreachable=True)
+    placer.forget(T)
+    health.record_failure(T, 10.4, unreachable=True)
+    end(placer, "w2", "e2", 10.5, completed=True)
+    assert health.available(T, 10.5)
--- a/wigeonspan/placing/_health.py
+++ b/wigeonspan/placing/_health.py
@@ -160,6 +160,21 @@
         state.probing = False
         state.ended_at = now
 
+    def forget(self, target: TargetId) -> None:
+        """End the suspension of a target that is gone or has restarted.
+
+        In a large fleet, suspensions are long and some end only by a success of this
+        entry, so that a planned restart would exclude a sound target for seconds. Small
+        fleets keep the state. A pause holds on.
+        """
+        state = self._states.get(target)
+        if state is None or not self.is_shared:
+            return
+        fresh = _State()
+        fresh.failure_rate = state.failure_rate
+        fresh.paused_until = state.paused_until
+        self._states[target] = fresh
+
     def pause(self, target: TargetId, until: float) -> None:
         """Record that a target has asked this entry to send no requests until a time.
 
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -143,6 +143,7 @@
         self.memory.forget(target)
         self.event_pauses.forget(target)
         self.limits.forget(target)
+        self.health.forget(target)
         self._broken_work.clear(target)
 
     def expire(self, now: float) -> None:
