Count retries and loans by the clock that advances in a suspension

Cause: the retry budget and the loans were counted by the monotonic clock. It stands still while a host is suspended, so an entry used loans after their records had left the window of the lenders, and accepted late ones that waited at its socket.

Change: the budget and the exchange of loans use the boot clock of the context. Requests are recorded at their arrival by that clock.

--- a/tests/platform/test_retry_lending.py
+++ b/tests/platform/test_retry_lending.py
@@ -22,10 +22,10 @@
     status,
     streams,
 )
-from wigeonspan.common import HostId
+from wigeonspan.common import HostId, ManualClock
 from wigeonspan.gateway._loans import RetryLoans
 from wigeonspan.placing import RetryLending
-from wigeonspan.sharing import PeerLink
+from wigeonspan.sharing import PeerLink, RetriesLent
 from wigeonspan.targets import Phase
 
 PEER_PORT = 18090
@@ -52,7 +52,7 @@
         context.link,
         context.event_log,
         context.metrics,
-        context.clock,
+        context.boot_clock,
     )
 
 
@@ -101,7 +101,7 @@
     """Requests were refused although the other entries had all their retries left."""
     results, contexts = asyncio.run(repeat_at_one_entry(4, 16.0, 6))
     assert results == [200] * 6, "an own part of 4 allows 3 repeats"
-    now = contexts[0].clock.now()
+    now = contexts[0].boot_clock.now()
     left = [context.budget.own_remaining("s", now) for context in contexts]
     assert 12.0 - sum(left) >= 6, "lenders must have recorded their loans"
 
@@ -147,7 +147,7 @@
 
     context, refusing = asyncio.run(run())
     arrivals = len(refusing.seen)
-    remaining = context.budget.remaining("s", context.clock.now())
+    remaining = context.budget.remaining("s", context.boot_clock.now())
     assert arrivals, "the engine that refuses must have been tried"
     assert b'outcome="not_sent"' in context.metrics.text()
     assert remaining == 6.0, "no prefill beyond the first of a request arrived"
@@ -164,7 +164,7 @@
         context.budget.set_entries(entries)
         lending = RetryLending(context.budget, random.Random(1))
         context.loans = make_loans(context, lending)
-        while context.budget.remaining("s", context.clock.now()) >= 2.0:
+        while context.budget.remaining("s", context.boot_clock.now()) >= 2.0:
             assert context.take_retry("s")
         answer = await send(1, "2000,20", None)
         for server in servers:
@@ -175,3 +175,32 @@
     answer, prefill_count = asyncio.run(run())
     assert status(answer) == 200
     assert prefill_count == 1 + prefills_again
+
+
+def test_loans_lapse_while_the_host_is_suspended():
+    """An entry used loans after their lenders could lend them again, because its
+    monotonic clock had stood still."""
+
+    async def start_and_stop():
+        context, servers = start_gateway(route(STREAM), [], budget=8.0)
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return context
+
+    context = asyncio.run(start_and_stop())
+    context.clock, context.boot_clock = ManualClock(100.0), ManualClock(500.0)
+    context.budget.set_entries(4)
+    context.loans = make_loans(context, RetryLending(context.budget, random.Random(1)))
+    assert context.take_retry("s")
+    asked_ms = round(context.boot_clock.now() * 1000)
+    loan = RetriesLent(context.host, "s", 1, asked_ms)
+    for lender in ("e1", "e2"):
+        context.loans.receive(HostId(lender), loan)
+    assert context.take_retry("s"), "a loan must be of use at first"
+    context.boot_clock.advance(2.0)
+    assert not context.take_retry("s"), "the second loan has lapsed"
+    context.loans.receive(HostId("e3"), loan)
+    assert not context.take_retry("s"), "a loan received after the suspension is late"
+    context.boot_clock.advance(8.1)
+    assert context.take_retry("s"), "own retries leave the window all the same"
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -54,7 +54,8 @@
     freshness : ConfigFreshness
         When a control host last confirmed the configuration.
     boot_clock : Clock
-        Clock that also advances while the host is suspended.
+        Clock that also advances while the host is suspended. Retries are counted by
+        it, because the platform and the lenders of retries count that time too.
     max_key_age_s : float or None
         Longest time in seconds without a confirmation for which keys are still
         accepted; None for no limit.
@@ -112,13 +113,22 @@
         """Return whether keys may be checked against the configuration in force."""
         return self.freshness.is_fresh(self.boot_clock.now(), self.max_key_age_s)
 
+    def record_request(self, service: ServiceName, arrived_at: float) -> None:
+        """Count a request, which arrived at a time of ``clock``, for the budget."""
+        age_s = self.clock.now() - arrived_at
+        self.budget.record_request(service, self.boot_clock.now() - age_s)
+
+    def remaining_retries(self, service: ServiceName) -> float:
+        """Return how many retries the budget of a service still allows."""
+        return self.budget.remaining(service, self.boot_clock.now())
+
     def take_retry(self, service: ServiceName) -> bool:
         """Take a retry from the budget of a service; return whether it is allowed."""
         return self.spend_retry(service) is not None
 
     def spend_retry(self, service: ServiceName) -> SpentRetry | None:
         """Take a retry that can be returned; return None if it is not allowed."""
-        spent = self.budget.spend(service, self.clock.now())
+        spent = self.budget.spend(service, self.boot_clock.now())
         outcome = "sent" if spent is not None else "refused"
         self.metrics.count("repeats", service=service, outcome=outcome)
         if self.loans is not None:
@@ -128,7 +138,7 @@
     def return_retry(self, service: ServiceName, spent: SpentRetry) -> None:
         """Return a retry to the budget because its request was not sent."""
         self.metrics.count("repeats", service=service, outcome="not_sent")
-        self.budget.refund(service, spent, self.clock.now())
+        self.budget.refund(service, spent, self.boot_clock.now())
 
     def spares_retries(self, service: ServiceName) -> bool:
         """Return whether a repeat should take as few retries as possible."""
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -159,7 +159,7 @@
             context.link,
             event_log,
             context.metrics,
-            clock,
+            context.boot_clock,
         )
         self._record_error = make_error_reporter(event_log, context.metrics)
         self._server = Server(context, rng)
@@ -534,7 +534,7 @@
         for state, number in self._count_targets(now).items():
             context.metrics.gauge("targets", number, state=state)
         for service in context.target_table.services:
-            remaining = context.budget.remaining(service, now)
+            remaining = context.remaining_retries(service)
             context.metrics.gauge("repeats_left", remaining, service=service)
             self._record_slots(service)
         context.metrics.gauge("paced_targets", len(context.placer.pace.limits))
--- a/wigeonspan/gateway/_loans.py
+++ b/wigeonspan/gateway/_loans.py
@@ -20,6 +20,9 @@
     is_service : callable
         Returns whether the configuration has a service. Nothing is kept for others,
         which a datagram may name.
+    clock : Clock
+        Clock of the budget. It also advances while the host is suspended, so that loans
+        lapse before their lenders may lend them again.
     """
 
     def __init__(
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -335,7 +335,7 @@
     def _may_prefill_elsewhere(self, engine: Target) -> bool:
         """Return whether another engine may prefill the prompt of a silent one."""
         context, service = self._progress.context, self._progress.active_request.service
-        has_retry = context.budget.remaining(service, context.clock.now()) >= 1.0
+        has_retry = context.remaining_retries(service) >= 1.0
         return has_retry and self._progress.engines.has_other(engine)
 
     def _prefill_deadline(self) -> float:
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -279,7 +279,7 @@
         config = context.config.config
         assert config is not None
         service = self._choose_service(route)
-        context.budget.record_request(service, arrived_at)
+        context.record_request(service, arrived_at)
         timeout_s = _waits_s(request, route)
         deadline = arrived_at + timeout_s - RESPONSE_MARGIN_S
         context.event_log.write(
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -103,7 +103,7 @@
     Parameters
     ----------
     asked_ms : int
-        Time of the request on the monotonic clock of the asking entry in milliseconds.
+        Time of the request in milliseconds since the host of the asking entry booted.
         The lenders return it, so that the asking entry knows the age of a loan.
     """
 
