Give the runs of a silence test the rank that they need now

Change: the test passes a rank; its checks are the same.

Result: it failed before; tests/platform/test_silence_races.py passes.

--- a/tests/platform/test_silence_races.py
+++ b/tests/platform/test_silence_races.py
@@ -264,7 +264,8 @@
         loop.set_exception_handler(lambda _, fields: errors.append(fields))
         runs = OpenRuns()
         first, second = (
-            OpenRun(None, None, 0.0, open_streams=0, slot_wait_s=0.0) for _ in range(2)
+            OpenRun(None, None, 0.0, open_streams=0, slot_wait_s=0.0, urgency=0)
+            for _ in range(2)
         )
         runs.add(first)
         runs.add(second)
