Count no silence of a prefill engine that only others suspended

Cause: an entry tries a waiting prompt elsewhere as soon as another entry has suspended its engine. It recorded that as a silence of its own, and reported the prefill as broken off when the other engine was first. So one entry that could not reach a sound engine led the others to report it too, which suspends it or prolongs its suspension at all entries of a large fleet.

Change: in fleets that share suspensions, a silence is recorded, and the work reported as broken off, only once the engine made no progress for the entry's own limit. Small fleets are as before.

Result: of the two new cases, the one of the suspended engine fails without the change ((False, True) reported) and passes with it; the engine that is silent by the entry's own limit is still reported. platform/test_shared_suspensions, test_silence_races, test_stalls, test_broken_streams, test_retry_lending and test_backup_prefill pass.

--- a/tests/platform/test_shared_suspensions.py
+++ b/tests/platform/test_shared_suspensions.py
@@ -184,3 +184,40 @@
     is_shared = entries == ENTRIES
     assert seen == ([1, 2, 3, 3] if is_shared else [1, 2, 3, 4])
     assert ('shared_suspensions_total{target="d"} 1.0' in metrics) is is_shared
+
+
+@pytest.mark.parametrize("suspended, ended", [(True, False), (False, True)])
+def test_suspension_by_others_is_no_evidence_of_this_entry(suspended, ended):
+    """Guards against a single entry that cannot reach a sound engine: the others tried
+    their prompts elsewhere, and reported the engine as silent and broken for that."""
+
+    async def slow(fields, caller):
+        await asyncio.sleep(5.0)
+
+    async def run():
+        link = Link()
+        engines = [
+            Engine("p", Phase.PREFILL, slow),
+            Engine("p0", Phase.PREFILL, prefills),
+            Engine("d", Phase.DECODE, streams(3)),
+        ]
+        context, servers = start_gateway(route(STREAM, resumable=True), engines)
+        context.placer.health.set_entries(ENTRIES)
+        link.join(context)
+        waiting = Work("o/1", HostId("o"), TargetId("p0"), WorkKind.PREFILL, 150.0, 0)
+        context.placer.ledger.begin(waiting, context.clock.now())
+        request = asyncio.create_task(send(0, "4000,20", None))
+        await asyncio.sleep(0.1)
+        context.placer.ledger.end("o/1", context.clock.now())
+        if suspended:
+            context.apply_event(TargetSuspended(TargetId("p")))
+        answer = await request
+        for server in servers:
+            await server.close()
+        context.pool.close()
+        return answer, ends_at(link, TargetId("p")), context.metrics.text()
+
+    answer, ends, metrics = asyncio.run(run())
+    assert answer.endswith(b"0\r\n\r\n")
+    assert ends == [(False, ended)]
+    assert (b"target_silences_total" in metrics) is ended
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -227,7 +227,7 @@
             ) as sent:
                 head = await self._wait_for_prefill(plan, engine, sent, backup)
                 if head is None:
-                    sent.let_go = True
+                    sent.let_go = sent.silence_recorded
                     return await backup.result()
                 body = await with_timeout(
                     self._progress.body_timeout_s(),
@@ -318,19 +318,19 @@
             no_progress = now - progress_at >= limit_s
             is_suspended = placer.health.suspended_since(engine.target, started_at)
             if (no_progress or is_suspended) and not backup.begun:
-                self._begin_backup(engine, sent, backup)
+                self._begin_backup(engine, backup)
+            # In a large fleet, what other entries found must not count once more.
+            is_silent = no_progress or not placer.health.is_shared
+            if backup.begun and is_silent and not sent.silence_recorded:
+                sent.silence_recorded = True
+                self._progress.context.record_silence(engine.target)
         return None
 
-    def _begin_backup(
-        self, engine: Target, sent: ActiveSend, backup: Backup[PreparedPrompt]
-    ) -> None:
+    def _begin_backup(self, engine: Target, backup: Backup[PreparedPrompt]) -> None:
         """Have another engine prefill the prompt of a silent one, if there is any."""
-        if not self._may_prefill_elsewhere(engine):
-            return
-        sent.silence_recorded = True
-        self._progress.context.record_silence(engine.target)
-        self._progress.engines.exclude(engine, "read_silent")
-        backup.begin()
+        if self._may_prefill_elsewhere(engine):
+            self._progress.engines.exclude(engine, "read_silent")
+            backup.begin()
 
     def _may_prefill_elsewhere(self, engine: Target) -> bool:
         """Return whether another engine may prefill the prompt of a silent one."""
