Bound the look-ups that an entry answers by its own limits

Cause: the directory server of an entry had a guard with the limits of a process with default settings (8,192 connections, 16,384 descriptors), so a crowd of look-ups could take all descriptors of a small entry. Its bytes were missing in the entry's use of its link.

Change: the directory has a guard from the entry's settings, with an eighth of the limits on callers and the timeouts of the configuration. It is apart from the guard of requests, so that look-ups close no connections of requests. Its traffic counts for the weights.

Result: of 20 look-up connections at an entry with 64 descriptors, 20 stayed open before; the limit is 4 now.

--- a/tests/gateway/test_entry_answers.py
+++ b/tests/gateway/test_entry_answers.py
@@ -1,12 +1,14 @@
 """Tests of the addresses that an entry names to callers."""
 
+import asyncio
 import random
+import socket
 
 import pytest
 from msgspec import UNSET
 from msgspec.structs import replace
 
-from wigeonspan.common import DomainName, HostId, ManualClock
+from wigeonspan.common import DomainName, HostId, ManualClock, SystemClock
 from wigeonspan.gateway import Gateway, GatewaySettings
 from wigeonspan.presence import BeatReply, EntryInfo, EntryState
 
@@ -67,3 +69,29 @@
     assert written == []
     gateway._update_entries(ENTRIES[1:])
     assert written == [("entries", "entries_changed")]
+
+
+async def _count_open_look_ups(opened):
+    """Open connections to an entry's directory; return how many stay open."""
+    settings = replace(SETTINGS, memory_mb=160.0, max_fds=64)
+    gateway = Gateway(settings, None, None, None, SystemClock(), random.Random(1))
+    gateway.serve_directory(None)
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    gateway._directory_server.listen(f"127.0.0.1:{port}")
+    callers = [await asyncio.open_connection("127.0.0.1", port) for _ in range(opened)]
+    await asyncio.sleep(0.2)
+    still_open = sum(not reader.at_eof() for reader, _ in callers)
+    front = gateway._guard.connections
+    for _, writer in callers:
+        writer.close()
+    await gateway._directory_server.close()
+    return still_open, front
+
+
+def test_crowd_of_look_ups_leaves_descriptors_for_requests():
+    """Look-ups were bounded as in a process with 16,384 descriptors and took all."""
+    still_open, front = asyncio.run(_count_open_look_ups(20))
+    assert 1 <= still_open <= 64 // 2 // 8
+    assert front == 0
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -51,6 +51,7 @@
 from wigeonspan.serving import (
     CallerGuard,
     CallerRules,
+    ProcessLimits,
     RequestServer,
     ResponseWriter,
     ServeRequest,
@@ -95,6 +96,14 @@
 final responses are sent in time."""
 
 
+DIRECTORY_DIVISOR = 8
+"""Part of the limits on callers, as a divisor, that callers of the directory may use in
+addition. The limits on callers leave 15% of the memory and half of the descriptors."""
+
+DIRECTORY_BODY_BYTES = 16 * 1024
+"""Largest request body of the directory in bytes; look-ups have none."""
+
+
 class Gateway:
     """One entry: the process that serves callers and relays their requests.
 
@@ -166,10 +175,17 @@
         self._explainer = RequestExplainer(
             context, lambda: self._server.is_open, RESPONSE_MARGIN_S
         )
-        self._guard = CallerGuard(
-            process_limits(settings.memory_mb, settings.max_fds),
-            self._caller_rules,
-            make_limit_recorder(event_log.write, context.metrics.count),
+        limits = process_limits(settings.memory_mb, settings.max_fds)
+        record_limit = make_limit_recorder(event_log.write, context.metrics.count)
+        self._guard = CallerGuard(limits, self._caller_rules, record_limit, clock)
+        # With a common guard, look-ups would close connections of requests.
+        self._directory_guard = CallerGuard(
+            ProcessLimits(
+                limits.held_bytes // DIRECTORY_DIVISOR,
+                max(1, limits.connections // DIRECTORY_DIVISOR),
+            ),
+            lambda: replace(self._caller_rules(), body_bytes=DIRECTORY_BODY_BYTES),
+            record_limit,
             clock,
         )
         self._front_server = RequestServer(
@@ -210,7 +226,14 @@
             lambda: read_listing(pool, event_log),
         )
         self._use_meter = make_use_meter(
-            settings, [self._guard.traffic, pool.traffic, context.link.traffic], clock
+            settings,
+            [
+                self._guard.traffic,
+                self._directory_guard.traffic,
+                pool.traffic,
+                context.link.traffic,
+            ],
+            clock,
         )
         self._directory_server: RequestServer | None = None
         self._rng = rng
@@ -229,7 +252,9 @@
         serve : callable
             Request handler, which uses ``addresses`` and ``record_refusal``.
         """
-        self._directory_server = RequestServer(serve, self._record_error, self._clock)
+        self._directory_server = RequestServer(
+            serve, self._record_error, self._clock, self._directory_guard
+        )
 
     def addresses(self, domain: DomainName) -> list[str]:
         """Return the addresses of entries for a caller in a failure domain.
--- a/wigeonspan/serving/__init__.py
+++ b/wigeonspan/serving/__init__.py
@@ -8,6 +8,7 @@
     DEFAULT_MEMORY_MB,
     MIN_CALLER_MB,
     CallerRules,
+    ProcessLimits,
     process_limits,
 )
 from wigeonspan.serving._guard import CallerGuard, CallerStream
@@ -38,6 +39,7 @@
     "CheckHead",
     "CloseReason",
     "Holding",
+    "ProcessLimits",
     "RequestServer",
     "ResponseWriter",
     "ServeRequest",
