Compare lists of entries by the one that is held, not by host

Cause: an entry remembered the digest of the last list of each control host, but holds one list. When another host's list had replaced that of the relay, such as that of a host just started or cut off, the relay saw its own digest and did not send its list again until it changed. Until then the entry named a wrong set of entries to callers and exchanged datagrams with it.

Change: heartbeats to all hosts carry the digest of the list that is held. Hosts with the same list have the same digest, so that a change of the relay sends nothing then.

--- a/tests/gateway/test_heartbeats.py
+++ b/tests/gateway/test_heartbeats.py
@@ -125,3 +125,56 @@
     if reports_cut:
         # Another host relays, so that no version waits for the fallback.
         assert max(lateness_s) < 1.0
+
+
+class Lists:
+    """Two control hosts; the relay has more entries in its list than the other."""
+
+    LISTS = {
+        name: [EntryInfo(HostId(h), OWN, h, "", EntryState.READY) for h in hosts]
+        for name, hosts in (("own", ["e", "f"]), ("far", ["e"]))
+    }
+
+    async def fetch(self, address, request, timeout_s):
+        beat = decode(request.partition(b"\r\n\r\n")[2], Beat)
+        # The first list of the other host arrives after that of the relay.
+        await asyncio.sleep(0.1 if address == "far" else 0.02)
+        entries = None
+        if beat.wants_changes and beat.entries_digest != address:
+            entries = pack_once()(address, self.LISTS[address])
+        domain = OWN if address == "own" else FAR
+        reply = BeatReply(1, None, entries, address, ["own", "far"], domain)
+        return SimpleNamespace(status=200), encode(reply)
+
+
+def test_list_of_the_relay_replaces_that_of_another_host():
+    """A list of a host just started was kept until that of the relay changed."""
+    held = []
+    entry = EntryInfo(HostId("e"), OWN, "", "", EntryState.READY)
+    clock = SystemClock()
+
+    async def run():
+        empty = FleetConfig(1, (), (), CallerLimits())
+        config = ConfigHolder(lambda document: empty, NullLog())
+        config.offer(StoredConfig(1, b"1"), "own")
+        task = HeartbeatTask(
+            clock,
+            Lists(),
+            config,
+            NullLog(),
+            random.Random(1),
+            ControlHosts(OWN),
+            lambda digest, wants, relay: Beat(entry, 1, digest, wants, relay=relay),
+            held.append,
+            *[lambda value: None] * 3,
+            lambda *reply: None,
+            lambda error: None,
+            clock,
+        )
+        task.set_seeds(["own", "far"])
+        await asyncio.sleep(1.5)
+        task.close()
+
+    asyncio.run(run())
+    assert Lists.LISTS["far"] in held
+    assert held[-1] == Lists.LISTS["own"]
--- a/wigeonspan/gateway/_heartbeats.py
+++ b/wigeonspan/gateway/_heartbeats.py
@@ -101,7 +101,8 @@
         self._record_error = record_error
         self._boot_clock = boot_clock
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._digests: dict[str, str] = {}
+        # A digest for each host would hide that another host's list replaced its own.
+        self._entries_digest = ""
         self._replied_hosts: set[str] = set()
         self._published_relay = ""
 
@@ -163,8 +164,9 @@
         """
         held_version, now = self._config.version, self._clock.now()
         wants_changes = self._controls.wants_changes(address, held_version, now)
-        digest = self._digests.get(address, "")
-        heartbeat = self._make_heartbeat(digest, wants_changes, self._controls.relay)
+        heartbeat = self._make_heartbeat(
+            self._entries_digest, wants_changes, self._controls.relay
+        )
         request = encode_message(address, BEAT_PATH, heartbeat)
         sent_at = self._boot_clock.now()
         try:
@@ -197,7 +199,7 @@
             self._config.offer(unpack(reply.config, StoredConfig), address)
         if reply.entries is not None:
             self._on_entries(unpack(reply.entries, list[EntryInfo]))
-            self._digests[address] = reply.entries_digest
+            self._entries_digest = reply.entries_digest
 
     def _record_reply(self, address: str, reply: BeatReply) -> None:
         self._replied_hosts.add(address)
