Let an entry refuse look-ups after its host was suspended

Cause: the age of the list from which an entry answers look-ups was taken from the monotonic clock, which does not advance while the host is suspended.

Change: the age is that of the last reply on the boot clock.

Result: the new test fails before (addresses instead of a refusal) and passes after, with the others of test_entry_answers.

--- a/tests/gateway/test_entry_answers.py
+++ b/tests/gateway/test_entry_answers.py
@@ -8,9 +8,15 @@
 from msgspec import UNSET
 from msgspec.structs import replace
 
-from wigeonspan.common import DomainName, HostId, ManualClock, SystemClock
+from wigeonspan.common import (
+    DomainName,
+    HostId,
+    ManualClock,
+    SystemClock,
+    WigeonspanError,
+)
 from wigeonspan.gateway import Gateway, GatewaySettings
-from wigeonspan.presence import BeatReply, EntryInfo, EntryState
+from wigeonspan.presence import RETENTION_S, BeatReply, EntryInfo, EntryState
 
 A = DomainName("a")
 SETTINGS = GatewaySettings("a0", A, "a0", "", "", "", ["c1:1"], 0.2, 10.0, 10.0)
@@ -71,6 +77,24 @@
     assert written == [("entries", "entries_changed")]
 
 
+def test_entry_refuses_when_its_host_was_suspended():
+    """After a suspension an entry named entries that had been replaced meanwhile."""
+    clock, boot_clock = ManualClock(1.0), ManualClock(1.0)
+    random_source = random.Random(1)
+    gateway = Gateway(SETTINGS, None, None, None, clock, random_source, boot_clock)
+    gateway._update_entries(ENTRIES)
+    gateway._state = EntryState.READY
+    gateway._receive_reply("c1:1", reply(UNSET), 1.0, 1.0)
+    boot_clock.advance(RETENTION_S - 1.0)
+    assert named_domains(gateway) == {"a"}
+    boot_clock.advance(2.0)
+    with pytest.raises(WigeonspanError):
+        gateway.addresses(A)
+    now = boot_clock.now()
+    gateway._receive_reply("c1:1", reply(UNSET), now, now)
+    assert named_domains(gateway) == {"a"}
+
+
 async def _count_open_look_ups(opened):
     """Open connections to an entry's directory; return how many stay open."""
     settings = replace(SETTINGS, memory_mb=160.0, max_fds=64)
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -136,6 +136,8 @@
         self._state = EntryState.STARTING
         self._entries: list[EntryInfo] = []
         self._spills = HeldSpills()
+        # Time on the boot clock at which a control host last replied.
+        self._replied_at = 0.0
         event_log = open_event_log(settings.host, clock)
         pool = ConnectionPool(clock)
         self._context = GatewayContext(
@@ -267,7 +269,8 @@
         WigeonspanError
             ``NO_TARGET`` when no entry is known, or without a reply for too long.
         """
-        silent_s = self._clock.now() - self._controls.replied_at
+        # Entries may have been replaced while this host was suspended.
+        silent_s = self._context.boot_clock.now() - self._replied_at
         known = self._entries if silent_s <= RETENTION_S else []
         own = self._settings.host
         entries = [e for e in known if e.host != own or e.state is self._state]
@@ -417,6 +420,7 @@
         self, address: str, reply: BeatReply, sent_at: float, received_at: float
     ) -> None:
         """Process what a reply says besides the configuration and the entries."""
+        self._replied_at = max(self._replied_at, received_at)
         if reply.in_group and self._context.config.version >= reply.config_version:
             self._context.freshness.record_confirmation(sent_at)
         if reply.leads:
