Answer the look-ups that a stopping entry has read

Cause: a stopping entry drained and closed the server of requests, but not that of its directory. Look-ups in hand at the end of the process got no answer, and connections of callers were reset.

Change: from the stop signal on, the connection of each look-up is closed after its answer, and the directory is drained together with the server of requests, as control hosts do.

--- a/tests/platform/test_entry_directory.py
+++ b/tests/platform/test_entry_directory.py
@@ -2,11 +2,14 @@
 
 import json
 import signal
+import threading
+import time
 
 import pytest
 from standin import DIRECTORY_PORT
 
 from tests.platform.process_harness import Deployment, call, wait_until
+from tests.platform.test_planned_stop import call_until_refused
 
 
 @pytest.fixture
@@ -55,3 +58,26 @@
         lambda: look_up(stopping) == [deployment.front_address(other)],
         timeout_s=2.0,
     )
+
+
+@pytest.mark.timeout(60)
+def test_stopping_entry_answers_the_look_ups_it_reads(deployment):
+    """Look-ups in hand at the end of an entry's process were cut off."""
+    stopping = deployment.entries[0]
+    url = f"http://{stopping.ip}:{DIRECTORY_PORT}/v1/resolve?name=h.example&zone=z1"
+    results = []
+    threads = [
+        threading.Thread(
+            target=call_until_refused, args=(url, "GET", lambda: None, results)
+        )
+        for _ in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    stopping.signal(signal.SIGTERM)
+    for thread in threads:
+        thread.join()
+    assert 200 in results
+    assert not [x for x in results if isinstance(x, str)]
+    assert stopping.process.wait(timeout=5) == 0
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -347,17 +347,26 @@
         self._context.stop.begin(signalled_at, end_at)
         self._front_server.close_after_responses()
         self._front_server.refuse_early(self._server.check_head)
+        if self._directory_server is not None:
+            self._directory_server.close_after_responses()
         await self._heartbeats.send_now()
         await asyncio.sleep(max(0.0, drain_until - self._clock.now()))
-        await self._front_server.drain(
-            max(0.0, end_at - self._clock.now()),
-            lambda: self._server.log_open_requests(signalled_at),
-        )
+        remaining_s = max(0.0, end_at - self._clock.now())
+        drains = [
+            self._front_server.drain(
+                remaining_s, lambda: self._server.log_open_requests(signalled_at)
+            )
+        ]
+        if self._directory_server is not None:
+            drains.append(self._directory_server.drain(remaining_s))
+        await asyncio.gather(*drains)
         if self._context.meter is not None:
             # The counts of the last requests are not in any heartbeat yet.
             await self._heartbeats.send_now()
         # A request that came later would wait unread until the process has ended.
         await self._front_server.close()
+        if self._directory_server is not None:
+            await self._directory_server.close()
         for task in self._tasks:
             task.cancel()
         self._heartbeats.close()
