--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -51,6 +51,7 @@
 from wigeonspan.serving import (
     CallerGuard,
     CallerRules,
+    ProcessLimits,
     RequestServer,
     ResponseWriter,
     ServeRequest,
@@ -95,6 +96,14 @@
 final responses are sent in time."""
 
 
+DIRECTORY_DIVISOR = 8
+"""Part of the limits on callers, as a divisor, that callers of the directory may use in
+addition. The limits on callers leave 15% of the memory and half of the descriptors."""
+
+DIRECTORY_BODY_BYTES = 16 * 1024
+"""Largest request body of the directory in bytes; look-ups have none."""
+
+
 class Gateway:
     """One entry: the process that serves callers and relays their requests.
 
@@ -127,6 +136,8 @@
         self._state = EntryState.STARTING
         self._entries: list[EntryInfo] = []
         self._spills = HeldSpills()
+        # Time on the boot clock at which a control host last replied.
+        self._replied_at = 0.0
         event_log = open_event_log(settings.host, clock)
         pool = ConnectionPool(clock)
         self._context = GatewayContext(
@@ -166,10 +177,17 @@
         self._explainer = RequestExplainer(
             context, lambda: self._server.is_open, RESPONSE_MARGIN_S
         )
-        self._guard = CallerGuard(
-            process_limits(settings.memory_mb, settings.max_fds),
-            self._caller_rules,
-            make_limit_recorder(event_log.write, context.metrics.count),
+        limits = process_limits(settings.memory_mb, settings.max_fds)
+        record_limit = make_limit_recorder(event_log.write, context.metrics.count)
+        self._guard = CallerGuard(limits, self._caller_rules, record_limit, clock)
+        # With a common guard, look-ups would close connections of requests.
+        self._directory_guard = CallerGuard(
+            ProcessLimits(
+                limits.held_bytes // DIRECTORY_DIVISOR,
+                max(1, limits.connections // DIRECTORY_DIVISOR),
+            ),
+            lambda: replace(self._caller_rules(), body_bytes=DIRECTORY_BODY_BYTES),
+            record_limit,
             clock,
         )
         self._front_server = RequestServer(
@@ -210,7 +228,14 @@
             lambda: read_listing(pool, event_log),
         )
         self._use_meter = make_use_meter(
-            settings, [self._guard.traffic, pool.traffic, context.link.traffic], clock
+            settings,
+            [
+                self._guard.traffic,
+                self._directory_guard.traffic,
+                pool.traffic,
+                context.link.traffic,
+            ],
+            clock,
         )
         self._directory_server: RequestServer | None = None
         self._rng = rng
@@ -229,7 +254,9 @@
         serve : callable
             Request handler, which uses ``addresses`` and ``record_refusal``.
         """
-        self._directory_server = RequestServer(serve, self._record_error, self._clock)
+        self._directory_server = RequestServer(
+            serve, self._record_error, self._clock, self._directory_guard
+        )
 
     def addresses(self, domain: DomainName) -> list[str]:
         """Return the addresses of entries for a caller in a failure domain.
@@ -242,7 +269,8 @@
         WigeonspanError
             ``NO_TARGET`` when no entry is known, or without a reply for too long.
         """
-        silent_s = self._clock.now() - self._controls.replied_at
+        # Entries may have been replaced while this host was suspended.
+        silent_s = self._context.boot_clock.now() - self._replied_at
         known = self._entries if silent_s <= RETENTION_S else []
         own = self._settings.host
         entries = [e for e in known if e.host != own or e.state is self._state]
@@ -319,17 +347,26 @@
         self._context.stop.begin(signalled_at, end_at)
         self._front_server.close_after_responses()
         self._front_server.refuse_early(self._server.check_head)
+        if self._directory_server is not None:
+            self._directory_server.close_after_responses()
         await self._heartbeats.send_now()
         await asyncio.sleep(max(0.0, drain_until - self._clock.now()))
-        await self._front_server.drain(
-            max(0.0, end_at - self._clock.now()),
-            lambda: self._server.log_open_requests(signalled_at),
-        )
+        remaining_s = max(0.0, end_at - self._clock.now())
+        drains = [
+            self._front_server.drain(
+                remaining_s, lambda: self._server.log_open_requests(signalled_at)
+            )
+        ]
+        if self._directory_server is not None:
+            drains.append(self._directory_server.drain(remaining_s))
+        await asyncio.gather(*drains)
         if self._context.meter is not None:
             # The counts of the last requests are not in any heartbeat yet.
             await self._heartbeats.send_now()
         # A request that came later would wait unread until the process has ended.
         await self._front_server.close()
+        if self._directory_server is not None:
+            await self._directory_server.close()
         for task in self._tasks:
             task.cancel()
         self._heartbeats.close()
@@ -392,6 +429,7 @@
         self, address: str, reply: BeatReply, sent_at: float, received_at: float
     ) -> None:
         """Process what a reply says besides the configuration and the entries."""
+        self._replied_at = max(self._replied_at, received_at)
         if reply.in_group and self._context.config.version >= reply.config_version:
             self._context.freshness.record_confirmation(sent_at)
         if reply.leads:
