Count stored prompts and long streams in the memory of engines

Cause: prompts in prefill and prompts that wait to be fetched took no room at prefill engines, and all entries forgot a stream after 6 s while its engine still held its tokens.

Change: a prefilled prompt counts at its engine until the stream that fetches it is complete or handle_ttl_s is over; prefill engines with room come first. WorkBegun names the prefill, and entries report streams again every 2.4 s. Only where the settings name pressure; other datagrams and draws stay as they were.

--- a/replay/_fleet.py
+++ b/replay/_fleet.py
@@ -181,13 +181,14 @@
         new_tokens: int = 0,
         tenant: TenantName | None = None,
         memory_tokens: int = 0,
+        prompt_work: str = "",
     ) -> None:
         """Record the start of work at its entry and report it to the other entries."""
 
         def record(receiver: Entry) -> None:
             now = self._clock.now()
             receiver.placer.ledger.begin(work, now)
-            receiver.placer.memory.begin(work, memory_tokens, now)
+            receiver.placer.memory.begin(work, memory_tokens, now, prompt_work)
             if tenant is not None:
                 receiver.placer.tenant_use.record(
                     tenant, work.urgency, work.work_ms, now
@@ -332,9 +333,21 @@
     def _report_demand(self) -> None:
         now = self._clock.now()
         for entry in self._entries:
+            self._renew_work(entry, now)
             entry.placer.expire(now)
             self._meter.record(entry.host, SERVICE, entry.read_ms, entry.stream_s, now)
 
+    def _renew_work(self, entry: Entry, now: float) -> None:
+        """Report long streams of an entry again, as the daemons do.
+
+        Each report is applied at once and never lost, so that it takes no random
+        numbers and leaves the other reports of a run unchanged.
+        """
+        for work, tokens in entry.placer.memory.take_renewals(entry.host, now):
+            for receiver in self._entries:
+                receiver.placer.ledger.begin(work, now)
+                receiver.placer.memory.begin(work, tokens, now)
+
     def _check_phases(self) -> None:
         """Start a change of phase if the demand calls for one."""
         now = self._clock.now()
--- a/replay/_request.py
+++ b/replay/_request.py
@@ -260,7 +260,12 @@
             0.0,
             urgency,
         )
-        simulation.begin_work(self._entry, decode_work, memory_tokens=self._memory_need)
+        simulation.begin_work(
+            self._entry,
+            decode_work,
+            memory_tokens=self._memory_need,
+            prompt_work=work_id,
+        )
         self._start_stream(
             plan, simulation.engine_of(decode.target), decode_id, urgency
         )
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -107,3 +107,36 @@
     text = asyncio.run(gauges())
     assert ('fullest_memory_share{service="models"} 0.5' in text) is limits
     assert ('held_memory_tokens{service="models"} 50000.0' in text) is limits
+
+
+def test_entries_agree_on_stored_prompts_and_long_streams():
+    """A prompt that one entry had prefilled would take no room at the others, and they
+    would forget a long stream."""
+    sender, receiver = limited(make_context("a")), limited(make_context("b"))
+    source = TargetId("p0")
+    prompt = Work("a/1", HostId("a"), source, WorkKind.PREFILL, 0.0, 3)
+    sender.begin_work(prompt, memory_tokens=12_040)
+    sender.end_work(prompt, completed=True)
+    sender.begin_work(work(2), memory_tokens=12_040, prompt_work="a/1")
+    sender.clock.advance(3.0)
+    receiver.clock.advance(3.0)
+    sender.renew_work()
+    for event in sender.link.events:
+        receiver.apply_event(event)
+    for context in (sender, receiver):
+        assert context.placer.memory.prompt_tokens(source) == 12_040
+        assert context.placer.memory.held_tokens(TARGET) == 12_040
+    sender.end_work(work(2), completed=True)
+    receiver.apply_event(sender.link.events[-1])
+    for context in (sender, receiver):
+        assert context.placer.memory.prompt_tokens(source) == 0
+
+
+def test_prompts_are_named_only_where_memory_is_limited():
+    """Datagrams of other deployments must stay as they were."""
+    sender = make_context("a")
+    sender.begin_work(work(), memory_tokens=0, prompt_work="a/1")
+    assert sender.link.events[0].prompt_work == ""
+    sender.clock.advance(3.0)
+    sender.renew_work()
+    assert len(sender.link.events) == 1
--- a/tests/placing/test_memory.py
+++ b/tests/placing/test_memory.py
@@ -215,3 +215,94 @@
     assert plan(copied).decode.target == "d1"
     copied.set_engines(5.0, 0.0)
     assert placer.memory.capacity == CAPACITY
+
+
+def prefill(memory, name, tokens, now=0.0, completed=True):
+    memory.begin(work(name, "p0", kind=WorkKind.PREFILL), tokens, now)
+    memory.end(name, now, completed=completed)
+
+
+def test_stored_prompts_take_the_memory_of_their_engine():
+    """A prefill engine whose prompts nobody fetches would get prompts without end."""
+    placer = make_placer()
+    for n in range(8):
+        prefill(placer.memory, f"stored-{n}", 12_000)
+    assert placer.memory.prompt_tokens(TargetId("p0")) == 96_000
+    assert {plan(placer).prefill.target for _ in range(20)} == {"p1"}
+
+
+def test_prompt_waits_where_no_prefill_engine_has_room():
+    """Its first event would be promised as if the memory were free."""
+    placer = make_placer()
+    free = plan(placer)
+    for target in ("p0", "p1"):
+        unit = work(f"prompt-{target}", target, kind=WorkKind.PREFILL)
+        placer.memory.begin(unit, ROOM, 0.0)
+        placer.memory.end(unit.work, 0.0, completed=True)
+    full = plan(placer)
+    assert full.wait_ms > free.wait_ms
+    assert full.first_ms > free.first_ms
+    placer.expire(EXPIRY_S + 0.1)
+    assert plan(placer).wait_ms == free.wait_ms
+
+
+@pytest.mark.parametrize(
+    ("completed", "kept"), [(True, 0), (False, 12_000)], ids=["taken", "refused"]
+)
+def test_prompt_is_stored_until_its_stream_has_ended(memory, completed, kept):
+    """A prompt that another engine refused still takes memory; one that was fetched
+    does not."""
+    prefill(memory, "prompt", 12_000)
+    memory.begin(work("stream", "d0"), 12_000, 0.1, "prompt")
+    assert memory.prompt_tokens(TargetId("p0")) == 12_000
+    memory.end("stream", 0.5, completed=completed)
+    assert memory.prompt_tokens(TargetId("p0")) == kept
+    assert memory.held_tokens(TargetId("d0")) == 0
+
+
+def test_prefill_that_failed_stores_nothing(memory):
+    """An engine that broke off would seem full although it is empty."""
+    prefill(memory, "prompt", 12_000, completed=False)
+    assert memory.prompt_tokens(TargetId("p0")) == 0
+
+
+def test_stored_prompts_end_with_their_engine_or_their_time(memory):
+    """Lost reports and lost entries would leave an engine full for good."""
+    memory.set_capacity(CAPACITY, handle_ttl_s=5.0)
+    prefill(memory, "a", 12_000)
+    memory.drop_host(HostId("e"))
+    assert memory.prompt_tokens(TargetId("p0")) == 12_000
+    memory.expire(5.1)
+    assert memory.prompt_tokens(TargetId("p0")) == 0
+    prefill(memory, "b", 12_000, now=6.0)
+    memory.forget(TargetId("p0"))
+    assert memory.prompt_tokens(TargetId("p0")) == 0
+    # A fetch of a prompt that is not known is no error.
+    memory.begin(work("stream", "d0"), 12_000, 7.0, "b")
+    memory.end("stream", 7.5, completed=True)
+
+
+def test_long_stream_keeps_its_memory_at_all_entries():
+    """Streams of more than ``EXPIRY_S`` were forgotten while they held their memory,
+    so other streams were preempted for requests that seemed to have room."""
+    own, other = (EngineMemory(SlotForecast(), enabled=True) for _ in range(2))
+    stream = work("stream", "d0")
+    for memory in (own, other):
+        memory.begin(stream, 12_000, 0.0)
+    now = 0.0
+    while now < 2 * EXPIRY_S:
+        now += 0.1
+        for unit, tokens in own.take_renewals(HostId("e"), now):
+            other.begin(unit, tokens, now)
+        assert not other.take_renewals(HostId("f"), now)
+        for memory in (own, other):
+            memory.expire(now)
+            assert memory.held_tokens(TargetId("d0")) == 12_000
+    assert own.take_renewals(HostId("e"), now) == []
+
+
+def test_renewal_that_is_lost_once_keeps_the_memory(memory):
+    """Datagrams are lost, and one of them must not free an engine."""
+    memory.begin(work("stream", "d0"), 12_000, 0.0)
+    renewals = [at / 10 for at in range(60) if memory.take_renewals("e", at / 10)]
+    assert len(renewals) >= 2
--- a/wigeonspan/gateway/_attempt.py
+++ b/wigeonspan/gateway/_attempt.py
@@ -33,6 +33,8 @@
     ----------
     exchange : Exchange
         Exchange with the target.
+    work : str
+        Name of the work at the target.
     sent_at : float
         Time at which the request was sent.
     completed : bool
@@ -45,6 +47,7 @@
     """
 
     exchange: Exchange
+    work: str
     sent_at: float
     completed: bool = False
     silence_recorded: bool = False
@@ -110,7 +113,10 @@
     started_at = context.clock.now()
     context.metrics.count("sends", purpose=kind.value)
     tenant = None if access is None else access.tenant
-    context.begin_work(work, prompt_parts, new_tokens, tenant, memory_tokens)
+    prompt_work = "" if send.fetch is None else send.fetch.work
+    context.begin_work(
+        work, prompt_parts, new_tokens, tenant, memory_tokens, prompt_work
+    )
     exchange, sent, broken = None, None, False
     try:
         exchange = await context.pool.send(
@@ -124,7 +130,7 @@
             new_connection=new_connection,
             may_send=lambda: active_request.may_send(access),
         )
-        sent = ActiveSend(exchange, started_at)
+        sent = ActiveSend(exchange, work.work, started_at)
         yield sent
     except ExchangeError as failure:
         if failure.kind is FailureKind.WITHHELD:
--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -157,20 +157,38 @@
         new_tokens: int = 0,
         tenant: TenantName | None = None,
         memory_tokens: int = 0,
+        prompt_work: str = "",
     ) -> None:
-        """Record the start of work and publish it to the other entries."""
+        """Record the start of work and publish it to the other entries.
+
+        Parameters
+        ----------
+        prompt_work : str
+            Name of the work that prefilled the prompt which the target fetches.
+        """
         now = self.clock.now()
         self.placer.ledger.begin(work, now)
-        self.placer.memory.begin(work, memory_tokens, now)
+        self.placer.memory.begin(work, memory_tokens, now, prompt_work)
         self.placer.health.record_sent(work.target, now)
         if prompt_parts:
             self.placer.prefixes.begin(work.work, work.target, prompt_parts, new_tokens)
         if tenant is not None:
             self.placer.tenant_use.record(tenant, work.urgency, work.work_ms, now)
+        if not self.placer.memory.enabled:
+            prompt_work = ""
         self.link.publish(
-            WorkBegun(work, prompt_parts, new_tokens, tenant, memory_tokens)
+            WorkBegun(
+                work, prompt_parts, new_tokens, tenant, memory_tokens, prompt_work
+            )
         )
 
+    def renew_work(self) -> None:
+        """Report own streams again that still hold memory after a while."""
+        now = self.clock.now()
+        for work, tokens in self.placer.memory.take_renewals(self.host, now):
+            self.placer.ledger.begin(work, now)
+            self.link.publish(WorkBegun(work, memory_tokens=tokens))
+
     def end_work(self, work: Work, *, completed: bool, broken: bool = False) -> None:
         """Record the end of work and publish it to the other entries."""
         broken = broken and self.placer.health.is_shared
@@ -210,7 +228,9 @@
             case WorkBegun():
                 placer.ledger.begin(event.work, now)
                 if event.memory_tokens:
-                    placer.memory.begin(event.work, event.memory_tokens, now)
+                    placer.memory.begin(
+                        event.work, event.memory_tokens, now, event.prompt_work
+                    )
                 if event.tenant is not None:
                     placer.tenant_use.record(
                         event.tenant, event.work.urgency, event.work.work_ms, now
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -398,6 +398,7 @@
         context = self._context
         while True:
             now = self._clock.now()
+            context.renew_work()
             context.placer.expire(now)
             context.update_quarantine()
             context.update_pace()
--- a/wigeonspan/gateway/_explain.py
+++ b/wigeonspan/gateway/_explain.py
@@ -216,7 +216,7 @@
             )
             figures = placer.figures.of_calls(targets, now)
             return ServiceExplanation(service, share, verdict, figures, rest)
-        placer.set_engines(engine.kv_tokens, engine.copy_us)
+        placer.set_engines(engine.kv_tokens, engine.copy_us, engine.handle_ttl_s)
         priorities = context.config.priorities(service)
         band = priority_band(priorities, _priority(route, tenant))
         outcome = placer.plan(
--- a/wigeonspan/gateway/_messages.py
+++ b/wigeonspan/gateway/_messages.py
@@ -65,10 +65,17 @@
 
 
 class PromptHandle(Struct, frozen=True):
-    """Prompt that an engine has prefilled and keeps for another engine to fetch."""
+    """Prompt that an engine has prefilled and keeps for another engine to fetch.
+
+    Parameters
+    ----------
+    work : str
+        Name of the work that prefilled it.
+    """
 
     source: Target
     handle: str
+    work: str = ""
 
 
 class SendOptions(Struct, frozen=True):
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -1,5 +1,7 @@
 """Placement of a generation, and the prefill of its prompt by an engine."""
 
+from msgspec.structs import replace
+
 from wigeonspan.common import WigeonspanError
 from wigeonspan.gateway._attempt import (
     ActiveSend,
@@ -254,7 +256,7 @@
         context.placer.record_prefill(plan, took_ms)
         context.metrics.observe("prompt_read_seconds", took_ms / 1000.0)
         self._progress.log_event("read", target=engine.target, took_ms=round(took_ms))
-        return plan, handle
+        return plan, replace(handle, work=sent.work)
 
     def _withdraw_prefill(self, spent: SpentRetry | None) -> None:
         """Withdraw a prefill for which no connection was made: it did not arrive."""
@@ -374,6 +376,7 @@
             self._progress.log_event("release_skipped", target=handle.source.target)
             return
         limits.take(handle.source.target, sent_at)
+        context.placer.memory.stored.discard(handle.work)
 
         async def send_release() -> None:
             try:
--- a/wigeonspan/gateway/_serve.py
+++ b/wigeonspan/gateway/_serve.py
@@ -329,7 +329,9 @@
         engine = None if spec is None else spec.engine
         if engine is None:
             return PlainCall(active_request)
-        self._context.placer.set_engines(engine.kv_tokens, engine.copy_us)
+        self._context.placer.set_engines(
+            engine.kv_tokens, engine.copy_us, engine.handle_ttl_s
+        )
         return (
             Generation(active_request)
             if active_request.route.kind is CallKind.STREAM
--- a/wigeonspan/placing/_choice.py
+++ b/wigeonspan/placing/_choice.py
@@ -119,7 +119,7 @@
         """
         if not engines:
             return None
-        engines = self._pace.select(engines)
+        engines = self._pace.select(self._memory.select_prefill(engines, need))
         penalties = self._health.failure_penalties_ms([t.target for t in engines])
         engines = self._sample_candidates(engines, steps_by_target)
         # A copy takes little time but as much memory as a repeated prefill, so the
@@ -134,7 +134,9 @@
 
         def score(target: Target) -> tuple[float, float, float]:
             cost = costs[target.target]
-            wait = self._ledger.backlog_ms(target.target, urgency, now)
+            wait = self._ledger.backlog_ms(
+                target.target, urgency, now
+            ) + self._memory.prefill_wait_ms(target.target, need)
             cross_domain = self._estimate.cross_domain_ms(target, prompt)
             penalty = penalties[target.target]
             repeated_ms = REPEATED_PREFILL_WEIGHT * (
--- a/wigeonspan/placing/_memory.py
+++ b/wigeonspan/placing/_memory.py
@@ -16,6 +16,7 @@
 from wigeonspan.placing._messages import Prompt
 from wigeonspan.placing._priority import PriorityBand
 from wigeonspan.placing._slots import SlotForecast
+from wigeonspan.placing._stored_prompts import StoredPrompts
 from wigeonspan.targets import Target, TargetId
 
 BLOCK_TOKENS = 16
@@ -29,6 +30,10 @@
 """Maximum share of the memory that more urgent streams are assumed to keep, so that the
 wait stays finite when they take all."""
 
+RENEWAL_S = 0.4 * EXPIRY_S
+"""Seconds after which an entry reports a stream again that still runs. Others remove it
+after ``EXPIRY_S``, so one of two such reports may be lost."""
+
 RATIO_WEIGHT = 0.05
 """Weight of a new answer in the moving average of the ratio of real to estimated
 output tokens."""
@@ -93,8 +98,10 @@
     def __init__(self, slots: SlotForecast, *, enabled: bool = False) -> None:
         self.enabled = enabled
         self.outputs = OutputForecast()
+        self.stored = StoredPrompts()
         self._slots = slots
         self._capacity = 0.0
+        self._handle_ttl_s = EXPIRY_S
         self._held: dict[str, _Held] = {}
         # Tokens by engine and urgency of running streams, and of prompts in prefill.
         self._running: dict[TargetId, Counter[int]] = {}
@@ -105,9 +112,18 @@
         """Tokens that fit into an engine's memory."""
         return self._capacity
 
-    def set_capacity(self, tokens: float) -> None:
-        """Set the memory of the engines in tokens, from the configuration."""
+    def set_capacity(self, tokens: float, handle_ttl_s: float = EXPIRY_S) -> None:
+        """Set the properties of the engines, from the configuration.
+
+        Parameters
+        ----------
+        tokens : float
+            Tokens that fit into an engine's memory.
+        handle_ttl_s : float
+            Seconds for which an engine stores a prompt for another one to fetch.
+        """
         self._capacity = tokens
+        self._handle_ttl_s = handle_ttl_s
 
     @property
     def applies(self) -> bool:
@@ -128,19 +144,61 @@
         """Return whether a request needs more memory than an engine has."""
         return self.applies and need > self._capacity
 
-    def begin(self, work: Work, tokens: int, now: float) -> None:
-        """Record work that holds tokens at its target, or will at a decode engine."""
+    def begin(self, work: Work, tokens: int, now: float, fetches: str = "") -> None:
+        """Record work that holds tokens at its target, or will at a decode engine.
+
+        Parameters
+        ----------
+        fetches : str
+            Name of the work that has prefilled its prompt; empty without such work.
+        """
         if not self.enabled or tokens <= 0 or work.kind is WorkKind.CALL:
             return
-        self.end(work.work)
+        self._remove(work.work)
         self._held[work.work] = _Held(work, tokens, now)
         self._totals(work).setdefault(work.target, Counter())[work.urgency] += tokens
+        if fetches:
+            self.stored.begin_fetch(work.work, fetches)
 
-    def end(self, name: str) -> None:
-        """Record the end of work, if it is known."""
-        held = self._held.pop(name, None)
+    def end(self, name: str, now: float, *, completed: bool = False) -> None:
+        """Record the end of work, if it is known.
+
+        Parameters
+        ----------
+        completed : bool
+            Whether its target has completed it; a prefilled prompt is then stored.
+        """
+        held = self._remove(name)
         if held is None:
             return
+        if held.work.kind is not WorkKind.PREFILL:
+            self.stored.end_fetch(name, now, completed=completed)
+        elif completed:
+            self.stored.add(name, held.work.target, held.tokens, now)
+
+    def take_renewals(self, host: HostId, now: float) -> list[tuple[Work, int]]:
+        """Return the streams of an entry that it is to report again, and their tokens.
+
+        A long stream would otherwise be removed after ``EXPIRY_S`` while it still holds
+        its memory. Only short prompts are prefilled by their decode engine, so their
+        streams are left out.
+        """
+        due = [
+            held
+            for held in self._held.values()
+            if held.work.host == host
+            and held.work.kind is WorkKind.DECODE
+            and now - held.begun_at >= RENEWAL_S
+        ]
+        for held in due:
+            held.begun_at = now
+        return [(held.work, held.tokens) for held in due]
+
+    def _remove(self, name: str) -> _Held | None:
+        """Remove work and return it; None if it is not known."""
+        held = self._held.pop(name, None)
+        if held is None:
+            return None
         work, totals = held.work, self._totals(held.work)
         tokens = totals[work.target]
         tokens[work.urgency] -= held.tokens
@@ -148,6 +206,7 @@
             del tokens[work.urgency]
         if not tokens:
             del totals[work.target]
+        return held
 
     def _totals(self, work: Work) -> dict[TargetId, Counter[int]]:
         is_prefill = work.kind is WorkKind.PREFILL
@@ -155,23 +214,27 @@
 
     def expire(self, now: float) -> None:
         """Remove work that is older than ``EXPIRY_S``."""
-        self._end_all(
+        self._remove_all(
             [n for n, held in self._held.items() if now - held.begun_at > EXPIRY_S]
         )
+        self.stored.expire(now, self._handle_ttl_s)
 
     def drop_host(self, host: HostId) -> None:
         """Remove the work of an entry that is gone."""
-        self._end_all([n for n, held in self._held.items() if held.work.host == host])
+        self._remove_all(
+            [n for n, held in self._held.items() if held.work.host == host]
+        )
 
     def forget(self, target: TargetId) -> None:
         """Remove the work of an engine that is gone or has restarted."""
-        self._end_all(
+        self._remove_all(
             [n for n, held in self._held.items() if held.work.target == target]
         )
+        self.stored.forget(target)
 
-    def _end_all(self, names: list[str]) -> None:
+    def _remove_all(self, names: list[str]) -> None:
         for name in names:
-            self.end(name)
+            self._remove(name)
 
     def held_tokens(self, target: TargetId) -> int:
         """Return the tokens that all running streams hold at an engine."""
@@ -221,6 +284,32 @@
         tokens = self._running.get(target, _NONE)
         return sum(n for rank, n in tokens.items() if rank <= band.late_rank)
 
+    def prompt_tokens(self, target: TargetId) -> int:
+        """Return the tokens of the prompts that an engine prefills and stores."""
+        in_prefill = self._expected.get(target, _NONE).total()
+        return in_prefill + self.stored.tokens(target)
+
+    def select_prefill(self, engines: list[Target], need: int) -> list[Target]:
+        """Return the prefill engines with room for a prompt; all if none has any.
+
+        Stored prompts are not preempted, so another prompt waits until they are
+        fetched.
+        """
+        if not self.applies or not need:
+            return engines
+        with_room = [t for t in engines if not self._lacking(t.target, need)]
+        return with_room or engines
+
+    def prefill_wait_ms(self, target: TargetId, need: int) -> float:
+        """Return the milliseconds until a prefill engine has room for a prompt."""
+        if not self.applies or not need:
+            return 0.0
+        freed_per_s = self._usable / self.stored.stay_s
+        return 1000.0 * self._lacking(target, need) / freed_per_s
+
+    def _lacking(self, target: TargetId, need: int) -> float:
+        return self._missing(self.prompt_tokens(target), need)
+
     def rank(
         self, target: TargetId, need: int, urgency: int, band: PriorityBand
     ) -> int:
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -15,7 +15,7 @@
 from wigeonspan.placing._fair_share import MIN_WAIT_MS, TenantUse
 from wigeonspan.placing._figures import PlacementFigures
 from wigeonspan.placing._health import TargetAvailability
-from wigeonspan.placing._ledger import Work, WorkLedger
+from wigeonspan.placing._ledger import EXPIRY_S, Work, WorkLedger
 from wigeonspan.placing._memory import EngineMemory
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
 from wigeonspan.placing._order import WorkOrder, is_expected_late
@@ -122,7 +122,9 @@
         """Record the time from the end of a prefill to the first decode event."""
         self._estimate.record_handoff(actual_ms)
 
-    def set_engines(self, memory_tokens: float, copy_us: float) -> None:
+    def set_engines(
+        self, memory_tokens: float, copy_us: float, handle_ttl_s: float = EXPIRY_S
+    ) -> None:
         """Set the properties of the engines, from the configuration.
 
         Parameters
@@ -131,9 +133,11 @@
             Tokens that fit into an engine's memory.
         copy_us : float
             Copy time of a token in microseconds; 0 when engines cannot copy.
+        handle_ttl_s : float
+            Seconds for which an engine stores a prompt for another one to fetch.
         """
         self.prefixes.set_memory(memory_tokens)
-        self.memory.set_capacity(memory_tokens)
+        self.memory.set_capacity(memory_tokens, handle_ttl_s)
         self._estimate.set_copy_time(copy_us)
 
     def forget(self, target: TargetId) -> None:
@@ -175,7 +179,7 @@
         """
         begun = self.ledger.find(work)
         self.ledger.end(work, now, completed=completed)
-        self.memory.end(work)
+        self.memory.end(work, now, completed=completed)
         if completed and begun is not None:
             self.pace.record_answer(*begun, now)
         self.prefixes.end(work, completed=completed)
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -34,6 +34,9 @@
     memory_tokens : int
         Tokens that the request holds at its decode engine; 0 when the memory of engines
         is not considered.
+    prompt_work : str
+        Name of the work that prefilled the prompt, which the target fetches; empty
+        without such work and when the memory of engines is not considered.
     """
 
     work: Work
@@ -41,6 +44,7 @@
     new_tokens: _Tokens = 0
     tenant: Annotated[TenantName, Meta(max_length=256)] | None = None
     memory_tokens: _Tokens = 0
+    prompt_work: Annotated[str, Meta(max_length=256)] = ""
 
 
 class WorkEnded(Struct, frozen=True, tag="ended", array_like=True):
--- a/wigeonspan/sharing/_wire.py
+++ b/wigeonspan/sharing/_wire.py
@@ -49,7 +49,7 @@
 
 
 class _WorkBegunWithoutMemory(msgspec.Struct, tag="begun", array_like=True):
-    """Encoded form of :class:`WorkBegun` without its last field, the memory."""
+    """Encoded form of :class:`WorkBegun` without the memory."""
 
     work: Work
     parts: tuple[PromptPart, ...]
@@ -57,8 +57,22 @@
     tenant: str | None
 
 
+class _WorkBegunWithoutPrompt(msgspec.Struct, tag="begun", array_like=True):
+    """Encoded form of :class:`WorkBegun` without its last field."""
+
+    work: Work
+    parts: tuple[PromptPart, ...]
+    new_tokens: int
+    tenant: str | None
+    memory_tokens: int
+
+
 _EncodedEvent = (
-    Event | _WorkBegunWithoutTenant | _WorkBegunWithoutMemory | _WorkEndedWithoutBreak
+    Event
+    | _WorkBegunWithoutTenant
+    | _WorkBegunWithoutMemory
+    | _WorkBegunWithoutPrompt
+    | _WorkEndedWithoutBreak
 )
 
 
@@ -93,9 +107,11 @@
 def _without_empty_fields(event: Event) -> _EncodedEvent:
     if isinstance(event, WorkEnded) and not event.broken:
         return _WorkEndedWithoutBreak(event.work, event.completed)
-    if not isinstance(event, WorkBegun) or event.memory_tokens:
+    if not isinstance(event, WorkBegun) or event.prompt_work:
         return event
     fields = (event.work, event.parts, event.new_tokens)
+    if event.memory_tokens:
+        return _WorkBegunWithoutPrompt(*fields, event.tenant, event.memory_tokens)
     if event.tenant is None:
         return _WorkBegunWithoutTenant(*fields)
     return _WorkBegunWithoutMemory(*fields, event.tenant)
