Probe an engine again in small fleets when a probe has no result

Cause: in fleets of up to 16 entries, an open probe of a suspended engine keeps other requests away until it succeeds or fails. When its caller left, it did neither, and the entry sent the engine nothing more.

Change: the availability keeps the name of the probe's work. A probe that is still open excludes the engine as before, and larger fleets are as before.

--- a/wigeonspan/gateway/_context.py
+++ b/wigeonspan/gateway/_context.py
@@ -169,7 +169,7 @@
         now = self.clock.now()
         self.placer.ledger.begin(work, now)
         self.placer.memory.begin(work, memory_tokens, now, prompt_work)
-        self.placer.health.record_sent(work.target, now)
+        self.placer.health.record_sent(work.target, now, work.work)
         if prompt_parts:
             self.placer.prefixes.begin(work.work, work.target, prompt_parts, new_tokens)
         if tenant is not None:
--- a/wigeonspan/placing/_health.py
+++ b/wigeonspan/placing/_health.py
@@ -37,6 +37,8 @@
         self.suspensions = 0
         self.suspended_until = 0.0
         self.probing = False
+        # Name of the probe's work; None once it has ended.
+        self.open_probe: str | None = None
         self.suspended_at = NEVER
         self.paused_until = NEVER
         # Time at which work of another entry ended a suspension.
@@ -62,6 +64,8 @@
         self._rng = rng or random.Random()
         self._entries = 1
         self._states: dict[TargetId, _State] = {}
+        # State of the target of each open probe, by the name of the probe's work.
+        self._open_probes: dict[str, _State] = {}
 
     @property
     def is_shared(self) -> bool:
@@ -201,24 +205,44 @@
     def available(self, target: TargetId, now: float) -> bool:
         """Return whether a target may get a request.
 
-        After a suspension, one request is allowed as a probe. In a large fleet, another
-        one is allowed ``MAX_SUSPENSION_S`` after a probe that has had no result.
+        After a suspension, one request is allowed as a probe. ``MAX_SUSPENSION_S``
+        after a probe that has had no result, another one is allowed; in a small fleet
+        only once the probe has ended, such as when its caller left.
         """
         state = self._states.get(target)
         if state is None or state.suspended_until == 0.0:
             return True
-        if state.probing and not self.is_shared:
+        has_open_probe = state.probing and state.open_probe is not None
+        if has_open_probe and not self.is_shared:
             return False
         return now >= state.suspended_until
 
-    def record_sent(self, target: TargetId, now: float) -> None:
-        """Record that a request is sent to a target."""
+    def record_sent(self, target: TargetId, now: float, work: str = "") -> None:
+        """Record that a request is sent to a target.
+
+        Parameters
+        ----------
+        work : str
+            Name of its work, whose end :meth:`record_ended` reports.
+        """
         state = self._states.get(target)
         if state is not None and state.suspended_until and now >= state.suspended_until:
             state.probing = True
+            state.open_probe = work
+            self._open_probes[work] = state
             # A probe that never ends must not exclude the target permanently.
             state.suspended_until = now + MAX_SUSPENSION_S
 
+    def record_ended(self, work: str) -> None:
+        """Record that work has ended, with or without a result.
+
+        A probe has none when its caller leaves. The success that would end the
+        suspension can then no longer occur.
+        """
+        state = self._open_probes.pop(work, None)
+        if state is not None and state.open_probe == work:
+            state.open_probe = None
+
     def failure_penalties_ms(self, targets: list[TargetId]) -> dict[TargetId, float]:
         """Return the penalty in milliseconds for the failure rate of each target.
 
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -183,6 +183,7 @@
         if completed and begun is not None:
             self.pace.record_answer(*begun, now)
         self.prefixes.end(work, completed=completed)
+        self.health.record_ended(work)
         if begun is None or not self.health.is_shared:
             return None
         return self._record_shared(begun[0], now, completed=completed, broken=broken)
