Announce the stop of an entry to the other entries

Cause: entries answer look-ups from the list of control hosts, which shows a stop with the reply to the next heartbeat. Until then they named a stopping entry to callers, and while no control host ran, until it had ended.

Change: a stopping entry sends the others the event EntryStopping, in a datagram of its own because entries of the release before drop a packet with an unknown event. New responses leave the entry out until a list shows it in another state or gone, so that a restarted one is named again; without such a list, until the time is over for which its process runs in any case. A lost datagram leaves the list alone to decide, as before. Counted as stops_announced_total, logged as entry_stopping.

Without control hosts, the new process test failed before (2 s) and passes now. tests/gateway, tests/sharing, tests/presence and tests/platform/ test_entry_directory.py and test_planned_stop.py pass.

--- a/tests/gateway/test_entry_answers.py
+++ b/tests/gateway/test_entry_answers.py
@@ -17,6 +17,7 @@
 )
 from wigeonspan.gateway import Gateway, GatewaySettings
 from wigeonspan.presence import RETENTION_S, BeatReply, EntryInfo, EntryState
+from wigeonspan.sharing import EntryStopping
 
 A = DomainName("a")
 SETTINGS = GatewaySettings("a0", A, "a0", "", "", "", ["c1:1"], 0.2, 10.0, 10.0)
@@ -95,6 +96,58 @@
     assert named_domains(gateway) == {"a"}
 
 
+STOPPED = HostId("a1")
+
+
+def with_state(state):
+    return [replace(e, state=state) if e.host == STOPPED else e for e in ENTRIES]
+
+
+@pytest.mark.parametrize(
+    "list_of_the_stop",
+    [
+        with_state(EntryState.LEAVING),
+        with_state(EntryState.STARTING),
+        [e for e in ENTRIES if e.host != STOPPED],
+    ],
+    ids=["leaving", "starting", "gone"],
+)
+def test_announced_stop_counts_until_the_list_shows_it(gateway, list_of_the_stop):
+    """An entry named another one to callers for up to 0.6 s after its stop. A restarted
+    one must be named again."""
+    assert STOPPED in gateway.addresses(A)
+    gateway._receive_event(STOPPED, EntryStopping(3.2))
+    assert STOPPED not in gateway.addresses(A)
+    # Lists that change for another reason may not show the stop yet.
+    gateway._update_entries(ENTRIES[:-1])
+    assert STOPPED not in gateway.addresses(A)
+    gateway._update_entries(list_of_the_stop)
+    assert STOPPED not in gateway.addresses(A)
+    gateway._update_entries(ENTRIES)
+    assert STOPPED in gateway.addresses(A)
+
+
+def test_restarted_entry_is_named_when_no_list_has_shown_its_stop(gateway):
+    """An entry that missed the lists in between left out the restarted one for good."""
+    gateway._receive_event(STOPPED, EntryStopping(3.2))
+    gateway._context.clock.advance(3.1)
+    assert STOPPED not in gateway.addresses(A)
+    gateway._context.clock.advance(0.2)
+    assert STOPPED in gateway.addresses(A)
+
+
+def test_late_and_odd_announcements_of_stops_change_nothing(gateway):
+    """A datagram that arrives after the list would hide the restarted entry, and those
+    of unknown hosts would take memory without limit."""
+    gateway._update_entries(with_state(EntryState.LEAVING))
+    gateway._receive_event(STOPPED, EntryStopping(3.2))
+    for number in range(100):
+        gateway._receive_event(HostId(f"x{number}"), EntryStopping(3.2))
+    gateway._update_entries(ENTRIES)
+    assert set(gateway.addresses(A)) == {e.host for e in ENTRIES if e.domain == A}
+    assert b"stops_announced" not in gateway._context.metrics.text()
+
+
 async def _count_open_look_ups(opened):
     """Open connections to an entry's directory; return how many stay open."""
     settings = replace(SETTINGS, memory_mb=160.0, max_fds=64)
--- a/tests/platform/test_entry_directory.py
+++ b/tests/platform/test_entry_directory.py
@@ -60,6 +60,23 @@
     )
 
 
+@pytest.mark.timeout(120)
+def test_other_entries_do_not_name_a_stopping_one(deployment):
+    """Other entries named a stopping entry until a control host told them. Without
+    control hosts, only its own announcement can tell them."""
+    stopping, other = deployment.entries
+    for entry in deployment.entries:
+        wait_until("both", lambda entry=entry: len(look_up(entry) or ()) == 2)
+    for control in deployment.controls:
+        control.kill()
+    stopping.signal(signal.SIGTERM)
+    wait_until(
+        "only the other entry",
+        lambda: look_up(other) == [deployment.front_address(other)],
+        timeout_s=2.0,
+    )
+
+
 @pytest.mark.timeout(60)
 def test_stopping_entry_answers_the_look_ups_it_reads(deployment):
     """Look-ups in hand at the end of an entry's process were cut off."""
--- a/tests/sharing/test_wire.py
+++ b/tests/sharing/test_wire.py
@@ -6,6 +6,7 @@
 from wigeonspan.common import HostId, ServiceName, TenantName
 from wigeonspan.placing import PromptPart, Work, WorkKind
 from wigeonspan.sharing import (
+    EntryStopping,
     ListRead,
     Packet,
     RetriesLent,
@@ -37,6 +38,7 @@
         ListRead("d", 0.2),
         RetriesWanted(ServiceName("s"), 2, 1234),
         RetriesLent(HostId("e2"), ServiceName("s"), 1, 1234),
+        EntryStopping(3.2),
     ],
 )
 
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -46,6 +46,7 @@
     EntryInfo,
     EntryState,
     HeldSpills,
+    StoppingEntries,
     caller_addresses,
 )
 from wigeonspan.serving import (
@@ -60,6 +61,7 @@
     show_limits,
 )
 from wigeonspan.sharing import (
+    EntryStopping,
     Event,
     ListRead,
     PeerLink,
@@ -136,6 +138,7 @@
         self._state = EntryState.STARTING
         self._entries: list[EntryInfo] = []
         self._spills = HeldSpills()
+        self._stopping_entries = StoppingEntries()
         # Time on the boot clock at which a control host last replied.
         self._replied_at = 0.0
         event_log = open_event_log(settings.host, clock)
@@ -270,10 +273,16 @@
             ``NO_TARGET`` when no entry is known, or without a reply for too long.
         """
         # Entries may have been replaced while this host was suspended.
-        silent_s = self._context.boot_clock.now() - self._replied_at
+        now = self._context.boot_clock.now()
+        silent_s = now - self._replied_at
         known = self._entries if silent_s <= RETENTION_S else []
         own = self._settings.host
-        entries = [e for e in known if e.host != own or e.state is self._state]
+        stopping = self._stopping_entries.hosts(now)
+        entries = [
+            e
+            for e in known
+            if e.host not in stopping and (e.host != own or e.state is self._state)
+        ]
         spills = self._spills.held(self._clock.now())
         found = caller_addresses(entries, domain, MAX_ADDRESSES, self._rng, spills, own)
         if not found:
@@ -344,6 +353,7 @@
             ends_in_ms=round((end_at - now) * 1000),
             handled_after_ms=round((now - signalled_at) * 1000),
         )
+        self._context.link.publish_alone(EntryStopping(max(0.0, drain_until - now)))
         self._context.stop.begin(signalled_at, end_at)
         self._front_server.close_after_responses()
         self._front_server.refuse_early(self._server.check_head)
@@ -474,6 +484,7 @@
                 "entries", "entries_changed", hosts=[e.host for e in entries]
             )
         self._entries = entries
+        self._stopping_entries.update(entries)
         self._context.stop.set_ready_peer(
             any(e.state is EntryState.READY and e.host != own for e in entries)
         )
@@ -489,9 +500,18 @@
     def _receive_event(self, host: HostId, event: Event) -> None:
         if isinstance(event, ListRead):
             self._listing.receive(event)
+        elif isinstance(event, EntryStopping):
+            self._record_stop(host, event)
         else:
             self._context.receive_event(host, event)
 
+    def _record_stop(self, host: HostId, event: EntryStopping) -> None:
+        """Leave out an entry from directory responses that has announced its stop."""
+        now = self._context.boot_clock.now()
+        if self._stopping_entries.record(host, event.drain_s, self._entries, now):
+            self._context.metrics.count("stops_announced")
+            self._context.event_log.write("entries", "entry_stopping", host=host)
+
     def _record_bad_datagram(self, why: str) -> None:
         self._context.event_log.write("sharing", "bad_datagram", why=why)
 
--- a/wigeonspan/presence/__init__.py
+++ b/wigeonspan/presence/__init__.py
@@ -13,6 +13,7 @@
     Resources,
 )
 from wigeonspan.presence._packing import InvalidValue, pack, pack_once, unpack
+from wigeonspan.presence._stopping import StoppingEntries
 from wigeonspan.presence._weights import HeldSpills
 
 __all__ = [
@@ -29,6 +30,7 @@
     "EntryLoad",
     "EntryState",
     "Resources",
+    "StoppingEntries",
     "caller_addresses",
     "pack",
     "pack_once",
--- a/wigeonspan/sharing/__init__.py
+++ b/wigeonspan/sharing/__init__.py
@@ -1,6 +1,7 @@
 """Datagrams by which entries share work, failures and the list of targets."""
 
 from wigeonspan.sharing._messages import (
+    EntryStopping,
     Event,
     ListRead,
     Packet,
@@ -16,6 +17,7 @@
 from wigeonspan.sharing._task import PeerLink
 
 __all__ = [
+    "EntryStopping",
     "Event",
     "ListRead",
     "Packet",
--- a/wigeonspan/sharing/_messages.py
+++ b/wigeonspan/sharing/_messages.py
@@ -17,6 +17,8 @@
 # A list that was read more than a day ago is as good as none. The limit also keeps out
 # infinite ages, and a time in the future would put off all further reads.
 _AgeS = Annotated[float, Meta(ge=0.0, le=86400.0)]
+# The limit keeps an odd datagram from hiding an entry from callers for long.
+_DrainS = Annotated[float, Meta(ge=0.0, le=30.0)]
 
 
 class WorkBegun(Struct, frozen=True, tag="begun", array_like=True):
@@ -133,6 +135,19 @@
     asked_ms: _MonotonicMs
 
 
+class EntryStopping(Struct, frozen=True, tag="stopping", array_like=True):
+    """An entry is stopping; it is sent in a datagram of its own.
+
+    Parameters
+    ----------
+    drain_s : float
+        Seconds for which its process still runs, unless it crashes. No restarted
+        entry of the same name exists before their end.
+    """
+
+    drain_s: _DrainS
+
+
 class ListRead(Struct, frozen=True, tag="list", array_like=True):
     """An entry has read the list of targets.
 
@@ -158,6 +173,7 @@
     | TargetLimited
     | RetriesWanted
     | RetriesLent
+    | EntryStopping
     | ListRead
     | QuarantineMessage
 )
--- a/wigeonspan/sharing/_task.py
+++ b/wigeonspan/sharing/_task.py
@@ -86,6 +86,17 @@
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(BATCH_DELAY_S, self._flush)
 
+    def publish_alone(self, event: Event) -> None:
+        """Send an event to all other entries at once, in a datagram of its own.
+
+        Entries of a release that does not know the event may drop the complete packet,
+        which then contains no other events.
+        """
+        if not self._peers or self._transport is None:
+            return
+        self._flush()
+        self._send([event])
+
     def close(self) -> None:
         """Send the queued events and close the socket."""
         self._flush()
