Divide the gateway's main module by responsibility

Change: the monitoring interface is in _monitoring.py, the construction of the shared state and of the guards of callers in _parts.py, the stop in _stop_sequence.py, housekeeping in _housekeeping.py, the process's signals in _run.py, and the release of prompts in _release.py. The code is moved without a change of behaviour, the random draws keep their order, and _update_entries stays where it is. One call in tests/gateway/test_memory.py names the new place of _record_slots.

--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -101,7 +101,7 @@
         context.target_table.update(Listing(tuple(test_explain.TARGETS)), 1.0)
         context.placer.set_engines(100_000, 0.0)
         context.placer.memory.begin(work(), 50_000, 1.0)
-        gateway._record_slots(test_explain.MODELS)
+        gateway._monitoring._record_slots(test_explain.MODELS)
         return context.metrics.text().decode()
 
     text = asyncio.run(gauges())
--- a/wigeonspan/gateway/__init__.py
+++ b/wigeonspan/gateway/__init__.py
@@ -1,6 +1,6 @@
 """Gateway process: serves callers, places their requests and relays the responses."""
 
-from wigeonspan.gateway._daemon import Gateway, run_gateway
+from wigeonspan.gateway._daemon import Gateway
 from wigeonspan.gateway._messages import (
     CallerRequest,
     HiddenHeaders,
@@ -10,6 +10,7 @@
     TargetOutcome,
     TargetProtocol,
 )
+from wigeonspan.gateway._run import run_gateway
 from wigeonspan.gateway._settings import STOP_TIMEOUT_S, GatewaySettings
 
 __all__ = [
--- a/wigeonspan/gateway/_generation.py
+++ b/wigeonspan/gateway/_generation.py
@@ -9,6 +9,7 @@
 from wigeonspan.gateway._prefill import PromptPreparation
 from wigeonspan.gateway._progress import GenerationProgress
 from wigeonspan.gateway._relay import StreamRelay
+from wigeonspan.gateway._release import release_prompt
 from wigeonspan.gateway._runs import OpenRun, Superseded
 from wigeonspan.placing import DIRECT_SLOWDOWN, Plan, WorkKind
 from wigeonspan.pool import ExchangeError, FailureKind
@@ -123,7 +124,7 @@
             return False
         finally:
             if handle is not None and not prompt_taken:
-                self._preparation.release(handle)
+                release_prompt(self._progress, handle)
 
     def _next_engine(self, handle: PromptHandle | None) -> Target | None:
         """Return another engine for a prompt whose engine took no connection."""
--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -36,9 +36,6 @@
 MAX_PREFILL_RESPONSE_BYTES = 64 * 1024
 """Largest body in bytes of an engine's response to a prefill; a handle is short."""
 
-RELEASE_TIMEOUT_S = 1.0
-"""Seconds within which an engine must respond to the release of a prompt."""
-
 
 class NoOtherPrefill(Exception):
     """Beside a silent engine, the request would do without a separate prefill."""
@@ -367,33 +364,6 @@
         )
         return self._progress.refusal(Refusal(Limit.TIME, reason, retry_after_s))
 
-    def release(self, handle: PromptHandle) -> None:
-        """Release a prompt that no engine will fetch, in the background."""
-        context, sent_at = self._progress.context, self._progress.context.clock.now()
-        limits = context.placer.limits
-        if limits.wait_s(handle.source.target, sent_at):
-            # The engine discards the prompt when its time to live ends.
-            self._progress.log_event("release_skipped", target=handle.source.target)
-            return
-        limits.take(handle.source.target, sent_at)
-        context.placer.memory.stored.discard(handle.work)
-
-        async def send_release() -> None:
-            try:
-                head, _ = await context.pool.fetch(
-                    handle.source.address,
-                    context.protocol.encode_release(handle),
-                    RELEASE_TIMEOUT_S,
-                    new_connection=True,
-                )
-                notice = context.protocol.read_notice(head)
-                context.handle_notice(handle.source, notice, sent_at)
-            except ExchangeError as failure:
-                # The engine discards the prompt when its time to live ends.
-                self._progress.log_event("release_failed", why=str(failure))
-
-        context.run_in_background(send_release())
-
 
 async def _outcome(backup: Backup[PreparedPrompt]) -> PreparedPrompt | None:
     """Return the prompt of a backup; None when the request is to be placed again.
