Give the engines of soak runs uneven speeds

Cause: in soak runs all engines prefilled and decoded at the same speed, so that the placement by speed was never exercised under faults.

Change: in half of the runs engines have factors of 1.0 to 2.0 on the time of prefill and, drawn separately, between events, for 10 to 15 s; engines are slow by a factor of 3 to 10 for half a second. Neither is a disturbance, so that all checks hold. Both are drawn after all other faults; a test with checksums of eight seeds, three of them with tenants, shows that earlier faults stay. Three existing tests of checksums leave the new draws out as they do with other later ones; their checksums are unchanged.

Measured: tests/soak/test_schedule.py and tests/platform/test_standin_replicas.py pass.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -6,7 +6,14 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from standin import GRACE_S, DutyFaults, InjectedFaults, Replica, Role
+from standin import (
+    GRACE_S,
+    DutyFaults,
+    EngineSpeed,
+    InjectedFaults,
+    Replica,
+    Role,
+)
 
 from soak._evidence import STOPPED, Departure, Scope
 from soak._launch import Impairment
@@ -14,7 +21,13 @@
 from soak._prompt_mix import draw_prompt_mix
 from soak._proxy import MAX_DELAY_S, Link
 from soak._schedule import Fault, FaultKind
-from soak._target_faults import DUTY_FAULTS, INJECTED_FAULTS, SILENT_MOMENTS
+from soak._target_faults import (
+    DUTY_FAULTS,
+    INJECTED_FAULTS,
+    SILENT_MOMENTS,
+    brief_slowdown,
+    draw_speeds,
+)
 from soak._traffic import Traffic
 from soak._world import MODELS, Host, World
 from wigeonspan.consensus._transport import RAFT_PATH
@@ -140,6 +153,8 @@
             FaultKind.KEY_REVOKE: self._revoke_key,
             **dict.fromkeys(DUTY_FAULTS, self._disturb_duties),
             FaultKind.RECLAIM: self._reclaim,
+            FaultKind.UNEVEN_SPEEDS: self._set_speeds,
+            FaultKind.BRIEF_SLOWDOWN: self._slow_briefly,
         }
 
     async def run(self, faults: tuple[Fault, ...], began: float) -> None:
@@ -223,7 +238,7 @@
             name = f"engine-{len(self._world.targets)}"
             await self._world.add_target(MODELS, name)
         await asyncio.sleep(ADDED_ENGINES_S)
-        engines = [t for t in self._world.targets if t.service == MODELS]
+        engines = self._engines()
         for engine in engines:
             engine.injected_faults = InjectedFaults(slow_rate=SLOW_STREAM_SHARE)
         stopping = asyncio.create_task(self._stop_all_under_late_requests())
@@ -459,6 +474,28 @@
             target.fall_silent(moment, fault.lasts_s)
         await asyncio.sleep(fault.lasts_s)
 
+    def _engines(self) -> list[Replica]:
+        return [t for t in self._world.targets if t.service == MODELS]
+
+    async def _set_speeds(self, fault: Fault) -> None:
+        """Give engines uneven speeds; this is no disturbance of them."""
+        engines = self._engines()
+        for engine, speed in zip(
+            engines, draw_speeds(fault, len(engines)), strict=True
+        ):
+            engine.speed = speed
+        await asyncio.sleep(fault.lasts_s)
+        for engine in engines:
+            engine.speed = EngineSpeed()
+
+    async def _slow_briefly(self, fault: Fault) -> None:
+        """Slow an engine down for a moment; this is no disturbance of it."""
+        engines = self._engines()
+        engine = engines[fault.victim % len(engines)]
+        engine.brief_slowdown = brief_slowdown(fault.strength)
+        await asyncio.sleep(fault.lasts_s)
+        engine.brief_slowdown = 1.0
+
     async def _send_crashing_prompts(self, fault: Fault) -> None:
         mix = draw_prompt_mix(fault, self._rng)
         self._world.evidence.journal.crashing_parts.update(mix.culprits)
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -88,6 +88,8 @@
     DUTY_LATE = "calls of duties carried out late"
     DUTY_SILENT = "calls of duties neither answered nor carried out"
     RECLAIM = "reclaimable replicas reclaimed"
+    UNEVEN_SPEEDS = "engines of uneven speed"
+    BRIEF_SLOWDOWN = "engine slow for half a second"
 
 
 LAST_DRAWN_KINDS = (
@@ -180,6 +182,21 @@
 MAX_TENANT_FAULTS = 6
 """Bounds of the number of such faults in a run."""
 
+UNEVEN_SPEEDS_PROBABILITY = 0.5
+"""Probability that engines have uneven speeds for most of a run."""
+
+MAX_UNEVEN_SPEEDS_START_S = 3.0
+MIN_UNEVEN_SPEEDS_S = 10.0
+MAX_UNEVEN_SPEEDS_S = 15.0
+"""Latest start in seconds, and bounds of the duration, of uneven speeds."""
+
+MAX_BRIEF_SLOWDOWNS = 4
+"""Largest number of brief slowdowns in a run, not counting repeats."""
+
+MIN_BRIEF_SLOWDOWN_S = 0.4
+MAX_BRIEF_SLOWDOWN_S = 0.6
+"""Bounds of the duration of a brief slowdown in seconds."""
+
 LATER_KINDS = (
     *LAST_DRAWN_KINDS,
     FaultKind.TARGET_LIMITS,
@@ -189,6 +206,8 @@
     FaultKind.CONTROL_CUT,
     FaultKind.LATE_ROLL,
     *TENANT_KINDS,
+    FaultKind.UNEVEN_SPEEDS,
+    FaultKind.BRIEF_SLOWDOWN,
 )
 """Kinds that the first draws leave out."""
 
@@ -312,6 +331,7 @@
         for _ in range(rng.randint(MIN_TENANT_FAULTS, MAX_TENANT_FAULTS)):
             kind = rng.choices(TENANT_KINDS, TENANT_KIND_WEIGHTS)[0]
             faults.extend(_draw_fault(rng, kind, repeats=False))
+    faults.extend(_draw_speeds(rng))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
@@ -367,6 +387,21 @@
     return [structs.replace(fault, at=at, lasts_s=LATE_ROLL_S)]
 
 
+def _draw_speeds(rng: random.Random) -> list[Fault]:
+    """Draw speeds of engines, after all kinds that were added earlier."""
+    faults: list[Fault] = []
+    if rng.random() < UNEVEN_SPEEDS_PROBABILITY:
+        fault = _draw_fault(rng, FaultKind.UNEVEN_SPEEDS, repeats=False)[0]
+        at = rng.uniform(0.0, MAX_UNEVEN_SPEEDS_START_S)
+        lasts_s = rng.uniform(MIN_UNEVEN_SPEEDS_S, MAX_UNEVEN_SPEEDS_S)
+        faults.append(structs.replace(fault, at=at, lasts_s=lasts_s))
+    for _ in range(rng.randint(0, MAX_BRIEF_SLOWDOWNS)):
+        lasts_s = rng.uniform(MIN_BRIEF_SLOWDOWN_S, MAX_BRIEF_SLOWDOWN_S)
+        drawn = _draw_fault(rng, FaultKind.BRIEF_SLOWDOWN, repeats=True)
+        faults.extend(structs.replace(fault, lasts_s=lasts_s) for fault in drawn)
+    return faults
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, *, repeats: bool) -> list[Fault]:
     at = rng.uniform(0.5, FAULT_WINDOW_S)
     victim = rng.randrange(64)
--- a/soak/_target_faults.py
+++ b/soak/_target_faults.py
@@ -1,10 +1,11 @@
 """What a fault of a schedule means for the targets that have it."""
 
+import random
 from collections.abc import Callable
 
-from standin import DutyFaults, InjectedFaults, Moment
+from standin import DutyFaults, EngineSpeed, InjectedFaults, Moment
 
-from soak._schedule import FaultKind
+from soak._schedule import Fault, FaultKind
 from soak._world import APPS, MODELS
 
 SILENT_MOMENTS = {
@@ -41,3 +42,29 @@
     FaultKind.DUTY_SILENT: lambda x: DutyFaults(silent=True),
 }
 """Faults of the platform's interface for duties, from a severity between 0 and 1."""
+
+SPEED_FACTORS = (1.0, 1.0, 1.3)
+"""Factors on the time of engines in the deployments, equally likely."""
+
+MIN_BRIEF_SLOWDOWN = 3.0
+MAX_BRIEF_SLOWDOWN = 10.0
+"""Bounds of the factor on the time of an engine that is slow for half a second. Work
+that begins in this time keeps it: an event takes up to 0.4 s, a prefill 1.2 s."""
+
+
+def draw_speeds(fault: Fault, engines: int) -> list[EngineSpeed]:
+    """Draw the speeds of engines, apart for prefill and decode.
+
+    The severity stretches the differences up to a factor of 2.
+    """
+    rng, stretch = random.Random(fault.victim), 1.0 + 2.3 * fault.strength
+
+    def draw() -> float:
+        return 1.0 + (rng.choice(SPEED_FACTORS) - 1.0) * stretch
+
+    return [EngineSpeed(draw(), draw()) for _ in range(engines)]
+
+
+def brief_slowdown(severity: float) -> float:
+    """Return the factor of a brief slowdown with a severity between 0 and 1."""
+    return MIN_BRIEF_SLOWDOWN + (MAX_BRIEF_SLOWDOWN - MIN_BRIEF_SLOWDOWN) * severity
--- a/tests/platform/test_standin_replicas.py
+++ b/tests/platform/test_standin_replicas.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from standin import InjectedFaults, Journal, Moment, Replica
+from standin import EngineSpeed, InjectedFaults, Journal, Moment, Replica
 
 from tests.platform.process_harness import NET
 from wigeonspan.targets import Phase
@@ -166,3 +166,39 @@
     assert all(answer.count(b"HTTP/1.1 503") == 2 for answer in answers)
     with_id = sum(b"Request-Id" in answer for answer in answers)
     assert 0 < with_id < len(answers)
+
+
+@pytest.mark.parametrize(
+    ("phase", "speed", "slows"),
+    [
+        (Phase.PREFILL, EngineSpeed(prefill=100.0), True),
+        (Phase.PREFILL, EngineSpeed(decode=100.0), False),
+        (Phase.DECODE, EngineSpeed(decode=4.0), True),
+        (Phase.DECODE, EngineSpeed(prefill=4.0), False),
+    ],
+)
+def test_prefill_and_decode_have_speeds_of_their_own(phase, speed, slows):
+    """With one factor for both, an entry could not tell which phase is slow."""
+
+    async def test(replica, journal):
+        replica.speed = speed
+        fields = ["Stage: prefill"] if phase is Phase.PREFILL else []
+        began = time.monotonic()
+        await send("r1", *fields)
+        return time.monotonic() - began
+
+    assert (with_replica(test, phase) > 0.35) is slows
+
+
+def test_brief_slowdown_ends():
+    """An engine that stayed slow would be another fault than one slow for a moment."""
+
+    async def test(replica, journal):
+        replica.brief_slowdown = 6.0
+        slow = await send("r1")
+        replica.brief_slowdown = 1.0
+        return slow, await send("r2")
+
+    (slow, slow_wait_s), (usual, usual_wait_s) = with_replica(test)
+    assert slow.count(b"data:") == usual.count(b"data:") == EVENTS
+    assert slow_wait_s > 0.2 > usual_wait_s
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -48,6 +48,7 @@
     The checksums were taken before the newest kinds were added.
     """
     newest = set(make_schedule(seed).faults)
+    monkeypatch.setattr(_schedule, "_draw_speeds", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_newest_faults", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_rolls_and_cuts", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
@@ -72,6 +73,7 @@
 def test_seeds_keep_their_faults_beside_rolls_and_cuts(monkeypatch, seed, checksum):
     """Stops in turn and cuts from the group were added after all other kinds."""
     newest = set(make_schedule(seed).faults)
+    monkeypatch.setattr(_schedule, "_draw_speeds", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_rolls_and_cuts", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
     schedule = make_schedule(seed)
@@ -95,7 +97,30 @@
 def test_seeds_keep_their_faults_beside_late_requests(monkeypatch, seed, checksum):
     """Stops under late requests were added after all other kinds."""
     newest = set(make_schedule(seed).faults)
+    monkeypatch.setattr(_schedule, "_draw_speeds", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
     schedule = make_schedule(seed)
     assert set(schedule.faults) <= newest
     assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
+
+
+@pytest.mark.parametrize(
+    ("seed", "checksum"),
+    [
+        (104, 1917274015),
+        (501, 2056892064),
+        (610, 1283230380),
+        (625, 4194616340),
+        (1043, 1920461649),
+        (1549, 3605292633),
+        (2176, 2008644771),
+        (3073, 2200515962),
+    ],
+)
+def test_seeds_keep_their_faults_beside_uneven_load(monkeypatch, seed, checksum):
+    """Uneven load was added after all other kinds, those with tenants included."""
+    newest = set(make_schedule(seed).faults)
+    monkeypatch.setattr(_schedule, "_draw_speeds", lambda rng: [])
+    schedule = make_schedule(seed)
+    assert set(schedule.faults) <= newest
+    assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
