Limit the memory of engines in some soak runs

Change: in two of five runs engines have memory for 14,000 to 28,000 tokens. The configuration states it and the settings name `pressure`. In half of these runs an engine that holds more crashes; in the others requests wait for room, and the newest one is preempted and prefilled again when the output of running ones fills the memory. A prefilled prompt is held until it is fetched, released or 5 s old. A new check reports each engine that ends because of its memory, and the disturbances of the last seconds.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -31,6 +31,7 @@
     _crash_checks.check_sound_prompts,
     _crash_checks.check_harmless_parts,
     _fleet_checks.check_departures,
+    _fleet_checks.check_engine_memory,
     _fleet_checks.check_limits,
     _fleet_checks.check_read_versions,
     _fleet_checks.check_applied_versions,
--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -15,6 +15,9 @@
 BY_PROMPT = "crashed by a prompt"
 """Description of the disturbance of a target by a crashing part of a prompt."""
 
+BY_MEMORY = "crashed out of memory"
+"""Description of the disturbance of an engine that held more than its memory."""
+
 
 STOPPED = "stopped"
 STARTED = "started"
--- a/soak/_fleet_checks.py
+++ b/soak/_fleet_checks.py
@@ -74,6 +74,29 @@
             yield Violation("departure", arrival.request, text)
 
 
+def check_engine_memory(evidence: Evidence, index: Index) -> Iterator[Violation]:
+    """Check that no engine ends because its requests hold more than its memory.
+
+    The settings of all runs whose engines have limited memory name that contract.
+    """
+    for overflow in evidence.journal.overflows:
+        if not overflow.crashed:
+            continue
+        disturbed = {
+            f"{each.name} {each.what}"
+            for each in evidence.disturbances
+            if each.begins <= overflow.at <= each.until + SETTLING_S
+        }
+        yield Violation(
+            "memory",
+            overflow.target,
+            f"held {overflow.held} of {overflow.limit} tokens in {overflow.running} "
+            f"requests and {overflow.stored} stored prompts, "
+            f"{overflow.at - evidence.traffic_began:.1f} s after the start; "
+            f"disturbed: {', '.join(sorted(disturbed)) or 'nothing'}",
+        )
+
+
 def check_limits(evidence: Evidence, index: Index) -> Iterator[Violation]:
     """Check that undisturbed entries together keep to the limit that a target names."""
     for limit in evidence.journal.limits:
--- a/soak/_operators.py
+++ b/soak/_operators.py
@@ -8,7 +8,7 @@
 from standin import HOST, encode_config, read_version, store
 
 from soak._evidence import SentConfig, VersionRead
-from soak._world import APPS, ENGINE_SLOTS, MODELS, World
+from soak._world import APPS, ENGINE_SLOTS, ENGINE_TOKENS, HANDLE_TTL_S, MODELS, World
 from wigeonspan.common import DomainName, TenantName
 from wigeonspan.fleetconfig import (
     ApiKey,
@@ -54,7 +54,9 @@
 
 
 def make_config(
-    versions: list[int], keys: dict[str, list[str]] | None = None
+    versions: list[int],
+    keys: dict[str, list[str]] | None = None,
+    engine_tokens: int = ENGINE_TOKENS,
 ) -> FleetConfig:
     """Make the configuration of the last version, with a route for each version.
 
@@ -62,6 +64,8 @@
     ----------
     keys : dict or None
         Keys by tenant; None for a configuration without tenants and orders.
+    engine_tokens : int
+        Tokens that fit into the memory of an engine.
     """
     models, apps = (WeightedService(MODELS, 1.0),), (WeightedService(APPS, 1.0),)
 
@@ -97,7 +101,7 @@
             MODELS,
             "/health",
             600,
-            EngineTraits(ENGINE_SLOTS, 100_000, 5.0, 1.0),
+            EngineTraits(ENGINE_SLOTS, engine_tokens, HANDLE_TTL_S, 1.0),
             None if keys is None else SCALING,
         ),
         ServiceSpec(APPS, "/health", 600),
@@ -157,7 +161,7 @@
         """Send the next version; return whether it was acknowledged."""
         last = self._versions[-1] if self._versions else 0
         self._versions.append(last + self._rng.randint(1, 3))
-        document = encode_config(make_config(self._versions, self._keys))
+        document = encode_config(self._make_config())
         removed = set(self._world.evidence.removed_keys)
         config = SentConfig(self.newest, time.monotonic())
         self._world.evidence.sent_configs.append(config)
@@ -170,10 +174,15 @@
         config.refused = 400 <= status < 500
         return status == 200
 
+    def _make_config(self, *versions: int) -> FleetConfig:
+        memory = self._world.schedule.engine_memory
+        engine_tokens = ENGINE_TOKENS if memory is None else memory.tokens
+        return make_config([*self._versions, *versions], self._keys, engine_tokens)
+
     async def send_invalid(self) -> None:
         """Send a configuration with a route to a service that does not exist."""
         version = self.newest + 1000
-        document = encode_config(make_config([*self._versions, version], self._keys))
+        document = encode_config(self._make_config(version))
         invalid = document.replace(b'"apps"', b'"none"', 1)
         config = SentConfig(version, time.monotonic(), valid=False)
         self._world.evidence.sent_configs.append(config)
--- a/soak/_report.py
+++ b/soak/_report.py
@@ -21,6 +21,9 @@
         f"{schedule.entries} entries, {schedule.engines} engines, "
         f"{schedule.apps} apps, {schedule.requests_per_s:.0f} requests/s"
     ]
+    if (memory := schedule.engine_memory) is not None:
+        rule = "crash" if memory.crashes else "preempt"
+        lines.append(f"  engines have {memory.tokens} tokens and {rule} over them")
     for fault in schedule.faults:
         where = f" ({fault.link})" if fault.kind.name.startswith("LINK") else ""
         lines.append(
@@ -53,7 +56,7 @@
     print(
         f"seed {result.schedule.seed}: {result.served} of {result.requests} requests "
         f"served, {result.silences} silences, {len(result.prompt_crashes)} crashes by "
-        f"prompts, {len(result.breaks)} violations, "
+        f"prompts, {result.preemptions} preemptions, {len(result.breaks)} violations, "
         f"largest timer delay of the soak test {result.largest_lag_s:.2f} s",
         flush=True,
     )
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -51,6 +51,8 @@
         Silences of sound targets that began.
     prompt_crashes : list of str
         Crashes of targets by prompts, with their seconds after the start of traffic.
+    preemptions : int
+        Requests that engines with limited memory preempted.
     """
 
     schedule: Schedule
@@ -61,6 +63,7 @@
     largest_lag_s: float
     silences: int = 0
     prompt_crashes: list[str] = []
+    preemptions: int = 0
 
 
 async def run_soak(schedule: Schedule, folder: Path) -> Result:
@@ -95,6 +98,7 @@
             f"{crash.at - evidence.traffic_began:.1f} s {'/'.join(sorted(crash.parts))}"
             for crash in evidence.journal.prompt_crashes
         ],
+        sum(not overflow.crashed for overflow in evidence.journal.overflows),
     )
 
 
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -197,6 +197,14 @@
 MAX_BRIEF_SLOWDOWN_S = 0.6
 """Bounds of the duration of a brief slowdown in seconds."""
 
+ENGINE_MEMORY_PROBABILITY = 0.4
+"""Probability that the engines of a run have limited memory."""
+
+MIN_ENGINE_TOKENS = 14_000
+MAX_ENGINE_TOKENS = 28_000
+"""Bounds of this memory in tokens. Six streams of the longest prompts need 36,000, so
+that memory is short before slots are, as with the long requests of the deployments."""
+
 LATER_KINDS = (
     *LAST_DRAWN_KINDS,
     FaultKind.TARGET_LIMITS,
@@ -248,6 +256,21 @@
     strength: float
 
 
+class EngineMemory(Struct, frozen=True):
+    """Memory of all engines of a run.
+
+    Parameters
+    ----------
+    tokens : int
+        Tokens of requests that fit.
+    crashes : bool
+        Whether an engine that holds more crashes, or preempts requests.
+    """
+
+    tokens: int
+    crashes: bool
+
+
 class Schedule(Struct, frozen=True):
     """Everything that the seed decides about a run.
 
@@ -259,6 +282,8 @@
         Number of targets of each service.
     final : FaultKind or None
         Kind of the final fault, if any.
+    engine_memory : EngineMemory or None
+        Memory of engines; None for no limit.
     """
 
     seed: int
@@ -270,6 +295,7 @@
     requests_per_s: float
     faults: tuple[Fault, ...]
     final: FaultKind | None
+    engine_memory: EngineMemory | None = None
 
     @property
     def has_tenants(self) -> bool:
@@ -336,6 +362,7 @@
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
         final=final if ends_with_final else None,
+        engine_memory=_draw_engine_memory(rng),
         **sizes,
     )
 
@@ -402,6 +429,13 @@
     return faults
 
 
+def _draw_engine_memory(rng: random.Random) -> EngineMemory | None:
+    if rng.random() >= ENGINE_MEMORY_PROBABILITY:
+        return None
+    tokens = rng.randint(MIN_ENGINE_TOKENS, MAX_ENGINE_TOKENS)
+    return EngineMemory(tokens, rng.random() < 0.5)
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, *, repeats: bool) -> list[Fault]:
     at = rng.uniform(0.5, FAULT_WINDOW_S)
     victim = rng.randrange(64)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -20,11 +20,12 @@
     InstanceList,
     Journal,
     Machine,
+    MemoryLimit,
     Replica,
     Role,
 )
 
-from soak._evidence import BY_PROMPT, STARTED, Disturbance, Evidence, Scope
+from soak._evidence import BY_MEMORY, BY_PROMPT, STARTED, Disturbance, Evidence, Scope
 from soak._launch import BIND_VARIABLE, IMPAIRMENT_VARIABLE, Impairment
 from soak._proxy import Link
 from soak._schedule import Schedule
@@ -41,6 +42,13 @@
 """Streams that an engine runs at once; few, so that the phases of engines change
 during a run."""
 
+ENGINE_TOKENS = 100_000
+"""Tokens that fit into an engine in the configuration of runs without limited memory;
+the engines themselves have no limit then."""
+
+HANDLE_TTL_S = 5.0
+"""Seconds for which an engine stores a prefilled prompt."""
+
 RECLAIMABLE_APPS = 2
 """Reclaimable replicas of the plain service, in runs with tenants and duties."""
 
@@ -56,6 +64,9 @@
 PROMPT_CRASH_DOWN_S = (1.0, 2.5)
 """Bounds of the seconds for which a target is down after a prompt crashed it."""
 
+MEMORY_CONTRACT = "pressure"
+"""Contract in the settings of runs whose engines have limited memory."""
+
 NEW_ID_SHARE = 0.8
 """Share of such targets that come back under a new name, as new starts do."""
 
@@ -122,14 +133,19 @@
         self._rng = random.Random(schedule.seed)
         self._restarts: set[asyncio.Task[None]] = set()
         self._crashed: dict[str, tuple[Replica, float]] = {}
-        self._limits = DeploymentLimits(schedule.losses, RETRY_RATIO, RETRY_MINIMUM)
-        if schedule.has_tenants:
-            self._limits = DeploymentLimits(
-                schedule.losses,
-                RETRY_RATIO,
-                RETRY_MINIMUM,
-                duties=("usage_report", "autoscale"),
+        self._limits = DeploymentLimits(
+            schedule.losses,
+            RETRY_RATIO,
+            RETRY_MINIMUM,
+            duties=("usage_report", "autoscale") if schedule.has_tenants else (),
+            contracts=(MEMORY_CONTRACT,) if schedule.engine_memory else (),
+        )
+        self._engine_memory: MemoryLimit | None = None
+        if (memory := schedule.engine_memory) is not None:
+            self._engine_memory = MemoryLimit(
+                memory.tokens, memory.crashes, HANDLE_TTL_S
             )
+        if schedule.has_tenants:
             self.evidence.duty_calls = DutyCalls(random.Random(schedule.seed + 3))
             self.evidence.usage_window_s = self._limits.usage_window_s
             self.evidence.usage_due_s = self._limits.usage_due_s
@@ -178,10 +194,12 @@
             phase=Phase.PREFILL if service == MODELS else Phase.NONE,
             slots=ENGINE_SLOTS,
             reclaimable=reclaimable,
+            memory=self._engine_memory if service == MODELS else None,
         )
         link = Link(name, outside, inside)
         await link.forward(TARGET_PORT)
-        target.on_prompt_crash = self._crash_by_prompt
+        target.on_prompt_crash = lambda each: self._crash_by_itself(each, BY_PROMPT)
+        target.on_memory_crash = lambda each: self._crash_by_itself(each, BY_MEMORY)
         await target.start()
         self.targets.append(target)
         self.links["target"].append(link)
@@ -304,11 +322,11 @@
             target.crash()
             self._crashed[target.name] = (target, time.monotonic() + CRASHED_LISTED_S)
 
-    def _crash_by_prompt(self, target: Replica) -> None:
-        """Crash a target that began to answer a crashing prompt; restart it later."""
+    def _crash_by_itself(self, target: Replica, what: str) -> None:
+        """Crash a target because of its work; restart it later."""
         now, down_s = time.monotonic(), self._rng.uniform(*PROMPT_CRASH_DOWN_S)
         self.evidence.record_disturbance(
-            Scope.TARGETS, target.name, BY_PROMPT, now, now + down_s
+            Scope.TARGETS, target.name, what, now, now + down_s
         )
         self.crash_target(target)
         self._restarts.add(asyncio.create_task(self._restart_after(target, down_s)))
--- a/tests/platform/test_standin_replicas.py
+++ b/tests/platform/test_standin_replicas.py
@@ -5,7 +5,14 @@
 import time
 
 import pytest
-from standin import EngineSpeed, InjectedFaults, Journal, Moment, Replica
+from standin import (
+    EngineSpeed,
+    InjectedFaults,
+    Journal,
+    MemoryLimit,
+    Moment,
+    Replica,
+)
 
 from tests.platform.process_harness import NET
 from wigeonspan.targets import Phase
@@ -202,3 +209,63 @@
     (slow, slow_wait_s), (usual, usual_wait_s) = with_replica(test)
     assert slow.count(b"data:") == usual.count(b"data:") == EVENTS
     assert slow_wait_s > 0.2 > usual_wait_s
+
+
+def send_four(*, tokens, crashes):
+    """Send four streams of 208 tokens to an engine; return answers and overflows.
+
+    Each has 40 events at most, and they begin one after the other.
+    """
+
+    async def test(replica, journal):
+        replica._memory_limit = MemoryLimit(tokens, crashes, handle_ttl_s=5.0)
+        replica._reset("decode")
+        sends = []
+        for number in range(4):
+            sends.append(asyncio.create_task(send(f"r{number}", events=20)))
+            await asyncio.sleep(0.02)
+        answers = [answer for answer, _ in await asyncio.gather(*sends)]
+        return answers, journal.overflows, replica.running
+
+    return with_replica(test)
+
+
+def test_engine_with_room_neither_waits_nor_preempts():
+    """Overflows of sound engines would be taken for faults of the entries."""
+    answers, overflows, running = send_four(tokens=4 * 228, crashes=True)
+    assert [answer.count(b"data:") for answer in answers] == [20] * 4
+    assert (overflows, running) == ([], True)
+
+
+def test_engine_over_its_memory_crashes_once():
+    """A run would show no violation if the engine went on with too many tokens."""
+    answers, overflows, running = send_four(tokens=3 * 228, crashes=True)
+    assert not any(answer.endswith(b"0\r\n\r\n") for answer in answers)
+    assert [overflow.crashed for overflow in overflows] == [True]
+    assert overflows[0].held > overflows[0].limit == 3 * 228
+    assert not running
+
+
+def test_engine_over_its_memory_preempts_and_completes():
+    """A preempted stream that was lost or repeated would be a fault of the replica."""
+    answers, overflows, running = send_four(tokens=4 * 215, crashes=False)
+    for answer in answers:
+        assert [answer.count(f"id: {n}\n".encode()) for n in range(1, 21)] == [1] * 20
+    assert overflows and not any(overflow.crashed for overflow in overflows)
+    assert running
+
+
+def test_stored_prompt_takes_memory_until_its_time_is_over():
+    """Stored prompts would have no limit, and prefill engines never lack room."""
+
+    async def test(replica, journal):
+        replica._memory_limit = MemoryLimit(300, False, handle_ttl_s=0.3)
+        replica._reset("prefill")
+        await send("r1", "Stage: prefill")
+        kept = len(journal.handles)
+        _, wait_s = await send("r2", "Stage: prefill")
+        return kept, list(journal.handles.values()), wait_s
+
+    kept, left, wait_s = with_replica(test, Phase.PREFILL)
+    assert (kept, left) == (1, ["r2"])
+    assert wait_s > 0.25
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,7 +1,14 @@
 """Tests that each check finds its violations and reports none in a correct run."""
 
 import pytest
-from standin import CallEnding, Journal, NamedLimit, OrderRecord, Purpose
+from standin import (
+    CallEnding,
+    Journal,
+    MemoryOverflow,
+    NamedLimit,
+    OrderRecord,
+    Purpose,
+)
 
 from soak._checks import find_violations
 from soak._evidence import Departure, Probe, Scope, SentConfig, VersionRead
@@ -327,3 +334,12 @@
     evidence.journal = Journal([run, prefill])
     evidence.record_disturbance(Scope.TARGETS, crashed, "crashed", 10.5, 11.0)
     assert ("lost" in rules(evidence)) is is_violation
+
+
+@pytest.mark.parametrize("crashed", [False, True])
+def test_engine_that_ends_because_of_its_memory_is_a_violation(crashed):
+    """Entries that know the memory must not fill it; preemptions are no violation."""
+    evidence = make_evidence()
+    overflow = MemoryOverflow(10.0, "t", 1010, 1000, crashed, 3, 0)
+    evidence.journal.overflows.append(overflow)
+    assert ("memory" in rules(evidence)) is crashed
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -10,7 +10,7 @@
 
 from soak import _run
 from soak._run import run_soak
-from soak._schedule import FaultKind, make_schedule
+from soak._schedule import EngineMemory, FaultKind, make_schedule
 from soak._world import World
 
 
@@ -79,3 +79,20 @@
     result = asyncio.run(run_soak(schedule, tmp_path / "day"))
     assert result.breaks == []
     assert result.served > result.requests / 2
+
+
+@pytest.mark.parametrize("memory", [None, EngineMemory(20_000, crashes=True)])
+def test_settings_name_the_contract_where_engines_have_limited_memory(tmp_path, memory):
+    """Without the contract entries would fill engines, as they are allowed to."""
+    schedule = replace(make_schedule(100), engine_memory=memory)
+    world = World(schedule, tmp_path, f"127.{64 + os.getpid() % 128}")
+
+    async def check():
+        try:
+            host = await world.add_host(Role.ENTRY)
+            world.write_settings(first=True)
+            return host.machine.settings.read_text()
+        finally:
+            world.close()
+
+    assert ("contracts=pressure\n" in asyncio.run(check())) is (memory is not None)
