Let some callers of soak runs read slowly

Cause: callers read slowly only around planned stops, a tenth of the streams there.

Change: in two of five runs callers send three streams a second with 5 to 25 events of 24 KB for 4 to 8 s and read them a quarter as fast as they come. They connect directly to entries that have not been told to stop, since a proxy would read for them. The fault is drawn after the memory of engines; the tests of earlier checksums leave it out, with unchanged checksums.

Measured: tests/soak/test_traffic.py and tests/soak/test_schedule.py pass.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -155,6 +155,7 @@
             FaultKind.RECLAIM: self._reclaim,
             FaultKind.UNEVEN_SPEEDS: self._set_speeds,
             FaultKind.BRIEF_SLOWDOWN: self._slow_briefly,
+            FaultKind.SLOW_READERS: self._send_to_slow_readers,
         }
 
     async def run(self, faults: tuple[Fault, ...], began: float) -> None:
@@ -551,6 +552,9 @@
         streams = max(5, round(MAX_BURST_STREAMS * fault.strength))
         await self._traffic.burst(streams, fault.lasts_s)
 
+    async def _send_to_slow_readers(self, fault: Fault) -> None:
+        await self._traffic.send_to_slow_readers(fault.lasts_s)
+
     async def _change_config(self, fault: Fault) -> None:
         operators = self._operators
         match fault.kind:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -90,6 +90,7 @@
     RECLAIM = "reclaimable replicas reclaimed"
     UNEVEN_SPEEDS = "engines of uneven speed"
     BRIEF_SLOWDOWN = "engine slow for half a second"
+    SLOW_READERS = "callers read slowly"
 
 
 LAST_DRAWN_KINDS = (
@@ -205,6 +206,13 @@
 """Bounds of this memory in tokens. Six streams of the longest prompts need 36,000, so
 that memory is short before slots are, as with the long requests of the deployments."""
 
+SLOW_READERS_PROBABILITY = 0.4
+"""Probability that some callers read their streams slowly."""
+
+MIN_SLOW_READERS_S = 4.0
+MAX_SLOW_READERS_S = 8.0
+"""Bounds of the seconds in which such callers send requests."""
+
 LATER_KINDS = (
     *LAST_DRAWN_KINDS,
     FaultKind.TARGET_LIMITS,
@@ -216,6 +224,7 @@
     *TENANT_KINDS,
     FaultKind.UNEVEN_SPEEDS,
     FaultKind.BRIEF_SLOWDOWN,
+    FaultKind.SLOW_READERS,
 )
 """Kinds that the first draws leave out."""
 
@@ -358,11 +367,13 @@
             kind = rng.choices(TENANT_KINDS, TENANT_KIND_WEIGHTS)[0]
             faults.extend(_draw_fault(rng, kind, repeats=False))
     faults.extend(_draw_speeds(rng))
+    engine_memory = _draw_engine_memory(rng)
+    faults.extend(_draw_slow_readers(rng))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
         final=final if ends_with_final else None,
-        engine_memory=_draw_engine_memory(rng),
+        engine_memory=engine_memory,
         **sizes,
     )
 
@@ -436,6 +447,14 @@
     return EngineMemory(tokens, rng.random() < 0.5)
 
 
+def _draw_slow_readers(rng: random.Random) -> list[Fault]:
+    if rng.random() >= SLOW_READERS_PROBABILITY:
+        return []
+    fault = _draw_fault(rng, FaultKind.SLOW_READERS, repeats=False)[0]
+    lasts_s = rng.uniform(MIN_SLOW_READERS_S, MAX_SLOW_READERS_S)
+    return [structs.replace(fault, lasts_s=lasts_s)]
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, *, repeats: bool) -> list[Fault]:
     at = rng.uniform(0.5, FAULT_WINDOW_S)
     victim = rng.randrange(64)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -56,6 +56,13 @@
 LONG_STREAM_EVENTS = (50, 130)
 """Bounds of their number of events; they take two to five seconds and more."""
 
+SLOW_READER_RATE = 3.0
+"""Streams a second whose callers read slowly."""
+
+SLOW_READER_EVENTS = (5, 25)
+"""Bounds of the number of their large events; the longest streams take 4 s to read, so
+that their callers are done before the deadline."""
+
 PROBE_INTERVAL_S = 0.3
 """Seconds between two probes of one entry."""
 
@@ -154,7 +161,27 @@
         for request in draw_late_requests(self._rng):
             call = self._make_late_call(request)
             at = stop_at + request.after_s
-            self._spawn(self._send_late(address, call, at, request.large))
+            self._spawn(
+                self._send_directly(address, call, at, reads_slowly=request.large)
+            )
+
+    async def send_to_slow_readers(self, lasts_s: float) -> None:
+        """Send streams with large events whose callers read slowly, for a duration.
+
+        They go to entries that have not been told to stop, on connections of their own.
+        """
+        for _ in range(round(lasts_s * SLOW_READER_RATE)):
+            resumable = self._rng.random() < 0.5
+            events = self._rng.randint(*SLOW_READER_EVENTS)
+            call = self._make_stream(resumable=resumable, events=events)
+            path = f"{call.path.rpartition('/')[0]}/{LARGE_EVENTS}"
+            call = structs.replace(call, path=path, abandon_after_s=None)
+            hosts = [h for h in self._world.entries if not h.planned_end]
+            if hosts:
+                address = self._world.direct_address(self._rng.choice(hosts))
+                now = time.monotonic()
+                self._spawn(self._send_directly(address, call, now, reads_slowly=True))
+            await asyncio.sleep(1.0 / SLOW_READER_RATE)
 
     async def finish(self) -> None:
         """Wait for all open requests."""
@@ -241,8 +268,8 @@
             body_s=request.body_s,
         )
 
-    async def _send_late(
-        self, address: str, call: Call, at: float, reads_slowly: bool
+    async def _send_directly(
+        self, address: str, call: Call, at: float, *, reads_slowly: bool
     ) -> None:
         connection = Connection(address, reads_slowly=reads_slowly)
         try:
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -49,6 +49,7 @@
     """
     newest = set(make_schedule(seed).faults)
     monkeypatch.setattr(_schedule, "_draw_speeds", lambda rng: [])
+    monkeypatch.setattr(_schedule, "_draw_slow_readers", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_newest_faults", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_rolls_and_cuts", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
@@ -74,6 +75,7 @@
     """Stops in turn and cuts from the group were added after all other kinds."""
     newest = set(make_schedule(seed).faults)
     monkeypatch.setattr(_schedule, "_draw_speeds", lambda rng: [])
+    monkeypatch.setattr(_schedule, "_draw_slow_readers", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_rolls_and_cuts", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
     schedule = make_schedule(seed)
@@ -98,6 +100,7 @@
     """Stops under late requests were added after all other kinds."""
     newest = set(make_schedule(seed).faults)
     monkeypatch.setattr(_schedule, "_draw_speeds", lambda rng: [])
+    monkeypatch.setattr(_schedule, "_draw_slow_readers", lambda rng: [])
     monkeypatch.setattr(_schedule, "_draw_late_roll", lambda rng, earlier: [])
     schedule = make_schedule(seed)
     assert set(schedule.faults) <= newest
@@ -121,6 +124,7 @@
     """Uneven load was added after all other kinds, those with tenants included."""
     newest = set(make_schedule(seed).faults)
     monkeypatch.setattr(_schedule, "_draw_speeds", lambda rng: [])
+    monkeypatch.setattr(_schedule, "_draw_slow_readers", lambda rng: [])
     schedule = make_schedule(seed)
     assert set(schedule.faults) <= newest
     assert zlib.crc32(repr((schedule.faults, schedule.final)).encode()) == checksum
