Give the entries of some soak runs uneven sizes

Cause: all entries of a soak run had equal settings, so weights by what is left at an entry were never run under faults.

Change: in half of the runs the settings of entries name 0.3 to 1 of 1.29 cores, 440 MB (at least 160), 4,096 descriptors and 12.5 Mbit/s.

--- a/soak/_report.py
+++ b/soak/_report.py
@@ -24,6 +24,9 @@
     if (memory := schedule.engine_memory) is not None:
         rule = "crash" if memory.crashes else "preempt"
         lines.append(f"  engines have {memory.tokens} tokens and {rule} over them")
+    if schedule.entry_sizes:
+        sizes = ", ".join(f"{size:.2f}" for size in schedule.entry_sizes)
+        lines.append(f"  entries have sizes {sizes}")
     for fault in schedule.faults:
         where = f" ({fault.link})" if fault.kind.name.startswith("LINK") else ""
         lines.append(
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -213,6 +213,15 @@
 MAX_SLOW_READERS_S = 8.0
 """Bounds of the seconds in which such callers send requests."""
 
+UNEVEN_ENTRIES_PROBABILITY = 0.5
+"""Probability that the entries of a run have uneven sizes."""
+
+MIN_ENTRY_SIZE = 0.3
+DRAWN_ENTRY_SIZES = 8
+"""Smallest size of an entry relative to the largest possible one, as in the
+deployments, and number of sizes that are drawn: the most entries of a first start.
+Entries that are added take them in turn again."""
+
 LATER_KINDS = (
     *LAST_DRAWN_KINDS,
     FaultKind.TARGET_LIMITS,
@@ -293,6 +302,9 @@
         Kind of the final fault, if any.
     engine_memory : EngineMemory or None
         Memory of engines; None for no limit.
+    entry_sizes : tuple of float
+        Sizes of the entries, relative to the largest possible one; empty if their
+        settings name no limits.
     """
 
     seed: int
@@ -305,6 +317,7 @@
     faults: tuple[Fault, ...]
     final: FaultKind | None
     engine_memory: EngineMemory | None = None
+    entry_sizes: tuple[float, ...] = ()
 
     @property
     def has_tenants(self) -> bool:
@@ -374,6 +387,7 @@
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
         final=final if ends_with_final else None,
         engine_memory=engine_memory,
+        entry_sizes=_draw_entry_sizes(rng),
         **sizes,
     )
 
@@ -455,6 +469,12 @@
     return [structs.replace(fault, lasts_s=lasts_s)]
 
 
+def _draw_entry_sizes(rng: random.Random) -> tuple[float, ...]:
+    if rng.random() >= UNEVEN_ENTRIES_PROBABILITY:
+        return ()
+    return tuple(rng.uniform(MIN_ENTRY_SIZE, 1.0) for _ in range(DRAWN_ENTRY_SIZES))
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, *, repeats: bool) -> list[Fault]:
     at = rng.uniform(0.5, FAULT_WINDOW_S)
     victim = rng.randrange(64)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import msgspec
+from msgspec import structs
 from standin import (
     CONTROL_PORT,
     DIRECTORY_PORT,
@@ -52,6 +53,15 @@
 RECLAIMABLE_APPS = 2
 """Reclaimable replicas of the plain service, in runs with tenants and duties."""
 
+ENTRY_CPU_SHARE = 0.43
+MAX_ENTRY_CORES = 3.0
+MAX_ENTRY_MEMORY_MB = 440
+MIN_ENTRY_MEMORY_MB = 160
+MAX_ENTRY_DESCRIPTORS = 4096
+MAX_ENTRY_MBPS = 12.5
+"""Limits of the largest possible entry, and the smallest memory, as in the deployment
+with uneven entries; all but the share of the processors scale with the size."""
+
 RETRY_RATIO = 0.2
 """Retries that are allowed for each request, as in the deployments."""
 
@@ -218,7 +228,7 @@
             outside,
             f"z{number % 3}",
             self._list_address,
-            self._limits,
+            self._limits if role is Role.CONTROL else self._entry_limits(number),
             command=[sys.executable, "-m", "soak._launch", role.value],
             environment={BIND_VARIABLE: inside, IMPAIRMENT_VARIABLE: str(impairment)},
         )
@@ -240,6 +250,21 @@
                 self.evidence.host_by_address[address] = host.name
         return host
 
+    def _entry_limits(self, number: int) -> DeploymentLimits:
+        """Return the limits of an entry, which depend on its size."""
+        sizes = self.schedule.entry_sizes
+        if not sizes:
+            return self._limits
+        size = sizes[(number - 1) % len(sizes)]
+        return structs.replace(
+            self._limits,
+            cpu_share=ENTRY_CPU_SHARE,
+            cores=round(MAX_ENTRY_CORES * size, 2),
+            memory_mb=max(MIN_ENTRY_MEMORY_MB, round(MAX_ENTRY_MEMORY_MB * size)),
+            max_fds=round(MAX_ENTRY_DESCRIPTORS * size),
+            bandwidth_mbps=round(MAX_ENTRY_MBPS * size, 2),
+        )
+
     def write_settings(self, *, first: bool = False) -> None:
         """Write the settings of all hosts, listing the current control hosts."""
         seeds = [host.machine.ip for host in self.controls if not host.removed]
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -96,3 +96,42 @@
             world.close()
 
     assert ("contracts=pressure\n" in asyncio.run(check())) is (memory is not None)
+
+
+def test_entries_have_the_limits_of_their_sizes_and_control_hosts_none(tmp_path):
+    """With equal settings, the weights of entries would never differ in a run."""
+    schedule = replace(make_schedule(100), entry_sizes=(1.0, 0.3))
+    world = World(schedule, tmp_path, f"127.{64 + os.getpid() % 128}")
+
+    async def check():
+        try:
+            hosts = [await world.add_host(Role.ENTRY) for _ in range(3)]
+            hosts.append(await world.add_host(Role.CONTROL))
+            world.write_settings(first=True)
+            return [host.machine.settings.read_text() for host in hosts]
+        finally:
+            world.close()
+
+    def limits(text):
+        return [line for line in text.splitlines() if line.startswith("limits.")]
+
+    large, small, added, control = map(limits, asyncio.run(check()))
+    assert (
+        large
+        == added
+        == [
+            "limits.memory_mb=440",
+            "limits.max_fds=4096",
+            "limits.cpu_share=0.43",
+            "limits.cores=3.0",
+            "limits.bandwidth_mbps=12.5",
+        ]
+    )
+    assert small == [
+        "limits.memory_mb=160",
+        "limits.max_fds=1229",
+        "limits.cpu_share=0.43",
+        "limits.cores=0.9",
+        "limits.bandwidth_mbps=3.75",
+    ]
+    assert control == []
