--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -88,6 +88,9 @@
     DUTY_LATE = "calls of duties carried out late"
     DUTY_SILENT = "calls of duties neither answered nor carried out"
     RECLAIM = "reclaimable replicas reclaimed"
+    UNEVEN_SPEEDS = "engines of uneven speed"
+    BRIEF_SLOWDOWN = "engine slow for half a second"
+    SLOW_READERS = "callers read slowly"
 
 
 LAST_DRAWN_KINDS = (
@@ -180,6 +183,45 @@
 MAX_TENANT_FAULTS = 6
 """Bounds of the number of such faults in a run."""
 
+UNEVEN_SPEEDS_PROBABILITY = 0.5
+"""Probability that engines have uneven speeds for most of a run."""
+
+MAX_UNEVEN_SPEEDS_START_S = 3.0
+MIN_UNEVEN_SPEEDS_S = 10.0
+MAX_UNEVEN_SPEEDS_S = 15.0
+"""Latest start in seconds, and bounds of the duration, of uneven speeds."""
+
+MAX_BRIEF_SLOWDOWNS = 4
+"""Largest number of brief slowdowns in a run, not counting repeats."""
+
+MIN_BRIEF_SLOWDOWN_S = 0.4
+MAX_BRIEF_SLOWDOWN_S = 0.6
+"""Bounds of the duration of a brief slowdown in seconds."""
+
+ENGINE_MEMORY_PROBABILITY = 0.4
+"""Probability that the engines of a run have limited memory."""
+
+MIN_ENGINE_TOKENS = 14_000
+MAX_ENGINE_TOKENS = 28_000
+"""Bounds of this memory in tokens. Six streams of the longest prompts need 36,000, so
+that memory is short before slots are, as with the long requests of the deployments."""
+
+SLOW_READERS_PROBABILITY = 0.4
+"""Probability that some callers read their streams slowly."""
+
+MIN_SLOW_READERS_S = 4.0
+MAX_SLOW_READERS_S = 8.0
+"""Bounds of the seconds in which such callers send requests."""
+
+UNEVEN_ENTRIES_PROBABILITY = 0.5
+"""Probability that the entries of a run have uneven sizes."""
+
+MIN_ENTRY_SIZE = 0.3
+DRAWN_ENTRY_SIZES = 8
+"""Smallest size of an entry relative to the largest possible one, as in the
+deployments, and number of sizes that are drawn: the most entries of a first start.
+Entries that are added take them in turn again."""
+
 LATER_KINDS = (
     *LAST_DRAWN_KINDS,
     FaultKind.TARGET_LIMITS,
@@ -189,6 +231,9 @@
     FaultKind.CONTROL_CUT,
     FaultKind.LATE_ROLL,
     *TENANT_KINDS,
+    FaultKind.UNEVEN_SPEEDS,
+    FaultKind.BRIEF_SLOWDOWN,
+    FaultKind.SLOW_READERS,
 )
 """Kinds that the first draws leave out."""
 
@@ -229,6 +274,21 @@
     strength: float
 
 
+class EngineMemory(Struct, frozen=True):
+    """Memory of all engines of a run.
+
+    Parameters
+    ----------
+    tokens : int
+        Tokens of requests that fit.
+    crashes : bool
+        Whether an engine that holds more crashes, or preempts requests.
+    """
+
+    tokens: int
+    crashes: bool
+
+
 class Schedule(Struct, frozen=True):
     """Everything that the seed decides about a run.
 
@@ -240,6 +300,11 @@
         Number of targets of each service.
     final : FaultKind or None
         Kind of the final fault, if any.
+    engine_memory : EngineMemory or None
+        Memory of engines; None for no limit.
+    entry_sizes : tuple of float
+        Sizes of the entries, relative to the largest possible one; empty if their
+        settings name no limits.
     """
 
     seed: int
@@ -251,6 +316,8 @@
     requests_per_s: float
     faults: tuple[Fault, ...]
     final: FaultKind | None
+    engine_memory: EngineMemory | None = None
+    entry_sizes: tuple[float, ...] = ()
 
     @property
     def has_tenants(self) -> bool:
@@ -312,10 +379,15 @@
         for _ in range(rng.randint(MIN_TENANT_FAULTS, MAX_TENANT_FAULTS)):
             kind = rng.choices(TENANT_KINDS, TENANT_KIND_WEIGHTS)[0]
             faults.extend(_draw_fault(rng, kind, repeats=False))
+    faults.extend(_draw_speeds(rng))
+    engine_memory = _draw_engine_memory(rng)
+    faults.extend(_draw_slow_readers(rng))
     return Schedule(
         seed=seed,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
         final=final if ends_with_final else None,
+        engine_memory=engine_memory,
+        entry_sizes=_draw_entry_sizes(rng),
         **sizes,
     )
 
@@ -367,6 +439,42 @@
     return [structs.replace(fault, at=at, lasts_s=LATE_ROLL_S)]
 
 
+def _draw_speeds(rng: random.Random) -> list[Fault]:
+    """Draw speeds of engines, after all kinds that were added earlier."""
+    faults: list[Fault] = []
+    if rng.random() < UNEVEN_SPEEDS_PROBABILITY:
+        fault = _draw_fault(rng, FaultKind.UNEVEN_SPEEDS, repeats=False)[0]
+        at = rng.uniform(0.0, MAX_UNEVEN_SPEEDS_START_S)
+        lasts_s = rng.uniform(MIN_UNEVEN_SPEEDS_S, MAX_UNEVEN_SPEEDS_S)
+        faults.append(structs.replace(fault, at=at, lasts_s=lasts_s))
+    for _ in range(rng.randint(0, MAX_BRIEF_SLOWDOWNS)):
+        lasts_s = rng.uniform(MIN_BRIEF_SLOWDOWN_S, MAX_BRIEF_SLOWDOWN_S)
+        drawn = _draw_fault(rng, FaultKind.BRIEF_SLOWDOWN, repeats=True)
+        faults.extend(structs.replace(fault, lasts_s=lasts_s) for fault in drawn)
+    return faults
+
+
+def _draw_engine_memory(rng: random.Random) -> EngineMemory | None:
+    if rng.random() >= ENGINE_MEMORY_PROBABILITY:
+        return None
+    tokens = rng.randint(MIN_ENGINE_TOKENS, MAX_ENGINE_TOKENS)
+    return EngineMemory(tokens, rng.random() < 0.5)
+
+
+def _draw_slow_readers(rng: random.Random) -> list[Fault]:
+    if rng.random() >= SLOW_READERS_PROBABILITY:
+        return []
+    fault = _draw_fault(rng, FaultKind.SLOW_READERS, repeats=False)[0]
+    lasts_s = rng.uniform(MIN_SLOW_READERS_S, MAX_SLOW_READERS_S)
+    return [structs.replace(fault, lasts_s=lasts_s)]
+
+
+def _draw_entry_sizes(rng: random.Random) -> tuple[float, ...]:
+    if rng.random() >= UNEVEN_ENTRIES_PROBABILITY:
+        return ()
+    return tuple(rng.uniform(MIN_ENTRY_SIZE, 1.0) for _ in range(DRAWN_ENTRY_SIZES))
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, *, repeats: bool) -> list[Fault]:
     at = rng.uniform(0.5, FAULT_WINDOW_S)
     victim = rng.randrange(64)
--- a/tests/platform/test_standin_replicas.py
+++ b/tests/platform/test_standin_replicas.py
@@ -5,7 +5,14 @@
 import time
 
 import pytest
-from standin import InjectedFaults, Journal, Moment, Replica
+from standin import (
+    EngineSpeed,
+    InjectedFaults,
+    Journal,
+    MemoryLimit,
+    Moment,
+    Replica,
+)
 
 from tests.platform.process_harness import NET
 from wigeonspan.targets import Phase
@@ -166,3 +173,99 @@
     assert all(answer.count(b"HTTP/1.1 503") == 2 for answer in answers)
     with_id = sum(b"Request-Id" in answer for answer in answers)
     assert 0 < with_id < len(answers)
+
+
+@pytest.mark.parametrize(
+    ("phase", "speed", "slows"),
+    [
+        (Phase.PREFILL, EngineSpeed(prefill=100.0), True),
+        (Phase.PREFILL, EngineSpeed(decode=100.0), False),
+        (Phase.DECODE, EngineSpeed(decode=4.0), True),
+        (Phase.DECODE, EngineSpeed(prefill=4.0), False),
+    ],
+)
+def test_prefill_and_decode_have_speeds_of_their_own(phase, speed, slows):
+    """With one factor for both, an entry could not tell which phase is slow."""
+
+    async def test(replica, journal):
+        replica.speed = speed
+        fields = ["Stage: prefill"] if phase is Phase.PREFILL else []
+        began = time.monotonic()
+        await send("r1", *fields)
+        return time.monotonic() - began
+
+    assert (with_replica(test, phase) > 0.35) is slows
+
+
+def test_brief_slowdown_ends():
+    """An engine that stayed slow would be another fault than one slow for a moment."""
+
+    async def test(replica, journal):
+        replica.brief_slowdown = 6.0
+        slow = await send("r1")
+        replica.brief_slowdown = 1.0
+        return slow, await send("r2")
+
+    (slow, slow_wait_s), (usual, usual_wait_s) = with_replica(test)
+    assert slow.count(b"data:") == usual.count(b"data:") == EVENTS
+    assert slow_wait_s > 0.2 > usual_wait_s
+
+
+def send_four(*, tokens, crashes):
+    """Send four streams of 208 tokens to an engine; return answers and overflows.
+
+    Each has 40 events at most, and they begin one after the other.
+    """
+
+    async def test(replica, journal):
+        replica._memory_limit = MemoryLimit(tokens, crashes, handle_ttl_s=5.0)
+        replica._reset("decode")
+        sends = []
+        for number in range(4):
+            sends.append(asyncio.create_task(send(f"r{number}", events=20)))
+            await asyncio.sleep(0.02)
+        answers = [answer for answer, _ in await asyncio.gather(*sends)]
+        return answers, journal.overflows, replica.running
+
+    return with_replica(test)
+
+
+def test_engine_with_room_neither_waits_nor_preempts():
+    """Overflows of sound engines would be taken for faults of the entries."""
+    answers, overflows, running = send_four(tokens=4 * 228, crashes=True)
+    assert [answer.count(b"data:") for answer in answers] == [20] * 4
+    assert (overflows, running) == ([], True)
+
+
+def test_engine_over_its_memory_crashes_once():
+    """A run would show no violation if the engine went on with too many tokens."""
+    answers, overflows, running = send_four(tokens=3 * 228, crashes=True)
+    assert not any(answer.endswith(b"0\r\n\r\n") for answer in answers)
+    assert [overflow.crashed for overflow in overflows] == [True]
+    assert overflows[0].held > overflows[0].limit == 3 * 228
+    assert not running
+
+
+def test_engine_over_its_memory_preempts_and_completes():
+    """A preempted stream that was lost or repeated would be a fault of the replica."""
+    answers, overflows, running = send_four(tokens=4 * 215, crashes=False)
+    for answer in answers:
+        assert [answer.count(f"id: {n}\n".encode()) for n in range(1, 21)] == [1] * 20
+    assert overflows and not any(overflow.crashed for overflow in overflows)
+    assert running
+
+
+def test_stored_prompt_takes_memory_until_its_time_is_over():
+    """Stored prompts would have no limit, and prefill engines never lack room."""
+
+    async def test(replica, journal):
+        replica._memory_limit = MemoryLimit(300, False, handle_ttl_s=0.3)
+        replica._reset("prefill")
+        await send("r1", "Stage: prefill")
+        kept = len(journal.handles)
+        _, wait_s = await send("r2", "Stage: prefill")
+        return kept, list(journal.handles.values()), wait_s
+
+    kept, left, wait_s = with_replica(test, Phase.PREFILL)
+    assert (kept, left) == (1, ["r2"])
+    assert wait_s > 0.25
