Count the real transfer time between failure domains

Cause: the choice of a decode engine counted 4 ms for a transfer to another failure domain. With 163.84 KB per token and 850 Gbit/s, a prompt of 12,000 tokens takes 18.5 ms within a domain and 37 ms between domains, so that a few streams fewer at an engine outweighed a much longer transfer.

Change: an engine in another domain than the prefill engine counts the difference of both times, computed from the prompt's tokens and EngineTraits.copy_us, where it is above 4 ms. Without copy_us, and for short prompts, it is 4 ms as before. Random draws are unchanged. `placed` lines show transfer_ms.

Tests of placing, gateway, explain and fleetconfig pass.

--- a/wigeonspan/gateway/_prefill.py
+++ b/wigeonspan/gateway/_prefill.py
@@ -142,6 +142,7 @@
             **self._memory_fields(plan),
             cost_ms=round(plan.cost_ms),
             first_ms=round(plan.first_ms),
+            transfer_ms=round(context.placer.transfer_ms(plan, self._progress.prompt)),
             urgency=plan.urgency,
             priority=self._progress.active_request.priority,
             over_share=plan.over_share,
--- a/wigeonspan/placing/_choice.py
+++ b/wigeonspan/placing/_choice.py
@@ -277,6 +277,7 @@
             return None
         engines = self._pace.select(self._memory.select(engines, need, band))
         penalties = self._health.failure_penalties_ms([t.target for t in engines])
+        crossing_ms = self._estimate.domain_crossing_ms(prompt)
 
         def delay_ms(target: Target) -> float:
             streams = self._ledger.open_streams(target.target)
@@ -288,7 +289,7 @@
                 running
                 + slot_wait
                 + backlog * 0.2
-                + cross_domain * CROSS_DOMAIN_MS
+                + cross_domain * crossing_ms
                 + self._estimate.cross_domain_ms(target, prompt)
                 + penalties[target.target]
                 + self._rng.random()
--- a/wigeonspan/placing/_estimate.py
+++ b/wigeonspan/placing/_estimate.py
@@ -9,6 +9,7 @@
 from wigeonspan.placing._prefixes import CachedPrefixes
 from wigeonspan.placing._readings import PrefillSteps, plan_prefill_steps
 from wigeonspan.placing._slots import SlotForecast
+from wigeonspan.placing._transfer import domain_crossing_ms, transfer_ms
 from wigeonspan.targets import Target, TargetId
 
 HANDOFF_MS = 40.0
@@ -20,7 +21,8 @@
 
 CROSS_DOMAIN_MS = 4.0
 """Delay in milliseconds that a target in another failure domain counts as: an
-additional round trip of a request, or a transfer at half the speed."""
+additional round trip of a request, or a transfer at half the speed. Transfers whose
+time is known and longer count with that."""
 
 CROSS_DOMAIN_KB_MS = 1.0
 """Delay in milliseconds that each kilobyte sent to another failure domain counts as.
@@ -141,6 +143,15 @@
         """Return the time until the first event, which needs the prefill and a slot."""
         return max(prefill_ms + self._latency.ms, slot_wait_ms) + self._handoff_ms
 
+    def transfer_ms(self, source: Target, target: Target, prompt: Prompt) -> float:
+        """Return the milliseconds of the transfer of a prompt; 0 when unknown."""
+        crosses = source.domain != target.domain
+        return transfer_ms(prompt.total_tokens, self._copy_us, crosses_domains=crosses)
+
+    def domain_crossing_ms(self, prompt: Prompt) -> float:
+        """Return the delay of a prompt whose decode engine is in another domain."""
+        return domain_crossing_ms(prompt.total_tokens, self._copy_us, CROSS_DOMAIN_MS)
+
     def cross_domain_ms(self, target: Target, prompt: Prompt) -> float:
         """Return the penalty in milliseconds for a target in another failure domain."""
         if target.domain == self._domain:
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -140,6 +140,12 @@
         self.memory.set_capacity(memory_tokens, handle_ttl_s)
         self._estimate.set_copy_time(copy_us)
 
+    def transfer_ms(self, plan: Plan, prompt: Prompt) -> float:
+        """Return the milliseconds of a plan's transfer; 0 when none or unknown."""
+        if plan.prefill is None:
+            return 0.0
+        return self._estimate.transfer_ms(plan.prefill, plan.decode, prompt)
+
     def forget(self, target: TargetId) -> None:
         """Remove the state of a target that is gone or has restarted."""
         self.prefixes.forget(target)
