Count prefills apart from streams in the work of an engine

A placement looked through all work of an engine for the few prompts in prefill, and computed the slowness of an engine several times for one point in time. With 30 engines, most of the time went there and into the use of tenants and the memory of decode engines.

The end of work is looked up once. An engine with memory for a request is recognised without counting its streams by priority.

--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -168,7 +168,8 @@
         return [(f, snapshot(getattr(value, f), seen)) for f in fields]
     state = dict(getattr(value, "__dict__", {}))
     # What the ledger keeps between calls at one time follows from the rest.
-    state.pop("_median_at", None)
+    state.pop("_slowness_at", None)
+    state.pop("_slowness_by_target", None)
     state.pop("_median_slowness", None)
     return [(name, snapshot(v, seen)) for name, v in state.items()]
 
--- a/wigeonspan/placing/_fair_share.py
+++ b/wigeonspan/placing/_fair_share.py
@@ -54,11 +54,12 @@
 
     def without_largest(self, ranks: slice, now: float) -> float:
         """Return the use without that of the largest request."""
-        largest = max(self._largest[ranks])
-        return (sum(self._by_rank[ranks]) - largest) * self._decay(now)
+        excess_ms = sum(self._by_rank[ranks]) - max(self._largest[ranks])
+        return excess_ms * self._decay(now)
 
     def _decay(self, now: float) -> float:
-        return math.exp(-max(0.0, now - self._at) / DECAY_S)
+        elapsed_s = now - self._at
+        return math.exp(-elapsed_s / DECAY_S) if elapsed_s > 0.0 else 1.0
 
 
 class TenantUse:
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -63,8 +63,14 @@
 class _Queue:
     def __init__(self) -> None:
         self.work: dict[str, tuple[Work, float]] = {}
-        # Number of units of work by kind and urgency.
-        self.counts: Counter[tuple[WorkKind, int]] = Counter()
+        # The part of it that includes a prefill, in the same order.
+        self.prefills: dict[str, tuple[Work, float]] = {}
+        # Number of units of work by kind.
+        self.counts: Counter[WorkKind] = Counter()
+        # Streams that take or await a slot, and streams that follow the prefills here,
+        # both by urgency.
+        self.streams: Counter[int] = Counter()
+        self.expected: Counter[int] = Counter()
         # Work whose prompt is assumed to be in prefill, and its assumed start.
         self.head: str | None = None
         self.head_since = 0.0
@@ -74,20 +80,34 @@
         """Add work, or replace the work with the same name."""
         if work.work in self.work:
             self.pop(work.work)
-        self.work[work.work] = (work, now)
-        self.counts[work.kind, work.urgency] += 1
-
-    def pop(self, name: str) -> Work | None:
-        """Remove work and return it; None if there is none with the name."""
-        work, _ = self.work.pop(name, (None, 0.0))
-        if work is not None:
-            self.counts[work.kind, work.urgency] -= 1
-        return work
+        self.work[work.work] = begun = (work, now)
+        if _includes_prefill(work):
+            self.prefills[work.work] = begun
+        self._count(work, 1)
+
+    def pop(self, name: str) -> tuple[Work, float] | None:
+        """Remove work and return it with its begin; None if there is no such work."""
+        begun = self.work.pop(name, None)
+        if begun is not None:
+            self.prefills.pop(name, None)
+            self._count(begun[0], -1)
+        return begun
+
+    def _count(self, work: Work, change: int) -> None:
+        kind, urgency = work.kind, work.urgency
+        self.counts[kind] += change
+        if kind is WorkKind.PREFILL:
+            self.expected[urgency] += change
+        elif kind is not WorkKind.CALL:
+            self.streams[urgency] += change
+
+    def slowness(self, prior: float, now: float) -> float:
+        """Return the ratio of work time to nominal time; see `Throughput.slowness`."""
+        return self.throughput.slowness(prior, self.largest_prefill_ms(), now)
 
     def largest_prefill_ms(self) -> float:
         """Return the largest nominal prefill time among the work in progress."""
-        prefills = (w.work_ms for w, _ in self.work.values() if _includes_prefill(w))
-        return max(prefills, default=0.0)
+        return max([w.work_ms for w, _ in self.prefills.values()], default=0.0)
 
     def next_prefill(self, at: float, done: Collection[str] = ()) -> str | None:
         """Return the prompt that an engine begins at a time.
@@ -102,8 +122,8 @@
         """
         waiting = [
             (sent_at, w.urgency, n)
-            for n, (w, sent_at) in self.work.items()
-            if _includes_prefill(w) and n not in done
+            for n, (w, sent_at) in self.prefills.items()
+            if n not in done
         ]
         arrived = [(u, sent_at, n) for sent_at, u, n in waiting if sent_at <= at]
         if arrived:
@@ -125,7 +145,7 @@
         """
         lost = [
             n
-            for n, (w, earlier) in self.work.items()
+            for n, (w, earlier) in self.prefills.items()
             if w.urgency <= ended.urgency and earlier < sent_at - MAX_REPORT_DELAY_S
         ]
         self.head = self.next_prefill(at, lost)
@@ -133,11 +153,7 @@
 
     def choose_head(self, now: float) -> None:
         """Select the next prompt for prefill: the most urgent one, then the oldest."""
-        waiting = [
-            (w.urgency, at, n)
-            for n, (w, at) in self.work.items()
-            if _includes_prefill(w)
-        ]
+        waiting = [(w.urgency, at, n) for n, (w, at) in self.prefills.items()]
         self.head = min(waiting)[2] if waiting else None
         self.head_since = now
 
@@ -155,9 +171,11 @@
         self._targets: dict[str, TargetId] = {}
         self._latency_s = 0.0
         self._follows_starts = False
-        # Cached for one point in time: a decision needs it once for each engine.
+        # Cached for one point in time, until work begins or ends: a decision needs the
+        # median once and the slowness several times for each engine.
         self._median_slowness = 1.0
-        self._median_at: float | None = None
+        self._slowness_by_target: dict[TargetId, float] = {}
+        self._slowness_at: float | None = None
 
     def set_prefill_latency(self, latency_ms: float) -> None:
         """Set the delay between the end of a prefill and its report to this entry."""
@@ -175,7 +193,7 @@
 
     def begin(self, work: Work, now: float) -> None:
         """Record that work was sent to its target."""
-        self._median_at = None
+        self._slowness_at = None
         queue = self._queues.get(work.target)
         if queue is None:
             queue = self._queues[work.target] = _Queue()
@@ -186,29 +204,30 @@
             if queue.head is None:
                 queue.choose_head(now)
 
-    def find(self, name: str) -> tuple[Work, float] | None:
-        """Return work in progress and the time at which it began, if it is known."""
-        target = self._targets.get(name)
-        queue = self._queues.get(target) if target is not None else None
-        return None if queue is None else queue.work.get(name)
-
-    def end(self, name: str, now: float, *, completed: bool = False) -> None:
+    def end(
+        self, name: str, now: float, *, completed: bool = False
+    ) -> tuple[Work, float] | None:
         """Record that work has ended.
 
         Parameters
         ----------
         completed : bool
             Whether the prefill of its prompt was completed.
+
+        Returns
+        -------
+        tuple or None
+            The work and the time at which it began; None if it is not known.
         """
-        self._median_at = None
+        self._slowness_at = None
         target = self._targets.pop(name, None)
         queue = self._queues.get(target) if target is not None else None
-        if queue is None:
-            return
-        _, sent_at = queue.work.get(name, (None, 0.0))
-        work = queue.pop(name)
-        if work is None or not _includes_prefill(work):
-            return
+        begun = queue.pop(name) if queue is not None else None
+        if queue is None or begun is None:
+            return None
+        work, sent_at = begun
+        if not _includes_prefill(work):
+            return begun
         queue.throughput.record_finished(work.work_ms if completed else 0.0, now)
         if self._follows_starts:
             queue.follow_end(work, sent_at, now - self._latency_s)
@@ -216,6 +235,7 @@
             queue.choose_head(now - self._latency_s)
         if queue.head is None:
             queue.throughput.mark_idle()
+        return begun
 
     def drop_host(self, host: HostId, now: float) -> None:
         """Remove the work of an entry that is gone."""
@@ -232,7 +252,7 @@
 
     def forget(self, target: TargetId) -> None:
         """Remove a target that is gone or has restarted."""
-        self._median_at = None
+        self._slowness_at = None
         queue = self._queues.pop(target, None)
         for name in queue.work if queue is not None else ():
             self._targets.pop(name, None)
@@ -244,22 +264,25 @@
 
     def slowness(self, target: TargetId, now: float) -> float:
         """Return the ratio of a target's work time to the nominal time."""
-        queue = self._queues.get(target)
         median = self.median_slowness(now)
-        if queue is None:
-            return median
-        return queue.throughput.slowness(median, queue.largest_prefill_ms(), now)
+        slowness = self._slowness_by_target.get(target)
+        if slowness is None:
+            queue = self._queues.get(target)
+            slowness = median if queue is None else queue.slowness(median, now)
+            self._slowness_by_target[target] = slowness
+        return slowness
 
     def median_slowness(self, now: float) -> float:
         """Return the median slowness of all engines; 1 before any is known."""
-        if self._median_at != now:
+        if self._slowness_at != now:
             known = sorted(
-                queue.throughput.slowness(1.0, queue.largest_prefill_ms(), now)
+                queue.slowness(1.0, now)
                 for queue in self._queues.values()
                 if queue.throughput.known
             )
             self._median_slowness = known[len(known) // 2] if known else 1.0
-            self._median_at = now
+            self._slowness_by_target = {}
+            self._slowness_at = now
         return self._median_slowness
 
     def backlog_ms(self, target: TargetId, urgency: int, now: float) -> float:
@@ -281,8 +304,8 @@
         done_ms = min(done_ms, head.work_ms + self._latency_s * 1000.0 / slowness)
         ahead = sum(
             w.work_ms
-            for w, _ in queue.work.values()
-            if _includes_prefill(w) and w.urgency <= urgency and w is not head
+            for w, _ in queue.prefills.values()
+            if w.urgency <= urgency and w is not head
         )
         return max(0.0, head.work_ms + ahead - done_ms) * slowness
 
@@ -320,41 +343,36 @@
             return 0
         return sum(
             1
-            for name, (work, _) in queue.work.items()
-            if _includes_prefill(work) and work.urgency > urgency and name != queue.head
+            for name, (work, _) in queue.prefills.items()
+            if work.urgency > urgency and name != queue.head
         )
 
     def open_streams(self, *targets: TargetId) -> Counter[int]:
         """Return the streams that take or await a slot of engines, by urgency."""
-        return self._count_by_urgency(targets, _STREAM_KINDS)
+        return _sum_counts(
+            self._queues[t].streams for t in targets if t in self._queues
+        )
 
     def expected_streams(self, *targets: TargetId) -> Counter[int]:
         """Return the streams that follow the prefills at engines, by urgency."""
-        return self._count_by_urgency(targets, _SPLIT_KINDS)
+        return _sum_counts(
+            self._queues[t].expected for t in targets if t in self._queues
+        )
 
     def count(self, target: TargetId, *kinds: WorkKind) -> int:
         """Return the number of units of work of the given kinds at a target."""
         queue = self._queues.get(target)
         if queue is None:
             return 0
-        return sum(n for (kind, _), n in queue.counts.items() if kind in kinds)
-
-    def _count_by_urgency(
-        self, targets: Iterable[TargetId], kinds: Collection[WorkKind]
-    ) -> Counter[int]:
-        counts: dict[int, int] = {}
-        for target in targets:
-            queue = self._queues.get(target)
-            if queue is None:
-                continue
-            for (kind, urgency), number in queue.counts.items():
-                if kind in kinds:
-                    counts[urgency] = counts.get(urgency, 0) + number
-        return Counter(counts)
+        return sum(n for kind, n in queue.counts.items() if kind in kinds)
 
 
-_STREAM_KINDS = (WorkKind.DECODE, WorkKind.DIRECT)
-_SPLIT_KINDS = (WorkKind.PREFILL,)
+def _sum_counts(counts: Iterable[Counter[int]]) -> Counter[int]:
+    total: dict[int, int] = {}
+    for by_urgency in counts:
+        for urgency, number in by_urgency.items():
+            total[urgency] = total.get(urgency, 0) + number
+    return Counter(total)
 
 
 def _simulate_ahead_ms(
@@ -381,8 +399,8 @@
     done.add(running)
     return remaining_ms + sum(
         w.work_ms
-        for n, (w, _) in queue.work.items()
-        if _includes_prefill(w) and w.urgency <= urgency and n not in done
+        for n, (w, _) in queue.prefills.items()
+        if w.urgency <= urgency and n not in done
     )
 
 
--- a/wigeonspan/placing/_memory.py
+++ b/wigeonspan/placing/_memory.py
@@ -242,7 +242,8 @@
 
     def held_tokens(self, target: TargetId) -> int:
         """Return the tokens that all running streams hold at an engine."""
-        return self._running.get(target, _NONE).total()
+        tokens = self._running.get(target)
+        return tokens.total() if tokens else 0
 
     def room_tokens(self, target: TargetId) -> int:
         """Return the tokens for which an engine has room without preemption."""
@@ -270,9 +271,13 @@
         if not self.applies or not need:
             return engines
 
+        usable, has_room = self._usable, (0.0, 0.0)
+
         def missing(target: Target) -> tuple[float, float]:
-            kept = self._kept(target.target, band)
             held = self.held_tokens(target.target)
+            if held + need <= usable:
+                return has_room
+            kept = self._kept(target.target, band)
             return self._missing(kept, need), self._missing(held, need)
 
         by_target = {t.target: missing(t) for t in engines}
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -177,8 +177,7 @@
         TargetId or None
             Target that is now suspended; None when the end suspends none.
         """
-        begun = self.ledger.find(work)
-        self.ledger.end(work, now, completed=completed)
+        begun = self.ledger.end(work, now, completed=completed)
         self.memory.end(work, now, completed=completed)
         if completed and begun is not None:
             self.pace.record_answer(*begun, now)
--- a/wigeonspan/placing/_prefixes.py
+++ b/wigeonspan/placing/_prefixes.py
@@ -80,11 +80,12 @@
         if cache is None:
             cache = self._caches[target] = _EngineCache()
         cache.total_new_tokens += new_tokens
-        names = tuple(part.part for part in parts)
+        names = tuple([part.part for part in parts])
+        cached, total_new_tokens = cache.parts, cache.total_new_tokens
         for name in names:
-            cache.parts[name] = cache.total_new_tokens
-            cache.parts.move_to_end(name)
-        while len(cache.parts) > MAX_PARTS_PER_TARGET:
+            cached[name] = total_new_tokens
+            cached.move_to_end(name)
+        while len(cached) > MAX_PARTS_PER_TARGET:
             cache.drop(next(iter(cache.parts)))
         self._pending[work] = (target, names)
         if len(self._pending) > MAX_PENDING:
