Read the counts of a single engine without a copy

The choice of a decode engine copied the counts of streams of each engine for each comparison, 36 times for a placement with 18 decode engines, and the limits of tenants computed the ranks of the priority for each tenant.

The counter of a single engine is returned as it is; all readers use it at once. Ranks are computed once for a decision.

--- a/tests/placing/test_ledger_cache.py
+++ b/tests/placing/test_ledger_cache.py
@@ -88,3 +88,14 @@
     assert ledger.end("w", NOW + 0.3) is None
     assert ledger.count(engine, *WorkKind) == ledger.open_streams(engine).total() == 0
     assert ledger.backlog_ms(engine, 0, NOW + 0.3) == 0.0
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_streams_of_engines_are_counted_where_one_of_them_is_unknown(count):
+    """Guards against a counter of one engine that collects the streams of others."""
+    ledger = WorkLedger()
+    for number, engine in enumerate(ENGINES[:count]):
+        ledger.begin(work(f"w{number}", engine, 0.0, WorkKind.DECODE), NOW)
+    for _ in range(2):
+        assert ledger.open_streams(*ENGINES) == {0: count}
+        assert ledger.open_streams(ENGINES[0]) == {0: 1}
--- a/wigeonspan/placing/_fair_share.py
+++ b/wigeonspan/placing/_fair_share.py
@@ -44,9 +44,11 @@
         decay = self._decay(now)
         self._by_rank = [use * decay for use in self._by_rank]
         self._largest = [use * decay for use in self._largest]
-        self._at = max(self._at, now)
+        if now > self._at:
+            self._at = now
         self._by_rank[rank] += work_ms
-        self._largest[rank] = max(self._largest[rank], work_ms)
+        if work_ms > self._largest[rank]:
+            self._largest[rank] = work_ms
 
     def total(self, ranks: slice, now: float) -> float:
         """Return the use in milliseconds of engine time."""
@@ -128,7 +130,8 @@
         return limit_ms
 
     def _compute_limit_ms(self, band: PriorityBand, now: float) -> float:
-        totals = [use.total(_ranks(band), now) for use in self._uses.values()]
+        ranks = _ranks(band)
+        totals = [use.total(ranks, now) for use in self._uses.values()]
         active = [total for total in totals if total >= MIN_USE_MS]
         share = EXCESS_FACTOR / max(1, len(active))
         return max(share, MIN_EXCESS_SHARE) * sum(active)
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -1,7 +1,7 @@
 """Work in progress at each target, sent by this entry and by the other entries."""
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from enum import Enum
 from typing import Annotated
 
@@ -348,15 +348,22 @@
         )
 
     def open_streams(self, *targets: TargetId) -> Counter[int]:
-        """Return the streams that take or await a slot of engines, by urgency."""
+        """Return the streams that take or await a slot of engines, by urgency.
+
+        For one engine, it is the ledger's own counter, which must not be changed and
+        follows the work.
+        """
         return _sum_counts(
-            self._queues[t].streams for t in targets if t in self._queues
+            [self._queues[t].streams for t in targets if t in self._queues]
         )
 
     def expected_streams(self, *targets: TargetId) -> Counter[int]:
-        """Return the streams that follow the prefills at engines, by urgency."""
+        """Return the streams that follow the prefills at engines, by urgency.
+
+        For one engine, it is the ledger's own counter; see :meth:`open_streams`.
+        """
         return _sum_counts(
-            self._queues[t].expected for t in targets if t in self._queues
+            [self._queues[t].expected for t in targets if t in self._queues]
         )
 
     def count(self, target: TargetId, *kinds: WorkKind) -> int:
@@ -367,7 +374,10 @@
         return sum(n for kind, n in queue.counts.items() if kind in kinds)
 
 
-def _sum_counts(counts: Iterable[Counter[int]]) -> Counter[int]:
+def _sum_counts(counts: list[Counter[int]]) -> Counter[int]:
+    """Return the sum of counters; of a single one, the counter itself."""
+    if len(counts) == 1:
+        return counts[0]
     total: dict[int, int] = {}
     for by_urgency in counts:
         for urgency, number in by_urgency.items():
--- a/wigeonspan/placing/_memory.py
+++ b/wigeonspan/placing/_memory.py
@@ -154,7 +154,8 @@
         """
         if not self.enabled or tokens <= 0 or work.kind is WorkKind.CALL:
             return
-        self._remove(work.work)
+        if work.work in self._held:
+            self._remove(work.work)
         self._held[work.work] = _Held(work, tokens, now)
         totals = self._totals(work)
         by_urgency = totals.get(work.target)
--- a/wigeonspan/placing/_prefixes.py
+++ b/wigeonspan/placing/_prefixes.py
@@ -97,10 +97,11 @@
         cache = self._caches.get(target) if target is not None else None
         if cache is None:
             return
+        if completed:
+            cache.ready.update([name for name in names if name in cache.parts])
+            return
         for name in names:
-            if completed and name in cache.parts:
-                cache.ready.add(name)
-            elif not completed and name not in cache.ready:
+            if name not in cache.ready:
                 cache.drop(name)
 
     def cached_tokens(self, target: TargetId, parts: Iterable[PromptPart]) -> int:
