--- a/wigeonspan/placing/_fair_share.py
+++ b/wigeonspan/placing/_fair_share.py
@@ -44,9 +44,11 @@
         decay = self._decay(now)
         self._by_rank = [use * decay for use in self._by_rank]
         self._largest = [use * decay for use in self._largest]
-        self._at = max(self._at, now)
+        if now > self._at:
+            self._at = now
         self._by_rank[rank] += work_ms
-        self._largest[rank] = max(self._largest[rank], work_ms)
+        if work_ms > self._largest[rank]:
+            self._largest[rank] = work_ms
 
     def total(self, ranks: slice, now: float) -> float:
         """Return the use in milliseconds of engine time."""
@@ -54,11 +56,12 @@
 
     def without_largest(self, ranks: slice, now: float) -> float:
         """Return the use without that of the largest request."""
-        largest = max(self._largest[ranks])
-        return (sum(self._by_rank[ranks]) - largest) * self._decay(now)
+        excess_ms = sum(self._by_rank[ranks]) - max(self._largest[ranks])
+        return excess_ms * self._decay(now)
 
     def _decay(self, now: float) -> float:
-        return math.exp(-max(0.0, now - self._at) / DECAY_S)
+        elapsed_s = now - self._at
+        return math.exp(-elapsed_s / DECAY_S) if elapsed_s > 0.0 else 1.0
 
 
 class TenantUse:
@@ -127,7 +130,8 @@
         return limit_ms
 
     def _compute_limit_ms(self, band: PriorityBand, now: float) -> float:
-        totals = [use.total(_ranks(band), now) for use in self._uses.values()]
+        ranks = _ranks(band)
+        totals = [use.total(ranks, now) for use in self._uses.values()]
         active = [total for total in totals if total >= MIN_USE_MS]
         share = EXCESS_FACTOR / max(1, len(active))
         return max(share, MIN_EXCESS_SHARE) * sum(active)
--- a/wigeonspan/placing/_prefixes.py
+++ b/wigeonspan/placing/_prefixes.py
@@ -80,11 +80,12 @@
         if cache is None:
             cache = self._caches[target] = _EngineCache()
         cache.total_new_tokens += new_tokens
-        names = tuple(part.part for part in parts)
+        names = tuple([part.part for part in parts])
+        cached, total_new_tokens = cache.parts, cache.total_new_tokens
         for name in names:
-            cache.parts[name] = cache.total_new_tokens
-            cache.parts.move_to_end(name)
-        while len(cache.parts) > MAX_PARTS_PER_TARGET:
+            cached[name] = total_new_tokens
+            cached.move_to_end(name)
+        while len(cached) > MAX_PARTS_PER_TARGET:
             cache.drop(next(iter(cache.parts)))
         self._pending[work] = (target, names)
         if len(self._pending) > MAX_PENDING:
@@ -96,10 +97,11 @@
         cache = self._caches.get(target) if target is not None else None
         if cache is None:
             return
+        if completed:
+            cache.ready.update([name for name in names if name in cache.parts])
+            return
         for name in names:
-            if completed and name in cache.parts:
-                cache.ready.add(name)
-            elif not completed and name not in cache.ready:
+            if name not in cache.ready:
                 cache.drop(name)
 
     def cached_tokens(self, target: TargetId, parts: Iterable[PromptPart]) -> int:
