Quarantine a part at the first crash after a repeated request

Cause: a request and its caller's repeats crash three engines, so all its parts are in the same crashes and the innermost one, the request's own, is quarantined. These crashes then counted as explained, and the culprit around that part needed two more crashes in other requests.

Change: a part around a quarantined one needs one unexplained crash instead of two, if it has four crashes, no answer and no recent crash is without a remaining suspect.

--- a/tests/quarantine/test_core.py
+++ b/tests/quarantine/test_core.py
@@ -215,3 +215,31 @@
     assert quarantine.may_repeat("abcx", now)
     quarantine.tick(now + 1.0)
     assert quarantine.check("abcx", now + 1.0) is None
+
+
+def repeat_until_quarantined(quarantine):
+    """Crash three engines by one request that its caller repeats with a new id."""
+    for number in range(3):
+        crash(quarantine, f"t{number}", ["x", "own"], float(number))
+    assert quarantine.quarantined == ("own",)
+
+
+def test_part_is_quarantined_when_another_request_crashes_after_a_repeated_one():
+    """The first request's own part was quarantined; two others crashed engines too."""
+    quarantine = PromptQuarantine()
+    repeat_until_quarantined(quarantine)
+    crash(quarantine, "t3", ["x", "other"], 6.0)
+    assert "x" in quarantine.quarantined
+
+
+@pytest.mark.parametrize("doubt", ["answer", "plain crash"])
+def test_part_around_a_quarantined_one_needs_more_crashes_in_doubt(doubt):
+    """A sound part must not be refused for a culprit in it and one chance crash."""
+    quarantine = PromptQuarantine()
+    if doubt == "answer":
+        quarantine.record_written(["x"], 0.0)
+    repeat_until_quarantined(quarantine)
+    if doubt == "plain crash":
+        crash(quarantine, "t4", [], 5.0)
+    crash(quarantine, "t3", ["x", "other"], 6.0)
+    assert "x" not in quarantine.quarantined
--- a/wigeonspan/quarantine/_core.py
+++ b/wigeonspan/quarantine/_core.py
@@ -343,7 +343,7 @@
         self._remove_surplus()
 
     def _begin(self, key: str, began_at: float) -> Quarantine:
-        self._evidence.discard(key)
+        self._evidence.discard_quarantined(key)
         quarantine = Quarantine(began_at)
         self._quarantined[key] = quarantine
         return quarantine
--- a/wigeonspan/quarantine/_evidence.py
+++ b/wigeonspan/quarantine/_evidence.py
@@ -124,12 +124,15 @@
         Position in the prompt.
     has_written : bool
         Whether answers on the part were written before the first of the crashes.
+    has_quarantined_inside : bool
+        Whether a part was quarantined of which all crashes were crashes of this one.
     """
 
     companions: frozenset[str]
     position: int
     blames: list[Blame] = field(default_factory=list)
     has_written: bool = False
+    has_quarantined_inside: bool = False
 
     def is_blamed_for(self, crash: Crash) -> bool:
         """Return whether the part may be the cause of a crash."""
@@ -296,12 +299,21 @@
                 blame.crash.remaining.discard(part)
         suspect.blames = [b for b in suspect.blames if b.crash.at > written_at]
         suspect.has_written = True
+        suspect.has_quarantined_inside = False
         if suspect.blames:
             self._keep(part, suspect)
 
-    def discard(self, part: str) -> None:
-        """Remove a part."""
-        self._pop(part)
+    def discard_quarantined(self, part: str) -> None:
+        """Remove a part that is quarantined, and mark the parts that enclose it."""
+        suspect = self._pop(part)
+        if suspect is None:
+            return
+        for key in suspect.companions:
+            other = self.get(key)
+            if other is not None and all(
+                other.is_blamed_for(blame.crash) for blame in suspect.blames
+            ):
+                other.has_quarantined_inside = True
 
     def is_explained(self, crash: Crash) -> bool:
         """Return whether a quarantined part was in a request without an event."""
@@ -331,6 +343,13 @@
                 return []
         return crashes
 
+    def has_plain_crashes(self, now: float) -> bool:
+        """Return whether a recent crash has no remaining suspect."""
+        return any(
+            not crash.remaining and now - crash.at > PLAIN_AFTER_S
+            for crash in self.unexplained(now)
+        )
+
     def _was_flapping(self, crash: Crash, part: str) -> bool:
         """Return whether a target crashed repeatedly without a part around a crash."""
         others = 0
--- a/wigeonspan/quarantine/_judgement.py
+++ b/wigeonspan/quarantine/_judgement.py
@@ -31,6 +31,12 @@
 MIN_UNEXPLAINED = 2
 """Minimum number of crashes that no quarantined part explains."""
 
+MIN_UNEXPLAINED_AROUND = 1
+"""The same at the first crash after a part inside was quarantined, without an answer.
+When a caller repeats one request, all its parts are in the same crashes and the
+innermost is quarantined; a crash in another request shows that the one around it is the
+cause. With more crashes than that, false verdicts on sound parts were more frequent."""
+
 CRASHES_WITHOUT_DOUBT = 5
 """Number of crashes after which a part is quarantined although other parts may be the
 cause. By then the sends must end."""
@@ -89,7 +95,7 @@
             continue
         crashes = evidence.counted_crashes(key, crash.at, now)
         candidate = _Candidate(key, suspect, crashes, has_written(key))
-        if _has_enough(evidence, candidate):
+        if _has_enough(evidence, candidate, now):
             candidates.append(candidate)
     inner = [
         candidate
@@ -104,12 +110,18 @@
     return [candidate.key for candidate in likely]
 
 
-def _has_enough(evidence: Evidence, candidate: _Candidate) -> bool:
+def _has_enough(evidence: Evidence, candidate: _Candidate, now: float) -> bool:
     """Return whether a part was in enough crashes to be the cause."""
     crashes = candidate.crashes
     unexplained = sum(not evidence.is_explained(crash) for crash in crashes)
+    is_around = (
+        candidate.suspect.has_quarantined_inside
+        and len(crashes) == CRASHES_TO_QUARANTINE + 1
+        and not candidate.has_written
+        and not evidence.has_plain_crashes(now)
+    )
     if (
-        unexplained < MIN_UNEXPLAINED
+        unexplained < (MIN_UNEXPLAINED_AROUND if is_around else MIN_UNEXPLAINED)
         or len(crashes) < CRASHES_TO_QUARANTINE
         or not _are_apart(crashes)
     ):
