Use no part of the minimum of retries before the entries are known

Cause: an entry that had just started counted itself as the only one and took the complete minimum, 133 of 178 retries of 69 entries.

Change: the number of entries is unknown at first, and the part is 0. It counts from the first list when most other entries in it are ready, and otherwise once the list has not grown for 1 s.

The part of 8 entries in a running deployment is 16 from the first list on.

--- a/tests/placing/test_target_state.py
+++ b/tests/placing/test_target_state.py
@@ -205,6 +205,40 @@
     assert retries <= 10
 
 
+def spend_all(budget, now):
+    retries = 0
+    while budget.try_spend("s", now):
+        retries += 1
+    return retries
+
+
+@pytest.mark.parametrize(("entries", "part"), [(8, 16), (69, 1)])
+def test_new_entry_uses_its_part_from_the_first_list_on(entries, part):
+    """An entry that had just started used 133 of 178 retries of all 69 entries."""
+    budget = RetryBudget(0.2, 178.0, 10.0, entries=0)
+    assert spend_all(budget, 0.0) == 0
+    budget.record_list(entries, 0.2, is_running=True)
+    assert spend_all(budget, 0.2) == part
+
+
+@pytest.mark.parametrize("entries", [1, 8, 69])
+def test_entries_that_start_at_once_keep_to_the_minimum_together(entries):
+    """The first lists name few entries, so each took a large part of the minimum."""
+    budgets = [RetryBudget(0.2, 178.0, 10.0, entries=0) for _ in range(entries)]
+    retries = 0
+    for step in range(40):
+        now = 0.05 * step
+        listed = min(entries, 1 + 4 * step)
+        # An entry is ready half a second after its start.
+        ready = min(entries, max(0, 1 + 4 * (step - 10)))
+        for budget in budgets[:listed]:
+            budget.record_list(listed, now, is_running=2 * ready > listed)
+            retries += spend_all(budget, now)
+    assert 0 < retries <= 178
+    # The usual parts are in use 2 s after the start.
+    assert retries == entries * int(0.75 * 178.0 / entries)
+
+
 def test_silence_keeps_new_work_away_without_counting_as_a_failure():
     """A sound target that was silent for a second was left out like one that fails."""
     health = TargetAvailability()
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -150,7 +150,10 @@
                 settings.domain, rng, limits_memory=settings.limits_engine_memory
             ),
             budget=RetryBudget(
-                settings.retry_ratio, settings.retry_minimum, settings.retry_window_s
+                settings.retry_ratio,
+                settings.retry_minimum,
+                settings.retry_window_s,
+                entries=0,
             ),
             pool=pool,
             link=PeerLink(
@@ -474,11 +477,15 @@
                 "entries", "entries_changed", hosts=[e.host for e in entries]
             )
         self._entries = entries
-        self._context.stop.set_ready_peer(
-            any(e.state is EntryState.READY and e.host != own for e in entries)
-        )
+        others = [e for e in entries if e.host != own]
+        ready = sum(e.state is EntryState.READY for e in others)
+        self._context.stop.set_ready_peer(ready > 0)
         self._context.link.set_peers([e.peer_address for e in entries if e.host != own])
-        self._context.budget.set_entries(len(entries))
+        self._context.budget.record_list(
+            len(entries),
+            self._context.boot_clock.now(),
+            is_running=2 * ready > len(others),
+        )
         hosts = sorted({own, *(e.host for e in entries)})
         rank, now = hosts.index(own), self._clock.now()
         self._context.placer.limits.set_entries(rank, len(hosts), now)
--- a/wigeonspan/placing/_retries.py
+++ b/wigeonspan/placing/_retries.py
@@ -14,6 +14,10 @@
 """Share of the budget that is used. The rest is a reserve because entries may briefly
 disagree on their number."""
 
+LIST_SETTLE_S = 1.0
+"""Seconds without a longer list of entries after which it is taken to be complete when
+few of the entries were ready at first. Starting ones send a heartbeat every 0.15 s."""
+
 LOAN_LIFETIME_S = 1.5
 """Seconds from the request for a loan to the last time at which it may be used: a
 second to use it, and the largest usual delay of the messages."""
@@ -59,24 +63,31 @@
         Retries that all entries together may send in a window even without requests.
     window_s : float
         Length of the window in seconds.
+    entries : int
+        Number of entries; 0 while it is unknown, which leaves the minimum unused.
     """
 
-    def __init__(self, ratio: float, minimum: float, window_s: float) -> None:
+    def __init__(
+        self, ratio: float, minimum: float, window_s: float, entries: int = 1
+    ) -> None:
         self._ratio = ratio
         self._minimum = minimum
         self._window_s = window_s
-        self._entries = 1
+        self._entries = entries
+        # Largest number of entries in lists that may be incomplete, and since when.
+        self._listed = 0
+        self._listed_at = 0.0
         self._windows: dict[str, _Window] = {}
 
     @property
     def entries(self) -> int:
-        """Number of entries that share the minimum."""
+        """Number of entries that share the minimum; 0 while it is unknown."""
         return self._entries
 
     @property
     def equal_part(self) -> float:
         """Part of the minimum that this entry may use."""
-        return self._minimum / self._entries
+        return self._minimum / self._entries if self._entries else 0.0
 
     def set_entries(self, count: int) -> None:
         """Set how many entries share the minimum; a smaller number is ignored.
@@ -85,6 +96,31 @@
         """
         self._entries = max(self._entries, count)
 
+    def record_list(self, count: int, now: float, *, is_running: bool) -> None:
+        """Set the number of entries from a list, which may be incomplete at first.
+
+        When all entries start at once, the first lists name only some of them, of which
+        few are ready. Then the list counts when it has stopped growing.
+
+        Parameters
+        ----------
+        is_running : bool
+            Whether most other entries of the list are ready.
+        """
+        if self._entries or (is_running and not self._listed):
+            self.set_entries(count)
+        elif count > self._listed:
+            self._listed, self._listed_at = count, now
+
+    def _settle(self, now: float) -> None:
+        """Use the number of entries in the lists once they have stopped growing."""
+        if (
+            not self._entries
+            and self._listed
+            and now - self._listed_at >= LIST_SETTLE_S
+        ):
+            self.set_entries(self._listed)
+
     def record_request(self, service: str, now: float) -> None:
         """Record a request of a caller."""
         self._window(service, now).requests.append(now)
@@ -170,6 +206,7 @@
         return lapsed
 
     def _window(self, service: str, now: float) -> _Window:
+        self._settle(now)
         window = self._windows.setdefault(service, _Window())
         for times in (window.requests, window.retries, window.lent):
             while times and times[0] <= now - self._window_s:
