--- a/wigeonspan/gateway/_parts.py
+++ b/wigeonspan/gateway/_parts.py
@@ -66,7 +66,10 @@
             settings.domain, rng, limits_memory=settings.limits_engine_memory
         ),
         budget=RetryBudget(
-            settings.retry_ratio, settings.retry_minimum, settings.retry_window_s
+            settings.retry_ratio,
+            settings.retry_minimum,
+            settings.retry_window_s,
+            entries=0,
         ),
         pool=pool,
         link=PeerLink(settings.host, receive_event, record_bad_datagram),
