Name stopping entries when no other entry is left

Cause: a directory response leaves out entries that have announced their stop. When all known ready entries had announced it, a look-up was refused with NO_TARGET, although these entries still accept requests while they drain.

Change: when no address is left without them, they are named. Random draws are unchanged, since an empty choice draws nothing.

Measured: the new test failed before (NO_TARGET) and passes now, as do the other 10 of tests/gateway/test_entry_answers.py.

--- a/tests/gateway/test_entry_answers.py
+++ b/tests/gateway/test_entry_answers.py
@@ -127,6 +127,14 @@
     assert STOPPED in gateway.addresses(A)
 
 
+def test_stopping_entries_are_named_when_no_other_is_left(gateway):
+    """Callers were refused while all entries stopped, although these still served."""
+    gateway._update_entries(ENTRIES[:2])
+    gateway._state = EntryState.LEAVING
+    gateway._receive_event(STOPPED, EntryStopping(3.2))
+    assert gateway.addresses(A) == [STOPPED]
+
+
 def test_restarted_entry_is_named_when_no_list_has_shown_its_stop(gateway):
     """An entry that missed the lists in between left out the restarted one for good."""
     gateway._receive_event(STOPPED, EntryStopping(3.2))
--- a/wigeonspan/gateway/_daemon.py
+++ b/wigeonspan/gateway/_daemon.py
@@ -216,14 +216,18 @@
         silent_s = now - self._replied_at
         known = self._entries if silent_s <= RETENTION_S else []
         own = self._settings.host
+        entries = [e for e in known if e.host != own or e.state is self._state]
         stopping = self._stopping_entries.hosts(now)
-        entries = [
-            e
-            for e in known
-            if e.host not in stopping and (e.host != own or e.state is self._state)
-        ]
+        staying = [e for e in entries if e.host not in stopping]
         spills = self._spills.held(self._clock.now())
-        found = caller_addresses(entries, domain, MAX_ADDRESSES, self._rng, spills, own)
+
+        def choose(entries: list[EntryInfo]) -> list[str]:
+            return caller_addresses(
+                entries, domain, MAX_ADDRESSES, self._rng, spills, own
+            )
+
+        # Entries that have announced their stop still serve while they drain.
+        found = choose(staying) or choose(entries)
         if not found:
             raise WigeonspanError(ErrorKind.NO_TARGET, "no entries are known")
         return found
