Remove the fetches of streams whose end is not reported

Cause: StoredPrompts keeps which prompt each stream fetches until the stream's end is reported or its prompt expires. When the prompt had been released or fetched by another stream, and the stream expired, or its entry or engine was gone, the record stayed for as long as the process ran.

Change: EngineMemory drops the record together with the stream.

--- a/tests/placing/test_memory.py
+++ b/tests/placing/test_memory.py
@@ -282,6 +282,21 @@
     memory.end("stream", 7.5, completed=True)
 
 
+@pytest.mark.parametrize("lost_by", ["time", "host", "engine"])
+def test_lost_streams_leave_no_record_of_their_fetch(memory, lost_by):
+    """The records of streams whose end was not reported stayed for as long as the
+    entry ran when their prompts had been removed before."""
+    prefill(memory, "prompt", 12_000)
+    memory.begin(work("stream", "d0"), 12_000, 0.1, "prompt")
+    memory.stored.discard("prompt")
+    if lost_by == "host":
+        memory.drop_host(HostId("e"))
+    elif lost_by == "engine":
+        memory.forget(TargetId("d0"))
+    memory.expire(EXPIRY_S + 0.2)
+    assert memory.stored.open_fetches == 0
+
+
 def test_long_stream_keeps_its_memory_at_all_entries():
     """Streams of more than ``EXPIRY_S`` were forgotten while they held their memory,
     so other streams were preempted for requests that seemed to have room."""
--- a/wigeonspan/placing/_memory.py
+++ b/wigeonspan/placing/_memory.py
@@ -239,6 +239,7 @@
     def _remove_all(self, names: list[str]) -> None:
         for name in names:
             self._remove(name)
+            self.stored.drop_fetch(name)
 
     def held_tokens(self, target: TargetId) -> int:
         """Return the tokens that all running streams hold at an engine."""
--- a/wigeonspan/placing/_stored_prompts.py
+++ b/wigeonspan/placing/_stored_prompts.py
@@ -44,6 +44,11 @@
         """Mean seconds for which prompts are stored."""
         return self._stay_s
 
+    @property
+    def open_fetches(self) -> int:
+        """Number of streams that are known to fetch a prompt."""
+        return len(self._fetched_by)
+
     def tokens(self, target: TargetId) -> int:
         """Return the tokens of the prompts that are stored at an engine."""
         return self._tokens[target]
@@ -71,6 +76,10 @@
         if stored is not None:
             self._stay_s += STAY_WEIGHT * (now - stored.stored_at - self._stay_s)
 
+    def drop_fetch(self, stream: str) -> None:
+        """Remove a stream whose end is not reported; its prompt may still be stored."""
+        self._fetched_by.pop(stream, None)
+
     def discard(self, prompt: str) -> None:
         """Remove a prompt whose engine is told to discard it."""
         self._remove(prompt)
