Time renewed streams from their first start

Cause: entries report a long stream again every 2.4 s where the settings name pressure, and the ledger replaced the stream's start by the time of the report. TargetPace, which takes the duration of an answer from it, saw a stream of 5 s as one of at most 2.4 s, and as sent after a suspension that it had begun before.

Change: the ledger keeps the first start of work that is begun again at the same target, and find() returns it. The expiry of work still counts from the latest report.

--- a/tests/placing/test_memory.py
+++ b/tests/placing/test_memory.py
@@ -316,6 +316,37 @@
     assert own.take_renewals(HostId("e"), now) == []
 
 
+def test_renewed_stream_counts_from_its_first_start():
+    """A stream of 5 s at a slow engine counted as one of 0.2 s after it was reported
+    again, and as sent after a suspension that it had begun before."""
+    placer = make_placer()
+    unit = work("stream", "d0")
+    for now in (1.0, 3.4, 5.8):
+        placer.ledger.begin(unit, now)
+        placer.expire(now)
+    placer.expire(5.8 + EXPIRY_S - 0.1)
+    assert placer.ledger.find("stream") == (unit, 1.0)
+    placer.end_work("stream", 6.0, completed=True)
+    assert placer.ledger.find("stream") is None
+    placer.ledger.begin(unit, 7.0)
+    assert placer.ledger.find("stream") == (unit, 7.0)
+
+
+@pytest.mark.parametrize("lost_by", ["time", "host", "engine"])
+def test_first_start_ends_with_the_work(lost_by):
+    """The starts of lost streams would take memory without limit."""
+    ledger, unit = make_placer().ledger, work("stream", "d0")
+    ledger.begin(unit, 1.0)
+    ledger.begin(unit, 3.4)
+    if lost_by == "host":
+        ledger.drop_host(HostId("e"), 3.5)
+    elif lost_by == "engine":
+        ledger.forget(TargetId("d0"))
+    ledger.expire(3.4 + EXPIRY_S + 0.1)
+    ledger.begin(unit, 20.0)
+    assert ledger.find("stream") == (unit, 20.0)
+
+
 def test_renewal_that_is_lost_once_keeps_the_memory(memory):
     """Datagrams are lost, and one of them must not free an engine."""
     memory.begin(work("stream", "d0"), 12_000, 0.0)
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -153,6 +153,8 @@
     def __init__(self) -> None:
         self._queues: dict[TargetId, _Queue] = {}
         self._targets: dict[str, TargetId] = {}
+        # First start of work in progress that has been reported again.
+        self._first_starts: dict[str, float] = {}
         self._latency_s = 0.0
         self._follows_starts = False
         # Cached for one point in time: a decision needs it once for each engine.
@@ -174,11 +176,13 @@
         self._follows_starts = True
 
     def begin(self, work: Work, now: float) -> None:
-        """Record that work was sent to its target."""
+        """Record that work was sent to its target, or is still in progress there."""
         self._median_at = None
         queue = self._queues.get(work.target)
         if queue is None:
             queue = self._queues[work.target] = _Queue()
+        elif work.work in queue.work:
+            self._first_starts.setdefault(work.work, queue.work[work.work][1])
         queue.add(work, now)
         self._targets[work.work] = work.target
         if _includes_prefill(work):
@@ -190,7 +194,11 @@
         """Return work in progress and the time at which it began, if it is known."""
         target = self._targets.get(name)
         queue = self._queues.get(target) if target is not None else None
-        return None if queue is None else queue.work.get(name)
+        found = None if queue is None else queue.work.get(name)
+        if found is None:
+            return None
+        work, begun_at = found
+        return work, self._first_starts.get(name, begun_at)
 
     def end(self, name: str, now: float, *, completed: bool = False) -> None:
         """Record that work has ended.
@@ -201,6 +209,7 @@
             Whether the prefill of its prompt was completed.
         """
         self._median_at = None
+        self._first_starts.pop(name, None)
         target = self._targets.pop(name, None)
         queue = self._queues.get(target) if target is not None else None
         if queue is None:
@@ -236,6 +245,7 @@
         queue = self._queues.pop(target, None)
         for name in queue.work if queue is not None else ():
             self._targets.pop(name, None)
+            self._first_starts.pop(name, None)
 
     def finished_since(self, target: TargetId, since: float) -> bool:
         """Return whether a target has completed a prefill since a time."""
