Count a released prompt until its engine has received the release

Cause: the memory of a prefill engine no longer counted a prompt once its release was about to be sent. When the engine was not reached, it kept the prompt until its time to live ended while it seemed to have room.

Change: the prompt is removed after the engine's response; otherwise it expires.

--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import pytest
 
 from tests.gateway import test_explain
 from tests.gateway.test_tenant_use import make_context
-from wigeonspan.common import DomainName, HostId, ManualClock
+from wigeonspan.common import DomainName, HostId, ManualClock, ServiceName
 from wigeonspan.explain import render
 from wigeonspan.gateway import Gateway, GatewaySettings
+from wigeonspan.gateway._messages import PromptHandle
+from wigeonspan.gateway._release import release_prompt
 from wigeonspan.placing import Placer, Work, WorkKind
-from wigeonspan.targets import Listing, TargetId
+from wigeonspan.pool import ExchangeError, FailureKind
+from wigeonspan.targets import Listing, Phase, Target, TargetId
 
 TARGET = TargetId("d0")
 
@@ -140,3 +144,34 @@
     sender.clock.advance(3.0)
     sender.renew_work()
     assert len(sender.link.events) == 1
+
+
+@pytest.mark.parametrize(("is_received", "kept"), [(True, 0), (False, 12_000)])
+def test_prompt_counts_until_its_engine_has_received_the_release(is_received, kept):
+    """An engine that the release did not reach keeps the prompt but seemed empty."""
+    placer = limited(make_context("a")).placer
+    source = Target(
+        TargetId("p0"), ServiceName("s"), "p0", DomainName("a"), 4, phase=Phase.PREFILL
+    )
+    placer.memory.stored.add("a/1", source.target, 12_000, 0.0)
+    released = []
+
+    async def fetch(*_args, **_options):
+        if not is_received:
+            raise ExchangeError(FailureKind.TIMEOUT, sent=False)
+        return None, b""
+
+    context = SimpleNamespace(
+        clock=ManualClock(0.1),
+        placer=placer,
+        pool=SimpleNamespace(fetch=fetch),
+        protocol=SimpleNamespace(
+            encode_release=lambda handle: b"", read_notice=lambda head: None
+        ),
+        handle_notice=lambda *_: None,
+        run_in_background=released.append,
+    )
+    progress = SimpleNamespace(context=context, log_event=lambda *_, **__: None)
+    release_prompt(progress, PromptHandle(source, "h", "a/1"))
+    asyncio.run(released[0])
+    assert placer.memory.prompt_tokens(source.target) == kept
--- a/wigeonspan/gateway/_release.py
+++ b/wigeonspan/gateway/_release.py
@@ -17,7 +17,6 @@
         progress.log_event("release_skipped", target=handle.source.target)
         return
     limits.take(handle.source.target, sent_at)
-    context.placer.memory.stored.discard(handle.work)
 
     async def send_release() -> None:
         try:
@@ -27,6 +26,7 @@
                 RELEASE_TIMEOUT_S,
                 new_connection=True,
             )
+            context.placer.memory.stored.discard(handle.work)
             notice = context.protocol.read_notice(head)
             context.handle_notice(handle.source, notice, sent_at)
         except ExchangeError as failure:
