Show the wait for the memory of prefill engines in explanations

Cause: the choice of a prefill engine adds the time until it has room for the prompt to its wait. The figures of an explanation left that time out, so that an engine full of stored prompts was shown with a wait of 0 although placements avoid it.

Change: wait_ms of a prefill engine includes the time, which is 0 where memory is not limited. Decisions are unchanged.

Measured: the new test failed before (0 ms) and passes now; tests/placing/ test_memory.py, tests/gateway/test_explain.py and test_memory.py pass (65 tests).

--- a/tests/placing/test_memory.py
+++ b/tests/placing/test_memory.py
@@ -231,6 +231,18 @@
     assert {plan(placer).prefill.target for _ in range(20)} == {"p1"}
 
 
+def test_figures_show_the_wait_for_the_memory_of_a_prefill_engine():
+    """An explanation showed no wait at an engine that placements avoid as full."""
+    placer = make_placer()
+    prefill(placer.memory, "stored", ROOM)
+    _, figures = placer.figures.of_generation(
+        FLEET, prompt(12_000), route(), None, SOLE_BAND, 0.0
+    )
+    waits = {f.target: f.generation.wait_ms for f in figures}
+    assert waits["p0"] > 0.0
+    assert waits["p1"] == waits["d0"] == 0.0
+
+
 def test_prompt_waits_where_no_prefill_engine_has_room():
     """Its first event would be promised as if the memory were free."""
     placer = make_placer()
--- a/wigeonspan/placing/_figures.py
+++ b/wigeonspan/placing/_figures.py
@@ -170,8 +170,11 @@
             name = target.target
             is_limited = memory.applies and target.phase is not Phase.PREFILL
             streams = self._ledger.open_streams(name)
+            wait_ms = self._ledger.backlog_ms(name, urgency, now)
+            if target.phase is Phase.PREFILL:
+                wait_ms += memory.prefill_wait_ms(name, need)
             generation = GenerationFigures(
-                wait_ms=self._ledger.backlog_ms(name, urgency, now),
+                wait_ms=wait_ms,
                 cost_ms=costs[name],
                 cached_tokens=self._prefixes.cached_tokens(name, prompt.parts),
                 prefilled_tokens=steps[name].prefilled_tokens,
