--- a/tests/placing/test_memory.py
+++ b/tests/placing/test_memory.py
@@ -231,6 +231,18 @@
     assert {plan(placer).prefill.target for _ in range(20)} == {"p1"}
 
 
+def test_figures_show_the_wait_for_the_memory_of_a_prefill_engine():
+    """An explanation showed no wait at an engine that placements avoid as full."""
+    placer = make_placer()
+    prefill(placer.memory, "stored", ROOM)
+    _, figures = placer.figures.of_generation(
+        FLEET, prompt(12_000), route(), None, SOLE_BAND, 0.0
+    )
+    waits = {f.target: f.generation.wait_ms for f in figures}
+    assert waits["p0"] > 0.0
+    assert waits["p1"] == waits["d0"] == 0.0
+
+
 def test_prompt_waits_where_no_prefill_engine_has_room():
     """Its first event would be promised as if the memory were free."""
     placer = make_placer()
@@ -282,6 +294,21 @@
     memory.end("stream", 7.5, completed=True)
 
 
+@pytest.mark.parametrize("lost_by", ["time", "host", "engine"])
+def test_lost_streams_leave_no_record_of_their_fetch(memory, lost_by):
+    """The records of streams whose end was not reported stayed for as long as the
+    entry ran when their prompts had been removed before."""
+    prefill(memory, "prompt", 12_000)
+    memory.begin(work("stream", "d0"), 12_000, 0.1, "prompt")
+    memory.stored.discard("prompt")
+    if lost_by == "host":
+        memory.drop_host(HostId("e"))
+    elif lost_by == "engine":
+        memory.forget(TargetId("d0"))
+    memory.expire(EXPIRY_S + 0.2)
+    assert memory.stored.open_fetches == 0
+
+
 def test_long_stream_keeps_its_memory_at_all_entries():
     """Streams of more than ``EXPIRY_S`` were forgotten while they held their memory,
     so other streams were preempted for requests that seemed to have room."""
@@ -301,6 +328,36 @@
     assert own.take_renewals(HostId("e"), now) == []
 
 
+def test_renewed_stream_counts_from_its_first_start():
+    """A stream of 5 s at a slow engine counted as one of 0.2 s after it was reported
+    again, and as sent after a suspension that it had begun before."""
+    placer = make_placer()
+    unit = work("stream", "d0")
+    for now in (1.0, 3.4, 5.8):
+        placer.ledger.begin(unit, now)
+        placer.expire(now)
+    placer.expire(5.8 + EXPIRY_S - 0.1)
+    assert placer.ledger.end("stream", 6.0, completed=True) == (unit, 1.0)
+    assert placer.ledger.end("stream", 6.0, completed=True) is None
+    placer.ledger.begin(unit, 7.0)
+    assert placer.ledger.end("stream", 8.0, completed=True) == (unit, 7.0)
+
+
+@pytest.mark.parametrize("lost_by", ["time", "host", "engine"])
+def test_first_start_ends_with_the_work(lost_by):
+    """The starts of lost streams would take memory without limit."""
+    ledger, unit = make_placer().ledger, work("stream", "d0")
+    ledger.begin(unit, 1.0)
+    ledger.begin(unit, 3.4)
+    if lost_by == "host":
+        ledger.drop_host(HostId("e"), 3.5)
+    elif lost_by == "engine":
+        ledger.forget(TargetId("d0"))
+    ledger.expire(3.4 + EXPIRY_S + 0.1)
+    ledger.begin(unit, 20.0)
+    assert ledger.end("stream", 21.0) == (unit, 20.0)
+
+
 def test_renewal_that_is_lost_once_keeps_the_memory(memory):
     """Datagrams are lost, and one of them must not free an engine."""
     memory.begin(work("stream", "d0"), 12_000, 0.0)
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -169,6 +169,8 @@
     def __init__(self) -> None:
         self._queues: dict[TargetId, _Queue] = {}
         self._targets: dict[str, TargetId] = {}
+        # First start of work in progress that has been reported again.
+        self._first_starts: dict[str, float] = {}
         self._latency_s = 0.0
         self._follows_starts = False
         # Cached for one point in time, until work begins or ends: a decision needs the
@@ -192,11 +194,13 @@
         self._follows_starts = True
 
     def begin(self, work: Work, now: float) -> None:
-        """Record that work was sent to its target."""
+        """Record that work was sent to its target, or is still in progress there."""
         self._slowness_at = None
         queue = self._queues.get(work.target)
         if queue is None:
             queue = self._queues[work.target] = _Queue()
+        elif work.work in queue.work:
+            self._first_starts.setdefault(work.work, queue.work[work.work][1])
         queue.add(work, now)
         self._targets[work.work] = work.target
         if _includes_prefill(work):
@@ -220,6 +224,7 @@
             The work and the time at which it began; None if it is not known.
         """
         self._slowness_at = None
+        first_start = self._first_starts.pop(name, None)
         target = self._targets.pop(name, None)
         queue = self._queues.get(target) if target is not None else None
         begun = queue.pop(name) if queue is not None else None
@@ -227,7 +232,7 @@
             return None
         work, sent_at = begun
         if not _includes_prefill(work):
-            return begun
+            return work, sent_at if first_start is None else first_start
         queue.throughput.record_finished(work.work_ms if completed else 0.0, now)
         if self._follows_starts:
             queue.follow_end(work, sent_at, now - self._latency_s)
@@ -256,6 +261,7 @@
         queue = self._queues.pop(target, None)
         for name in queue.work if queue is not None else ():
             self._targets.pop(name, None)
+            self._first_starts.pop(name, None)
 
     def finished_since(self, target: TargetId, since: float) -> bool:
         """Return whether a target has completed a prefill since a time."""
