Give the queue of work at one target a module of its own

Change: units of work and the queue of those at one target are in _work_queue.py; nothing else changes. Measured: tests of placing, of explanations and of imports pass.

--- a/wigeonspan/placing/__init__.py
+++ b/wigeonspan/placing/__init__.py
@@ -3,7 +3,7 @@
 from wigeonspan.placing._choice import CALL_MS, DIRECT_SLOWDOWN
 from wigeonspan.placing._figures import GenerationFigures, TargetFigures
 from wigeonspan.placing._health import TargetAvailability
-from wigeonspan.placing._ledger import Work, WorkKind, WorkLedger
+from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._lending import MAX_WANTED, RetryLending
 from wigeonspan.placing._messages import (
     Decision,
@@ -24,6 +24,7 @@
 from wigeonspan.placing._readings import PrefillSteps
 from wigeonspan.placing._retries import RetryBudget, SpentRetry
 from wigeonspan.placing._speed import SlowdownFactors
+from wigeonspan.placing._work_queue import Work, WorkKind
 
 __all__ = [
     "CALL_MS",
--- a/wigeonspan/placing/_choice.py
+++ b/wigeonspan/placing/_choice.py
@@ -8,7 +8,7 @@
 from wigeonspan.placing._eligible import EligibleTargets
 from wigeonspan.placing._estimate import CROSS_DOMAIN_MS, EngineEstimate
 from wigeonspan.placing._health import TargetAvailability
-from wigeonspan.placing._ledger import WorkKind, WorkLedger
+from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._memory import EngineMemory
 from wigeonspan.placing._messages import Decision, Plan, Prompt
 from wigeonspan.placing._order import MAX_URGENCY
@@ -17,6 +17,7 @@
 from wigeonspan.placing._readings import PREFILL_FIXED_MS, PrefillSteps
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
+from wigeonspan.placing._work_queue import WorkKind
 from wigeonspan.targets import Phase, Target, TargetId
 
 DIRECT_SLOWDOWN = 2.0
--- a/wigeonspan/placing/_figures.py
+++ b/wigeonspan/placing/_figures.py
@@ -7,7 +7,7 @@
 from wigeonspan.fleetconfig import Route
 from wigeonspan.placing._estimate import EngineEstimate
 from wigeonspan.placing._health import TargetAvailability
-from wigeonspan.placing._ledger import WorkKind, WorkLedger
+from wigeonspan.placing._ledger import WorkLedger
 from wigeonspan.placing._memory import EngineMemory
 from wigeonspan.placing._messages import Prompt
 from wigeonspan.placing._order import WorkOrder
@@ -16,6 +16,7 @@
 from wigeonspan.placing._priority import PriorityBand
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
+from wigeonspan.placing._work_queue import WorkKind
 from wigeonspan.ratelimits import SharedRateLimits
 from wigeonspan.targets import Phase, Target, TargetId
 
--- a/wigeonspan/placing/_ledger.py
+++ b/wigeonspan/placing/_ledger.py
@@ -2,162 +2,27 @@
 
 from collections import Counter
 from collections.abc import Collection
-from enum import Enum
-from typing import Annotated
-
-from msgspec import Meta, Struct
 
 from wigeonspan.common import HostId
-from wigeonspan.placing._throughput import Throughput
+from wigeonspan.placing._work_queue import (
+    MAX_REPORT_DELAY_S,
+    Work,
+    WorkKind,
+    WorkQueue,
+    includes_prefill,
+)
 from wigeonspan.targets import TargetId
 
 EXPIRY_S = 6.0
 """Seconds after which work is dropped if no end was reported. Longer than callers wait
 for a first event."""
 
-MAX_REPORT_DELAY_S = 0.1
-"""Largest usual delay in seconds between the end of a prefill at an engine and its
-report at another entry; engines answer up to 95 ms after a prefill. Entries with few
-requests learn it late."""
-
 SEND_S = 0.02
 """Seconds until new work can be chosen at its engine, the delay of reports between
 entries included; meanwhile the engine may begin a less urgent prompt. In replays with
 reports 1 to 10 ms late, 20 ms gave fewer late urgent requests than 0 or 5 ms."""
 
 
-class WorkKind(Enum):
-    """Kind of work that a target does."""
-
-    PREFILL = "prefill"
-    DECODE = "decode"
-    DIRECT = "direct"
-    CALL = "call"
-
-    # Counters are keyed by kind, and Enum computes the hash of a member in Python.
-    __hash__ = object.__hash__
-
-
-class Work(Struct, frozen=True, array_like=True):
-    """One unit of work at a target.
-
-    Parameters
-    ----------
-    work : str
-        Identifier that is unique among all entries.
-    work_ms : float
-        Expected time in milliseconds at a target of nominal speed; of a generation only
-        the prefill counts.
-    urgency : int
-        Scheduling rank at the target; 0 goes first.
-    """
-
-    work: str
-    host: HostId
-    target: TargetId
-    kind: WorkKind
-    work_ms: Annotated[float, Meta(ge=0.0, le=1e9)]
-    urgency: Annotated[int, Meta(ge=-(10**6), le=10**6)]
-
-
-class _Queue:
-    def __init__(self) -> None:
-        self.work: dict[str, tuple[Work, float]] = {}
-        # The part of it that includes a prefill, in the same order.
-        self.prefills: dict[str, tuple[Work, float]] = {}
-        # Number of units of work by kind.
-        self.counts: Counter[WorkKind] = Counter()
-        # Streams that take or await a slot, and streams that follow the prefills here,
-        # both by urgency.
-        self.streams: Counter[int] = Counter()
-        self.expected: Counter[int] = Counter()
-        # Work whose prompt is assumed to be in prefill, and its assumed start.
-        self.head: str | None = None
-        self.head_since = 0.0
-        self.throughput = Throughput()
-
-    def add(self, work: Work, now: float) -> None:
-        """Add work, or replace the work with the same name."""
-        if work.work in self.work:
-            self.pop(work.work)
-        self.work[work.work] = begun = (work, now)
-        if _includes_prefill(work):
-            self.prefills[work.work] = begun
-        self._count(work, 1)
-
-    def pop(self, name: str) -> tuple[Work, float] | None:
-        """Remove work and return it with its begin; None if there is no such work."""
-        begun = self.work.pop(name, None)
-        if begun is not None:
-            self.prefills.pop(name, None)
-            self._count(begun[0], -1)
-        return begun
-
-    def _count(self, work: Work, change: int) -> None:
-        kind, urgency = work.kind, work.urgency
-        self.counts[kind] += change
-        if kind is WorkKind.PREFILL:
-            self.expected[urgency] += change
-        elif kind is not WorkKind.CALL:
-            self.streams[urgency] += change
-
-    def slowness(self, prior: float, now: float) -> float:
-        """Return the ratio of work time to nominal time; see `Throughput.slowness`."""
-        return self.throughput.slowness(prior, self.largest_prefill_ms(), now)
-
-    def largest_prefill_ms(self) -> float:
-        """Return the largest nominal prefill time among the work in progress."""
-        return max([w.work_ms for w, _ in self.prefills.values()], default=0.0)
-
-    def next_prefill(self, at: float, done: Collection[str] = ()) -> str | None:
-        """Return the prompt that an engine begins at a time.
-
-        It is the most urgent one, then the oldest, of those that had arrived; work that
-        arrived later cannot have been chosen, however urgent it is.
-
-        Parameters
-        ----------
-        done : collection of str
-            Work whose prefill was complete by that time.
-        """
-        waiting = [
-            (sent_at, w.urgency, n)
-            for n, (w, sent_at) in self.prefills.items()
-            if n not in done
-        ]
-        arrived = [(u, sent_at, n) for sent_at, u, n in waiting if sent_at <= at]
-        if arrived:
-            return min(arrived)[2]
-        return min(waiting)[2] if waiting else None
-
-    def follow_end(self, ended: Work, sent_at: float, at: float) -> None:
-        """Select the next prompt after one has ended, which need not be the head.
-
-        Prompts that the engine would have taken before the ended one are passed over:
-        the report of their end was lost.
-
-        Parameters
-        ----------
-        sent_at : float
-            Time at which the ended work was sent.
-        at : float
-            Time at which the prefill ended.
-        """
-        lost = [
-            n
-            for n, (w, earlier) in self.prefills.items()
-            if w.urgency <= ended.urgency and earlier < sent_at - MAX_REPORT_DELAY_S
-        ]
-        self.head = self.next_prefill(at, lost)
-        self.head_since = at
-
-    def choose_head(self, now: float) -> None:
-        """Select the next prompt for prefill: the most urgent one, then the oldest."""
-        waiting = [(w.urgency, at, n) for n, (w, at) in self.prefills.items()]
-        self.head = min(waiting)[2] if waiting else None
-        self.head_since = now
-
-
 class WorkLedger:
     """Track work in progress and speed by target.
 
@@ -167,7 +32,7 @@
     """
 
     def __init__(self) -> None:
-        self._queues: dict[TargetId, _Queue] = {}
+        self._queues: dict[TargetId, WorkQueue] = {}
         self._targets: dict[str, TargetId] = {}
         # First start of work in progress that has been reported again.
         self._first_starts: dict[str, float] = {}
@@ -198,12 +63,12 @@
         self._slowness_at = None
         queue = self._queues.get(work.target)
         if queue is None:
-            queue = self._queues[work.target] = _Queue()
+            queue = self._queues[work.target] = WorkQueue()
         elif work.work in queue.work:
             self._first_starts.setdefault(work.work, queue.work[work.work][1])
         queue.add(work, now)
         self._targets[work.work] = work.target
-        if _includes_prefill(work):
+        if includes_prefill(work):
             queue.throughput.mark_busy(now + self._latency_s)
             if queue.head is None:
                 queue.choose_head(now)
@@ -231,7 +96,7 @@
         if queue is None or begun is None:
             return None
         work, sent_at = begun
-        if not _includes_prefill(work):
+        if not includes_prefill(work):
             return work, sent_at if first_start is None else first_start
         queue.throughput.record_finished(work.work_ms if completed else 0.0, now)
         if self._follows_starts:
@@ -323,7 +188,7 @@
         return total / max(1, len(targets))
 
     def _work_ahead_ms(
-        self, queue: _Queue, urgency: int, slowness: float, now: float
+        self, queue: WorkQueue, urgency: int, slowness: float, now: float
     ) -> float:
         """Return the nominal time ahead of new work, from what the engine has begun.
 
@@ -392,7 +257,7 @@
 
 
 def _simulate_ahead_ms(
-    queue: _Queue, urgency: int, slowness: float, now: float, head_since: float
+    queue: WorkQueue, urgency: int, slowness: float, now: float, head_since: float
 ) -> float:
     """Return the nominal time ahead of new work at an engine that began its head."""
     assert queue.head is not None
@@ -418,7 +283,3 @@
         for n, (w, _) in queue.prefills.items()
         if w.urgency <= urgency and n not in done
     )
-
-
-def _includes_prefill(work: Work) -> bool:
-    return work.kind is WorkKind.PREFILL or work.kind is WorkKind.DIRECT
--- a/wigeonspan/placing/_memory.py
+++ b/wigeonspan/placing/_memory.py
@@ -12,11 +12,12 @@
 from msgspec import Struct
 
 from wigeonspan.common import HostId
-from wigeonspan.placing._ledger import EXPIRY_S, Work, WorkKind
+from wigeonspan.placing._ledger import EXPIRY_S
 from wigeonspan.placing._messages import Prompt
 from wigeonspan.placing._priority import PriorityBand
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._stored_prompts import StoredPrompts
+from wigeonspan.placing._work_queue import Work, WorkKind
 from wigeonspan.targets import Target, TargetId
 
 BLOCK_TOKENS = 16
--- a/wigeonspan/placing/_pace.py
+++ b/wigeonspan/placing/_pace.py
@@ -11,7 +11,8 @@
 from msgspec import Struct
 
 from wigeonspan.common import ServiceName
-from wigeonspan.placing._ledger import Work, WorkKind, WorkLedger
+from wigeonspan.placing._ledger import WorkLedger
+from wigeonspan.placing._work_queue import Work, WorkKind
 from wigeonspan.targets import Phase, Target, TargetId
 
 INITIAL_SHARE = 0.125
--- a/wigeonspan/placing/_placer.py
+++ b/wigeonspan/placing/_placer.py
@@ -15,7 +15,7 @@
 from wigeonspan.placing._fair_share import MIN_WAIT_MS, TenantUse
 from wigeonspan.placing._figures import PlacementFigures
 from wigeonspan.placing._health import TargetAvailability
-from wigeonspan.placing._ledger import EXPIRY_S, Work, WorkLedger
+from wigeonspan.placing._ledger import EXPIRY_S, WorkLedger
 from wigeonspan.placing._memory import EngineMemory
 from wigeonspan.placing._messages import Limit, Plan, Prompt, Refusal
 from wigeonspan.placing._order import WorkOrder, is_expected_late
@@ -27,6 +27,7 @@
 from wigeonspan.placing._shared_failures import BrokenWork
 from wigeonspan.placing._slots import SlotForecast
 from wigeonspan.placing._speed import SlowdownFactors
+from wigeonspan.placing._work_queue import Work
 from wigeonspan.ratelimits import SharedRateLimits
 from wigeonspan.targets import Phase, Target, TargetId
 
--- a/wigeonspan/placing/_shared_failures.py
+++ b/wigeonspan/placing/_shared_failures.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 from wigeonspan.common import HostId
-from wigeonspan.placing._ledger import Work, WorkKind
+from wigeonspan.placing._work_queue import Work, WorkKind
 from wigeonspan.targets import TargetId
 
 MAX_SMALL_FLEET = 16
