Show that a cut entry on the list of replicas hangs entries and control hosts

An entry of 23 KB that cannot be read keeps the event loop of each reader busy for 10 to 20 s at a time.

--- /dev/null
+++ b/review/7/run.py
@@ -0,0 +1,143 @@
+"""An entry on the platform's list that cannot be read."""
+
+import json
+import sys
+import threading
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from harness2 import (  # noqa: E402
+    TROUBLE,
+    CannotRun,
+    Deployment,
+    Operator,
+    Replica,
+    configuration,
+    is_ready,
+    ordinary,
+    run,
+    start_entry,
+)
+
+WATCHED_S = 40.0
+"""Seconds for which ordinary requests are sent."""
+
+GAP_S = 0.2
+"""Seconds between two ordinary requests."""
+
+TIMEOUT_S = 1.0
+"""``timeout_ms`` of the route, which is also the deadline of the requests."""
+
+MARGIN_S = 0.5
+"""Time after the time-out within which the rule wants an answer."""
+
+CONTACT_S = 3.0
+"""``contact_ms``: longest time for which a ready machine may take no connection."""
+
+
+def cut_entry():
+    """Return an entry of another writer that ends in the middle."""
+    entry = {
+        "id": "job-17",
+        "service": "nightly",
+        "address": "10.128.7.7:8080",
+        "zone": "zone-1",
+        "points": [[number, number + 1] for number in range(2000)],
+        "state": "ready",
+    }
+    text = json.dumps(entry).encode()
+    return text[: len(text) * 9 // 10]
+
+
+class Requests:
+    """Ordinary requests, one each ``GAP_S``, and the readiness check once a second."""
+
+    def __init__(self, address, record):
+        self._address = address
+        self._record = record
+        self.outcomes = []
+        self.checks = []
+        self._threads = []
+
+    def run(self, seconds):
+        began = time.monotonic()
+        number = 0x1000
+        while time.monotonic() - began < seconds:
+            self._begin(self._send, number)
+            if not number % 5:
+                self._begin(self._check, number)
+            number += 1
+            time.sleep(GAP_S)
+        for thread in self._threads:
+            thread.join()
+
+    def _begin(self, work, number):
+        thread = threading.Thread(target=work, args=[number])
+        thread.start()
+        self._threads.append(thread)
+
+    def _send(self, number):
+        began = time.monotonic()
+        status = ordinary(self._address, number, timeout_s=30.0)
+        took_s = time.monotonic() - began
+        self.outcomes.append((status, took_s))
+        self._record(f"request {number:x}: {status} after {took_s:.2f} s")
+
+    def _check(self, number):
+        began = time.monotonic()
+        ready = is_ready(self._address, timeout_s=30.0)
+        took_s = time.monotonic() - began
+        self.checks.append(took_s)
+        if not ready or took_s > 1.0:
+            self._record(f"readiness check: ready={ready} after {took_s:.2f} s")
+
+
+def change(deployment):
+    """Change the configuration every few seconds, as an operator does."""
+    began, version = time.monotonic(), 11
+    while time.monotonic() - began < WATCHED_S:
+        sent_at = time.monotonic()
+        if Operator(deployment).replace((1, 2, 3), configuration(version), 30.0):
+            took_s = time.monotonic() - sent_at
+            deployment.record(f"version {version} took {took_s:.2f} s")
+        version += 4
+        time.sleep(3.0)
+
+
+def play(record):
+    deployment = Deployment(record)
+    replica = Replica(deployment)
+    try:
+        address, instances = start_entry(deployment, replica)
+        time.sleep(CONTACT_S + 1.0)
+        if TROUBLE:
+            instances.foreign = [cut_entry()]
+            record(f"an entry of {len(cut_entry())} bytes is cut on the list")
+        operator = threading.Thread(target=change, args=[deployment])
+        operator.start()
+        requests = Requests(address, record)
+        requests.run(WATCHED_S)
+        operator.join()
+        if not deployment.is_running(11):
+            raise CannotRun("the entry has ended")
+        late = [o for o in requests.outcomes if o[1] > TIMEOUT_S]
+        too_late = [o for o in late if o[1] > TIMEOUT_S + MARGIN_S]
+        served = sum(status == 200 for status, _ in requests.outcomes)
+        record(f"{served} of {len(requests.outcomes)} requests are served")
+        record(
+            f"{len(late)} requests unanswered at their time-out, "
+            f"{len(too_late)} of them half a second later"
+        )
+        longest_s = max(requests.checks)
+        record(f"the readiness check waited for up to {longest_s:.1f} s for its answer")
+        record(f"the list was read {instances.reads} times")
+        return (
+            len(late) >= 8 and len(too_late) > len(late) / 2 and longest_s > CONTACT_S
+        )
+    finally:
+        deployment.close()
+
+
+if __name__ == "__main__":
+    sys.exit(run(Path(__file__).resolve().parent, play))
