--- a/review/6/run.py
+++ b/review/6/run.py
@@ -31,6 +31,7 @@
 
 
 def play(record):
+    """Play the case on a deployment and return whether the rule was broken."""
     deployment = Deployment(record)
     operator = Operator(deployment)
     try:
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -61,6 +61,7 @@
         self._threads = []
 
     def run(self, seconds):
+        """Send requests for some seconds and wait for all answers."""
         began = time.monotonic()
         number = 0x1000
         while time.monotonic() - began < seconds:
@@ -106,6 +107,7 @@
 
 
 def play(record):
+    """Play the case on a deployment and return whether the rule was broken."""
     deployment = Deployment(record)
     replica = Replica(deployment)
     try:
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -31,6 +32,8 @@
 LIST_PORT, REPLICA_PORT, METRICS_PORT = 18143, 18080, 7390
 INTERNAL_PORTS = (17380, 17395)
 HOST = "ficu95.example"
+MAX_FDS = 4100
+"""``limits.max_fds`` of an entry."""
 
 
 class CannotRun(Exception):
@@ -48,9 +51,11 @@
 
     @property
     def elapsed_s(self):
+        """Seconds since the start of the script."""
         return time.monotonic() - self._began
 
     def __call__(self, text):
+        """Write a line."""
         with self._lock:
             line = f"{self.elapsed_s:8.3f} {text}"
             self._file.write(line + "\n")
@@ -73,6 +78,14 @@
     raise CannotRun("no free addresses")
 
 
+def raise_descriptors():
+    """Let this script and its programs have as many descriptors as a machine has."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = MAX_FDS if hard == resource.RLIM_INFINITY else min(hard, MAX_FDS)
+    if soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 class Deployment:
     """Machines of a small deployment: settings files, processes and data folders.
 
@@ -80,13 +93,15 @@
     ----------
     record : Record
         Record of the case.
-    bounds : dict
-        Fields of the settings file that differ from those of a small deployment.
+    **fields
+        Fields of the settings file that differ from those of a small deployment; two
+        underscores stand for a dot.
     """
 
     def __init__(self, record, **fields):
         self.record = record
         self.net = free_network()
+        raise_descriptors()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes = {}
         self._fields = fields
@@ -97,10 +112,12 @@
             raise CannotRun("target/deps is missing: run the build of the deploy file")
 
     def ip(self, number):
+        """Return the address of a machine."""
         return f"{self.net}.{number}"
 
     @property
     def list_address(self):
+        """Address of the platform's API."""
         return f"{self.ip(200)}:{LIST_PORT}"
 
     def settings(self, number, machine_class, seeds, *, bootstrap):
@@ -123,7 +140,7 @@
             "limits.cpu_share": 0.86 if core else 0.537,
             "limits.cores": 3 if core else 2,
             "limits.memory_mb": 296 if core else 300,
-            "limits.max_fds": 4096 if core else 4100,
+            "limits.max_fds": 4096 if core else MAX_FDS,
             "limits.bandwidth_mbps": 1000.0,
             "limits.disk_mb": 128 if core else 0,
             "discovery": "cloud",
@@ -177,7 +194,9 @@
         text = self.settings(number, machine_class, seeds, bootstrap=bootstrap)
         node_file.write_text(text)
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
@@ -194,16 +213,18 @@
         self.record(f"machine {number} ({machine_class}) starts, bootstrap={bootstrap}")
 
     def is_running(self, number):
+        """Return whether the process of a machine has not ended."""
         return self.processes[number].poll() is None
 
     def kill(self, number):
+        """Send SIGKILL and wait for the end of the process."""
         process = self.processes[number]
         if process.poll() is None:
             process.send_signal(signal.SIGKILL)
         process.wait()
 
     def terminate(self, number, grace_s=8.0):
-        """Send SIGTERM, and SIGKILL after the grace period; return the seconds taken."""
+        """Send SIGTERM, and SIGKILL after the grace period; return the time taken."""
         process, began = self.processes[number], time.monotonic()
         process.send_signal(signal.SIGTERM)
         try:
@@ -213,6 +234,7 @@
         return time.monotonic() - began
 
     def lose_disk(self, number):
+        """Delete the data folder of a machine."""
         shutil.rmtree(self.folder / str(number) / "data", ignore_errors=True)
 
     def close(self):
@@ -222,6 +244,7 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def log_tail(self, number, lines=3):
+        """Return the last lines of the log of a machine."""
         text = (self.folder / str(number) / "log").read_text(errors="replace")
         return text.splitlines()[-lines:]
 
@@ -257,12 +280,18 @@
         while time.monotonic() < end:
             for number in hosts:
                 address = f"{self._deployment.ip(number)}:{CONTROL_PORT}"
-                status, answer = call("POST", f"http://{address}/v1/config/replace", body)
+                status, answer = call(
+                    "POST", f"http://{address}/v1/config/replace", body
+                )
                 if status == 200:
-                    self._record(f"version {config['version']} acknowledged by {number}")
+                    self._record(
+                        f"version {config['version']} acknowledged by {number}"
+                    )
                     return number
             time.sleep(0.1)
-        self._record(f"version {config['version']} not acknowledged: {status} {answer[:80]}")
+        self._record(
+            f"version {config['version']} not acknowledged: {status} {answer[:80]}"
+        )
         return None
 
     def describe(self, number):
@@ -448,7 +477,11 @@
 
 
 def is_ready(address, timeout_s=1.0):
-    return call("GET", f"http://{address}:{READY_PORT}/v1/ready", timeout_s=timeout_s)[0] == 200
+    """Return whether the readiness check of an entry is answered with 200."""
+    return (
+        call("GET", f"http://{address}:{READY_PORT}/v1/ready", timeout_s=timeout_s)[0]
+        == 200
+    )
 
 
 def ordinary(address, number, timeout_s=3.0):
