--- a/review/7/run.py
+++ b/review/7/run.py
@@ -8,6 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from harness2 import (  # noqa: E402
+    REPLICA_PORT,
     TROUBLE,
     CannotRun,
     Deployment,
@@ -36,12 +37,12 @@
 """``contact_ms``: longest time for which a ready machine may take no connection."""
 
 
-def cut_entry():
+def cut_entry(address):
     """Return an entry of another writer that ends in the middle."""
     entry = {
         "id": "job-17",
         "service": "nightly",
-        "address": "10.128.7.7:8080",
+        "address": address,
         "zone": "zone-1",
         "points": [[number, number + 1] for number in range(2000)],
         "state": "ready",
@@ -114,8 +115,9 @@
         address, instances = start_entry(deployment, replica)
         time.sleep(CONTACT_S + 1.0)
         if TROUBLE:
-            instances.foreign = [cut_entry()]
-            record(f"an entry of {len(cut_entry())} bytes is cut on the list")
+            foreign = cut_entry(f"{deployment.ip(150)}:{REPLICA_PORT}")
+            instances.foreign = [foreign]
+            record(f"an entry of {len(foreign)} bytes is cut on the list")
         operator = threading.Thread(target=change, args=[deployment])
         operator.start()
         requests = Requests(address, record)
