--- a/review/7/run.py
+++ b/review/7/run.py
@@ -14,9 +14,8 @@
     Deployment,
     Operator,
     Replica,
+    Requests,
     configuration,
-    is_ready,
-    ordinary,
     run,
     start_entry,
 )
@@ -24,9 +23,6 @@
 WATCHED_S = 40.0
 """Seconds for which ordinary requests are sent."""
 
-GAP_S = 0.2
-"""Seconds between two ordinary requests."""
-
 TIMEOUT_S = 1.0
 """``timeout_ms`` of the route, which is also the deadline of the requests."""
 
@@ -51,50 +47,6 @@
     return text[: len(text) * 9 // 10]
 
 
-class Requests:
-    """Ordinary requests, one each ``GAP_S``, and the readiness check once a second."""
-
-    def __init__(self, address, record):
-        self._address = address
-        self._record = record
-        self.outcomes = []
-        self.checks = []
-        self._threads = []
-
-    def run(self, seconds):
-        """Send requests for some seconds and wait for all answers."""
-        began = time.monotonic()
-        number = 0x1000
-        while time.monotonic() - began < seconds:
-            self._begin(self._send, number)
-            if not number % 5:
-                self._begin(self._check, number)
-            number += 1
-            time.sleep(GAP_S)
-        for thread in self._threads:
-            thread.join()
-
-    def _begin(self, work, number):
-        thread = threading.Thread(target=work, args=[number])
-        thread.start()
-        self._threads.append(thread)
-
-    def _send(self, number):
-        began = time.monotonic()
-        status = ordinary(self._address, number, timeout_s=30.0)
-        took_s = time.monotonic() - began
-        self.outcomes.append((status, took_s))
-        self._record(f"request {number:x}: {status} after {took_s:.2f} s")
-
-    def _check(self, number):
-        began = time.monotonic()
-        ready = is_ready(self._address, timeout_s=30.0)
-        took_s = time.monotonic() - began
-        self.checks.append(took_s)
-        if not ready or took_s > 1.0:
-            self._record(f"readiness check: ready={ready} after {took_s:.2f} s")
-
-
 def change(deployment):
     """Change the configuration every few seconds, as an operator does."""
     began, version = time.monotonic(), 11
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -36,6 +36,10 @@
 """``limits.max_fds`` of an entry."""
 
 
+GAP_S = 0.2
+"""Seconds between two ordinary requests."""
+
+
 class CannotRun(Exception):
     """The case could not be played, which says nothing about the rule."""
 
@@ -497,3 +501,47 @@
         return None
     finally:
         connection.close()
+
+
+class Requests:
+    """Ordinary requests, one each ``GAP_S``, and the readiness check once a second."""
+
+    def __init__(self, address, record):
+        self._address = address
+        self._record = record
+        self.outcomes = []
+        self.checks = []
+        self._threads = []
+
+    def run(self, seconds):
+        """Send requests for some seconds and wait for all answers."""
+        began = time.monotonic()
+        number = 0x1000
+        while time.monotonic() - began < seconds:
+            self._begin(self._send, number)
+            if not number % 5:
+                self._begin(self._check, number)
+            number += 1
+            time.sleep(GAP_S)
+        for thread in self._threads:
+            thread.join()
+
+    def _begin(self, work, number):
+        thread = threading.Thread(target=work, args=[number])
+        thread.start()
+        self._threads.append(thread)
+
+    def _send(self, number):
+        began = time.monotonic()
+        status = ordinary(self._address, number, timeout_s=30.0)
+        took_s = time.monotonic() - began
+        self.outcomes.append((status, took_s))
+        self._record(f"request {number:x}: {status} after {took_s:.2f} s")
+
+    def _check(self, number):
+        began = time.monotonic()
+        ready = is_ready(self._address, timeout_s=30.0)
+        took_s = time.monotonic() - began
+        self.checks.append(took_s)
+        if not ready or took_s > 1.0:
+            self._record(f"readiness check: ready={ready} after {took_s:.2f} s")
