--- a/review/harness2.py
+++ b/review/harness2.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
 import random
@@ -36,6 +37,9 @@
 """``limits.max_fds`` of an entry."""
 
 
+FIRST_IDS = itertools.count(1)
+"""Ids of the requests by which a script sees whether an entry serves."""
+
 GAP_S = 0.2
 """Seconds between two ordinary requests."""
 
@@ -461,23 +465,30 @@
             return b""
 
 
-def start_entry(deployment, replica):
-    """Start three control hosts and entry 11; wait until it serves.
+def start_entry(deployment, replica, entries=(11,)):
+    """Start three control hosts and entries; wait until these serve.
 
-    Returns the address of the entry and the platform's list.
+    Returns the address of the first entry and the platform's list.
     """
     instances = InstanceList(deployment, [replica.entry])
     for number in (1, 2, 3):
         deployment.start(number, "core", (1, 2, 3), bootstrap=True)
-    deployment.start(11, "edge", (1, 2, 3), bootstrap=True)
+    for number in entries:
+        deployment.start(number, "edge", (1, 2, 3), bootstrap=True)
     if Operator(deployment).replace((1, 2, 3), configuration(7)) is None:
         raise CannotRun("the group did not start")
-    address, end = deployment.ip(11), time.monotonic() + 15.0
-    while not is_ready(address) or ordinary(address, 1) != 200:
+    for number in entries:
+        wait_until_serving(deployment.ip(number))
+    return deployment.ip(entries[0]), instances
+
+
+def wait_until_serving(address):
+    """Wait until an entry is ready and serves an ordinary request."""
+    end = time.monotonic() + 15.0
+    while not is_ready(address) or ordinary(address, next(FIRST_IDS)) != 200:
         if time.monotonic() > end:
             raise CannotRun("the entry did not get ready")
         time.sleep(0.1)
-    return address, instances
 
 
 def is_ready(address, timeout_s=1.0):
